--- /dev/null
+++ b/bench/src/main/java/io/radishwinch/bench/package-info.java
@@ -0,0 +1,2 @@
+/** The measurement run and the JMH benchmarks. */
+package io.radishwinch.bench;
--- /dev/null
+++ b/cli/src/main/java/io/radishwinch/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The radishwinch command line. */
+package io.radishwinch.cli;
--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/allotment/package-info.java
@@ -0,0 +1,2 @@
+/** Shares of the limits that all routers enforce together. */
+package io.radishwinch.cluster.allotment;
--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration in force, which never reverts. */
+package io.radishwinch.cluster.configuration;
--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/gossip/package-info.java
@@ -0,0 +1,2 @@
+/** Last-writer-wins entries that spread between routers. */
+package io.radishwinch.cluster.gossip;
--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Failure detection and membership of routers. */
+package io.radishwinch.cluster.membership;
--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/PlatformClient.java
@@ -0,0 +1,114 @@
+package io.radishwinch.cluster.platform;
+
+import io.smallrye.mutiny.Multi;
+import io.smallrye.mutiny.Uni;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Port to the platform's object API and VM list.
+ *
+ * <p>Every operation may fail with a {@link PlatformException}, which says whether a write may have taken effect.
+ * Versions increase over the whole store. Values hold at most {@link #MAX_VALUE_BYTES} bytes.
+ */
+public interface PlatformClient {
+
+    /** Largest value, in bytes. */
+    int MAX_VALUE_BYTES = 1_000_000;
+
+    /** Version that a key without an object has; a put that expects it creates the object. */
+    long ABSENT = 0;
+
+    /** Reads one object. */
+    Uni<Optional<StoredObject>> get(String key);
+
+    /**
+     * Reads the objects whose keys start with the prefix, in key order.
+     *
+     * @param afterKey key behind which the page starts, or an empty string
+     * @param limit largest number of objects
+     */
+    Uni<Page> list(String prefix, String afterKey, int limit);
+
+    /**
+     * Writes an object if its version is the expected one.
+     *
+     * @param expectedVersion version read before, or {@link #ABSENT} to create
+     * @param nonce unique mark of this write, stored with the object, by which a lost answer is resolved
+     * @return the new version, or the object that was there instead
+     */
+    Uni<PutResult> put(String key, long expectedVersion, byte[] value, String nonce);
+
+    /** Deletes an object if its version is the expected one. */
+    Uni<PutResult> delete(String key, long expectedVersion, String nonce);
+
+    /**
+     * Follows changes under a prefix. Ends with a failure when the connection breaks or history before
+     * {@code fromVersion} is no longer held; the caller then lists again.
+     *
+     * @param fromVersion version after which changes are wanted
+     */
+    Multi<Change> watch(String prefix, long fromVersion);
+
+    /** Reads the lagging list of VMs. */
+    Uni<List<Vm>> vms();
+
+    /**
+     * An object as stored.
+     *
+     * @param key key
+     * @param version version of its last write
+     * @param value content
+     * @param nonce mark of its last write
+     */
+    record StoredObject(String key, long version, byte[] value, String nonce) {}
+
+    /**
+     * One page of a listing.
+     *
+     * @param objects objects in key order
+     * @param more whether further objects follow
+     * @param storeVersion version of the store at the time of reading, from which a watch may start
+     */
+    record Page(List<StoredObject> objects, boolean more, long storeVersion) {}
+
+    /** Result of a conditional write that was decided by the store. */
+    sealed interface PutResult {
+        /**
+         * The write took effect.
+         *
+         * @param version version of the write
+         */
+        record Written(long version) implements PutResult {}
+
+        /**
+         * The expected version did not match; nothing was written.
+         *
+         * @param current the object in the store, or empty if there is none
+         */
+        record Conflict(Optional<StoredObject> current) implements PutResult {}
+    }
+
+    /**
+     * One change.
+     *
+     * @param key key
+     * @param version version of the change
+     * @param value new content, or empty after a deletion
+     * @param nonce mark of the write
+     */
+    record Change(String key, long version, Optional<byte[]> value, String nonce) {}
+
+    /**
+     * One VM of the list.
+     *
+     * @param id identifier
+     * @param dataCentre data centre
+     * @param host IP address
+     * @param port port of the process on it: the peer port of a router, the HTTP port of an endpoint
+     * @param role {@code router}, {@code engine} or {@code service}
+     * @param service name of the plain service, or an empty string
+     * @param leaving whether the VM is about to stop
+     */
+    record Vm(String id, String dataCentre, String host, int port, String role, String service, boolean leaving) {}
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/event/package-info.java
@@ -0,0 +1,2 @@
+/** Events that the decision core consumes. */
+package io.radishwinch.core.event;
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/health/package-info.java
@@ -0,0 +1,2 @@
+/** Endpoint health: ejection, return and slow start. */
+package io.radishwinch.core.health;
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/impl/package-info.java
@@ -0,0 +1,2 @@
+/** The table-based implementation of the decision core. */
+package io.radishwinch.core.impl;
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/model/FleetConfig.java
@@ -0,0 +1,47 @@
+package io.radishwinch.core.model;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * The configuration in force: immutable, replaced as a whole.
+ *
+ * @param version highest platform version among its objects
+ * @param contracts contracts by caller
+ * @param models models by name
+ * @param services plain services by name
+ */
+public record FleetConfig(
+        long version,
+        Map<String, Contract> contracts,
+        Map<String, ModelSpec> models,
+        Map<String, ServiceSpec> services) {
+
+    /** Copies the maps. */
+    public FleetConfig {
+        contracts = Map.copyOf(contracts);
+        models = Map.copyOf(models);
+        services = Map.copyOf(services);
+    }
+
+    /** Returns the configuration without any object. */
+    public static FleetConfig empty() {
+        return new FleetConfig(0, Map.of(), Map.of(), Map.of());
+    }
+
+    /** Returns a copy with the contract added or replaced, at the given version. */
+    public FleetConfig withContract(long newVersion, Contract contract) {
+        Map<String, Contract> copy = new HashMap<>(contracts);
+        copy.put(contract.caller(), contract);
+        return new FleetConfig(newVersion, copy, models, services);
+    }
+
+    /** Returns the pool of a model or plain service, or null if none is configured under this name. */
+    public ModelSpec pool(String name) {
+        if (name.startsWith(ModelSpec.SERVICE_PREFIX)) {
+            String service = name.substring(ModelSpec.SERVICE_PREFIX.length());
+            return services.containsKey(service) ? ModelSpec.forService(service) : null;
+        }
+        return models.get(name);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/model/RequestSpec.java
@@ -0,0 +1,42 @@
+package io.radishwinch.core.model;
+
+import java.util.List;
+
+/**
+ * What the core needs to know of a request.
+ *
+ * @param requestId identifier, unique in the fleet
+ * @param caller name of the caller
+ * @param rank urgency
+ * @param pool model name, or {@code service:<name>}
+ * @param promptTokens tokens of the prompt
+ * @param maxNewTokens largest number of answer tokens
+ * @param arrivedAtMs time of arrival, in ms of the router's clock
+ * @param deadlineMs time by which the answer must be complete, in ms of the router's clock
+ * @param fingerprint hash of caller, pool and content, equal for a re-sent request
+ * @param prefixHashes cumulative hashes of the prompt's blocks, shortest prefix first
+ * @param repeatable whether the request may be sent to an endpoint more than once
+ */
+public record RequestSpec(
+        String requestId,
+        String caller,
+        Rank rank,
+        String pool,
+        int promptTokens,
+        int maxNewTokens,
+        long arrivedAtMs,
+        long deadlineMs,
+        String fingerprint,
+        List<Long> prefixHashes,
+        boolean repeatable) {
+
+    /** Copies the prefix hashes. */
+    public RequestSpec {
+        prefixHashes = List.copyOf(prefixHashes);
+    }
+
+    /** Returns the cost in tokens, the unit of fair queueing and of token limits. */
+    public long costTokens() {
+        return (long) promptTokens + maxNewTokens;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/model/ServiceSpec.java
@@ -0,0 +1,55 @@
+package io.radishwinch.core.model;
+
+import java.util.List;
+
+/**
+ * A plain service that the router forwards HTTP calls to.
+ *
+ * @param name name in the path {@code /services/<name>/...}
+ * @param timeoutMs longest time for one call, in ms
+ * @param operations operations with special treatment; a call that matches none is repeatable when its method is
+ *     idempotent
+ */
+public record ServiceSpec(String name, long timeoutMs, List<Operation> operations) {
+
+    /** Copies the operations. */
+    public ServiceSpec {
+        operations = List.copyOf(operations);
+    }
+
+    /**
+     * Treatment of the calls that match a method and a path prefix.
+     *
+     * @param method HTTP method in upper case, or {@code *}
+     * @param pathPrefix prefix of the path behind the service name, starting with a slash
+     * @param repeatable whether a call may be sent again
+     */
+    public record Operation(String method, String pathPrefix, boolean repeatable) {}
+
+    /**
+     * Returns whether a call may be sent again; the longest matching prefix decides, and without a match the method
+     * (RFC 9110 section 9.2.2) does.
+     */
+    public boolean isRepeatable(String method, String path) {
+        Operation best = null;
+        for (Operation operation : operations) {
+            boolean matches =
+                    (operation.method().equals("*") || operation.method().equals(method))
+                            && path.startsWith(operation.pathPrefix());
+            if (matches
+                    && (best == null
+                            || operation.pathPrefix().length()
+                                    > best.pathPrefix().length())) {
+                best = operation;
+            }
+        }
+        return best == null ? isIdempotentMethod(method) : best.repeatable();
+    }
+
+    private static boolean isIdempotentMethod(String method) {
+        return switch (method) {
+            case "GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE" -> true;
+            default -> false;
+        };
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Orders to engines: which layer ranges to load where. */
+package io.radishwinch.core.placement;
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/queue/package-info.java
@@ -0,0 +1,2 @@
+/** Request queues: order between ranks and callers. */
+package io.radishwinch.core.queue;
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Retry decisions, retry budgets and backoff. */
+package io.radishwinch.core.retry;
--- /dev/null
+++ b/protocol/src/main/java/io/radishwinch/protocol/package-info.java
@@ -0,0 +1,2 @@
+/** Thrift messages between routers and their bounded framing. */
+package io.radishwinch.protocol;
--- /dev/null
+++ b/protocol/src/main/thrift/radishwinch.thrift
@@ -0,0 +1,78 @@
+/**
+ * Messages between routers. Each Frame is sent with the compact protocol behind a 4-byte big-endian length.
+ * Times are sent as remaining ms, never as clock readings, because clocks of VMs differ by seconds.
+ */
+namespace java io.radishwinch.protocol.generated
+
+enum MemberState { ALIVE = 1, SUSPECT = 2, DEAD = 3, LEFT = 4 }
+
+/** State of one router; a higher incarnation wins, then the higher state. */
+struct Member {
+  1: required string id
+  2: required string dataCentre
+  3: required string host
+  4: required i32 port
+  5: required i64 incarnation
+  6: required MemberState state
+}
+
+enum EntryKind {
+  CONFIGURATION = 1, QUARANTINE = 2, CRASH = 3, EJECTION = 4, LEAVING = 5, ENDPOINT_LOAD = 6, PLACEMENT = 7, DEMAND = 8,
+  DAY_COUNTERS = 9
+}
+
+/** One last-writer-wins entry; remainingMs 0 means that it does not expire. An absent value is a tombstone. */
+struct Entry {
+  1: required EntryKind kind
+  2: required string key
+  3: required i64 version
+  4: required string origin
+  5: optional binary value
+  6: required i64 remainingMs
+}
+
+struct Ping { 1: required i64 sequence, 2: required list<Member> members }
+struct PingRequest { 1: required i64 sequence, 2: required string targetId, 3: required list<Member> members }
+struct Ack { 1: required i64 sequence, 2: required string aboutId, 3: required list<Member> members }
+struct Delta { 1: required list<Entry> entries }
+
+/** Hash of the entries of one bucket, so that only buckets that differ are exchanged. */
+struct Digest { 1: required list<i64> bucketHashes, 2: required bool reply }
+struct BucketRequest { 1: required list<i32> buckets }
+
+enum JournalStep { OPEN = 1, COMPLETE = 2, ABANDON = 3 }
+enum JournalResult { GRANTED = 1, REPLAY = 2, IN_PROGRESS = 3, OUTCOME_UNKNOWN = 4, KEY_REUSED = 5, UNAVAILABLE = 6, RECORDED = 7 }
+
+struct JournalRequest {
+  1: required i64 sequence
+  2: required JournalStep step
+  3: required string caller
+  4: required string idempotencyKey
+  5: required binary fingerprint
+  6: required string grantNonce
+  7: optional binary outcome
+}
+
+struct JournalReply {
+  1: required i64 sequence
+  2: required JournalResult result
+  3: required string grantNonce
+  4: optional binary outcome
+}
+
+union Message {
+  1: Ping ping
+  2: PingRequest pingRequest
+  3: Ack ack
+  4: Delta delta
+  5: Digest digest
+  6: BucketRequest bucketRequest
+  7: JournalRequest journalRequest
+  8: JournalReply journalReply
+}
+
+struct Frame {
+  1: required i32 protocolVersion
+  2: required Member sender
+  3: required Message message
+}
--- /dev/null
+++ b/report/src/main/java/io/radishwinch/report/package-info.java
@@ -0,0 +1,2 @@
+/** Mergeable day summaries and the evening page. */
+package io.radishwinch.report;
