--- /dev/null
+++ b/config/src/main/java/io/radishwinch/config/contract/ObjectReader.java
@@ -0,0 +1,239 @@
+package io.radishwinch.config.contract;
+
+import io.radishwinch.config.ConfigError;
+import io.radishwinch.config.YamlDocument;
+import io.radishwinch.config.YamlMapping;
+import io.radishwinch.core.model.Contract;
+import io.radishwinch.core.model.Limits;
+import io.radishwinch.core.model.ModelSpec;
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.RankTerms;
+import io.radishwinch.core.model.ServiceSpec;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+
+/** Reads and checks configuration objects; schema version 1. */
+public final class ObjectReader {
+    private static final Pattern NAME = Pattern.compile("[a-z0-9](?:[a-z0-9.-]{0,61}[a-z0-9])?");
+    private static final Pattern KEY_HASH = Pattern.compile("sha256:[0-9a-f]{64}");
+    private static final int MAX_KEYS = 16;
+    private static final int MAX_OPERATIONS = 256;
+    private static final int MAX_LAYERS = 10_000;
+    private static final double MAX_RATE = 1e9;
+    private static final long MAX_TIMEOUT_MS = 24 * 3600 * 1000L;
+    private static final long DEFAULT_INTERACTIVE_TIMEOUT_MS = 30_000;
+    private static final long DEFAULT_ACCOUNT_ACTION_TIMEOUT_MS = 60_000;
+    private static final long DEFAULT_BATCH_TIMEOUT_MS = 8 * 3600 * 1000L;
+    private static final long DEFAULT_SERVICE_TIMEOUT_MS = 10_000;
+    private static final int DEFAULT_CONCURRENT_REQUESTS = 100;
+
+    private ObjectReader() {}
+
+    /** Reads a contract, or returns its faults in document order. */
+    public static Either<List<ConfigError>, Contract> readContract(String file, String text) {
+        return YamlDocument.read(file, text, ObjectReader::contract);
+    }
+
+    /** Reads a model, or returns its faults in document order. */
+    public static Either<List<ConfigError>, ModelSpec> readModel(String file, String text) {
+        return YamlDocument.read(file, text, ObjectReader::model);
+    }
+
+    /** Reads a plain service, or returns its faults in document order. */
+    public static Either<List<ConfigError>, ServiceSpec> readService(String file, String text) {
+        return YamlDocument.read(file, text, ObjectReader::service);
+    }
+
+    /** Checks an object of the given kind and returns its name, or its faults in document order. */
+    public static Either<List<ConfigError>, String> check(ObjectKind kind, String file, String text) {
+        return switch (kind) {
+            case CONTRACT -> readContract(file, text).map(Contract::caller);
+            case MODEL -> readModel(file, text).map(ModelSpec::name);
+            case SERVICE -> readService(file, text).map(ServiceSpec::name);
+        };
+    }
+
+    private static Contract contract(YamlMapping root) {
+        schema(root, "contract/v1");
+        String caller = name(root, "caller");
+        List<String> keys = root.texts("keyHashes");
+        if (keys.size() > MAX_KEYS) {
+            root.fault("keyHashes", "at most " + MAX_KEYS + " keys", "");
+        }
+        for (String key : keys) {
+            if (!KEY_HASH.matcher(key).matches()) {
+                root.fault("keyHashes", "expected sha256: and 64 hexadecimal digits", "run 'radishwinch key new'");
+            }
+        }
+        double weight = root.number("weight", "shares", 0.01, 1000, 1);
+        Limits limits = root.mapping("limits").map(ObjectReader::limits).orElseGet(ObjectReader::noLimits);
+        Map<Rank, RankTerms> ranks = ranks(root, limits);
+        Rank defaultRank = defaultRank(root, ranks);
+        return new Contract(
+                caller,
+                keys.stream().map(key -> key.replace("sha256:", "")).toList(),
+                weight,
+                limits,
+                ranks,
+                defaultRank,
+                new HashSet<>(names(root, "models")),
+                new HashSet<>(names(root, "services")));
+    }
+
+    private static Limits limits(YamlMapping mapping) {
+        Limits limits = new Limits(
+                mapping.number("requestsPerS", "requests/s", 0.001, MAX_RATE, MAX_RATE),
+                mapping.number("tokensPerS", "tokens/s", 0.001, MAX_RATE, MAX_RATE),
+                (int) mapping.integer("concurrentRequests", "requests", 1, 1_000_000, DEFAULT_CONCURRENT_REQUESTS));
+        mapping.rejectUnreadFields();
+        return limits;
+    }
+
+    private static Limits noLimits() {
+        return new Limits(MAX_RATE, MAX_RATE, DEFAULT_CONCURRENT_REQUESTS);
+    }
+
+    private static Map<Rank, RankTerms> ranks(YamlMapping root, Limits limits) {
+        Map<Rank, RankTerms> ranks = new EnumMap<>(Rank.class);
+        YamlMapping mapping = root.mapping("ranks").orElse(null);
+        if (mapping == null) {
+            ranks.put(Rank.INTERACTIVE, new RankTerms(DEFAULT_INTERACTIVE_TIMEOUT_MS, 0));
+            return ranks;
+        }
+        double floors = 0;
+        for (String name : mapping.fieldNames()) {
+            Rank rank = Rank.fromWireName(name).orElse(null);
+            if (rank == null) {
+                mapping.fault(name, "unknown rank", "use one of " + rankNames());
+                continue;
+            }
+            RankTerms terms =
+                    mapping.mapping(name).map(m -> rankTerms(rank, m)).orElse(new RankTerms(defaultTimeoutMs(rank), 0));
+            ranks.put(rank, terms);
+            floors += terms.floorTokensPerS();
+        }
+        if (ranks.isEmpty()) {
+            root.fault("ranks", "at least one rank is needed", "use one of " + rankNames());
+        }
+        if (floors > limits.tokensPerS()) {
+            root.fault("ranks", "the floors sum to more than limits.tokensPerS", "lower a floor or raise the limit");
+        }
+        return ranks;
+    }
+
+    private static RankTerms rankTerms(Rank rank, YamlMapping mapping) {
+        RankTerms terms = new RankTerms(
+                mapping.integer("timeoutMs", "ms", 1, MAX_TIMEOUT_MS, defaultTimeoutMs(rank)),
+                mapping.number("floorTokensPerS", "tokens/s", 0, MAX_RATE, 0));
+        mapping.rejectUnreadFields();
+        return terms;
+    }
+
+    private static Rank defaultRank(YamlMapping root, Map<Rank, RankTerms> ranks) {
+        Rank first = ranks.keySet().stream().findFirst().orElse(Rank.INTERACTIVE);
+        if (!root.has("defaultRank")) {
+            return first;
+        }
+        String name = root.text("defaultRank", "");
+        Rank rank = Rank.fromWireName(name).orElse(null);
+        if (rank == null || !ranks.containsKey(rank)) {
+            root.fault("defaultRank", "is none of the contract's ranks", "use one of " + rankNames());
+            return first;
+        }
+        return rank;
+    }
+
+    private static long defaultTimeoutMs(Rank rank) {
+        return switch (rank) {
+            case INTERACTIVE -> DEFAULT_INTERACTIVE_TIMEOUT_MS;
+            case ACCOUNT_ACTION -> DEFAULT_ACCOUNT_ACTION_TIMEOUT_MS;
+            case BATCH -> DEFAULT_BATCH_TIMEOUT_MS;
+        };
+    }
+
+    private static ModelSpec model(YamlMapping root) {
+        schema(root, "model/v1");
+        return new ModelSpec(
+                name(root, "name"),
+                (int) required(root, "layerCount", "layers", 1, MAX_LAYERS),
+                root.integer("layerBytes", "bytes", 0, Long.MAX_VALUE / 2, 0),
+                root.integer("kvBytesPerToken", "bytes", 0, Long.MAX_VALUE / 2, 0),
+                (int) root.integer("maxContextTokens", "tokens", 1, 100_000_000, 8192));
+    }
+
+    private static ServiceSpec service(YamlMapping root) {
+        schema(root, "service/v1");
+        String name = name(root, "name");
+        long timeoutMs = root.integer("timeoutMs", "ms", 1, MAX_TIMEOUT_MS, DEFAULT_SERVICE_TIMEOUT_MS);
+        List<ServiceSpec.Operation> operations = new ArrayList<>();
+        List<YamlMapping> mappings = root.mappings("operations");
+        if (mappings.size() > MAX_OPERATIONS) {
+            root.fault("operations", "at most " + MAX_OPERATIONS + " operations", "");
+        }
+        for (YamlMapping mapping : mappings) {
+            String path = mapping.requiredText("pathPrefix");
+            if (!path.startsWith("/")) {
+                mapping.fault("pathPrefix", "must start with /", "");
+            }
+            String method = mapping.text("method", "*").toUpperCase(Locale.ROOT);
+            if (!mapping.has("repeatable")) {
+                mapping.fault(
+                        "repeatable",
+                        "the field is missing",
+                        "write 'repeatable: false' for calls that must not run twice");
+            }
+            operations.add(new ServiceSpec.Operation(method, path, mapping.bool("repeatable", false)));
+            mapping.rejectUnreadFields();
+        }
+        return new ServiceSpec(name, timeoutMs, operations);
+    }
+
+    private static long required(YamlMapping root, String field, String unit, long min, long max) {
+        if (!root.has(field)) {
+            root.fault(field, "the field is missing", "a number of " + unit);
+        }
+        return root.integer(field, unit, min, max, min);
+    }
+
+    private static void schema(YamlMapping root, String expected) {
+        String schema = root.requiredText("schema");
+        if (!schema.isBlank() && !schema.equals(expected)) {
+            root.fault("schema", "expected " + expected, "");
+        }
+    }
+
+    private static String name(YamlMapping root, String field) {
+        String name = root.requiredText(field);
+        if (!name.isBlank() && !NAME.matcher(name).matches()) {
+            root.fault(field, "use lower-case letters, digits, dots and hyphens, at most 63", "");
+        }
+        return name;
+    }
+
+    private static List<String> names(YamlMapping root, String field) {
+        List<String> names = root.texts(field);
+        Set<String> seen = new HashSet<>();
+        for (String name : names) {
+            if (!NAME.matcher(name).matches()) {
+                root.fault(field, "'" + name + "' is not a valid name", "");
+            }
+            if (!seen.add(name)) {
+                root.fault(field, "'" + name + "' is listed twice", "");
+            }
+        }
+        return names;
+    }
+
+    private static String rankNames() {
+        return Arrays.stream(Rank.values()).map(Rank::wireName).collect(Collectors.joining(", "));
+    }
+}
--- a/config/src/main/java/io/radishwinch/config/package-info.java
+++ b/config/src/main/java/io/radishwinch/config/package-info.java
@@ -1,2 +1,2 @@
-/** YAML settings, contracts, models and services, parsed and checked. */
+/** Reading of YAML documents with errors that name file, line and path. */
 package io.radishwinch.config;
--- /dev/null
+++ b/config/src/main/java/io/radishwinch/config/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of one router process. */
+package io.radishwinch.config.settings;
