--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
@@ -0,0 +1,207 @@
+package io.radishwinch.core.chain;
+
+import io.radishwinch.core.model.EndpointSpec;
+import io.radishwinch.core.model.Holding;
+import io.radishwinch.core.model.LoadReport;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One row of the endpoint table.
+ *
+ * <p>Only {@link EndpointTable} changes a row. A row stays in memory for a while after its endpoint is gone, so that a
+ * leaving mark and the count of running attempts survive a late report.
+ */
+public final class EndpointRow {
+
+    /** Weight of a new measurement in the moving average of the layer time. */
+    private static final double LAYER_TIME_GAIN = 0.3;
+
+    /** Layer time assumed before the first measurement, in us. */
+    private static final double DEFAULT_LAYER_TIME_US = 500;
+
+    private final int index;
+    private final int zone;
+    private EndpointSpec spec;
+    private List<Holding> holdings = List.of();
+    private final InFlightHistory history = new InFlightHistory();
+
+    final List<HeldRange> entries = new ArrayList<>();
+    final Map<EndpointRow, Link> outgoing = new HashMap<>();
+    boolean gone;
+    boolean leaving;
+    long goneAtMs = Long.MIN_VALUE;
+    double weight = 1;
+
+    private int own;
+    private long ownKvBytes;
+    private int peers;
+    private long peersAtMs = Long.MIN_VALUE;
+    private int background;
+    private LoadReport report;
+    private long kvCapacityBytes;
+    private double layerTimeUs = DEFAULT_LAYER_TIME_US;
+    private boolean layerTimeKnown;
+
+    EndpointRow(int index, int zone, EndpointSpec spec) {
+        this.index = index;
+        this.zone = zone;
+        this.spec = spec;
+    }
+
+    /** Returns the position of the row in the table; it never changes. */
+    public int index() {
+        return index;
+    }
+
+    /** Returns the number of the data centre, counted from zero in order of appearance. */
+    public int zone() {
+        return zone;
+    }
+
+    /** Returns the identifier. */
+    public String id() {
+        return spec.id();
+    }
+
+    /** Returns the fixed properties. */
+    public EndpointSpec spec() {
+        return spec;
+    }
+
+    /** Returns the layers held according to the latest load report. */
+    public List<Holding> holdings() {
+        return holdings;
+    }
+
+    /** Returns whether the endpoint is leaving. */
+    public boolean isLeaving() {
+        return leaving;
+    }
+
+    /** Returns whether the endpoint is dead or removed. */
+    public boolean isGone() {
+        return gone;
+    }
+
+    /** Returns whether the endpoint may receive new work: alive, not leaving and not ejected. */
+    public boolean isUsable() {
+        return !gone && !leaving && weight > 0;
+    }
+
+    /** Returns whether the endpoint is usable and has a free slot. */
+    public boolean hasFreeSlot() {
+        return isUsable() && occupied() < usableSlots();
+    }
+
+    /** Returns the attempts of this router on the endpoint. */
+    public int own() {
+        return own;
+    }
+
+    /** Returns the estimated attempts of all routers on the endpoint. */
+    public int occupied() {
+        return own + background;
+    }
+
+    /** Returns the slots that may be used, reduced during slow start and reinstatement, at least one. */
+    public int usableSlots() {
+        return Math.max(1, (int) (spec.slots() * weight));
+    }
+
+    /** Returns the time of one layer for one token, in us. */
+    public double layerTimeUs() {
+        return layerTimeUs;
+    }
+
+    /** Returns the load that the endpoint last reported, running and queued, without any correction. */
+    public int reported() {
+        return report == null ? 0 : report.running() + report.queued();
+    }
+
+    /** Returns the largest free KV cache memory that the endpoint reported, in bytes. */
+    public long kvCapacityBytes() {
+        return kvCapacityBytes;
+    }
+
+    /**
+     * Returns the estimated free KV cache memory, in bytes.
+     *
+     * <p>An attempt fills its reservation over time. The estimate is therefore the smaller of the report corrected by
+     * what changed since, and the capacity minus all reservations of this router.
+     */
+    public long kvFreeBytes() {
+        if (report == null) {
+            return 0;
+        }
+        long sinceReport = Math.max(0, ownKvBytes - history.kvBytesAt(report.measuredAtMs()));
+        return Math.min(report.kvFreeBytes() - sinceReport, kvCapacityBytes - ownKvBytes);
+    }
+
+    /** Sets new fixed properties when an endpoint returns after its death; what it holds is unknown again. */
+    void revive(EndpointSpec newSpec) {
+        spec = newSpec;
+        gone = false;
+        report = null;
+        background = 0;
+        kvCapacityBytes = 0;
+    }
+
+    void setHoldings(List<Holding> newHoldings) {
+        holdings = newHoldings;
+    }
+
+    void changeOwn(int slots, long kvBytes, long nowMs) {
+        own = Math.max(0, own + slots);
+        ownKvBytes = Math.max(0, ownKvBytes + kvBytes);
+        history.record(nowMs, own, ownKvBytes);
+    }
+
+    void setPeers(int running, long nowMs) {
+        peers = running;
+        peersAtMs = nowMs;
+        background = running;
+    }
+
+    void setReport(LoadReport newReport) {
+        report = newReport;
+        kvCapacityBytes = Math.max(kvCapacityBytes, newReport.kvFreeBytes());
+        if (!layerTimeKnown && newReport.layerTimeUs() > 0) {
+            layerTimeUs = newReport.layerTimeUs();
+        } else if (newReport.layerTimeUs() > 0) {
+            measureLayerTime(newReport.layerTimeUs());
+        }
+        layerTimeKnown = layerTimeKnown || newReport.layerTimeUs() > 0;
+    }
+
+    long reportedAtMs() {
+        return report == null ? Long.MIN_VALUE : report.measuredAtMs();
+    }
+
+    /**
+     * Recomputes the work of others: peers' own counts while they are fresh, otherwise the report minus what this
+     * router ran when it was measured.
+     */
+    void refreshBackground(long nowMs, long peerLoadValidMs) {
+        boolean peersFresh = peersAtMs != Long.MIN_VALUE && nowMs - peersAtMs <= peerLoadValidMs;
+        if (peersFresh) {
+            background = peers;
+        } else if (report != null) {
+            background = Math.max(0, reported() - history.runningAt(report.measuredAtMs()));
+        } else {
+            background = 0;
+        }
+    }
+
+    void measureLayerTime(double measuredUs) {
+        layerTimeUs = layerTimeKnown ? layerTimeUs + LAYER_TIME_GAIN * (measuredUs - layerTimeUs) : measuredUs;
+        layerTimeKnown = true;
+    }
+
+    @Override
+    public String toString() {
+        return id();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
@@ -0,0 +1,275 @@
+package io.radishwinch.core.chain;
+
+import io.radishwinch.core.model.Chain;
+import io.radishwinch.core.model.EndpointSpec;
+import io.radishwinch.core.model.FleetConfig;
+import io.radishwinch.core.model.Holding;
+import io.radishwinch.core.model.LoadReport;
+import io.radishwinch.core.model.ModelSpec;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Stage;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Endpoints by identifier, with an index of their holdings by pool and layer boundary.
+ *
+ * <p>Deterministic and not thread-safe; the control thread owns it.
+ */
+public final class EndpointTable {
+
+    /** Age after which a count of peers' work is ignored, in ms; peers send it every second or two. */
+    private static final long PEER_LOAD_VALID_MS = 5_000;
+
+    /** Time for which the row of a removed endpoint is kept, in ms; reports and VM lists lag by less. */
+    private static final long KEEP_GONE_MS = 600_000;
+
+    /** Cost of a hop in the sort key of a candidate, in us; the planner itself uses the measured delay. */
+    private static final double TYPICAL_HOP_US = 200;
+
+    private final Map<String, EndpointRow> rows = new TreeMap<>();
+    private final Map<String, PoolIndex> pools = new TreeMap<>();
+    private final Map<String, Integer> zones = new HashMap<>();
+    private final LinkTable links = new LinkTable();
+    private FleetConfig config = FleetConfig.empty();
+    private int nextIndex;
+    private long structureVersion;
+
+    /** Returns the rows ordered by identifier, including those that are gone. */
+    public Collection<EndpointRow> rows() {
+        return Collections.unmodifiableCollection(rows.values());
+    }
+
+    /** Returns the row of an endpoint, or null if it is unknown. */
+    public EndpointRow row(String endpointId) {
+        return rows.get(endpointId);
+    }
+
+    /** Returns the configuration in force. */
+    public FleetConfig config() {
+        return config;
+    }
+
+    /** Returns a number that changes whenever endpoints, holdings or usability change. */
+    public long structureVersion() {
+        return structureVersion;
+    }
+
+    /** Returns the endpoints that hold layers of a pool and are neither gone nor leaving, in order of appearance. */
+    public List<EndpointRow> members(String pool) {
+        PoolIndex index = pools.get(pool);
+        List<EndpointRow> members = new ArrayList<>();
+        if (index != null) {
+            for (HeldRange entry : index.entries()) {
+                if (!entry.row.leaving && !members.contains(entry.row)) {
+                    members.add(entry.row);
+                }
+            }
+        }
+        return members;
+    }
+
+    /** Returns whether usable endpoints hold every layer of a pool. */
+    public boolean isCovered(ModelSpec pool) {
+        return firstUncovered(pool, null) == pool.layerCount();
+    }
+
+    /** Returns the lowest layer that no usable endpoint other than the given one holds, or the layer count. */
+    public int firstUncovered(ModelSpec pool, EndpointRow without) {
+        PoolIndex index = pools.get(pool.name());
+        int covered = 0;
+        boolean extended = index != null;
+        while (extended && covered < pool.layerCount()) {
+            extended = false;
+            for (HeldRange entry : index.entries()) {
+                if (entry.row != without && entry.row.isUsable() && entry.first <= covered && entry.end > covered) {
+                    covered = entry.end;
+                    extended = true;
+                }
+            }
+        }
+        return Math.min(covered, pool.layerCount());
+    }
+
+    /** Returns the names of the pools for which some endpoint holds layers. */
+    public Collection<String> poolNames() {
+        return Collections.unmodifiableCollection(pools.keySet());
+    }
+
+    PoolIndex pool(String name) {
+        return pools.get(name);
+    }
+
+    LinkTable links() {
+        return links;
+    }
+
+    void setConfig(FleetConfig newConfig) {
+        config = newConfig;
+        structureVersion++;
+    }
+
+    /** Adds an endpoint, or revives one that was gone; returns whether it is new to the table. */
+    boolean join(EndpointSpec spec) {
+        EndpointRow row = rows.get(spec.id());
+        if (row == null) {
+            Integer zone = zones.computeIfAbsent(spec.dataCentre(), key -> zones.size());
+            rows.put(spec.id(), new EndpointRow(nextIndex++, zone, spec));
+            structureVersion++;
+            return true;
+        }
+        if (row.gone && !row.leaving) {
+            row.revive(spec);
+            structureVersion++;
+            return true;
+        }
+        return false;
+    }
+
+    /** Marks an endpoint as leaving; returns whether the mark is new. */
+    boolean leave(String endpointId) {
+        EndpointRow row = rows.get(endpointId);
+        if (row == null || row.leaving) {
+            return false;
+        }
+        row.leaving = true;
+        refresh(row);
+        structureVersion++;
+        return true;
+    }
+
+    /** Removes an endpoint from the index; returns whether it was alive. */
+    boolean remove(String endpointId, long nowMs) {
+        EndpointRow row = rows.get(endpointId);
+        if (row == null || row.gone) {
+            return false;
+        }
+        row.gone = true;
+        row.goneAtMs = nowMs;
+        replaceEntries(row, List.of());
+        return true;
+    }
+
+    /** Applies a load report unless it is older than the latest one or than the death of the endpoint. */
+    void report(LoadReport report, long nowMs) {
+        EndpointRow row = rows.get(report.endpointId());
+        if (row == null || row.gone || report.measuredAtMs() < Math.max(row.goneAtMs, row.reportedAtMs())) {
+            return;
+        }
+        row.setReport(report);
+        row.refreshBackground(nowMs, PEER_LOAD_VALID_MS);
+        if (!row.holdings().equals(report.holdings())) {
+            replaceEntries(row, report.holdings());
+        }
+        refresh(row);
+    }
+
+    void peerLoad(String endpointId, int running, long nowMs) {
+        EndpointRow row = rows.get(endpointId);
+        if (row != null) {
+            row.setPeers(running, nowMs);
+            refresh(row);
+        }
+    }
+
+    void measureStage(String endpointId, double layerTimeUs) {
+        EndpointRow row = rows.get(endpointId);
+        if (row != null && layerTimeUs > 0) {
+            row.measureLayerTime(layerTimeUs);
+            refresh(row);
+        }
+    }
+
+    void measureLink(String fromId, String toId, double delayUs, double tokensPerS, long nowMs) {
+        EndpointRow from = rows.get(fromId);
+        EndpointRow to = rows.get(toId);
+        if (from != null && to != null && from != to) {
+            links.measure(from, to, delayUs, tokensPerS, nowMs);
+        }
+    }
+
+    void setWeight(EndpointRow row, double weight) {
+        if (row.weight != weight) {
+            boolean usabilityChanged = row.weight == 0 || weight == 0;
+            row.weight = weight;
+            refresh(row);
+            structureVersion += usabilityChanged ? 1 : 0;
+        }
+    }
+
+    /** Adds or removes the work of one request on every stage; {@code sign} is 1 or -1. */
+    void changeOwn(Chain chain, RequestSpec request, int sign, long nowMs) {
+        ModelSpec pool = config.pool(request.pool());
+        EndpointRow previous = null;
+        for (Stage stage : chain.stages()) {
+            EndpointRow row = rows.get(stage.endpointId());
+            if (row != null) {
+                long kvBytes =
+                        pool == null ? 0 : kvBytes(pool, request, stage.layers().size());
+                row.changeOwn(sign, sign * kvBytes, nowMs);
+                refresh(row);
+                Link link = previous == null ? null : previous.outgoing.get(row);
+                if (link != null) {
+                    link.streams = Math.max(0, link.streams + sign);
+                }
+            }
+            previous = row;
+        }
+    }
+
+    /** Returns the KV cache memory of a request for a number of layers, in bytes. */
+    static long kvBytes(ModelSpec pool, RequestSpec request, int layers) {
+        return request.costTokens() * pool.kvBytesPerToken() / pool.layerCount() * layers;
+    }
+
+    /** Recomputes what depends on time: stale counts of peers, and rows kept after removal. */
+    void expire(long nowMs) {
+        rows.values().removeIf(row -> row.gone && nowMs - row.goneAtMs > KEEP_GONE_MS);
+        for (EndpointRow row : rows.values()) {
+            if (!row.gone) {
+                row.refreshBackground(nowMs, PEER_LOAD_VALID_MS);
+                refresh(row);
+            }
+        }
+    }
+
+    private void replaceEntries(EndpointRow row, List<Holding> holdings) {
+        for (HeldRange entry : row.entries) {
+            pools.get(entry.pool).remove(entry);
+        }
+        row.entries.clear();
+        row.setHoldings(holdings);
+        for (Holding holding : holdings) {
+            HeldRange entry = new HeldRange(
+                    row,
+                    holding.pool(),
+                    holding.layers().first(),
+                    holding.layers().end());
+            row.entries.add(entry);
+            pools.computeIfAbsent(holding.pool(), key -> new PoolIndex()).add(entry);
+        }
+        structureVersion++;
+    }
+
+    private void refresh(EndpointRow row) {
+        boolean free = row.hasFreeSlot();
+        for (HeldRange entry : row.entries) {
+            if (free) {
+                pools.get(entry.pool).list(entry, score(entry));
+            } else {
+                pools.get(entry.pool).unlist(entry);
+            }
+        }
+    }
+
+    private static double score(HeldRange entry) {
+        EndpointRow row = entry.row;
+        double hopUs = (TYPICAL_HOP_US + CostModel.slotPriceUs(row)) / entry.size();
+        return row.layerTimeUs() + hopUs;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/chain/FewestStagesChainPlanner.java
@@ -0,0 +1,28 @@
+package io.radishwinch.core.chain;
+
+import io.radishwinch.core.model.Chain;
+import io.radishwinch.core.model.ModelSpec;
+import io.radishwinch.core.model.RequestSpec;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.Set;
+
+/** Baseline that takes the endpoint that reaches furthest, which gives the smallest number of stages. */
+public final class FewestStagesChainPlanner implements ChainPlanner {
+
+    private static final Comparator<HeldRange> BY_REACH =
+            Comparator.<HeldRange>comparingInt(entry -> -entry.end).thenComparingInt(entry -> entry.row.index());
+
+    private final GreedyChains chains;
+
+    /** Creates a planner over a table. */
+    public FewestStagesChainPlanner(EndpointTable table) {
+        chains = new GreedyChains(table);
+    }
+
+    @Override
+    public Optional<Chain> plan(RequestSpec request, ModelSpec pool, Set<String> excludedEndpointIds, long nowMs) {
+        return chains.build(request, pool, excludedEndpointIds, options -> Collections.min(options, BY_REACH));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/chain/GreedyChains.java
@@ -0,0 +1,65 @@
+package io.radishwinch.core.chain;
+
+import io.radishwinch.core.model.Chain;
+import io.radishwinch.core.model.LayerRange;
+import io.radishwinch.core.model.ModelSpec;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Stage;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+
+/** Builds chains layer by layer for the baseline planners: each endpoint runs to the end of its holding. */
+final class GreedyChains {
+
+    private final EndpointTable table;
+
+    GreedyChains(EndpointTable table) {
+        this.table = table;
+    }
+
+    /**
+     * Builds a chain.
+     *
+     * @param choose picks one of the entries that hold the next layer and have room; the list is never empty
+     */
+    Optional<Chain> build(
+            RequestSpec request, ModelSpec pool, Set<String> excluded, Function<List<HeldRange>, HeldRange> choose) {
+        PoolIndex index = table.pool(pool.name());
+        if (index == null) {
+            return Optional.empty();
+        }
+        List<Stage> stages = new ArrayList<>();
+        int layer = 0;
+        while (layer < pool.layerCount()) {
+            List<HeldRange> options = options(index, request, pool, excluded, layer);
+            if (options.isEmpty()) {
+                return Optional.empty();
+            }
+            HeldRange chosen = choose.apply(options);
+            int end = Math.min(chosen.end, pool.layerCount());
+            stages.add(new Stage(chosen.row.id(), new LayerRange(layer, end)));
+            layer = end;
+        }
+        return Optional.of(new Chain(stages));
+    }
+
+    private static List<HeldRange> options(
+            PoolIndex index, RequestSpec request, ModelSpec pool, Set<String> excluded, int layer) {
+        List<HeldRange> options = new ArrayList<>();
+        for (int zone = 0; zone < index.zoneCount(); zone++) {
+            CandidateList candidates = index.candidates(layer, zone);
+            for (int i = 0; candidates != null && i < candidates.size(); i++) {
+                HeldRange entry = candidates.get(i);
+                int layers = Math.min(entry.end, pool.layerCount()) - layer;
+                if (!excluded.contains(entry.row.id())
+                        && EndpointTable.kvBytes(pool, request, layers) <= Math.max(0, entry.row.kvFreeBytes())) {
+                    options.add(entry);
+                }
+            }
+        }
+        return options;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/chain/HeldRange.java
@@ -0,0 +1,33 @@
+package io.radishwinch.core.chain;
+
+/** One holding of one endpoint as an entry of the pool index. */
+final class HeldRange {
+
+    final EndpointRow row;
+    final String pool;
+    final int first;
+    final int end;
+
+    /** Sort key: expected cost of one layer in us, with hop and load spread over the whole range. */
+    double score;
+
+    /** Whether the entry is in the candidate lists; only entries with a free slot are. */
+    boolean listed;
+
+    HeldRange(EndpointRow row, String pool, int first, int end) {
+        this.row = row;
+        this.pool = pool;
+        this.first = first;
+        this.end = end;
+    }
+
+    int size() {
+        return end - first;
+    }
+
+    /** Total order by score, then by row, so that equal scores are found again on removal. */
+    int compareTo(HeldRange other) {
+        int byScore = Double.compare(score, other.score);
+        return byScore != 0 ? byScore : Integer.compare(row.index(), other.row.index());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/chain/LeastReportedChainPlanner.java
@@ -0,0 +1,29 @@
+package io.radishwinch.core.chain;
+
+import io.radishwinch.core.model.Chain;
+import io.radishwinch.core.model.ModelSpec;
+import io.radishwinch.core.model.RequestSpec;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.Set;
+
+/** Baseline that takes the endpoint with the lowest reported load relative to its slots; reports lag. */
+public final class LeastReportedChainPlanner implements ChainPlanner {
+
+    private static final Comparator<HeldRange> BY_REPORT = Comparator.<HeldRange>comparingDouble(
+                    entry -> (double) entry.row.reported() / entry.row.spec().slots())
+            .thenComparingInt(entry -> entry.row.index());
+
+    private final GreedyChains chains;
+
+    /** Creates a planner over a table. */
+    public LeastReportedChainPlanner(EndpointTable table) {
+        chains = new GreedyChains(table);
+    }
+
+    @Override
+    public Optional<Chain> plan(RequestSpec request, ModelSpec pool, Set<String> excludedEndpointIds, long nowMs) {
+        return chains.build(request, pool, excludedEndpointIds, options -> Collections.min(options, BY_REPORT));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/chain/Link.java
@@ -0,0 +1,25 @@
+package io.radishwinch.core.chain;
+
+/** Measured properties of the link from one endpoint to another, and this router's streams on it. */
+final class Link {
+
+    /** Weight of a new measurement in the moving average of the delay. */
+    private static final double GAIN = 0.3;
+
+    double delayUs;
+    double tokensPerS;
+    long measuredAtMs;
+    int streams;
+
+    Link(double delayUs, double tokensPerS, long measuredAtMs) {
+        this.delayUs = delayUs;
+        this.tokensPerS = tokensPerS;
+        this.measuredAtMs = measuredAtMs;
+    }
+
+    void measure(double newDelayUs, double newTokensPerS, long nowMs) {
+        delayUs += GAIN * (newDelayUs - delayUs);
+        tokensPerS = newTokensPerS;
+        measuredAtMs = nowMs;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/chain/LinkTable.java
@@ -0,0 +1,69 @@
+package io.radishwinch.core.chain;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Links between endpoints.
+ *
+ * <p>Pairs that were never measured take the mean of the measured links between the same two data centres.
+ */
+final class LinkTable {
+
+    /** Links kept for each sending endpoint, which bounds the memory at 5,800 endpoints to about 100 MB. */
+    static final int MAX_LINKS_PER_ENDPOINT = 256;
+
+    /** Delay assumed within a data centre before the first measurement, in us. */
+    private static final double DEFAULT_LOCAL_DELAY_US = 100;
+
+    /** Delay assumed between data centres before the first measurement, in us; section 1.6 of the design page. */
+    private static final double DEFAULT_REMOTE_DELAY_US = 500;
+
+    /** A measurement older than this no longer decides alone: a link that nobody uses would stay slow forever. */
+    private static final long FADE_AFTER_MS = 60_000;
+
+    /** Weight of a new measurement in the mean between two data centres. */
+    private static final double MEAN_GAIN = 0.05;
+
+    private final Map<Long, double[]> meansUs = new HashMap<>();
+
+    /** Records a measurement and returns the link, or null if the sender has too many links. */
+    Link measure(EndpointRow from, EndpointRow to, double delayUs, double tokensPerS, long nowMs) {
+        double[] mean = meansUs.computeIfAbsent(zones(from, to), key -> new double[] {delayUs});
+        mean[0] += MEAN_GAIN * (delayUs - mean[0]);
+        Link link = from.outgoing.get(to);
+        if (link != null) {
+            link.measure(delayUs, tokensPerS, nowMs);
+        } else if (from.outgoing.size() < MAX_LINKS_PER_ENDPOINT) {
+            link = new Link(delayUs, tokensPerS, nowMs);
+            from.outgoing.put(to, link);
+        }
+        return link;
+    }
+
+    /** Returns the expected one-way delay of one token, in us. */
+    double delayUs(EndpointRow from, EndpointRow to, long nowMs) {
+        Link link = from.outgoing.get(to);
+        if (link == null) {
+            return meanUs(from, to);
+        }
+        long ageMs = nowMs - link.measuredAtMs;
+        if (ageMs <= FADE_AFTER_MS) {
+            return link.delayUs;
+        }
+        double trust = (double) FADE_AFTER_MS / ageMs;
+        return trust * link.delayUs + (1 - trust) * meanUs(from, to);
+    }
+
+    private double meanUs(EndpointRow from, EndpointRow to) {
+        double[] mean = meansUs.get(zones(from, to));
+        if (mean != null) {
+            return mean[0];
+        }
+        return from.zone() == to.zone() ? DEFAULT_LOCAL_DELAY_US : DEFAULT_REMOTE_DELAY_US;
+    }
+
+    private static long zones(EndpointRow from, EndpointRow to) {
+        return ((long) from.zone() << 32) | to.zone();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
@@ -0,0 +1,155 @@
+package io.radishwinch.core.chain;
+
+import io.radishwinch.core.DecisionCore.EndpointView;
+import io.radishwinch.core.DecisionCore.PoolView;
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.Chain;
+import io.radishwinch.core.model.ModelSpec;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.RequestSpec;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+
+/**
+ * The endpoint directory over an {@link EndpointTable}.
+ *
+ * <p>A leaving mark is never lifted by a load report or by a repeated join, because both lag behind the event.
+ */
+public final class TableEndpointDirectory implements EndpointDirectory {
+
+    /** Interval of the scan over all rows, in ms. */
+    private static final long SCAN_INTERVAL_MS = 1_000;
+
+    private final EndpointTable table;
+    private long nextScanMs = Long.MIN_VALUE;
+
+    /** Creates a directory over a table. */
+    public TableEndpointDirectory(EndpointTable table) {
+        this.table = table;
+    }
+
+    /** Creates a directory over an empty table. */
+    public TableEndpointDirectory() {
+        this(new EndpointTable());
+    }
+
+    /** Returns the table, for planners. */
+    public EndpointTable table() {
+        return table;
+    }
+
+    @Override
+    public List<Action> handle(Event event, long nowMs) {
+        List<Action> actions = new ArrayList<>();
+        if (event instanceof Event.Tick) {
+            tick(nowMs);
+        } else if (event instanceof Event.ConfigInForce e) {
+            table.setConfig(e.config());
+        } else if (event instanceof Event.EndpointJoined e) {
+            if (table.join(e.endpoint())) {
+                actions.add(new Action.StateChanged(e.endpoint().id(), "joined"));
+            }
+        } else if (event instanceof Event.EndpointLeaving e) {
+            if (table.leave(e.endpointId())) {
+                actions.add(new Action.StateChanged(e.endpointId(), "leaving, no new work"));
+            }
+        } else if (event instanceof Event.EndpointGone e) {
+            if (table.remove(e.endpointId(), nowMs)) {
+                actions.add(new Action.StateChanged(e.endpointId(), e.crashed() ? "gone, crashed" : "gone"));
+            }
+        } else if (event instanceof Event.LoadReported e) {
+            table.report(e.report(), nowMs);
+        } else if (event instanceof Event.PeerLoad e) {
+            table.peerLoad(e.endpointId(), e.running(), nowMs);
+        } else if (event instanceof Event.StageMeasured e) {
+            table.measureStage(e.endpointId(), e.layerTimeUs());
+        } else if (event instanceof Event.LinkMeasured e) {
+            table.measureLink(e.fromEndpointId(), e.toEndpointId(), e.delayUs(), e.tokensPerS(), nowMs);
+        }
+        return actions;
+    }
+
+    @Override
+    public void acquire(Chain chain, RequestSpec request, long nowMs) {
+        table.changeOwn(chain, request, 1, nowMs);
+    }
+
+    @Override
+    public void release(Chain chain, RequestSpec request, long nowMs) {
+        table.changeOwn(chain, request, -1, nowMs);
+    }
+
+    @Override
+    public List<Action> succeeded(Chain chain, long firstTokenMs, double tokenIntervalMs, long nowMs) {
+        return List.of();
+    }
+
+    @Override
+    public List<Action> failed(String endpointId, Reason reason, long nowMs) {
+        return List.of();
+    }
+
+    @Override
+    public boolean isUsable(String endpointId, long nowMs) {
+        EndpointRow row = table.row(endpointId);
+        return row != null && row.isUsable();
+    }
+
+    @Override
+    public boolean isCovered(String pool, long nowMs) {
+        ModelSpec spec = table.config().pool(pool);
+        return spec != null && table.isCovered(spec);
+    }
+
+    @Override
+    public double boundTokensPerS(String pool, long nowMs) {
+        return 0;
+    }
+
+    @Override
+    public List<EndpointView> endpointViews(long nowMs) {
+        List<EndpointView> views = new ArrayList<>();
+        for (EndpointRow row : table.rows()) {
+            if (!row.isGone()) {
+                views.add(new EndpointView(
+                        row.id(),
+                        row.spec().dataCentre(),
+                        row.spec().acceleratorKind(),
+                        state(row),
+                        row.own(),
+                        row.spec().slots()));
+            }
+        }
+        return views;
+    }
+
+    @Override
+    public List<PoolView> poolViews(long nowMs) {
+        TreeSet<String> names = new TreeSet<>(table.poolNames());
+        names.addAll(table.config().models().keySet());
+        List<PoolView> views = new ArrayList<>();
+        for (String name : names) {
+            views.add(new PoolView(name, isCovered(name, nowMs), boundTokensPerS(name, nowMs), 0));
+        }
+        return views;
+    }
+
+    private void tick(long nowMs) {
+        if (nowMs >= nextScanMs) {
+            nextScanMs = nowMs + SCAN_INTERVAL_MS;
+            table.expire(nowMs);
+        }
+    }
+
+    private static String state(EndpointRow row) {
+        if (row.isLeaving()) {
+            return "leaving";
+        }
+        if (!row.isUsable()) {
+            return "ejected";
+        }
+        return row.weight < 1 ? "slow-start" : "live";
+    }
+}
