--- a/core/src/main/java/io/radishwinch/core/model/Reason.java
+++ b/core/src/main/java/io/radishwinch/core/model/Reason.java
@@ -52,6 +52,8 @@
     PLATFORM_UNAVAILABLE,
     /** A non-repeatable request with this key was started and its outcome is not known. */
     OUTCOME_UNKNOWN,
+    /** The non-repeatable request ran before; its answer was too large to be kept for replay. */
+    OUTCOME_NOT_STORED,
     /** A request with the same idempotency key is still running. */
     IN_PROGRESS,
     /** The idempotency key was used with different content. */
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/ControlLoop.java
@@ -0,0 +1,138 @@
+package io.radishwinch.server;
+
+import io.radishwinch.core.DecisionCore;
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.RequestSpec;
+import io.vertx.core.Context;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+/** Runs the decision core on the control thread and passes its actions to the adapters. */
+public final class ControlLoop {
+    private static final System.Logger LOG = System.getLogger(ControlLoop.class.getName());
+
+    private final Context context;
+    private final LongSupplier clockMs;
+    private final DecisionCore core;
+    private final Consumer<Action> sharedActions;
+    private final Map<String, Exchange> exchanges = new HashMap<>();
+    private Runnable idleListener = () -> {};
+
+    /**
+     * Creates a loop.
+     *
+     * @param context context of the control thread
+     * @param clockMs clock that never decreases, in ms
+     * @param core decision core, used by the control thread only
+     * @param sharedActions takes the actions that concern no single request
+     */
+    public ControlLoop(Context context, LongSupplier clockMs, DecisionCore core, Consumer<Action> sharedActions) {
+        this.context = context;
+        this.clockMs = clockMs;
+        this.core = core;
+        this.sharedActions = sharedActions;
+    }
+
+    /** Applies an event on the control thread; may be called from any thread. */
+    public void post(Event event) {
+        execute(() -> apply(event));
+    }
+
+    /** Registers the exchange and hands its request to the core; may be called from any thread. */
+    public void arrive(RequestSpec request, Exchange exchange) {
+        execute(() -> {
+            exchanges.put(request.requestId(), exchange);
+            apply(new Event.RequestArrived(request));
+        });
+    }
+
+    /** Withdraws a request whose caller has gone or was answered already; may be called from any thread. */
+    public void withdraw(String requestId) {
+        execute(() -> {
+            if (exchanges.remove(requestId) != null) {
+                apply(new Event.CallerGone(requestId));
+                notifyIfIdle();
+            }
+        });
+    }
+
+    /** Runs a task on the control thread; may be called from any thread. */
+    public void execute(Runnable task) {
+        context.runOnContext(ignored -> {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                LOG.log(System.Logger.Level.ERROR, "control task failed", e);
+            }
+        });
+    }
+
+    /** Returns the core; for use on the control thread only. */
+    public DecisionCore core() {
+        return core;
+    }
+
+    /** Returns the current time in ms. */
+    public long nowMs() {
+        return clockMs.getAsLong();
+    }
+
+    /** Returns the number of requests without an answer; for use on the control thread only. */
+    public int openRequests() {
+        return exchanges.size();
+    }
+
+    /** Calls the listener on the control thread when the last open request has been answered. */
+    public void onIdle(Runnable listener) {
+        execute(() -> {
+            idleListener = listener;
+            notifyIfIdle();
+        });
+    }
+
+    private void apply(Event event) {
+        List<Action> actions = core.handle(event, clockMs.getAsLong());
+        for (Action action : actions) {
+            perform(action);
+        }
+    }
+
+    private void perform(Action action) {
+        if (action instanceof Action.StartAttempt start) {
+            withExchange(start.requestId(), exchange -> exchange.start(start));
+        } else if (action instanceof Action.CancelAttempt cancel) {
+            withExchange(cancel.requestId(), exchange -> exchange.cancel(cancel));
+        } else if (action instanceof Action.Refuse refuse) {
+            finish(refuse.requestId(), exchange -> exchange.refuse(refuse));
+        } else if (action instanceof Action.Complete complete) {
+            finish(complete.requestId(), Exchange::complete);
+        } else {
+            sharedActions.accept(action);
+        }
+    }
+
+    private void withExchange(String requestId, Consumer<Exchange> call) {
+        Exchange exchange = exchanges.get(requestId);
+        if (exchange != null) {
+            call.accept(exchange);
+        }
+    }
+
+    private void finish(String requestId, Consumer<Exchange> call) {
+        Exchange exchange = exchanges.remove(requestId);
+        if (exchange != null) {
+            call.accept(exchange);
+        }
+        notifyIfIdle();
+    }
+
+    private void notifyIfIdle() {
+        if (exchanges.isEmpty()) {
+            idleListener.run();
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/http/AnswerFormat.java
@@ -0,0 +1,102 @@
+package io.radishwinch.server.http;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** JSON of whole and streamed answers in the shape of the OpenAI API. */
+final class AnswerFormat {
+    static final String STREAM_END = "data: [DONE]\n\n";
+
+    private final CompletionRequest request;
+    private final String id;
+    private final long createdS;
+
+    AnswerFormat(CompletionRequest request, String requestId, long createdS) {
+        this.request = request;
+        this.id = (request.chat() ? "chatcmpl-" : "cmpl-") + requestId;
+        this.createdS = createdS;
+    }
+
+    /** Returns the event for one token; the first one of a chat also names the role. */
+    String tokenEvent(String token, boolean first) {
+        ObjectNode choice = choice(null);
+        if (request.chat()) {
+            ObjectNode delta = choice.putObject("delta");
+            if (first) {
+                delta.put("role", "assistant");
+            }
+            delta.put("content", token);
+        } else {
+            choice.put("text", token);
+        }
+        return event(streamObject(choice));
+    }
+
+    /** Returns the event that carries the finish reason. */
+    String finishEvent(String finishReason) {
+        ObjectNode choice = choice(finishReason);
+        if (request.chat()) {
+            choice.putObject("delta");
+        } else {
+            choice.put("text", "");
+        }
+        return event(streamObject(choice));
+    }
+
+    /** Returns the event that carries the token counts. */
+    String usageEvent(int promptTokens, int answerTokens) {
+        ObjectNode root = root(request.chat() ? "chat.completion.chunk" : "text_completion");
+        root.putArray("choices");
+        root.set("usage", usage(promptTokens, answerTokens));
+        return event(root);
+    }
+
+    /** Returns a whole answer. */
+    ObjectNode whole(String text, String finishReason, int promptTokens, int answerTokens) {
+        ObjectNode root = root(request.chat() ? "chat.completion" : "text_completion");
+        ObjectNode choice = choice(finishReason);
+        if (request.chat()) {
+            choice.putObject("message").put("role", "assistant").put("content", text);
+        } else {
+            choice.put("text", text);
+        }
+        root.putArray("choices").add(choice);
+        root.set("usage", usage(promptTokens, answerTokens));
+        return root;
+    }
+
+    private ObjectNode streamObject(ObjectNode choice) {
+        ObjectNode root = root(request.chat() ? "chat.completion.chunk" : "text_completion");
+        root.putArray("choices").add(choice);
+        return root;
+    }
+
+    private ObjectNode root(String object) {
+        ObjectNode root = JsonNodeFactory.instance.objectNode();
+        root.put("id", id);
+        root.put("object", object);
+        root.put("created", createdS);
+        root.put("model", request.model());
+        return root;
+    }
+
+    private static ObjectNode choice(String finishReason) {
+        ObjectNode choice = JsonNodeFactory.instance.objectNode();
+        choice.put("index", 0);
+        choice.put("finish_reason", finishReason);
+        choice.putNull("logprobs");
+        return choice;
+    }
+
+    private static ObjectNode usage(int promptTokens, int answerTokens) {
+        ObjectNode usage = JsonNodeFactory.instance.objectNode();
+        usage.put("prompt_tokens", promptTokens);
+        usage.put("completion_tokens", answerTokens);
+        usage.put("total_tokens", promptTokens + answerTokens);
+        return usage;
+    }
+
+    private static String event(ObjectNode root) {
+        return "data: " + root + "\n\n";
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/http/BodyCollector.java
@@ -0,0 +1,107 @@
+package io.radishwinch.server.http;
+
+import io.radishwinch.core.model.Reason;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServerRequest;
+import io.vavr.control.Either;
+import java.util.function.Consumer;
+
+/** Reads a request body into memory, bounded in size and time. */
+final class BodyCollector {
+    private final HttpServerRequest request;
+    private final Vertx vertx;
+    private final int maxBytes;
+    private final MemoryBudget budget;
+    private final Consumer<Either<Refusal, Buffer>> receiver;
+    private final Buffer body = Buffer.buffer();
+    private long timer;
+    private boolean finished;
+
+    private BodyCollector(
+            Vertx vertx,
+            HttpServerRequest request,
+            int maxBytes,
+            MemoryBudget budget,
+            Consumer<Either<Refusal, Buffer>> receiver) {
+        this.vertx = vertx;
+        this.request = request;
+        this.maxBytes = maxBytes;
+        this.budget = budget;
+        this.receiver = receiver;
+    }
+
+    /**
+     * Reads the body.
+     *
+     * @param timeoutMs longest time for the body to arrive, in ms
+     * @param budget memory that all bodies share; the receiver of a body gives its size back
+     * @param receiver called once, on the context of the request
+     */
+    static void collect(
+            Vertx vertx,
+            HttpServerRequest request,
+            int maxBytes,
+            long timeoutMs,
+            MemoryBudget budget,
+            Consumer<Either<Refusal, Buffer>> receiver) {
+        new BodyCollector(vertx, request, maxBytes, budget, receiver).begin(timeoutMs);
+    }
+
+    private void begin(long timeoutMs) {
+        if (declaredLength() > maxBytes) {
+            fail(tooLarge());
+            return;
+        }
+        timer = vertx.setTimer(
+                timeoutMs, id -> fail(Refusal.notRun(Reason.SLOW_SENDER, "the body did not arrive within " + timeoutMs + " ms")));
+        request.exceptionHandler(error -> fail(Refusal.notRun(Reason.CALLER_DISCONNECTED, "the connection broke")));
+        request.handler(this::append);
+        request.endHandler(ignored -> end());
+    }
+
+    private long declaredLength() {
+        String length = request.getHeader(HttpHeaders.CONTENT_LENGTH);
+        try {
+            return length == null ? 0 : Long.parseLong(length);
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
+    private void append(Buffer chunk) {
+        if (finished) {
+            return;
+        }
+        if (body.length() + chunk.length() > maxBytes) {
+            fail(tooLarge());
+        } else if (!budget.tryReserve(chunk.length())) {
+            fail(new Refusal(
+                    Reason.QUEUE_FULL, io.radishwinch.core.model.Verdict.NOT_RUN, "too many request bodies in memory", 1000));
+        } else {
+            body.appendBuffer(chunk);
+        }
+    }
+
+    private void end() {
+        if (!finished) {
+            finished = true;
+            vertx.cancelTimer(timer);
+            receiver.accept(Either.right(body));
+        }
+    }
+
+    private void fail(Refusal refusal) {
+        if (!finished) {
+            finished = true;
+            vertx.cancelTimer(timer);
+            budget.release(body.length());
+            receiver.accept(Either.left(refusal));
+        }
+    }
+
+    private Refusal tooLarge() {
+        return Refusal.notRun(Reason.BODY_TOO_LARGE, "the body is larger than " + maxBytes + " bytes");
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/http/CallerApi.java
@@ -0,0 +1,256 @@
+package io.radishwinch.server.http;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.radishwinch.config.contract.KeyHash;
+import io.radishwinch.config.settings.RouterSettings;
+import io.radishwinch.config.settings.SettingKey;
+import io.radishwinch.core.model.Contract;
+import io.radishwinch.core.model.ModelSpec;
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.ServiceSpec;
+import io.vavr.control.Either;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** Routes of the interface towards callers, for one traffic thread. */
+final class CallerApi {
+    private static final System.Logger LOG = System.getLogger(CallerApi.class.getName());
+    private static final String SERVICES_PATH = "/services/";
+
+    private final ExchangeContext shared;
+    private final Authenticator authenticator;
+    private final Supplier<String> requestIds;
+    private final BooleanSupplier ready;
+    private final int maxBodyBytes;
+    private final long bodyTimeoutMs;
+
+    CallerApi(
+            ExchangeContext shared,
+            Authenticator authenticator,
+            RouterSettings settings,
+            Supplier<String> requestIds,
+            BooleanSupplier ready) {
+        this.shared = shared;
+        this.authenticator = authenticator;
+        this.requestIds = requestIds;
+        this.ready = ready;
+        this.maxBodyBytes = settings.integer(SettingKey.CALLER_MAX_BODY_BYTES);
+        this.bodyTimeoutMs = settings.integer(SettingKey.CALLER_BODY_TIMEOUT_MS);
+    }
+
+    Router routes() {
+        Router router = Router.router(shared.vertx());
+        router.get("/healthz").handler(ctx -> ctx.response().end("ok\n"));
+        router.get("/readyz").handler(this::readiness);
+        router.get("/v1/models").handler(this::models);
+        router.post("/v1/chat/completions").handler(ctx -> completion(ctx, true));
+        router.post("/v1/completions").handler(ctx -> completion(ctx, false));
+        router.route(SERVICES_PATH + "*").handler(this::service);
+        router.route().handler(ctx -> reject(
+                ctx, "", Optional.empty(), Refusal.notRun(Reason.MALFORMED_REQUEST, "no such path: " + path(ctx))));
+        router.route().failureHandler(this::failure);
+        return router;
+    }
+
+    // Health and models
+
+    private void readiness(RoutingContext ctx) {
+        boolean isReady = ready.getAsBoolean();
+        ctx.response().setStatusCode(isReady ? 200 : 503).end(isReady ? "ready\n" : "not ready\n");
+    }
+
+    private void models(RoutingContext ctx) {
+        Optional<Contract> contract = authenticate(ctx);
+        if (contract.isEmpty()) {
+            return;
+        }
+        ObjectNode root = JsonNodeFactory.instance.objectNode();
+        root.put("object", "list");
+        ArrayNode data = root.putArray("data");
+        authenticator.config().models().values().stream()
+                .map(ModelSpec::name)
+                .filter(contract.get()::allowsPool)
+                .sorted()
+                .forEach(name -> data.addObject()
+                        .put("id", name)
+                        .put("object", "model")
+                        .put("created", 0)
+                        .put("owned_by", "radishwinch"));
+        ctx.response().putHeader(HttpHeaders.CONTENT_TYPE, "application/json").end(root.toString());
+    }
+
+    // Completions
+
+    private void completion(RoutingContext ctx, boolean chat) {
+        withBody(ctx, (caller, body) -> {
+            Either<Refusal, CompletionRequest> parsed = CompletionRequestParser.parse(chat, body.getBytes());
+            if (parsed.isLeft()) {
+                rejectWithBody(ctx, caller, body, parsed.getLeft());
+            } else {
+                startCompletion(ctx, caller, body, parsed.get());
+            }
+        });
+    }
+
+    private void startCompletion(RoutingContext ctx, CallerRequest caller, Buffer body, CompletionRequest completion) {
+        ModelSpec model = authenticator.config().models().get(completion.model());
+        byte[] prompt = completion.prompt().getBytes(StandardCharsets.UTF_8);
+        int promptTokens = PromptHashes.estimateTokens(prompt.length);
+        if (model == null) {
+            rejectWithBody(ctx, caller, body, Refusal.notRun(Reason.UNKNOWN_MODEL, Messages.of(Reason.UNKNOWN_MODEL)));
+        } else if (!caller.contract().allowsPool(model.name())) {
+            rejectWithBody(ctx, caller, body, Refusal.notRun(Reason.FORBIDDEN, Messages.of(Reason.FORBIDDEN)));
+        } else if ((long) promptTokens + completion.maxNewTokens() > model.maxContextTokens()) {
+            String message = "prompt and answer exceed " + model.maxContextTokens() + " tokens of context";
+            rejectWithBody(ctx, caller, body, Refusal.notRun(Reason.MALFORMED_REQUEST, message));
+        } else {
+            RequestSpec spec = new RequestSpec(
+                    caller.requestId(),
+                    caller.contract().caller(),
+                    caller.rank(),
+                    model.name(),
+                    promptTokens,
+                    completion.maxNewTokens(),
+                    caller.arrivedAtMs(),
+                    caller.deadlineMs(),
+                    PromptHashes.fingerprint(caller.contract().caller(), model.name(), prompt),
+                    PromptHashes.prefixHashes(prompt),
+                    true);
+            new ModelExchange(shared, caller, spec, completion, ctx.request(), body.length()).arrive();
+        }
+    }
+
+    // Plain services
+
+    private void service(RoutingContext ctx) {
+        withBody(ctx, (caller, body) -> {
+            String rest = ctx.request().uri().substring(SERVICES_PATH.length());
+            int end = indexOfAny(rest, '/', '?');
+            String name = rest.substring(0, end);
+            String uri = end < rest.length() && rest.charAt(end) == '/' ? rest.substring(end) : "/" + rest.substring(end);
+            ServiceSpec service = authenticator.config().services().get(name);
+            if (service == null) {
+                rejectWithBody(
+                        ctx, caller, body, Refusal.notRun(Reason.UNKNOWN_SERVICE, Messages.of(Reason.UNKNOWN_SERVICE)));
+            } else {
+                startService(ctx, caller, body, service, uri);
+            }
+        });
+    }
+
+    private void startService(RoutingContext ctx, CallerRequest caller, Buffer body, ServiceSpec service, String uri) {
+        HttpServerRequest http = ctx.request();
+        String pool = ModelSpec.SERVICE_PREFIX + service.name();
+        String key = http.getHeader(RequestHeaders.IDEMPOTENCY_KEY);
+        String path = uri.substring(0, indexOfAny(uri, '?', '#'));
+        boolean repeatable = service.isRepeatable(http.method().name(), path);
+        if (!caller.contract().allowsPool(pool)) {
+            rejectWithBody(ctx, caller, body, Refusal.notRun(Reason.FORBIDDEN, Messages.of(Reason.FORBIDDEN)));
+        } else if (!RequestHeaders.isKeyValid(key) || !repeatable && key == null) {
+            rejectWithBody(ctx, caller, body, Refusal.notRun(Reason.KEY_REQUIRED, Messages.of(Reason.KEY_REQUIRED)));
+        } else {
+            byte[] head = (http.method().name() + " " + pool + uri + "\n").getBytes(StandardCharsets.UTF_8);
+            byte[] content = Buffer.buffer(head).appendBuffer(body).getBytes();
+            RequestSpec spec = new RequestSpec(
+                    caller.requestId(),
+                    caller.contract().caller(),
+                    caller.rank(),
+                    pool,
+                    1,
+                    0,
+                    caller.arrivedAtMs(),
+                    Math.min(caller.deadlineMs(), caller.arrivedAtMs() + service.timeoutMs()),
+                    PromptHashes.fingerprint(caller.contract().caller(), pool, content),
+                    List.of(),
+                    repeatable);
+            ServiceExchange.Call call = new ServiceExchange.Call(
+                    http.method(), uri, http.headers(), body, key, KeyHash.sha256(content));
+            new ServiceExchange(shared, caller, spec, call, http, maxBodyBytes).arrive();
+        }
+    }
+
+    private static int indexOfAny(String text, char first, char second) {
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) == first || text.charAt(i) == second) {
+                return i;
+            }
+        }
+        return text.length();
+    }
+
+    // Common parts
+
+    /** Takes a request whose headers and body were read. */
+    private interface BodyHandler {
+        void handle(CallerRequest caller, Buffer body);
+    }
+
+    private void withBody(RoutingContext ctx, BodyHandler handler) {
+        Optional<Contract> contract = authenticate(ctx);
+        if (contract.isEmpty()) {
+            return;
+        }
+        long nowMs = shared.control().nowMs();
+        Either<Refusal, CallerRequest> caller =
+                RequestHeaders.read(ctx.request().headers(), contract.get(), requestIds.get(), nowMs);
+        if (caller.isLeft()) {
+            reject(ctx, contract.get().caller(), Optional.empty(), caller.getLeft());
+            return;
+        }
+        Consumer<Either<Refusal, Buffer>> receiver = result -> {
+            if (result.isLeft()) {
+                rejectBody(ctx, caller.get(), result.getLeft());
+            } else {
+                handler.handle(caller.get(), result.get());
+            }
+        };
+        BodyCollector.collect(shared.vertx(), ctx.request(), maxBodyBytes, bodyTimeoutMs, shared.bodies(), receiver);
+    }
+
+    private Optional<Contract> authenticate(RoutingContext ctx) {
+        Optional<Contract> contract = authenticator.authenticate(ctx.request().getHeader(HttpHeaders.AUTHORIZATION));
+        if (contract.isEmpty()) {
+            reject(ctx, "", Optional.empty(), Refusal.notRun(Reason.UNKNOWN_CALLER, Messages.of(Reason.UNKNOWN_CALLER)));
+        }
+        return contract;
+    }
+
+    private void rejectWithBody(RoutingContext ctx, CallerRequest caller, Buffer body, Refusal refusal) {
+        shared.bodies().release(body.length());
+        reject(ctx, caller.contract().caller(), Optional.of(caller.rank()), refusal);
+    }
+
+    /** The rest of the body is not read, so the connection cannot be used again. */
+    private void rejectBody(RoutingContext ctx, CallerRequest caller, Refusal refusal) {
+        ctx.response().putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
+        reject(ctx, caller.contract().caller(), Optional.of(caller.rank()), refusal);
+    }
+
+    private void reject(RoutingContext ctx, String caller, Optional<Rank> rank, Refusal refusal) {
+        shared.listener().rejected(caller, rank, refusal);
+        ErrorAnswer.send(ctx.response(), requestIds.get(), refusal);
+    }
+
+    private void failure(RoutingContext ctx) {
+        LOG.log(System.Logger.Level.ERROR, "request handler failed", ctx.failure());
+        reject(ctx, "", Optional.empty(), Refusal.notRun(Reason.INTERNAL_ERROR, Messages.of(Reason.INTERNAL_ERROR)));
+    }
+
+    private static String path(RoutingContext ctx) {
+        String path = ctx.request().path();
+        return path == null || path.length() > 80 ? "(too long)" : path;
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/http/ModelExchange.java
@@ -0,0 +1,244 @@
+package io.radishwinch.server.http;
+
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.Chain;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Stage;
+import io.radishwinch.core.model.Verdict;
+import io.radishwinch.server.engine.AttemptRequest;
+import io.radishwinch.server.engine.EndpointAddress;
+import io.radishwinch.server.engine.EngineEvent;
+import io.radishwinch.server.engine.EngineStream;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+/** One completion request: proxies the token stream of its attempts to the caller. */
+final class ModelExchange extends AbstractExchange {
+    private static final long PROGRESS_INTERVAL_MS = 1000;
+
+    private final CompletionRequest completion;
+    private final AnswerFormat format;
+    private final List<String> delivered = new ArrayList<>();
+    private String finishReason = "length";
+    private EngineStream stream;
+    private Chain chain;
+    private int epoch;
+    private boolean paused;
+    private long nextProgressAtMs;
+    private long[] stageUs = {};
+    private int attemptTokens;
+
+    ModelExchange(
+            ExchangeContext shared,
+            CallerRequest caller,
+            RequestSpec request,
+            CompletionRequest completion,
+            HttpServerRequest httpRequest,
+            long reservedBytes) {
+        super(shared, caller, request, httpRequest, reservedBytes);
+        this.completion = completion;
+        this.format = new AnswerFormat(completion, request.requestId(), request.arrivedAtMs() / 1000);
+    }
+
+    // Attempts
+
+    @Override
+    void startAttempt(Action.StartAttempt attempt) {
+        release();
+        epoch = attempt.epoch();
+        chain = attempt.chain();
+        attemptTokens = 0;
+        stageUs = new long[chain.stages().size()];
+        List<AttemptRequest.StageTarget> targets = targets(attempt);
+        if (targets.isEmpty()) {
+            fail(chain.head().endpointId(), Reason.ENDPOINT_REFUSED, Verdict.NOT_RUN);
+            return;
+        }
+        int attemptEpoch = epoch;
+        stream = shared.engines()
+                .open(attemptRequest(attempt, targets), event -> onTrafficThreadNow(attemptEpoch, event));
+    }
+
+    private AttemptRequest attemptRequest(Action.StartAttempt attempt, List<AttemptRequest.StageTarget> targets) {
+        return new AttemptRequest(
+                request.requestId(),
+                attempt.epoch(),
+                completion.model(),
+                targets,
+                completion.prompt(),
+                request.promptTokens(),
+                request.prefixHashes(),
+                delivered,
+                request.maxNewTokens(),
+                attempt.priority(),
+                attempt.deadlineMs());
+    }
+
+    private List<AttemptRequest.StageTarget> targets(Action.StartAttempt attempt) {
+        List<EndpointAddress> kvSources = attempt.kvSourceEndpointIds().stream()
+                .map(shared.endpoints()::address)
+                .filter(Objects::nonNull)
+                .toList();
+        List<AttemptRequest.StageTarget> targets = new ArrayList<>();
+        for (Stage stage : attempt.chain().stages()) {
+            EndpointAddress address = shared.endpoints().address(stage.endpointId());
+            if (address == null) {
+                return List.of();
+            }
+            targets.add(new AttemptRequest.StageTarget(address, stage.layers(), kvSources));
+        }
+        return targets;
+    }
+
+    private void onTrafficThreadNow(int attemptEpoch, EngineEvent event) {
+        if (isFinished() || attemptEpoch != epoch || stream == null && !(event instanceof EngineEvent.Failed)) {
+            return;
+        }
+        if (event instanceof EngineEvent.Token token) {
+            token(token);
+        } else if (event instanceof EngineEvent.Accepted) {
+            post(new Event.AttemptStarted(request.requestId(), epoch));
+        } else if (event instanceof EngineEvent.Done done) {
+            done(done);
+        } else if (event instanceof EngineEvent.Failed failed) {
+            stream = null;
+            fail(failed.endpointId(), failed.reason(), failed.verdict());
+        }
+    }
+
+    private void fail(String endpointId, Reason reason, Verdict verdict) {
+        post(new Event.AttemptFailed(request.requestId(), epoch, endpointId, reason, verdict, delivered.size()));
+    }
+
+    private void token(EngineEvent.Token token) {
+        if (token.sequence() != delivered.size()) {
+            return;
+        }
+        long nowMs = shared.control().nowMs();
+        if (attemptTokens++ == 0) {
+            post(new Event.FirstToken(request.requestId(), epoch));
+            nextProgressAtMs = nowMs + PROGRESS_INTERVAL_MS;
+        } else if (nowMs >= nextProgressAtMs) {
+            post(new Event.Progress(request.requestId(), epoch, delivered.size()));
+            nextProgressAtMs = nowMs + PROGRESS_INTERVAL_MS;
+        }
+        addStageTimes(token.stageUs());
+        delivered.add(token.text());
+        delivery.token(nowMs);
+        if (completion.stream()) {
+            writeToken(token.text());
+        }
+    }
+
+    private void addStageTimes(long[] times) {
+        for (int i = 0; i < stageUs.length && i < times.length; i++) {
+            stageUs[i] += times[i];
+        }
+    }
+
+    private void done(EngineEvent.Done done) {
+        stream = null;
+        finishReason = done.finishReason();
+        if (done.tokens() != delivered.size()) {
+            fail(chain.head().endpointId(), Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN);
+            return;
+        }
+        postStageTimes();
+        post(new Event.AttemptFinished(request.requestId(), epoch, delivered.size()));
+    }
+
+    private void postStageTimes() {
+        List<Stage> stages = chain.stages();
+        for (int i = 0; i < stages.size() && attemptTokens > 0; i++) {
+            double layerTimeUs = (double) stageUs[i] / attemptTokens / stages.get(i).layers().size();
+            if (layerTimeUs > 0) {
+                post(new Event.StageMeasured(stages.get(i).endpointId(), layerTimeUs));
+            }
+        }
+    }
+
+    @Override
+    void cancelAttempt(int cancelledEpoch, Reason reason) {
+        if (cancelledEpoch != epoch || stream == null) {
+            return;
+        }
+        release();
+        fail(chain.head().endpointId(), reason, Verdict.MAY_HAVE_RUN);
+    }
+
+    @Override
+    void release() {
+        if (stream != null) {
+            stream.cancel();
+            stream = null;
+        }
+    }
+
+    // Answer
+
+    private void writeToken(String text) {
+        boolean first = !response.headWritten();
+        if (first) {
+            beginStream();
+        }
+        response.write(format.tokenEvent(text, first));
+        if (response.writeQueueFull() && !paused && stream != null) {
+            paused = true;
+            stream.pause();
+            startWriteTimer();
+            response.drainHandler(ignored -> drained());
+        }
+    }
+
+    private void drained() {
+        paused = false;
+        cancelWriteTimer();
+        if (stream != null) {
+            stream.resume();
+        }
+    }
+
+    private void beginStream() {
+        response.setChunked(true)
+                .putHeader(HttpHeaders.CONTENT_TYPE, "text/event-stream")
+                .putHeader(HttpHeaders.CACHE_CONTROL, "no-cache")
+                .putHeader("X-Request-Id", request.requestId());
+    }
+
+    @Override
+    void completeAnswer() {
+        finish(Optional.empty());
+        if (!completion.stream()) {
+            String text = String.join("", delivered);
+            response.putHeader(HttpHeaders.CONTENT_TYPE, "application/json")
+                    .putHeader("X-Request-Id", request.requestId())
+                    .end(format.whole(text, finishReason, request.promptTokens(), delivered.size()).toString());
+            return;
+        }
+        if (!response.headWritten()) {
+            beginStream();
+        }
+        response.write(format.finishEvent(finishReason));
+        if (completion.includeUsage()) {
+            response.write(format.usageEvent(request.promptTokens(), delivered.size()));
+        }
+        response.end(AnswerFormat.STREAM_END);
+    }
+
+    /** After the head was sent the error becomes the last event; a stream without {@code [DONE]} is incomplete. */
+    @Override
+    void refuseRequest(Refusal refusal) {
+        if (!response.headWritten()) {
+            super.refuseRequest(refusal);
+            return;
+        }
+        finish(Optional.of(refusal));
+        response.end("data: " + ErrorAnswer.body(refusal, request.requestId()) + "\n\n");
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/http/PromptHashes.java
@@ -0,0 +1,50 @@
+package io.radishwinch.server.http;
+
+import io.radishwinch.config.contract.KeyHash;
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+
+/** Hashes of prompts: a fingerprint of the whole request, and hashes of prefixes for cache affinity. */
+final class PromptHashes {
+    /** Bytes of prompt that one prefix hash adds, about 64 tokens. */
+    static final int BLOCK_BYTES = 256;
+
+    private static final int MAX_BLOCKS = 16;
+    private static final int BYTES_PER_TOKEN = 4;
+    private static final int FINGERPRINT_BYTES = 16;
+
+    private PromptHashes() {}
+
+    /** Returns an estimate of the tokens of a text, at least 1: one for every four bytes of UTF-8. */
+    static int estimateTokens(int utf8Bytes) {
+        return Math.max(1, utf8Bytes / BYTES_PER_TOKEN);
+    }
+
+    /** Returns a hash that is equal for requests of one caller with the same pool and content. */
+    static String fingerprint(String caller, String pool, byte[] content) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream(content.length + 64);
+        all.writeBytes(caller.getBytes(StandardCharsets.UTF_8));
+        all.write(0);
+        all.writeBytes(pool.getBytes(StandardCharsets.UTF_8));
+        all.write(0);
+        all.writeBytes(content);
+        return HexFormat.of().formatHex(KeyHash.sha256(all.toByteArray()), 0, FINGERPRINT_BYTES);
+    }
+
+    /** Returns hashes of the prompt's first blocks, each covering all blocks before it, shortest prefix first. */
+    static List<Long> prefixHashes(byte[] prompt) {
+        List<Long> hashes = new ArrayList<>();
+        long previous = 0;
+        for (int end = BLOCK_BYTES; end <= prompt.length && hashes.size() < MAX_BLOCKS; end += BLOCK_BYTES) {
+            ByteBuffer block = ByteBuffer.allocate(Long.BYTES + BLOCK_BYTES);
+            block.putLong(previous).put(prompt, end - BLOCK_BYTES, BLOCK_BYTES);
+            previous = ByteBuffer.wrap(KeyHash.sha256(block.array())).getLong();
+            hashes.add(previous);
+        }
+        return hashes;
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/http/StoredAnswer.java
@@ -0,0 +1,59 @@
+package io.radishwinch.server.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+
+/**
+ * Answer of a non-repeatable call as the journal keeps it.
+ *
+ * @param status HTTP status
+ * @param contentType media type, or an empty string
+ * @param body content; empty if it was too large to be kept
+ * @param stored whether the content was kept
+ */
+record StoredAnswer(int status, String contentType, byte[] body, boolean stored) {
+    /** Largest body that is kept, in bytes; base64 and the other fields fit into a journal outcome of 64 KiB. */
+    static final int MAX_BODY_BYTES = 45_000;
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** Returns an answer that keeps the body if it is small enough. */
+    static StoredAnswer of(int status, String contentType, byte[] body) {
+        boolean stored = body.length <= MAX_BODY_BYTES;
+        return new StoredAnswer(status, contentType, stored ? body : new byte[0], stored);
+    }
+
+    byte[] encode() {
+        ObjectNode node = MAPPER.createObjectNode();
+        node.put("status", status);
+        node.put("contentType", contentType);
+        node.put("body", body);
+        node.put("stored", stored);
+        try {
+            return MAPPER.writeValueAsBytes(node);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a tree of plain values can always be written", e);
+        }
+    }
+
+    /**
+     * Decodes an outcome.
+     *
+     * @throws IllegalArgumentException if the bytes are no outcome
+     */
+    static StoredAnswer decode(byte[] bytes) {
+        try {
+            JsonNode node = MAPPER.readTree(bytes);
+            return new StoredAnswer(
+                    node.path("status").asInt(200),
+                    node.path("contentType").asText(""),
+                    node.path("body").binaryValue(),
+                    node.path("stored").asBoolean());
+        } catch (IOException e) {
+            throw new IllegalArgumentException("not a stored answer", e);
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and histograms of a router. */
+package io.radishwinch.server.metrics;
--- a/server/src/main/java/io/radishwinch/server/package-info.java
+++ b/server/src/main/java/io/radishwinch/server/package-info.java
@@ -1,2 +1,2 @@
-/** HTTP, engine, platform and peer adapters, and the radishwinchd binary. */
+/** The router process: wiring of the decision core and the cluster state to their adapters. */
 package io.radishwinch.server;
