Add the table decision core with admission, dispatch, attempts and resume

Cause: the server needs a decision core to be wired on. Change: TableDecisionCore.create(CoreSettings, EndpointDirectory, ChainPlanner) with tables of callers, pools and requests; admission by contract and allotment, order of arrival, epochs, resume from delivered tokens, refusal with the combined verdict.

--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
@@ -0,0 +1,92 @@
+package io.radishwinch.core.impl;
+
+import io.radishwinch.core.model.Contract;
+import io.radishwinch.core.model.ModelSpec;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.RequestSpec;
+
+/** Admits requests within the contract and this router's allotment, or refuses them before they cost work. */
+final class AdmissionSystem {
+
+    /** Wait suggested to callers when the state that refuses them has no known end, in ms. */
+    private static final long RETRY_AFTER_MS = 1_000;
+
+    private final CoreState state;
+
+    AdmissionSystem(CoreState state) {
+        this.state = state;
+    }
+
+    void arrived(RequestSpec spec, long nowMs) {
+        if (state.requests.containsKey(spec.requestId())) {
+            // A second answer under this identifier would reach the caller of the first request.
+            return;
+        }
+        Contract contract = state.config.contracts().get(spec.caller());
+        ModelSpec pool = state.config.pool(spec.pool());
+        Reason reason = contractReason(spec, contract, pool);
+        if (reason == null) {
+            reason = stateReason(spec, nowMs);
+        }
+        if (reason != null) {
+            state.refuseEarly(spec, reason, isTransient(reason) ? RETRY_AFTER_MS : 0);
+            return;
+        }
+        CallerRow caller = state.caller(contract, nowMs);
+        if (!caller.hasConcurrency()) {
+            state.refuseEarly(spec, Reason.CONCURRENCY_LIMITED, RETRY_AFTER_MS);
+            return;
+        }
+        long waitMs = Math.max(caller.requests.waitMs(1, nowMs), caller.tokens.waitMs(spec.costTokens(), nowMs));
+        if (waitMs > 0) {
+            state.refuseEarly(spec, Reason.RATE_LIMITED, waitMs);
+            return;
+        }
+        if (!state.queue.offer(spec, nowMs)) {
+            state.refuseEarly(spec, Reason.QUEUE_FULL, RETRY_AFTER_MS);
+            return;
+        }
+        caller.requests.take(1);
+        caller.tokens.take(spec.costTokens());
+        caller.active++;
+        RequestRow row = new RequestRow(spec);
+        state.requests.put(spec.requestId(), row);
+        state.note(row, nowMs, "admitted");
+    }
+
+    /** Returns why the contract or the configuration refuses the request, or null. */
+    Reason contractReason(RequestSpec spec, Contract contract, ModelSpec pool) {
+        if (contract == null) {
+            return Reason.UNKNOWN_CALLER;
+        }
+        if (pool == null) {
+            return spec.pool().startsWith(ModelSpec.SERVICE_PREFIX) ? Reason.UNKNOWN_SERVICE : Reason.UNKNOWN_MODEL;
+        }
+        if (!contract.ranks().containsKey(spec.rank()) || !contract.allowsPool(spec.pool())) {
+            return Reason.FORBIDDEN;
+        }
+        return spec.costTokens() > pool.maxContextTokens() ? Reason.MALFORMED_REQUEST : null;
+    }
+
+    private Reason stateReason(RequestSpec spec, long nowMs) {
+        if (state.draining) {
+            return Reason.DRAINING;
+        }
+        PoolRow pool = state.pool(spec.pool());
+        if (nowMs + pool.feasibleServiceMs(spec, 0, nowMs) >= spec.deadlineMs()) {
+            return Reason.DEADLINE_UNREACHABLE;
+        }
+        if (state.directory.isCovered(spec.pool(), nowMs)) {
+            pool.uncoveredSinceMs = -1;
+            return null;
+        }
+        if (pool.uncoveredSinceMs < 0) {
+            pool.uncoveredSinceMs = nowMs;
+        }
+        return nowMs - pool.uncoveredSinceMs >= state.settings.uncoveredGraceMs() ? Reason.NO_CAPACITY : null;
+    }
+
+    private static boolean isTransient(Reason reason) {
+        return reason == Reason.DRAINING || reason == Reason.NO_CAPACITY;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/impl/CallerRow.java
@@ -0,0 +1,52 @@
+package io.radishwinch.core.impl;
+
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.Limits;
+
+/** Row of the caller table: what a caller uses of its limits at this router. */
+final class CallerRow {
+
+    private final long burstMs;
+    private final double initialShare;
+    final TokenBucket requests;
+    final TokenBucket tokens;
+    int active;
+    private Event.AllotmentChanged allotment;
+    private double concurrentLimit;
+
+    CallerRow(Limits limits, CoreSettings settings, long nowMs) {
+        this.burstMs = settings.limitBurstMs();
+        this.initialShare = settings.initialAllotmentShare();
+        this.requests = new TokenBucket(limits.requestsPerS() * initialShare, burstMs, nowMs);
+        this.tokens = new TokenBucket(limits.tokensPerS() * initialShare, burstMs, nowMs);
+        setLimits(limits, nowMs);
+    }
+
+    /** Applies the contract's limits: they cap the allotment, which stands in for them once it is known. */
+    void setLimits(Limits limits, long nowMs) {
+        double requestsPerS = limits.requestsPerS() * initialShare;
+        double tokensPerS = limits.tokensPerS() * initialShare;
+        concurrentLimit = limits.concurrentRequests() * initialShare;
+        if (allotment != null) {
+            requestsPerS = Math.min(limits.requestsPerS(), allotment.requestsPerS());
+            tokensPerS = Math.min(limits.tokensPerS(), allotment.tokensPerS());
+            concurrentLimit = Math.min(limits.concurrentRequests(), allotment.concurrentRequests());
+        }
+        requests.setRate(requestsPerS, burstMs, nowMs);
+        tokens.setRate(tokensPerS, burstMs, nowMs);
+    }
+
+    void setAllotment(Event.AllotmentChanged newAllotment, Limits limits, long nowMs) {
+        allotment = newAllotment;
+        setLimits(limits, nowMs);
+    }
+
+    /** Returns whether another request may be admitted; a share below one still admits one request at a time. */
+    boolean hasConcurrency() {
+        return concurrentLimit > 0 && active < Math.max(1, Math.floor(concurrentLimit));
+    }
+
+    double floorShare() {
+        return allotment == null ? initialShare : allotment.floorShare();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
@@ -0,0 +1,86 @@
+package io.radishwinch.core.impl;
+
+import io.radishwinch.core.model.Chain;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Verdict;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Row of the request table: an admitted request until its last action. */
+final class RequestRow {
+
+    /** State of a request; every state but the last two holds no slot. */
+    enum State {
+        /** In the request queue. */
+        QUEUED,
+        /** Waits for the time of its next attempt. */
+        BACKING_OFF,
+        /** Waits for an endpoint that it may use, outside the queue so that it blocks no other request. */
+        PARKED,
+        /** An attempt runs. */
+        RUNNING,
+        /** The core cancelled the attempt and waits for its end, which states the tokens delivered. */
+        CANCELLING
+    }
+
+    final RequestSpec spec;
+    final ArrayDeque<String> history = new ArrayDeque<>();
+    final Set<String> excludedEndpointIds = new LinkedHashSet<>();
+    State state = State.QUEUED;
+    int epoch;
+    int attempts;
+    int preemptions;
+    int budgetWaits;
+    int deliveredTokens;
+    /** Combined verdict of all ended attempts, null before the first has ended. */
+    Verdict verdict;
+
+    Reason lastReason;
+    /** Chain of the running attempt, null if there is none. */
+    Chain chain;
+
+    List<String> kvSourceEndpointIds = new ArrayList<>();
+    long attemptStartedAtMs;
+    long firstTokenAtMs = -1;
+    int attemptFirstTokens;
+    /** Time of the next change of state: end of the backoff, of parking or of the wait for a cancelled attempt. */
+    long dueAtMs;
+
+    Reason cancelReason;
+    String cancelEndpointId;
+    boolean callerGone;
+
+    RequestRow(RequestSpec spec) {
+        this.spec = spec;
+    }
+
+    String id() {
+        return spec.requestId();
+    }
+
+    boolean isRunning() {
+        return state == State.RUNNING || state == State.CANCELLING;
+    }
+
+    /** Returns the verdict over all attempts if the request ended now. */
+    Verdict verdictNow() {
+        if (isRunning()) {
+            return verdict == null ? Verdict.MAY_HAVE_RUN : verdict.combine(Verdict.MAY_HAVE_RUN);
+        }
+        return verdict == null ? Verdict.NOT_RUN : verdict;
+    }
+
+    /** Returns whether another attempt may be started: always after {@code not-run}, else only if repeatable. */
+    boolean mayStart() {
+        return spec.repeatable() || verdict == null || verdict == Verdict.NOT_RUN;
+    }
+
+    /** Returns the tokens to charge when the request ends: none if it did not run. */
+    long usedTokens() {
+        return verdictNow() == Verdict.NOT_RUN ? 0 : (long) spec.promptTokens() + deliveredTokens;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -0,0 +1,161 @@
+package io.radishwinch.core.impl;
+
+import io.radishwinch.core.DecisionCore;
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.chain.ChainPlanner;
+import io.radishwinch.core.chain.EndpointDirectory;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.Contract;
+import io.radishwinch.core.model.FleetConfig;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.queue.DeadlineIndex;
+import io.radishwinch.core.queue.FifoQueue;
+import io.radishwinch.core.queue.RequestQueue;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Decision core over tables of callers, pools and requests.
+ *
+ * <p>Systems run over the tables on each tick and on the events that concern them. An adapter answers every
+ * {@link Action.CancelAttempt} of a request that has not ended with the attempt's end, either finished or failed with
+ * the tokens delivered; without an answer the attempt counts as ended after {@link CoreSettings#cancelTimeoutMs()}.
+ */
+public final class TableDecisionCore implements DecisionCore {
+
+    private final CoreState state;
+    private final AdmissionSystem admission;
+    private final DispatchSystem dispatch;
+    private final AttemptSystem attempts;
+    private long nowMs;
+
+    private TableDecisionCore(CoreState state) {
+        this.state = state;
+        this.admission = new AdmissionSystem(state);
+        this.dispatch = new DispatchSystem(state);
+        this.attempts = new AttemptSystem(state);
+    }
+
+    /** Creates a core with the default queue. */
+    public static TableDecisionCore create(CoreSettings settings, EndpointDirectory directory, ChainPlanner planner) {
+        return create(settings, directory, planner, new FifoQueue(settings.queue(), new DeadlineIndex(request -> 0)));
+    }
+
+    /** Creates a core with another queue. */
+    public static TableDecisionCore create(
+            CoreSettings settings, EndpointDirectory directory, ChainPlanner planner, RequestQueue queue) {
+        return new TableDecisionCore(new CoreState(settings, directory, planner, queue));
+    }
+
+    // Events
+
+    @Override
+    public List<Action> handle(Event event, long nowMs) {
+        this.nowMs = nowMs;
+        state.out = new ArrayList<>(state.directory.handle(event, nowMs));
+        if (event instanceof Event.Tick) {
+            tick(nowMs);
+        } else if (event instanceof Event.RequestArrived arrived) {
+            admission.arrived(arrived.request(), nowMs);
+            dispatch.dispatch(nowMs);
+        } else if (event instanceof Event.FirstToken first) {
+            attempts.firstToken(first, nowMs);
+        } else if (event instanceof Event.Progress progress) {
+            attempts.progress(progress);
+        } else if (event instanceof Event.AttemptFinished finished) {
+            attempts.finished(finished, nowMs);
+            dispatch.dispatch(nowMs);
+        } else if (event instanceof Event.AttemptFailed failed) {
+            attempts.failed(failed, nowMs);
+            dispatch.dispatch(nowMs);
+        } else if (event instanceof Event.CallerGone gone) {
+            callerGone(gone.requestId(), nowMs);
+        } else {
+            handleControl(event, nowMs);
+        }
+        return state.out;
+    }
+
+    private void handleControl(Event event, long nowMs) {
+        if (event instanceof Event.ConfigInForce changed) {
+            configure(changed.config(), nowMs);
+        } else if (event instanceof Event.AllotmentChanged allotment) {
+            Contract contract = state.config.contracts().get(allotment.caller());
+            if (contract != null) {
+                state.caller(contract, nowMs).setAllotment(allotment, contract.limits(), nowMs);
+            }
+        } else if (event instanceof Event.EndpointGone gone) {
+            attempts.endpointGone(gone.endpointId(), nowMs);
+        } else if (event instanceof Event.DrainStarted drain) {
+            state.draining = true;
+            state.drainDeadlineMs = drain.deadlineMs();
+        }
+    }
+
+    private void tick(long nowMs) {
+        attempts.tick(nowMs);
+        state.queue.removeExpired(nowMs).forEach(spec -> {
+            RequestRow row = state.requests.get(spec.requestId());
+            state.refuse(row, Reason.DEADLINE_UNREACHABLE, nowMs);
+        });
+        dispatch.tick(nowMs);
+    }
+
+    private void callerGone(String requestId, long nowMs) {
+        RequestRow row = state.requests.get(requestId);
+        if (row == null) {
+            return;
+        }
+        if (row.isRunning() && !row.spec.repeatable()) {
+            // Cancelling cannot undo the operation; when it runs on, its outcome becomes known and can be replayed.
+            row.callerGone = true;
+            return;
+        }
+        if (row.isRunning()) {
+            state.out.add(new Action.CancelAttempt(requestId, row.epoch, Reason.CALLER_DISCONNECTED));
+        }
+        state.forget(row, nowMs);
+        dispatch.dispatch(nowMs);
+    }
+
+    private void configure(FleetConfig config, long nowMs) {
+        state.config = config;
+        config.contracts().values().forEach(contract -> state.caller(contract, nowMs)
+                .setLimits(contract.limits(), nowMs));
+        for (RequestRow row : List.copyOf(state.requests.values())) {
+            if (row.isRunning()) {
+                continue;
+            }
+            Reason reason = admission.contractReason(
+                    row.spec, config.contracts().get(row.spec.caller()), config.pool(row.spec.pool()));
+            if (reason != null) {
+                state.refuse(row, reason == Reason.UNKNOWN_CALLER ? Reason.CONTRACT_WITHDRAWN : reason, nowMs);
+            }
+        }
+        state.callers
+                .entrySet()
+                .removeIf(entry -> !config.contracts().containsKey(entry.getKey()) && entry.getValue().active == 0);
+        state.pools.keySet().removeIf(name -> config.pool(name) == null);
+    }
+
+    // Views
+
+    @Override
+    public Optional<RequestView> request(String requestId) {
+        RequestRow row = state.requests.get(requestId);
+        return row == null
+                ? Optional.empty()
+                : Optional.of(new RequestView(
+                        row.spec, row.isRunning() ? "running" : "queued", row.epoch, List.copyOf(row.history)));
+    }
+
+    @Override
+    public CoreView view() {
+        return new CoreView(
+                state.requests.size() - state.running.size(),
+                state.running.size(),
+                state.directory.endpointViews(nowMs),
+                state.directory.poolViews(nowMs));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/impl/TokenBucket.java
@@ -0,0 +1,62 @@
+package io.radishwinch.core.impl;
+
+/** Token bucket whose rate can change while it runs; the balance may go below zero. */
+final class TokenBucket {
+
+    private static final double MS_PER_S = 1_000.0;
+
+    private double ratePerS;
+    private double capacity;
+    private double balance;
+    private long filledAtMs;
+
+    TokenBucket(double ratePerS, long burstMs, long nowMs) {
+        this.ratePerS = ratePerS;
+        this.capacity = capacityOf(ratePerS, burstMs);
+        this.balance = capacity;
+        this.filledAtMs = nowMs;
+    }
+
+    /** Changes the rate; the balance keeps its ratio to the capacity, so that a change grants no extra burst. */
+    void setRate(double newRatePerS, long burstMs, long nowMs) {
+        fill(nowMs);
+        double newCapacity = capacityOf(newRatePerS, burstMs);
+        balance = balance > 0 ? balance * newCapacity / capacity : balance;
+        ratePerS = newRatePerS;
+        capacity = newCapacity;
+    }
+
+    /**
+     * Returns the time in ms until the amount can be taken, 0 if it can be taken now. An amount above the capacity is
+     * let through when the bucket is full and leaves a debt.
+     */
+    long waitMs(double amount, long nowMs) {
+        fill(nowMs);
+        double missing = Math.min(amount, capacity) - balance;
+        if (missing <= 0) {
+            return 0;
+        }
+        return ratePerS > 0 ? (long) Math.ceil(missing / ratePerS * MS_PER_S) : Long.MAX_VALUE;
+    }
+
+    void take(double amount) {
+        balance -= amount;
+    }
+
+    void giveBack(double amount) {
+        balance = Math.min(capacity, balance + amount);
+    }
+
+    double balance() {
+        return balance;
+    }
+
+    private void fill(long nowMs) {
+        balance = Math.min(capacity, balance + ratePerS * (nowMs - filledAtMs) / MS_PER_S);
+        filledAtMs = nowMs;
+    }
+
+    private static double capacityOf(double ratePerS, long burstMs) {
+        return Math.max(1, ratePerS * burstMs / MS_PER_S);
+    }
+}
--- a/core/src/main/java/io/radishwinch/core/queue/RequestQueue.java
+++ b/core/src/main/java/io/radishwinch/core/queue/RequestQueue.java
@@ -1,5 +1,6 @@
 package io.radishwinch.core.queue;
 
+import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.RequestSpec;
 import java.util.List;
 import java.util.Optional;
@@ -15,6 +16,12 @@
      */
     boolean offer(RequestSpec request, long nowMs);
 
+    /**
+     * Puts a request that was polled earlier back in front of the other requests of its caller and rank, without a
+     * bound and without another charge. The number of such requests is bounded by the slots of the endpoints.
+     */
+    void requeue(RequestSpec request, long nowMs);
+
     /**
      * Removes and returns the request to run next among those that can be dispatched.
      *
@@ -30,6 +37,17 @@
     /** Removes and returns the requests whose deadline can no longer be met. */
     List<RequestSpec> removeExpired(long nowMs);
 
+    /**
+     * Corrects the charge of a polled request, which was its largest cost, to the tokens that it used.
+     *
+     * @param request request that ended
+     * @param usedTokens prompt and answer tokens that it used
+     */
+    void settle(RequestSpec request, long usedTokens);
+
+    /** Returns whether the caller receives less than the floor of this rank at the moment. */
+    boolean isBelowFloor(String caller, Rank rank, long nowMs);
+
     /** Returns the number of queued requests. */
     int size();
 }
