--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/engine/BoundedBody.java
@@ -0,0 +1,98 @@
+package io.radishwinch.server.engine;
+
+import io.vertx.core.Handler;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.streams.ReadStream;
+import java.util.function.Consumer;
+
+/** Body of a service's answer, refused when it grows beyond a bound. */
+final class BoundedBody implements ReadStream<Buffer> {
+    private final HttpClientResponse response;
+    private final long maxBytes;
+    private final Consumer<String> onBroken;
+    private long bytes;
+    private boolean ended;
+    private Throwable failure;
+    private Handler<Buffer> handler;
+    private Handler<Void> endHandler;
+    private Handler<Throwable> exceptionHandler;
+
+    BoundedBody(HttpClientResponse response, long maxBytes, Runnable onEnd, Consumer<String> onBroken) {
+        this.response = response;
+        this.maxBytes = maxBytes;
+        this.onBroken = onBroken;
+        response.exceptionHandler(cause -> onBroken.accept("connection broke in the answer: " + cause.getMessage()));
+        response.endHandler(ignored -> {
+            if (failure == null) {
+                ended = true;
+                onEnd.run();
+                if (endHandler != null) {
+                    endHandler.handle(null);
+                }
+            }
+        });
+        response.handler(this::chunk);
+    }
+
+    private void chunk(Buffer chunk) {
+        if (failure != null) {
+            return;
+        }
+        bytes += chunk.length();
+        if (bytes > maxBytes) {
+            onBroken.accept("answer of more than " + maxBytes + " bytes");
+        } else if (handler != null) {
+            handler.handle(chunk);
+        }
+    }
+
+    void fail(Throwable cause) {
+        if (ended || failure != null) {
+            return;
+        }
+        failure = cause;
+        if (exceptionHandler != null) {
+            exceptionHandler.handle(cause);
+        }
+    }
+
+    @Override
+    public ReadStream<Buffer> exceptionHandler(Handler<Throwable> newHandler) {
+        exceptionHandler = newHandler;
+        if (newHandler != null && failure != null) {
+            newHandler.handle(failure);
+        }
+        return this;
+    }
+
+    @Override
+    public ReadStream<Buffer> handler(Handler<Buffer> newHandler) {
+        handler = newHandler;
+        return this;
+    }
+
+    @Override
+    public ReadStream<Buffer> endHandler(Handler<Void> newHandler) {
+        endHandler = newHandler;
+        return this;
+    }
+
+    @Override
+    public ReadStream<Buffer> pause() {
+        response.pause();
+        return this;
+    }
+
+    @Override
+    public ReadStream<Buffer> resume() {
+        response.resume();
+        return this;
+    }
+
+    @Override
+    public ReadStream<Buffer> fetch(long amount) {
+        response.fetch(amount);
+        return this;
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/engine/EndpointAddress.java
@@ -0,0 +1,18 @@
+package io.radishwinch.server.engine;
+
+import io.radishwinch.core.model.EndpointSpec;
+
+/**
+ * Where an endpoint is reached.
+ *
+ * @param endpointId endpoint
+ * @param host IP address
+ * @param port TCP port
+ */
+public record EndpointAddress(String endpointId, String host, int port) {
+
+    /** Returns the address of an endpoint. */
+    public static EndpointAddress of(EndpointSpec endpoint) {
+        return new EndpointAddress(endpoint.id(), endpoint.host(), endpoint.port());
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/engine/EngineLineParser.java
@@ -0,0 +1,154 @@
+package io.radishwinch.server.engine;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import io.radishwinch.core.model.LayerRange;
+import io.radishwinch.core.model.Verdict;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/** Parses one line of an attempt's stream; fields that it does not know are skipped. */
+final class EngineLineParser {
+    private static final int MAX_NESTING = 8;
+    private static final int MAX_STAGES = 256;
+    private static final JsonFactory JSON = JsonFactory.builder()
+            .streamReadConstraints(StreamReadConstraints.builder()
+                    .maxNestingDepth(MAX_NESTING)
+                    .maxNumberLength(20)
+                    .build())
+            .build();
+
+    private EngineLineParser() {}
+
+    /**
+     * Parses a line.
+     *
+     * @throws MalformedLineException if it is no JSON object, has a field of a wrong type or lacks one
+     */
+    static Line parse(byte[] bytes, int offset, int length) throws MalformedLineException {
+        Line line = new Line();
+        try (JsonParser parser = JSON.createParser(bytes, offset, length)) {
+            expect(parser.nextToken() == JsonToken.START_OBJECT, "an object");
+            while (parser.nextToken() == JsonToken.FIELD_NAME) {
+                readField(parser, line);
+            }
+            expect(parser.currentToken() == JsonToken.END_OBJECT && parser.nextToken() == null, "one object");
+        } catch (IOException | IllegalArgumentException e) {
+            throw new MalformedLineException("line is not valid: " + e.getMessage(), e);
+        }
+        line.check();
+        return line;
+    }
+
+    private static void readField(JsonParser parser, Line line) throws IOException, MalformedLineException {
+        String name = parser.currentName();
+        JsonToken value = parser.nextToken();
+        switch (name) {
+            case "type" -> line.type = text(parser, value, name);
+            case "request" -> line.requestId = text(parser, value, name);
+            case "epoch" -> line.epoch = integer(parser, value, name);
+            case "seq" -> line.sequence = integer(parser, value, name);
+            case "text" -> line.text = text(parser, value, name);
+            case "layers" -> line.layers = ranges(parser, value);
+            case "stageUs" -> line.stageUs = longs(parser, value);
+            case "tokens" -> line.tokens = integer(parser, value, name);
+            case "finish" -> line.finishReason = text(parser, value, name);
+            case "endpoint" -> line.endpointId = text(parser, value, name);
+            case "verdict" -> line.verdict = verdict(text(parser, value, name));
+            case "detail" -> line.detail = text(parser, value, name);
+            default -> parser.skipChildren();
+        }
+    }
+
+    private static String text(JsonParser parser, JsonToken token, String name)
+            throws IOException, MalformedLineException {
+        expect(token == JsonToken.VALUE_STRING, "a string in " + name);
+        return parser.getText();
+    }
+
+    private static int integer(JsonParser parser, JsonToken token, String name)
+            throws IOException, MalformedLineException {
+        expect(token == JsonToken.VALUE_NUMBER_INT, "an integer in " + name);
+        return parser.getIntValue();
+    }
+
+    private static List<LayerRange> ranges(JsonParser parser, JsonToken token)
+            throws IOException, MalformedLineException {
+        expect(token == JsonToken.START_ARRAY, "an array in layers");
+        List<LayerRange> ranges = new ArrayList<>(4);
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            expect(parser.currentToken() == JsonToken.START_ARRAY, "an array in layers");
+            expect(ranges.size() < MAX_STAGES, "at most " + MAX_STAGES + " layer ranges");
+            int first = integer(parser, parser.nextToken(), "layers");
+            int end = integer(parser, parser.nextToken(), "layers");
+            expect(parser.nextToken() == JsonToken.END_ARRAY, "two numbers in each layer range");
+            ranges.add(new LayerRange(first, end));
+        }
+        return ranges;
+    }
+
+    private static long[] longs(JsonParser parser, JsonToken token) throws IOException, MalformedLineException {
+        expect(token == JsonToken.START_ARRAY, "an array in stageUs");
+        long[] values = new long[4];
+        int count = 0;
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            expect(parser.currentToken() == JsonToken.VALUE_NUMBER_INT, "an integer in stageUs");
+            expect(count < MAX_STAGES, "at most " + MAX_STAGES + " stage times");
+            if (count == values.length) {
+                values = Arrays.copyOf(values, 2 * count);
+            }
+            values[count++] = parser.getLongValue();
+        }
+        return Arrays.copyOf(values, count);
+    }
+
+    private static Verdict verdict(String name) throws MalformedLineException {
+        for (Verdict verdict : Verdict.values()) {
+            if (verdict.wireName().equals(name)) {
+                return verdict;
+            }
+        }
+        throw new MalformedLineException("unknown verdict " + name);
+    }
+
+    private static void expect(boolean condition, String expected) throws MalformedLineException {
+        if (!condition) {
+            throw new MalformedLineException("expected " + expected);
+        }
+    }
+
+    /** Fields of a line; those that its type does not have are null or -1. */
+    static final class Line {
+        String type;
+        String requestId;
+        int epoch = -1;
+        int sequence = -1;
+        String text;
+        List<LayerRange> layers;
+        long[] stageUs;
+        int tokens = -1;
+        String finishReason = "length";
+        String endpointId;
+        Verdict verdict;
+        String detail = "";
+
+        private void check() throws MalformedLineException {
+            expect(type != null, "a field type");
+            expect(requestId != null && epoch >= 0, "fields request and epoch");
+            switch (type) {
+                case "accepted" -> {}
+                case "token" ->
+                    expect(
+                            sequence >= 0 && text != null && layers != null && stageUs != null,
+                            "fields seq, text, layers and stageUs");
+                case "done" -> expect(tokens >= 0, "a field tokens");
+                case "error" -> expect(endpointId != null && verdict != null, "fields endpoint and verdict");
+                default -> throw new MalformedLineException("unknown line type " + type);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpEngineStream.java
@@ -0,0 +1,279 @@
+package io.radishwinch.server.engine;
+
+import io.radishwinch.core.model.LayerRange;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.Verdict;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.util.List;
+import java.util.function.LongSupplier;
+
+/** The stream of one attempt over HTTP; all state is owned by one Vert.x context. */
+final class HttpEngineStream implements EngineStream {
+    private static final int HTTP_OK = 200;
+
+    private final Vertx vertx;
+    private final Context context;
+    private final AttemptRequest attempt;
+    private final ClientOptions options;
+    private final LongSupplier nowMs;
+    private final StreamCounters counters;
+    private final Receiver receiver;
+    private final List<LayerRange> chainLayers;
+    private final LineSplitter splitter;
+    private HttpClientRequest request;
+    private HttpClientResponse response;
+    private boolean ended;
+    private boolean accepted;
+    private boolean paused;
+    private int nextSequence;
+    private long lastByteMs;
+    private long deadlineTimer = -1;
+    private long silenceTimer = -1;
+
+    HttpEngineStream(
+            Vertx vertx,
+            AttemptRequest attempt,
+            ClientOptions options,
+            LongSupplier nowMs,
+            StreamCounters counters,
+            Receiver receiver) {
+        this.vertx = vertx;
+        this.context = vertx.getOrCreateContext();
+        this.attempt = attempt;
+        this.options = options;
+        this.nowMs = nowMs;
+        this.counters = counters;
+        this.receiver = receiver;
+        this.chainLayers = attempt.stages().stream()
+                .map(AttemptRequest.StageTarget::layers)
+                .toList();
+        this.splitter = new LineSplitter(options.maxLineBytes(), this::line);
+        this.nextSequence = attempt.delivered().size();
+    }
+
+    void start(HttpClient client) {
+        // Deferred, so that the caller holds the stream before the first event arrives.
+        context.runOnContext(ignored -> open(client));
+    }
+
+    @Override
+    public void pause() {
+        onContext(() -> {
+            paused = true;
+            if (response != null && !ended) {
+                response.pause();
+            }
+        });
+    }
+
+    @Override
+    public void resume() {
+        onContext(() -> {
+            paused = false;
+            lastByteMs = nowMs.getAsLong();
+            if (response != null && !ended) {
+                response.resume();
+            }
+        });
+    }
+
+    @Override
+    public void cancel() {
+        onContext(this::close);
+    }
+
+    // ------------------------------------------------------------------ opening
+
+    private void open(HttpClient client) {
+        if (ended) {
+            return;
+        }
+        long now = nowMs.getAsLong();
+        long remainingMs = attempt.deadlineMs() - now;
+        if (remainingMs <= 0) {
+            fail(Reason.DEADLINE_UNREACHABLE, "deadline passed before the attempt was sent");
+            return;
+        }
+        deadlineTimer =
+                vertx.setTimer(remainingMs, id -> fail(Reason.DEADLINE_EXCEEDED, "deadline passed during the attempt"));
+        lastByteMs = now;
+        watchSilence(options.silenceTimeoutMs());
+        EndpointAddress head = attempt.head();
+        RequestOptions target = new RequestOptions()
+                .setMethod(HttpMethod.POST)
+                .setHost(head.host())
+                .setPort(head.port())
+                .setURI("/v1/attempts")
+                .putHeader("Content-Type", "application/json");
+        client.request(target)
+                .onFailure(cause -> fail(Reason.STAGE_DIED, "no connection: " + cause.getMessage()))
+                .onSuccess(this::send);
+    }
+
+    private void send(HttpClientRequest opened) {
+        if (ended) {
+            opened.reset();
+            return;
+        }
+        request = opened;
+        opened.response()
+                .onSuccess(this::read)
+                .onFailure(cause -> fail(Reason.STAGE_DIED, "connection broke: " + cause.getMessage()));
+        opened.end(EngineJson.attempt(attempt, nowMs.getAsLong()));
+    }
+
+    private void read(HttpClientResponse head) {
+        if (ended) {
+            return;
+        }
+        if (head.statusCode() != HTTP_OK) {
+            boolean notRun = "true".equalsIgnoreCase(head.getHeader(HttpExchange.NOT_RUN_HEADER));
+            fail(
+                    attempt.head().endpointId(),
+                    Reason.ENDPOINT_REFUSED,
+                    notRun ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN,
+                    "status " + head.statusCode());
+            return;
+        }
+        response = head;
+        head.exceptionHandler(cause -> fail(Reason.STAGE_DIED, "connection broke: " + cause.getMessage()));
+        head.endHandler(ignored -> fail(Reason.STAGE_DIED, "stream ended without done"));
+        head.handler(this::chunk);
+        if (paused) {
+            head.pause();
+        }
+    }
+
+    // ------------------------------------------------------------------ lines
+
+    private void chunk(Buffer bytes) {
+        if (ended) {
+            return;
+        }
+        lastByteMs = nowMs.getAsLong();
+        try {
+            splitter.accept(bytes);
+        } catch (MalformedLineException e) {
+            counters.malformedLines.increment();
+            fail(Reason.STAGE_DIED, e.getMessage());
+        }
+    }
+
+    private boolean line(byte[] bytes, int offset, int length) throws MalformedLineException {
+        EngineLineParser.Line line = EngineLineParser.parse(bytes, offset, length);
+        if (!line.requestId.equals(attempt.requestId()) || line.epoch != attempt.epoch()) {
+            counters.foreignLines.increment();
+            return true;
+        }
+        switch (line.type) {
+            case "accepted" -> accepted();
+            case "token" -> token(line);
+            case "done" -> done(line);
+            default -> error(line);
+        }
+        return !ended;
+    }
+
+    private void accepted() throws MalformedLineException {
+        if (accepted) {
+            throw new MalformedLineException("attempt was accepted twice");
+        }
+        accepted = true;
+        receiver.handle(new EngineEvent.Accepted());
+    }
+
+    private void token(EngineLineParser.Line line) throws MalformedLineException {
+        if (line.sequence < nextSequence) {
+            counters.repeatedTokens.increment();
+            return;
+        }
+        if (!accepted || line.sequence > nextSequence) {
+            throw new MalformedLineException("token " + line.sequence + " arrived, expected " + nextSequence);
+        }
+        if (!line.layers.equals(chainLayers)) {
+            throw new MalformedLineException("token " + line.sequence + " ran layers " + line.layers);
+        }
+        if (line.sequence >= attempt.maxNewTokens()) {
+            throw new MalformedLineException("token " + line.sequence + " is beyond the answer's bound");
+        }
+        nextSequence++;
+        receiver.handle(new EngineEvent.Token(line.sequence, line.text, line.layers, line.stageUs));
+    }
+
+    private void done(EngineLineParser.Line line) throws MalformedLineException {
+        if (line.tokens != nextSequence) {
+            throw new MalformedLineException("answer of " + line.tokens + " tokens ended after " + nextSequence);
+        }
+        end();
+        // The rest of the response is read, so that its connection returns to the pool.
+        response.resume();
+        receiver.handle(new EngineEvent.Done(line.tokens, line.finishReason));
+    }
+
+    private void error(EngineLineParser.Line line) {
+        end();
+        response.resume();
+        Reason reason = line.verdict == Verdict.NOT_RUN ? Reason.ENDPOINT_REFUSED : Reason.STAGE_DIED;
+        receiver.handle(new EngineEvent.Failed(line.endpointId, reason, line.verdict, line.detail));
+    }
+
+    // ------------------------------------------------------------------ ending
+
+    private void watchSilence(long delayMs) {
+        silenceTimer = vertx.setTimer(delayMs, id -> {
+            long leftMs = lastByteMs + options.silenceTimeoutMs() - nowMs.getAsLong();
+            if (paused) {
+                watchSilence(options.silenceTimeoutMs());
+            } else if (leftMs > 0) {
+                watchSilence(leftMs);
+            } else {
+                fail(Reason.ENDPOINT_TIMEOUT, "no byte in " + options.silenceTimeoutMs() + " ms");
+            }
+        });
+    }
+
+    private void fail(Reason reason, String detail) {
+        Verdict verdict = request == null ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
+        fail(attempt.head().endpointId(), reason, verdict, detail);
+    }
+
+    private void fail(String endpointId, Reason reason, Verdict verdict, String detail) {
+        if (ended) {
+            return;
+        }
+        close();
+        receiver.handle(new EngineEvent.Failed(endpointId, reason, verdict, detail));
+    }
+
+    /** Ends the stream and closes its connection, by which the engine learns that the attempt is no longer wanted. */
+    private void close() {
+        if (ended) {
+            return;
+        }
+        end();
+        if (request != null) {
+            request.reset();
+        }
+    }
+
+    private void end() {
+        ended = true;
+        vertx.cancelTimer(deadlineTimer);
+        vertx.cancelTimer(silenceTimer);
+    }
+
+    private void onContext(Runnable action) {
+        if (vertx.getOrCreateContext() == context) {
+            action.run();
+        } else {
+            context.runOnContext(ignored -> action.run());
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpServiceClient.java
@@ -0,0 +1,38 @@
+package io.radishwinch.server.engine;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import java.util.function.LongSupplier;
+
+/** Service port over HTTP. */
+public final class HttpServiceClient implements ServiceClient {
+    private final Vertx vertx;
+    private final HttpClient client;
+    private final ClientOptions options;
+    private final LongSupplier nowMs;
+
+    /**
+     * Creates a client with a connection pool of its own.
+     *
+     * @param nowMs the router's clock, in ms
+     */
+    public HttpServiceClient(Vertx vertx, ClientOptions options, LongSupplier nowMs) {
+        this.vertx = vertx;
+        this.client = HttpExchange.newClient(vertx, options);
+        this.options = options;
+        this.nowMs = nowMs;
+    }
+
+    /** Closes all connections. */
+    public Future<Void> close() {
+        return client.close();
+    }
+
+    @Override
+    public Exchange call(Call call) {
+        HttpServiceExchange exchange = new HttpServiceExchange(vertx, call, options.maxServiceBodyBytes(), nowMs);
+        exchange.start(client);
+        return exchange;
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpServiceExchange.java
@@ -0,0 +1,195 @@
+package io.radishwinch.server.engine;
+
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.Verdict;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.streams.ReadStream;
+import java.util.List;
+import java.util.function.LongSupplier;
+
+/** One exchange with a plain service; all state is owned by one Vert.x context. */
+final class HttpServiceExchange implements ServiceClient.Exchange {
+    private static final int HTTP_UNAVAILABLE = 503;
+
+    /** Headers that concern one connection only, RFC 9110 section 7.6.1; Host and lengths are set by the client. */
+    private static final List<String> HOP_BY_HOP = List.of(
+            "Connection",
+            "Keep-Alive",
+            "Proxy-Authenticate",
+            "Proxy-Authorization",
+            "Proxy-Connection",
+            "TE",
+            "Trailer",
+            "Transfer-Encoding",
+            "Upgrade",
+            "Host");
+
+    private final Vertx vertx;
+    private final Context context;
+    private final ServiceClient.Call call;
+    private final long maxAnswerBytes;
+    private final LongSupplier nowMs;
+    private final Promise<ServiceClient.Response> promise = Promise.promise();
+    private HttpClientRequest request;
+    private BoundedBody answer;
+    private boolean ended;
+    private long deadlineTimer = -1;
+
+    HttpServiceExchange(Vertx vertx, ServiceClient.Call call, long maxAnswerBytes, LongSupplier nowMs) {
+        this.vertx = vertx;
+        this.context = vertx.getOrCreateContext();
+        this.call = call;
+        this.maxAnswerBytes = maxAnswerBytes;
+        this.nowMs = nowMs;
+    }
+
+    /** Returns a copy without the headers that concern one connection only. */
+    static MultiMap endToEnd(MultiMap headers) {
+        MultiMap copy = MultiMap.caseInsensitiveMultiMap().addAll(headers);
+        for (String listed : headers.getAll("Connection")) {
+            for (String name : listed.split(",", -1)) {
+                if (!name.isBlank()) {
+                    copy.remove(name.trim());
+                }
+            }
+        }
+        HOP_BY_HOP.forEach(copy::remove);
+        return copy;
+    }
+
+    @Override
+    public Future<ServiceClient.Response> response() {
+        return promise.future();
+    }
+
+    @Override
+    public void cancel() {
+        context.runOnContext(ignored -> fail(Reason.CALLER_DISCONNECTED, "call was given up", null));
+    }
+
+    void start(HttpClient client) {
+        context.runOnContext(ignored -> open(client));
+    }
+
+    private void open(HttpClient client) {
+        if (ended) {
+            return;
+        }
+        long remainingMs = call.deadlineMs() - nowMs.getAsLong();
+        if (remainingMs <= 0) {
+            fail(Reason.DEADLINE_UNREACHABLE, "deadline passed before the call was sent", null);
+            return;
+        }
+        deadlineTimer = vertx.setTimer(remainingMs, id -> fail(Reason.DEADLINE_EXCEEDED, "deadline passed", null));
+        RequestOptions target = new RequestOptions()
+                .setMethod(call.method())
+                .setHost(call.endpoint().host())
+                .setPort(call.endpoint().port())
+                .setURI(call.uri())
+                .setHeaders(endToEnd(call.headers()));
+        client.request(target)
+                .onFailure(cause -> fail(Reason.STAGE_DIED, "no connection: " + cause.getMessage(), cause))
+                .onSuccess(this::send);
+    }
+
+    private void send(HttpClientRequest opened) {
+        if (ended) {
+            opened.reset();
+            return;
+        }
+        request = opened;
+        opened.response()
+                .onSuccess(this::read)
+                .onFailure(cause -> fail(Reason.STAGE_DIED, "connection broke: " + cause.getMessage(), cause));
+        if (call.body() instanceof ServiceClient.Body.Whole whole) {
+            // The length of the body held here replaces the one that the caller stated.
+            opened.headers().remove("Content-Length");
+            if (whole.bytes().length() == 0) {
+                opened.end();
+            } else {
+                opened.end(whole.bytes());
+            }
+        } else if (call.body() instanceof ServiceClient.Body.Streamed streamed) {
+            if (!opened.headers().contains("Content-Length")) {
+                opened.setChunked(true);
+            }
+            passOn(streamed, opened);
+        }
+    }
+
+    private void passOn(ServiceClient.Body.Streamed body, HttpClientRequest opened) {
+        long[] passedBytes = new long[1];
+        ReadStream<Buffer> source = body.stream();
+        source.exceptionHandler(cause -> fail(Reason.CALLER_DISCONNECTED, "caller's body broke off", cause));
+        source.handler(chunk -> {
+            if (ended) {
+                return;
+            }
+            passedBytes[0] += chunk.length();
+            if (passedBytes[0] > body.maxBytes()) {
+                fail(Reason.BODY_TOO_LARGE, "body of more than " + body.maxBytes() + " bytes", null);
+                return;
+            }
+            opened.write(chunk);
+            if (opened.writeQueueFull()) {
+                source.pause();
+                opened.drainHandler(ignored -> source.resume());
+            }
+        });
+        source.endHandler(ignored -> {
+            if (!ended) {
+                opened.end();
+            }
+        });
+        source.resume();
+    }
+
+    private void read(HttpClientResponse head) {
+        if (ended) {
+            return;
+        }
+        if (head.statusCode() == HTTP_UNAVAILABLE
+                && "true".equalsIgnoreCase(head.getHeader(HttpExchange.NOT_RUN_HEADER))) {
+            fail(Reason.ENDPOINT_REFUSED, Verdict.NOT_RUN, "service did not run the call", null);
+            return;
+        }
+        head.pause();
+        answer = new BoundedBody(head, maxAnswerBytes, this::finish, message -> fail(Reason.STAGE_DIED, message, null));
+        promise.complete(new ServiceClient.Response(head.statusCode(), endToEnd(head.headers()), answer));
+    }
+
+    private void finish() {
+        ended = true;
+        vertx.cancelTimer(deadlineTimer);
+    }
+
+    private void fail(Reason reason, String message, Throwable cause) {
+        fail(reason, request == null ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN, message, cause);
+    }
+
+    private void fail(Reason reason, Verdict verdict, String message, Throwable cause) {
+        if (ended) {
+            return;
+        }
+        finish();
+        if (request != null) {
+            request.reset();
+        }
+        EndpointException failure =
+                new EndpointException(call.endpoint().endpointId(), reason, verdict, message, cause);
+        if (answer != null) {
+            answer.fail(failure);
+        } else {
+            promise.fail(failure);
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/platform/HttpPlatformClient.java
@@ -0,0 +1,225 @@
+package io.radishwinch.server.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.radishwinch.cluster.platform.PlatformClient;
+import io.radishwinch.cluster.platform.PlatformException;
+import io.radishwinch.core.model.Verdict;
+import io.radishwinch.server.engine.ClientOptions;
+import io.radishwinch.server.engine.EndpointAddress;
+import io.radishwinch.server.engine.EndpointException;
+import io.radishwinch.server.engine.HttpExchange;
+import io.smallrye.mutiny.Multi;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Platform port over HTTP, docs/protocols.md.
+ *
+ * <p>A lost answer to a write fails with {@code EFFECT_UNKNOWN}; a call that was refused or not sent, and any failed
+ * read, fails with {@code NO_EFFECT}.
+ */
+public final class HttpPlatformClient implements PlatformClient {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int HTTP_OK = 200;
+    private static final int HTTP_NOT_FOUND = 404;
+    private static final int HTTP_CONFLICT = 412;
+    private static final int HTTP_SERVER_ERROR = 500;
+
+    /** Changes of a watch that wait for a slow subscriber; the watch fails beyond it. */
+    private static final int WATCH_BUFFER = 1_024;
+
+    /** Base64 adds a third to the value; the rest is for key, nonce and field names. */
+    private static final int MAX_LINE_BYTES = MAX_VALUE_BYTES / 3 * 4 + (8 << 10);
+
+    /** A page may hold several large values. */
+    private static final int MAX_PAGE_BYTES = 16 << 20;
+
+    private final Vertx vertx;
+    private final HttpClient client;
+    private final EndpointAddress platform;
+    private final ClientOptions options;
+
+    /** Creates a client with a connection pool of its own. */
+    public HttpPlatformClient(Vertx vertx, String host, int port, ClientOptions options) {
+        this.vertx = vertx;
+        this.client = HttpExchange.newClient(vertx, options);
+        this.platform = new EndpointAddress("platform", host, port);
+        this.options = options;
+    }
+
+    /** Closes all connections, including those of watches. */
+    public Future<Void> close() {
+        return client.close();
+    }
+
+    // ------------------------------------------------------------------ reads
+
+    @Override
+    public Uni<Optional<StoredObject>> get(String key) {
+        return call(HttpMethod.GET, path(key), noHeaders(), null, false, answer -> {
+            if (answer.status() == HTTP_NOT_FOUND) {
+                return Optional.empty();
+            }
+            requireOk(answer, false);
+            String nonce = answer.headers().get("X-Nonce");
+            return Optional.of(new StoredObject(
+                    key, version(answer.headers().get("ETag")), answer.body().getBytes(), nonce == null ? "" : nonce));
+        });
+    }
+
+    @Override
+    public Uni<Page> list(String prefix, String afterKey, int limit) {
+        String uri = "/v1/objects?prefix=" + encode(prefix) + "&after=" + encode(afterKey) + "&limit=" + limit;
+        return call(HttpMethod.GET, uri, noHeaders(), null, false, answer -> {
+            requireOk(answer, false);
+            JsonNode node = JSON.readTree(answer.body().getBytes());
+            List<StoredObject> objects = new ArrayList<>();
+            for (JsonNode object : required(node, "objects")) {
+                objects.add(PlatformJson.object(object));
+            }
+            return new Page(
+                    objects,
+                    node.path("more").asBoolean(),
+                    required(node, "storeVersion").asLong());
+        });
+    }
+
+    @Override
+    public Uni<List<Vm>> vms() {
+        return call(HttpMethod.GET, "/v1/vms", noHeaders(), null, false, answer -> {
+            requireOk(answer, false);
+            List<Vm> vms = new ArrayList<>();
+            for (JsonNode vm : required(JSON.readTree(answer.body().getBytes()), "vms")) {
+                vms.add(PlatformJson.vm(vm));
+            }
+            return vms;
+        });
+    }
+
+    // ------------------------------------------------------------------ writes
+
+    @Override
+    public Uni<PutResult> put(String key, long expectedVersion, byte[] value, String nonce) {
+        if (value.length > MAX_VALUE_BYTES) {
+            return Uni.createFrom()
+                    .failure(new PlatformException(
+                            PlatformException.Kind.NO_EFFECT, "value of " + value.length + " bytes for " + key, null));
+        }
+        return write(HttpMethod.PUT, key, expectedVersion, Buffer.buffer(value), nonce);
+    }
+
+    @Override
+    public Uni<PutResult> delete(String key, long expectedVersion, String nonce) {
+        return write(HttpMethod.DELETE, key, expectedVersion, null, nonce);
+    }
+
+    private Uni<PutResult> write(HttpMethod method, String key, long expectedVersion, Buffer body, String nonce) {
+        MultiMap headers =
+                noHeaders().set("If-Match", "\"" + expectedVersion + "\"").set("X-Nonce", nonce);
+        return call(method, path(key), headers, body, true, answer -> {
+            if (answer.status() == HTTP_CONFLICT) {
+                JsonNode current = JSON.readTree(answer.body().getBytes()).path("current");
+                return new PutResult.Conflict(
+                        current.isObject() ? Optional.of(PlatformJson.object(current)) : Optional.empty());
+            }
+            requireOk(answer, true);
+            JsonNode node = JSON.readTree(answer.body().getBytes());
+            return new PutResult.Written(required(node, "version").asLong());
+        });
+    }
+
+    // ------------------------------------------------------------------ watch
+
+    @Override
+    public Multi<Change> watch(String prefix, long fromVersion) {
+        String uri = "/v1/watch?prefix=" + encode(prefix) + "&from=" + fromVersion;
+        return Multi.createFrom()
+                .emitter(
+                        emitter -> new HttpWatch(vertx, platform, uri, MAX_LINE_BYTES, options, emitter).start(client),
+                        WATCH_BUFFER);
+    }
+
+    // ------------------------------------------------------------------ helpers
+
+    private <T> Uni<T> call(
+            HttpMethod method, String uri, MultiMap headers, Buffer body, boolean write, AnswerReader<T> reader) {
+        return Uni.createFrom().emitter(emitter -> HttpExchange.send(
+                        vertx, client, platform, method, uri, headers, body, options.callTimeoutMs(), MAX_PAGE_BYTES)
+                .onFailure(cause -> emitter.fail(lost(cause, write)))
+                .onSuccess(answer -> {
+                    T result;
+                    try {
+                        result = reader.read(answer);
+                    } catch (PlatformException e) {
+                        emitter.fail(e);
+                        return;
+                    } catch (IOException | RuntimeException e) {
+                        emitter.fail(
+                                new PlatformException(effect(write), "malformed answer to " + method + " " + uri, e));
+                        return;
+                    }
+                    emitter.complete(result);
+                }));
+    }
+
+    private static PlatformException lost(Throwable cause, boolean write) {
+        boolean notSent = cause instanceof EndpointException failure && failure.verdict() == Verdict.NOT_RUN;
+        return new PlatformException(
+                notSent ? PlatformException.Kind.NO_EFFECT : effect(write), cause.getMessage(), cause);
+    }
+
+    private static void requireOk(HttpExchange.Answer answer, boolean write) {
+        if (answer.status() == HTTP_OK) {
+            return;
+        }
+        // A status below 500 is a refusal; a server error is one only if the platform says so.
+        boolean refused = answer.status() < HTTP_SERVER_ERROR || answer.notRun();
+        throw new PlatformException(
+                refused ? PlatformException.Kind.NO_EFFECT : effect(write), "status " + answer.status(), null);
+    }
+
+    private static PlatformException.Kind effect(boolean write) {
+        return write ? PlatformException.Kind.EFFECT_UNKNOWN : PlatformException.Kind.NO_EFFECT;
+    }
+
+    private static JsonNode required(JsonNode node, String field) throws IOException {
+        return PlatformJson.required(node, field);
+    }
+
+    private static long version(String etag) throws IOException {
+        if (etag == null || etag.length() < 3 || !etag.startsWith("\"") || !etag.endsWith("\"")) {
+            throw new IOException("header ETag is missing or malformed");
+        }
+        return Long.parseLong(etag.substring(1, etag.length() - 1));
+    }
+
+    private static MultiMap noHeaders() {
+        return MultiMap.caseInsensitiveMultiMap();
+    }
+
+    private static String path(String key) {
+        return "/v1/objects/" + encode(key).replace("%2F", "/");
+    }
+
+    private static String encode(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
+    }
+
+    /** Turns an answer into a result. */
+    @FunctionalInterface
+    private interface AnswerReader<T> {
+        T read(HttpExchange.Answer answer) throws IOException;
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/platform/HttpWatch.java
@@ -0,0 +1,151 @@
+package io.radishwinch.server.platform;
+
+import io.radishwinch.cluster.platform.PlatformClient;
+import io.radishwinch.cluster.platform.PlatformException;
+import io.radishwinch.server.engine.ClientOptions;
+import io.radishwinch.server.engine.EndpointAddress;
+import io.radishwinch.server.engine.LineSplitter;
+import io.radishwinch.server.engine.MalformedLineException;
+import io.smallrye.mutiny.subscription.MultiEmitter;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.io.IOException;
+
+/** The stream of one watch. */
+final class HttpWatch {
+    private static final int HTTP_OK = 200;
+    private static final int HTTP_GONE = 410;
+
+    private final Vertx vertx;
+    private final Context context;
+    private final EndpointAddress platform;
+    private final String uri;
+    private final ClientOptions options;
+    private final MultiEmitter<? super PlatformClient.Change> emitter;
+    private final LineSplitter splitter;
+    private HttpClientRequest request;
+    private HttpClientResponse response;
+    private boolean ended;
+    private boolean heard;
+    private long silenceTimer = -1;
+
+    HttpWatch(
+            Vertx vertx,
+            EndpointAddress platform,
+            String uri,
+            int maxLineBytes,
+            ClientOptions options,
+            MultiEmitter<? super PlatformClient.Change> emitter) {
+        this.vertx = vertx;
+        this.context = vertx.getOrCreateContext();
+        this.platform = platform;
+        this.uri = uri;
+        this.options = options;
+        this.emitter = emitter;
+        this.splitter = new LineSplitter(maxLineBytes, this::line);
+    }
+
+    void start(HttpClient client) {
+        emitter.onTermination(() -> context.runOnContext(ignored -> close()));
+        emitter.onRequest(count -> context.runOnContext(ignored -> {
+            if (response != null && !ended) {
+                response.resume();
+            }
+        }));
+        context.runOnContext(ignored -> open(client));
+    }
+
+    private void open(HttpClient client) {
+        if (ended) {
+            return;
+        }
+        silenceTimer = vertx.setPeriodic(options.silenceTimeoutMs(), id -> {
+            boolean paused = response != null && emitter.requested() == 0;
+            if (!heard && !paused) {
+                fail(PlatformException.Kind.NO_EFFECT, "no byte in " + options.silenceTimeoutMs() + " ms", null);
+            }
+            heard = false;
+        });
+        RequestOptions target = new RequestOptions()
+                .setMethod(HttpMethod.GET)
+                .setHost(platform.host())
+                .setPort(platform.port())
+                .setURI(uri);
+        client.request(target)
+                .onFailure(cause -> fail(PlatformException.Kind.NO_EFFECT, "no connection", cause))
+                .onSuccess(opened -> {
+                    if (ended) {
+                        opened.reset();
+                        return;
+                    }
+                    request = opened;
+                    opened.send()
+                            .onSuccess(this::read)
+                            .onFailure(cause -> fail(PlatformException.Kind.NO_EFFECT, "connection broke", cause));
+                });
+    }
+
+    private void read(HttpClientResponse head) {
+        if (ended) {
+            return;
+        }
+        heard = true;
+        if (head.statusCode() != HTTP_OK) {
+            fail(
+                    head.statusCode() == HTTP_GONE
+                            ? PlatformException.Kind.HISTORY_GONE
+                            : PlatformException.Kind.NO_EFFECT,
+                    "status " + head.statusCode(),
+                    null);
+            return;
+        }
+        response = head;
+        head.exceptionHandler(cause -> fail(PlatformException.Kind.NO_EFFECT, "connection broke", cause));
+        head.endHandler(ignored -> fail(PlatformException.Kind.NO_EFFECT, "watch ended", null));
+        head.handler(chunk -> {
+            heard = true;
+            try {
+                splitter.accept(chunk);
+            } catch (MalformedLineException e) {
+                fail(PlatformException.Kind.NO_EFFECT, e.getMessage(), e);
+            }
+            if (!ended && emitter.requested() == 0) {
+                head.pause();
+            }
+        });
+    }
+
+    private boolean line(byte[] bytes, int offset, int length) throws MalformedLineException {
+        PlatformClient.Change change;
+        try {
+            change = PlatformJson.change(bytes, offset, length);
+        } catch (IOException e) {
+            throw new MalformedLineException("malformed change: " + e.getMessage(), e);
+        }
+        emitter.emit(change);
+        return !ended;
+    }
+
+    private void fail(PlatformException.Kind kind, String message, Throwable cause) {
+        if (!ended) {
+            close();
+            emitter.fail(new PlatformException(kind, message, cause));
+        }
+    }
+
+    private void close() {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        vertx.cancelTimer(silenceTimer);
+        if (request != null) {
+            request.reset();
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The platform port over HTTP. */
+package io.radishwinch.server.platform;
