--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/PeerListener.java
@@ -0,0 +1,18 @@
+package io.radishwinch.cluster;
+
+import io.radishwinch.cluster.gossip.GossipEntry;
+import io.radishwinch.cluster.membership.MemberInfo;
+import io.radishwinch.protocol.generated.Message;
+
+/** Receiver of changes; called on the thread that calls the {@link PeerNode}, during that call. */
+public interface PeerListener {
+
+    /** A member of the own data centre changed its state. */
+    default void memberChanged(MemberInfo member) {}
+
+    /** An entry was added, replaced or deleted (a tombstone), by this router or another one, or it expired. */
+    default void entryChanged(GossipEntry entry) {}
+
+    /** A journal request or reply arrived. */
+    default void journalMessage(MemberInfo sender, Message message) {}
+}
--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/PeerNode.java
@@ -0,0 +1,282 @@
+package io.radishwinch.cluster;
+
+import io.radishwinch.cluster.gossip.Gossip;
+import io.radishwinch.cluster.gossip.GossipEntry;
+import io.radishwinch.cluster.gossip.GossipPeers;
+import io.radishwinch.cluster.gossip.GossipTable;
+import io.radishwinch.cluster.membership.Address;
+import io.radishwinch.cluster.membership.Envelope;
+import io.radishwinch.cluster.membership.MemberInfo;
+import io.radishwinch.cluster.membership.Membership;
+import io.radishwinch.cluster.membership.RemoteDataCentres;
+import io.radishwinch.cluster.membership.RendezvousHash;
+import io.radishwinch.cluster.membership.Seed;
+import io.radishwinch.protocol.FrameCodec;
+import io.radishwinch.protocol.generated.EntryKind;
+import io.radishwinch.protocol.generated.Frame;
+import io.radishwinch.protocol.generated.MemberState;
+import io.radishwinch.protocol.generated.Message;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+
+/**
+ * All state that one router shares with others, as one state machine.
+ *
+ * <p>Inputs are the time, frames and calls; outputs are frames to send and calls to the listeners. Times are in ms of
+ * any clock of this router that does not go backwards. Every method that returns frames must be followed by sending
+ * them, in order; frames may be lost, duplicated and reordered on the way. {@link #tick} is to be called every
+ * {@link #TICK_INTERVAL_MS}. Not thread-safe.
+ */
+public final class PeerNode {
+
+    /** Time between two ticks, in ms. */
+    public static final long TICK_INTERVAL_MS = 100;
+
+    private final List<PeerListener> listeners = new ArrayList<>();
+    private final Membership membership;
+    private final RemoteDataCentres remotes;
+    private final GossipTable table = new GossipTable();
+    private final Gossip gossip;
+    private final DirectoryPublisher directoryPublisher = new DirectoryPublisher();
+    private boolean left;
+
+    /**
+     * Creates a router that knows no other one.
+     *
+     * @param id identifier, unique in the deployment, at most 64 characters
+     * @param dataCentre data centre
+     * @param address address at which peers reach this router
+     * @param incarnation start time of the process in ms since the epoch; an earlier process at the same address should
+     *     have had a lower number, and if it did not, the number is raised when peers remember a higher one
+     * @param seed seed of all random choices
+     */
+    public PeerNode(String id, String dataCentre, Address address, long incarnation, long seed) {
+        Random random = new Random(seed);
+        MemberInfo self = new MemberInfo(id, dataCentre, address, incarnation, MemberState.ALIVE);
+        membership = new Membership(self, random, this::onMember);
+        remotes = new RemoteDataCentres(id, dataCentre, random);
+        gossip = new Gossip(table, new Peers(), this::onEntry);
+    }
+
+    // Inputs
+
+    /** Adds a listener. */
+    public void addListener(PeerListener listener) {
+        listeners.add(listener);
+    }
+
+    /**
+     * Gives the routers that may exist, from the platform's lagging VM list, of all data centres. To be called at the
+     * start and whenever the list was read; a member that is missing from the list stays a member.
+     */
+    public List<Outgoing> join(List<Seed> seeds, long nowMs) {
+        membership.seeds(seeds);
+        remotes.seeds(seeds);
+        return tick(nowMs);
+    }
+
+    /** Advances time. */
+    public List<Outgoing> tick(long nowMs) {
+        if (left) {
+            return List.of();
+        }
+        List<Envelope> out = new ArrayList<>();
+        membership.tick(nowMs, out);
+        List<String> ids = membership.ids();
+        remotes.tick(ids, nowMs, out);
+        publishDirectory(nowMs);
+        gossip.tick(nowMs, out);
+        return frames(out);
+    }
+
+    /** Takes a frame from a peer. */
+    public List<Outgoing> receive(Frame frame, long nowMs) {
+        MemberInfo sender = MemberInfo.from(frame.getSender());
+        if (left || sender.id().equals(membership.self().id())) {
+            return List.of();
+        }
+        List<Envelope> out = new ArrayList<>();
+        boolean local = sender.dataCentre().equals(membership.self().dataCentre());
+        boolean wasMember = local && membership.knows(sender);
+        if (local) {
+            membership.heardFrom(sender, nowMs, out);
+        }
+        dispatch(sender, local, wasMember, frame.getMessage(), nowMs, out);
+        return frames(out);
+    }
+
+    /** Leaves the fleet at once; the returned frames are the last ones, and later calls do nothing. */
+    public List<Outgoing> leave(long nowMs) {
+        List<Envelope> out = new ArrayList<>();
+        if (!left) {
+            gossip.flush(nowMs, out);
+            membership.leave(out);
+            left = true;
+        }
+        return frames(out);
+    }
+
+    /**
+     * Publishes an entry under this router's name.
+     *
+     * @param deadlineMs time at which the entry expires, in ms of this router's clock; {@link GossipEntry#NEVER} is
+     *     allowed only for kinds without a longest lifetime
+     * @return false if the entry is above a bound of its kind
+     */
+    public boolean publish(EntryKind kind, String key, byte[] value, long deadlineMs, long nowMs) {
+        GossipEntry known = table.get(kind, key);
+        // The incarnation grows with the start time, so a restarted router numbers above its predecessor.
+        long version = Math.max(
+                known == null ? 0 : known.version() + 1, membership.self().incarnation());
+        return gossip.publish(
+                new GossipEntry(kind, key, version, membership.self().id(), value.clone(), deadlineMs), nowMs);
+    }
+
+    /** Deletes an entry, whoever published it. */
+    public void withdraw(EntryKind kind, String key, long nowMs) {
+        gossip.withdraw(kind, key, membership.self().id(), nowMs);
+    }
+
+    /** Returns the frame that carries a journal message to a member of any data centre, or empty if it is unknown. */
+    public Optional<Outgoing> journalFrame(String memberId, Message message) {
+        MemberInfo member = membership.member(memberId);
+        if (member == null) {
+            member = remotes.names().stream()
+                    .flatMap(name -> remotes.members(name).stream())
+                    .filter(info -> info.id().equals(memberId))
+                    .findFirst()
+                    .orElse(null);
+        }
+        return Optional.ofNullable(member).map(info -> frame(new Envelope(info.address(), message)));
+    }
+
+    // Views
+
+    /** Returns the own state. */
+    public MemberInfo self() {
+        return membership.self();
+    }
+
+    /** Returns the other alive and suspected members of the own data centre. */
+    public List<MemberInfo> members() {
+        return membership.others();
+    }
+
+    /** Returns the members of another data centre by its directory. */
+    public List<MemberInfo> remoteMembers(String dataCentre) {
+        return remotes.members(dataCentre);
+    }
+
+    /** Returns the names of the other data centres. */
+    public List<String> remoteDataCentres() {
+        return List.copyOf(remotes.names());
+    }
+
+    /** Returns the member of the own data centre that owns the key, possibly this router. */
+    public String owner(String key) {
+        return RendezvousHash.owner(key, membership.ids())
+                .orElse(membership.self().id());
+    }
+
+    /** Returns an entry, or empty if it is unknown or deleted. */
+    public Optional<GossipEntry> entry(EntryKind kind, String key) {
+        return Optional.ofNullable(table.get(kind, key)).filter(entry -> !entry.isTombstone());
+    }
+
+    /** Returns all entries of a kind without tombstones, in no particular order. */
+    public List<GossipEntry> entries(EntryKind kind) {
+        return table.list(kind);
+    }
+
+    /** Returns whether the durable entries were equal to those of a peer at least once. */
+    public boolean isSynchronised() {
+        return gossip.isSynchronised();
+    }
+
+    // Internals
+
+    private void dispatch(
+            MemberInfo sender, boolean local, boolean wasMember, Message message, long nowMs, List<Envelope> out) {
+        Address from = sender.address();
+        switch (message.getSetField()) {
+            case PING -> {
+                if (local) {
+                    membership.onPing(sender, wasMember, message.getPing(), nowMs, out);
+                } else {
+                    remotes.onPing(sender, message.getPing(), out);
+                }
+            }
+            case PING_REQUEST -> {
+                if (local) {
+                    membership.onPingRequest(sender, message.getPingRequest(), nowMs, out);
+                }
+            }
+            case ACK -> {
+                if (local) {
+                    membership.onAck(message.getAck(), nowMs, out);
+                } else {
+                    remotes.onAck(sender);
+                }
+            }
+            case DELTA -> gossip.onDelta(from, sender.id(), local, message.getDelta(), nowMs, out);
+            case DIGEST -> gossip.onDigest(from, local, message.getDigest(), out);
+            case BUCKET_REQUEST -> gossip.onBucketRequest(from, local, message.getBucketRequest(), nowMs, out);
+            case ENTRY_REQUEST -> gossip.onEntryRequest(from, local, message.getEntryRequest(), nowMs, out);
+            case JOURNAL_REQUEST, JOURNAL_REPLY ->
+                listeners.forEach(listener -> listener.journalMessage(sender, message));
+            case DEMAND_REPORT, SHARE_GRANT -> {
+                // Handled once shared limits are wired.
+            }
+        }
+    }
+
+    private void publishDirectory(long nowMs) {
+        MemberInfo self = membership.self();
+        GossipEntry published = table.get(EntryKind.DIRECTORY, self.dataCentre());
+        directoryPublisher
+                .valueToPublish(self, membership.others(), published == null ? null : published.value(), nowMs)
+                .ifPresent(value -> publish(EntryKind.DIRECTORY, self.dataCentre(), value, GossipEntry.NEVER, nowMs));
+    }
+
+    private void onMember(MemberInfo member) {
+        listeners.forEach(listener -> listener.memberChanged(member));
+    }
+
+    private void onEntry(GossipEntry entry) {
+        if (entry.kind() == EntryKind.DIRECTORY && !entry.isTombstone()) {
+            remotes.directory(entry.key(), DirectoryPublisher.decode(entry.value()));
+        }
+        listeners.forEach(listener -> listener.entryChanged(entry));
+    }
+
+    private List<Outgoing> frames(List<Envelope> envelopes) {
+        List<Outgoing> frames = new ArrayList<>(envelopes.size());
+        envelopes.forEach(envelope -> frames.add(frame(envelope)));
+        return frames;
+    }
+
+    private Outgoing frame(Envelope envelope) {
+        return new Outgoing(
+                envelope.to(),
+                new Frame(FrameCodec.PROTOCOL_VERSION, membership.self().toThrift(), envelope.message()));
+    }
+
+    private final class Peers implements GossipPeers {
+        @Override
+        public List<Address> randomMembers(int count, Address excluded) {
+            return membership.randomMembers(count, excluded);
+        }
+
+        @Override
+        public List<Address> remoteTargets() {
+            return remotes.targets();
+        }
+
+        @Override
+        public boolean isLocal(String routerId) {
+            return membership.isLocal(routerId);
+        }
+    }
+}
--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/gossip/GossipTable.java
@@ -0,0 +1,188 @@
+package io.radishwinch.cluster.gossip;
+
+import io.radishwinch.protocol.generated.EntryKind;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * Last-writer-wins entries of one router.
+ *
+ * <p>Merging is commutative, associative and idempotent, so duplicated and reordered messages do not matter. Entries
+ * are bounded by {@link KindPolicy} in number and size and by {@link #MAX_TOTAL_BYTES} together. Not thread-safe.
+ */
+public final class GossipTable {
+
+    /** Bound on the approximate size of all entries, in bytes. */
+    public static final long MAX_TOTAL_BYTES = 96L * 1024 * 1024;
+
+    /** Longest key and origin, in characters. */
+    public static final int MAX_KEY_CHARS = 512;
+
+    /** A tombstone outlives the entry that it deletes by this time, in ms, to cover drift on the way. */
+    static final long TOMBSTONE_MARGIN_MS = 60_000;
+
+    private final List<Map<Key, GossipEntry>> buckets = new ArrayList<>();
+    private final BucketHashes allHashes = new BucketHashes();
+    private final BucketHashes fleetHashes = new BucketHashes();
+    private final Map<EntryKind, Integer> counts = new EnumMap<>(EntryKind.class);
+    private long totalBytes;
+    private long refused;
+
+    private record Key(EntryKind kind, String key) {}
+
+    /** Result of a merge. */
+    public enum Merge {
+        /** The entry was newer and replaced what was known. */
+        NEWER,
+        /** The same version is known. */
+        SAME,
+        /** A newer version is known. */
+        OLDER,
+        /** The entry is above a bound, or it has expired. */
+        REFUSED
+    }
+
+    /** Creates an empty table. */
+    public GossipTable() {
+        for (int i = 0; i < BucketHashes.BUCKETS; i++) {
+            buckets.add(new HashMap<>());
+        }
+    }
+
+    /** Merges an entry that was published here or received. */
+    public Merge merge(GossipEntry entry, long nowMs) {
+        KindPolicy policy = KindPolicy.of(entry.kind());
+        if (!withinBounds(entry, policy, nowMs)) {
+            refused++;
+            return Merge.REFUSED;
+        }
+        int bucket = BucketHashes.bucket(entry.kind(), entry.key());
+        Key key = new Key(entry.kind(), entry.key());
+        GossipEntry known = buckets.get(bucket).get(key);
+        if (known != null && !entry.supersedes(known)) {
+            return known.supersedes(entry) ? Merge.OLDER : Merge.SAME;
+        }
+        int knownBytes = known == null ? 0 : known.sizeBytes();
+        boolean tooMany = known == null && count(entry.kind()) >= policy.maxEntries();
+        if (tooMany || totalBytes - knownBytes + entry.sizeBytes() > MAX_TOTAL_BYTES) {
+            refused++;
+            return Merge.REFUSED;
+        }
+        if (known != null) {
+            account(bucket, known, -1);
+        }
+        buckets.get(bucket).put(key, entry);
+        account(bucket, entry, 1);
+        return Merge.NEWER;
+    }
+
+    /** Returns an entry, possibly a tombstone, or null. */
+    public GossipEntry get(EntryKind kind, String key) {
+        return buckets.get(BucketHashes.bucket(kind, key)).get(new Key(kind, key));
+    }
+
+    /** Returns the entries of a kind without tombstones, in no particular order. */
+    public List<GossipEntry> list(EntryKind kind) {
+        List<GossipEntry> found = new ArrayList<>();
+        for (Map<Key, GossipEntry> bucket : buckets) {
+            for (GossipEntry entry : bucket.values()) {
+                if (entry.kind() == kind && !entry.isTombstone()) {
+                    found.add(entry);
+                }
+            }
+        }
+        return found;
+    }
+
+    /** Removes expired entries and returns those that were not tombstones. */
+    public List<GossipEntry> expire(long nowMs) {
+        List<GossipEntry> removed = new ArrayList<>();
+        for (int i = 0; i < buckets.size(); i++) {
+            int bucket = i;
+            buckets.get(i).values().removeIf(entry -> {
+                if (entry.deadlineMs() > nowMs) {
+                    return false;
+                }
+                account(bucket, entry, -1);
+                if (!entry.isTombstone()) {
+                    removed.add(entry);
+                }
+                return true;
+            });
+        }
+        return removed;
+    }
+
+    /** Returns the deadline of a tombstone for the entry, in ms. */
+    static long tombstoneDeadlineMs(GossipEntry deleted) {
+        return deleted.deadlineMs() == GossipEntry.NEVER
+                ? GossipEntry.NEVER
+                : deleted.deadlineMs() + TOMBSTONE_MARGIN_MS;
+    }
+
+    /** Returns the number of entries of a kind, tombstones included. */
+    public int count(EntryKind kind) {
+        return counts.getOrDefault(kind, 0);
+    }
+
+    /** Returns the approximate size of all entries, in bytes. */
+    public long totalBytes() {
+        return totalBytes;
+    }
+
+    /** Returns the number of entries refused because of a bound. */
+    public long refused() {
+        return refused;
+    }
+
+    BucketHashes hashes(boolean fleetWide) {
+        return fleetWide ? fleetHashes : allHashes;
+    }
+
+    /** Returns the durable entries of a bucket, in key order. */
+    List<GossipEntry> durable(int bucket, boolean fleetWide) {
+        if (bucket < 0 || bucket >= BucketHashes.BUCKETS) {
+            return Collections.emptyList();
+        }
+        List<GossipEntry> found = new ArrayList<>();
+        for (GossipEntry entry : buckets.get(bucket).values()) {
+            KindPolicy policy = KindPolicy.of(entry.kind());
+            if (policy.durable() && (policy.fleetWide() || !fleetWide)) {
+                found.add(entry);
+            }
+        }
+        found.sort(java.util.Comparator.comparing(GossipEntry::kind).thenComparing(GossipEntry::key));
+        return found;
+    }
+
+    private static boolean withinBounds(GossipEntry entry, KindPolicy policy, long nowMs) {
+        Objects.requireNonNull(entry.key());
+        if (entry.key().length() > MAX_KEY_CHARS || entry.origin().length() > MAX_KEY_CHARS) {
+            return false;
+        }
+        if (entry.value() != null && entry.value().length > policy.maxValueBytes()) {
+            return false;
+        }
+        if (policy.maxLifetimeMs() == 0) {
+            return true;
+        }
+        return entry.deadlineMs() > nowMs && entry.deadlineMs() - nowMs <= policy.maxLifetimeMs() + TOMBSTONE_MARGIN_MS;
+    }
+
+    private void account(int bucket, GossipEntry entry, int sign) {
+        counts.merge(entry.kind(), sign, Integer::sum);
+        totalBytes += (long) sign * entry.sizeBytes();
+        KindPolicy policy = KindPolicy.of(entry.kind());
+        if (policy.durable()) {
+            allHashes.toggle(bucket, entry);
+            if (policy.fleetWide()) {
+                fleetHashes.toggle(bucket, entry);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/gossip/KindPolicy.java
@@ -0,0 +1,51 @@
+package io.radishwinch.cluster.gossip;
+
+import io.radishwinch.protocol.generated.EntryKind;
+
+/**
+ * Bounds and dissemination of one kind of entries.
+ *
+ * @param fleetWide whether entries spread between data centres
+ * @param durable whether digests cover the kind; other kinds are refreshed by their origin instead
+ * @param urgent whether entries are sent on the next tick and outside the byte budget
+ * @param maxEntries largest number of entries, tombstones included
+ * @param maxValueBytes largest value, in bytes
+ * @param maxLifetimeMs longest lifetime, in ms; 0 if entries may live without a deadline
+ */
+public record KindPolicy(
+        boolean fleetWide, boolean durable, boolean urgent, int maxEntries, int maxValueBytes, long maxLifetimeMs) {
+
+    private static final long SECOND_MS = 1_000;
+    private static final long MINUTE_MS = 60 * SECOND_MS;
+    private static final long HOUR_MS = 60 * MINUTE_MS;
+
+    /** Bound of the platform's object API, in bytes. */
+    private static final int CONFIGURATION_BYTES = 1_000_000;
+
+    private static final KindPolicy CONFIGURATION = new KindPolicy(true, true, true, 20_000, CONFIGURATION_BYTES, 0);
+    private static final KindPolicy QUARANTINE = new KindPolicy(true, true, true, 10_000, 512, 24 * HOUR_MS);
+    private static final KindPolicy CRASH = new KindPolicy(true, true, true, 10_000, 1_024, HOUR_MS);
+    private static final KindPolicy EJECTION = new KindPolicy(false, true, false, 8_192, 512, HOUR_MS);
+    private static final KindPolicy LEAVING = new KindPolicy(false, true, true, 8_192, 512, 24 * HOUR_MS);
+    private static final KindPolicy ENDPOINT_LOAD = new KindPolicy(false, false, false, 8_192, 8_192, MINUTE_MS);
+    private static final KindPolicy PLACEMENT = new KindPolicy(false, true, false, 8_192, 2_048, 24 * HOUR_MS);
+    private static final KindPolicy DEMAND = new KindPolicy(false, false, false, 2_048, 2_048, MINUTE_MS);
+    private static final KindPolicy DAY_COUNTERS = new KindPolicy(false, true, false, 1_024, 65_536, 48 * HOUR_MS);
+    private static final KindPolicy DIRECTORY = new KindPolicy(true, true, false, 64, 65_536, 0);
+
+    /** Returns the policy of a kind. */
+    public static KindPolicy of(EntryKind kind) {
+        return switch (kind) {
+            case CONFIGURATION -> CONFIGURATION;
+            case QUARANTINE -> QUARANTINE;
+            case CRASH -> CRASH;
+            case EJECTION -> EJECTION;
+            case LEAVING -> LEAVING;
+            case ENDPOINT_LOAD -> ENDPOINT_LOAD;
+            case PLACEMENT -> PLACEMENT;
+            case DEMAND -> DEMAND;
+            case DAY_COUNTERS -> DAY_COUNTERS;
+            case DIRECTORY -> DIRECTORY;
+        };
+    }
+}
--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/membership/Membership.java
@@ -0,0 +1,468 @@
+package io.radishwinch.cluster.membership;
+
+import io.radishwinch.protocol.generated.Ack;
+import io.radishwinch.protocol.generated.Member;
+import io.radishwinch.protocol.generated.MemberState;
+import io.radishwinch.protocol.generated.Message;
+import io.radishwinch.protocol.generated.Ping;
+import io.radishwinch.protocol.generated.PingRequest;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+
+/**
+ * Members of one data centre, by SWIM with suspicion and incarnation numbers.
+ *
+ * <p>Source: Das, Gupta and Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership
+ * Protocol", DSN 2002. Two deviations keep removal within 5 s at any size: each member also probes its successor on a
+ * hashed ring every second, so that detection does not wait for a random choice; and news are pushed to a few members
+ * at once besides riding on probes.
+ *
+ * <p>Removal takes at most 1,000 ms until the next ring probe, {@link #PROBE_TIMEOUT_MS} until suspicion and
+ * {@link #SUSPICION_MS} until the member is dead, which leaves about 1 s for lost messages. Times are in ms of the
+ * router's own monotonic clock. Not thread-safe.
+ */
+public final class Membership {
+
+    /** Time between two probes of one kind (ring or random), in ms. */
+    static final long PROBE_INTERVAL_MS = 1_000;
+
+    /** Time until other members are asked to probe as well, in ms; the network takes under 5 ms. */
+    static final long DIRECT_TIMEOUT_MS = 250;
+
+    /** Time until an unanswered probe makes its target suspected, in ms. */
+    static final long PROBE_TIMEOUT_MS = 800;
+
+    /** Time in which a suspected member can refute, in ms. */
+    static final long SUSPICION_MS = 2_000;
+
+    /** A gap between ticks above this means that this router was paused and cannot judge others, in ms. */
+    static final long PAUSE_MS = 1_000;
+
+    /** Time between attempts to reach seeds and departed members that are not members now, in ms. */
+    static final long SEED_INTERVAL_MS = 2_000;
+
+    /** Time between attempts to reach seeds while alone, in ms. */
+    static final long JOIN_INTERVAL_MS = 500;
+
+    private static final int INDIRECT_PROBES = 3;
+    private static final int PUSH_FANOUT = 4;
+    private static final int SEEDS_PER_ATTEMPT = 3;
+    private static final int MAX_SEEDS = 2_048;
+    private static final int MAX_PENDING = 1_024;
+
+    private final MemberTable table = new MemberTable();
+    private final NewsQueue news = new NewsQueue();
+    private final Map<Long, Probe> probes = new LinkedHashMap<>();
+    private final Map<String, Seed> seeds = new HashMap<>();
+    private final List<MemberInfo> toPush = new ArrayList<>();
+    private final List<String> randomOrder = new ArrayList<>();
+    private final Random random;
+    private final Consumer<MemberInfo> listener;
+
+    private MemberInfo self;
+    private long nextSequence = 1;
+    private long lastTickMs = Long.MIN_VALUE;
+    private long nextRingProbeMs;
+    private long nextRandomProbeMs;
+    private long nextSeedMs;
+    private boolean left;
+
+    /** An outstanding probe; {@code requesterSequence} is set if another member asked for it. */
+    private static final class Probe {
+        private final MemberInfo target;
+        private final long startMs;
+        private final Address requester;
+        private final long requesterSequence;
+        private boolean indirect;
+
+        Probe(MemberInfo target, long startMs, Address requester, long requesterSequence) {
+            this.target = target;
+            this.startMs = startMs;
+            this.requester = requester;
+            this.requesterSequence = requesterSequence;
+        }
+    }
+
+    /**
+     * Creates the state of a router that is alone.
+     *
+     * @param self the own router; its incarnation should exceed that of an earlier process at the same address, for
+     *     example the start time in ms, and is raised further when a peer remembers a higher one
+     * @param random source of random choices
+     * @param listener told about each change of another member
+     */
+    public Membership(MemberInfo self, Random random, Consumer<MemberInfo> listener) {
+        this.self = self;
+        this.random = random;
+        this.listener = listener;
+    }
+
+    // Views
+
+    /** Returns the own state. */
+    public MemberInfo self() {
+        return self;
+    }
+
+    /** Returns the other alive or suspected members of the data centre, by id. */
+    public List<MemberInfo> others() {
+        return table.present();
+    }
+
+    /** Returns the ids of all members of the data centre, including the own one unless it left. */
+    public List<String> ids() {
+        List<String> ids = new ArrayList<>(table.present().size() + 1);
+        table.present().forEach(info -> ids.add(info.id()));
+        if (!left) {
+            ids.add(self.id());
+        }
+        return ids;
+    }
+
+    /** Returns another member, or null if there is none with this id that is present. */
+    public MemberInfo member(String id) {
+        MemberTable.Row row = table.row(id);
+        return row == null || !row.info().isPresent() ? null : row.info();
+    }
+
+    /** Returns whether the router belongs to the data centre, present or recently departed. */
+    public boolean isLocal(String id) {
+        return id.equals(self.id()) || table.row(id) != null;
+    }
+
+    /** Returns up to {@code count} random alive members, without the one at the address. */
+    public List<Address> randomMembers(int count, Address excluded) {
+        List<Address> chosen = new ArrayList<>(count);
+        for (MemberInfo info : randomOthers(count + 1, "")) {
+            if (chosen.size() < count && !info.address().equals(excluded)) {
+                chosen.add(info.address());
+            }
+        }
+        return chosen;
+    }
+
+    /** Returns whether no other member of the data centre is known. */
+    public boolean isAlone() {
+        return table.present().isEmpty();
+    }
+
+    // Inputs
+
+    /** Replaces the seeds. Members that are missing from the list stay members. */
+    public void seeds(List<Seed> newSeeds) {
+        seeds.clear();
+        for (Seed seed : newSeeds) {
+            boolean own = seed.id().equals(self.id()) || seed.address().equals(self.address());
+            if (!own && seed.dataCentre().equals(self.dataCentre()) && seeds.size() < MAX_SEEDS) {
+                seeds.put(seed.id(), seed);
+            }
+        }
+        nextSeedMs = Long.MIN_VALUE;
+    }
+
+    /** Advances time: starts and judges probes. */
+    public void tick(long nowMs, List<Envelope> out) {
+        if (left) {
+            return;
+        }
+        if (lastTickMs == Long.MIN_VALUE) {
+            nextRingProbeMs = nowMs + random.nextInt((int) PROBE_INTERVAL_MS);
+            nextRandomProbeMs = nowMs + random.nextInt((int) PROBE_INTERVAL_MS);
+        } else if (nowMs - lastTickMs > PAUSE_MS) {
+            probes.clear();
+            table.restartSuspicions(nowMs);
+        }
+        lastTickMs = nowMs;
+        judgeProbes(nowMs, out);
+        declareDead(nowMs);
+        startProbes(nowMs, out);
+        contactSeeds(nowMs, out);
+        push(out);
+        table.forgetDeparted(nowMs);
+    }
+
+    /** Takes the sender of any frame of the own data centre as news about it. */
+    public void heardFrom(MemberInfo sender, long nowMs, List<Envelope> out) {
+        if (left || sender.id().equals(self.id())) {
+            return;
+        }
+        MemberTable.Row known = table.row(sender.id());
+        // A late frame of the process that was replaced is no news, so it cannot remove its successor.
+        if (learn(sender, nowMs) && sender.isPresent()) {
+            for (MemberInfo replaced : table.othersAt(sender.address(), sender.id())) {
+                learn(replaced.withState(MemberState.DEAD), nowMs);
+            }
+        }
+        boolean accused = known != null
+                && sender.isPresent()
+                && (known.info().incarnation() > sender.incarnation()
+                        || (known.info().state() != MemberState.ALIVE
+                                && known.info().incarnation() == sender.incarnation()));
+        if (accused) {
+            out.add(new Envelope(
+                    sender.address(), ack(0, sender.id(), List.of(known.info().toThrift()))));
+        }
+        push(out);
+    }
+
+    /** Answers a probe. A sender that was not a member before receives the whole list. */
+    public void onPing(MemberInfo sender, boolean wasMember, Ping ping, long nowMs, List<Envelope> out) {
+        if (left) {
+            return;
+        }
+        learnAll(ping.getMembers(), nowMs);
+        List<Member> answer = wasMember ? carried(sender) : wholeList();
+        out.add(new Envelope(sender.address(), ack(ping.getSequence(), self.id(), answer)));
+        push(out);
+    }
+
+    /** Probes a target for another member. */
+    public void onPingRequest(MemberInfo sender, PingRequest request, long nowMs, List<Envelope> out) {
+        if (left) {
+            return;
+        }
+        learnAll(request.getMembers(), nowMs);
+        MemberInfo target = member(request.getTargetId());
+        if (target != null && probes.size() < MAX_PENDING) {
+            probe(target, nowMs, sender.address(), request.getSequence(), out);
+        }
+        push(out);
+    }
+
+    /** Takes the answer to a probe. */
+    public void onAck(Ack ack, long nowMs, List<Envelope> out) {
+        if (left) {
+            return;
+        }
+        learnAll(ack.getMembers(), nowMs);
+        Probe probe = probes.get(ack.getSequence());
+        if (probe != null && probe.target.id().equals(ack.getAboutId())) {
+            probes.remove(ack.getSequence());
+            if (probe.requester != null) {
+                out.add(new Envelope(
+                        probe.requester, ack(probe.requesterSequence, probe.target.id(), carried(probe.target))));
+            }
+        }
+        push(out);
+    }
+
+    /** Leaves at once: every member is told, and this state machine is silent from then on. */
+    public void leave(List<Envelope> out) {
+        if (left) {
+            return;
+        }
+        self = self.withState(MemberState.LEFT);
+        Message message = Message.ping(new Ping(nextSequence++, List.of(self.toThrift())));
+        table.present().forEach(info -> out.add(new Envelope(info.address(), message)));
+        left = true;
+    }
+
+    /** Returns whether the sender of a frame is a present member in at least its incarnation. */
+    public boolean knows(MemberInfo sender) {
+        MemberInfo known = member(sender.id());
+        return known != null && known.incarnation() >= sender.incarnation();
+    }
+
+    // Probes
+
+    private void startProbes(long nowMs, List<Envelope> out) {
+        if (nowMs >= nextRingProbeMs) {
+            nextRingProbeMs = nowMs + PROBE_INTERVAL_MS;
+            MemberInfo successor = successor();
+            if (successor != null) {
+                probe(successor, nowMs, null, 0, out);
+            }
+        }
+        if (nowMs >= nextRandomProbeMs) {
+            nextRandomProbeMs = nowMs + PROBE_INTERVAL_MS;
+            MemberInfo target = nextRandom();
+            if (target != null) {
+                probe(target, nowMs, null, 0, out);
+            }
+        }
+    }
+
+    private void probe(MemberInfo target, long nowMs, Address requester, long requesterSequence, List<Envelope> out) {
+        long sequence = nextSequence++;
+        probes.put(sequence, new Probe(target, nowMs, requester, requesterSequence));
+        out.add(new Envelope(target.address(), Message.ping(new Ping(sequence, carried(target)))));
+    }
+
+    private void judgeProbes(long nowMs, List<Envelope> out) {
+        for (Map.Entry<Long, Probe> entry : List.copyOf(probes.entrySet())) {
+            Probe probe = entry.getValue();
+            long ageMs = nowMs - probe.startMs;
+            if (ageMs >= PROBE_TIMEOUT_MS) {
+                probes.remove(entry.getKey());
+                MemberInfo current = member(probe.target.id());
+                boolean sameIncarnation = current != null && current.incarnation() == probe.target.incarnation();
+                if (probe.requester == null && sameIncarnation) {
+                    learn(current.withState(MemberState.SUSPECT), nowMs);
+                }
+            } else if (ageMs >= DIRECT_TIMEOUT_MS && !probe.indirect && probe.requester == null) {
+                probe.indirect = true;
+                Message request = Message.pingRequest(new PingRequest(
+                        entry.getKey(),
+                        probe.target.id(),
+                        news.take(table.present().size())));
+                for (MemberInfo helper : randomOthers(INDIRECT_PROBES, probe.target.id())) {
+                    out.add(new Envelope(helper.address(), request));
+                }
+            }
+        }
+    }
+
+    private void declareDead(long nowMs) {
+        for (MemberTable.Row row : List.copyOf(table.rows())) {
+            if (row.info().state() == MemberState.SUSPECT && nowMs - row.sinceMs() >= SUSPICION_MS) {
+                learn(row.info().withState(MemberState.DEAD), nowMs);
+            }
+        }
+    }
+
+    /** Returns the next alive member on the ring of hashed ids, or null if there is none. */
+    private MemberInfo successor() {
+        long own = RendezvousHash.hash(self.id());
+        MemberInfo best = null;
+        long bestDistance = 0;
+        for (MemberInfo info : table.present()) {
+            long distance = RendezvousHash.hash(info.id()) - own;
+            if (info.state() == MemberState.ALIVE
+                    && (best == null || Long.compareUnsigned(distance, bestDistance) < 0)) {
+                best = info;
+                bestDistance = distance;
+            }
+        }
+        return best;
+    }
+
+    /** Returns the next member of a shuffled round, which bounds the time between two probes of one member. */
+    private MemberInfo nextRandom() {
+        while (true) {
+            if (randomOrder.isEmpty()) {
+                table.present().forEach(info -> randomOrder.add(info.id()));
+                Collections.shuffle(randomOrder, random);
+                if (randomOrder.isEmpty()) {
+                    return null;
+                }
+            }
+            MemberInfo next = member(randomOrder.remove(randomOrder.size() - 1));
+            if (next != null) {
+                return next;
+            }
+        }
+    }
+
+    /** Tries seeds and departed members, which rejoins both sides after a partition. */
+    private void contactSeeds(long nowMs, List<Envelope> out) {
+        if (nowMs < nextSeedMs) {
+            return;
+        }
+        List<Address> candidates = new ArrayList<>();
+        seeds.values().stream()
+                .filter(seed -> member(seed.id()) == null)
+                .sorted(java.util.Comparator.comparing(Seed::id))
+                .forEach(seed -> candidates.add(seed.address()));
+        table.inState(MemberState.DEAD).stream()
+                .map(MemberInfo::address)
+                .filter(address -> !candidates.contains(address))
+                .forEach(candidates::add);
+        Collections.shuffle(candidates, random);
+        int count = isAlone() ? SEEDS_PER_ATTEMPT : 1;
+        for (Address address : candidates.subList(0, Math.min(count, candidates.size()))) {
+            out.add(new Envelope(address, Message.ping(new Ping(nextSequence++, carried(null)))));
+        }
+        nextSeedMs = nowMs + (isAlone() ? JOIN_INTERVAL_MS : SEED_INTERVAL_MS);
+    }
+
+    // News
+
+    private void learnAll(List<Member> members, long nowMs) {
+        for (Member member : members) {
+            learn(MemberInfo.from(member), nowMs);
+        }
+    }
+
+    /** Takes over news about a member of the own data centre and returns whether they were new. */
+    private boolean learn(MemberInfo info, long nowMs) {
+        if (!info.dataCentre().equals(self.dataCentre())) {
+            return false;
+        }
+        if (info.id().equals(self.id())) {
+            boolean samePresence = info.incarnation() == self.incarnation() && info.state() == MemberState.ALIVE;
+            if (info.incarnation() >= self.incarnation() && !samePresence) {
+                self = self.withIncarnation(info.incarnation() + 1);
+                toPush.add(self);
+                news.add(self);
+            }
+            return false;
+        }
+        boolean merged = table.merge(info, nowMs);
+        if (merged) {
+            news.add(info);
+            toPush.add(info);
+            listener.accept(info);
+        }
+        return merged;
+    }
+
+    private void push(List<Envelope> out) {
+        if (toPush.isEmpty()) {
+            return;
+        }
+        List<Member> members = new ArrayList<>();
+        toPush.forEach(info -> members.add(info.toThrift()));
+        Message message = Message.ack(new Ack(0, self.id(), members));
+        for (MemberInfo receiver : randomOthers(PUSH_FANOUT, "")) {
+            out.add(new Envelope(receiver.address(), message));
+        }
+        for (MemberInfo accused : toPush) {
+            if (accused.state() == MemberState.SUSPECT) {
+                out.add(new Envelope(accused.address(), message));
+            }
+        }
+        toPush.clear();
+    }
+
+    private List<Member> carried(MemberInfo receiver) {
+        List<Member> members = news.take(table.present().size());
+        if (receiver != null) {
+            MemberTable.Row row = table.row(receiver.id());
+            if (row != null && row.info().state() != MemberState.ALIVE) {
+                members.add(row.info().toThrift());
+            }
+        }
+        return members;
+    }
+
+    private List<Member> wholeList() {
+        List<Member> members = new ArrayList<>();
+        table.rows().forEach(row -> members.add(row.info().toThrift()));
+        members.sort(java.util.Comparator.comparing(Member::getId));
+        return members;
+    }
+
+    private List<MemberInfo> randomOthers(int count, String excludedId) {
+        List<MemberInfo> pool = new ArrayList<>();
+        for (MemberInfo info : table.present()) {
+            if (info.state() == MemberState.ALIVE && !info.id().equals(excludedId)) {
+                pool.add(info);
+            }
+        }
+        int taken = Math.min(count, pool.size());
+        for (int i = 0; i < taken; i++) {
+            Collections.swap(pool, i, i + random.nextInt(pool.size() - i));
+        }
+        return pool.subList(0, taken);
+    }
+
+    private static Message ack(long sequence, String aboutId, List<Member> members) {
+        return Message.ack(new Ack(sequence, aboutId, members));
+    }
+}
--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/membership/RemoteDataCentres.java
@@ -0,0 +1,179 @@
+package io.radishwinch.cluster.membership;
+
+import io.radishwinch.protocol.generated.Ack;
+import io.radishwinch.protocol.generated.Message;
+import io.radishwinch.protocol.generated.Ping;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Links to other data centres.
+ *
+ * <p>For each other data centre, {@link #RELAYS} members of the own one are relays, chosen by rendezvous hash, so that
+ * a fleet of 12 data centres spreads its 22 links over all 30 members. A relay keeps one target in the other data
+ * centre, probes it, and changes it after {@link #MAX_MISSED} unanswered probes. Members of other data centres are
+ * known from the directory that each data centre publishes, and from seeds until that arrives. Not thread-safe.
+ */
+public final class RemoteDataCentres {
+
+    /** Relays for each other data centre. */
+    public static final int RELAYS = 2;
+
+    /** Time between two probes of a target, in ms. */
+    static final long PROBE_INTERVAL_MS = 2_000;
+
+    /** Time between two probes while no target answers, in ms. */
+    static final long SEARCH_INTERVAL_MS = 500;
+
+    /** Unanswered probes after which another target is chosen. */
+    static final int MAX_MISSED = 2;
+
+    /** Bound on data centres, far above the 12 of the design target. */
+    static final int MAX_DATA_CENTRES = 64;
+
+    private static final int MAX_MEMBERS = 512;
+
+    private final String selfId;
+    private final String ownDataCentre;
+    private final Random random;
+    private final Map<String, Remote> remotes = new TreeMap<>();
+
+    private static final class Remote {
+        private List<MemberInfo> members = List.of();
+        private List<Seed> seeds = List.of();
+        private Address target;
+        private int missed;
+        private boolean confirmed;
+        private boolean relay;
+        private long nextProbeMs = Long.MIN_VALUE;
+    }
+
+    /** Creates the state without any other data centre. */
+    public RemoteDataCentres(String selfId, String ownDataCentre, Random random) {
+        this.selfId = selfId;
+        this.ownDataCentre = ownDataCentre;
+        this.random = random;
+    }
+
+    /** Replaces the seeds. Data centres that are missing from the list stay known. */
+    public void seeds(List<Seed> seeds) {
+        for (Seed seed : seeds) {
+            remote(seed.dataCentre());
+        }
+        remotes.forEach((dataCentre, remote) -> remote.seeds = seeds.stream()
+                .filter(seed -> seed.dataCentre().equals(dataCentre))
+                .sorted(Comparator.comparing(Seed::id))
+                .limit(MAX_MEMBERS)
+                .toList());
+    }
+
+    /** Replaces the members of another data centre by those of its directory. */
+    public void directory(String dataCentre, List<MemberInfo> members) {
+        Remote remote = remote(dataCentre);
+        if (remote != null) {
+            remote.members = members.stream()
+                    .filter(info -> info.dataCentre().equals(dataCentre) && info.isPresent())
+                    .sorted(Comparator.comparing(MemberInfo::id))
+                    .limit(MAX_MEMBERS)
+                    .toList();
+        }
+    }
+
+    /** Returns the names of the other data centres, in order. */
+    public Set<String> names() {
+        return new java.util.LinkedHashSet<>(remotes.keySet());
+    }
+
+    /** Returns the members of another data centre by its directory. */
+    public List<MemberInfo> members(String dataCentre) {
+        Remote remote = remotes.get(dataCentre);
+        return remote == null ? List.of() : remote.members;
+    }
+
+    /** Returns the targets of the links for which this router is a relay and which answer. */
+    public List<Address> targets() {
+        List<Address> targets = new ArrayList<>();
+        for (Remote remote : remotes.values()) {
+            if (remote.relay && remote.confirmed) {
+                targets.add(remote.target);
+            }
+        }
+        return targets;
+    }
+
+    /** Advances time: probes the targets. */
+    public void tick(Collection<String> localIds, long nowMs, List<Envelope> out) {
+        remotes.forEach((dataCentre, remote) -> {
+            remote.relay = RendezvousHash.isAmongTop(selfId, "relay/" + dataCentre, localIds, RELAYS);
+            if (!remote.relay) {
+                remote.target = null;
+                remote.confirmed = false;
+                return;
+            }
+            if (nowMs < remote.nextProbeMs) {
+                return;
+            }
+            if (remote.target == null || remote.missed >= MAX_MISSED || !remote.confirmed) {
+                remote.confirmed = false;
+                remote.missed = 0;
+                remote.target = chooseTarget(remote);
+            }
+            if (remote.target != null) {
+                remote.missed++;
+                out.add(new Envelope(remote.target, Message.ping(new Ping(0, List.of()))));
+            }
+            remote.nextProbeMs = nowMs + (remote.confirmed ? PROBE_INTERVAL_MS : SEARCH_INTERVAL_MS);
+        });
+    }
+
+    /** Answers a probe from another data centre. */
+    public void onPing(MemberInfo sender, Ping ping, List<Envelope> out) {
+        remote(sender.dataCentre());
+        out.add(new Envelope(sender.address(), Message.ack(new Ack(ping.getSequence(), selfId, List.of()))));
+    }
+
+    /** Takes the answer to a probe. */
+    public void onAck(MemberInfo sender) {
+        Remote remote = remotes.get(sender.dataCentre());
+        if (remote != null && remote.relay && sender.address().equals(remote.target)) {
+            remote.missed = 0;
+            remote.confirmed = true;
+        }
+    }
+
+    private Remote remote(String dataCentre) {
+        if (dataCentre.equals(ownDataCentre)) {
+            return null;
+        }
+        Remote known = remotes.get(dataCentre);
+        if (known == null && remotes.size() < MAX_DATA_CENTRES) {
+            known = new Remote();
+            remotes.put(dataCentre, known);
+        }
+        return known;
+    }
+
+    private Address chooseTarget(Remote remote) {
+        Set<Address> candidates = new HashSet<>();
+        List<Address> ordered = new ArrayList<>();
+        for (MemberInfo info : remote.members) {
+            if (candidates.add(info.address())) {
+                ordered.add(info.address());
+            }
+        }
+        // Seeds count as well, because a directory can be outdated after a partition.
+        for (Seed seed : remote.seeds) {
+            if (candidates.add(seed.address())) {
+                ordered.add(seed.address());
+            }
+        }
+        return ordered.isEmpty() ? null : ordered.get(random.nextInt(ordered.size()));
+    }
+}
--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/membership/RendezvousHash.java
@@ -0,0 +1,90 @@
+package io.radishwinch.cluster.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Owners of keys among members, by highest random weight.
+ *
+ * <p>Source: Thaler and Ravishankar, "Using name-based mappings to increase hit rates", IEEE/ACM Transactions on
+ * Networking 6(1), 1998. When a member leaves, only its keys move. The result depends only on the set of members, not
+ * on their order.
+ */
+public final class RendezvousHash {
+
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    private RendezvousHash() {}
+
+    /** Returns the owner of the key, or empty if there is no member. */
+    public static Optional<String> owner(String key, Collection<String> memberIds) {
+        String best = null;
+        long bestWeight = 0;
+        for (String id : memberIds) {
+            long weight = weight(key, id);
+            if (best == null
+                    || Long.compareUnsigned(weight, bestWeight) > 0
+                    || (weight == bestWeight && id.compareTo(best) < 0)) {
+                best = id;
+                bestWeight = weight;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Returns the {@code count} members with the highest weights for the key, highest first. */
+    public static List<String> top(String key, Collection<String> memberIds, int count) {
+        List<String> sorted = new ArrayList<>(memberIds);
+        sorted.sort(Comparator.<String>comparingLong(id -> weight(key, id) ^ Long.MIN_VALUE)
+                .reversed()
+                .thenComparing(Comparator.naturalOrder()));
+        return List.copyOf(sorted.subList(0, Math.min(count, sorted.size())));
+    }
+
+    /** Returns whether the member is among the {@code count} members with the highest weights for the key. */
+    public static boolean isAmongTop(String id, String key, Collection<String> memberIds, int count) {
+        long own = weight(key, id);
+        int higher = 0;
+        boolean found = false;
+        for (String other : memberIds) {
+            if (other.equals(id)) {
+                found = true;
+                continue;
+            }
+            int order = Long.compareUnsigned(weight(key, other), own);
+            if (order > 0 || (order == 0 && other.compareTo(id) < 0)) {
+                higher++;
+            }
+        }
+        return found && higher < count;
+    }
+
+    /** Returns a 64-bit hash of the text (FNV-1a with the finalizer of SplitMix64). */
+    public static long hash(String text) {
+        return mix(fnv(FNV_OFFSET, text));
+    }
+
+    /** Returns the bits mixed by the finalizer of SplitMix64. */
+    public static long mix(long bits) {
+        long z = bits;
+        z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
+        z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
+        return z ^ (z >>> 31);
+    }
+
+    private static long weight(String key, String id) {
+        return mix(fnv(mix(fnv(FNV_OFFSET, key)), id));
+    }
+
+    private static long fnv(long start, String text) {
+        long hash = start;
+        for (int i = 0; i < text.length(); i++) {
+            hash = (hash ^ text.charAt(i)) * FNV_PRIME;
+        }
+        return hash;
+    }
+}
--- /dev/null
+++ b/cluster/src/test/java/io/radishwinch/cluster/MembershipTest.java
@@ -0,0 +1,126 @@
+package io.radishwinch.cluster;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.cluster.membership.MemberInfo;
+import io.radishwinch.cluster.membership.Seed;
+import io.radishwinch.protocol.generated.MemberState;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against members that are removed late, removed wrongly, or never return. */
+class MembershipTest {
+
+    private static final long REMOVAL_BOUND_MS = 5_000;
+
+    private static TestBus fleet(long seed, int size) {
+        TestBus bus = new TestBus(seed);
+        bus.startAll(TestBus.seeds(1, size));
+        bus.runFor(6_000);
+        bus.routers.values().forEach(r -> assertThat(r.node.members()).hasSize(size - 1));
+        return bus;
+    }
+
+    private static boolean anyKnows(TestBus bus, String id) {
+        return bus.routers.values().stream()
+                .anyMatch(r -> r.node.members().stream().anyMatch(m -> m.id().equals(id)));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"8,0", "8,0.02", "30,0", "30,0.02"})
+    void a_failed_router_is_removed_everywhere_within_5_s_and_no_other_is(int size, double loss) {
+        for (int seed = 0; seed < 10; seed++) {
+            TestBus bus = fleet(seed, size);
+            List<MemberInfo> dead = new ArrayList<>();
+            bus.loss = loss;
+            Seed failed = TestBus.seed("dc0", seed % size);
+            bus.routers.remove(failed.address());
+            bus.routers
+                    .values()
+                    .forEach(r -> r.node.addListener(new PeerListener() {
+                        @Override
+                        public void memberChanged(MemberInfo member) {
+                            if (member.state() == MemberState.DEAD) {
+                                dead.add(member);
+                            }
+                        }
+                    }));
+            bus.runFor(REMOVAL_BOUND_MS);
+            assertThat(anyKnows(bus, failed.id())).as("seed %d", seed).isFalse();
+            assertThat(dead).allMatch(m -> m.id().equals(failed.id()));
+        }
+    }
+
+    @Test
+    void a_rack_of_five_routers_that_fail_together_is_removed_within_5_s() {
+        TestBus bus = fleet(3, 30);
+        for (int i = 0; i < 5; i++) {
+            bus.routers.remove(TestBus.address("dc0", i));
+        }
+        bus.runFor(REMOVAL_BOUND_MS);
+        bus.routers.values().forEach(r -> assertThat(r.node.members()).hasSize(24));
+    }
+
+    @Test
+    void a_paused_router_refutes_when_it_wakes_and_accuses_nobody() {
+        TestBus bus = fleet(4, 8);
+        TestBus.Router paused = bus.routers.get(TestBus.address("dc0", 2));
+        long incarnation = paused.node.self().incarnation();
+        paused.paused = true;
+        bus.runFor(10_000);
+        assertThat(bus.node("dc0", 1).members()).hasSize(6);
+        paused.paused = false;
+        bus.runFor(4_000);
+        assertThat(paused.node.self().incarnation()).isGreaterThan(incarnation);
+        bus.routers
+                .values()
+                .forEach(r -> assertThat(r.node.members()).hasSize(7).allMatch(m -> m.state() == MemberState.ALIVE));
+    }
+
+    @Test
+    void a_restart_at_the_same_address_gets_a_higher_incarnation_even_with_a_clock_5_s_behind() {
+        TestBus bus = fleet(5, 8);
+        Seed seed = TestBus.seed("dc0", 3);
+        long before = bus.node("dc0", 3).self().incarnation();
+        bus.runFor(300);
+        bus.start(seed, TestBus.seeds(1, 8), -5_000 - bus.nowMs);
+        bus.runFor(2_000);
+        assertThat(bus.node("dc0", 3).self().incarnation()).isGreaterThan(before);
+        assertThat(bus.node("dc0", 0).members()).hasSize(7);
+    }
+
+    @Test
+    void a_graceful_leave_is_known_at_once() {
+        TestBus bus = fleet(6, 30);
+        bus.send(
+                TestBus.address("dc0", 4),
+                bus.routers.remove(TestBus.address("dc0", 4)).node.leave(bus.nowMs));
+        bus.runFor(10);
+        assertThat(anyKnows(bus, "dc0-r4")).isFalse();
+    }
+
+    @Test
+    void the_lagging_list_neither_adds_a_silent_vm_nor_drops_a_missing_member() {
+        TestBus bus = new TestBus(7);
+        List<Seed> lagging = new ArrayList<>(TestBus.seeds(1, 4));
+        lagging.add(TestBus.seed("dc0", 99));
+        TestBus.seeds(1, 5).forEach(seed -> bus.start(seed, lagging, 0));
+        bus.runFor(20_000);
+        for (TestBus.Router router : bus.routers.values()) {
+            assertThat(router.node.members()).hasSize(4).noneMatch(m -> m.id().equals("dc0-r99"));
+        }
+    }
+
+    @Test
+    void a_replaced_vm_with_the_same_address_and_a_new_id_takes_the_place_of_the_old_one() {
+        TestBus bus = fleet(8, 8);
+        Seed replacement = new Seed("dc0-new", "dc0", TestBus.address("dc0", 5));
+        bus.start(replacement, TestBus.seeds(1, 8), 0);
+        bus.runFor(2_000);
+        assertThat(anyKnows(bus, "dc0-r5")).isFalse();
+        assertThat(bus.node("dc0", 0).members()).hasSize(7).anyMatch(m -> m.id().equals("dc0-new"));
+    }
+}
--- a/protocol/src/main/thrift/radishwinch.thrift
+++ b/protocol/src/main/thrift/radishwinch.thrift
@@ -18,7 +18,7 @@
 
 enum EntryKind {
   CONFIGURATION = 1, QUARANTINE = 2, CRASH = 3, EJECTION = 4, LEAVING = 5, ENDPOINT_LOAD = 6, PLACEMENT = 7, DEMAND = 8,
-  DAY_COUNTERS = 9
+  DAY_COUNTERS = 9, DIRECTORY = 10
 }
 
 /** One last-writer-wins entry; remainingMs 0 means that it does not expire. An absent value is a tombstone. */
@@ -36,9 +36,64 @@
 struct Ack { 1: required i64 sequence, 2: required string aboutId, 3: required list<Member> members }
 struct Delta { 1: required list<Entry> entries }
 
-/** Hash of the entries of one bucket, so that only buckets that differ are exchanged. */
-struct Digest { 1: required list<i64> bucketHashes, 2: required bool reply }
-struct BucketRequest { 1: required list<i32> buckets }
+/** Routers of one data centre, the value of a DIRECTORY entry. */
+struct Directory { 1: required list<Member> members }
+
+/**
+ * Hashes of the durable entries: one hash over all buckets, or one for each bucket if the receiver differs.
+ * With fleetWide, only kinds that spread between data centres are covered.
+ */
+struct Digest { 1: required list<i64> bucketHashes, 2: required bool reply, 3: required bool fleetWide }
+
+/** Identity of one entry without its value. */
+struct EntryVersion {
+  1: required EntryKind kind
+  2: required string key
+  3: required i64 version
+  4: required string origin
+}
+
+/** All entries that the sender holds in the buckets; the receiver answers with what is newer on its side. */
+struct BucketRequest {
+  1: required list<i32> buckets
+  2: required list<EntryVersion> versions
+  3: required bool fleetWide
+}
+
+/** Entries that the sender lacks or holds in a lower version. */
+struct EntryRequest { 1: required list<EntryVersion> wanted }
+
+/** Offered load of one caller, in thousandths of requests/s, tokens/s and thousandths of requests. */
+struct CallerDemand {
+  1: required string caller
+  2: required i64 milliRequestsPerS
+  3: required i64 tokensPerS
+  4: required i64 milliConcurrent
+}
+
+/** Demand of one router (inside a data centre) or of one data centre (between them) for the callers of a bucket. */
+struct DemandReport {
+  1: required i32 bucket
+  2: required i64 sequence
+  3: required bool whole
+  4: required list<CallerDemand> demands
+}
+
+/** Share of one caller's limits; floorPermille is the part of the contracted floors, in thousandths. */
+struct CallerShare {
+  1: required string caller
+  2: required i64 milliRequestsPerS
+  3: required i64 tokensPerS
+  4: required i64 milliConcurrent
+  5: required i32 floorPermille
+}
+
+/** Shares that the owner of a bucket grants to one router. */
+struct ShareGrant {
+  1: required i32 bucket
+  2: required i64 sequence
+  3: required list<CallerShare> shares
+}
 
 enum JournalStep { OPEN = 1, COMPLETE = 2, ABANDON = 3 }
 enum JournalResult { GRANTED = 1, REPLAY = 2, IN_PROGRESS = 3, OUTCOME_UNKNOWN = 4, KEY_REUSED = 5, UNAVAILABLE = 6, RECORDED = 7 }
@@ -69,6 +124,9 @@
   6: BucketRequest bucketRequest
   7: JournalRequest journalRequest
   8: JournalReply journalReply
+  9: EntryRequest entryRequest
+  10: DemandReport demandReport
+  11: ShareGrant shareGrant
 }
 
 struct Frame {
