--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/ControlTimers.java
@@ -0,0 +1,41 @@
+package io.radishwinch.server;
+
+import io.radishwinch.cluster.platform.Scheduler;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+
+/** Timers of the control thread. */
+final class ControlTimers implements Scheduler {
+    private final Vertx vertx;
+    private final Context context;
+
+    ControlTimers(Vertx vertx, Context context) {
+        this.vertx = vertx;
+        this.context = context;
+    }
+
+    @Override
+    public long nowMs() {
+        return System.currentTimeMillis();
+    }
+
+    /** The timer is created on the control context, so its task runs there. */
+    @Override
+    public Timer schedule(long delayMs, Runnable task) {
+        boolean[] cancelled = {false};
+        context.runOnContext(ignored -> {
+            if (delayMs <= 0) {
+                runUnlessCancelled(cancelled, task);
+            } else {
+                vertx.setTimer(delayMs, id -> runUnlessCancelled(cancelled, task));
+            }
+        });
+        return () -> cancelled[0] = true;
+    }
+
+    private static void runUnlessCancelled(boolean[] cancelled, Runnable task) {
+        if (!cancelled[0]) {
+            task.run();
+        }
+    }
+}
--- a/server/src/main/java/io/radishwinch/server/Exchange.java
+++ b/server/src/main/java/io/radishwinch/server/Exchange.java
@@ -3,8 +3,8 @@
 import io.radishwinch.core.action.Action;
 
 /**
- * A caller's request as the control loop sees it. Methods are called on the control thread and must not block; they pass
- * the work on to the traffic thread that serves the caller.
+ * A caller's request as the control loop sees it. Methods are called on the control thread and must not block; they
+ * pass the work on to the traffic thread that serves the caller.
  */
 public interface Exchange {
 
--- a/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
@@ -127,8 +127,8 @@
     final void startWriteTimer() {
         if (writeTimer == NO_TIMER) {
             writeTimer = shared.vertx().setTimer(shared.writeTimeoutMs(), ignored -> {
-                withdraw(Optional.of(new Refusal(
-                        Reason.SLOW_READER, Verdict.MAY_HAVE_RUN, Messages.of(Reason.SLOW_READER), 0)));
+                withdraw(Optional.of(
+                        new Refusal(Reason.SLOW_READER, Verdict.MAY_HAVE_RUN, Messages.of(Reason.SLOW_READER), 0)));
                 response.reset();
             });
         }
--- a/server/src/main/java/io/radishwinch/server/http/BodyCollector.java
+++ b/server/src/main/java/io/radishwinch/server/http/BodyCollector.java
@@ -1,11 +1,11 @@
 package io.radishwinch.server.http;
 
 import io.radishwinch.core.model.Reason;
+import io.vavr.control.Either;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
-import io.vavr.control.Either;
 import java.util.function.Consumer;
 
 /** Reads a request body into memory, bounded in size and time. */
@@ -55,7 +55,8 @@
             return;
         }
         timer = vertx.setTimer(
-                timeoutMs, id -> fail(Refusal.notRun(Reason.SLOW_SENDER, "the body did not arrive within " + timeoutMs + " ms")));
+                timeoutMs,
+                id -> fail(Refusal.notRun(Reason.SLOW_SENDER, "the body did not arrive within " + timeoutMs + " ms")));
         request.exceptionHandler(error -> fail(Refusal.notRun(Reason.CALLER_DISCONNECTED, "the connection broke")));
         request.handler(this::append);
         request.endHandler(ignored -> end());
@@ -78,7 +79,10 @@
             fail(tooLarge());
         } else if (!budget.tryReserve(chunk.length())) {
             fail(new Refusal(
-                    Reason.QUEUE_FULL, io.radishwinch.core.model.Verdict.NOT_RUN, "too many request bodies in memory", 1000));
+                    Reason.QUEUE_FULL,
+                    io.radishwinch.core.model.Verdict.NOT_RUN,
+                    "too many request bodies in memory",
+                    1000));
         } else {
             body.appendBuffer(chunk);
         }
--- a/server/src/main/java/io/radishwinch/server/http/CallerApi.java
+++ b/server/src/main/java/io/radishwinch/server/http/CallerApi.java
@@ -12,6 +12,7 @@
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.model.ServiceSpec;
+import io.radishwinch.core.model.Verdict;
 import io.vavr.control.Either;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
@@ -59,8 +60,12 @@
         router.post("/v1/chat/completions").handler(ctx -> completion(ctx, true));
         router.post("/v1/completions").handler(ctx -> completion(ctx, false));
         router.route(SERVICES_PATH + "*").handler(this::service);
-        router.route().handler(ctx -> reject(
-                ctx, "", Optional.empty(), Refusal.notRun(Reason.MALFORMED_REQUEST, "no such path: " + path(ctx))));
+        router.route()
+                .handler(ctx -> reject(
+                        ctx,
+                        "",
+                        Optional.empty(),
+                        Refusal.notRun(Reason.MALFORMED_REQUEST, "no such path: " + path(ctx))));
         router.route().failureHandler(this::failure);
         return router;
     }
@@ -140,7 +145,8 @@
             String rest = ctx.request().uri().substring(SERVICES_PATH.length());
             int end = indexOfAny(rest, '/', '?');
             String name = rest.substring(0, end);
-            String uri = end < rest.length() && rest.charAt(end) == '/' ? rest.substring(end) : "/" + rest.substring(end);
+            String uri =
+                    end < rest.length() && rest.charAt(end) == '/' ? rest.substring(end) : "/" + rest.substring(end);
             ServiceSpec service = authenticator.config().services().get(name);
             if (service == null) {
                 rejectWithBody(
@@ -176,9 +182,9 @@
                     PromptHashes.fingerprint(caller.contract().caller(), pool, content),
                     List.of(),
                     repeatable);
-            ServiceExchange.Call call = new ServiceExchange.Call(
-                    http.method(), uri, http.headers(), body, key, KeyHash.sha256(content));
-            new ServiceExchange(shared, caller, spec, call, http, maxBodyBytes).arrive();
+            ServiceExchange.Call call =
+                    new ServiceExchange.Call(http.method(), uri, http.headers(), body, key, KeyHash.sha256(content));
+            new ServiceExchange(shared, caller, spec, call, http).arrive();
         }
     }
 
@@ -223,7 +229,11 @@
     private Optional<Contract> authenticate(RoutingContext ctx) {
         Optional<Contract> contract = authenticator.authenticate(ctx.request().getHeader(HttpHeaders.AUTHORIZATION));
         if (contract.isEmpty()) {
-            reject(ctx, "", Optional.empty(), Refusal.notRun(Reason.UNKNOWN_CALLER, Messages.of(Reason.UNKNOWN_CALLER)));
+            reject(
+                    ctx,
+                    "",
+                    Optional.empty(),
+                    Refusal.notRun(Reason.UNKNOWN_CALLER, Messages.of(Reason.UNKNOWN_CALLER)));
         }
         return contract;
     }
@@ -246,7 +256,9 @@
 
     private void failure(RoutingContext ctx) {
         LOG.log(System.Logger.Level.ERROR, "request handler failed", ctx.failure());
-        reject(ctx, "", Optional.empty(), Refusal.notRun(Reason.INTERNAL_ERROR, Messages.of(Reason.INTERNAL_ERROR)));
+        Refusal refusal =
+                new Refusal(Reason.INTERNAL_ERROR, Verdict.MAY_HAVE_RUN, Messages.of(Reason.INTERNAL_ERROR), 0);
+        reject(ctx, "", Optional.empty(), refusal);
     }
 
     private static String path(RoutingContext ctx) {
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/http/CallerServer.java
@@ -0,0 +1,178 @@
+package io.radishwinch.server.http;
+
+import io.radishwinch.config.settings.RouterSettings;
+import io.radishwinch.config.settings.SettingKey;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.server.ControlLoop;
+import io.radishwinch.server.engine.ClientOptions;
+import io.radishwinch.server.engine.HttpEngineClient;
+import io.radishwinch.server.engine.HttpServiceClient;
+import io.vertx.core.Context;
+import io.vertx.core.DeploymentOptions;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.net.PemKeyCertOptions;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+/** HTTP server for callers, with one instance on each traffic thread. */
+public final class CallerServer {
+    /** Share of the heap that request bodies may take together. */
+    private static final double BODY_MEMORY_SHARE = 0.25;
+
+    private static final int IDLE_TIMEOUT_S = 300;
+    private static final int MAX_LINE_BYTES = 8192;
+
+    private final Vertx vertx;
+    private final RouterSettings settings;
+    private final Parts parts;
+    private final MemoryBudget bodies =
+            new MemoryBudget((long) (Runtime.getRuntime().maxMemory() * BODY_MEMORY_SHARE));
+    private final AtomicInteger connections = new AtomicInteger();
+    private volatile int port;
+
+    /**
+     * What the server needs of the router.
+     *
+     * @param control control loop
+     * @param endpoints addresses of endpoints
+     * @param journal journal of non-repeatable requests
+     * @param authenticator contracts by key
+     * @param listener is told of the end of every request
+     * @param requestIds makes identifiers, unique in the fleet
+     * @param ready whether the router takes new work
+     */
+    public record Parts(
+            ControlLoop control,
+            EndpointLookup endpoints,
+            JournalAccess journal,
+            Authenticator authenticator,
+            ExchangeListener listener,
+            Supplier<String> requestIds,
+            BooleanSupplier ready) {}
+
+    /** Creates a server on the traffic threads of the given Vert.x instance. */
+    public CallerServer(Vertx vertx, RouterSettings settings, Parts parts) {
+        this.vertx = vertx;
+        this.settings = settings;
+        this.parts = parts;
+        this.port = settings.integer(SettingKey.CALLER_PORT);
+    }
+
+    /** Starts to listen; fails if the address is in use or a TLS file cannot be read. */
+    public Future<Void> start() {
+        int threads = settings.integer(SettingKey.TRAFFIC_THREADS);
+        Future<String> first = vertx.deployVerticle(new TrafficThread());
+        for (int i = 1; i < threads; i++) {
+            first = first.compose(ignored -> vertx.deployVerticle(new TrafficThread(), new DeploymentOptions()));
+        }
+        return first.mapEmpty();
+    }
+
+    /** Returns the port that callers reach. */
+    public int port() {
+        return port;
+    }
+
+    /** Returns the memory that request bodies take now, in bytes. */
+    public long bodyBytes() {
+        return bodies.usedBytes();
+    }
+
+    /** Returns the number of open connections. */
+    public int connections() {
+        return connections.get();
+    }
+
+    /** One event loop with its own server instance and connection pools. */
+    private final class TrafficThread extends VerticleBase {
+        private HttpServer server;
+        private HttpEngineClient engines;
+        private HttpServiceClient services;
+
+        @Override
+        public Future<?> start() {
+            ClientOptions options = ClientOptions.defaults();
+            engines = new HttpEngineClient(vertx, options, parts.control()::nowMs, "");
+            services = new HttpServiceClient(vertx, options, parts.control()::nowMs);
+            ExchangeContext shared = exchangeContext(vertx.getOrCreateContext());
+            CallerApi api = new CallerApi(shared, parts.authenticator(), settings, parts.requestIds(), parts.ready());
+            server = vertx.createHttpServer(serverOptions())
+                    .requestHandler(api.routes())
+                    .invalidRequestHandler(this::invalidRequest)
+                    .connectionHandler(this::connected);
+            return server.listen(port, settings.text(SettingKey.CALLER_HOST))
+                    .onSuccess(listening -> port = listening.actualPort());
+        }
+
+        @Override
+        public Future<?> stop() {
+            Promise<Void> stopped = Promise.promise();
+            server.close()
+                    .eventually(() -> engines.close())
+                    .eventually(() -> services.close())
+                    .onComplete(stopped);
+            return stopped.future();
+        }
+
+        private ExchangeContext exchangeContext(Context threadContext) {
+            return new ExchangeContext(
+                    vertx,
+                    threadContext,
+                    parts.control(),
+                    engines,
+                    services,
+                    parts.endpoints(),
+                    parts.journal(),
+                    bodies,
+                    parts.listener(),
+                    settings.integer(SettingKey.CALLER_WRITE_TIMEOUT_MS));
+        }
+
+        private void connected(HttpConnection connection) {
+            int open = connections.incrementAndGet();
+            connection.closeHandler(ignored -> connections.decrementAndGet());
+            if (open > settings.integer(SettingKey.CALLER_MAX_CONNECTIONS)) {
+                parts.listener()
+                        .rejected("", Optional.empty(), Refusal.notRun(Reason.QUEUE_FULL, "too many connections"));
+                connection.close();
+            }
+        }
+
+        private void invalidRequest(HttpServerRequest request) {
+            Throwable cause = request.decoderResult().cause();
+            boolean tooLarge = cause instanceof io.netty.handler.codec.TooLongFrameException;
+            Reason reason = tooLarge ? Reason.HEADER_TOO_LARGE : Reason.MALFORMED_REQUEST;
+            Refusal refusal = Refusal.notRun(reason, Messages.of(reason));
+            parts.listener().rejected("", Optional.empty(), refusal);
+            ErrorAnswer.send(request.response(), parts.requestIds().get(), refusal);
+            request.connection().close();
+        }
+    }
+
+    private HttpServerOptions serverOptions() {
+        HttpServerOptions options = new HttpServerOptions()
+                .setMaxHeaderSize(settings.integer(SettingKey.CALLER_MAX_HEADER_BYTES))
+                .setMaxInitialLineLength(MAX_LINE_BYTES)
+                .setIdleTimeout(IDLE_TIMEOUT_S)
+                .setTcpNoDelay(true)
+                .setCompressionSupported(false);
+        String certFile = settings.text(SettingKey.CALLER_TLS_CERT_FILE);
+        if (!certFile.isEmpty()) {
+            options.setSsl(true)
+                    .setUseAlpn(true)
+                    .setKeyCertOptions(new PemKeyCertOptions()
+                            .addCertPath(certFile)
+                            .addKeyPath(settings.text(SettingKey.CALLER_TLS_KEY_FILE)));
+        }
+        return options;
+    }
+}
--- a/server/src/main/java/io/radishwinch/server/http/CompletionRequestParser.java
+++ b/server/src/main/java/io/radishwinch/server/http/CompletionRequestParser.java
@@ -42,7 +42,10 @@
      */
     static Either<Refusal, CompletionRequest> parse(boolean chat, byte[] body) {
         try {
-            String text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(body)).toString();
+            String text = StandardCharsets.UTF_8
+                    .newDecoder()
+                    .decode(ByteBuffer.wrap(body))
+                    .toString();
             JsonNode root = MAPPER.readTree(text);
             if (root == null || !root.isObject()) {
                 return malformed("$", "the body must be a JSON object");
@@ -81,7 +84,10 @@
         if (value.isMissingNode() || value.isNull()) {
             return DEFAULT_MAX_NEW_TOKENS;
         }
-        if (!value.canConvertToInt() || !value.isIntegralNumber() || value.asInt() < 1 || value.asInt() > MAX_NEW_TOKENS) {
+        if (!value.canConvertToInt()
+                || !value.isIntegralNumber()
+                || value.asInt() < 1
+                || value.asInt() > MAX_NEW_TOKENS) {
             throw new FieldException("$." + field, "must be a whole number from 1 to " + MAX_NEW_TOKENS);
         }
         return value.asInt();
--- a/server/src/main/java/io/radishwinch/server/http/ErrorAnswer.java
+++ b/server/src/main/java/io/radishwinch/server/http/ErrorAnswer.java
@@ -30,7 +30,7 @@
             response.putHeader(HttpHeaders.RETRY_AFTER, Long.toString(retryAfterS));
         }
         if (refusal.reason() == Reason.UNKNOWN_CALLER) {
-            response.putHeader(HttpHeaders.WWW_AUTHENTICATE, "Bearer");
+            response.putHeader("WWW-Authenticate", "Bearer");
         }
         response.end(body(refusal, requestId).toString());
     }
--- a/server/src/main/java/io/radishwinch/server/http/JournalAccess.java
+++ b/server/src/main/java/io/radishwinch/server/http/JournalAccess.java
@@ -21,8 +21,7 @@
     }
 
     /** Asks for the permission to run a request; the receiver runs on the given context. */
-    void begin(
-            Context context, String caller, String key, byte[] fingerprint, Consumer<Journal.Decision> receiver) {
+    void begin(Context context, String caller, String key, byte[] fingerprint, Consumer<Journal.Decision> receiver) {
         call(context, () -> journal.begin(caller, key, fingerprint), new Journal.Decision.Unavailable(), receiver);
     }
 
--- a/server/src/main/java/io/radishwinch/server/http/ModelExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ModelExchange.java
@@ -156,7 +156,8 @@
     private void postStageTimes() {
         List<Stage> stages = chain.stages();
         for (int i = 0; i < stages.size() && attemptTokens > 0; i++) {
-            double layerTimeUs = (double) stageUs[i] / attemptTokens / stages.get(i).layers().size();
+            double layerTimeUs =
+                    (double) stageUs[i] / attemptTokens / stages.get(i).layers().size();
             if (layerTimeUs > 0) {
                 post(new Event.StageMeasured(stages.get(i).endpointId(), layerTimeUs));
             }
@@ -218,7 +219,8 @@
             String text = String.join("", delivered);
             response.putHeader(HttpHeaders.CONTENT_TYPE, "application/json")
                     .putHeader("X-Request-Id", request.requestId())
-                    .end(format.whole(text, finishReason, request.promptTokens(), delivered.size()).toString());
+                    .end(format.whole(text, finishReason, request.promptTokens(), delivered.size())
+                            .toString());
             return;
         }
         if (!response.headWritten()) {
--- a/server/src/main/java/io/radishwinch/server/http/RequestHeaders.java
+++ b/server/src/main/java/io/radishwinch/server/http/RequestHeaders.java
@@ -22,11 +22,12 @@
 
     /** Returns what the headers say, or why the request is refused. */
     static Either<Refusal, CallerRequest> read(MultiMap headers, Contract contract, String requestId, long nowMs) {
-        return rank(headers, contract).flatMap(rank -> timeoutMs(headers, contract.ranks().get(rank)).map(timeoutMs -> {
-            String trace = headers.get(TRACEPARENT);
-            String traceparent = trace == null || trace.length() > MAX_TRACEPARENT_LENGTH ? null : trace;
-            return new CallerRequest(requestId, contract, rank, nowMs, nowMs + timeoutMs, traceparent);
-        }));
+        return rank(headers, contract)
+                .flatMap(rank -> timeoutMs(headers, contract.ranks().get(rank)).map(timeoutMs -> {
+                    String trace = headers.get(TRACEPARENT);
+                    String traceparent = trace == null || trace.length() > MAX_TRACEPARENT_LENGTH ? null : trace;
+                    return new CallerRequest(requestId, contract, rank, nowMs, nowMs + timeoutMs, traceparent);
+                }));
     }
 
     /** Returns whether the idempotency key is absent or has a valid length. */
@@ -41,8 +42,8 @@
         }
         Rank rank = Rank.fromWireName(name).orElse(null);
         if (rank == null) {
-            return Either.left(Refusal.notRun(
-                    Reason.MALFORMED_REQUEST, RANK + " must be interactive, account-action or batch"));
+            return Either.left(
+                    Refusal.notRun(Reason.MALFORMED_REQUEST, RANK + " must be interactive, account-action or batch"));
         }
         if (!contract.ranks().containsKey(rank)) {
             return Either.left(Refusal.notRun(Reason.FORBIDDEN, "the contract does not allow rank " + name));
@@ -56,10 +57,12 @@
         if (value == null) {
             return Either.right(terms.timeoutMs());
         }
-        boolean digits = !value.isEmpty() && value.length() <= MAX_DIGITS && value.chars().allMatch(c -> c >= '0' && c <= '9');
+        boolean digits = !value.isEmpty()
+                && value.length() <= MAX_DIGITS
+                && value.chars().allMatch(c -> c >= '0' && c <= '9');
         if (!digits || Long.parseLong(value) == 0) {
-            return Either.left(Refusal.notRun(
-                    Reason.MALFORMED_REQUEST, DEADLINE_MS + " must be a positive whole number of ms"));
+            return Either.left(
+                    Refusal.notRun(Reason.MALFORMED_REQUEST, DEADLINE_MS + " must be a positive whole number of ms"));
         }
         return Either.right(Math.min(Long.parseLong(value), terms.timeoutMs()));
     }
--- a/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
@@ -17,29 +17,29 @@
 import java.util.Optional;
 
 /**
- * One call of a plain service. The answer is read whole before it is passed on, so that a failure in the middle can be
- * retried, and so that the outcome of a non-repeatable call is recorded before the caller sees it.
+ * One call of a plain service. A small answer is read whole before it is passed on, so that a failure in the middle can
+ * be retried; a large one is streamed. The outcome of a non-repeatable call is recorded before the caller sees any of
+ * it.
  */
 final class ServiceExchange extends AbstractExchange {
     private static final String REPLAYED_HEADER = "X-Radishwinch-Replayed";
 
     private final Call call;
-    private final int maxAnswerBytes;
     private Decision.Granted grant;
     private boolean sent;
     private int epoch;
-    private Answer answer;
+    private ServiceClient.Exchange inFlight;
+    private ServiceAnswer answer;
+    private ServiceAnswer streamed;
 
     ServiceExchange(
             ExchangeContext shared,
             CallerRequest caller,
             RequestSpec request,
             Call call,
-            HttpServerRequest httpRequest,
-            int maxAnswerBytes) {
+            HttpServerRequest httpRequest) {
         super(shared, caller, request, httpRequest, call.body().length());
         this.call = call;
-        this.maxAnswerBytes = maxAnswerBytes;
     }
 
     /**
@@ -55,9 +55,6 @@
     record Call(
             HttpMethod method, String uri, MultiMap headers, Buffer body, String idempotencyKey, byte[] fingerprint) {}
 
-    /** Status, headers and body of an answer. */
-    private record Answer(int status, MultiMap headers, Buffer body) {}
-
     @Override
     void startAttempt(Action.StartAttempt attempt) {
         epoch = attempt.epoch();
@@ -113,8 +110,7 @@
 
     private void replay(StoredAnswer stored) {
         if (!stored.stored()) {
-            endWith(new Refusal(
-                    Reason.OUTCOME_NOT_STORED, Verdict.RAN, Messages.of(Reason.OUTCOME_NOT_STORED), 0));
+            endWith(new Refusal(Reason.OUTCOME_NOT_STORED, Verdict.RAN, Messages.of(Reason.OUTCOME_NOT_STORED), 0));
             return;
         }
         withdraw(Optional.empty());
@@ -131,53 +127,84 @@
         int attemptEpoch = attempt.epoch();
         sent = true;
         post(new Event.AttemptStarted(request.requestId(), attemptEpoch));
-        shared.services()
+        inFlight = shared.services()
                 .call(new ServiceClient.Call(
                         address,
                         call.method(),
                         call.uri(),
                         ServiceHeaders.towardsService(call.headers(), request.requestId()),
                         new ServiceClient.Body.Whole(call.body()),
-                        attempt.deadlineMs()))
+                        attempt.deadlineMs()));
+        inFlight.response()
                 .onComplete(
-                        head -> readBody(attemptEpoch, address, head),
-                        error -> failed(attemptEpoch, address, error));
+                        head -> readBody(attemptEpoch, address, head), error -> failed(attemptEpoch, address, error));
     }
 
     private void readBody(int attemptEpoch, EndpointAddress address, ServiceClient.Response head) {
-        Buffer body = Buffer.buffer();
-        head.body().handler(chunk -> {
-            if (body.length() + chunk.length() <= maxAnswerBytes) {
-                body.appendBuffer(chunk);
+        if (attemptEpoch != epoch) {
+            head.body().exceptionHandler(ignored -> {}).handler(ignored -> {}).resume();
+            return;
+        }
+        ServiceAnswer newAnswer = new ServiceAnswer(head);
+        newAnswer.onFailure(error -> {
+            if (newAnswer == streamed) {
+                abort(error);
+            } else {
+                failed(attemptEpoch, address, error);
+            }
+        });
+        newAnswer.onLarge(() -> record(newAnswer, () -> beginStream(newAnswer)));
+        newAnswer.onEnd(() -> {
+            if (newAnswer == streamed) {
+                post(new Event.AttemptFinished(request.requestId(), epoch, 0));
+            } else {
+                record(newAnswer, () -> deliver(newAnswer));
             }
         });
-        head.body().exceptionHandler(error -> failed(attemptEpoch, address, error));
-        head.body().endHandler(ignored -> answered(attemptEpoch, new Answer(head.status(), head.headers(), body)));
-        head.body().resume();
+        newAnswer.read();
     }
 
-    private void answered(int attemptEpoch, Answer newAnswer) {
-        if (attemptEpoch != epoch) {
-            return;
-        }
+    /** Records the outcome of a non-repeatable call before the caller sees anything of it. */
+    private void record(ServiceAnswer newAnswer, Runnable next) {
         if (grant == null) {
-            deliver(newAnswer);
-            return;
+            next.run();
+        } else {
+            shared.journal()
+                    .complete(shared.context(), grant, newAnswer.toStored().encode(), recorded -> next.run());
         }
-        String contentType = newAnswer.headers().get(HttpHeaders.CONTENT_TYPE);
-        byte[] outcome = StoredAnswer.of(
-                        newAnswer.status(), contentType == null ? "" : contentType, newAnswer.body().getBytes())
-                .encode();
-        shared.journal().complete(shared.context(), grant, outcome, recorded -> deliver(newAnswer));
     }
 
-    private void deliver(Answer newAnswer) {
+    private void deliver(ServiceAnswer newAnswer) {
         if (!isFinished()) {
             answer = newAnswer;
             post(new Event.AttemptFinished(request.requestId(), epoch, 0));
         }
     }
 
+    private void beginStream(ServiceAnswer newAnswer) {
+        if (isFinished()) {
+            newAnswer.discard();
+            return;
+        }
+        streamed = newAnswer;
+        writeHead(newAnswer);
+        response.setChunked(true);
+        newAnswer.streamTo(response, this::startWriteTimer, this::cancelWriteTimer);
+    }
+
+    /** The head was sent, so the only way to tell the caller that the answer is cut is to break its connection. */
+    private void abort(Throwable error) {
+        Reason reason = error instanceof EndpointException known ? known.reason() : Reason.STAGE_DIED;
+        withdraw(Optional.of(new Refusal(reason, Verdict.MAY_HAVE_RUN, Messages.of(reason), 0)));
+        response.reset();
+    }
+
+    private void writeHead(ServiceAnswer ready) {
+        response.setStatusCode(ready.status());
+        ServiceHeaders.towardsCaller(ready.headers(), response.headers());
+        response.putHeader("X-Request-Id", request.requestId());
+    }
+
     private void failed(int attemptEpoch, EndpointAddress address, Throwable error) {
         if (attemptEpoch != epoch) {
             return;
@@ -194,17 +221,26 @@
         post(new Event.AttemptFailed(request.requestId(), attemptEpoch, endpointId, reason, verdict, 0));
     }
 
-    /** A call that was sent is not cut off: a plain service cannot say whether it stopped in time. */
     @Override
     void cancelAttempt(int cancelledEpoch, Reason reason) {
-        if (cancelledEpoch == epoch && !sent) {
+        if (cancelledEpoch != epoch) {
+            return;
+        }
+        if (!sent) {
             fail(cancelledEpoch, "", reason, Verdict.NOT_RUN);
+        } else if (grant == null) {
+            release();
+            fail(cancelledEpoch, "", reason, Verdict.MAY_HAVE_RUN);
         }
     }
 
+    /** A non-repeatable call that was sent goes on without its caller, so that its outcome is recorded. */
     @Override
     void release() {
         releaseGrant();
+        if (inFlight != null && grant == null) {
+            inFlight.cancel();
+        }
     }
 
     private void releaseGrant() {
@@ -216,10 +252,12 @@
 
     @Override
     void completeAnswer() {
-        Answer ready = answer;
         finish(Optional.empty());
-        response.setStatusCode(ready.status());
-        ServiceHeaders.towardsCaller(ready.headers(), response.headers());
-        response.putHeader("X-Request-Id", request.requestId()).end(ready.body());
+        if (streamed != null) {
+            response.end();
+        } else {
+            writeHead(answer);
+            response.end(answer.body());
+        }
     }
 }
--- a/server/src/main/java/io/radishwinch/server/http/ServiceHeaders.java
+++ b/server/src/main/java/io/radishwinch/server/http/ServiceHeaders.java
@@ -10,8 +10,18 @@
 final class ServiceHeaders {
     /** Headers of one connection only (RFC 9110 section 7.6.1), and those that the HTTP client sets itself. */
     private static final Set<String> CONNECTION_HEADERS = Set.of(
-            "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te", "trailer",
-            "transfer-encoding", "upgrade", "host", "content-length", "expect");
+            "connection",
+            "keep-alive",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "host",
+            "content-length",
+            "expect");
 
     private ServiceHeaders() {}
 
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/metrics/RouterMetrics.java
@@ -0,0 +1,120 @@
+package io.radishwinch.server.metrics;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.DistributionSummary;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.Reason;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/**
+ * Counters and histograms of one router, in the Prometheus text format. All label values come from closed lists, so
+ * that the number of series does not grow with the number of callers or endpoints.
+ */
+public final class RouterMetrics {
+    private static final String RANK = "rank";
+
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Map<Rank, Map<Reason, Counter>> refusals = new EnumMap<>(Rank.class);
+    private final Map<Reason, Counter> unrankedRefusals;
+    private final Map<Rank, Map<Reason, Counter>> retries = new EnumMap<>(Rank.class);
+    private final Map<Rank, Counter> answers = new EnumMap<>(Rank.class);
+    private final Map<Rank, Counter> tokens = new EnumMap<>(Rank.class);
+    private final Map<Rank, Timer> firstToken = new EnumMap<>(Rank.class);
+    private final Map<Rank, DistributionSummary> tokenInterval = new EnumMap<>(Rank.class);
+
+    /** Creates all series, so that each is present from the start with the value 0. */
+    public RouterMetrics() {
+        unrankedRefusals = reasonCounters("radishwinch.refusals", "requests refused or failed", "none");
+        for (Rank rank : Rank.values()) {
+            String name = rank.wireName();
+            refusals.put(rank, reasonCounters("radishwinch.refusals", "requests refused or failed", name));
+            retries.put(rank, reasonCounters("radishwinch.retries", "attempts after the first", name));
+            answers.put(rank, counter("radishwinch.answers", "whole answers", name));
+            tokens.put(rank, counter("radishwinch.answer.tokens", "tokens delivered", name));
+            firstToken.put(
+                    rank,
+                    Timer.builder("radishwinch.first.token")
+                            .description("time from arrival to the first token")
+                            .tag(RANK, name)
+                            .publishPercentileHistogram()
+                            .minimumExpectedValue(Duration.ofMillis(1))
+                            .maximumExpectedValue(Duration.ofMinutes(1))
+                            .register(registry));
+            tokenInterval.put(
+                    rank,
+                    DistributionSummary.builder("radishwinch.token.interval.ms")
+                            .description("mean time between the tokens of an answer, in ms")
+                            .tag(RANK, name)
+                            .serviceLevelObjectives(10, 20, 40, 60, 100, 200, 500, 1000)
+                            .register(registry));
+        }
+    }
+
+    /** Counts a request that was refused or failed. */
+    public void refused(Rank rank, Reason reason) {
+        (rank == null ? unrankedRefusals : refusals.get(rank)).get(reason).increment();
+    }
+
+    /** Counts a retry. */
+    public void retried(Rank rank, Reason reason) {
+        retries.get(rank).get(reason).increment();
+    }
+
+    /**
+     * Counts a whole answer.
+     *
+     * @param answerTokens tokens delivered
+     * @param firstTokenMs time from arrival to the first token in ms, or 0 if there was none
+     * @param meanIntervalMs mean time between tokens in ms, or 0 for fewer than two tokens
+     */
+    public void answered(Rank rank, int answerTokens, long firstTokenMs, double meanIntervalMs) {
+        answers.get(rank).increment();
+        tokens.get(rank).increment(answerTokens);
+        if (answerTokens > 0) {
+            firstToken.get(rank).record(Duration.ofMillis(firstTokenMs));
+        }
+        if (answerTokens > 1) {
+            tokenInterval.get(rank).record(meanIntervalMs);
+        }
+    }
+
+    /** Returns a counter for an overflow or another rare condition, with the value 0 at first. */
+    public Counter counter(String name, String description) {
+        return Counter.builder(name).description(description).register(registry);
+    }
+
+    /** Registers a value that is read when the metrics are. */
+    public void gauge(String name, String description, Supplier<Number> value) {
+        Gauge.builder(name, value).description(description).register(registry);
+    }
+
+    /** Returns all metrics in the Prometheus text format. */
+    public String scrape() {
+        return registry.scrape();
+    }
+
+    private Map<Reason, Counter> reasonCounters(String name, String description, String rank) {
+        Map<Reason, Counter> counters = new EnumMap<>(Reason.class);
+        for (Reason reason : Reason.values()) {
+            counters.put(
+                    reason,
+                    Counter.builder(name)
+                            .description(description)
+                            .tag(RANK, rank)
+                            .tag("reason", reason.wireName())
+                            .register(registry));
+        }
+        return counters;
+    }
+
+    private Counter counter(String name, String description, String rank) {
+        return Counter.builder(name).description(description).tag(RANK, rank).register(registry);
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/peer/PeerTls.java
@@ -0,0 +1,59 @@
+package io.radishwinch.server.peer;
+
+import io.radishwinch.config.settings.RouterSettings;
+import io.radishwinch.config.settings.SettingKey;
+import io.vertx.core.http.ClientAuth;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.PemKeyCertOptions;
+import io.vertx.core.net.PemTrustOptions;
+import java.util.Optional;
+
+/**
+ * Files for mutual TLS between routers.
+ *
+ * @param certFile PEM certificate chain of this router
+ * @param keyFile PEM private key of this router
+ * @param caFile PEM certificates that may sign the certificates of peers
+ */
+public record PeerTls(String certFile, String keyFile, String caFile) {
+
+    /** Returns the files named in the settings, or empty if peers use plain TCP. */
+    public static Optional<PeerTls> of(RouterSettings settings) {
+        String certFile = settings.text(SettingKey.PEER_TLS_CERT_FILE);
+        if (certFile.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(new PeerTls(
+                certFile, settings.text(SettingKey.PEER_TLS_KEY_FILE), settings.text(SettingKey.PEER_TLS_CA_FILE)));
+    }
+
+    /** Returns options of a server that accepts only peers with a certificate that the CA signed. */
+    static NetServerOptions serverOptions(Optional<PeerTls> tls, int idleTimeoutS) {
+        NetServerOptions options = new NetServerOptions().setTcpNoDelay(true).setIdleTimeout(idleTimeoutS);
+        tls.ifPresent(files -> options.setSsl(true)
+                .setKeyCertOptions(files.keyCert())
+                .setTrustOptions(files.trust())
+                .setClientAuth(ClientAuth.REQUIRED));
+        return options;
+    }
+
+    /** Returns options of a client. Peers are known by IP address, so the CA alone vouches for them. */
+    static NetClientOptions clientOptions(Optional<PeerTls> tls, int connectTimeoutMs, int idleTimeoutS) {
+        NetClientOptions options = new NetClientOptions().setTcpNoDelay(true).setIdleTimeout(idleTimeoutS);
+        options.setConnectTimeout(connectTimeoutMs);
+        tls.ifPresent(files -> options.setSsl(true)
+                .setHostnameVerificationAlgorithm("")
+                .setKeyCertOptions(files.keyCert())
+                .setTrustOptions(files.trust()));
+        return options;
+    }
+
+    private PemKeyCertOptions keyCert() {
+        return new PemKeyCertOptions().addCertPath(certFile).addKeyPath(keyFile);
+    }
+
+    private PemTrustOptions trust() {
+        return new PemTrustOptions().addCertPath(caFile);
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Transport of frames between routers. */
+package io.radishwinch.server.peer;
