Queue requests by rank with floors and fair shares

Cause: in order of arrival a flood takes the service of every other rank and caller. Change: RankedFairQueue (floors by virtual clock, strict rank above them, start-time fair queueing by tokens within a rank, reserves and dynamic thresholds for room); FifoQueue stays as the baseline. Requests that are unlikely to meet their deadline leave a contended pool before they cost a slot.

--- a/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
@@ -1,7 +1,5 @@
 package io.radishwinch.core.impl;
 
-import io.radishwinch.core.model.Contract;
-import io.radishwinch.core.model.ModelSpec;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
 
@@ -22,9 +20,7 @@
             // A second answer under this identifier would reach the caller of the first request.
             return;
         }
-        Contract contract = state.config.contracts().get(spec.caller());
-        ModelSpec pool = state.config.pool(spec.pool());
-        Reason reason = contractReason(spec, contract, pool);
+        Reason reason = state.contractReason(spec);
         if (reason == null) {
             reason = stateReason(spec, nowMs);
         }
@@ -32,7 +28,7 @@
             state.refuseEarly(spec, reason, isTransient(reason) ? RETRY_AFTER_MS : 0);
             return;
         }
-        CallerRow caller = state.caller(contract, nowMs);
+        CallerRow caller = state.caller(state.config.contracts().get(spec.caller()), nowMs);
         if (!caller.hasConcurrency()) {
             state.refuseEarly(spec, Reason.CONCURRENCY_LIMITED, RETRY_AFTER_MS);
             return;
@@ -54,26 +50,12 @@
         state.note(row, nowMs, "admitted");
     }
 
-    /** Returns why the contract or the configuration refuses the request, or null. */
-    Reason contractReason(RequestSpec spec, Contract contract, ModelSpec pool) {
-        if (contract == null) {
-            return Reason.UNKNOWN_CALLER;
-        }
-        if (pool == null) {
-            return spec.pool().startsWith(ModelSpec.SERVICE_PREFIX) ? Reason.UNKNOWN_SERVICE : Reason.UNKNOWN_MODEL;
-        }
-        if (!contract.ranks().containsKey(spec.rank()) || !contract.allowsPool(spec.pool())) {
-            return Reason.FORBIDDEN;
-        }
-        return spec.costTokens() > pool.maxContextTokens() ? Reason.MALFORMED_REQUEST : null;
-    }
-
     private Reason stateReason(RequestSpec spec, long nowMs) {
         if (state.draining) {
             return Reason.DRAINING;
         }
         PoolRow pool = state.pool(spec.pool());
-        if (nowMs + pool.feasibleServiceMs(spec, 0, nowMs) >= spec.deadlineMs()) {
+        if (nowMs + pool.neededMs(spec, 0, false, nowMs) >= spec.deadlineMs()) {
             return Reason.DEADLINE_UNREACHABLE;
         }
         if (state.directory.isCovered(spec.pool(), nowMs)) {
--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -85,6 +85,7 @@
     void tick(long nowMs) {
         for (RequestRow row : List.copyOf(state.running)) {
             if (row.spec.deadlineMs() <= nowMs) {
+                state.pool(row.spec.pool()).sampleUnfinished(row.spec, nowMs - row.attemptStartedAtMs, nowMs);
                 state.refuse(row, Reason.DEADLINE_EXCEEDED, nowMs);
             } else if (row.state == RequestRow.State.CANCELLING && row.dueAtMs <= nowMs) {
                 ended(row, row.cancelEndpointId, row.cancelReason, Verdict.MAY_HAVE_RUN, nowMs);
@@ -113,8 +114,11 @@
                 nowMs,
                 "attempt " + row.epoch + " ended: " + reason.wireName() + " at " + endpointId + ", "
                         + verdict.wireName());
-        if (!isRetryable(reason) || !row.mayStart()) {
+        Reason withdrawn = state.contractReason(row.spec);
+        if (!isRetryable(reason) || !row.mayStart() || row.callerGone) {
             state.refuse(row, reason, nowMs);
+        } else if (withdrawn != null) {
+            state.refuse(row, withdrawn, nowMs);
         } else if (row.attempts >= state.settings.maxAttempts()) {
             state.refuse(row, Reason.ATTEMPTS_EXHAUSTED, nowMs);
         } else {
--- a/core/src/main/java/io/radishwinch/core/impl/CoreState.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreState.java
@@ -5,9 +5,14 @@
 import io.radishwinch.core.chain.EndpointDirectory;
 import io.radishwinch.core.model.Contract;
 import io.radishwinch.core.model.FleetConfig;
+import io.radishwinch.core.model.ModelSpec;
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.RankTerms;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.model.Verdict;
+import io.radishwinch.core.queue.DeadlineIndex;
+import io.radishwinch.core.queue.Entitlements;
 import io.radishwinch.core.queue.RequestQueue;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -18,7 +23,9 @@
 import java.util.Set;
 
 /** Tables and collaborators that the systems of the core share. */
-final class CoreState {
+final class CoreState implements Entitlements {
+
+    private static final double DEFAULT_WEIGHT = 1;
 
     final CoreSettings settings;
     final EndpointDirectory directory;
@@ -37,12 +44,36 @@
     boolean draining;
     long drainDeadlineMs;
     List<Action> out = new ArrayList<>();
+    long nowMs;
 
-    CoreState(CoreSettings settings, EndpointDirectory directory, ChainPlanner planner, RequestQueue queue) {
+    CoreState(
+            CoreSettings settings,
+            EndpointDirectory directory,
+            ChainPlanner planner,
+            TableDecisionCore.QueueFactory queues) {
         this.settings = settings;
         this.directory = directory;
         this.planner = planner;
-        this.queue = queue;
+        this.queue = queues.create(settings.queue(), this, new DeadlineIndex(this::minServiceMs));
+    }
+
+    @Override
+    public double weight(String caller) {
+        Contract contract = config.contracts().get(caller);
+        return contract == null || contract.weight() <= 0 ? DEFAULT_WEIGHT : contract.weight();
+    }
+
+    @Override
+    public double floorTokensPerS(String caller, Rank rank) {
+        Contract contract = config.contracts().get(caller);
+        RankTerms terms = contract == null ? null : contract.ranks().get(rank);
+        CallerRow row = callers.get(caller);
+        return terms == null || row == null ? 0 : terms.floorTokensPerS() * row.floorShare();
+    }
+
+    private long minServiceMs(RequestSpec spec) {
+        RequestRow row = requests.get(spec.requestId());
+        return pool(spec.pool()).neededMs(spec, row == null ? 0 : row.deliveredTokens, false, nowMs);
     }
 
     PoolRow pool(String name) {
@@ -53,6 +84,22 @@
         return callers.computeIfAbsent(contract.caller(), key -> new CallerRow(contract.limits(), settings, nowMs));
     }
 
+    /** Returns why the configuration in force does not allow the request, or null. */
+    Reason contractReason(RequestSpec spec) {
+        Contract contract = config.contracts().get(spec.caller());
+        ModelSpec pool = config.pool(spec.pool());
+        if (contract == null) {
+            return requests.containsKey(spec.requestId()) ? Reason.CONTRACT_WITHDRAWN : Reason.UNKNOWN_CALLER;
+        }
+        if (pool == null) {
+            return spec.pool().startsWith(ModelSpec.SERVICE_PREFIX) ? Reason.UNKNOWN_SERVICE : Reason.UNKNOWN_MODEL;
+        }
+        if (!contract.ranks().containsKey(spec.rank()) || !contract.allowsPool(spec.pool())) {
+            return Reason.FORBIDDEN;
+        }
+        return spec.costTokens() > pool.maxContextTokens() ? Reason.MALFORMED_REQUEST : null;
+    }
+
     void note(RequestRow row, long nowMs, String decision) {
         if (row.history.size() >= settings.maxHistory()) {
             row.history.removeFirst();
@@ -89,9 +136,8 @@
         if (row.state == RequestRow.State.QUEUED) {
             queue.remove(row.id());
         }
-        if (row.attempts > 0) {
-            queue.settle(row.spec, usedTokens);
-        }
+        // Also settles requests that were polled and then dropped, so that they do not use up a floor.
+        queue.settle(row.spec, usedTokens);
         waiting.remove(row);
         requests.remove(row.id());
         CallerRow caller = callers.get(row.spec.caller());
@@ -106,6 +152,6 @@
         directory.release(row.chain, row.spec, nowMs);
         row.chain = null;
         running.remove(row);
-        pool(row.spec.pool()).blocked = false;
+        pool(row.spec.pool()).unblock();
     }
 }
--- a/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
@@ -43,7 +43,7 @@
 
     /** Returns requests whose backoff is over to the queue and tries parked ones. */
     void tick(long nowMs) {
-        state.pools.values().forEach(pool -> pool.blocked = false);
+        state.pools.values().forEach(PoolRow::unblock);
         int parkedTried = 0;
         List<RequestRow> due = new ArrayList<>(state.waiting);
         for (RequestRow row : due) {
@@ -83,7 +83,7 @@
         if (isTooLate(row, nowMs)) {
             return true;
         }
-        if (pool.blocked) {
+        if (pool.isBlocked()) {
             return false;
         }
         ModelSpec model = state.config.pool(spec.pool());
@@ -95,13 +95,16 @@
         // A request that only lacks endpoints it has not failed on is parked, so that others can pass it.
         boolean others = !row.excludedEndpointIds.isEmpty()
                 && state.planner.plan(spec, model, Set.of(), nowMs).isPresent();
-        pool.blocked = !others;
+        if (!others) {
+            pool.block(nowMs);
+        }
         return others;
     }
 
     private boolean isTooLate(RequestRow row, long nowMs) {
-        long feasibleMs = state.pool(row.spec.pool()).feasibleServiceMs(row.spec, row.deliveredTokens, nowMs);
-        return nowMs + feasibleMs >= row.spec.deadlineMs();
+        PoolRow pool = state.pool(row.spec.pool());
+        return nowMs + pool.neededMs(row.spec, row.deliveredTokens, pool.isContended(nowMs), nowMs)
+                >= row.spec.deadlineMs();
     }
 
     private void park(RequestRow row, long nowMs) {
--- a/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -9,7 +9,9 @@
 import io.radishwinch.core.model.FleetConfig;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.queue.DeadlineIndex;
-import io.radishwinch.core.queue.FifoQueue;
+import io.radishwinch.core.queue.Entitlements;
+import io.radishwinch.core.queue.QueueSettings;
+import io.radishwinch.core.queue.RankedFairQueue;
 import io.radishwinch.core.queue.RequestQueue;
 import java.util.ArrayList;
 import java.util.List;
@@ -28,7 +30,6 @@
     private final AdmissionSystem admission;
     private final DispatchSystem dispatch;
     private final AttemptSystem attempts;
-    private long nowMs;
 
     private TableDecisionCore(CoreState state) {
         this.state = state;
@@ -37,22 +38,30 @@
         this.attempts = new AttemptSystem(state);
     }
 
-    /** Creates a core with the default queue. */
+    /** Creates a core with a {@link RankedFairQueue}. */
     public static TableDecisionCore create(CoreSettings settings, EndpointDirectory directory, ChainPlanner planner) {
-        return create(settings, directory, planner, new FifoQueue(settings.queue(), new DeadlineIndex(request -> 0)));
+        return create(settings, directory, planner, RankedFairQueue::new);
     }
 
     /** Creates a core with another queue. */
     public static TableDecisionCore create(
-            CoreSettings settings, EndpointDirectory directory, ChainPlanner planner, RequestQueue queue) {
-        return new TableDecisionCore(new CoreState(settings, directory, planner, queue));
+            CoreSettings settings, EndpointDirectory directory, ChainPlanner planner, QueueFactory queues) {
+        return new TableDecisionCore(new CoreState(settings, directory, planner, queues));
+    }
+
+    /** Creates the queue of a core. */
+    @FunctionalInterface
+    public interface QueueFactory {
+
+        /** Creates an empty queue over the given bounds, contracts and index of deadlines. */
+        RequestQueue create(QueueSettings settings, Entitlements entitlements, DeadlineIndex deadlines);
     }
 
     // Events
 
     @Override
     public List<Action> handle(Event event, long nowMs) {
-        this.nowMs = nowMs;
+        state.nowMs = nowMs;
         state.out = new ArrayList<>(state.directory.handle(event, nowMs));
         if (event instanceof Event.Tick) {
             tick(nowMs);
@@ -127,10 +136,9 @@
             if (row.isRunning()) {
                 continue;
             }
-            Reason reason = admission.contractReason(
-                    row.spec, config.contracts().get(row.spec.caller()), config.pool(row.spec.pool()));
+            Reason reason = state.contractReason(row.spec);
             if (reason != null) {
-                state.refuse(row, reason == Reason.UNKNOWN_CALLER ? Reason.CONTRACT_WITHDRAWN : reason, nowMs);
+                state.refuse(row, reason, nowMs);
             }
         }
         state.callers
@@ -155,7 +163,7 @@
         return new CoreView(
                 state.requests.size() - state.running.size(),
                 state.running.size(),
-                state.directory.endpointViews(nowMs),
-                state.directory.poolViews(nowMs));
+                state.directory.endpointViews(state.nowMs),
+                state.directory.poolViews(state.nowMs));
     }
 }
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/queue/Account.java
@@ -0,0 +1,59 @@
+package io.radishwinch.core.queue;
+
+import io.radishwinch.core.model.Rank;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Service of one caller at one rank over all pools: its floor and how much of its reservations it uses. */
+final class Account {
+
+    private static final double MS_PER_S = 1_000.0;
+    /** Weight of a new sample in the moving average of the use of reservations. */
+    private static final double SAMPLE_WEIGHT = 0.1;
+    /** Smallest assumed use, so that a request always costs something before it ends. */
+    private static final double MIN_USE_RATIO = 0.01;
+
+    final String caller;
+    final Rank rank;
+    final List<Flow> flows = new ArrayList<>();
+    int queued;
+    int running;
+    long usedAtMs;
+    /** Time at which the service so far equals the floor, in ms: the caller is below its floor from then on. */
+    double floorTagMs;
+
+    double floorTokensPerS;
+    private double useRatio = 1;
+
+    Account(String caller, Rank rank, long nowMs, long floorBurstMs) {
+        this.caller = caller;
+        this.rank = rank;
+        this.floorTagMs = nowMs - floorBurstMs;
+    }
+
+    /** Returns the tokens that a request is expected to use. */
+    double expectedTokens(long costTokens) {
+        return costTokens * useRatio;
+    }
+
+    void charge(double tokens, long nowMs, long floorBurstMs) {
+        if (floorTokensPerS > 0) {
+            floorTagMs = Math.max(floorTagMs, nowMs - floorBurstMs) + tokens / floorTokensPerS * MS_PER_S;
+        }
+    }
+
+    void settle(long costTokens, double chargedTokens, long usedTokens) {
+        if (usedTokens > 0 && costTokens > 0) {
+            double sample = Math.min(1, (double) usedTokens / costTokens);
+            useRatio = Math.max(MIN_USE_RATIO, useRatio + SAMPLE_WEIGHT * (sample - useRatio));
+        }
+        if (floorTokensPerS > 0) {
+            floorTagMs += (usedTokens - chargedTokens) / floorTokensPerS * MS_PER_S;
+        }
+    }
+
+    /** Returns whether the account has had no request since the given time and its floor is not used ahead of it. */
+    boolean isIdleSince(long timeMs) {
+        return queued == 0 && running == 0 && flows.isEmpty() && usedAtMs <= timeMs && floorTagMs <= timeMs;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/queue/Flow.java
@@ -0,0 +1,34 @@
+package io.radishwinch.core.queue;
+
+import io.radishwinch.core.model.RequestSpec;
+import java.util.TreeMap;
+
+/** Waiting requests of one caller, rank and pool. */
+final class Flow {
+
+    final Account account;
+    final Lane lane;
+    /** Waiting requests by sequence number; requeued ones have negative numbers. */
+    final TreeMap<Long, Queued> waiting = new TreeMap<>();
+    /** Start tag of the next request: virtual time at which it would start in an ideally fair system. */
+    double startTag;
+
+    Flow(Account account, Lane lane) {
+        this.account = account;
+        this.lane = lane;
+    }
+
+    Queued head() {
+        return waiting.firstEntry().getValue();
+    }
+
+    /**
+     * A waiting request.
+     *
+     * @param sequence order within its flow
+     * @param request the request
+     * @param isCharged whether an earlier poll charged it
+     * @param flow flow that it waits in
+     */
+    record Queued(long sequence, RequestSpec request, boolean isCharged, Flow flow) {}
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/queue/RankedFairQueue.java
@@ -0,0 +1,259 @@
+package io.radishwinch.core.queue;
+
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.RequestSpec;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+
+/**
+ * Strict priority between ranks above contracted floors, fair sharing by token cost between the callers of a rank.
+ *
+ * <p>Callers below their floor come first, the most urgent rank first and within a rank the caller that has been below
+ * its floor for the longest time; the floor is tracked by a virtual clock (L. Zhang, "VirtualClock: a new traffic
+ * control algorithm for packet switching networks", SIGCOMM 1990). All other requests follow by rank. Within a rank and
+ * pool the order is start-time fair queueing (P. Goyal, H. Vin, H. Cheng, "Start-time fair queueing", SIGCOMM 1996)
+ * with the contract's weight and the expected tokens as cost; {@link #settle} corrects the tags to the tokens used.
+ *
+ * <p>Each rank has a reserve of the capacity, and each caller may hold at most as many requests of a rank as that rank
+ * has room left (dynamic thresholds, A. Choudhury, E. Hahne, "Dynamic queue length thresholds for shared-memory packet
+ * switches", IEEE/ACM Transactions on Networking 6(2), 1998), so that one caller's flood leaves room for the others.
+ *
+ * <p>{@code poll} looks at one request per rank and pool at most, so its time does not grow with the queue.
+ */
+public final class RankedFairQueue implements RequestQueue {
+
+    private record AccountKey(String caller, Rank rank) {}
+
+    private record Charge(Flow flow, double tokens) {}
+
+    private static final long SWEEP_INTERVAL_MS = 1_000;
+    /** An idle account is kept for this time, because it holds what the caller uses of its reservations. */
+    private static final long ACCOUNT_TTL_MS = 60_000;
+
+    private final QueueSettings settings;
+    private final Entitlements entitlements;
+    private final DeadlineIndex deadlines;
+    private final Map<Rank, TreeMap<String, Lane>> lanes = new EnumMap<>(Rank.class);
+    private final Map<AccountKey, Account> accounts = new HashMap<>();
+    private final Map<String, Flow.Queued> queuedById = new HashMap<>();
+    private final Map<String, Charge> chargesById = new HashMap<>();
+    private final int[] queuedByRank = new int[Rank.values().length];
+    private long nextSequence;
+    private long nextFrontSequence = -1;
+    private long sweptAtMs;
+
+    /** Creates an empty queue. */
+    public RankedFairQueue(QueueSettings settings, Entitlements entitlements, DeadlineIndex deadlines) {
+        this.settings = settings;
+        this.entitlements = entitlements;
+        this.deadlines = deadlines;
+        for (Rank rank : Rank.values()) {
+            lanes.put(rank, new TreeMap<>());
+        }
+    }
+
+    // Adding
+
+    @Override
+    public boolean offer(RequestSpec request, long nowMs) {
+        Account account = accounts.get(new AccountKey(request.caller(), request.rank()));
+        int free = freeFor(request.rank());
+        if (free <= 0 || (account != null && account.queued >= free)) {
+            return false;
+        }
+        add(new Flow.Queued(nextSequence++, request, false, flow(request, nowMs)), nowMs);
+        return true;
+    }
+
+    @Override
+    public void requeue(RequestSpec request, long nowMs) {
+        add(
+                new Flow.Queued(
+                        nextFrontSequence--,
+                        request,
+                        chargesById.containsKey(request.requestId()),
+                        flow(request, nowMs)),
+                nowMs);
+    }
+
+    /** Returns the room that a rank may still use: all but what other ranks need to fill their reserves. */
+    private int freeFor(Rank rank) {
+        int reserve = (int) (settings.capacity() * settings.rankReserveShare());
+        int free = settings.capacity() - queuedById.size();
+        for (Rank other : Rank.values()) {
+            if (other != rank) {
+                free -= Math.max(0, reserve - queuedByRank[other.ordinal()]);
+            }
+        }
+        return free;
+    }
+
+    private void add(Flow.Queued queued, long nowMs) {
+        Flow flow = queued.flow();
+        Account account = flow.account;
+        account.floorTokensPerS = entitlements.floorTokensPerS(account.caller, account.rank);
+        flow.lane.detach(flow);
+        if (flow.waiting.isEmpty()) {
+            flow.startTag = Math.max(flow.startTag, flow.lane.virtualTime);
+        }
+        flow.waiting.put(queued.sequence(), queued);
+        flow.lane.attach(flow);
+        account.queued++;
+        account.usedAtMs = nowMs;
+        queuedByRank[account.rank.ordinal()]++;
+        queuedById.put(queued.request().requestId(), queued);
+        deadlines.add(queued.request());
+    }
+
+    private Flow flow(RequestSpec request, long nowMs) {
+        Account account = accounts.computeIfAbsent(
+                new AccountKey(request.caller(), request.rank()),
+                key -> new Account(key.caller(), key.rank(), nowMs, settings.floorBurstMs()));
+        Lane lane = lanes.get(request.rank())
+                .computeIfAbsent(request.pool(), pool -> new Lane(request.rank(), request.pool()));
+        return lane.flowsByCaller.computeIfAbsent(request.caller(), caller -> {
+            Flow flow = new Flow(account, lane);
+            account.flows.add(flow);
+            return flow;
+        });
+    }
+
+    // Taking
+
+    @Override
+    public Optional<RequestSpec> poll(Predicate<RequestSpec> dispatchable, long nowMs) {
+        Set<Lane> tried = new HashSet<>();
+        for (TreeMap<String, Lane> lanesOfRank : lanes.values()) {
+            for (Lane lane : lanesOfRank.values()) {
+                Flow flow = lane.nextBelowFloor(nowMs);
+                if (flow != null
+                        && tried.add(lane)
+                        && dispatchable.test(flow.head().request())) {
+                    lane.advance();
+                    return Optional.of(take(flow, nowMs));
+                }
+            }
+        }
+        for (TreeMap<String, Lane> lanesOfRank : lanes.values()) {
+            for (Lane lane : lanesOfRank.values()) {
+                if (lane.isEmpty() || !tried.add(lane)) {
+                    continue;
+                }
+                Flow flow = lane.nextInFairOrder();
+                if (dispatchable.test(flow.head().request())) {
+                    lane.advance();
+                    return Optional.of(take(flow, nowMs));
+                }
+            }
+        }
+        return Optional.empty();
+    }
+
+    private RequestSpec take(Flow flow, long nowMs) {
+        Flow.Queued head = flow.head();
+        Account account = flow.account;
+        removeEntry(head);
+        if (!head.isCharged()) {
+            double tokens = account.expectedTokens(head.request().costTokens());
+            chargesById.put(head.request().requestId(), new Charge(flow, tokens));
+            account.running++;
+            retag(account, () -> {
+                account.charge(tokens, nowMs, settings.floorBurstMs());
+                flow.startTag += tokens / entitlements.weight(account.caller);
+            });
+        }
+        return head.request();
+    }
+
+    @Override
+    public boolean remove(String requestId) {
+        Flow.Queued queued = queuedById.get(requestId);
+        if (queued == null) {
+            return false;
+        }
+        removeEntry(queued);
+        return true;
+    }
+
+    @Override
+    public List<RequestSpec> removeExpired(long nowMs) {
+        List<RequestSpec> expired = new ArrayList<>();
+        for (Optional<RequestSpec> next = deadlines.expired(nowMs); next.isPresent(); next = deadlines.expired(nowMs)) {
+            expired.add(next.get());
+            remove(next.get().requestId());
+        }
+        if (nowMs - sweptAtMs >= SWEEP_INTERVAL_MS) {
+            sweptAtMs = nowMs;
+            sweep(nowMs);
+        }
+        return expired;
+    }
+
+    private void removeEntry(Flow.Queued queued) {
+        Flow flow = queued.flow();
+        flow.lane.detach(flow);
+        flow.waiting.remove(queued.sequence());
+        flow.lane.attach(flow);
+        flow.account.queued--;
+        queuedByRank[flow.account.rank.ordinal()]--;
+        queuedById.remove(queued.request().requestId());
+        deadlines.remove(queued.request());
+    }
+
+    // Settling
+
+    @Override
+    public void settle(RequestSpec request, long usedTokens) {
+        Charge charge = chargesById.remove(request.requestId());
+        if (charge == null) {
+            return;
+        }
+        Flow flow = charge.flow();
+        Account account = flow.account;
+        account.running--;
+        retag(account, () -> {
+            account.settle(request.costTokens(), charge.tokens(), usedTokens);
+            double correction = (usedTokens - charge.tokens()) / entitlements.weight(account.caller);
+            // A flow earns no credit for the time before the virtual time, as in start-time fair queueing.
+            flow.startTag = Math.max(flow.lane.virtualTime, flow.startTag + correction);
+        });
+    }
+
+    /** Changes tags of an account while its flows are out of the ordered sets. */
+    private static void retag(Account account, Runnable change) {
+        account.flows.forEach(flow -> flow.lane.detach(flow));
+        change.run();
+        account.flows.forEach(flow -> flow.lane.attach(flow));
+    }
+
+    /** Removes flows and accounts without requests whose tags no longer matter; keeps the tables bounded. */
+    private void sweep(long nowMs) {
+        for (TreeMap<String, Lane> lanesOfRank : lanes.values()) {
+            lanesOfRank.values().forEach(Lane::removeIdleFlows);
+            lanesOfRank.values().removeIf(lane -> lane.flowsByCaller.isEmpty());
+        }
+        accounts.values().removeIf(account -> account.isIdleSince(nowMs - ACCOUNT_TTL_MS));
+    }
+
+    // Views
+
+    @Override
+    public boolean isBelowFloor(String caller, Rank rank, long nowMs) {
+        double floor = entitlements.floorTokensPerS(caller, rank);
+        Account account = accounts.get(new AccountKey(caller, rank));
+        return floor > 0 && (account == null || account.floorTagMs <= nowMs);
+    }
+
+    @Override
+    public int size() {
+        return queuedById.size();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/radishwinch/core/impl/FakeDirectory.java
@@ -0,0 +1,112 @@
+package io.radishwinch.core.impl;
+
+import io.radishwinch.core.DecisionCore.EndpointView;
+import io.radishwinch.core.DecisionCore.PoolView;
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.chain.ChainPlanner;
+import io.radishwinch.core.chain.EndpointDirectory;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.Chain;
+import io.radishwinch.core.model.LayerRange;
+import io.radishwinch.core.model.ModelSpec;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Stage;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** Endpoints {@code <stage>-<n>} in columns, one column for each stage; a chain takes the freest of each column. */
+final class FakeDirectory implements EndpointDirectory, ChainPlanner {
+
+    final int stageCount;
+    final int slots;
+    final Map<String, Integer> runningByEndpoint = new TreeMap<>();
+    final Set<String> down = new HashSet<>();
+
+    FakeDirectory(int stageCount, int endpointsPerStage, int slots) {
+        this.stageCount = stageCount;
+        this.slots = slots;
+        for (int stage = 0; stage < stageCount; stage++) {
+            for (int n = 0; n < endpointsPerStage; n++) {
+                runningByEndpoint.put(stage + "-" + n, 0);
+            }
+        }
+    }
+
+    @Override
+    public Optional<Chain> plan(RequestSpec request, ModelSpec pool, Set<String> excluded, long nowMs) {
+        int columns = pool.layerCount() == 1 ? 1 : stageCount;
+        int layersPerStage = pool.layerCount() / columns;
+        List<Stage> stages = new ArrayList<>();
+        for (int column = 0; column < columns; column++) {
+            String prefix = column + "-";
+            Optional<String> best = runningByEndpoint.keySet().stream()
+                    .filter(id -> id.startsWith(prefix) && !down.contains(id) && !excluded.contains(id))
+                    .filter(id -> runningByEndpoint.get(id) < slots)
+                    .min((a, b) -> runningByEndpoint.get(a) - runningByEndpoint.get(b));
+            if (best.isEmpty()) {
+                return Optional.empty();
+            }
+            stages.add(new Stage(best.get(), new LayerRange(column * layersPerStage, (column + 1) * layersPerStage)));
+        }
+        return Optional.of(new Chain(stages));
+    }
+
+    @Override
+    public List<Action> handle(Event event, long nowMs) {
+        if (event instanceof Event.EndpointGone gone) {
+            down.add(gone.endpointId());
+        }
+        return List.of();
+    }
+
+    @Override
+    public void acquire(Chain chain, RequestSpec request, long nowMs) {
+        chain.stages().forEach(stage -> runningByEndpoint.merge(stage.endpointId(), 1, Integer::sum));
+    }
+
+    @Override
+    public void release(Chain chain, RequestSpec request, long nowMs) {
+        chain.stages().forEach(stage -> runningByEndpoint.merge(stage.endpointId(), -1, Integer::sum));
+    }
+
+    @Override
+    public List<Action> succeeded(Chain chain, long firstTokenMs, double tokenIntervalMs, long nowMs) {
+        return List.of();
+    }
+
+    @Override
+    public List<Action> failed(String endpointId, Reason reason, long nowMs) {
+        return List.of();
+    }
+
+    @Override
+    public boolean isUsable(String endpointId, long nowMs) {
+        return !down.contains(endpointId);
+    }
+
+    @Override
+    public boolean isCovered(String pool, long nowMs) {
+        return runningByEndpoint.keySet().stream().anyMatch(id -> id.startsWith("0-") && !down.contains(id));
+    }
+
+    @Override
+    public double boundTokensPerS(String pool, long nowMs) {
+        return 0;
+    }
+
+    @Override
+    public List<EndpointView> endpointViews(long nowMs) {
+        return List.of();
+    }
+
+    @Override
+    public List<PoolView> poolViews(long nowMs) {
+        return List.of();
+    }
+}
