--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/KeyEntry.java
@@ -0,0 +1,48 @@
+package io.radishwinch.cluster.journal;
+
+import java.util.List;
+
+/**
+ * What is remembered of one key.
+ *
+ * @param state state of the last grant
+ * @param fingerprint hash of the content of the last grant
+ * @param nonce mark of the last grant
+ * @param intentMs log time of the intent, from which retention counts, in ms since the epoch
+ * @param sequence batch that changed the entry last
+ * @param outcome encoded answer, or null if there is none or it is only in its snapshot
+ * @param abandonedNonces grants that were given back, newest last
+ */
+record KeyEntry(
+        State state,
+        Hash128 fingerprint,
+        String nonce,
+        long intentMs,
+        long sequence,
+        byte[] outcome,
+        List<String> abandonedNonces) {
+
+    /** Bound of the remembered nonces; forgetting one can leave a key in doubt, never cause a second run. */
+    static final int MAX_ABANDONED_NONCES = 8;
+
+    /** State of a grant. */
+    enum State {
+        INTENT,
+        OUTCOME,
+        /** The request ran; its outcome was too large to keep. */
+        OUTCOME_NOT_KEPT,
+        ABANDONED
+    }
+
+    boolean isExpired(long retentionMs, long atMs) {
+        return intentMs + retentionMs <= atMs;
+    }
+
+    int outcomeBytes() {
+        return outcome == null ? 0 : outcome.length;
+    }
+
+    KeyEntry withoutOutcome() {
+        return new KeyEntry(state, fingerprint, nonce, intentMs, sequence, null, abandonedNonces);
+    }
+}
--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/PendingStep.java
@@ -0,0 +1,73 @@
+package io.radishwinch.cluster.journal;
+
+import io.radishwinch.cluster.journal.JournalPeer.Reply;
+import io.radishwinch.cluster.journal.JournalPeer.Request;
+import io.radishwinch.cluster.journal.JournalPeer.Step;
+import java.util.function.Consumer;
+
+/** A step that waits for its shard. */
+final class PendingStep {
+    private final Request request;
+    private final Hash128 key;
+    private final Consumer<Reply> done;
+    private boolean answered;
+    private boolean fresh;
+    private boolean mayBeRecorded;
+
+    PendingStep(Request request, Hash128 key, Consumer<Reply> done) {
+        this.request = request;
+        this.key = key;
+        this.done = done;
+    }
+
+    Request request() {
+        return request;
+    }
+
+    Step step() {
+        return request.step();
+    }
+
+    String nonce() {
+        return request.grantNonce();
+    }
+
+    Hash128 key() {
+        return key;
+    }
+
+    int sizeBytes() {
+        return 256 + request.outcome().map(outcome -> outcome.length).orElse(0);
+    }
+
+    boolean isAnswered() {
+        return answered;
+    }
+
+    /** Answers the step, unless it was answered before. */
+    void answer(Reply reply) {
+        if (!answered) {
+            answered = true;
+            done.accept(reply);
+        }
+    }
+
+    /** Returns whether the log was read after the step arrived. */
+    boolean isFresh() {
+        return fresh;
+    }
+
+    void markFresh() {
+        fresh = true;
+    }
+
+    /** Notes whether a create that holds the step's record may have taken effect or may yet do so. */
+    void setMayBeRecorded(boolean value) {
+        mayBeRecorded = value;
+    }
+
+    /** Returns whether a record of this step may exist or may yet appear. */
+    boolean mayBeRecorded() {
+        return mayBeRecorded;
+    }
+}
--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/ShardCompactor.java
@@ -0,0 +1,218 @@
+package io.radishwinch.cluster.journal;
+
+import io.radishwinch.cluster.journal.Manifest.Segment;
+import io.radishwinch.cluster.platform.PlatformClient.PutResult;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Merges the batches of a shard into snapshot segments and deletes what they replace.
+ *
+ * <p>The order makes a crash at any point harmless: segments are created, then the manifest is replaced by a
+ * conditional update, and only then are batches and replaced segments deleted. Of two routers that compact at once, one
+ * fails the conditional update.
+ */
+final class ShardCompactor {
+    private final ShardLog log;
+    private final ShardStore store;
+    private final JournalSettings settings;
+    private final NonceSource nonces;
+
+    private boolean running;
+    private boolean deleting;
+    private boolean wanted;
+
+    ShardCompactor(ShardLog log, ShardStore store, JournalSettings settings, NonceSource nonces) {
+        this.log = log;
+        this.store = store;
+        this.settings = settings;
+        this.nonces = nonces;
+    }
+
+    boolean isRunning() {
+        return running || deleting;
+    }
+
+    /** Makes the next commit compact, also if few batches have accumulated. */
+    void compactNext() {
+        wanted = true;
+    }
+
+    /** Starts a compaction if enough batches have accumulated. */
+    void compactIfDue() {
+        long batches = log.lastSequence() - log.manifest().floor();
+        if (running || (batches < settings.compactAfterBatches() && !(wanted && batches > 0))) {
+            return;
+        }
+        wanted = false;
+        running = true;
+        Manifest before = log.manifest();
+        ShardIndex index = log.index();
+        index.dropExpired();
+        List<Segment> kept = new ArrayList<>();
+        List<Segment> replaced = new ArrayList<>();
+        for (Segment segment : before.segments()) {
+            boolean isExpired = segment.newestIntentMs() + settings.retentionMs() <= index.logMs();
+            (isExpired ? replaced : kept).add(segment);
+        }
+        long after = before.floor();
+        while (!kept.isEmpty() && !kept.get(kept.size() - 1).isSealed()) {
+            Segment last = kept.remove(kept.size() - 1);
+            replaced.add(last);
+            after = last.afterSequence();
+        }
+        List<Map<Hash128, KeyEntry>> parts = split(index.changedAfter(after));
+        Compaction compaction =
+                new Compaction(before, log.manifestVersion(), log.lastSequence(), index.logMs(), kept, replaced);
+        createSegments(compaction, parts.iterator(), after);
+    }
+
+    /** Splits entries, which come in order of their batches, into parts that fit into one object each. */
+    private static List<Map<Hash128, KeyEntry>> split(Map<Hash128, KeyEntry> entries) {
+        Map<Long, Integer> bytesBySequence = new LinkedHashMap<>();
+        entries.values()
+                .forEach(entry ->
+                        bytesBySequence.merge(entry.sequence(), JournalCodec.entrySizeBytes(entry), Integer::sum));
+        List<Map<Hash128, KeyEntry>> parts = new ArrayList<>();
+        Map<Hash128, KeyEntry> part = new LinkedHashMap<>();
+        long sequence = -1;
+        int bytes = 0;
+        for (Map.Entry<Hash128, KeyEntry> keyed : entries.entrySet()) {
+            if (keyed.getValue().sequence() != sequence) {
+                sequence = keyed.getValue().sequence();
+                int nextBytes = bytesBySequence.get(sequence);
+                if (!part.isEmpty() && bytes + nextBytes > JournalSettings.MAX_SEGMENT_BYTES) {
+                    parts.add(part);
+                    part = new LinkedHashMap<>();
+                    bytes = 0;
+                }
+                bytes += nextBytes;
+            }
+            part.put(keyed.getKey(), keyed.getValue());
+        }
+        if (!part.isEmpty()) {
+            parts.add(part);
+        }
+        return parts;
+    }
+
+    private void createSegments(Compaction compaction, Iterator<Map<Hash128, KeyEntry>> parts, long after) {
+        if (!parts.hasNext()) {
+            replaceManifest(compaction);
+            return;
+        }
+        Map<Hash128, KeyEntry> part = parts.next();
+        long to = parts.hasNext()
+                ? part.values().stream().mapToLong(KeyEntry::sequence).max().orElseThrow()
+                : compaction.floor();
+        long newestIntentMs =
+                part.values().stream().mapToLong(KeyEntry::intentMs).max().orElseThrow();
+        String nonce = nonces.next();
+        String name = ShardStore.segmentName(to, nonce);
+        byte[] value = JournalCodec.encodeSegment(part);
+        store.createSegment(name, value, nonce)
+                .subscribe()
+                .with(
+                        result -> {
+                            if (result instanceof PutResult.Written written) {
+                                Segment segment =
+                                        new Segment(name, written.version(), after, to, newestIntentMs, value.length);
+                                compaction.created().add(segment);
+                                createSegments(compaction, parts, to);
+                            } else {
+                                undo(compaction);
+                            }
+                        },
+                        failure -> undo(compaction));
+    }
+
+    private void replaceManifest(Compaction compaction) {
+        List<Segment> segments = new ArrayList<>(compaction.kept());
+        segments.addAll(compaction.created());
+        Manifest manifest = new Manifest(compaction.floor(), compaction.logMs(), List.copyOf(segments));
+        store.putManifest(compaction.expectedVersion(), manifest, nonces.next())
+                .subscribe()
+                .with(
+                        result -> {
+                            if (result instanceof PutResult.Written written) {
+                                running = false;
+                                log.onManifestWritten(manifest, written.version());
+                                deleteSegments(compaction.replaced());
+                                deleteBatches();
+                            } else {
+                                undo(compaction);
+                            }
+                        },
+                        // The manifest may have been replaced, so the new segments must stay. If it was not, the next
+                        // router that reads the shard deletes them.
+                        failure -> running = false);
+    }
+
+    private void undo(Compaction compaction) {
+        running = false;
+        deleteSegments(compaction.created());
+    }
+
+    // ---- deletion ----
+
+    private void deleteSegments(List<Segment> segments) {
+        segments.forEach(segment -> deleteSegment(segment.name(), segment.version()));
+    }
+
+    private void deleteSegment(String name, long version) {
+        store.deleteSegment(name, version, nonces.next()).subscribe().with(done -> {}, failure -> {});
+    }
+
+    /** Deletes what routers that died in the middle of a compaction left. */
+    void deleteLeftOvers(ShardSnapshot snapshot) {
+        snapshot.orphans().forEach(this::deleteSegment);
+        deleteBatches();
+    }
+
+    private void deleteBatches() {
+        if (!deleting) {
+            deleting = true;
+            deleteNext(log.supersededBatches().entrySet().iterator());
+        }
+    }
+
+    private void deleteNext(Iterator<Map.Entry<Long, Long>> batches) {
+        if (!batches.hasNext()) {
+            deleting = false;
+            return;
+        }
+        Map.Entry<Long, Long> batch = batches.next();
+        store.deleteBatch(batch.getKey(), batch.getValue(), nonces.next())
+                .subscribe()
+                .with(
+                        done -> {
+                            log.onBatchDeleted(batch.getKey());
+                            deleteNext(batches);
+                        },
+                        failure -> deleting = false);
+    }
+
+    /** A compaction under way. */
+    private record Compaction(
+            Manifest before,
+            long expectedVersion,
+            long floor,
+            long logMs,
+            List<Segment> kept,
+            List<Segment> replaced,
+            List<Segment> created) {
+
+        Compaction(
+                Manifest before,
+                long expectedVersion,
+                long floor,
+                long logMs,
+                List<Segment> kept,
+                List<Segment> replaced) {
+            this(before, expectedVersion, floor, logMs, kept, replaced, new ArrayList<>());
+        }
+    }
+}
--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/ShardLog.java
@@ -0,0 +1,511 @@
+package io.radishwinch.cluster.journal;
+
+import io.radishwinch.cluster.journal.JournalPeer.Reply;
+import io.radishwinch.cluster.journal.JournalPeer.Request;
+import io.radishwinch.cluster.journal.JournalPeer.Result;
+import io.radishwinch.cluster.journal.JournalPeer.Step;
+import io.radishwinch.cluster.journal.ShardIndex.Evaluation;
+import io.radishwinch.cluster.journal.ShardStore.StoredBatch;
+import io.radishwinch.cluster.journal.ShardStore.Tail;
+import io.radishwinch.cluster.platform.PlatformClient;
+import io.radishwinch.cluster.platform.PlatformClient.PutResult;
+import io.radishwinch.cluster.platform.PlatformException;
+import io.radishwinch.cluster.platform.PlatformException.Kind;
+import io.radishwinch.cluster.platform.Scheduler;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * One router's view of one shard, and its attempts to extend the log.
+ *
+ * <p>At most one read or create is under way. A batch counts only after it was created and a later read showed that its
+ * sequence number lies above the floor of the manifest; otherwise a writer that slept through a compaction could create
+ * a number whose batch had been deleted.
+ */
+final class ShardLog {
+    private static final long FIRST_BACKOFF_MS = 50;
+    /** Bounds the time for which requests are still refused after the platform has returned. */
+    private static final long MAX_BACKOFF_MS = 1_000;
+
+    private static final int FAILURES_BEFORE_FAST_REFUSAL = 2;
+    private static final long MAX_QUEUED_BYTES = 4_000_000;
+
+    private final int shard;
+    private final JournalSettings settings;
+    private final Scheduler scheduler;
+    private final ShardStore store;
+    private final NonceSource nonces;
+    private final ShardIndex.Holders holders;
+    private final JournalListener listener;
+    private final ShardCompactor compactor;
+
+    private final List<PendingStep> queue = new ArrayList<>();
+    private long queuedBytes;
+    private boolean busy;
+    private Scheduler.Timer wakeUp;
+    private long notBeforeMs;
+    private long backoffMs = FIRST_BACKOFF_MS;
+    private int failures;
+    private boolean tickWanted;
+    private long lastUsedMs;
+
+    private boolean loaded;
+    private ShardIndex index;
+    private long next = 1;
+    private long minStoreVersion;
+    private Manifest manifest = Manifest.EMPTY;
+    private long manifestVersion = PlatformClient.ABSENT;
+    /** Versions of the batches that are in the platform, by sequence number. */
+    private TreeMap<Long, Long> batchVersions = new TreeMap<>();
+
+    ShardLog(
+            int shard,
+            JournalSettings settings,
+            PlatformClient platform,
+            PlatformClient backgroundPlatform,
+            Scheduler scheduler,
+            NonceSource nonces,
+            ShardIndex.Holders holders,
+            JournalListener listener) {
+        this.shard = shard;
+        this.settings = settings;
+        this.scheduler = scheduler;
+        this.store = new ShardStore(platform, scheduler, shard);
+        this.nonces = nonces;
+        this.holders = holders;
+        this.listener = listener;
+        this.index = new ShardIndex(settings);
+        this.compactor =
+                new ShardCompactor(this, new ShardStore(backgroundPlatform, scheduler, shard), settings, nonces);
+    }
+
+    // ---- steps ----
+
+    /** Handles a step; the reply is given exactly once. */
+    void submit(Request request, Hash128 key, Consumer<Reply> done) {
+        lastUsedMs = scheduler.nowMs();
+        PendingStep step = new PendingStep(request, key, done);
+        if (loaded && answerFromMemory(step)) {
+            return;
+        }
+        if (request.step() == Step.OPEN && failures >= FAILURES_BEFORE_FAST_REFUSAL && notBeforeMs > lastUsedMs) {
+            step.answer(refusal(step));
+            return;
+        }
+        if (queue.size() >= settings.maxQueuedSteps() || queuedBytes + step.sizeBytes() > MAX_QUEUED_BYTES) {
+            listener.onOverflow(shard);
+            step.answer(Reply.of(Result.UNAVAILABLE, ""));
+            return;
+        }
+        queue.add(step);
+        queuedBytes += step.sizeBytes();
+        scheduler.schedule(settings.stepTimeoutMs(), () -> expire(step));
+        pump();
+    }
+
+    /** Ends the wait for a step. A grant that is no longer awaited is not requested any more. */
+    private void expire(PendingStep step) {
+        if (!step.isAnswered()) {
+            step.answer(Reply.of(Result.UNAVAILABLE, step.mayBeRecorded() ? step.nonce() : ""));
+            if (step.step() == Step.OPEN) {
+                remove(step);
+            }
+        }
+    }
+
+    private void remove(PendingStep step) {
+        if (queue.remove(step)) {
+            queuedBytes -= step.sizeBytes();
+        }
+    }
+
+    /** Answers a step whose result is final; an outcome in memory is replayed also while the platform is down. */
+    private boolean answerFromMemory(PendingStep step) {
+        Evaluation evaluation = index.evaluate(step.request(), step.key(), nextLogMs(), holders);
+        if (evaluation instanceof Evaluation.Settled settled) {
+            settle(step, settled.result());
+            return true;
+        }
+        return false;
+    }
+
+    private void settle(PendingStep step, Result result) {
+        if (result != Result.REPLAY) {
+            step.answer(Reply.of(result, result == Result.UNAVAILABLE ? "" : step.nonce()));
+            return;
+        }
+        KeyEntry entry = index.live(step.key(), nextLogMs());
+        if (entry.outcome() != null) {
+            step.answer(new Reply(Result.REPLAY, step.nonce(), Optional.of(entry.outcome())));
+            return;
+        }
+        Runnable lost = () -> step.answer(Reply.of(Result.OUTCOME_UNKNOWN, step.nonce()));
+        Optional<Manifest.Segment> segment = manifest.segments().stream()
+                .filter(candidate ->
+                        candidate.afterSequence() < entry.sequence() && entry.sequence() <= candidate.toSequence())
+                .findFirst();
+        if (segment.isEmpty()) {
+            lost.run();
+            return;
+        }
+        store.readSegment(segment.get())
+                .map(object -> object.map(
+                        found -> JournalCodec.decodeSegment(found.value()).get(step.key())))
+                .subscribe()
+                .with(
+                        found -> found.filter(stored -> stored.outcome() != null)
+                                .ifPresentOrElse(
+                                        stored -> step.answer(
+                                                new Reply(Result.REPLAY, step.nonce(), Optional.of(stored.outcome()))),
+                                        lost),
+                        failure -> lost.run());
+    }
+
+    // ---- the commit loop ----
+
+    private long nextLogMs() {
+        return Math.max(scheduler.nowMs(), index.logMs());
+    }
+
+    /** Does the next thing that queued steps need, unless something is under way. */
+    private void pump() {
+        if (busy || (queue.isEmpty() && !tickWanted)) {
+            return;
+        }
+        long waitMs = notBeforeMs - scheduler.nowMs();
+        if (waitMs > 0) {
+            wakeAfter(waitMs);
+            return;
+        }
+        busy = true;
+        if (loaded) {
+            commit();
+        } else {
+            load();
+        }
+    }
+
+    private void wakeAfter(long delayMs) {
+        if (wakeUp != null) {
+            wakeUp.cancel();
+        }
+        wakeUp = scheduler.schedule(delayMs, this::pump);
+    }
+
+    private void release() {
+        busy = false;
+        pump();
+    }
+
+    /** Answers the steps that are decided and writes one batch with records for the others. */
+    private void commit() {
+        long logMs = nextLogMs();
+        List<PendingStep> members = new ArrayList<>();
+        List<JournalRecord> records = new ArrayList<>();
+        Set<Hash128> keys = new HashSet<>();
+        boolean needsCatchUp = false;
+        int sizeBytes = 0;
+        for (PendingStep step : List.copyOf(queue)) {
+            if (keys.contains(step.key())) {
+                continue;
+            }
+            Evaluation evaluation = index.evaluate(step.request(), step.key(), logMs, holders);
+            if (evaluation instanceof Evaluation.Settled settled) {
+                remove(step);
+                settle(step, settled.result());
+            } else if (evaluation instanceof Evaluation.Provisional provisional) {
+                if (step.isFresh()) {
+                    remove(step);
+                    settle(step, provisional.result());
+                } else {
+                    needsCatchUp = true;
+                }
+            } else if (evaluation instanceof Evaluation.Write write) {
+                int recordBytes = write.record().sizeBytes();
+                if (records.size() < settings.maxBatchRecords()
+                        && sizeBytes + recordBytes <= JournalSettings.MAX_BATCH_BYTES) {
+                    keys.add(step.key());
+                    members.add(step);
+                    records.add(write.record());
+                    sizeBytes += recordBytes;
+                }
+            }
+        }
+        if (!records.isEmpty() || (tickWanted && queue.isEmpty())) {
+            create(new Batch(logMs, records), members);
+        } else if (needsCatchUp) {
+            catchUp();
+        } else {
+            release();
+        }
+    }
+
+    private void create(Batch batch, List<PendingStep> members) {
+        long sequence = next;
+        String nonce = nonces.next();
+        byte[] value = JournalCodec.encodeBatch(batch);
+        members.forEach(step -> step.setMayBeRecorded(true));
+        notBeforeMs = scheduler.nowMs() + settings.commitIntervalMs();
+        store.create(sequence, value, nonce)
+                .subscribe()
+                .with(
+                        result -> {
+                            if (result instanceof PutResult.Written written) {
+                                verify(sequence, batch, value.length, written.version());
+                            } else if (result instanceof PutResult.Conflict conflict) {
+                                conflict.current()
+                                        .ifPresent(current ->
+                                                minStoreVersion = Math.max(minStoreVersion, current.version()));
+                                listener.onConflict(shard);
+                                members.forEach(step -> step.setMayBeRecorded(false));
+                                notBeforeMs = scheduler.nowMs();
+                                catchUp();
+                            }
+                        },
+                        failure -> onCreateFailed(members, failure));
+    }
+
+    /** Reads the log behind the new batch and accepts the batch if its number was not used and deleted before. */
+    private void verify(long sequence, Batch batch, int bytes, long version) {
+        minStoreVersion = Math.max(minStoreVersion, version);
+        List<PendingStep> current = List.copyOf(queue);
+        store.readTail(sequence, minStoreVersion)
+                .subscribe()
+                .with(
+                        tail -> {
+                            if (tail.manifest().floor() >= sequence) {
+                                listener.onVoidBatch(shard);
+                                store.deleteBatch(sequence, version, nonces.next())
+                                        .subscribe()
+                                        .with(done -> {}, failure -> {});
+                                forget();
+                                release();
+                                return;
+                            }
+                            batchVersions.put(sequence, version);
+                            index.apply(sequence, batch);
+                            next = sequence + 1;
+                            tickWanted = false;
+                            listener.onCommit(shard, batch.records().size(), bytes);
+                            applyTail(tail, current);
+                            compactor.compactIfDue();
+                        },
+                        this::onFailed);
+    }
+
+    private void catchUp() {
+        List<PendingStep> current = List.copyOf(queue);
+        store.readTail(next - 1, minStoreVersion).subscribe().with(tail -> applyTail(tail, current), this::onFailed);
+    }
+
+    /** Applies batches of other routers; the steps that waited since before the read now have fresh answers. */
+    private void applyTail(Tail tail, List<PendingStep> waiting) {
+        if (tail.manifest().floor() >= next) {
+            forget();
+            release();
+            return;
+        }
+        adoptManifest(tail);
+        for (Map.Entry<Long, StoredBatch> batch : tail.batches().entrySet()) {
+            if (batch.getKey() < next) {
+                continue;
+            }
+            if (batch.getKey() > next) {
+                onFailed(new PlatformException(Kind.NO_EFFECT, "batch " + next + " missing in shard " + shard, null));
+                return;
+            }
+            StoredBatch stored = batch.getValue();
+            index.apply(next, stored.batch());
+            batchVersions.put(next, stored.version());
+            minStoreVersion = Math.max(minStoreVersion, stored.version());
+            next++;
+        }
+        waiting.forEach(PendingStep::markFresh);
+        backoffMs = FIRST_BACKOFF_MS;
+        failures = 0;
+        answerDecided();
+        release();
+    }
+
+    private void answerDecided() {
+        for (PendingStep step : List.copyOf(queue)) {
+            if (answerFromMemory(step)) {
+                remove(step);
+            }
+        }
+    }
+
+    private void adoptManifest(Tail tail) {
+        if (tail.manifestVersion() > manifestVersion) {
+            manifest = tail.manifest();
+            manifestVersion = tail.manifestVersion();
+            minStoreVersion = Math.max(minStoreVersion, manifestVersion);
+        }
+    }
+
+    // ---- failures ----
+
+    private void onCreateFailed(List<PendingStep> members, Throwable failure) {
+        if (!isEffectUnknown(failure)) {
+            members.forEach(step -> step.setMayBeRecorded(false));
+        }
+        onFailed(failure);
+    }
+
+    /** Refuses grants and keeps the other steps for later; what was known before is still answered from memory. */
+    private void onFailed(Throwable failure) {
+        tickWanted = false;
+        listener.onPlatformFailure(shard, isEffectUnknown(failure));
+        failures++;
+        for (PendingStep step : List.copyOf(queue)) {
+            if (step.step() == Step.OPEN && !isEffectUnknown(failure)) {
+                remove(step);
+                step.answer(refusal(step));
+            }
+        }
+        notBeforeMs = scheduler.nowMs() + backoffMs + nonces.jitterMs(backoffMs);
+        backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
+        release();
+    }
+
+    private Reply refusal(PendingStep step) {
+        if (loaded
+                && index.evaluate(step.request(), step.key(), nextLogMs(), holders)
+                        instanceof Evaluation.Provisional provisional) {
+            return Reply.of(provisional.result(), step.nonce());
+        }
+        return Reply.of(Result.UNAVAILABLE, step.mayBeRecorded() ? step.nonce() : "");
+    }
+
+    private static boolean isEffectUnknown(Throwable failure) {
+        return !(failure instanceof PlatformException exception) || exception.kind() == Kind.EFFECT_UNKNOWN;
+    }
+
+    // ---- recovery ----
+
+    private void forget() {
+        loaded = false;
+        index = new ShardIndex(settings);
+        next = 1;
+        batchVersions = new TreeMap<>();
+    }
+
+    /** Reads the whole shard: first the log with its manifest, then the segments that the manifest names. */
+    private void load() {
+        long startMs = scheduler.nowMs();
+        List<PendingStep> current = List.copyOf(queue);
+        store.readTail(0, minStoreVersion)
+                .onItem()
+                .transformToUni(tail -> store.readSegments().map(segments -> new ShardSnapshot(tail, segments)))
+                .subscribe()
+                .with(
+                        snapshot -> {
+                            if (!snapshot.isComplete()) {
+                                onFailed(new PlatformException(
+                                        Kind.NO_EFFECT, "shard " + shard + " was compacted while it was read", null));
+                                return;
+                            }
+                            restore(snapshot);
+                            listener.onRecovery(shard, index.size(), scheduler.nowMs() - startMs);
+                            applyTail(snapshot.tail(), current);
+                        },
+                        this::onFailed);
+    }
+
+    private void restore(ShardSnapshot snapshot) {
+        forget();
+        manifest = snapshot.tail().manifest();
+        manifestVersion = snapshot.tail().manifestVersion();
+        minStoreVersion = Math.max(minStoreVersion, manifestVersion);
+        snapshot.restoreInto(index);
+        index.trimOutcomes(sealedUpTo());
+        next = manifest.floor() + 1;
+        loaded = true;
+        snapshot.tail()
+                .batches()
+                .headMap(next)
+                .forEach((sequence, object) -> batchVersions.put(sequence, object.version()));
+        compactor.deleteLeftOvers(snapshot);
+    }
+
+    /**
+     * Advances the log time of a shard without traffic by an empty batch and compacts it, so that expired keys are
+     * deleted there too.
+     */
+    void advanceIfQuiet(long quietMs) {
+        boolean holdsAnything = index.size() > 0 || lastSequence() > manifest.floor();
+        if (loaded && holdsAnything && scheduler.nowMs() - index.logMs() >= quietMs) {
+            tickWanted = true;
+            compactor.compactNext();
+            pump();
+        }
+    }
+
+    /** Forgets an idle shard, so that its memory is free; it is read again when it is needed. */
+    void unloadIfIdle(long idleMs) {
+        if (!busy && queue.isEmpty() && !compactor.isRunning() && scheduler.nowMs() - lastUsedMs >= idleMs) {
+            forget();
+        }
+    }
+
+    // ---- for the compactor ----
+
+    boolean isLoaded() {
+        return loaded;
+    }
+
+    ShardIndex index() {
+        return index;
+    }
+
+    Manifest manifest() {
+        return manifest;
+    }
+
+    long manifestVersion() {
+        return manifestVersion;
+    }
+
+    long lastSequence() {
+        return next - 1;
+    }
+
+    /** Takes over a manifest that this router wrote. */
+    void onManifestWritten(Manifest written, long version) {
+        if (version > manifestVersion) {
+            listener.onCompaction(
+                    shard,
+                    (int) (written.floor() - manifest.floor()),
+                    written.segments().size());
+            manifest = written;
+            manifestVersion = version;
+            minStoreVersion = Math.max(minStoreVersion, version);
+        }
+    }
+
+    /** Returns the versions of the batches that the manifest has made superfluous. */
+    Map<Long, Long> supersededBatches() {
+        return new TreeMap<>(batchVersions.headMap(manifest.floor(), true));
+    }
+
+    void onBatchDeleted(long sequence) {
+        batchVersions.remove(sequence);
+    }
+
+    long sealedUpTo() {
+        long upTo = 0;
+        for (Manifest.Segment segment : manifest.segments()) {
+            if (!segment.isSealed()) {
+                break;
+            }
+            upTo = segment.toSequence();
+        }
+        return upTo;
+    }
+}
--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/ShardSnapshot.java
@@ -0,0 +1,46 @@
+package io.radishwinch.cluster.journal;
+
+import io.radishwinch.cluster.journal.Manifest.Segment;
+import io.radishwinch.cluster.journal.ShardStore.Tail;
+import io.radishwinch.cluster.platform.PlatformClient.StoredObject;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Everything that the platform holds of a shard.
+ *
+ * @param tail the whole log with its manifest
+ * @param segments all segment objects by name, also those that the manifest does not name
+ */
+record ShardSnapshot(Tail tail, Map<String, StoredObject> segments) {
+
+    /** Returns whether all segments of the manifest were read; one may be deleted between the two reads. */
+    boolean isComplete() {
+        return tail.manifest().segments().stream().allMatch(segment -> segments.containsKey(segment.name()));
+    }
+
+    void restoreInto(ShardIndex index) {
+        for (Segment segment : tail.manifest().segments()) {
+            index.restore(
+                    JournalCodec.decodeSegment(segments.get(segment.name()).value()),
+                    tail.manifest().logMs());
+        }
+        index.restore(Map.of(), tail.manifest().logMs());
+    }
+
+    /**
+     * Returns versions of segments that no manifest names and none will. A segment that ends above the floor may belong
+     * to a compaction under way; one at or below it cannot be published any more.
+     */
+    Map<String, Long> orphans() {
+        Map<String, Long> orphans = new TreeMap<>();
+        segments.forEach((name, object) -> {
+            boolean isNamed = tail.manifest().segments().stream()
+                    .anyMatch(segment -> segment.name().equals(name));
+            if (!isNamed && ShardStore.segmentSequence(name) <= tail.manifest().floor()) {
+                orphans.put(name, object.version());
+            }
+        });
+        return orphans;
+    }
+}
--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/ShardedJournal.java
@@ -0,0 +1,259 @@
+package io.radishwinch.cluster.journal;
+
+import io.radishwinch.cluster.journal.JournalPeer.Reply;
+import io.radishwinch.cluster.journal.JournalPeer.Request;
+import io.radishwinch.cluster.journal.JournalPeer.Result;
+import io.radishwinch.cluster.journal.JournalPeer.Step;
+import io.radishwinch.cluster.platform.PlatformClient;
+import io.radishwinch.cluster.platform.Scheduler;
+import io.smallrye.mutiny.Uni;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+/**
+ * A journal whose shards are logs of batches in the platform, see {@code docs/decisions/0010-at-most-once-journal.md}.
+ *
+ * <p>Steps go to the preferred writer of their shard. If it does not answer, this router writes the shard itself; the
+ * nonce of the grant, made by the router that will run the request, makes both ways the same step. Not thread-safe: all
+ * calls, timers and answers belong to the control thread.
+ */
+public final class ShardedJournal implements Journal {
+    private static final long MAINTENANCE_INTERVAL_MS = Duration.ofMinutes(1).toMillis();
+    private static final long IDLE_SHARD_MS = Duration.ofMinutes(10).toMillis();
+    private static final long QUIET_SHARD_MS = Duration.ofHours(1).toMillis();
+    private static final int MAX_KEY_BYTES = 255;
+
+    private final JournalSettings settings;
+    private final Scheduler scheduler;
+    private final JournalWriters writers;
+    private final JournalListener listener;
+    private final NonceSource nonces;
+    private final ShardLog[] shards;
+    private final OwnOutcomes ownOutcomes;
+    /** Grants of this router that are requested or in use. */
+    private final Set<String> openNonces = new HashSet<>();
+
+    private Scheduler.Timer maintenance;
+
+    /**
+     * Creates a journal and starts its maintenance timer.
+     *
+     * @param platform platform for reads and writes that a request waits for
+     * @param backgroundPlatform platform for compaction, usually the same with a lower priority
+     * @param scheduler time and timers of the control thread
+     * @param random source of jitter
+     * @param writers names the preferred writers
+     * @param listener receives the counters
+     */
+    public ShardedJournal(
+            JournalSettings settings,
+            PlatformClient platform,
+            PlatformClient backgroundPlatform,
+            Scheduler scheduler,
+            RandomGenerator random,
+            JournalWriters writers,
+            JournalListener listener) {
+        this.settings = settings;
+        this.scheduler = scheduler;
+        this.writers = writers;
+        this.listener = listener;
+        this.nonces = new NonceSource(settings.routerId(), random);
+        this.ownOutcomes = new OwnOutcomes(settings.retentionMs());
+        this.shards = new ShardLog[settings.shardCount()];
+        for (int shard = 0; shard < shards.length; shard++) {
+            shards[shard] = new ShardLog(
+                    shard, settings, platform, backgroundPlatform, scheduler, nonces, this::isInUse, listener);
+        }
+        scheduleMaintenance();
+    }
+
+    // ---- Journal ----
+
+    @Override
+    public Uni<Decision> begin(String caller, String idempotencyKey, byte[] fingerprint) {
+        return Uni.createFrom()
+                .<Decision>emitter(emitter -> begin(caller, idempotencyKey, fingerprint, emitter::complete))
+                .memoize()
+                .indefinitely();
+    }
+
+    private void begin(String caller, String idempotencyKey, byte[] fingerprint, Consumer<Decision> done) {
+        if (idempotencyKey.getBytes(StandardCharsets.UTF_8).length > MAX_KEY_BYTES) {
+            done.accept(new Decision.Unavailable());
+            return;
+        }
+        Hash128 key = Hash128.ofKey(caller, idempotencyKey);
+        Optional<Decision> own = ownOutcomes.find(key, Hash128.ofFingerprint(fingerprint), scheduler.nowMs());
+        if (own.isPresent()) {
+            done.accept(own.get());
+            return;
+        }
+        String nonce = nonces.next();
+        openNonces.add(nonce);
+        Request request = new Request(Step.OPEN, caller, idempotencyKey, fingerprint, nonce, Optional.empty());
+        submit(request, key, reply -> {
+            if (reply.result() != Result.GRANTED) {
+                openNonces.remove(nonce);
+                if (reply.isInDoubt()) {
+                    // An intent may exist or may still be written. No byte was sent under it, so it is given back.
+                    submit(abandonOf(request), key, ignored -> {});
+                }
+            }
+            done.accept(decision(request, reply));
+        });
+    }
+
+    @Override
+    public Uni<Boolean> complete(Decision.Granted grant, byte[] outcome) {
+        return Uni.createFrom()
+                .<Boolean>emitter(emitter -> {
+                    Hash128 key = Hash128.ofKey(grant.caller(), grant.idempotencyKey());
+                    boolean isKept = outcome.length <= JournalSettings.MAX_OUTCOME_BYTES;
+                    // Of an outcome beyond the bound, the journal records only that the request ran.
+                    if (isKept) {
+                        ownOutcomes.add(key, Hash128.ofFingerprint(grant.fingerprint()), outcome, scheduler.nowMs());
+                    }
+                    Request request = new Request(
+                            Step.COMPLETE,
+                            grant.caller(),
+                            grant.idempotencyKey(),
+                            grant.fingerprint(),
+                            grant.nonce(),
+                            isKept ? Optional.of(outcome) : Optional.empty());
+                    openNonces.remove(grant.nonce());
+                    submit(request, key, reply -> emitter.complete(isKept && reply.result() == Result.RECORDED));
+                })
+                .memoize()
+                .indefinitely();
+    }
+
+    @Override
+    public Uni<Boolean> abandon(Decision.Granted grant) {
+        return Uni.createFrom()
+                .<Boolean>emitter(emitter -> {
+                    openNonces.remove(grant.nonce());
+                    submit(
+                            new Request(
+                                    Step.ABANDON,
+                                    grant.caller(),
+                                    grant.idempotencyKey(),
+                                    grant.fingerprint(),
+                                    grant.nonce(),
+                                    Optional.empty()),
+                            Hash128.ofKey(grant.caller(), grant.idempotencyKey()),
+                            reply -> emitter.complete(reply.result() == Result.RECORDED));
+                })
+                .memoize()
+                .indefinitely();
+    }
+
+    // ---- requests of other routers ----
+
+    /**
+     * Handles a request that another router sent to this one as the preferred writer. It is never forwarded again.
+     *
+     * @return the reply; never fails
+     */
+    public Uni<Reply> handle(Request request) {
+        return Uni.createFrom().emitter(emitter -> {
+            Hash128 key = Hash128.ofKey(request.caller(), request.idempotencyKey());
+            shards[key.shard(shards.length)].submit(request, key, emitter::complete);
+        });
+    }
+
+    // ---- life cycle ----
+
+    /** Stops the maintenance timer. Steps under way still end. */
+    public void close() {
+        maintenance.cancel();
+    }
+
+    private void scheduleMaintenance() {
+        maintenance = scheduler.schedule(MAINTENANCE_INTERVAL_MS, () -> {
+            for (int shard = 0; shard < shards.length; shard++) {
+                if (writers.writerOf(shard).isEmpty()) {
+                    shards[shard].advanceIfQuiet(QUIET_SHARD_MS);
+                } else {
+                    shards[shard].unloadIfIdle(IDLE_SHARD_MS);
+                }
+            }
+            scheduleMaintenance();
+        });
+    }
+
+    // ---- steps ----
+
+    /** Sends a step to the preferred writer, or to the own view of the shard if that is this router or fails. */
+    private void submit(Request request, Hash128 key, Consumer<Reply> done) {
+        int shard = key.shard(shards.length);
+        Optional<JournalPeer> peer = writers.writerOf(shard);
+        if (peer.isEmpty()) {
+            shards[shard].submit(request, key, done);
+            return;
+        }
+        AtomicBoolean decided = new AtomicBoolean();
+        Consumer<Boolean> writeDirectly = mayReachPeer -> {
+            if (decided.compareAndSet(false, true)) {
+                listener.onPeerFailure(shard);
+                shards[shard].submit(
+                        request, key, reply -> done.accept(mayReachPeer ? withDoubt(request, reply) : reply));
+            }
+        };
+        Scheduler.Timer timeout = scheduler.schedule(settings.peerTimeoutMs(), () -> writeDirectly.accept(true));
+        peer.get()
+                .call(request)
+                .subscribe()
+                .with(
+                        reply -> {
+                            timeout.cancel();
+                            if (reply.result() == Result.UNAVAILABLE) {
+                                writeDirectly.accept(reply.isInDoubt());
+                            } else if (decided.compareAndSet(false, true)) {
+                                done.accept(reply);
+                            }
+                        },
+                        failure -> {
+                            timeout.cancel();
+                            writeDirectly.accept(true);
+                        });
+    }
+
+    /** After a forwarded step stayed unanswered, a refusal can't rule out that the peer still records it. */
+    private static Reply withDoubt(Request request, Reply reply) {
+        return reply.result() == Result.UNAVAILABLE ? Reply.of(Result.UNAVAILABLE, request.grantNonce()) : reply;
+    }
+
+    private static Request abandonOf(Request open) {
+        return new Request(
+                Step.ABANDON,
+                open.caller(),
+                open.idempotencyKey(),
+                open.fingerprint(),
+                open.grantNonce(),
+                Optional.empty());
+    }
+
+    private static Decision decision(Request request, Reply reply) {
+        return switch (reply.result()) {
+            case GRANTED ->
+                new Decision.Granted(
+                        request.caller(), request.idempotencyKey(), request.fingerprint(), request.grantNonce());
+            case REPLAY -> new Decision.Replay(reply.outcome().orElseThrow());
+            case IN_PROGRESS -> new Decision.InProgress();
+            case OUTCOME_UNKNOWN -> new Decision.OutcomeUnknown();
+            case KEY_REUSED -> new Decision.KeyReused();
+            case UNAVAILABLE, RECORDED -> new Decision.Unavailable();
+        };
+    }
+
+    private boolean isInUse(String nonce) {
+        String routerId = NonceSource.routerOf(nonce);
+        return routerId.equals(settings.routerId()) ? openNonces.contains(nonce) : writers.isLive(routerId);
+    }
+}
--- /dev/null
+++ b/cluster/src/test/java/io/radishwinch/cluster/journal/Fleet.java
@@ -0,0 +1,98 @@
+package io.radishwinch.cluster.journal;
+
+import io.radishwinch.cluster.journal.Journal.Decision;
+import io.radishwinch.cluster.platform.InMemoryPlatform;
+import io.radishwinch.cluster.platform.VirtualScheduler;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicReference;
+
+/** Routers with journals on one in-memory platform and a virtual clock. */
+final class Fleet {
+    static final long START_MS = 1_700_000_000_000L;
+    private static final long PATIENCE_MS = 20_000;
+
+    final Random random;
+    final VirtualScheduler scheduler = new VirtualScheduler(START_MS);
+    final InMemoryPlatform platform;
+    final List<TestRouter> routers = new ArrayList<>();
+    /** Index of the router that all others prefer as the writer, or -1 if each writes by itself. */
+    int preferred = -1;
+
+    private final JournalSettings settings;
+
+    Fleet(long seed, int size, JournalSettings settings) {
+        this.random = new Random(seed);
+        this.settings = settings;
+        this.platform = new InMemoryPlatform(scheduler, random);
+        for (int i = 0; i < size; i++) {
+            start();
+        }
+    }
+
+    static Fleet of(long seed, int size) {
+        return new Fleet(seed, size, JournalSettings.of("template").withShardCount(1));
+    }
+
+    TestRouter start() {
+        TestRouter router = new TestRouter(this, "router-" + routers.size(), settings);
+        routers.add(router);
+        return router;
+    }
+
+    TestRouter router(int index) {
+        return routers.get(index);
+    }
+
+    Optional<TestRouter> writer() {
+        return preferred < 0 ? Optional.empty() : Optional.of(routers.get(preferred));
+    }
+
+    /** Begins and runs the clock until the decision is there. */
+    Decision begin(TestRouter router, String key, String content) {
+        return await(begun(router, key, content));
+    }
+
+    AtomicReference<Decision> begun(TestRouter router, String key, String content) {
+        AtomicReference<Decision> decision = new AtomicReference<>();
+        router.journal.begin("clinic", key, bytes(content)).subscribe().with(decision::set);
+        return decision;
+    }
+
+    boolean complete(TestRouter router, Decision grant, String outcome) {
+        AtomicReference<Boolean> recorded = new AtomicReference<>();
+        router.journal
+                .complete((Decision.Granted) grant, bytes(outcome))
+                .subscribe()
+                .with(recorded::set);
+        return await(recorded);
+    }
+
+    boolean abandon(TestRouter router, Decision grant) {
+        AtomicReference<Boolean> recorded = new AtomicReference<>();
+        router.journal.abandon((Decision.Granted) grant).subscribe().with(recorded::set);
+        return await(recorded);
+    }
+
+    <T> T await(AtomicReference<T> result) {
+        long untilMs = scheduler.nowMs() + PATIENCE_MS;
+        while (result.get() == null && scheduler.nowMs() < untilMs && scheduler.runNext()) {
+            // Each pass runs one task.
+        }
+        if (result.get() == null) {
+            throw new AssertionError("no answer within " + PATIENCE_MS + " ms of virtual time");
+        }
+        return result.get();
+    }
+
+    static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    static String replayed(Decision decision) {
+        return decision instanceof Decision.Replay replay ? new String(replay.outcome(), StandardCharsets.UTF_8) : null;
+    }
+}
--- /dev/null
+++ b/cluster/src/test/java/io/radishwinch/cluster/journal/TestRouter.java
@@ -0,0 +1,187 @@
+package io.radishwinch.cluster.journal;
+
+import io.radishwinch.cluster.journal.JournalPeer.Reply;
+import io.radishwinch.cluster.platform.PlatformClient;
+import io.radishwinch.cluster.platform.Scheduler;
+import io.smallrye.mutiny.Multi;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+
+/**
+ * A router process that can die or be paused between any two of its tasks: everything that reaches its journal, timers
+ * and answers, passes {@link #run}.
+ */
+final class TestRouter {
+    final String id;
+    final ShardedJournal journal;
+    final List<String> events = new ArrayList<>();
+    boolean dead;
+    boolean losesPeerReplies;
+    boolean cutFromPeers;
+
+    private final Fleet fleet;
+    private final List<Runnable> held = new ArrayList<>();
+    private boolean paused;
+
+    TestRouter(Fleet fleet, String id, JournalSettings template) {
+        this.fleet = fleet;
+        this.id = id;
+        JournalSettings settings = new JournalSettings(
+                id,
+                template.shardCount(),
+                template.commitIntervalMs(),
+                template.stepTimeoutMs(),
+                template.peerTimeoutMs(),
+                template.retentionMs(),
+                template.maxBatchRecords(),
+                template.maxQueuedSteps(),
+                template.compactAfterBatches(),
+                template.maxKeysPerShard(),
+                template.maxCachedOutcomeBytes());
+        PlatformClient platform = new GatedPlatform();
+        this.journal = new ShardedJournal(
+                settings, platform, platform, new GatedScheduler(), fleet.random, new Writers(), new Counters());
+    }
+
+    void die() {
+        dead = true;
+        held.clear();
+    }
+
+    void pause() {
+        paused = true;
+    }
+
+    void resume() {
+        paused = false;
+        List<Runnable> tasks = List.copyOf(held);
+        held.clear();
+        tasks.forEach(this::run);
+    }
+
+    private void run(Runnable task) {
+        if (paused && !dead) {
+            held.add(task);
+        } else if (!dead) {
+            task.run();
+        }
+    }
+
+    long count(String event) {
+        return events.stream().filter(event::equals).count();
+    }
+
+    private <T> Uni<T> gated(Uni<T> uni) {
+        return Uni.createFrom().emitter((UniEmitter<? super T> emitter) -> uni.subscribe()
+                .with(item -> run(() -> emitter.complete(item)), failure -> run(() -> emitter.fail(failure))));
+    }
+
+    private final class GatedScheduler implements Scheduler {
+        @Override
+        public long nowMs() {
+            return fleet.scheduler.nowMs();
+        }
+
+        @Override
+        public Timer schedule(long delayMs, Runnable task) {
+            return fleet.scheduler.schedule(delayMs, () -> run(task));
+        }
+    }
+
+    private final class Writers implements JournalWriters {
+        @Override
+        public Optional<JournalPeer> writerOf(int shard) {
+            return fleet.writer().filter(writer -> writer != TestRouter.this).map(writer -> request -> {
+                Function<Object, Uni<Reply>> never = ignored -> Uni.createFrom().nothing();
+                if (cutFromPeers || writer.cutFromPeers || writer.dead) {
+                    return never.apply(null);
+                }
+                return gated(Uni.createFrom()
+                        .emitter(emitter -> fleet.scheduler.schedule(
+                                1,
+                                () -> writer.run(() -> writer.journal
+                                        .handle(request)
+                                        .subscribe()
+                                        .with(reply -> {
+                                            if (!writer.losesPeerReplies) {
+                                                fleet.scheduler.schedule(1, () -> emitter.complete(reply));
+                                            }
+                                        })))));
+            });
+        }
+
+        @Override
+        public boolean isLive(String routerId) {
+            return fleet.routers.stream().anyMatch(router -> router.id.equals(routerId) && !router.dead);
+        }
+    }
+
+    private final class Counters implements JournalListener {
+        @Override
+        public void onCommit(int shard, int records, int bytes) {
+            events.add("commit");
+        }
+
+        @Override
+        public void onConflict(int shard) {
+            events.add("conflict");
+        }
+
+        @Override
+        public void onVoidBatch(int shard) {
+            events.add("void");
+        }
+
+        @Override
+        public void onCompaction(int shard, int batches, int segments) {
+            events.add("compaction");
+        }
+
+        @Override
+        public void onRecovery(int shard, int keys, long durationMs) {
+            events.add("recovery");
+        }
+
+        @Override
+        public void onPeerFailure(int shard) {
+            events.add("peer-failure");
+        }
+    }
+
+    /** Calls that were handed over reach the platform also if the router dies; answers reach only a live router. */
+    private final class GatedPlatform implements PlatformClient {
+        @Override
+        public Uni<Optional<StoredObject>> get(String key) {
+            return gated(fleet.platform.get(key));
+        }
+
+        @Override
+        public Uni<Page> list(String prefix, String afterKey, int limit) {
+            return gated(fleet.platform.list(prefix, afterKey, limit));
+        }
+
+        @Override
+        public Uni<PutResult> put(String key, long expectedVersion, byte[] value, String nonce) {
+            return gated(fleet.platform.put(key, expectedVersion, value, nonce));
+        }
+
+        @Override
+        public Uni<PutResult> delete(String key, long expectedVersion, String nonce) {
+            return gated(fleet.platform.delete(key, expectedVersion, nonce));
+        }
+
+        @Override
+        public Multi<Change> watch(String prefix, long fromVersion) {
+            return fleet.platform.watch(prefix, fromVersion);
+        }
+
+        @Override
+        public Uni<List<Vm>> vms() {
+            return fleet.platform.vms();
+        }
+    }
+}
