--- /dev/null
+++ b/standins/src/main/java/io/radishwinch/standins/EngineStandIn.java
@@ -0,0 +1,342 @@
+package io.radishwinch.standins;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.radishwinch.core.model.LayerRange;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.parsetools.RecordParser;
+import java.util.Map;
+
+/** Stand-in of a model engine that holds a range of layers; speaks the engine protocol of docs/protocols.md. */
+public final class EngineStandIn extends StandInServer {
+    private static final long KEEP_ALIVE_MS = 250;
+    private static final long KV_BYTES_PER_TOKEN = 1_024;
+
+    private final EngineConfig config;
+    private final EngineAttempts attempts;
+    private final HttpClient client;
+    private ObjectNode report = Json.object();
+    private long reportAtMs;
+    private long highestFencing;
+    private long ordersAccepted;
+    private boolean leaving;
+    private long sweepTimer = -1;
+    private long reportTimer = -1;
+
+    private EngineStandIn(Vertx vertx, EngineConfig config, ExecutionLedger ledger) {
+        super(vertx);
+        this.config = config;
+        this.client = vertx.createHttpClient(
+                new HttpClientOptions().setTcpNoDelay(true).setConnectTimeout(500),
+                new PoolOptions().setHttp1MaxSize(256));
+        this.attempts = new EngineAttempts(vertx, client, config, ledger, this::crashNow);
+        attempts.setHolding(config.model(), config.layers());
+    }
+
+    /**
+     * Starts an engine.
+     *
+     * @param ledger where executions are recorded
+     */
+    public static EngineStandIn start(Vertx vertx, EngineConfig config, ExecutionLedger ledger) {
+        EngineStandIn engine = new EngineStandIn(vertx, config, ledger);
+        engine.listen(config.port());
+        engine.run(engine::startTimers);
+        return engine;
+    }
+
+    // ------------------------------------------------------------------ state and faults
+
+    /** Returns the fixed properties. */
+    public EngineConfig config() {
+        return config;
+    }
+
+    /** Returns the endpoint identifier. */
+    public String id() {
+        return config.id();
+    }
+
+    /** Returns the layers held now, or null while others are loading. */
+    public LayerRange layers() {
+        return call(attempts::heldLayers);
+    }
+
+    /** Returns the attempts that run here, as the head or a later stage. */
+    public int running() {
+        return call(attempts::running);
+    }
+
+    /** Returns the attempts stopped by a cancel or a closed connection. */
+    public long cancelled() {
+        return call(attempts::cancelled);
+    }
+
+    /** Returns the orders carried out. */
+    public long ordersAccepted() {
+        return call(() -> ordersAccepted);
+    }
+
+    /** Multiplies the layer time. */
+    public void setSlowFactor(double factor) {
+        run(() -> attempts.setSlowFactor(factor));
+    }
+
+    /** Crashes when it runs a prompt that contains the marker; null switches this off. */
+    public void crashOnPrompt(String marker) {
+        run(() -> attempts.setCrashMarker(marker));
+    }
+
+    /** Changes the link to another engine. */
+    public void setLink(String endpoint, EngineConfig.Link link) {
+        run(() -> attempts.setLink(endpoint, link));
+    }
+
+    /** Refuses new attempts and says so in load reports, or takes them again. */
+    public void setLeaving(boolean newLeaving) {
+        run(() -> {
+            leaving = newLeaving;
+            refreshReport();
+        });
+    }
+
+    @Override
+    public void restart() {
+        super.restart();
+        run(this::startTimers);
+    }
+
+    @Override
+    public void close() {
+        super.close();
+        await(client.close());
+    }
+
+    @Override
+    void stopped() {
+        vertx.cancelTimer(sweepTimer);
+        vertx.cancelTimer(reportTimer);
+        attempts.stopAll();
+        highestFencing = 0;
+    }
+
+    @Override
+    void pauseChanged() {
+        attempts.setHalted(isPaused());
+    }
+
+    private void startTimers() {
+        refreshReport();
+        sweepTimer = vertx.setPeriodic(KEEP_ALIVE_MS, id -> {
+            if (!isPaused()) {
+                attempts.sweep(System.currentTimeMillis());
+            }
+        });
+        reportTimer = vertx.setPeriodic(Math.max(1, config.timing().reportEveryMs()), id -> refreshReport());
+    }
+
+    // ------------------------------------------------------------------ requests
+
+    @Override
+    void handle(HttpServerRequest request) {
+        String path = request.path();
+        HttpMethod method = request.method();
+        if (path.equals("/stand-in/stage-stream")) {
+            stageStream(request);
+        } else if (method == HttpMethod.GET && path.equals("/v1/load")) {
+            json(request.response(), 200, load());
+        } else if (method == HttpMethod.GET && path.equals("/v1/cache-events")) {
+            cacheEvents(request);
+        } else if (method == HttpMethod.DELETE && path.startsWith("/v1/attempts/")) {
+            boolean found = attempts.cancel(path.substring("/v1/attempts/".length()));
+            json(request.response(), found ? 200 : 404, Buffer.buffer("{}"));
+        } else if (method == HttpMethod.POST) {
+            readBody(request, MAX_BODY_BYTES, body -> post(request, path, body));
+        } else {
+            notRun(request.response(), 404);
+        }
+    }
+
+    private void post(HttpServerRequest request, String path, Buffer body) {
+        try {
+            JsonNode node = Json.read(body);
+            switch (path) {
+                case "/v1/attempts" -> attempt(request, node);
+                case "/v1/orders" -> order(request, node);
+                case "/v1/kv/export" -> exportKv(request.response(), node);
+                case "/v1/kv/import" -> importKv(request.response(), node);
+                default -> notRun(request.response(), 404);
+            }
+        } catch (IllegalArgumentException e) {
+            request.response().putHeader("X-Not-Run", "true");
+            json(request.response(), 400, Json.write(Json.object().put("error", e.getMessage())));
+        }
+    }
+
+    private void attempt(HttpServerRequest request, JsonNode body) {
+        StageAttempt attempt = StageAttempt.head(body);
+        long remainingMs = Json.required(body, "remainingMs").asLong();
+        if (!attempts.holds(attempt)) {
+            notRun(request.response(), 409);
+            return;
+        }
+        if (leaving || remainingMs <= 0 || attempts.isQueueFull()) {
+            notRun(request.response(), 503);
+            return;
+        }
+        attempt.deadlineAtMs = System.currentTimeMillis() + remainingMs;
+        HttpServerResponse response =
+                request.response().setChunked(true).putHeader("Content-Type", "application/x-ndjson");
+        response.exceptionHandler(ignored -> attempts.abandoned(attempt));
+        response.closeHandler(ignored -> attempts.abandoned(attempt));
+        attempts.openHead(attempt, response);
+    }
+
+    private void stageStream(HttpServerRequest request) {
+        String from = request.getHeader("X-From");
+        RecordParser lines = RecordParser.newDelimited("\n", line -> {
+            if (isUp()) {
+                attempts.message(line.toString(), from);
+            }
+        });
+        lines.maxRecordSize(MAX_BODY_BYTES);
+        lines.exceptionHandler(ignored -> request.connection().close());
+        request.handler(lines);
+        boolean[] over = new boolean[1];
+        Runnable ended = () -> {
+            if (!over[0]) {
+                over[0] = true;
+                attempts.streamEnded(from);
+            }
+        };
+        request.exceptionHandler(ignored -> ended.run());
+        request.response().closeHandler(ignored -> ended.run());
+        request.endHandler(ignored -> {
+            ended.run();
+            request.response().end();
+        });
+    }
+
+    private void cacheEvents(HttpServerRequest request) {
+        try {
+            long from = Long.parseLong(request.getParam("from", "0"));
+            json(request.response(), 200, Json.write(attempts.cache().eventsAfter(from, System.currentTimeMillis())));
+        } catch (NumberFormatException e) {
+            notRun(request.response(), 400);
+        }
+    }
+
+    // ------------------------------------------------------------------ load
+
+    private Buffer load() {
+        return Json.write(report.put("ageMs", System.currentTimeMillis() - reportAtMs));
+    }
+
+    private void refreshReport() {
+        ObjectNode node = Json.object();
+        node.put("endpoint", config.id());
+        node.put("dataCentre", config.dataCentre());
+        node.put("acceleratorKind", config.acceleratorKind());
+        node.put("slots", config.slots());
+        node.put("running", attempts.running());
+        node.put("queued", attempts.queued());
+        node.put("kvFreeBytes", attempts.kv().freeTokens() * KV_BYTES_PER_TOKEN);
+        node.put("layerTimeUs", attempts.layerTimeUs());
+        ArrayNode holdings = node.putArray("holdings");
+        if (attempts.heldLayers() != null) {
+            holdings.addObject()
+                    .put("model", attempts.heldModel())
+                    .put("first", attempts.heldLayers().first())
+                    .put("end", attempts.heldLayers().end());
+        }
+        ArrayNode links = node.putArray("links");
+        for (Map.Entry<String, EngineConfig.Link> link : attempts.links().entrySet()) {
+            links.addObject()
+                    .put("to", link.getKey())
+                    .put("delayUs", link.getValue().delayUs())
+                    .put("tokensPerS", link.getValue().tokensPerS());
+        }
+        node.put("honoursFencing", config.honoursFencing());
+        node.put("checksOrders", !config.orderKey().isEmpty());
+        node.put("leaving", leaving);
+        report = node;
+        reportAtMs = System.currentTimeMillis();
+    }
+
+    // ------------------------------------------------------------------ orders and KV cache
+
+    private void order(HttpServerRequest request, JsonNode body) {
+        HttpServerResponse response = request.response();
+        if (!config.orderKey().isEmpty()
+                && !("Bearer " + config.orderKey()).equals(request.getHeader("Authorization"))) {
+            notRun(response, 401);
+            return;
+        }
+        long fencing = Json.required(body, "fencing").asLong();
+        JsonNode order = Json.required(body, "order");
+        if (config.honoursFencing() && fencing <= highestFencing) {
+            json(response, 409, Json.write(Json.object().put("accepted", false).put("fencing", highestFencing)));
+            return;
+        }
+        switch (Json.required(order, "type").asText()) {
+            case "load-layers" ->
+                load(
+                        Json.required(order, "model").asText(),
+                        new LayerRange(
+                                Json.required(order, "first").asInt(),
+                                Json.required(order, "end").asInt()));
+            case "load-adapter", "load-version", "change-role" -> {}
+            default -> throw new IllegalArgumentException("unknown order type");
+        }
+        highestFencing = Math.max(highestFencing, fencing);
+        ordersAccepted++;
+        json(response, 200, Json.write(Json.object().put("accepted", true).put("fencing", fencing)));
+    }
+
+    /** Replaces the holdings after the time that loading takes; attempts that run go on with the old ones. */
+    private void load(String model, LayerRange layers) {
+        attempts.setHolding(model, null);
+        refreshReport();
+        long loadMs = Math.max(1, layers.size() * config.timing().loadMsPerLayer());
+        vertx.setTimer(loadMs, id -> {
+            attempts.setHolding(model, layers);
+            refreshReport();
+        });
+    }
+
+    private void exportKv(HttpServerResponse response, JsonNode body) {
+        LayerRange layers = new LayerRange(
+                Json.required(body, "first").asInt(), Json.required(body, "end").asInt());
+        int tokens = attempts.kv().tokens(Json.required(body, "request").asText(), layers);
+        if (tokens == 0) {
+            notRun(response, 404);
+            return;
+        }
+        response.putHeader("Content-Type", "application/octet-stream")
+                .putHeader("X-Kv-Tokens", Integer.toString(tokens))
+                .end(Buffer.buffer(new byte[tokens * KvStore.EXPORT_BYTES_PER_TOKEN]));
+    }
+
+    private void importKv(HttpServerResponse response, JsonNode body) {
+        LayerRange layers = new LayerRange(
+                Json.required(body, "first").asInt(), Json.required(body, "end").asInt());
+        StageAttempt.StageRef source = StageAttempt.StageRef.read(Json.required(body, "source"));
+        attempts.transfer()
+                .fetch(
+                        source,
+                        Json.required(body, "request").asText(),
+                        Json.required(body, "model").asText(),
+                        layers)
+                .onSuccess(
+                        tokens -> json(response, 200, Json.write(Json.object().put("tokens", tokens))))
+                .onFailure(ignored -> notRun(response, 404));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/io/radishwinch/standins/ExecutionLedger.java
@@ -0,0 +1,88 @@
+package io.radishwinch.standins;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Records which layers ran for each token position of each attempt, over all engines of a fleet.
+ *
+ * <p>Holds one number per position: the layer that must run next. A range that starts elsewhere is a violation, so that
+ * repeated, skipped and reordered layers are all found. The oldest attempts are dropped beyond a bound.
+ */
+public final class ExecutionLedger {
+    private static final int MAX_ATTEMPTS = 8_192;
+    private static final int MAX_VIOLATIONS = 100;
+
+    private final Map<String, Positions> attempts = new LinkedHashMap<>(256, 0.75f, false) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Positions> eldest) {
+            return size() > MAX_ATTEMPTS;
+        }
+    };
+    private final List<String> violations = new ArrayList<>();
+    private long executions;
+
+    /** Records that layers ran for one position. */
+    synchronized void record(String attempt, int position, int firstLayer, int endLayer, String endpoint) {
+        executions++;
+        Positions positions = attempts.computeIfAbsent(attempt, key -> new Positions(position));
+        int expected = positions.next(position);
+        if (expected == firstLayer) {
+            positions.set(position, endLayer);
+        } else if (violations.size() < MAX_VIOLATIONS) {
+            violations.add(attempt + " position " + position + ": " + endpoint + " ran layers " + firstLayer + " to "
+                    + endLayer + ", expected " + expected);
+        }
+    }
+
+    /** Returns the number of layers that ran exactly once and in order for a position of an attempt. */
+    public synchronized int layersRun(String requestId, int epoch, int position) {
+        Positions positions = attempts.get(key(requestId, epoch));
+        return positions == null ? 0 : positions.next(position);
+    }
+
+    /** Returns descriptions of layers that were repeated, skipped or out of order, at most 100. */
+    public synchronized List<String> violations() {
+        return List.copyOf(violations);
+    }
+
+    /** Returns the number of stage executions over all attempts. */
+    public synchronized long executions() {
+        return executions;
+    }
+
+    static String key(String requestId, int epoch) {
+        return requestId + "/" + epoch;
+    }
+
+    /** Next layer by position, from the first position of the attempt. */
+    private static final class Positions {
+        private final int first;
+        private short[] next = new short[16];
+
+        Positions(int first) {
+            this.first = first;
+        }
+
+        int next(int position) {
+            int index = position - first;
+            return index < 0 || index >= next.length ? 0 : next[index];
+        }
+
+        void set(int position, int layer) {
+            int index = position - first;
+            if (index < 0) {
+                return;
+            }
+            if (index >= next.length) {
+                next = Arrays.copyOf(next, Math.max(index + 1, 2 * next.length));
+            }
+            next[index] = (short) layer;
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/io/radishwinch/standins/KvStore.java
@@ -0,0 +1,64 @@
+package io.radishwinch.standins;
+
+import io.radishwinch.core.model.LayerRange;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** KV cache by request in limited memory; the least recently used request is evicted. */
+final class KvStore {
+    /** Bytes that stand for the KV cache of one token in an export. */
+    static final int EXPORT_BYTES_PER_TOKEN = 16;
+
+    private static final int MAX_REQUESTS = 8_192;
+
+    private final int maxTokens;
+    private final Map<String, Entry> entries = new LinkedHashMap<>(64, 0.75f, true);
+    private long tokens;
+
+    KvStore(int maxTokens) {
+        this.maxTokens = maxTokens;
+    }
+
+    /** Returns the tokens held of a request on all of the layers. */
+    int tokens(String requestId, LayerRange layers) {
+        Entry entry = entries.get(requestId);
+        return entry == null || !entry.layers.contains(layers) ? 0 : entry.tokens;
+    }
+
+    void put(String requestId, LayerRange layers, int newTokens) {
+        Entry entry = entries.get(requestId);
+        if (entry != null && entry.layers.equals(layers)) {
+            tokens += newTokens - entry.tokens;
+            entry.tokens = newTokens;
+        } else {
+            tokens += newTokens - (entry == null ? 0 : entry.tokens);
+            entries.put(requestId, new Entry(layers, newTokens));
+        }
+        Iterator<Entry> oldest = entries.values().iterator();
+        while (entries.size() > MAX_REQUESTS || (tokens > maxTokens && entries.size() > 1)) {
+            tokens -= oldest.next().tokens;
+            oldest.remove();
+        }
+    }
+
+    long freeTokens() {
+        return Math.max(0, maxTokens - tokens);
+    }
+
+    void clear() {
+        entries.clear();
+        tokens = 0;
+    }
+
+    /** KV cache of one request. */
+    private static final class Entry {
+        private final LayerRange layers;
+        private int tokens;
+
+        Entry(LayerRange layers, int tokens) {
+            this.layers = layers;
+            this.tokens = tokens;
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/io/radishwinch/standins/PlatformStore.java
@@ -0,0 +1,98 @@
+package io.radishwinch.standins;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+
+/** Objects of the platform stand-in, with one version counter and a bounded history. */
+final class PlatformStore {
+    private final int maxHistory;
+    private final NavigableMap<String, StoredValue> objects = new TreeMap<>();
+    private final ArrayDeque<StoredValue> history = new ArrayDeque<>();
+    private long version;
+    private long oldestWatchable;
+
+    PlatformStore(int maxHistory) {
+        this.maxHistory = maxHistory;
+    }
+
+    StoredValue get(String key) {
+        return objects.get(key);
+    }
+
+    long version() {
+        return version;
+    }
+
+    /** Returns the version of a key, 0 without an object. */
+    long versionOf(String key) {
+        StoredValue object = objects.get(key);
+        return object == null ? 0 : object.version;
+    }
+
+    /** Writes an object, or deletes it if the value is null. */
+    StoredValue write(String key, byte[] value, String nonce) {
+        StoredValue object = new StoredValue(key, ++version, value, nonce);
+        if (value == null) {
+            objects.remove(key);
+        } else {
+            objects.put(key, object);
+        }
+        history.add(object);
+        trim(maxHistory);
+        return object;
+    }
+
+    /** Drops the oldest changes beyond a number. */
+    void trim(int keep) {
+        while (history.size() > keep) {
+            oldestWatchable = history.remove().version;
+        }
+    }
+
+    boolean isWatchable(long from) {
+        return from >= oldestWatchable && from <= version;
+    }
+
+    List<StoredValue> changesAfter(long from, String prefix) {
+        List<StoredValue> changes = new ArrayList<>();
+        for (StoredValue change : history) {
+            if (change.version > from && change.key.startsWith(prefix)) {
+                changes.add(change);
+            }
+        }
+        return changes;
+    }
+
+    /** Returns up to {@code limit + 1} objects, so that the caller sees whether there are more. */
+    List<StoredValue> list(String prefix, String after, int limit) {
+        List<StoredValue> page = new ArrayList<>();
+        String start = after.compareTo(prefix) > 0 ? after : prefix;
+        for (Map.Entry<String, StoredValue> entry : objects.tailMap(start, true).entrySet()) {
+            if (!entry.getKey().startsWith(prefix) || page.size() > limit) {
+                break;
+            }
+            if (entry.getKey().compareTo(after) > 0) {
+                page.add(entry.getValue());
+            }
+        }
+        return page;
+    }
+
+    /** One version of an object; the value of a deletion is null. */
+    record StoredValue(String key, long version, byte[] value, String nonce) {
+        ObjectNode json() {
+            ObjectNode node = Json.object();
+            node.put("key", key);
+            node.put("version", version);
+            node.put("nonce", nonce);
+            node.put("value", value == null ? null : Base64.getEncoder().encodeToString(value));
+            return node;
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/io/radishwinch/standins/PrefixCache.java
@@ -0,0 +1,97 @@
+package io.radishwinch.standins;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Prompt-prefix cache in limited memory that evicts the least recently used block and tells of it late and with gaps.
+ */
+final class PrefixCache {
+    private static final int MAX_EVENTS = 4_096;
+    private static final int MAX_EVENTS_PER_ANSWER = 512;
+
+    private final int maxBlocks;
+    private final EngineConfig.Timing timing;
+    private final Map<Long, Boolean> blocks = new LinkedHashMap<>(64, 0.75f, true);
+    private final ArrayDeque<CacheEvent> events = new ArrayDeque<>();
+    private long nextSequence = 1;
+
+    PrefixCache(int maxBlocks, EngineConfig.Timing timing) {
+        this.maxBlocks = maxBlocks;
+        this.timing = timing;
+    }
+
+    /** Returns how many leading blocks are held, and adds the others. */
+    int use(List<Long> hashes, long nowMs) {
+        int held = 0;
+        while (held < hashes.size() && blocks.get(hashes.get(held)) != null) {
+            held++;
+        }
+        List<Long> added = new ArrayList<>(hashes.subList(held, hashes.size()));
+        if (added.isEmpty()) {
+            return held;
+        }
+        added.forEach(hash -> blocks.put(hash, Boolean.TRUE));
+        List<Long> removed = new ArrayList<>();
+        Iterator<Long> oldest = blocks.keySet().iterator();
+        while (blocks.size() > maxBlocks) {
+            removed.add(oldest.next());
+            oldest.remove();
+        }
+        long sequence = nextSequence++;
+        boolean lost = timing.cacheEventGapEvery() > 0 && sequence % timing.cacheEventGapEvery() == 0;
+        if (!lost) {
+            events.add(new CacheEvent(sequence, added, removed, nowMs + timing.cacheEventDelayMs()));
+            if (events.size() > MAX_EVENTS) {
+                events.remove();
+            }
+        }
+        return held;
+    }
+
+    int size() {
+        return blocks.size();
+    }
+
+    void clear() {
+        blocks.clear();
+    }
+
+    /** Returns the answer to a question for events after a sequence number. */
+    ObjectNode eventsAfter(long from, long nowMs) {
+        ObjectNode answer = Json.object();
+        ArrayNode list = answer.putArray("events");
+        long next = from;
+        boolean gap = from >= nextSequence;
+        if (gap) {
+            // The number is from before a restart; events are told from the start.
+            next = 0;
+        }
+        for (CacheEvent event : events) {
+            if (event.sequence <= next) {
+                continue;
+            }
+            if (event.visibleAtMs > nowMs || list.size() >= MAX_EVENTS_PER_ANSWER) {
+                break;
+            }
+            gap |= event.sequence != next + 1;
+            next = event.sequence;
+            ObjectNode node = list.addObject();
+            node.put("seq", event.sequence);
+            event.added.forEach(node.putArray("added")::add);
+            event.removed.forEach(node.putArray("removed")::add);
+        }
+        answer.put("gap", gap);
+        answer.put("next", next);
+        return answer;
+    }
+
+    /** One change. */
+    private record CacheEvent(long sequence, List<Long> added, List<Long> removed, long visibleAtMs) {}
+}
--- /dev/null
+++ b/standins/src/main/java/io/radishwinch/standins/ServiceStandIn.java
@@ -0,0 +1,227 @@
+package io.radishwinch.standins;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Stand-in of a plain service with a ledger of charges.
+ *
+ * <p>{@code POST /charges} counts executions by idempotency key, {@code GET /charges/<key>} returns the count,
+ * {@code POST /echo} returns its body while it arrives, and any other path returns a description of the call.
+ */
+public final class ServiceStandIn extends StandInServer {
+    private static final int MAX_KEYS = 100_000;
+    private static final long REPORT_EVERY_MS = 100;
+
+    private final String id;
+    private final String service;
+    private final int slots;
+    private final Map<String, Integer> charges = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Integer> eldest) {
+            return size() > MAX_KEYS;
+        }
+    };
+    private int running;
+    private int reportedRunning;
+    private long reportedAtMs;
+    private int failuresBefore;
+    private int answersToLose;
+    private int refusals;
+    private long slowMs;
+    private boolean leaving;
+    private long reportTimer = -1;
+
+    private ServiceStandIn(Vertx vertx, String id, String service, int slots) {
+        super(vertx);
+        this.id = id;
+        this.service = service;
+        this.slots = slots;
+    }
+
+    /**
+     * Starts a service.
+     *
+     * @param id endpoint identifier
+     * @param service service name
+     * @param port TCP port, or 0 for any
+     * @param slots calls that run at the same time; further ones are answered with 503 not run
+     */
+    public static ServiceStandIn start(Vertx vertx, String id, String service, int port, int slots) {
+        ServiceStandIn standIn = new ServiceStandIn(vertx, id, service, slots);
+        standIn.listen(port);
+        standIn.run(() -> {
+            standIn.refreshReport();
+            standIn.reportTimer = vertx.setPeriodic(REPORT_EVERY_MS, timer -> standIn.refreshReport());
+        });
+        return standIn;
+    }
+
+    // ------------------------------------------------------------------ state and faults
+
+    /** Returns the endpoint identifier. */
+    public String id() {
+        return id;
+    }
+
+    /** Returns the service name. */
+    public String service() {
+        return service;
+    }
+
+    /** Returns how often a charge with the key ran. */
+    public int executions(String key) {
+        return call(() -> charges.getOrDefault(key, 0));
+    }
+
+    /** Returns the executions of all charges by key. */
+    public Map<String, Integer> executions() {
+        return call(() -> Map.copyOf(charges));
+    }
+
+    /** Closes the connection of the next calls without running them. */
+    public void failBeforeRunning(int count) {
+        run(() -> failuresBefore = count);
+    }
+
+    /** Runs the next calls and closes their connections without an answer. */
+    public void loseAnswers(int count) {
+        run(() -> answersToLose = count);
+    }
+
+    /** Answers the next calls with 503 not run. */
+    public void refuse(int count) {
+        run(() -> refusals = count);
+    }
+
+    /** Delays each call, in ms. */
+    public void setSlowMs(long newSlowMs) {
+        run(() -> slowMs = newSlowMs);
+    }
+
+    /** Answers new calls with 503 not run and says so in load reports, or takes them again. */
+    public void setLeaving(boolean newLeaving) {
+        run(() -> leaving = newLeaving);
+    }
+
+    @Override
+    public void close() {
+        run(() -> vertx.cancelTimer(reportTimer));
+        super.close();
+    }
+
+    @Override
+    void stopped() {
+        running = 0;
+    }
+
+    private void refreshReport() {
+        reportedRunning = running;
+        reportedAtMs = System.currentTimeMillis();
+    }
+
+    // ------------------------------------------------------------------ requests
+
+    @Override
+    void handle(HttpServerRequest request) {
+        if (request.method() == HttpMethod.GET && request.path().equals("/v1/load")) {
+            json(request.response(), 200, load());
+        } else if (failuresBefore > 0) {
+            failuresBefore--;
+            request.connection().close();
+        } else if (refusals > 0 || leaving || running >= slots) {
+            refusals = Math.max(0, refusals - 1);
+            notRun(request.response(), 503);
+        } else {
+            running++;
+            boolean[] over = new boolean[1];
+            Runnable ended = () -> {
+                if (!over[0]) {
+                    over[0] = true;
+                    running = Math.max(0, running - 1);
+                }
+            };
+            request.response().endHandler(ignored -> ended.run());
+            request.response().closeHandler(ignored -> ended.run());
+            if (slowMs > 0) {
+                request.pause();
+                vertx.setTimer(slowMs, timer -> {
+                    request.resume();
+                    serve(request);
+                });
+            } else {
+                serve(request);
+            }
+        }
+    }
+
+    private void serve(HttpServerRequest request) {
+        if (request.method() == HttpMethod.POST && request.path().equals("/echo")) {
+            echo(request);
+        } else {
+            readBody(request, MAX_BODY_BYTES, body -> answer(request, body));
+        }
+    }
+
+    private void answer(HttpServerRequest request, Buffer body) {
+        String path = request.path();
+        ObjectNode answer = Json.object().put("service", service).put("endpoint", id);
+        if (request.method() == HttpMethod.POST && path.equals("/charges")) {
+            String key = request.getHeader("Idempotency-Key");
+            key = key == null ? body.toString() : key;
+            answer.put("charged", key).put("executions", charges.merge(key, 1, Integer::sum));
+        } else if (request.method() == HttpMethod.GET && path.startsWith("/charges/")) {
+            answer.put("executions", charges.getOrDefault(path.substring("/charges/".length()), 0));
+        } else {
+            answer.put("method", request.method().name()).put("path", path).put("bytes", body.length());
+        }
+        if (answersToLose > 0) {
+            answersToLose--;
+            request.connection().close();
+            return;
+        }
+        json(request.response(), 200, Json.write(answer));
+    }
+
+    private static void echo(HttpServerRequest request) {
+        HttpServerResponse response = request.response().setChunked(true);
+        request.handler(chunk -> {
+            response.write(chunk);
+            if (response.writeQueueFull()) {
+                request.pause();
+                response.drainHandler(ignored -> request.resume());
+            }
+        });
+        request.endHandler(ignored -> response.end());
+    }
+
+    private Buffer load() {
+        ObjectNode node = Json.object();
+        node.put("endpoint", id);
+        node.put("acceleratorKind", "none");
+        node.put("slots", slots);
+        node.put("running", reportedRunning);
+        node.put("queued", 0);
+        node.put("kvFreeBytes", 0);
+        node.put("layerTimeUs", 1_000.0 * slowMs);
+        node.putArray("holdings")
+                .addObject()
+                .put("model", "service:" + service)
+                .put("first", 0)
+                .put("end", 1);
+        node.putArray("links");
+        node.put("honoursFencing", false);
+        node.put("checksOrders", false);
+        node.put("leaving", leaving);
+        node.put("ageMs", System.currentTimeMillis() - reportedAtMs);
+        return Json.write(node);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/io/radishwinch/standins/StandInFleet.java
@@ -0,0 +1,152 @@
+package io.radishwinch.standins;
+
+import io.radishwinch.core.model.LayerRange;
+import io.radishwinch.standins.PlatformStandIn.Vm;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A small deployment on loopback: a platform, engines of three accelerator kinds with overlapping layer ranges over
+ * unequal links, and two plain services. The VM list holds the engines and services.
+ */
+public final class StandInFleet implements AutoCloseable {
+    /** Model that the engines hold. */
+    public static final String MODEL = "coach-24";
+
+    /** Layers of {@link #MODEL}. */
+    public static final int MODEL_LAYERS = 24;
+
+    /** Plain service with charges. */
+    public static final String BILLING = "billing";
+
+    /** Plain service with shipments. */
+    public static final String SHIPPING = "shipping";
+
+    /** Key that {@code medium-2} demands with orders. */
+    public static final String ORDER_KEY = "stand-in-order-key";
+
+    private static final String DATA_CENTRE = "dc1";
+    private static final int SERVICE_SLOTS = 64;
+    private static final EngineConfig.Link NEAR = new EngineConfig.Link(50, 100_000);
+    private static final EngineConfig.Link CROSS_RACK = new EngineConfig.Link(500, 20_000);
+    private static final EngineConfig.Link SLOW = new EngineConfig.Link(5_000, 1_000);
+
+    private final PlatformStandIn platform;
+    private final List<EngineStandIn> engines = new ArrayList<>();
+    private final List<ServiceStandIn> services = new ArrayList<>();
+    private final ExecutionLedger ledger = new ExecutionLedger();
+
+    private StandInFleet(Vertx vertx, List<EngineConfig> configs) {
+        platform = PlatformStandIn.start(vertx, 0, PlatformStandIn.DEFAULT_HISTORY);
+        for (EngineConfig config : configs) {
+            EngineStandIn engine = EngineStandIn.start(vertx, config, ledger);
+            engines.add(engine);
+            platform.putVm(new Vm(
+                    config.id(), config.dataCentre(), StandInServer.LOOPBACK, engine.port(), "engine", "", false));
+        }
+        for (String name : List.of(BILLING, SHIPPING)) {
+            ServiceStandIn service = ServiceStandIn.start(vertx, name + "-1", name, 0, SERVICE_SLOTS);
+            services.add(service);
+            platform.putVm(
+                    new Vm(service.id(), DATA_CENTRE, StandInServer.LOOPBACK, service.port(), "service", name, false));
+        }
+    }
+
+    /** Starts a deployment with {@link #defaultEngines}. */
+    public static StandInFleet start(Vertx vertx) {
+        return start(vertx, defaultEngines());
+    }
+
+    /** Starts a deployment with the given engines. */
+    public static StandInFleet start(Vertx vertx, List<EngineConfig> engines) {
+        return new StandInFleet(vertx, engines);
+    }
+
+    /**
+     * Returns nine engines: two large with half of the layers each, three medium with overlapping thirds and four small
+     * with a quarter each. The engine small-4 ignores fencing numbers, medium-2 checks the key of orders.
+     */
+    public static List<EngineConfig> defaultEngines() {
+        List<EngineConfig> engines = new ArrayList<>();
+        engines.add(EngineConfig.of("large-1", "large", 40, new LayerRange(0, 12)));
+        engines.add(EngineConfig.of("large-2", "large", 40, new LayerRange(12, 24)));
+        engines.add(EngineConfig.of("medium-1", "medium", 90, new LayerRange(0, 10)));
+        engines.add(
+                EngineConfig.of("medium-2", "medium", 90, new LayerRange(6, 18)).withOrderKey(ORDER_KEY));
+        engines.add(EngineConfig.of("medium-3", "medium", 90, new LayerRange(14, 24)));
+        engines.add(
+                EngineConfig.of("small-1", "small", 200, new LayerRange(0, 6)).withSlots(8));
+        engines.add(
+                EngineConfig.of("small-2", "small", 200, new LayerRange(6, 12)).withSlots(8));
+        engines.add(
+                EngineConfig.of("small-3", "small", 200, new LayerRange(12, 18)).withSlots(8));
+        engines.add(EngineConfig.of("small-4", "small", 200, new LayerRange(18, 24))
+                .withSlots(8)
+                .withFencing(false));
+        List<EngineConfig> linked = new ArrayList<>();
+        for (EngineConfig engine : engines) {
+            linked.add(engine.withLinks(linksOf(engine, engines)));
+        }
+        return linked;
+    }
+
+    private static Map<String, EngineConfig.Link> linksOf(EngineConfig from, List<EngineConfig> all) {
+        Map<String, EngineConfig.Link> links = new HashMap<>();
+        for (EngineConfig to : all) {
+            if (to.id().equals(from.id())) {
+                continue;
+            }
+            boolean sameKind = to.acceleratorKind().equals(from.acceleratorKind());
+            boolean small = to.acceleratorKind().equals("small")
+                    || from.acceleratorKind().equals("small");
+            links.put(to.id(), sameKind ? NEAR : small ? SLOW : CROSS_RACK);
+        }
+        return links;
+    }
+
+    /** Returns the platform. */
+    public PlatformStandIn platform() {
+        return platform;
+    }
+
+    /** Returns the engines. */
+    public List<EngineStandIn> engines() {
+        return List.copyOf(engines);
+    }
+
+    /** Returns an engine by its identifier. */
+    public EngineStandIn engine(String id) {
+        return engines.stream()
+                .filter(engine -> engine.id().equals(id))
+                .findFirst()
+                .orElseThrow(() -> new IllegalArgumentException("no engine " + id));
+    }
+
+    /** Returns the plain services. */
+    public List<ServiceStandIn> services() {
+        return List.copyOf(services);
+    }
+
+    /** Returns a plain service by its service name. */
+    public ServiceStandIn service(String name) {
+        return services.stream()
+                .filter(service -> service.service().equals(name))
+                .findFirst()
+                .orElseThrow(() -> new IllegalArgumentException("no service " + name));
+    }
+
+    /** Returns the record of executed layers. */
+    public ExecutionLedger ledger() {
+        return ledger;
+    }
+
+    @Override
+    public void close() {
+        engines.forEach(EngineStandIn::close);
+        services.forEach(ServiceStandIn::close);
+        platform.close();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/io/radishwinch/standins/StandInServer.java
@@ -0,0 +1,223 @@
+package io.radishwinch.standins;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * HTTP server on the loopback address that owns one event loop; base of all stand-ins.
+ *
+ * <p>The public methods of stand-ins block until the event loop has carried them out and must not be called from an
+ * event loop.
+ */
+abstract class StandInServer implements AutoCloseable {
+    static final String LOOPBACK = "127.0.0.1";
+    static final int MAX_BODY_BYTES = 6 << 20;
+    private static final int MAX_PAUSED_REQUESTS = 10_000;
+    private static final long WAIT_S = 20;
+
+    protected final Vertx vertx;
+    private final String deploymentId;
+    private final Set<HttpConnection> connections = new HashSet<>();
+    private final Queue<HttpServerRequest> waiting = new ArrayDeque<>();
+    private Context context;
+    private HttpServer server;
+    private int port;
+    private boolean paused;
+
+    StandInServer(Vertx vertx) {
+        this.vertx = vertx;
+        this.deploymentId = await(vertx.deployVerticle(new VerticleBase() {
+            @Override
+            public Future<?> start() {
+                StandInServer.this.context = context;
+                return Future.succeededFuture();
+            }
+        }));
+    }
+
+    /** Answers one request; called on the event loop. */
+    abstract void handle(HttpServerRequest request);
+
+    /** Stops work when the server goes down; called on the event loop. */
+    void stopped() {}
+
+    /** Returns the port, which stays the same over a restart. */
+    public int port() {
+        return port;
+    }
+
+    /** Closes all connections and stops listening; a crashed stand-in can be started again. */
+    public void crash() {
+        run(this::crashNow);
+    }
+
+    /** Listens again on the same port after {@link #crash}. */
+    public void restart() {
+        listen(port);
+    }
+
+    /** Stops answering, or continues; connections stay open. */
+    public void setPaused(boolean newPaused) {
+        run(() -> {
+            paused = newPaused;
+            while (!paused && !waiting.isEmpty()) {
+                HttpServerRequest request = waiting.remove();
+                request.resume();
+                handle(request);
+            }
+            pauseChanged();
+        });
+    }
+
+    @Override
+    public void close() {
+        run(this::crashNow);
+        await(vertx.undeploy(deploymentId));
+    }
+
+    final void listen(int wantedPort) {
+        HttpServerOptions options = new HttpServerOptions()
+                .setHost(LOOPBACK)
+                .setPort(wantedPort)
+                .setTcpNoDelay(true)
+                .setMaxHeaderSize(16 << 10);
+        Promise<HttpServer> bound = Promise.promise();
+        context.runOnContext(ignored -> vertx.createHttpServer(options)
+                .connectionHandler(connection -> {
+                    connections.add(connection);
+                    connection.closeHandler(closed -> connections.remove(connection));
+                })
+                .requestHandler(this::admit)
+                .listen()
+                .onComplete(bound));
+        HttpServer listening = await(bound.future());
+        run(() -> {
+            server = listening;
+            port = listening.actualPort();
+        });
+    }
+
+    final void crashNow() {
+        if (server == null) {
+            return;
+        }
+        HttpServer old = server;
+        server = null;
+        waiting.clear();
+        stopped();
+        old.close();
+        dropConnections();
+    }
+
+    final void dropConnections() {
+        List<HttpConnection> open = new ArrayList<>(connections);
+        connections.clear();
+        open.forEach(HttpConnection::close);
+    }
+
+    final boolean isPaused() {
+        return paused;
+    }
+
+    final boolean isUp() {
+        return server != null;
+    }
+
+    /** Called on the event loop after a pause began or ended. */
+    void pauseChanged() {}
+
+    final Context context() {
+        return context;
+    }
+
+    final void run(Runnable action) {
+        call(() -> {
+            action.run();
+            return null;
+        });
+    }
+
+    final <T> T call(Callable<T> action) {
+        Promise<T> result = Promise.promise();
+        context.runOnContext(ignored -> {
+            try {
+                result.complete(action.call());
+            } catch (Exception e) {
+                result.fail(e);
+            }
+        });
+        return await(result.future());
+    }
+
+    private void admit(HttpServerRequest request) {
+        if (!isUp()) {
+            request.connection().close();
+        } else if (!paused) {
+            handle(request);
+        } else if (waiting.size() < MAX_PAUSED_REQUESTS) {
+            request.pause();
+            waiting.add(request);
+        } else {
+            request.connection().close();
+        }
+    }
+
+    /** Reads a body of bounded size and hands it on; a longer one is answered with 413. */
+    static void readBody(HttpServerRequest request, int maxBytes, Consumer<Buffer> consumer) {
+        Buffer body = Buffer.buffer();
+        boolean[] refused = new boolean[1];
+        request.handler(chunk -> {
+            if (!refused[0] && body.length() + chunk.length() > maxBytes) {
+                refused[0] = true;
+                notRun(request.response(), 413);
+            } else if (!refused[0]) {
+                body.appendBuffer(chunk);
+            }
+        });
+        request.endHandler(ignored -> {
+            if (!refused[0]) {
+                consumer.accept(body);
+            }
+        });
+    }
+
+    static void json(HttpServerResponse response, int status, Buffer body) {
+        response.setStatusCode(status)
+                .putHeader("Content-Type", "application/json")
+                .end(body);
+    }
+
+    /** Answers that the request did not run. */
+    static void notRun(HttpServerResponse response, int status) {
+        response.setStatusCode(status).putHeader("X-Not-Run", "true").end();
+    }
+
+    static <T> T await(Future<T> future) {
+        try {
+            return future.toCompletionStage().toCompletableFuture().get(WAIT_S, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted while a stand-in was working", e);
+        } catch (Exception e) {
+            throw new IllegalStateException("stand-in failed: " + e.getMessage(), e);
+        }
+    }
+}
