--- /dev/null
+++ b/report/src/main/java/io/radishwinch/report/ChargeTotals.java
@@ -0,0 +1,94 @@
+package io.radishwinch.report;
+
+import java.util.Collections;
+import java.util.SortedSet;
+import java.util.TreeSet;
+
+/** Non-repeatable requests of a day. */
+public final class ChargeTotals {
+
+    /** Largest number of request identifiers kept for each list. */
+    public static final int MAX_IDS = 200;
+
+    long run;
+    long refused;
+    long replayed;
+    long inDoubt;
+    long doubled;
+    final TreeSet<String> inDoubtIds = new TreeSet<>();
+    final TreeSet<String> doubledIds = new TreeSet<>();
+
+    ChargeTotals() {}
+
+    /** Returns the number that ran once. */
+    public long run() {
+        return run;
+    }
+
+    /** Returns the number refused without running. */
+    public long refused() {
+        return refused;
+    }
+
+    /** Returns the number answered with the recorded outcome of an earlier request. */
+    public long replayed() {
+        return replayed;
+    }
+
+    /** Returns the number that may have run. */
+    public long inDoubt() {
+        return inDoubt;
+    }
+
+    /** Returns the number that were found to have run twice. */
+    public long doubled() {
+        return doubled;
+    }
+
+    /** Returns identifiers of requests that may have run, at most {@link #MAX_IDS}. */
+    public SortedSet<String> inDoubtIds() {
+        return Collections.unmodifiableSortedSet(inDoubtIds);
+    }
+
+    /** Returns identifiers of requests that ran twice, at most {@link #MAX_IDS}. */
+    public SortedSet<String> doubledIds() {
+        return Collections.unmodifiableSortedSet(doubledIds);
+    }
+
+    void add(RequestOutcome outcome) {
+        if (outcome.replayed()) {
+            replayed++;
+            return;
+        }
+        switch (outcome.verdict()) {
+            case RAN -> run++;
+            case NOT_RUN -> refused++;
+            case MAY_HAVE_RUN -> {
+                inDoubt++;
+                addId(inDoubtIds, outcome.requestId());
+            }
+        }
+    }
+
+    void addDoubled(String requestId) {
+        doubled++;
+        addId(doubledIds, requestId);
+    }
+
+    void add(ChargeTotals other) {
+        run += other.run;
+        refused += other.refused;
+        replayed += other.replayed;
+        inDoubt += other.inDoubt;
+        doubled += other.doubled;
+        other.inDoubtIds.forEach(id -> addId(inDoubtIds, id));
+        other.doubledIds.forEach(id -> addId(doubledIds, id));
+    }
+
+    private static void addId(TreeSet<String> ids, String id) {
+        ids.add(id);
+        if (ids.size() > MAX_IDS) {
+            ids.pollLast();
+        }
+    }
+}
--- /dev/null
+++ b/report/src/main/java/io/radishwinch/report/DayRecorder.java
@@ -0,0 +1,117 @@
+package io.radishwinch.report;
+
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.Reason;
+import java.time.ZoneId;
+import java.util.BitSet;
+import java.util.Optional;
+
+/**
+ * Records the service of a router through the day. All methods are called on one thread.
+ *
+ * <p>The owner calls {@link #tick} at least once a slot, writes {@link #summary} to the platform at each report
+ * interval, and writes the summary that a {@code tick} returns when a day has ended. At a planned stop it writes
+ * {@link #handOver}. After a restart under the same router identifier it passes the stored summary to {@link #resume},
+ * so that the next write does not replace earlier data.
+ */
+public final class DayRecorder {
+    private final String routerId;
+    private final ZoneId zone;
+    private DaySummary.Builder builder;
+    private DaySlots day;
+    private final BitSet covered = new BitSet();
+    private Optional<DaySummary> finished = Optional.empty();
+
+    /**
+     * Starts recording.
+     *
+     * @param routerId identifier of the router
+     * @param zone time zone whose midnight ends the day
+     * @param nowMs current time, in ms since the epoch
+     */
+    public DayRecorder(String routerId, ZoneId zone, long nowMs) {
+        this.routerId = routerId;
+        this.zone = zone;
+        startDay(nowMs);
+    }
+
+    /** Adds the data that this router stored earlier on the same day; a summary of another day is ignored. */
+    public void resume(DaySummary earlier) {
+        if (earlier.day().equals(day)) {
+            builder.add(earlier);
+        }
+    }
+
+    /** Counts the outcome of one request. */
+    public void record(RequestOutcome outcome) {
+        advance(outcome.finishedAtMs());
+        builder.add(outcome);
+    }
+
+    /** Counts one retry. */
+    public void recordRetry(String caller, Rank rank, Reason reason, long atMs) {
+        advance(atMs);
+        builder.addRetry(caller, rank, reason, atMs);
+    }
+
+    /** Adds an event. */
+    public void record(FleetEvent event) {
+        advance(event.atMs());
+        builder.add(event);
+    }
+
+    /** Counts a non-repeatable request that was found to have run twice. */
+    public void recordDoubledCharge(String requestId, long atMs) {
+        advance(atMs);
+        builder.addDoubledCharge(requestId);
+    }
+
+    /**
+     * Notes that the router is recording.
+     *
+     * @return the whole summary of the previous day, once, when a day has ended; empty otherwise
+     */
+    public Optional<DaySummary> tick(long nowMs) {
+        advance(nowMs);
+        Optional<DaySummary> result = finished;
+        finished = Optional.empty();
+        return result;
+    }
+
+    /** Returns the day being recorded. */
+    public DaySlots day() {
+        return day;
+    }
+
+    /** Returns the summary of the day so far. */
+    public DaySummary summary(long nowMs) {
+        advance(nowMs);
+        return build(nowMs, false);
+    }
+
+    /** Returns the summary of the day so far, marked as the last one of this router. */
+    public DaySummary handOver(long nowMs) {
+        advance(nowMs);
+        return build(nowMs, true);
+    }
+
+    private void advance(long nowMs) {
+        if (nowMs >= day.endMs()) {
+            finished = Optional.of(build(day.endMs(), true));
+            startDay(nowMs);
+        }
+        covered.set(day.slotOf(nowMs));
+    }
+
+    private void startDay(long nowMs) {
+        day = DaySlots.of(nowMs, zone);
+        builder = DaySummary.builder(day);
+        covered.clear();
+        covered.set(day.slotOf(nowMs));
+    }
+
+    private DaySummary build(long untilMs, boolean handedOver) {
+        builder.add(new Coverage(routerId, covered, untilMs, handedOver));
+        return builder.build();
+    }
+}
--- /dev/null
+++ b/report/src/main/java/io/radishwinch/report/DaySlots.java
@@ -0,0 +1,52 @@
+package io.radishwinch.report;
+
+import java.time.Instant;
+import java.time.LocalDate;
+import java.time.ZoneId;
+
+/**
+ * The 5-minute slots of one calendar day in a time zone; 288 on most days, 276 or 300 when the clock changes.
+ *
+ * @param date calendar day
+ * @param zone time zone of the service owner
+ */
+public record DaySlots(LocalDate date, ZoneId zone) {
+
+    /** Length of a slot, in ms. */
+    public static final long SLOT_MS = 5 * 60 * 1000L;
+
+    /** Returns the day that contains the time. */
+    public static DaySlots of(long atMs, ZoneId zone) {
+        return new DaySlots(Instant.ofEpochMilli(atMs).atZone(zone).toLocalDate(), zone);
+    }
+
+    /** Returns the start of the day, in ms since the epoch. */
+    public long startMs() {
+        return date.atStartOfDay(zone).toInstant().toEpochMilli();
+    }
+
+    /** Returns the start of the next day, in ms since the epoch. */
+    public long endMs() {
+        return date.plusDays(1).atStartOfDay(zone).toInstant().toEpochMilli();
+    }
+
+    /** Returns the number of slots. */
+    public int count() {
+        return (int) ((endMs() - startMs() + SLOT_MS - 1) / SLOT_MS);
+    }
+
+    /** Returns the slot of a time; times outside the day map to its first or last slot. */
+    public int slotOf(long atMs) {
+        return (int) Math.max(0, Math.min(count() - 1L, Math.floorDiv(atMs - startMs(), SLOT_MS)));
+    }
+
+    /** Returns the start of a slot, in ms since the epoch. */
+    public long slotStartMs(int slot) {
+        return startMs() + slot * SLOT_MS;
+    }
+
+    /** Returns whether the time lies in the day. */
+    public boolean contains(long atMs) {
+        return atMs >= startMs() && atMs < endMs();
+    }
+}
--- /dev/null
+++ b/report/src/main/java/io/radishwinch/report/DaySummary.java
@@ -0,0 +1,265 @@
+package io.radishwinch.report;
+
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.Verdict;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Service of one day as one router or several saw it; immutable. Summaries of different routers merge in any order to
+ * the same result.
+ */
+public final class DaySummary {
+
+    /** Largest number of callers told apart; requests of further ones count under {@link #OTHER}. */
+    public static final int MAX_CALLERS = 1_300;
+
+    /** Label of callers beyond the bound; no contract can have this name because of the parentheses. */
+    public static final String OTHER = "(other)";
+
+    /** Largest number of events kept. */
+    public static final int MAX_EVENTS = 400;
+
+    /** Largest number of routers whose coverage is kept. */
+    public static final int MAX_ROUTERS = 2_000;
+
+    /** Events of equal kind, subject and text within this time are one event seen by several routers. */
+    private static final long SAME_EVENT_MS = 60_000;
+
+    private static final Comparator<FleetEvent> EVENT_ORDER = Comparator.comparingLong(FleetEvent::atMs)
+            .thenComparing(FleetEvent::kind)
+            .thenComparing(FleetEvent::subject)
+            .thenComparing(FleetEvent::text);
+
+    private final Builder data;
+    private final List<FleetEvent> events;
+
+    private DaySummary(Builder data) {
+        this.data = data;
+        this.events = List.copyOf(data.sortedEvents());
+    }
+
+    /** Returns a builder of an empty summary. */
+    public static Builder builder(DaySlots day) {
+        return new Builder(day);
+    }
+
+    /** Returns a summary of the data of both. */
+    public DaySummary merge(DaySummary other) {
+        return builder(day()).add(this).add(other).build();
+    }
+
+    /** Returns the day. */
+    public DaySlots day() {
+        return data.day;
+    }
+
+    /** Returns the service by caller and rank, in name order. */
+    public Map<String, Map<Rank, ServiceTotals>> callers() {
+        return Collections.unmodifiableMap(data.callers);
+    }
+
+    /** Returns the service of a caller in a rank; without requests all counts are zero. */
+    public ServiceTotals service(String caller, Rank rank) {
+        ServiceTotals totals = data.callers.getOrDefault(caller, Map.of()).get(rank);
+        return totals == null ? new ServiceTotals() : totals;
+    }
+
+    /** Returns the service of all callers in a rank. */
+    public ServiceTotals service(Rank rank) {
+        ServiceTotals sum = new ServiceTotals();
+        data.callers.values().forEach(byRank -> {
+            if (byRank.containsKey(rank)) {
+                sum.add(byRank.get(rank));
+            }
+        });
+        return sum;
+    }
+
+    /** Returns the service of all callers in a rank and slot. */
+    public SlotTotals slot(Rank rank, int slot) {
+        SlotTotals totals = data.slots.get(rank)[slot];
+        return totals == null ? SlotTotals.ZERO : totals;
+    }
+
+    /** Returns the non-repeatable requests. */
+    public ChargeTotals charges() {
+        return data.charges;
+    }
+
+    /** Returns the events in order of time. */
+    public List<FleetEvent> events() {
+        return events;
+    }
+
+    /** Returns the number of events beyond the bound. */
+    public long droppedEvents() {
+        return data.droppedEvents;
+    }
+
+    /** Returns the coverage by router. */
+    public Collection<Coverage> coverage() {
+        return Collections.unmodifiableCollection(data.coverage.values());
+    }
+
+    /** Returns whether detail was left out to keep the stored value within its bound. */
+    public boolean isCoarsened() {
+        return data.coarsened;
+    }
+
+    /** Collects the data of a summary; not for use by several threads at once. */
+    public static final class Builder {
+        final DaySlots day;
+        final TreeMap<String, Map<Rank, ServiceTotals>> callers = new TreeMap<>();
+        final Map<Rank, SlotTotals[]> slots = new EnumMap<>(Rank.class);
+        final ChargeTotals charges = new ChargeTotals();
+        final TreeMap<String, Coverage> coverage = new TreeMap<>();
+        private final TreeSet<FleetEvent> events = new TreeSet<>(EVENT_ORDER);
+        long droppedEvents;
+        boolean coarsened;
+
+        Builder(DaySlots day) {
+            this.day = day;
+            for (Rank rank : Rank.values()) {
+                slots.put(rank, new SlotTotals[day.count()]);
+            }
+        }
+
+        /** Adds the outcome of one request to the slot in which it finished. */
+        public Builder add(RequestOutcome outcome) {
+            int slot = day.slotOf(outcome.finishedAtMs());
+            totals(outcome.caller(), outcome.rank()).add(outcome, slot);
+            boolean callersDoing = outcome.reason()
+                    .filter(reason -> Responsibility.of(reason) == Responsibility.CALLER)
+                    .isPresent();
+            addSlot(
+                    outcome.rank(),
+                    slot,
+                    new SlotTotals(
+                            1,
+                            callersDoing ? 0 : 1,
+                            outcome.verdict() == Verdict.NOT_RUN ? 0 : 1,
+                            outcome.deadlineMet() && outcome.reason().isEmpty() ? 1 : 0,
+                            0,
+                            (long) outcome.promptTokens() + outcome.answerTokens()));
+            if (!outcome.repeatable()) {
+                charges.add(outcome);
+            }
+            return this;
+        }
+
+        /** Counts a retry. */
+        public Builder addRetry(String caller, Rank rank, Reason reason, long atMs) {
+            totals(caller, rank).addRetry(reason);
+            addSlot(rank, day.slotOf(atMs), new SlotTotals(0, 0, 0, 0, 1, 0));
+            return this;
+        }
+
+        /** Counts a non-repeatable request that was found to have run twice. */
+        public Builder addDoubledCharge(String requestId) {
+            charges.addDoubled(requestId);
+            return this;
+        }
+
+        /** Adds an event; an event that another router has reported is not added again. */
+        public Builder add(FleetEvent event) {
+            FleetEvent from = new FleetEvent(event.atMs() - SAME_EVENT_MS, event.kind(), "", "");
+            FleetEvent to = new FleetEvent(event.atMs() + SAME_EVENT_MS + 1, event.kind(), "", "");
+            for (FleetEvent known : List.copyOf(events.subSet(from, to))) {
+                if (known.kind() == event.kind()
+                        && known.subject().equals(event.subject())
+                        && known.text().equals(event.text())) {
+                    if (known.atMs() <= event.atMs()) {
+                        return this;
+                    }
+                    events.remove(known);
+                }
+            }
+            events.add(event);
+            if (events.size() > MAX_EVENTS) {
+                events.pollLast();
+                droppedEvents++;
+            }
+            return this;
+        }
+
+        /** Adds coverage of a router. */
+        public Builder add(Coverage more) {
+            if (coverage.size() < MAX_ROUTERS || coverage.containsKey(more.routerId())) {
+                coverage.merge(more.routerId(), more, Coverage::merge);
+            }
+            return this;
+        }
+
+        /**
+         * Adds all data of a summary of the same day.
+         *
+         * @throws IllegalArgumentException if the summary is of another day or time zone
+         */
+        public Builder add(DaySummary other) {
+            if (!other.day().equals(day)) {
+                throw new IllegalArgumentException("summary of " + other.day() + " cannot be added to " + day);
+            }
+            other.data.callers.forEach((caller, byRank) ->
+                    byRank.forEach((rank, totals) -> totals(caller, rank).add(totals)));
+            other.data.slots.forEach((rank, array) -> {
+                for (int slot = 0; slot < array.length; slot++) {
+                    if (array[slot] != null) {
+                        addSlot(rank, slot, array[slot]);
+                    }
+                }
+            });
+            charges.add(other.data.charges);
+            other.events.forEach(this::add);
+            other.data.coverage.values().forEach(this::add);
+            droppedEvents += other.data.droppedEvents;
+            coarsened |= other.data.coarsened;
+            return this;
+        }
+
+        /** Returns a summary; later additions to this builder do not change it. */
+        public DaySummary build() {
+            Builder copy = new Builder(day);
+            callers.forEach((caller, byRank) -> byRank.forEach((rank, totals) -> copy.callers
+                    .computeIfAbsent(caller, c -> new EnumMap<>(Rank.class))
+                    .put(rank, totals.copy())));
+            slots.forEach((rank, array) -> copy.slots.put(rank, array.clone()));
+            copy.charges.add(charges);
+            copy.events.addAll(events);
+            copy.coverage.putAll(coverage);
+            copy.droppedEvents = droppedEvents;
+            copy.coarsened = coarsened;
+            return new DaySummary(copy);
+        }
+
+        ServiceTotals totals(String caller, Rank rank) {
+            boolean known = callers.containsKey(caller) || caller.equals(OTHER);
+            int named = callers.size() - (callers.containsKey(OTHER) ? 1 : 0);
+            String label = known || named < MAX_CALLERS ? caller : OTHER;
+            return callers.computeIfAbsent(label, c -> new EnumMap<>(Rank.class))
+                    .computeIfAbsent(rank, r -> new ServiceTotals());
+        }
+
+        void addSlot(Rank rank, int slot, SlotTotals more) {
+            SlotTotals[] array = slots.get(rank);
+            array[slot] = array[slot] == null ? more : array[slot].plus(more);
+        }
+
+        Collection<FleetEvent> sortedEvents() {
+            return events;
+        }
+
+        BitSet coveredSlots(String routerId) {
+            Coverage known = coverage.get(routerId);
+            return known == null ? new BitSet() : known.slots();
+        }
+    }
+}
--- /dev/null
+++ b/report/src/main/java/io/radishwinch/report/RequestOutcome.java
@@ -0,0 +1,144 @@
+package io.radishwinch.report;
+
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.Verdict;
+import java.util.Optional;
+
+/**
+ * How one request ended, as its router saw it.
+ *
+ * @param requestId identifier
+ * @param caller name of the caller
+ * @param rank urgency
+ * @param pool model name, or {@code service:<name>}
+ * @param verdict whether the request ran; {@code NOT_RUN} counts as refused, the others as admitted
+ * @param reason why it was refused or failed, or empty for a whole answer
+ * @param firstTokenMs time from arrival to the first token in ms, or {@link #NONE}
+ * @param meanTokenIntervalMs mean time between tokens in ms, or {@link #NONE}
+ * @param worstTokenIntervalMs longest time between two tokens in ms, or {@link #NONE}
+ * @param promptTokens tokens of the prompt that were processed
+ * @param answerTokens tokens delivered
+ * @param deadlineMet whether the whole answer was delivered by the deadline
+ * @param repeatable whether the request may run more than once; false makes it a charge in the report
+ * @param replayed whether the answer is the recorded outcome of an earlier request with the same key
+ * @param finishedAtMs time of the last byte or refusal, in ms since the epoch
+ * @param retries attempts after the first
+ */
+public record RequestOutcome(
+        String requestId,
+        String caller,
+        Rank rank,
+        String pool,
+        Verdict verdict,
+        Optional<Reason> reason,
+        double firstTokenMs,
+        double meanTokenIntervalMs,
+        double worstTokenIntervalMs,
+        int promptTokens,
+        int answerTokens,
+        boolean deadlineMet,
+        boolean repeatable,
+        boolean replayed,
+        long finishedAtMs,
+        int retries) {
+
+    /** Value of a time that was not measured, for example the token interval of a plain service call. */
+    public static final double NONE = -1;
+
+    /** Returns a builder for a repeatable request without measurements. */
+    public static Builder builder(String requestId, String caller, Rank rank, String pool) {
+        return new Builder(requestId, caller, rank, pool);
+    }
+
+    /** Collects the fields of an outcome. */
+    public static final class Builder {
+        private final String requestId;
+        private final String caller;
+        private final Rank rank;
+        private final String pool;
+        private double firstTokenMs = NONE;
+        private double meanTokenIntervalMs = NONE;
+        private double worstTokenIntervalMs = NONE;
+        private int promptTokens;
+        private int answerTokens;
+        private boolean repeatable = true;
+        private boolean replayed;
+        private int retries;
+
+        private Builder(String requestId, String caller, Rank rank, String pool) {
+            this.requestId = requestId;
+            this.caller = caller;
+            this.rank = rank;
+            this.pool = pool;
+        }
+
+        /** Sets the time from arrival to the first token, in ms. */
+        public Builder withFirstTokenMs(double valueMs) {
+            this.firstTokenMs = valueMs;
+            return this;
+        }
+
+        /** Sets mean and longest time between tokens, in ms. */
+        public Builder withTokenIntervalsMs(double meanMs, double worstMs) {
+            this.meanTokenIntervalMs = meanMs;
+            this.worstTokenIntervalMs = worstMs;
+            return this;
+        }
+
+        /** Sets the tokens of prompt and answer. */
+        public Builder withTokens(int prompt, int answer) {
+            this.promptTokens = prompt;
+            this.answerTokens = answer;
+            return this;
+        }
+
+        /** Sets whether the request may run more than once. */
+        public Builder withRepeatable(boolean value) {
+            this.repeatable = value;
+            return this;
+        }
+
+        /** Sets whether the answer is a recorded outcome. */
+        public Builder withReplayed(boolean value) {
+            this.replayed = value;
+            return this;
+        }
+
+        /** Sets the number of attempts after the first. */
+        public Builder withRetries(int value) {
+            this.retries = value;
+            return this;
+        }
+
+        /** Returns the outcome of a request that received its whole answer. */
+        public RequestOutcome answered(boolean deadlineMet, long finishedAtMs) {
+            return build(Verdict.RAN, Optional.empty(), deadlineMet, finishedAtMs);
+        }
+
+        /** Returns the outcome of a request that was refused or failed. */
+        public RequestOutcome failed(Verdict verdict, Reason reason, long finishedAtMs) {
+            return build(verdict, Optional.of(reason), false, finishedAtMs);
+        }
+
+        private RequestOutcome build(Verdict verdict, Optional<Reason> reason, boolean deadlineMet, long finishedAtMs) {
+            return new RequestOutcome(
+                    requestId,
+                    caller,
+                    rank,
+                    pool,
+                    verdict,
+                    reason,
+                    firstTokenMs,
+                    meanTokenIntervalMs,
+                    worstTokenIntervalMs,
+                    promptTokens,
+                    answerTokens,
+                    deadlineMet,
+                    repeatable,
+                    replayed,
+                    finishedAtMs,
+                    retries);
+        }
+    }
+}
--- /dev/null
+++ b/report/src/main/java/io/radishwinch/report/Responsibility.java
@@ -0,0 +1,48 @@
+package io.radishwinch.report;
+
+import io.radishwinch.core.model.Reason;
+
+/** Who can change that requests are refused for a reason; decides what counts against a contract's promise. */
+public enum Responsibility {
+    /** The caller asked for what its contract does not grant, or did not do its part. */
+    CALLER,
+    /** The fleet did not provide what the contract grants. */
+    FLEET;
+
+    /** Returns who is responsible for a reason. */
+    public static Responsibility of(Reason reason) {
+        return switch (reason) {
+            case UNKNOWN_CALLER,
+                    FORBIDDEN,
+                    MALFORMED_REQUEST,
+                    UNKNOWN_MODEL,
+                    UNKNOWN_SERVICE,
+                    BODY_TOO_LARGE,
+                    HEADER_TOO_LARGE,
+                    SLOW_SENDER,
+                    SLOW_READER,
+                    RATE_LIMITED,
+                    CONCURRENCY_LIMITED,
+                    QUARANTINED,
+                    IN_PROGRESS,
+                    KEY_REUSED,
+                    KEY_REQUIRED,
+                    CALLER_DISCONNECTED,
+                    CONTRACT_WITHDRAWN -> CALLER;
+            case QUEUE_FULL,
+                    DEADLINE_UNREACHABLE,
+                    DEADLINE_EXCEEDED,
+                    NO_CAPACITY,
+                    STAGE_DIED,
+                    ENDPOINT_REFUSED,
+                    ENDPOINT_TIMEOUT,
+                    PREEMPTED,
+                    RETRY_BUDGET_EXHAUSTED,
+                    ATTEMPTS_EXHAUSTED,
+                    PLATFORM_UNAVAILABLE,
+                    OUTCOME_UNKNOWN,
+                    DRAINING,
+                    INTERNAL_ERROR -> FLEET;
+        };
+    }
+}
--- /dev/null
+++ b/report/src/main/java/io/radishwinch/report/ServiceTotals.java
@@ -0,0 +1,179 @@
+package io.radishwinch.report;
+
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.Verdict;
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Service of one caller in one rank over a day. */
+public final class ServiceTotals {
+    long offered;
+    long admitted;
+    long withinDeadline;
+    long promptTokens;
+    long answerTokens;
+    long retriedRequests;
+    double worstTokenIntervalMs;
+    final Map<Reason, Long> refused = new EnumMap<>(Reason.class);
+    final Map<Reason, Long> failed = new EnumMap<>(Reason.class);
+    final Map<Reason, Long> retries = new EnumMap<>(Reason.class);
+    final TreeMap<Integer, SlotService> slots = new TreeMap<>();
+    final LatencyHistogram firstToken = new LatencyHistogram();
+    final LatencyHistogram tokenInterval = new LatencyHistogram();
+
+    ServiceTotals() {}
+
+    /**
+     * What a caller received in one slot.
+     *
+     * @param tokens tokens of prompts and answers that finished in the slot
+     * @param unserved requests that the fleet refused or failed in the slot
+     */
+    public record SlotService(long tokens, long unserved) {
+        SlotService plus(SlotService other) {
+            return new SlotService(tokens + other.tokens, unserved + other.unserved);
+        }
+    }
+
+    // Reading
+
+    /** Returns the number of requests received. */
+    public long offered() {
+        return offered;
+    }
+
+    /** Returns the number of requests that ran or may have run. */
+    public long admitted() {
+        return admitted;
+    }
+
+    /** Returns the number of whole answers by the deadline. */
+    public long withinDeadline() {
+        return withinDeadline;
+    }
+
+    /** Returns the tokens of prompts and answers. */
+    public long tokens() {
+        return promptTokens + answerTokens;
+    }
+
+    /** Returns the number of requests that needed more than one attempt. */
+    public long retriedRequests() {
+        return retriedRequests;
+    }
+
+    /** Returns the longest time between two tokens, in ms. */
+    public double worstTokenIntervalMs() {
+        return worstTokenIntervalMs;
+    }
+
+    /** Returns the requests that did not run, by reason. */
+    public Map<Reason, Long> refused() {
+        return Collections.unmodifiableMap(refused);
+    }
+
+    /** Returns the requests that ran or may have run without a whole answer, by reason. */
+    public Map<Reason, Long> failed() {
+        return Collections.unmodifiableMap(failed);
+    }
+
+    /** Returns the retries by reason. */
+    public Map<Reason, Long> retries() {
+        return Collections.unmodifiableMap(retries);
+    }
+
+    /** Returns the times to the first token. */
+    public LatencyHistogram firstToken() {
+        return firstToken;
+    }
+
+    /** Returns the mean times between tokens, one for each request. */
+    public LatencyHistogram tokenInterval() {
+        return tokenInterval;
+    }
+
+    /** Returns the service by slot, for slots with any. */
+    public Map<Integer, SlotService> slots() {
+        return Collections.unmodifiableMap(slots);
+    }
+
+    /**
+     * Returns the requests that the contract entitles to an answer: those not refused or lost by the caller's doing.
+     */
+    public long entitled() {
+        return offered - countOf(Responsibility.CALLER);
+    }
+
+    /** Returns the requests that the fleet refused or failed. */
+    public long unserved() {
+        return countOf(Responsibility.FLEET);
+    }
+
+    /** Returns the share of entitled requests answered by the deadline, from 0 to 1; 1 without any. */
+    public double withinDeadlineShare() {
+        return entitled() <= 0 ? 1 : Math.min(1, (double) withinDeadline / entitled());
+    }
+
+    private long countOf(Responsibility responsibility) {
+        long count = 0;
+        for (Map<Reason, Long> byReason : List.of(refused, failed)) {
+            for (Map.Entry<Reason, Long> entry : byReason.entrySet()) {
+                count += Responsibility.of(entry.getKey()) == responsibility ? entry.getValue() : 0;
+            }
+        }
+        return count;
+    }
+
+    // Adding
+
+    void add(RequestOutcome outcome, int slot) {
+        offered++;
+        boolean refusal = outcome.verdict() == Verdict.NOT_RUN;
+        admitted += refusal ? 0 : 1;
+        withinDeadline += outcome.deadlineMet() && outcome.reason().isEmpty() ? 1 : 0;
+        promptTokens += outcome.promptTokens();
+        answerTokens += outcome.answerTokens();
+        retriedRequests += outcome.retries() > 0 ? 1 : 0;
+        worstTokenIntervalMs = Math.max(worstTokenIntervalMs, outcome.worstTokenIntervalMs());
+        outcome.reason().ifPresent(reason -> (refusal ? refused : failed).merge(reason, 1L, Long::sum));
+        firstToken.recordMs(outcome.firstTokenMs());
+        tokenInterval.recordMs(outcome.meanTokenIntervalMs());
+        long unserved = outcome.reason()
+                .filter(reason -> Responsibility.of(reason) == Responsibility.FLEET)
+                .map(reason -> 1L)
+                .orElse(0L);
+        long tokens = (long) outcome.promptTokens() + outcome.answerTokens();
+        if (tokens > 0 || unserved > 0) {
+            slots.merge(slot, new SlotService(tokens, unserved), SlotService::plus);
+        }
+    }
+
+    void addRetry(Reason reason) {
+        retries.merge(reason, 1L, Long::sum);
+    }
+
+    void add(ServiceTotals other) {
+        offered += other.offered;
+        admitted += other.admitted;
+        withinDeadline += other.withinDeadline;
+        promptTokens += other.promptTokens;
+        answerTokens += other.answerTokens;
+        retriedRequests += other.retriedRequests;
+        worstTokenIntervalMs = Math.max(worstTokenIntervalMs, other.worstTokenIntervalMs);
+        other.refused.forEach((reason, count) -> refused.merge(reason, count, Long::sum));
+        other.failed.forEach((reason, count) -> failed.merge(reason, count, Long::sum));
+        other.retries.forEach((reason, count) -> retries.merge(reason, count, Long::sum));
+        other.slots.forEach((slot, service) -> slots.merge(slot, service, SlotService::plus));
+        firstToken.add(other.firstToken);
+        tokenInterval.add(other.tokenInterval);
+    }
+
+    ServiceTotals copy() {
+        ServiceTotals copy = new ServiceTotals();
+        copy.add(this);
+        return copy;
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/admin/AdminError.java
@@ -0,0 +1,43 @@
+package io.radishwinch.server.admin;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Error answer of the operators' interface.
+ *
+ * @param status HTTP status
+ * @param code short name for programs, for example {@code conflict}
+ * @param message what is wrong
+ * @param hint what to do about it, or an empty string
+ * @param details further fields of the answer
+ */
+record AdminError(int status, String code, String message, String hint, Map<String, Object> details) {
+
+    static AdminError of(int status, String code, String message, String hint) {
+        return new AdminError(status, code, message, hint, Map.of());
+    }
+
+    static AdminError notFound(String what, String hint) {
+        return of(404, "not-found", what, hint);
+    }
+
+    AdminError withDetail(String name, Object value) {
+        Map<String, Object> copy = new LinkedHashMap<>(details);
+        copy.put(name, value);
+        return new AdminError(status, code, message, hint, copy);
+    }
+
+    /** Returns the body, {@code {"error": {...}}}. */
+    Map<String, Object> body() {
+        Map<String, Object> error = new LinkedHashMap<>();
+        error.put("code", code);
+        error.put("message", message);
+        error.put("hint", hint);
+        List<String> names = new ArrayList<>(details.keySet());
+        names.forEach(name -> error.put(name, details.get(name)));
+        return Map.of("error", error);
+    }
+}
