--- a/report/src/main/java/io/radishwinch/report/Responsibility.java
+++ b/report/src/main/java/io/radishwinch/report/Responsibility.java
@@ -40,6 +40,7 @@
                     RETRY_BUDGET_EXHAUSTED,
                     ATTEMPTS_EXHAUSTED,
                     PLATFORM_UNAVAILABLE,
+                    OUTCOME_NOT_STORED,
                     OUTCOME_UNKNOWN,
                     DRAINING,
                     INTERNAL_ERROR -> FLEET;
--- a/server/src/main/java/io/radishwinch/server/http/CallerServer.java
+++ b/server/src/main/java/io/radishwinch/server/http/CallerServer.java
@@ -31,6 +31,9 @@
     private static final int IDLE_TIMEOUT_S = 300;
     private static final int MAX_LINE_BYTES = 8192;
 
+    /** Vert.x binds one free port for all listeners that ask for the same negative number. */
+    private static final int SHARED_FREE_PORT = -1;
+
     private final Vertx vertx;
     private final RouterSettings settings;
     private final Parts parts;
@@ -64,7 +67,6 @@
         this.vertx = vertx;
         this.settings = settings;
         this.parts = parts;
-        this.port = settings.integer(SettingKey.CALLER_PORT);
     }
 
     /** Starts to listen; fails if the address is in use or a TLS file cannot be read. */
@@ -109,7 +111,8 @@
                     .requestHandler(api.routes())
                     .invalidRequestHandler(this::invalidRequest)
                     .connectionHandler(this::connected);
-            return server.listen(port, settings.text(SettingKey.CALLER_HOST))
+            int setting = settings.integer(SettingKey.CALLER_PORT);
+            return server.listen(setting == 0 ? SHARED_FREE_PORT : setting, settings.text(SettingKey.CALLER_HOST))
                     .onSuccess(listening -> port = listening.actualPort());
         }
 
