--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/DayService.java
@@ -0,0 +1,136 @@
+package io.radishwinch.server;
+
+import io.radishwinch.cluster.platform.PlatformClient;
+import io.radishwinch.cluster.platform.PlatformClient.PutResult;
+import io.radishwinch.cluster.platform.PlatformClient.StoredObject;
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.report.DayRecorder;
+import io.radishwinch.report.DaySummary;
+import io.radishwinch.report.DaySummaryCodec;
+import io.radishwinch.report.FleetEvent;
+import io.radishwinch.report.RequestOutcome;
+import io.smallrye.mutiny.Multi;
+import io.smallrye.mutiny.Uni;
+import java.io.IOException;
+import java.time.LocalDate;
+import java.time.ZoneId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+
+/** Records the day of this router and writes its summary to the platform; runs on the control thread. */
+final class DayService {
+    private static final System.Logger LOG = System.getLogger(DayService.class.getName());
+    private static final String PREFIX = "days/";
+    private static final int PAGE_SIZE = 20;
+
+    private final PlatformClient platform;
+    private final String processId;
+    private final DayRecorder recorder;
+    private String writtenKey = "";
+    private long writtenVersion = PlatformClient.ABSENT;
+
+    /** Creates a service; every process writes an object of its own, so nothing that an earlier one wrote is replaced. */
+    DayService(PlatformClient platform, String processId, ZoneId zone) {
+        this.platform = platform;
+        this.processId = processId;
+        this.recorder = new DayRecorder(processId, zone, System.currentTimeMillis());
+    }
+
+    void record(RequestOutcome outcome) {
+        recorder.record(outcome);
+    }
+
+    void recordRetry(String caller, Rank rank, Reason reason) {
+        recorder.recordRetry(caller, rank, reason, System.currentTimeMillis());
+    }
+
+    void record(FleetEvent.Kind kind, String subject, String text) {
+        recorder.record(new FleetEvent(System.currentTimeMillis(), kind, subject, text));
+    }
+
+    /** Notes that the router is alive, and writes the last summary of a day that has ended. */
+    void tick() {
+        recorder.tick(System.currentTimeMillis()).ifPresent(last -> write(last).subscribe().with(done -> {}, e -> {}));
+    }
+
+    /** Writes the summary of the day so far. */
+    Uni<Void> write() {
+        return write(recorder.summary(System.currentTimeMillis()));
+    }
+
+    /** Writes the last summary of this process. */
+    Uni<Void> handOver() {
+        return write(recorder.handOver(System.currentTimeMillis()));
+    }
+
+    /** Reads the summaries that all routers wrote for a day; for today, the newest of this router. */
+    Multi<DaySummary> read(LocalDate day) {
+        String ownKey = key(day);
+        Multi<DaySummary> stored = list(PREFIX + day + "/", "")
+                .onItem()
+                .transformToMulti(objects -> Multi.createFrom().iterable(objects))
+                .filter(object -> !(object.key().equals(ownKey) && isToday(day)))
+                .onItem()
+                .transformToMultiAndConcatenate(DayService::decode);
+        if (!isToday(day)) {
+            return stored;
+        }
+        return Multi.createBy().concatenating().streams(
+                stored, Multi.createFrom().item(() -> recorder.summary(System.currentTimeMillis())));
+    }
+
+    private boolean isToday(LocalDate day) {
+        return recorder.day().date().equals(day);
+    }
+
+    private Uni<List<StoredObject>> list(String prefix, String afterKey) {
+        return platform.list(prefix, afterKey, PAGE_SIZE).onItem().transformToUni(page -> {
+            if (!page.more() || page.objects().isEmpty()) {
+                return Uni.createFrom().item(page.objects());
+            }
+            String last = page.objects().get(page.objects().size() - 1).key();
+            return list(prefix, last).map(rest -> {
+                List<StoredObject> all = new ArrayList<>(page.objects());
+                all.addAll(rest);
+                return all;
+            });
+        });
+    }
+
+    private static Multi<DaySummary> decode(StoredObject object) {
+        try {
+            return Multi.createFrom().item(DaySummaryCodec.decode(object.value()));
+        } catch (IOException e) {
+            LOG.log(System.Logger.Level.WARNING, "day summary {0} cannot be read: {1}", object.key(), e.getMessage());
+            return Multi.createFrom().empty();
+        }
+    }
+
+    private Uni<Void> write(DaySummary summary) {
+        String key = key(summary.day().date());
+        if (!key.equals(writtenKey)) {
+            writtenKey = key;
+            writtenVersion = PlatformClient.ABSENT;
+        }
+        return platform.put(key, writtenVersion, DaySummaryCodec.encode(summary), UUID.randomUUID().toString())
+                .invoke(result -> written(key, result))
+                .replaceWithVoid();
+    }
+
+    private void written(String key, PutResult result) {
+        if (!key.equals(writtenKey)) {
+            return;
+        }
+        if (result instanceof PutResult.Written written) {
+            writtenVersion = written.version();
+        } else if (result instanceof PutResult.Conflict conflict) {
+            writtenVersion = conflict.current().map(StoredObject::version).orElse(PlatformClient.ABSENT);
+        }
+    }
+
+    private String key(LocalDate day) {
+        return PREFIX + day + "/" + processId;
+    }
+}
--- a/server/src/main/java/io/radishwinch/server/OutcomeRecorder.java
+++ b/server/src/main/java/io/radishwinch/server/OutcomeRecorder.java
@@ -2,18 +2,29 @@
 
 import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.report.RequestOutcome;
 import io.radishwinch.server.http.Delivery;
 import io.radishwinch.server.http.ExchangeListener;
 import io.radishwinch.server.http.Refusal;
 import io.radishwinch.server.metrics.RouterMetrics;
 import java.util.Optional;
+import java.util.function.Consumer;
 
-/** Counts the end of every request. */
+/** Counts the end of every request and passes it to the records of the day. */
 final class OutcomeRecorder implements ExchangeListener {
     private final RouterMetrics metrics;
+    private final ControlLoop control;
+    private final Consumer<RequestOutcome> day;
 
-    OutcomeRecorder(RouterMetrics metrics) {
+    /**
+     * Creates a recorder.
+     *
+     * @param day takes the outcomes, on the control thread
+     */
+    OutcomeRecorder(RouterMetrics metrics, ControlLoop control, Consumer<RequestOutcome> day) {
         this.metrics = metrics;
+        this.control = control;
+        this.day = day;
     }
 
     @Override
@@ -24,10 +35,36 @@
             metrics.answered(
                     request.rank(), delivery.answerTokens(), delivery.firstTokenMs(), delivery.meanIntervalMs());
         }
+        RequestOutcome outcome = outcome(request, delivery, refusal);
+        control.execute(() -> day.accept(outcome));
     }
 
     @Override
     public void rejected(String caller, Optional<Rank> rank, Refusal refusal) {
         metrics.refused(rank.orElse(null), refusal.reason());
+        if (caller.isEmpty() || rank.isEmpty()) {
+            return;
+        }
+        RequestOutcome outcome = RequestOutcome.builder("", caller, rank.get(), "")
+                .failed(refusal.verdict(), refusal.reason(), System.currentTimeMillis());
+        control.execute(() -> day.accept(outcome));
+    }
+
+    private RequestOutcome outcome(RequestSpec request, Delivery delivery, Optional<Refusal> refusal) {
+        RequestOutcome.Builder builder = RequestOutcome.builder(
+                        request.requestId(), request.caller(), request.rank(), request.pool())
+                .withTokens(request.promptTokens(), delivery.answerTokens())
+                .withRepeatable(request.repeatable())
+                .withReplayed(delivery.isReplayed())
+                .withRetries(Math.max(0, delivery.attempts() - 1));
+        if (delivery.answerTokens() > 0) {
+            builder.withFirstTokenMs(delivery.firstTokenMs());
+        }
+        if (delivery.answerTokens() > 1) {
+            builder.withTokenIntervalsMs(delivery.meanIntervalMs(), delivery.worstIntervalMs());
+        }
+        long nowMs = System.currentTimeMillis();
+        return refusal.map(failure -> builder.failed(failure.verdict(), failure.reason(), nowMs))
+                .orElseGet(() -> builder.answered(control.nowMs() <= request.deadlineMs(), nowMs));
     }
 }
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/PeerJournal.java
@@ -0,0 +1,176 @@
+package io.radishwinch.server;
+
+import io.radishwinch.cluster.Outgoing;
+import io.radishwinch.cluster.PeerNode;
+import io.radishwinch.cluster.journal.JournalPeer;
+import io.radishwinch.cluster.journal.JournalWriters;
+import io.radishwinch.cluster.journal.ShardedJournal;
+import io.radishwinch.cluster.membership.MemberInfo;
+import io.radishwinch.cluster.membership.RendezvousHash;
+import io.radishwinch.protocol.generated.JournalReply;
+import io.radishwinch.protocol.generated.JournalRequest;
+import io.radishwinch.protocol.generated.JournalResult;
+import io.radishwinch.protocol.generated.JournalStep;
+import io.radishwinch.protocol.generated.Message;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import io.vertx.core.Vertx;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** Carries journal steps to the preferred writers of their shards, and answers those of other routers. */
+final class PeerJournal implements JournalWriters {
+    /** Requests that may wait for a reply; beyond this the own router writes. */
+    private static final int MAX_PENDING = 10_000;
+
+    /** Refutations of suspicion raise an incarnation by one, so the start time is found a little below it. */
+    private static final long MAX_REFUTATIONS = 1000;
+
+    private final Vertx vertx;
+    private final PeerNode node;
+    private final long timeoutMs;
+    private final Consumer<List<Outgoing>> sender;
+    private final Map<Long, Pending> pending = new HashMap<>();
+    private long nextSequence = 1;
+
+    PeerJournal(Vertx vertx, PeerNode node, long timeoutMs, Consumer<List<Outgoing>> sender) {
+        this.vertx = vertx;
+        this.node = node;
+        this.timeoutMs = timeoutMs;
+        this.sender = sender;
+    }
+
+    /** A request that waits for its reply. */
+    private record Pending(UniEmitter<? super JournalPeer.Reply> emitter, long timer) {}
+
+    /** Returns the identifier under which a process writes grants: unique for each start of a router. */
+    static String processId(String routerId, long startedAtMs) {
+        return routerId + "@" + startedAtMs;
+    }
+
+    // JournalWriters
+
+    @Override
+    public Optional<JournalPeer> writerOf(int shard) {
+        List<String> ids = new ArrayList<>();
+        ids.add(node.self().id());
+        allMembers().forEach(member -> ids.add(member.id()));
+        String owner = RendezvousHash.owner("journal/" + shard, ids).orElseThrow();
+        return owner.equals(node.self().id()) ? Optional.empty() : Optional.of(request -> call(owner, request));
+    }
+
+    @Override
+    public boolean isLive(String processId) {
+        int at = processId.lastIndexOf('@');
+        if (at < 0) {
+            return false;
+        }
+        String id = processId.substring(0, at);
+        long startedAtMs = Long.parseLong(processId.substring(at + 1));
+        if (id.equals(node.self().id())) {
+            return isSameProcess(node.self(), startedAtMs);
+        }
+        return allMembers().stream().anyMatch(member -> member.id().equals(id) && isSameProcess(member, startedAtMs));
+    }
+
+    private static boolean isSameProcess(MemberInfo member, long startedAtMs) {
+        long refutations = member.incarnation() - startedAtMs;
+        return refutations >= 0 && refutations < MAX_REFUTATIONS;
+    }
+
+    private List<MemberInfo> allMembers() {
+        List<MemberInfo> members = new ArrayList<>(node.members());
+        node.remoteDataCentres().forEach(name -> members.addAll(node.remoteMembers(name)));
+        return members;
+    }
+
+    // Requests to other routers
+
+    private Uni<JournalPeer.Reply> call(String memberId, JournalPeer.Request request) {
+        return Uni.createFrom().emitter(emitter -> {
+            long sequence = nextSequence++;
+            Optional<Outgoing> frame = pending.size() >= MAX_PENDING
+                    ? Optional.empty()
+                    : node.journalFrame(memberId, Message.journalRequest(toThrift(sequence, request)));
+            if (frame.isEmpty()) {
+                emitter.fail(new IllegalStateException("no connection to " + memberId));
+                return;
+            }
+            long timer = vertx.setTimer(timeoutMs, ignored -> {
+                if (pending.remove(sequence) != null) {
+                    emitter.fail(new IllegalStateException("no reply from " + memberId + " within " + timeoutMs + " ms"));
+                }
+            });
+            pending.put(sequence, new Pending(emitter, timer));
+            sender.accept(List.of(frame.get()));
+        });
+    }
+
+    // Messages from other routers
+
+    void receive(MemberInfo from, Message message, ShardedJournal journal) {
+        if (message.isSetJournalReply()) {
+            replied(message.getJournalReply());
+        } else if (message.isSetJournalRequest()) {
+            JournalRequest request = message.getJournalRequest();
+            journal.handle(fromThrift(request))
+                    .subscribe()
+                    .with(reply -> send(from, toThrift(request.getSequence(), reply)), error -> {});
+        }
+    }
+
+    private void replied(JournalReply reply) {
+        Pending waiting = pending.remove(reply.getSequence());
+        if (waiting != null) {
+            vertx.cancelTimer(waiting.timer());
+            waiting.emitter().complete(fromThrift(reply));
+        }
+    }
+
+    private void send(MemberInfo to, JournalReply reply) {
+        node.journalFrame(to.id(), Message.journalReply(reply)).ifPresent(frame -> sender.accept(List.of(frame)));
+    }
+
+    // Conversion
+
+    private static JournalRequest toThrift(long sequence, JournalPeer.Request request) {
+        JournalRequest thrift = new JournalRequest(
+                sequence,
+                JournalStep.valueOf(request.step().name()),
+                request.caller(),
+                request.idempotencyKey(),
+                ByteBuffer.wrap(request.fingerprint()),
+                request.grantNonce());
+        request.outcome().ifPresent(thrift::setOutcome);
+        return thrift;
+    }
+
+    private static JournalPeer.Request fromThrift(JournalRequest request) {
+        return new JournalPeer.Request(
+                JournalPeer.Step.valueOf(request.getStep().name()),
+                request.getCaller(),
+                request.getIdempotencyKey(),
+                request.getFingerprint(),
+                request.getGrantNonce(),
+                request.isSetOutcome() ? Optional.of(request.getOutcome()) : Optional.empty());
+    }
+
+    private static JournalReply toThrift(long sequence, JournalPeer.Reply reply) {
+        JournalReply thrift =
+                new JournalReply(sequence, JournalResult.valueOf(reply.result().name()), reply.grantNonce());
+        reply.outcome().ifPresent(thrift::setOutcome);
+        return thrift;
+    }
+
+    private static JournalPeer.Reply fromThrift(JournalReply reply) {
+        return new JournalPeer.Reply(
+                JournalPeer.Result.valueOf(reply.getResult().name()),
+                reply.getGrantNonce(),
+                reply.isSetOutcome() ? Optional.of(reply.getOutcome()) : Optional.empty());
+    }
+}
--- a/server/src/main/java/io/radishwinch/server/http/Delivery.java
+++ b/server/src/main/java/io/radishwinch/server/http/Delivery.java
@@ -6,6 +6,7 @@
 
     private final long arrivedAtMs;
     private int attempts;
+    private boolean replayed;
     private int answerTokens;
     private long firstTokenAtMs = NONE;
     private long lastTokenAtMs = NONE;
@@ -19,6 +20,10 @@
         attempts++;
     }
 
+    void replayed() {
+        replayed = true;
+    }
+
     void token(long nowMs) {
         answerTokens++;
         if (firstTokenAtMs == NONE) {
@@ -34,6 +39,11 @@
         return attempts;
     }
 
+    /** Returns whether the answer was the recorded outcome of an earlier request. */
+    public boolean isReplayed() {
+        return replayed;
+    }
+
     /** Returns the tokens delivered. */
     public int answerTokens() {
         return answerTokens;
--- a/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
@@ -113,6 +113,7 @@
             endWith(new Refusal(Reason.OUTCOME_NOT_STORED, Verdict.RAN, Messages.of(Reason.OUTCOME_NOT_STORED), 0));
             return;
         }
+        delivery.replayed();
         withdraw(Optional.empty());
         response.setStatusCode(stored.status())
                 .putHeader("X-Request-Id", request.requestId())
