--- a/core/src/main/java/io/radishwinch/core/chain/CandidateList.java
+++ b/core/src/main/java/io/radishwinch/core/chain/CandidateList.java
@@ -20,6 +20,21 @@
         return entries[position];
     }
 
+    /** Returns the number of entries with a score up to the given one. */
+    int countUpTo(double score) {
+        int low = 0;
+        int high = size;
+        while (low < high) {
+            int middle = (low + high) >>> 1;
+            if (entries[middle].score <= score) {
+                low = middle + 1;
+            } else {
+                high = middle;
+            }
+        }
+        return low;
+    }
+
     void add(HeldRange entry) {
         int position = -find(entry) - 1;
         if (position < 0) {
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/chain/CostChainPlanner.java
@@ -0,0 +1,283 @@
+package io.radishwinch.core.chain;
+
+import io.radishwinch.core.model.Chain;
+import io.radishwinch.core.model.LayerRange;
+import io.radishwinch.core.model.ModelSpec;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Stage;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * Planner that takes the cheapest chain by link delay, layer time, slots in use and cached prompt prefixes.
+ *
+ * <p>The chain is a shortest path over layer boundaries, found by label setting in layer order (E. Q. V. Martins, "On a
+ * multicriteria shortest path problem", European Journal of Operational Research 16, 1984, restricted to a few labels
+ * for each boundary). Each stage is then chosen among near-equal endpoints by the power of two choices (M.
+ * Mitzenmacher, "The power of two choices in randomized load balancing", IEEE TPDS 12(10), 2001), so that routers with
+ * the same stale reports do not send their work to the same endpoints.
+ */
+public final class CostChainPlanner implements ChainPlanner {
+
+    /** Candidates read from the list of each data centre at each boundary. */
+    private static final int CANDIDATES_PER_ZONE = 4;
+
+    /** Data centres considered at each boundary; a router's own data centre comes first in the table. */
+    private static final int MAX_ZONES = 4;
+
+    /** Candidates considered at one boundary. */
+    private static final int MAX_CANDIDATES = 24;
+
+    /** Difference up to which two endpoints count as near-equal, as a share of the cost. */
+    private static final double NEAR_EQUAL_SHARE = 0.05;
+
+    /** Random positions drawn to find two near-equal endpoints for a stage. */
+    private static final int DRAWS = 6;
+
+    private final EndpointTable table;
+    private final SplittableRandom random;
+    private final CostModel costs;
+    private final ChainLabels labels = new ChainLabels();
+    private final HeldRange[] candidates = new HeldRange[MAX_CANDIDATES];
+    private final int[] candidateLayers = new int[MAX_CANDIDATES];
+    private final GreedyChains fallback;
+    private int candidateCount;
+
+    /**
+     * Creates a planner.
+     *
+     * @param table endpoint table to read
+     * @param seed seed of the random choices; routers must use different ones
+     */
+    public CostChainPlanner(EndpointTable table, long seed) {
+        this.table = table;
+        random = new SplittableRandom(seed);
+        costs = new CostModel(table.links());
+        fallback = new GreedyChains(table);
+    }
+
+    @Override
+    public Optional<Chain> plan(RequestSpec request, ModelSpec pool, Set<String> excludedEndpointIds, long nowMs) {
+        PoolIndex index = table.pool(pool.name());
+        if (index == null) {
+            return Optional.empty();
+        }
+        List<PrefixIndex.Match> matches = table.prefixes().matches(request.prefixHashes());
+        costs.startRequest(request, matches, nowMs);
+        Search search = new Search(request, pool, excludedEndpointIds, index, matches);
+        labels.reset(pool.layerCount());
+        for (int layer = 0; layer < pool.layerCount(); layer++) {
+            if (labels.counts[layer] > 0) {
+                collectCandidates(search, layer);
+                extend(search, layer);
+            }
+        }
+        if (labels.counts[pool.layerCount()] == 0) {
+            return Optional.empty();
+        }
+        List<PlannedStage> stages = trace(pool.layerCount());
+        if (!mergeRepeated(stages, search)) {
+            return fallback.build(request, pool, excludedEndpointIds, FewestStagesChainPlanner::furthest);
+        }
+        chooseNearEqual(stages, search);
+        return Optional.of(toChain(stages));
+    }
+
+    /** What stays the same during one decision. */
+    private record Search(
+            RequestSpec request,
+            ModelSpec pool,
+            Set<String> excluded,
+            PoolIndex index,
+            List<PrefixIndex.Match> matches) {
+
+        int layersWithMemory(HeldRange entry) {
+            boolean isExcluded = !excluded.isEmpty() && excluded.contains(entry.row.id());
+            return isExcluded ? 0 : CostModel.layersWithMemory(entry.row, pool, request);
+        }
+    }
+
+    /** A stage with its entry, before the chain is final. */
+    private record PlannedStage(HeldRange entry, int first, int end) {}
+
+    private void collectCandidates(Search search, int layer) {
+        candidateCount = 0;
+        int zones = Math.min(MAX_ZONES, search.index.zoneCount());
+        for (int zone = 0; zone < search.index.zoneCount(); zone++) {
+            CandidateList list = search.index.candidates(layer, zone);
+            int wanted = zone < zones || candidateCount == 0 ? candidateCount + CANDIDATES_PER_ZONE : candidateCount;
+            for (int i = 0; list != null && i < list.size() && candidateCount < wanted; i++) {
+                addCandidate(search, list.get(i));
+            }
+        }
+        for (PrefixIndex.Match match : search.matches) {
+            addRow(search, match.row(), layer);
+        }
+        HeldRange best = labels.entries[layer * ChainLabels.WIDTH];
+        if (best != null) {
+            List<Link> nearest = best.row.nearest;
+            for (int i = 0; i < nearest.size(); i++) {
+                addRow(search, nearest.get(i).to, layer);
+            }
+        }
+    }
+
+    private void addRow(Search search, EndpointRow row, int layer) {
+        for (int i = 0; i < row.entries.size(); i++) {
+            HeldRange entry = row.entries.get(i);
+            if (entry.listed && entry.first <= layer && layer < entry.end && entry.pool.equals(search.pool.name())) {
+                addCandidate(search, entry);
+            }
+        }
+    }
+
+    private void addCandidate(Search search, HeldRange entry) {
+        int layers = search.layersWithMemory(entry);
+        if (layers == 0 || candidateCount == MAX_CANDIDATES) {
+            return;
+        }
+        for (int i = 0; i < candidateCount; i++) {
+            if (candidates[i] == entry) {
+                return;
+            }
+        }
+        candidateLayers[candidateCount] = layers;
+        candidates[candidateCount++] = entry;
+    }
+
+    private void extend(Search search, int layer) {
+        int base = layer * ChainLabels.WIDTH;
+        for (int c = 0; c < candidateCount; c++) {
+            HeldRange entry = candidates[c];
+            double startUs = Double.MAX_VALUE;
+            int from = -1;
+            for (int label = base; label < base + labels.counts[layer]; label++) {
+                HeldRange last = labels.entries[label];
+                if (last == null || last.row != entry.row) {
+                    double us = labels.costUs[label] + costs.linkUs(last == null ? null : last.row, entry.row);
+                    if (us < startUs) {
+                        startUs = us;
+                        from = label;
+                    }
+                }
+            }
+            if (from >= 0) {
+                offerStops(search, layer, c, startUs + CostModel.slotPriceUs(entry.row), from);
+            }
+        }
+    }
+
+    /** Offers the boundaries where it can pay to leave an endpoint: starts of other holdings and its own end. */
+    private void offerStops(Search search, int layer, int candidate, double startUs, int from) {
+        HeldRange entry = candidates[candidate];
+        double layerUs = costs.layerUs(entry.row);
+        int end = Math.min(entry.end, search.pool.layerCount());
+        int furthest = (int) Math.min(end, (long) layer + candidateLayers[candidate]);
+        for (int stop = layer + 1; stop <= furthest; stop++) {
+            if (stop == end || search.index.isStart(stop)) {
+                labels.offer(stop, startUs + (stop - layer) * layerUs, entry, from);
+            }
+        }
+    }
+
+    private List<PlannedStage> trace(int layerCount) {
+        List<PlannedStage> stages = new ArrayList<>();
+        int label = layerCount * ChainLabels.WIDTH;
+        while (labels.previous[label] >= 0) {
+            int previous = labels.previous[label];
+            stages.add(
+                    0,
+                    new PlannedStage(labels.entries[label], previous / ChainLabels.WIDTH, label / ChainLabels.WIDTH));
+            label = previous;
+        }
+        return stages;
+    }
+
+    /**
+     * Replaces a detour that returns to the same holding by one stage.
+     *
+     * @return false if an endpoint still appears twice or has no memory for the longer stage
+     */
+    private static boolean mergeRepeated(List<PlannedStage> stages, Search search) {
+        for (int i = 0; i < stages.size(); i++) {
+            for (int j = stages.size() - 1; j > i; j--) {
+                PlannedStage early = stages.get(i);
+                PlannedStage late = stages.get(j);
+                if (early.entry.row == late.entry.row) {
+                    if (early.entry != late.entry || search.layersWithMemory(early.entry) < late.end - early.first) {
+                        return false;
+                    }
+                    stages.subList(i, j + 1).clear();
+                    stages.add(i, new PlannedStage(early.entry, early.first, late.end));
+                }
+            }
+        }
+        return true;
+    }
+
+    private void chooseNearEqual(List<PlannedStage> stages, Search search) {
+        double chainUs = labels.costUs[search.pool.layerCount() * ChainLabels.WIDTH];
+        for (int i = 0; i < stages.size(); i++) {
+            PlannedStage stage = stages.get(i);
+            EndpointRow before = i == 0 ? null : stages.get(i - 1).entry.row;
+            EndpointRow after = i + 1 == stages.size() ? null : stages.get(i + 1).entry.row;
+            double limitUs = stageUs(stage.entry, stage, before, after) + NEAR_EQUAL_SHARE * chainUs;
+            HeldRange first = null;
+            HeldRange second = null;
+            for (int draw = 0; draw < DRAWS && second == null; draw++) {
+                HeldRange drawn = draw(search, stage);
+                if (drawn != null
+                        && drawn != first
+                        && isEligible(drawn, stage, stages, search)
+                        && stageUs(drawn, stage, before, after) <= limitUs) {
+                    second = first == null ? null : drawn;
+                    first = first == null ? drawn : first;
+                }
+            }
+            if (second != null) {
+                boolean firstIsCheaper = stageUs(first, stage, before, after) <= stageUs(second, stage, before, after);
+                stages.set(i, new PlannedStage(firstIsCheaper ? first : second, stage.first, stage.end));
+            }
+        }
+    }
+
+    /** Draws an entry of the stage's data centre whose score is close to that of the stage's entry. */
+    private HeldRange draw(Search search, PlannedStage stage) {
+        CandidateList list = search.index.candidates(stage.first, stage.entry.row.zone());
+        int near = list.countUpTo(stage.entry.score * (1 + NEAR_EQUAL_SHARE));
+        return near == 0 ? null : list.get(random.nextInt(near));
+    }
+
+    private static boolean isEligible(HeldRange entry, PlannedStage stage, List<PlannedStage> stages, Search search) {
+        if (entry == stage.entry) {
+            return true;
+        }
+        if (entry.end < stage.end || search.layersWithMemory(entry) < stage.end - stage.first) {
+            return false;
+        }
+        for (PlannedStage other : stages) {
+            if (other.entry.row == entry.row) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private double stageUs(HeldRange entry, PlannedStage stage, EndpointRow before, EndpointRow after) {
+        return costs.linkUs(before, entry.row)
+                + CostModel.slotPriceUs(entry.row)
+                + costs.layerUs(entry.row) * (stage.end - stage.first)
+                + costs.linkUs(entry.row, after);
+    }
+
+    private static Chain toChain(List<PlannedStage> planned) {
+        List<Stage> stages = new ArrayList<>(planned.size());
+        for (PlannedStage stage : planned) {
+            stages.add(new Stage(stage.entry.row.id(), new LayerRange(stage.first, stage.end)));
+        }
+        return new Chain(stages);
+    }
+}
--- a/core/src/main/java/io/radishwinch/core/chain/CostModel.java
+++ b/core/src/main/java/io/radishwinch/core/chain/CostModel.java
@@ -1,11 +1,15 @@
 package io.radishwinch.core.chain;
 
+import io.radishwinch.core.model.ModelSpec;
+import io.radishwinch.core.model.RequestSpec;
+import java.util.List;
+
 /**
- * Price of a slot.
+ * Cost of the parts of a chain, in us of the time of one answer token.
  *
- * <p>The price grows exponentially with the fraction of slots in use, so that scarce endpoints are kept for the work
- * that needs them. Source: J. Aspnes, Y. Azar, A. Fiat, S. Plotkin, O. Waarts, "On-line routing of virtual circuits
- * with applications to load balancing and machine scheduling", Journal of the ACM 44(3), 1997.
+ * <p>The price of a slot grows exponentially with the fraction of slots in use, so that scarce endpoints are kept for
+ * the work that needs them. Source: J. Aspnes, Y. Azar, A. Fiat, S. Plotkin, O. Waarts, "On-line routing of virtual
+ * circuits with applications to load balancing and machine scheduling", Journal of the ACM 44(3), 1997.
  */
 final class CostModel {
 
@@ -15,10 +19,55 @@
     /** Base of the exponential: the ratio of the price of the last slot to that of the first. */
     private static final double PRICE_BASE = 64;
 
-    private CostModel() {}
+    private static final double LOG_PRICE_BASE = Math.log(PRICE_BASE);
+
+    /** Time of one prompt token relative to one answer token: a prompt is processed in parallel blocks. */
+    private static final double PROMPT_TOKEN_COST = 1.0 / 20;
 
+    private final LinkTable links;
+    private List<PrefixIndex.Match> matches = List.of();
+    private double promptTokensPerNewToken;
+    private long nowMs;
+
+    CostModel(LinkTable links) {
+        this.links = links;
+    }
+
+    /** Returns the price of one more slot, in us. */
     static double slotPriceUs(EndpointRow row) {
         double used = Math.min(1, (double) row.occupied() / row.usableSlots());
-        return FULL_SLOT_PRICE_US * (Math.pow(PRICE_BASE, used) - 1) / (PRICE_BASE - 1);
+        return FULL_SLOT_PRICE_US * (Math.exp(used * LOG_PRICE_BASE) - 1) / (PRICE_BASE - 1);
+    }
+
+    /** Sets the request that the following costs refer to. */
+    void startRequest(RequestSpec request, List<PrefixIndex.Match> newMatches, long newNowMs) {
+        matches = newMatches;
+        promptTokensPerNewToken = (double) request.promptTokens() / Math.max(1, request.maxNewTokens());
+        nowMs = newNowMs;
+    }
+
+    /** Returns the delay between two stages, in us; zero in front of the first stage. */
+    double linkUs(EndpointRow from, EndpointRow to) {
+        return from == null || to == null ? 0 : links.delayUs(from, to, nowMs);
+    }
+
+    /** Returns the time of one layer, in us, less the prompt work that a cached prefix saves. */
+    double layerUs(EndpointRow row) {
+        double savedShare = 0;
+        for (int i = 0; i < matches.size(); i++) {
+            if (matches.get(i).row() == row) {
+                savedShare = matches.get(i).fraction() * promptTokensPerNewToken * PROMPT_TOKEN_COST;
+            }
+        }
+        return row.layerTimeUs() * (1 - Math.min(1, savedShare));
+    }
+
+    /** Returns the layers of the pool for which the endpoint has KV cache memory for the request. */
+    static int layersWithMemory(EndpointRow row, ModelSpec pool, RequestSpec request) {
+        long bytesPerLayer = EndpointTable.kvBytes(pool, request, 1);
+        if (bytesPerLayer == 0) {
+            return Integer.MAX_VALUE;
+        }
+        return (int) Math.min(Integer.MAX_VALUE, Math.max(0, row.kvFreeBytes()) / bytesPerLayer);
     }
 }
--- a/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
@@ -4,9 +4,8 @@
 import io.radishwinch.core.model.Holding;
 import io.radishwinch.core.model.LoadReport;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 
 /**
  * One row of the endpoint table.
@@ -22,6 +21,9 @@
     /** Layer time assumed before the first measurement, in us. */
     private static final double DEFAULT_LAYER_TIME_US = 500;
 
+    /** Fast neighbours that the planner tries in addition to the cheapest candidates. */
+    private static final int NEAREST = 4;
+
     private final int index;
     private final int zone;
     private EndpointSpec spec;
@@ -29,7 +31,10 @@
     private final InFlightHistory history = new InFlightHistory();
 
     final List<HeldRange> entries = new ArrayList<>();
-    final Map<EndpointRow, Link> outgoing = new HashMap<>();
+    final LinkMap outgoing = new LinkMap();
+    final List<Link> nearest = new ArrayList<>(NEAREST);
+    final LinkedHashMap<Long, Integer> prefixes = new LinkedHashMap<>();
+    int cacheGaps;
     boolean gone;
     boolean leaving;
     long goneAtMs = Long.MIN_VALUE;
@@ -40,6 +45,7 @@
     private int peers;
     private long peersAtMs = Long.MIN_VALUE;
     private int background;
+    private boolean refusing;
     private LoadReport report;
     private long kvCapacityBytes;
     private double layerTimeUs = DEFAULT_LAYER_TIME_US;
@@ -93,7 +99,7 @@
 
     /** Returns whether the endpoint is usable and has a free slot. */
     public boolean hasFreeSlot() {
-        return isUsable() && occupied() < usableSlots();
+        return isUsable() && !refusing && occupied() < usableSlots();
     }
 
     /** Returns the attempts of this router on the endpoint. */
@@ -140,6 +146,21 @@
         return Math.min(report.kvFreeBytes() - sinceReport, kvCapacityBytes - ownKvBytes);
     }
 
+    /** Keeps the links with the smallest delay, fastest first. */
+    void rankNearest(Link link) {
+        nearest.remove(link);
+        int position = nearest.size();
+        while (position > 0 && nearest.get(position - 1).delayUs > link.delayUs) {
+            position--;
+        }
+        if (position < NEAREST) {
+            nearest.add(position, link);
+        }
+        if (nearest.size() > NEAREST) {
+            nearest.remove(NEAREST);
+        }
+    }
+
     /** Sets new fixed properties when an endpoint returns after its death; what it holds is unknown again. */
     void revive(EndpointSpec newSpec) {
         spec = newSpec;
@@ -154,6 +175,7 @@
     }
 
     void changeOwn(int slots, long kvBytes, long nowMs) {
+        refusing &= slots > 0;
         own = Math.max(0, own + slots);
         ownKvBytes = Math.max(0, ownKvBytes + kvBytes);
         history.record(nowMs, own, ownKvBytes);
@@ -167,6 +189,7 @@
 
     void setReport(LoadReport newReport) {
         report = newReport;
+        refusing = false;
         kvCapacityBytes = Math.max(kvCapacityBytes, newReport.kvFreeBytes());
         if (!layerTimeKnown && newReport.layerTimeUs() > 0) {
             layerTimeUs = newReport.layerTimeUs();
@@ -176,6 +199,11 @@
         layerTimeKnown = layerTimeKnown || newReport.layerTimeUs() > 0;
     }
 
+    /** Notes that the endpoint refused work: it counts as full until its next load report or own finished attempt. */
+    void setRefusing() {
+        refusing = true;
+    }
+
     long reportedAtMs() {
         return report == null ? Long.MIN_VALUE : report.measuredAtMs();
     }
--- a/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
@@ -36,6 +36,7 @@
     private final Map<String, PoolIndex> pools = new TreeMap<>();
     private final Map<String, Integer> zones = new HashMap<>();
     private final LinkTable links = new LinkTable();
+    private final PrefixIndex prefixes = new PrefixIndex();
     private FleetConfig config = FleetConfig.empty();
     private int nextIndex;
     private long structureVersion;
@@ -109,6 +110,10 @@
         return links;
     }
 
+    PrefixIndex prefixes() {
+        return prefixes;
+    }
+
     void setConfig(FleetConfig newConfig) {
         config = newConfig;
         structureVersion++;
@@ -152,6 +157,7 @@
         row.gone = true;
         row.goneAtMs = nowMs;
         replaceEntries(row, List.of());
+        prefixes.forget(row);
         return true;
     }
 
@@ -169,6 +175,15 @@
         refresh(row);
     }
 
+    /** Notes that an endpoint refused an attempt, which is a fresher sign of its load than the last report. */
+    void refused(String endpointId) {
+        EndpointRow row = rows.get(endpointId);
+        if (row != null) {
+            row.setRefusing();
+            refresh(row);
+        }
+    }
+
     void peerLoad(String endpointId, int running, long nowMs) {
         EndpointRow row = rows.get(endpointId);
         if (row != null) {
@@ -205,6 +220,10 @@
     /** Adds or removes the work of one request on every stage; {@code sign} is 1 or -1. */
     void changeOwn(Chain chain, RequestSpec request, int sign, long nowMs) {
         ModelSpec pool = config.pool(request.pool());
+        PoolIndex index = pools.get(request.pool());
+        if (index != null && sign > 0) {
+            index.measureRequest(request.costTokens());
+        }
         EndpointRow previous = null;
         for (Stage stage : chain.stages()) {
             EndpointRow row = rows.get(stage.endpointId());
@@ -212,8 +231,11 @@
                 long kvBytes =
                         pool == null ? 0 : kvBytes(pool, request, stage.layers().size());
                 row.changeOwn(sign, sign * kvBytes, nowMs);
+                if (sign > 0) {
+                    prefixes.assume(row, request.prefixHashes());
+                }
                 refresh(row);
-                Link link = previous == null ? null : previous.outgoing.get(row);
+                Link link = previous == null ? null : previous.outgoing.get(row.index());
                 if (link != null) {
                     link.streams = Math.max(0, link.streams + sign);
                 }
--- a/core/src/main/java/io/radishwinch/core/chain/FewestStagesChainPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/chain/FewestStagesChainPlanner.java
@@ -5,6 +5,7 @@
 import io.radishwinch.core.model.RequestSpec;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -23,6 +24,10 @@
 
     @Override
     public Optional<Chain> plan(RequestSpec request, ModelSpec pool, Set<String> excludedEndpointIds, long nowMs) {
-        return chains.build(request, pool, excludedEndpointIds, options -> Collections.min(options, BY_REACH));
+        return chains.build(request, pool, excludedEndpointIds, FewestStagesChainPlanner::furthest);
+    }
+
+    static HeldRange furthest(List<HeldRange> options) {
+        return Collections.min(options, BY_REACH);
     }
 }
--- a/core/src/main/java/io/radishwinch/core/chain/GreedyChains.java
+++ b/core/src/main/java/io/radishwinch/core/chain/GreedyChains.java
@@ -35,6 +35,8 @@
         int layer = 0;
         while (layer < pool.layerCount()) {
             List<HeldRange> options = options(index, request, pool, excluded, layer);
+            options.removeIf(entry ->
+                    stages.stream().anyMatch(stage -> stage.endpointId().equals(entry.row.id())));
             if (options.isEmpty()) {
                 return Optional.empty();
             }
--- a/core/src/main/java/io/radishwinch/core/chain/Link.java
+++ b/core/src/main/java/io/radishwinch/core/chain/Link.java
@@ -6,12 +6,14 @@
     /** Weight of a new measurement in the moving average of the delay. */
     private static final double GAIN = 0.3;
 
+    final EndpointRow to;
     double delayUs;
     double tokensPerS;
     long measuredAtMs;
     int streams;
 
-    Link(double delayUs, double tokensPerS, long measuredAtMs) {
+    Link(EndpointRow to, double delayUs, double tokensPerS, long measuredAtMs) {
+        this.to = to;
         this.delayUs = delayUs;
         this.tokensPerS = tokensPerS;
         this.measuredAtMs = measuredAtMs;
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/chain/LinkMap.java
@@ -0,0 +1,62 @@
+package io.radishwinch.core.chain;
+
+/** Links by the index of the receiving endpoint: open addressing, because planning looks up many links. */
+final class LinkMap {
+
+    private int[] keys = new int[8];
+    private Link[] links = new Link[8];
+    private int size;
+
+    int size() {
+        return size;
+    }
+
+    Link get(int toIndex) {
+        int mask = keys.length - 1;
+        int position = hash(toIndex) & mask;
+        while (links[position] != null) {
+            if (keys[position] == toIndex) {
+                return links[position];
+            }
+            position = (position + 1) & mask;
+        }
+        return null;
+    }
+
+    /** Adds a link; the receiving endpoint must not have one yet. */
+    void put(int toIndex, Link link) {
+        if (size * 2 >= keys.length) {
+            grow();
+        }
+        insert(toIndex, link);
+        size++;
+    }
+
+    private void insert(int toIndex, Link link) {
+        int mask = keys.length - 1;
+        int position = hash(toIndex) & mask;
+        while (links[position] != null) {
+            position = (position + 1) & mask;
+        }
+        keys[position] = toIndex;
+        links[position] = link;
+    }
+
+    private void grow() {
+        int[] oldKeys = keys;
+        Link[] oldLinks = links;
+        keys = new int[oldKeys.length * 2];
+        links = new Link[oldLinks.length * 2];
+        for (int i = 0; i < oldKeys.length; i++) {
+            if (oldLinks[i] != null) {
+                insert(oldKeys[i], oldLinks[i]);
+            }
+        }
+    }
+
+    /** Spreads consecutive indexes; the multiplier is 2^32 divided by the golden ratio (Knuth, TAOCP 3, 6.4). */
+    private static int hash(int index) {
+        int product = index * 0x9E3779B9;
+        return product ^ (product >>> 16);
+    }
+}
--- a/core/src/main/java/io/radishwinch/core/chain/LinkTable.java
+++ b/core/src/main/java/io/radishwinch/core/chain/LinkTable.java
@@ -25,34 +25,64 @@
     /** Weight of a new measurement in the mean between two data centres. */
     private static final double MEAN_GAIN = 0.05;
 
+    /** Token rate of one stream before the first answer has finished, in tokens/s. */
+    private static final double DEFAULT_STREAM_TOKENS_PER_S = 25;
+
+    /** Weight of a finished answer in the mean token rate of a stream. */
+    private static final double STREAM_RATE_GAIN = 0.02;
+
+    /** Share of a link's capacity above which it counts as full. */
+    private static final double FULL_SHARE = 0.95;
+
+    /** Factor on the delay of a full link: high enough to prefer every other link, finite to keep coverage. */
+    private static final double FULL_FACTOR = 1_000;
+
     private final Map<Long, double[]> meansUs = new HashMap<>();
+    private double streamTokensPerS = DEFAULT_STREAM_TOKENS_PER_S;
 
-    /** Records a measurement and returns the link, or null if the sender has too many links. */
-    Link measure(EndpointRow from, EndpointRow to, double delayUs, double tokensPerS, long nowMs) {
+    /** Records a measurement; the link is ignored if the sender has too many links. */
+    void measure(EndpointRow from, EndpointRow to, double delayUs, double tokensPerS, long nowMs) {
         double[] mean = meansUs.computeIfAbsent(zones(from, to), key -> new double[] {delayUs});
         mean[0] += MEAN_GAIN * (delayUs - mean[0]);
-        Link link = from.outgoing.get(to);
+        Link link = from.outgoing.get(to.index());
         if (link != null) {
             link.measure(delayUs, tokensPerS, nowMs);
         } else if (from.outgoing.size() < MAX_LINKS_PER_ENDPOINT) {
-            link = new Link(delayUs, tokensPerS, nowMs);
-            from.outgoing.put(to, link);
+            link = new Link(to, delayUs, tokensPerS, nowMs);
+            from.outgoing.put(to.index(), link);
+        }
+        if (link != null) {
+            from.rankNearest(link);
         }
-        return link;
     }
 
-    /** Returns the expected one-way delay of one token, in us. */
+    void measureStream(double tokenIntervalMs) {
+        if (tokenIntervalMs > 0) {
+            streamTokensPerS += STREAM_RATE_GAIN * (1_000 / tokenIntervalMs - streamTokensPerS);
+        }
+    }
+
+    double streamTokensPerS() {
+        return streamTokensPerS;
+    }
+
+    /** Returns the expected one-way delay of one token, in us, with queueing on a link near its capacity. */
     double delayUs(EndpointRow from, EndpointRow to, long nowMs) {
-        Link link = from.outgoing.get(to);
+        Link link = from.outgoing.get(to.index());
         if (link == null) {
             return meanUs(from, to);
         }
         long ageMs = nowMs - link.measuredAtMs;
-        if (ageMs <= FADE_AFTER_MS) {
-            return link.delayUs;
+        double delayUs = link.delayUs;
+        if (ageMs > FADE_AFTER_MS) {
+            double trust = (double) FADE_AFTER_MS / ageMs;
+            delayUs = trust * delayUs + (1 - trust) * meanUs(from, to);
+        }
+        if (link.tokensPerS <= 0) {
+            return delayUs;
         }
-        double trust = (double) FADE_AFTER_MS / ageMs;
-        return trust * link.delayUs + (1 - trust) * meanUs(from, to);
+        double load = (link.streams + 1) * streamTokensPerS / link.tokensPerS;
+        return load >= FULL_SHARE ? delayUs * FULL_FACTOR : delayUs / (1 - load);
     }
 
     private double meanUs(EndpointRow from, EndpointRow to) {
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/chain/PoolCapacity.java
@@ -0,0 +1,115 @@
+package io.radishwinch.core.chain;
+
+import io.radishwinch.core.model.ModelSpec;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * Capacities of the stages and links of a pool, for {@link ThroughputBound}.
+ *
+ * <p>An attempt holds its slot on every stage for the whole answer. A slot therefore gives at most one token in the
+ * time of the fastest chain through its endpoint, and an endpoint gives that rate times its slots. KV cache memory
+ * limits the slots when the endpoint runs its whole range for requests of mean size.
+ */
+final class PoolCapacity {
+
+    private final EndpointTable table;
+    private final ModelSpec pool;
+    private final List<HeldRange> entries = new ArrayList<>();
+    private double hopUs = Double.MAX_VALUE;
+    private boolean hasLimitedLinks;
+
+    PoolCapacity(EndpointTable table, ModelSpec pool) {
+        this.table = table;
+        this.pool = pool;
+        PoolIndex index = table.pool(pool.name());
+        if (index == null) {
+            return;
+        }
+        for (HeldRange entry : index.entries()) {
+            if (entry.row.isUsable()) {
+                entries.add(entry);
+            }
+        }
+    }
+
+    /** Returns the achievable throughput in tokens/s, 0 if the pool is not covered. */
+    double tokensPerS() {
+        List<ThroughputBound.LinkCapacity> links = links();
+        return ThroughputBound.tokensPerS(pool.layerCount(), stages(), hasLimitedLinks ? links : List.of());
+    }
+
+    private List<ThroughputBound.LinkCapacity> links() {
+        List<ThroughputBound.LinkCapacity> links = new ArrayList<>();
+        for (HeldRange from : entries) {
+            for (HeldRange to : entries) {
+                Link link = from.row.outgoing.size() == 0 ? null : from.row.outgoing.get(to.row.index());
+                if (link != null) {
+                    hopUs = Math.min(hopUs, link.delayUs);
+                    hasLimitedLinks |= link.tokensPerS > 0;
+                    if (link.tokensPerS > 0) {
+                        links.add(new ThroughputBound.LinkCapacity(name(from), name(to), link.tokensPerS));
+                    }
+                }
+            }
+        }
+        hopUs = hopUs == Double.MAX_VALUE ? 0 : hopUs;
+        return links;
+    }
+
+    private List<ThroughputBound.StageCapacity> stages() {
+        double[] beforeUs = fastest(true);
+        double[] afterUs = fastest(false);
+        List<ThroughputBound.StageCapacity> stages = new ArrayList<>();
+        for (HeldRange entry : entries) {
+            int end = Math.min(entry.end, pool.layerCount());
+            double bestUs = Double.MAX_VALUE;
+            for (int first = entry.first; first < end; first++) {
+                for (int last = first + 1; last <= end; last++) {
+                    double us = beforeUs[first] + (last - first) * entry.row.layerTimeUs() + afterUs[last];
+                    bestUs = Math.min(bestUs, us);
+                }
+            }
+            if (bestUs < Double.MAX_VALUE) {
+                stages.add(new ThroughputBound.StageCapacity(
+                        name(entry), entry.first, end, streams(entry, end) * 1e6 / bestUs));
+            }
+        }
+        return stages;
+    }
+
+    private double streams(HeldRange entry, int end) {
+        double streamTokens = table.pool(pool.name()).meanRequestTokens();
+        double bytes = streamTokens * pool.kvBytesPerToken() * (end - entry.first) / pool.layerCount();
+        int slots = entry.row.spec().slots();
+        return bytes == 0 ? slots : Math.min(slots, entry.row.kvCapacityBytes() / bytes);
+    }
+
+    /** Returns the shortest time from layer zero to each boundary, or from each boundary to the end, with the hop. */
+    private double[] fastest(boolean fromStart) {
+        int count = pool.layerCount();
+        double[] layerUs = new double[count];
+        Arrays.fill(layerUs, Double.MAX_VALUE);
+        for (HeldRange entry : entries) {
+            for (int layer = entry.first; layer < Math.min(entry.end, count); layer++) {
+                layerUs[layer] = Math.min(layerUs[layer], entry.row.layerTimeUs());
+            }
+        }
+        double[] us = new double[count + 1];
+        for (int i = 1; i <= count; i++) {
+            int layer = fromStart ? i - 1 : count - i;
+            int boundary = fromStart ? i : count - i;
+            us[boundary] = us[fromStart ? i - 1 : count - i + 1] + layerUs[layer];
+        }
+        for (int boundary = 0; boundary <= count; boundary++) {
+            boolean isEdge = boundary == (fromStart ? 0 : count);
+            us[boundary] += isEdge ? 0 : hopUs;
+        }
+        return us;
+    }
+
+    private static String name(HeldRange entry) {
+        return entry.row.id() + " " + entry.first;
+    }
+}
--- a/core/src/main/java/io/radishwinch/core/chain/PoolIndex.java
+++ b/core/src/main/java/io/radishwinch/core/chain/PoolIndex.java
@@ -14,19 +14,27 @@
  */
 final class PoolIndex {
 
+    /** Weight of a request in the mean request size. */
+    private static final double REQUEST_GAIN = 0.02;
+
     private final List<HeldRange> entries = new ArrayList<>();
     private int[] starts = new int[16];
     private int[] ends = new int[16];
     private CandidateList[][] lists = new CandidateList[16][];
     private int zoneCount = 1;
-    private int highestEnd;
+    private double meanRequestTokens;
 
     List<HeldRange> entries() {
         return entries;
     }
 
-    int highestEnd() {
-        return highestEnd;
+    /** Returns the mean size of a request, prompt and answer, in tokens; 0 before the first one. */
+    double meanRequestTokens() {
+        return meanRequestTokens;
+    }
+
+    void measureRequest(long tokens) {
+        meanRequestTokens += (meanRequestTokens == 0 ? 1 : REQUEST_GAIN) * (tokens - meanRequestTokens);
     }
 
     int zoneCount() {
@@ -48,7 +56,6 @@
     void add(HeldRange entry) {
         entries.add(entry);
         zoneCount = Math.max(zoneCount, entry.row.zone() + 1);
-        highestEnd = Math.max(highestEnd, entry.end);
         growTo(entry.end + 1);
         starts[entry.first]++;
         ends[entry.end]++;
--- a/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
+++ b/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
@@ -23,11 +23,13 @@
     private static final long SCAN_INTERVAL_MS = 1_000;
 
     private final EndpointTable table;
+    private final BoundCache bounds;
     private long nextScanMs = Long.MIN_VALUE;
 
     /** Creates a directory over a table. */
     public TableEndpointDirectory(EndpointTable table) {
         this.table = table;
+        bounds = new BoundCache(table);
     }
 
     /** Creates a directory over an empty table. */
@@ -65,12 +67,21 @@
             table.peerLoad(e.endpointId(), e.running(), nowMs);
         } else if (event instanceof Event.StageMeasured e) {
             table.measureStage(e.endpointId(), e.layerTimeUs());
+        } else if (event instanceof Event.CacheReported e) {
+            reportCache(e);
         } else if (event instanceof Event.LinkMeasured e) {
             table.measureLink(e.fromEndpointId(), e.toEndpointId(), e.delayUs(), e.tokensPerS(), nowMs);
         }
         return actions;
     }
 
+    private void reportCache(Event.CacheReported event) {
+        EndpointRow row = table.row(event.endpointId());
+        if (row != null && !row.isGone()) {
+            table.prefixes().report(row, event.addedPrefixHashes(), event.removedPrefixHashes(), event.gap());
+        }
+    }
+
     @Override
     public void acquire(Chain chain, RequestSpec request, long nowMs) {
         table.changeOwn(chain, request, 1, nowMs);
@@ -88,6 +99,9 @@
 
     @Override
     public List<Action> failed(String endpointId, Reason reason, long nowMs) {
+        if (reason == Reason.ENDPOINT_REFUSED) {
+            table.refused(endpointId);
+        }
         return List.of();
     }
 
@@ -105,7 +119,8 @@
 
     @Override
     public double boundTokensPerS(String pool, long nowMs) {
-        return 0;
+        ModelSpec spec = table.config().pool(pool);
+        return spec == null ? 0 : bounds.tokensPerS(spec, nowMs);
     }
 
     @Override
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/chain/ThroughputBound.java
@@ -0,0 +1,221 @@
+package io.radishwinch.core.chain;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import org.jgrapht.alg.flow.DinicMFImpl;
+import org.jgrapht.graph.DefaultWeightedEdge;
+import org.jgrapht.graph.SimpleDirectedWeightedGraph;
+
+/**
+ * Achievable throughput of a pool: the maximum flow over stages and links, in tokens/s.
+ *
+ * <p>Flow enters at layer zero and leaves behind the last layer. A stage may be entered and left at every layer
+ * boundary inside its range; a path that goes back to an earlier boundary can be shortened, so that it does not
+ * increase the flow. Source of the flow algorithm: E. A. Dinic, "Algorithm for solution of a problem of maximum flow in
+ * networks with power estimation", Soviet Mathematics Doklady 11, 1970, as implemented in JGraphT.
+ */
+public final class ThroughputBound {
+
+    /** Stages up to which every pair is an edge; above, links are joined at boundaries to bound the graph. */
+    static final int MAX_STAGES_WITH_PAIRS = 64;
+
+    private ThroughputBound() {}
+
+    /**
+     * A stage.
+     *
+     * @param id identifier, unique in one calculation
+     * @param first first layer held
+     * @param end layer after the last one held
+     * @param tokensPerS capacity in tokens/s
+     */
+    public record StageCapacity(String id, int first, int end, double tokensPerS) {}
+
+    /**
+     * A link with a limited capacity; pairs without one are unlimited.
+     *
+     * @param fromId sending stage
+     * @param toId receiving stage
+     * @param tokensPerS capacity in tokens/s
+     */
+    public record LinkCapacity(String fromId, String toId, double tokensPerS) {}
+
+    /**
+     * Returns the maximum flow in tokens/s, 0 if the stages do not cover every layer.
+     *
+     * <p>Up to 64 stages the capacity of every link counts on its own. Above, the sum of the links out of and into a
+     * stage counts if all of them are limited, which never gives less than the exact flow.
+     */
+    public static double tokensPerS(int layerCount, Collection<StageCapacity> stages, Collection<LinkCapacity> links) {
+        Network network = new Network(layerCount, stages);
+        if (stages.size() <= MAX_STAGES_WITH_PAIRS && !links.isEmpty()) {
+            network.joinPairs(links);
+        } else {
+            network.joinAtBoundaries(links);
+        }
+        return network.maximumFlow();
+    }
+
+    /** Number and sum of the limited links of each stage in one direction. */
+    private static final class LinkSums {
+
+        private final Map<String, Integer> counts = new HashMap<>();
+        private final Map<String, Double> sums = new HashMap<>();
+
+        void add(String stageId, double tokensPerS) {
+            counts.merge(stageId, 1, Integer::sum);
+            sums.merge(stageId, tokensPerS, Double::sum);
+        }
+    }
+
+    /** The graph under construction. */
+    private static final class Network {
+
+        private static final String SOURCE = "source";
+        private static final String SINK = "sink";
+
+        private final SimpleDirectedWeightedGraph<String, DefaultWeightedEdge> graph =
+                new SimpleDirectedWeightedGraph<>(DefaultWeightedEdge.class);
+        private final int layerCount;
+        private final List<StageCapacity> stages;
+
+        /** Capacity that no cut reaches: flow is limited by the stages. JGraphT would subtract from infinity. */
+        private final double unlimited;
+
+        Network(int layerCount, Collection<StageCapacity> stages) {
+            this.layerCount = layerCount;
+            this.stages = List.copyOf(stages);
+            double sum = 1;
+            for (StageCapacity stage : stages) {
+                sum += stage.tokensPerS();
+            }
+            unlimited = sum;
+            graph.addVertex(SOURCE);
+            graph.addVertex(SINK);
+        }
+
+        void joinPairs(Collection<LinkCapacity> links) {
+            Map<String, Map<String, Double>> limits = new HashMap<>();
+            for (LinkCapacity link : links) {
+                limits.computeIfAbsent(link.fromId(), key -> new HashMap<>()).put(link.toId(), link.tokensPerS());
+            }
+            stages.forEach(stage -> addEdge(in(stage.id()), out(stage.id()), stage.tokensPerS()));
+            for (StageCapacity from : stages) {
+                if (from.first() == 0) {
+                    addEdge(SOURCE, in(from.id()), unlimited);
+                }
+                if (from.end() >= layerCount) {
+                    addEdge(out(from.id()), SINK, unlimited);
+                }
+                Map<String, Double> limitsFrom = limits.getOrDefault(from.id(), Map.of());
+                for (StageCapacity to : stages) {
+                    if (to != from && canFollow(from.first(), from.end(), to.first(), to.end())) {
+                        addEdge(out(from.id()), in(to.id()), limitsFrom.getOrDefault(to.id(), unlimited));
+                    }
+                }
+            }
+        }
+
+        void joinAtBoundaries(Collection<LinkCapacity> links) {
+            TreeSet<Integer> boundaries = new TreeSet<>(List.of(0, layerCount));
+            Map<String, StageCapacity> byId = new HashMap<>();
+            Map<List<Integer>, Integer> rangeCounts = new HashMap<>();
+            for (StageCapacity stage : stages) {
+                boundaries.add(stage.first());
+                boundaries.add(Math.min(stage.end(), layerCount));
+                byId.put(stage.id(), stage);
+                rangeCounts.merge(List.of(stage.first(), stage.end()), 1, Integer::sum);
+            }
+            boundaries.forEach(boundary -> graph.addVertex("boundary " + boundary));
+            addEdge(SOURCE, "boundary 0", unlimited);
+            addEdge("boundary " + layerCount, SINK, unlimited);
+            LinkSums out = new LinkSums();
+            LinkSums in = new LinkSums();
+            for (LinkCapacity link : links) {
+                StageCapacity from = byId.get(link.fromId());
+                StageCapacity to = byId.get(link.toId());
+                if (from != null && to != null && canFollow(from.first(), from.end(), to.first(), to.end())) {
+                    out.add(from.id(), link.tokensPerS());
+                    in.add(to.id(), link.tokensPerS());
+                }
+            }
+            Map<List<Integer>, Double> alike = new HashMap<>();
+            for (StageCapacity stage : stages) {
+                double capacity = stage.tokensPerS();
+                if (stage.end() < layerCount
+                        && out.counts.getOrDefault(stage.id(), 0) >= followers(stage, rangeCounts)) {
+                    capacity = Math.min(capacity, out.sums.getOrDefault(stage.id(), 0.0));
+                }
+                if (stage.first() > 0 && in.counts.getOrDefault(stage.id(), 0) >= precursors(stage, rangeCounts)) {
+                    capacity = Math.min(capacity, in.sums.getOrDefault(stage.id(), 0.0));
+                }
+                alike.merge(List.of(stage.first(), Math.min(stage.end(), layerCount)), capacity, Double::sum);
+            }
+            alike.forEach((range, capacity) -> joinRange(range.get(0), range.get(1), capacity, boundaries));
+        }
+
+        /** Counts the stages that can follow, the stage itself included only if it could follow itself. */
+        private static int followers(StageCapacity stage, Map<List<Integer>, Integer> rangeCounts) {
+            int count = canFollow(stage.first(), stage.end(), stage.first(), stage.end()) ? -1 : 0;
+            for (Map.Entry<List<Integer>, Integer> range : rangeCounts.entrySet()) {
+                boolean follows = canFollow(
+                        stage.first(),
+                        stage.end(),
+                        range.getKey().get(0),
+                        range.getKey().get(1));
+                count += follows ? range.getValue() : 0;
+            }
+            return count;
+        }
+
+        private static int precursors(StageCapacity stage, Map<List<Integer>, Integer> rangeCounts) {
+            int count = canFollow(stage.first(), stage.end(), stage.first(), stage.end()) ? -1 : 0;
+            for (Map.Entry<List<Integer>, Integer> range : rangeCounts.entrySet()) {
+                boolean precedes =
+                        canFollow(range.getKey().get(0), range.getKey().get(1), stage.first(), stage.end());
+                count += precedes ? range.getValue() : 0;
+            }
+            return count;
+        }
+
+        /** Returns whether a stage can run at least one layer in front of at least one layer of another. */
+        private static boolean canFollow(int first, int end, int nextFirst, int nextEnd) {
+            return nextFirst <= end && nextEnd > first + 1;
+        }
+
+        private void joinRange(int first, int end, double capacity, TreeSet<Integer> boundaries) {
+            String id = first + "-" + end;
+            addEdge(in(id), out(id), capacity);
+            for (int boundary : boundaries.subSet(first, true, end, true)) {
+                if (boundary < end) {
+                    addEdge("boundary " + boundary, in(id), unlimited);
+                }
+                if (boundary > first) {
+                    addEdge(out(id), "boundary " + boundary, unlimited);
+                }
+            }
+        }
+
+        double maximumFlow() {
+            return new DinicMFImpl<>(graph).getMaximumFlowValue(SOURCE, SINK);
+        }
+
+        private void addEdge(String from, String to, double capacity) {
+            graph.addVertex(from);
+            graph.addVertex(to);
+            DefaultWeightedEdge edge = graph.addEdge(from, to);
+            graph.setEdgeWeight(edge, capacity);
+        }
+
+        private static String in(String id) {
+            return "in " + id;
+        }
+
+        private static String out(String id) {
+            return "out " + id;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/radishwinch/core/chain/PlannerMeasurement.java
@@ -0,0 +1,235 @@
+package io.radishwinch.core.chain;
+
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.Chain;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Stage;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.BiFunction;
+
+/**
+ * Queueing calculation under a virtual clock: two routers, lagging reports, engines that refuse work beyond their slots
+ * or memory. Run as a program, it prints the comparison of the planners.
+ */
+final class PlannerMeasurement {
+
+    private static final long WARM_UP_MS = 15_000;
+    private static final long END_MS = 45_000;
+
+    private final MixedPool pool;
+    private final int routers;
+    private final SplittableRandom random;
+    private final List<TableEndpointDirectory> directories = new ArrayList<>();
+    private final List<ChainPlanner> planners = new ArrayList<>();
+    private final List<ArrayDeque<RequestSpec>> queues = new ArrayList<>();
+    private final PriorityQueue<Running> running = new PriorityQueue<>();
+    private final int[] used;
+    private final long[] usedKv;
+    private final int[][] ownUsed;
+    private final List<Double> firstTokensMs = new ArrayList<>();
+    private final List<Double> intervalsMs = new ArrayList<>();
+    private long refused;
+    private double deliveredTokens;
+
+    private record Running(double endMs, long number, int router, Chain chain, RequestSpec request, double tokenMs)
+            implements Comparable<Running> {
+        @Override
+        public int compareTo(Running other) {
+            int byEnd = Double.compare(endMs, other.endMs);
+            return byEnd != 0 ? byEnd : Long.compare(number, other.number);
+        }
+    }
+
+    /** Result of a run; latencies at the 95th percentile. */
+    record Result(double tokensPerS, double boundTokensPerS, double firstTokenMs, double intervalMs, long refused) {}
+
+    PlannerMeasurement(MixedPool pool, int routers, BiFunction<EndpointTable, Long, ChainPlanner> planner, long seed) {
+        this.routers = routers;
+        this.pool = pool;
+        random = new SplittableRandom(seed);
+        used = new int[pool.size()];
+        usedKv = new long[pool.size()];
+        ownUsed = new int[routers][pool.size()];
+        for (int router = 0; router < routers; router++) {
+            directories.add(pool.directory(0));
+            planners.add(planner.apply(directories.get(router).table(), (long) router));
+            queues.add(new ArrayDeque<>());
+        }
+    }
+
+    /** Runs with the given arrival rate in requests/s; the queue of each router is bounded at 200 requests. */
+    Result run(double requestsPerS) {
+        double nextArrivalMs = 0;
+        long number = 0;
+        for (long nowMs = 0; nowMs < END_MS; nowMs += 5) {
+            if (nowMs % 1000 == 0) {
+                report(nowMs);
+            }
+            while (nextArrivalMs <= nowMs) {
+                int router = (int) (number % routers);
+                int prompt = 50 + random.nextInt(200);
+                if (queues.get(router).size() < 200) {
+                    queues.get(router).add(MixedPool.request(number, prompt, 50 + random.nextInt(200), nowMs));
+                }
+                number++;
+                nextArrivalMs += -Math.log(1 - random.nextDouble()) * 1000 / requestsPerS;
+            }
+            while (!running.isEmpty() && running.peek().endMs <= nowMs) {
+                finish(running.poll(), nowMs);
+            }
+            for (int router = 0; router < routers; router++) {
+                dispatch(router, nowMs);
+                directories.get(router).handle(new Event.Tick(), nowMs);
+            }
+        }
+        double bound = directories.get(0).boundTokensPerS("m", END_MS);
+        return new Result(
+                deliveredTokens * 1000 / (END_MS - WARM_UP_MS),
+                bound,
+                percentile95(firstTokensMs),
+                percentile95(intervalsMs),
+                refused);
+    }
+
+    private void report(long nowMs) {
+        for (int router = 0; router < routers; router++) {
+            for (int i = 0; i < pool.size(); i++) {
+                directories
+                        .get(router)
+                        .handle(new Event.LoadReported(pool.report(i, used[i], usedKv[i], nowMs)), nowMs);
+                Event peers = new Event.PeerLoad(pool.id(i), used[i] - ownUsed[router][i]);
+                directories.get(router).handle(peers, nowMs);
+            }
+        }
+    }
+
+    private void dispatch(int router, long nowMs) {
+        ArrayDeque<RequestSpec> queue = queues.get(router);
+        for (int tries = 0; tries < 20 && !queue.isEmpty(); tries++) {
+            RequestSpec request = queue.peek();
+            Optional<Chain> chain = planners.get(router).plan(request, MixedPool.MODEL, Set.of(), nowMs);
+            if (chain.isEmpty()) {
+                return;
+            }
+            Optional<Stage> refusing = refusing(chain.get(), request);
+            if (refusing.isEmpty()) {
+                queue.poll();
+                start(router, chain.get(), request, nowMs);
+            } else {
+                refused++;
+                directories.get(router).failed(refusing.get().endpointId(), Reason.ENDPOINT_REFUSED, nowMs);
+            }
+        }
+    }
+
+    private Optional<Stage> refusing(Chain chain, RequestSpec request) {
+        for (Stage stage : chain.stages()) {
+            int i = index(stage);
+            long kv = EndpointTable.kvBytes(
+                    MixedPool.MODEL, request, stage.layers().size());
+            if (used[i] >= pool.specs.get(i).slots() || usedKv[i] + kv > pool.kvBytes.get(i)) {
+                return Optional.of(stage);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private void start(int router, Chain chain, RequestSpec request, long nowMs) {
+        double layersMs = 0;
+        double linksMs = 0;
+        Stage last = null;
+        for (Stage stage : chain.stages()) {
+            change(router, stage, request, 1);
+            layersMs += stage.layers().size() * pool.layerTimesUs.get(index(stage)) / 1000;
+            linksMs += last == null ? 0 : linkMs(last, stage);
+            last = stage;
+        }
+        directories.get(router).acquire(chain, request, nowMs);
+        double tokenMs = (layersMs + linksMs) * (0.95 + 0.1 * random.nextDouble());
+        double firstMs = layersMs * request.promptTokens() / 20 + tokenMs;
+        double endMs = nowMs + firstMs + tokenMs * (request.maxNewTokens() - 1);
+        if (nowMs >= WARM_UP_MS) {
+            firstTokensMs.add(nowMs + firstMs - request.arrivedAtMs());
+            intervalsMs.add(tokenMs);
+        }
+        // Tokens count by their share of the measured window, so that long answers do not bias it.
+        double from = Math.max(WARM_UP_MS, nowMs + firstMs);
+        deliveredTokens += Math.max(0, Math.min(END_MS, endMs) - from) / tokenMs;
+        running.add(
+                new Running(endMs, Long.parseLong(request.requestId().substring(1)), router, chain, request, tokenMs));
+    }
+
+    private void finish(Running done, long nowMs) {
+        done.chain.stages().forEach(stage -> change(done.router, stage, done.request, -1));
+        directories.get(done.router).release(done.chain, done.request, nowMs);
+        directories.get(done.router).succeeded(done.chain, 0, done.tokenMs, nowMs);
+    }
+
+    private void change(int router, Stage stage, RequestSpec request, int sign) {
+        int i = index(stage);
+        used[i] += sign;
+        ownUsed[router][i] += sign;
+        usedKv[i] += sign
+                * EndpointTable.kvBytes(MixedPool.MODEL, request, stage.layers().size());
+    }
+
+    private double linkMs(Stage from, Stage to) {
+        EndpointTable table = directories.get(0).table();
+        Link link = table.row(from.endpointId())
+                .outgoing
+                .get(table.row(to.endpointId()).index());
+        return (link == null ? 500 : link.delayUs) / 1000;
+    }
+
+    private static int index(Stage stage) {
+        return Integer.parseInt(stage.endpointId().substring(1));
+    }
+
+    private static double percentile95(List<Double> values) {
+        Collections.sort(values);
+        return values.isEmpty() ? 0 : values.get((int) (values.size() * 0.95));
+    }
+
+    /**
+     * Prints one line for each planner, overloaded and at 0.85 of the bound; the arguments are the pool size and the
+     * routers.
+     */
+    public static void main(String[] arguments) {
+        int size = arguments.length > 0 ? Integer.parseInt(arguments[0]) : 48;
+        int routers = arguments.length > 1 ? Integer.parseInt(arguments[1]) : 2;
+        List<BiFunction<EndpointTable, Long, ChainPlanner>> factories = Arrays.asList(
+                CostChainPlanner::new,
+                (table, seed) -> new RoundRobinChainPlanner(table),
+                (table, seed) -> new LeastReportedChainPlanner(table),
+                (table, seed) -> new FewestStagesChainPlanner(table));
+        for (BiFunction<EndpointTable, Long, ChainPlanner> factory : factories) {
+            for (double load : new double[] {2, 0.85}) {
+                MixedPool pool = new MixedPool(size, 7, Math.min(size - 1, 255));
+                double bound = pool.directory(0).boundTokensPerS("m", 0);
+                Result result = new PlannerMeasurement(pool, routers, factory, 3).run(load * bound / 149.5);
+                String name = factory.apply(new EndpointTable(), 0L).getClass().getSimpleName();
+                System.out.printf(
+                        Locale.ROOT,
+                        "%-26s load %.2f: %.0f tokens/s of %.0f (%.3f), first token %.0f ms, interval %.1f ms, refused %d%n",
+                        name,
+                        load,
+                        result.tokensPerS,
+                        result.boundTokensPerS,
+                        result.tokensPerS / result.boundTokensPerS,
+                        result.firstTokenMs,
+                        result.intervalMs,
+                        result.refused);
+            }
+        }
+    }
+}
