--- a/core/src/main/java/io/radishwinch/core/chain/CostChainPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/chain/CostChainPlanner.java
@@ -23,7 +23,7 @@
 public final class CostChainPlanner implements ChainPlanner {
 
     /** Candidates read from the list of each data centre at each boundary. */
-    private static final int CANDIDATES_PER_ZONE = 4;
+    private static final int CANDIDATES_PER_ZONE = 3;
 
     /** Data centres considered at each boundary; a router's own data centre comes first in the table. */
     private static final int MAX_ZONES = 4;
@@ -35,7 +35,7 @@
     private static final double NEAR_EQUAL_SHARE = 0.05;
 
     /** Random positions drawn to find two near-equal endpoints for a stage. */
-    private static final int DRAWS = 6;
+    private static final int DRAWS = 4;
 
     private final EndpointTable table;
     private final SplittableRandom random;
@@ -67,7 +67,7 @@
         }
         List<PrefixIndex.Match> matches = table.prefixes().matches(request.prefixHashes());
         costs.startRequest(request, matches, nowMs);
-        Search search = new Search(request, pool, excludedEndpointIds, index, matches);
+        Search search = new Search(pool, excludedEndpointIds, index, matches, EndpointTable.kvBytes(pool, request, 1));
         labels.reset(pool.layerCount());
         for (int layer = 0; layer < pool.layerCount(); layer++) {
             if (labels.counts[layer] > 0) {
@@ -88,15 +88,15 @@
 
     /** What stays the same during one decision. */
     private record Search(
-            RequestSpec request,
             ModelSpec pool,
             Set<String> excluded,
             PoolIndex index,
-            List<PrefixIndex.Match> matches) {
+            List<PrefixIndex.Match> matches,
+            long kvBytesPerLayer) {
 
         int layersWithMemory(HeldRange entry) {
             boolean isExcluded = !excluded.isEmpty() && excluded.contains(entry.row.id());
-            return isExcluded ? 0 : CostModel.layersWithMemory(entry.row, pool, request);
+            return isExcluded ? 0 : CostModel.layersWithMemory(entry.row, kvBytesPerLayer);
         }
     }
 
@@ -154,7 +154,8 @@
             HeldRange entry = candidates[c];
             double startUs = Double.MAX_VALUE;
             int from = -1;
-            for (int label = base; label < base + labels.counts[layer]; label++) {
+            // Labels are sorted by cost and a link costs at least zero, so that the loop can end early.
+            for (int label = base; label < base + labels.counts[layer] && labels.costUs[label] < startUs; label++) {
                 HeldRange last = labels.entries[label];
                 if (last == null || last.row != entry.row) {
                     double us = labels.costUs[label] + costs.linkUs(last == null ? null : last.row, entry.row);
@@ -165,7 +166,7 @@
                 }
             }
             if (from >= 0) {
-                offerStops(search, layer, c, startUs + CostModel.slotPriceUs(entry.row), from);
+                offerStops(search, layer, c, startUs + entry.row.slotPriceUs(), from);
             }
         }
     }
@@ -268,7 +269,7 @@
 
     private double stageUs(HeldRange entry, PlannedStage stage, EndpointRow before, EndpointRow after) {
         return costs.linkUs(before, entry.row)
-                + CostModel.slotPriceUs(entry.row)
+                + entry.row.slotPriceUs()
                 + costs.layerUs(entry.row) * (stage.end - stage.first)
                 + costs.linkUs(entry.row, after);
     }
--- a/core/src/main/java/io/radishwinch/core/chain/CostModel.java
+++ b/core/src/main/java/io/radishwinch/core/chain/CostModel.java
@@ -1,6 +1,5 @@
 package io.radishwinch.core.chain;
 
-import io.radishwinch.core.model.ModelSpec;
 import io.radishwinch.core.model.RequestSpec;
 import java.util.List;
 
@@ -33,10 +32,9 @@
         this.links = links;
     }
 
-    /** Returns the price of one more slot, in us. */
-    static double slotPriceUs(EndpointRow row) {
-        double used = Math.min(1, (double) row.occupied() / row.usableSlots());
-        return FULL_SLOT_PRICE_US * (Math.exp(used * LOG_PRICE_BASE) - 1) / (PRICE_BASE - 1);
+    /** Returns the price of one more slot in us, given the fraction of slots in use. */
+    static double slotPriceUs(double usedShare) {
+        return FULL_SLOT_PRICE_US * (Math.exp(Math.min(1, usedShare) * LOG_PRICE_BASE) - 1) / (PRICE_BASE - 1);
     }
 
     /** Sets the request that the following costs refer to. */
@@ -62,9 +60,8 @@
         return row.layerTimeUs() * (1 - Math.min(1, savedShare));
     }
 
-    /** Returns the layers of the pool for which the endpoint has KV cache memory for the request. */
-    static int layersWithMemory(EndpointRow row, ModelSpec pool, RequestSpec request) {
-        long bytesPerLayer = EndpointTable.kvBytes(pool, request, 1);
+    /** Returns the layers for which the endpoint has KV cache memory for a request of the given size. */
+    static int layersWithMemory(EndpointRow row, long bytesPerLayer) {
         if (bytesPerLayer == 0) {
             return Integer.MAX_VALUE;
         }
--- a/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
@@ -46,6 +46,9 @@
     private long peersAtMs = Long.MIN_VALUE;
     private int background;
     private boolean refusing;
+    private int runningAtReport;
+    private long kvBytesAtReport;
+    private double slotPriceUs = -1;
     private LoadReport report;
     private long kvCapacityBytes;
     private double layerTimeUs = DEFAULT_LAYER_TIME_US;
@@ -142,7 +145,7 @@
         if (report == null) {
             return 0;
         }
-        long sinceReport = Math.max(0, ownKvBytes - history.kvBytesAt(report.measuredAtMs()));
+        long sinceReport = Math.max(0, ownKvBytes - kvBytesAtReport);
         return Math.min(report.kvFreeBytes() - sinceReport, kvCapacityBytes - ownKvBytes);
     }
 
@@ -190,6 +193,8 @@
     void setReport(LoadReport newReport) {
         report = newReport;
         refusing = false;
+        runningAtReport = history.runningAt(report.measuredAtMs());
+        kvBytesAtReport = history.kvBytesAt(report.measuredAtMs());
         kvCapacityBytes = Math.max(kvCapacityBytes, newReport.kvFreeBytes());
         if (!layerTimeKnown && newReport.layerTimeUs() > 0) {
             layerTimeUs = newReport.layerTimeUs();
@@ -199,6 +204,15 @@
         layerTimeKnown = layerTimeKnown || newReport.layerTimeUs() > 0;
     }
 
+    /** Returns the price of one more slot, in us; recomputed when the table refreshes the row. */
+    double slotPriceUs() {
+        return slotPriceUs;
+    }
+
+    void refreshPrice() {
+        slotPriceUs = CostModel.slotPriceUs((double) occupied() / usableSlots());
+    }
+
     /** Notes that the endpoint refused work: it counts as full until its next load report or own finished attempt. */
     void setRefusing() {
         refusing = true;
@@ -217,7 +231,7 @@
         if (peersFresh) {
             background = peers;
         } else if (report != null) {
-            background = Math.max(0, reported() - history.runningAt(report.measuredAtMs()));
+            background = Math.max(0, reported() - runningAtReport);
         } else {
             background = 0;
         }
--- a/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
@@ -280,6 +280,7 @@
 
     private void refresh(EndpointRow row) {
         boolean free = row.hasFreeSlot();
+        row.refreshPrice();
         for (HeldRange entry : row.entries) {
             if (free) {
                 pools.get(entry.pool).list(entry, score(entry));
@@ -291,7 +292,7 @@
 
     private static double score(HeldRange entry) {
         EndpointRow row = entry.row;
-        double hopUs = (TYPICAL_HOP_US + CostModel.slotPriceUs(row)) / entry.size();
+        double hopUs = (TYPICAL_HOP_US + row.slotPriceUs()) / entry.size();
         return row.layerTimeUs() + hopUs;
     }
 }
--- a/core/src/main/java/io/radishwinch/core/chain/LinkMap.java
+++ b/core/src/main/java/io/radishwinch/core/chain/LinkMap.java
@@ -1,5 +1,8 @@
 package io.radishwinch.core.chain;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /** Links by the index of the receiving endpoint: open addressing, because planning looks up many links. */
 final class LinkMap {
 
@@ -23,6 +26,17 @@
         return null;
     }
 
+    /** Returns all links, in the order of the table. */
+    List<Link> all() {
+        List<Link> all = new ArrayList<>(size);
+        for (Link link : links) {
+            if (link != null) {
+                all.add(link);
+            }
+        }
+        return all;
+    }
+
     /** Adds a link; the receiving endpoint must not have one yet. */
     void put(int toIndex, Link link) {
         if (size * 2 >= keys.length) {
--- a/core/src/main/java/io/radishwinch/core/chain/LinkTable.java
+++ b/core/src/main/java/io/radishwinch/core/chain/LinkTable.java
@@ -1,8 +1,5 @@
 package io.radishwinch.core.chain;
 
-import java.util.HashMap;
-import java.util.Map;
-
 /**
  * Links between endpoints.
  *
@@ -37,13 +34,14 @@
     /** Factor on the delay of a full link: high enough to prefer every other link, finite to keep coverage. */
     private static final double FULL_FACTOR = 1_000;
 
-    private final Map<Long, double[]> meansUs = new HashMap<>();
+    private double[][] meansUs = new double[0][0];
     private double streamTokensPerS = DEFAULT_STREAM_TOKENS_PER_S;
 
     /** Records a measurement; the link is ignored if the sender has too many links. */
     void measure(EndpointRow from, EndpointRow to, double delayUs, double tokensPerS, long nowMs) {
-        double[] mean = meansUs.computeIfAbsent(zones(from, to), key -> new double[] {delayUs});
-        mean[0] += MEAN_GAIN * (delayUs - mean[0]);
+        growTo(Math.max(from.zone(), to.zone()) + 1);
+        double meanUs = meansUs[from.zone()][to.zone()];
+        meansUs[from.zone()][to.zone()] = meanUs == 0 ? delayUs : meanUs + MEAN_GAIN * (delayUs - meanUs);
         Link link = from.outgoing.get(to.index());
         if (link != null) {
             link.measure(delayUs, tokensPerS, nowMs);
@@ -86,14 +84,21 @@
     }
 
     private double meanUs(EndpointRow from, EndpointRow to) {
-        double[] mean = meansUs.get(zones(from, to));
-        if (mean != null) {
-            return mean[0];
+        int highest = Math.max(from.zone(), to.zone());
+        double measuredUs = highest < meansUs.length ? meansUs[from.zone()][to.zone()] : 0;
+        if (measuredUs > 0) {
+            return measuredUs;
         }
         return from.zone() == to.zone() ? DEFAULT_LOCAL_DELAY_US : DEFAULT_REMOTE_DELAY_US;
     }
 
-    private static long zones(EndpointRow from, EndpointRow to) {
-        return ((long) from.zone() << 32) | to.zone();
+    private void growTo(int zones) {
+        if (zones > meansUs.length) {
+            double[][] grown = new double[zones][zones];
+            for (int zone = 0; zone < meansUs.length; zone++) {
+                System.arraycopy(meansUs[zone], 0, grown[zone], 0, meansUs.length);
+            }
+            meansUs = grown;
+        }
     }
 }
--- a/core/src/main/java/io/radishwinch/core/chain/PoolCapacity.java
+++ b/core/src/main/java/io/radishwinch/core/chain/PoolCapacity.java
@@ -18,7 +18,6 @@
     private final ModelSpec pool;
     private final List<HeldRange> entries = new ArrayList<>();
     private double hopUs = Double.MAX_VALUE;
-    private boolean hasLimitedLinks;
 
     PoolCapacity(EndpointTable table, ModelSpec pool) {
         this.table = table;
@@ -37,18 +36,16 @@
     /** Returns the achievable throughput in tokens/s, 0 if the pool is not covered. */
     double tokensPerS() {
         List<ThroughputBound.LinkCapacity> links = links();
-        return ThroughputBound.tokensPerS(pool.layerCount(), stages(), hasLimitedLinks ? links : List.of());
+        return ThroughputBound.tokensPerS(pool.layerCount(), stages(), links);
     }
 
     private List<ThroughputBound.LinkCapacity> links() {
         List<ThroughputBound.LinkCapacity> links = new ArrayList<>();
         for (HeldRange from : entries) {
-            for (HeldRange to : entries) {
-                Link link = from.row.outgoing.size() == 0 ? null : from.row.outgoing.get(to.row.index());
-                if (link != null) {
-                    hopUs = Math.min(hopUs, link.delayUs);
-                    hasLimitedLinks |= link.tokensPerS > 0;
-                    if (link.tokensPerS > 0) {
+            for (Link link : from.row.outgoing.all()) {
+                hopUs = Math.min(hopUs, link.delayUs);
+                for (HeldRange to : link.to.entries) {
+                    if (link.tokensPerS > 0 && to.pool.equals(pool.name()) && to.row.isUsable()) {
                         links.add(new ThroughputBound.LinkCapacity(name(from), name(to), link.tokensPerS));
                     }
                 }
