--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/AdminControl.java
@@ -0,0 +1,302 @@
+package io.radishwinch.server;
+
+import io.radishwinch.cluster.PeerNode;
+import io.radishwinch.cluster.membership.MemberInfo;
+import io.radishwinch.cluster.platform.PlatformClient;
+import io.radishwinch.cluster.platform.PlatformClient.PutResult;
+import io.radishwinch.cluster.platform.PlatformClient.StoredObject;
+import io.radishwinch.config.contract.ObjectKind;
+import io.radishwinch.config.settings.RouterSettings;
+import io.radishwinch.config.settings.SettingKey;
+import io.radishwinch.core.DecisionCore.CoreView;
+import io.radishwinch.core.DecisionCore.EndpointView;
+import io.radishwinch.core.DecisionCore.PoolView;
+import io.radishwinch.core.DecisionCore.RequestView;
+import io.radishwinch.core.model.Contract;
+import io.radishwinch.core.model.FleetConfig;
+import io.radishwinch.report.DaySummary;
+import io.radishwinch.server.admin.ChangeMark;
+import io.radishwinch.server.admin.ControlException;
+import io.radishwinch.server.admin.RouterControl;
+import io.smallrye.mutiny.Multi;
+import io.smallrye.mutiny.Uni;
+import java.nio.charset.StandardCharsets;
+import java.time.LocalDate;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+
+/** Answers the operators' interface from the state of the control thread. */
+final class AdminControl implements RouterControl {
+    private static final String RELEASE = "0.1.0";
+    private static final int HTTP_UNAVAILABLE = 503;
+
+    private final RouterSettings settings;
+    private final ControlLoop control;
+    private final PeerNode node;
+    private final ConfigurationFollower configuration;
+    private final PlatformHealth platformHealth;
+    private final PlatformClient platform;
+    private final DayService day;
+    private final EndpointTracker endpoints;
+    private final Supplier<FleetConfig> config;
+    private final Supplier<String> metrics;
+    private final Supplier<Optional<String>> notReady;
+    private final Explanations explanations;
+    private final long startedAtMs = System.currentTimeMillis();
+
+    /** Creates the adapter; parts belong to the control thread unless they are safe for use by several threads. */
+    AdminControl(RouterProcess.Parts parts, Supplier<String> metrics, Supplier<Optional<String>> notReady) {
+        this.settings = parts.settings();
+        this.control = parts.control();
+        this.node = parts.node();
+        this.configuration = parts.configuration();
+        this.platformHealth = parts.platformHealth();
+        this.platform = parts.platform();
+        this.day = parts.day();
+        this.endpoints = parts.endpoints();
+        this.config = parts.authenticator()::config;
+        this.metrics = metrics;
+        this.notReady = notReady;
+        this.explanations = new Explanations(parts);
+    }
+
+    // Status and explanations
+
+    @Override
+    public Uni<FleetStatus> status() {
+        return onControl(() -> {
+            CoreView view = control.core().view();
+            return new FleetStatus(
+                    node.self().id(),
+                    node.self().dataCentre(),
+                    RELEASE,
+                    startedAtMs,
+                    config.get().version(),
+                    platformHealth.isReachable(),
+                    platformHealth.lastReachedAtMs(),
+                    notReady.get()
+                            .map(reason -> reason.equals(RouterProcess.DRAINING))
+                            .orElse(false),
+                    routers(),
+                    pools(view),
+                    explanations.ranks(view),
+                    notices(view));
+        });
+    }
+
+    private List<RouterStatus> routers() {
+        List<MemberInfo> members = new ArrayList<>(node.members());
+        members.add(node.self());
+        node.remoteDataCentres().forEach(name -> members.addAll(node.remoteMembers(name)));
+        return members.stream()
+                .sorted(Comparator.comparing(MemberInfo::dataCentre).thenComparing(MemberInfo::id))
+                .map(member -> new RouterStatus(
+                        member.id(),
+                        member.dataCentre(),
+                        member.state().name().toLowerCase(Locale.ROOT),
+                        member.id().equals(node.self().id()) ? config.get().version() : 0))
+                .toList();
+    }
+
+    private List<PoolStatus> pools(CoreView view) {
+        Map<String, List<EndpointView>> byPool = explanations.endpointsByPool(view);
+        return view.pools().stream()
+                .map(pool -> poolStatus(pool, byPool.getOrDefault(pool.pool(), List.of())))
+                .toList();
+    }
+
+    private static PoolStatus poolStatus(PoolView pool, List<EndpointView> members) {
+        int ejected = count(members, "ejected");
+        int leaving = count(members, "leaving");
+        return new PoolStatus(
+                pool.pool(),
+                members.size() - ejected - leaving,
+                ejected,
+                leaving,
+                pool.covered(),
+                pool.boundTokensPerS());
+    }
+
+    private static int count(List<EndpointView> endpoints, String state) {
+        return (int) endpoints.stream()
+                .filter(endpoint -> endpoint.state().equals(state))
+                .count();
+    }
+
+    private List<String> notices(CoreView view) {
+        List<String> notices = new ArrayList<>();
+        if (!platformHealth.isReachable()) {
+            notices.add("the platform cannot be reached; non-repeatable requests are refused");
+        }
+        for (PoolView pool : view.pools()) {
+            if (!pool.covered()) {
+                notices.add("pool " + pool.pool() + " is not covered: some layers are on no live endpoint");
+            }
+        }
+        return notices;
+    }
+
+    @Override
+    public Uni<Optional<RequestExplanation>> explainRequest(String requestId) {
+        return onControl(() -> {
+            Optional<RequestView> view = control.core().request(requestId);
+            return view.map(explanations::request);
+        });
+    }
+
+    @Override
+    public Uni<Optional<CallerExplanation>> explainCaller(String caller) {
+        return onControl(
+                () -> Optional.ofNullable(config.get().contracts().get(caller)).map(explanations::caller));
+    }
+
+    // Configuration objects
+
+    @Override
+    public Uni<Optional<StoredDocument>> getObject(ObjectKind kind, String name) {
+        return onControl(() -> Optional.ofNullable(configuration.objects().get(kind.key(name)))
+                .flatMap(object -> document(kind.key(name), object)));
+    }
+
+    @Override
+    public Uni<List<StoredDocument>> listObjects(ObjectKind kind) {
+        return onControl(() -> new TreeMap<>(configuration.objects())
+                .entrySet().stream()
+                        .filter(entry -> entry.getKey().startsWith(kind.key("")))
+                        .flatMap(entry -> document(entry.getKey(), entry.getValue()).stream())
+                        .toList());
+    }
+
+    private static Optional<StoredDocument> document(String key, ConfigurationFollower.Versioned object) {
+        return object.text().map(text -> document(key, object.version(), text, object.nonce()));
+    }
+
+    private static StoredDocument document(String key, long version, String text, String nonce) {
+        Optional<ChangeMark> change = ChangeMark.fromNonce(nonce);
+        return new StoredDocument(
+                key.substring(key.lastIndexOf('/') + 1),
+                version,
+                text,
+                change.map(ChangeMark::operator).orElse(""),
+                change.map(ChangeMark::atMs).orElse(0L));
+    }
+
+    @Override
+    public Uni<ChangeResult> putObject(
+            ObjectKind kind, String name, String text, long expectedVersion, ChangeMark change) {
+        byte[] value = text.getBytes(StandardCharsets.UTF_8);
+        return onPlatform(() -> platform.put(kind.key(name), expectedVersion, value, change.toNonce()));
+    }
+
+    @Override
+    public Uni<ChangeResult> deleteObject(ObjectKind kind, String name, long expectedVersion, ChangeMark change) {
+        return onPlatform(() -> platform.delete(kind.key(name), expectedVersion, change.toNonce()));
+    }
+
+    private Uni<ChangeResult> onPlatform(Supplier<Uni<PutResult>> write) {
+        return onControl(write)
+                .flatMap(result -> result)
+                .onFailure()
+                .transform(error -> new ControlException(
+                        HTTP_UNAVAILABLE,
+                        "the platform did not take the change: " + error.getMessage(),
+                        "read the object again before you repeat the change; it may have been written"))
+                .map(AdminControl::changeResult);
+    }
+
+    private static ChangeResult changeResult(PutResult result) {
+        if (result instanceof PutResult.Written written) {
+            return new ChangeResult.Changed(written.version());
+        }
+        PutResult.Conflict conflict = (PutResult.Conflict) result;
+        return new ChangeResult.Conflict(conflict.current().map(AdminControl::document));
+    }
+
+    private static StoredDocument document(StoredObject object) {
+        String text = new String(object.value(), StandardCharsets.UTF_8);
+        return document(object.key(), object.version(), text, object.nonce());
+    }
+
+    // Drain, days and settings
+
+    @Override
+    public Uni<Optional<DrainProgress>> drainVm(String vmId, ChangeMark change) {
+        return onControl(() -> {
+            if (endpoints.vm(vmId) == null) {
+                return Optional.empty();
+            }
+            endpoints.markLeaving(vmId);
+            int running = control.core().view().endpoints().stream()
+                    .filter(endpoint -> endpoint.endpointId().equals(vmId))
+                    .mapToInt(EndpointView::running)
+                    .sum();
+            String text = vmId + " gets no new work; running requests finish";
+            long deadlineMs = nowMs() + settings.integer(SettingKey.DRAIN_TIMEOUT_MS);
+            return Optional.of(new DrainProgress(vmId, running, deadlineMs, text));
+        });
+    }
+
+    @Override
+    public Multi<DaySummary> daySummaries(LocalDate date) {
+        return onControl(() -> day.read(date)).onItem().transformToMulti(summaries -> summaries);
+    }
+
+    @Override
+    public Map<String, String> settingsInEffect() {
+        Map<String, String> values = new TreeMap<>();
+        for (SettingKey key : SettingKey.values()) {
+            values.put(key.path(), settings.text(key));
+        }
+        return values;
+    }
+
+    @Override
+    public Map<String, Double> boundTokensPerSByPool() {
+        return explanations.latestBounds();
+    }
+
+    @Override
+    public Collection<Contract> contracts() {
+        return config.get().contracts().values();
+    }
+
+    // Health
+
+    @Override
+    public boolean isHealthy() {
+        return true;
+    }
+
+    @Override
+    public Optional<String> notReadyReason() {
+        return notReady.get();
+    }
+
+    @Override
+    public String metricsText() {
+        return metrics.get();
+    }
+
+    @Override
+    public long nowMs() {
+        return System.currentTimeMillis();
+    }
+
+    private <T> Uni<T> onControl(Supplier<T> task) {
+        return Uni.createFrom()
+                .emitter(emitter -> control.execute(() -> {
+                    try {
+                        emitter.complete(task.get());
+                    } catch (RuntimeException e) {
+                        emitter.fail(e);
+                    }
+                }));
+    }
+}
--- a/server/src/main/java/io/radishwinch/server/ConfigurationFollower.java
+++ b/server/src/main/java/io/radishwinch/server/ConfigurationFollower.java
@@ -31,8 +31,25 @@
         this.receiver = receiver;
     }
 
-    /** An object, or a tombstone without text. */
-    private record Versioned(long version, Optional<String> text) {}
+    /**
+     * An object as last seen.
+     *
+     * @param version version of its last write
+     * @param text YAML text, or empty after a deletion
+     * @param nonce mark of its last write
+     */
+    record Versioned(long version, Optional<String> text, String nonce) {}
+
+    /** Returns the objects by key, deleted ones without text. */
+    Map<String, Versioned> objects() {
+        return Map.copyOf(objects);
+    }
+
+    /** Returns the version of a caller's contract, or 0 if there is none. */
+    long version(String caller) {
+        Versioned object = objects.get(ObjectKind.CONTRACT.key(caller));
+        return object == null ? 0 : object.version();
+    }
 
     void start() {
         list("");
@@ -51,7 +68,7 @@
     private void listed(Page page) {
         String last = "";
         for (StoredObject object : page.objects()) {
-            put(object.key(), object.version(), Optional.of(object.value()));
+            put(object.key(), object.version(), Optional.of(object.value()), object.nonce());
             last = object.key();
         }
         if (page.more()) {
@@ -69,7 +86,7 @@
     }
 
     private void changed(Change change) {
-        put(change.key(), change.version(), change.value());
+        put(change.key(), change.version(), change.value(), change.nonce());
         publish();
     }
 
@@ -79,10 +96,11 @@
         }
     }
 
-    private void put(String key, long version, Optional<byte[]> value) {
+    private void put(String key, long version, Optional<byte[]> value, String nonce) {
         Versioned known = objects.get(key);
         if (known == null || known.version() < version) {
-            objects.put(key, new Versioned(version, value.map(bytes -> new String(bytes, StandardCharsets.UTF_8))));
+            objects.put(
+                    key, new Versioned(version, value.map(bytes -> new String(bytes, StandardCharsets.UTF_8)), nonce));
         }
     }
 
--- a/server/src/main/java/io/radishwinch/server/ControlLoop.java
+++ b/server/src/main/java/io/radishwinch/server/ControlLoop.java
@@ -21,6 +21,7 @@
     private final Consumer<Action> sharedActions;
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private Runnable idleListener = () -> {};
+    private Consumer<Event> observer = event -> {};
 
     /**
      * Creates a loop.
@@ -37,6 +38,11 @@
         this.sharedActions = sharedActions;
     }
 
+    /** Sets a function that sees every event before the core does; to be called before the first event. */
+    public void observe(Consumer<Event> newObserver) {
+        observer = newObserver;
+    }
+
     /** Applies an event on the control thread; may be called from any thread. */
     public void post(Event event) {
         execute(() -> apply(event));
@@ -95,6 +101,7 @@
     }
 
     private void apply(Event event) {
+        observer.accept(event);
         List<Action> actions = core.handle(event, clockMs.getAsLong());
         for (Action action : actions) {
             perform(action);
--- a/server/src/main/java/io/radishwinch/server/DayService.java
+++ b/server/src/main/java/io/radishwinch/server/DayService.java
@@ -31,7 +31,9 @@
     private String writtenKey = "";
     private long writtenVersion = PlatformClient.ABSENT;
 
-    /** Creates a service; every process writes an object of its own, so nothing that an earlier one wrote is replaced. */
+    /**
+     * Creates a service; every process writes an object of its own, so nothing that an earlier one wrote is replaced.
+     */
     DayService(PlatformClient platform, String processId, ZoneId zone) {
         this.platform = platform;
         this.processId = processId;
@@ -52,7 +54,8 @@
 
     /** Notes that the router is alive, and writes the last summary of a day that has ended. */
     void tick() {
-        recorder.tick(System.currentTimeMillis()).ifPresent(last -> write(last).subscribe().with(done -> {}, e -> {}));
+        recorder.tick(System.currentTimeMillis())
+                .ifPresent(last -> write(last).subscribe().with(done -> {}, e -> {}));
     }
 
     /** Writes the summary of the day so far. */
@@ -77,8 +80,14 @@
         if (!isToday(day)) {
             return stored;
         }
-        return Multi.createBy().concatenating().streams(
-                stored, Multi.createFrom().item(() -> recorder.summary(System.currentTimeMillis())));
+        return Multi.createBy()
+                .concatenating()
+                .streams(stored, Multi.createFrom().item(() -> recorder.summary(System.currentTimeMillis())));
+    }
+
+    /** Returns the summary of this router's day so far. */
+    DaySummary today() {
+        return recorder.summary(System.currentTimeMillis());
     }
 
     private boolean isToday(LocalDate day) {
@@ -114,7 +123,11 @@
             writtenKey = key;
             writtenVersion = PlatformClient.ABSENT;
         }
-        return platform.put(key, writtenVersion, DaySummaryCodec.encode(summary), UUID.randomUUID().toString())
+        return platform.put(
+                        key,
+                        writtenVersion,
+                        DaySummaryCodec.encode(summary),
+                        UUID.randomUUID().toString())
                 .invoke(result -> written(key, result))
                 .replaceWithVoid();
     }
--- a/server/src/main/java/io/radishwinch/server/EndpointTracker.java
+++ b/server/src/main/java/io/radishwinch/server/EndpointTracker.java
@@ -3,6 +3,7 @@
 import io.radishwinch.cluster.platform.PlatformClient.Vm;
 import io.radishwinch.core.event.Event;
 import io.radishwinch.core.model.EndpointSpec;
+import io.radishwinch.core.model.Holding;
 import io.radishwinch.core.model.LoadReport;
 import io.radishwinch.server.engine.CacheEvents;
 import io.radishwinch.server.engine.EndpointAddress;
@@ -15,6 +16,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
 
 /**
  * Follows the endpoints: which exist, by the VM list, and how they are, by their load reports. Runs on the control
@@ -55,6 +57,12 @@
         return endpoint == null ? null : endpoint.vm;
     }
 
+    /** Returns the pools of which the endpoint holds layers, by its last load report. */
+    public Set<String> pools(String endpointId) {
+        Tracked endpoint = tracked.get(endpointId);
+        return endpoint == null ? Set.of() : endpoint.pools;
+    }
+
     /**
      * Applies a reading of the VM list. The list lags: a listed VM may be dead, and one that is missing has left or is
      * yet to be listed; so it gets no new work, but counts as gone only when it does not answer.
@@ -157,6 +165,7 @@
         if (load.leaving()) {
             leaving(endpoint);
         }
+        endpoint.pools = load.report().holdings().stream().map(Holding::pool).collect(Collectors.toSet());
         control.post(new Event.LoadReported(atRouterTime(load.report())));
         load.links().forEach(link -> linkRead(endpoint, link));
     }
@@ -227,6 +236,7 @@
     /** What is known of one endpoint. */
     private static final class Tracked {
         private final Map<String, Double> linkDelaysUs = new HashMap<>();
+        private Set<String> pools = Set.of();
         private Vm vm;
         private EndpointAddress address;
         private int missedReadings;
--- a/server/src/main/java/io/radishwinch/server/OrderSender.java
+++ b/server/src/main/java/io/radishwinch/server/OrderSender.java
@@ -12,8 +12,8 @@
 import java.util.UUID;
 
 /**
- * Sends orders to engines. The fencing number of an order is the platform version of the write to {@code
- * fencing/<endpoint>} that announces it, so numbers of different routers never repeat or go back.
+ * Sends orders to engines. The fencing number of an order is the platform version of the write to
+ * {@code fencing/<endpoint>} that announces it, so numbers of different routers never repeat or go back.
  */
 final class OrderSender {
     private static final System.Logger LOG = System.getLogger(OrderSender.class.getName());
--- a/server/src/main/java/io/radishwinch/server/PeerJournal.java
+++ b/server/src/main/java/io/radishwinch/server/PeerJournal.java
@@ -103,7 +103,8 @@
             }
             long timer = vertx.setTimer(timeoutMs, ignored -> {
                 if (pending.remove(sequence) != null) {
-                    emitter.fail(new IllegalStateException("no reply from " + memberId + " within " + timeoutMs + " ms"));
+                    emitter.fail(
+                            new IllegalStateException("no reply from " + memberId + " within " + timeoutMs + " ms"));
                 }
             });
             pending.put(sequence, new Pending(emitter, timer));
