--- a/server/src/test/java/io/radishwinch/server/engine/HttpEngineClientTest.java
+++ b/server/src/test/java/io/radishwinch/server/engine/HttpEngineClientTest.java
@@ -2,45 +2,267 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.radishwinch.core.model.EngineOrder;
+import io.radishwinch.core.model.LayerRange;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.Verdict;
+import io.radishwinch.standins.EngineConfig;
+import io.radishwinch.standins.EngineStandIn;
+import io.radishwinch.standins.ExecutionLedger;
 import io.radishwinch.standins.StandInFleet;
 import io.radishwinch.standins.Vocabulary;
+import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
-import org.junit.jupiter.api.AfterAll;
-import org.junit.jupiter.api.BeforeAll;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** Streams against engine stand-ins over loopback sockets. */
+/** Streams and calls against engine stand-ins over loopback sockets. */
 class HttpEngineClientTest {
-    private static Vertx vertx;
-    private static StandInFleet fleet;
-    private static HttpEngineClient client;
+    private static final int ENDLESS = 1_000_000;
+    private Vertx vertx;
+    private ExecutionLedger ledger;
+    private EngineStandIn head;
+    private EngineStandIn tail;
+    private EngineStandIn spare;
+    private HttpEngineClient client;
 
-    @BeforeAll
-    static void startFleet() {
+    @BeforeEach
+    void startEngines() {
         vertx = Vertx.vertx();
-        fleet = StandInFleet.start(vertx);
-        client = new HttpEngineClient(vertx, ClientOptions.defaults(), System::currentTimeMillis, "");
+        ledger = new ExecutionLedger();
+        head = start(EngineConfig.of("head", "large", 10, new LayerRange(0, 12)));
+        tail = start(EngineConfig.of("tail", "large", 10, new LayerRange(12, 24)));
+        spare = start(EngineConfig.of("spare", "small", 10, new LayerRange(12, 24))
+                .withFencing(false)
+                .withOrderKey(StandInFleet.ORDER_KEY));
+        client = new HttpEngineClient(
+                vertx,
+                ClientOptions.defaults().withSilenceTimeoutMs(1_000),
+                System::currentTimeMillis,
+                StandInFleet.ORDER_KEY);
     }
 
-    @AfterAll
-    static void stopFleet() {
-        fleet.close();
+    @AfterEach
+    void stopEngines() {
         vertx.close().toCompletionStage().toCompletableFuture().join();
     }
 
     /** Guards against lost, repeated or foreign tokens and against layers that run twice or not at all. */
     @Test
     void anAnswerIsCompleteAndEachLayerRunsOncePerToken() {
-        AttemptRequest attempt = Attempts.over(fleet.engine("large-1"), fleet.engine("large-2"), "whole", 1, 40);
+        AttemptRequest attempt = Attempts.over(head, tail, "whole", 1, 40);
         List<EngineEvent> events = Attempts.run(client, attempt);
 
         assertThat(events.get(0)).isEqualTo(new EngineEvent.Accepted());
         assertThat(Attempts.last(events)).isEqualTo(new EngineEvent.Done(40, "length"));
         assertThat(String.join("", Attempts.texts(events))).isEqualTo(Vocabulary.answer(attempt.prompt(), 40));
         for (int position = 0; position < 40; position++) {
-            assertThat(fleet.ledger().layersRun("whole", 1, position)).isEqualTo(StandInFleet.MODEL_LAYERS);
+            assertThat(ledger.layersRun("whole", 1, position)).isEqualTo(StandInFleet.MODEL_LAYERS);
         }
-        assertThat(fleet.ledger().violations()).isEmpty();
+        assertThat(ledger.violations()).isEmpty();
+    }
+
+    /** Guards against a seam in an answer whose stage failed in the middle. */
+    @Test
+    void anAnswerResumedOnAnotherChainEqualsTheUninterruptedOne() {
+        AttemptRequest attempt = Attempts.over(head, tail, "resumed", 1, 60);
+        List<EngineEvent> first =
+                runUntil(attempt, 20, tail::crash).stream().limit(21).toList();
+        AttemptRequest again = Attempts.resumed(Attempts.over(head, spare, "resumed", 1, 60), Attempts.texts(first));
+        List<EngineEvent> second = Attempts.run(client, again);
+
+        List<String> all = new ArrayList<>(Attempts.texts(first));
+        all.addAll(Attempts.texts(second));
+        assertThat(String.join("", all)).isEqualTo(Vocabulary.answer(attempt.prompt(), 60));
+        assertThat(Attempts.last(second)).isEqualTo(new EngineEvent.Done(60, "length"));
+        assertThat(ledger.violations()).isEmpty();
+    }
+
+    /** Guards against a failure that is blamed on an endpoint that works. */
+    @Test
+    void aCrashInTheStreamNamesTheStageThatCrashed() {
+        List<EngineEvent> events = runUntil(Attempts.over(head, tail, "tail-crash", 1, ENDLESS), 5, tail::crash);
+        assertFailed(Attempts.last(events), "tail", Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN);
+        tail.restart();
+        events = runUntil(Attempts.over(head, tail, "head-crash", 1, ENDLESS), 5, head::crash);
+        assertFailed(Attempts.last(events), "head", Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN);
+        awaitTrue(() -> tail.running() == 0);
+    }
+
+    /** Guards against an engine that hangs with open connections and holds the request until its deadline. */
+    @Test
+    void aHangingStageIsNamed() {
+        List<EngineEvent> events =
+                runUntil(Attempts.over(head, tail, "tail-hangs", 1, ENDLESS), 5, () -> tail.setPaused(true));
+        assertFailed(Attempts.last(events), "tail", Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN);
+        tail.setPaused(false);
+        events = runUntil(Attempts.over(head, tail, "head-hangs", 1, ENDLESS), 5, () -> head.setPaused(true));
+        assertFailed(Attempts.last(events), "head", Reason.ENDPOINT_TIMEOUT, Verdict.MAY_HAVE_RUN);
+    }
+
+    /** Guards against a poisoned request that looks like an ordinary failure of the head. */
+    @Test
+    void aPromptThatCrashesALaterStageNamesIt() {
+        tail.crashOnPrompt("poison");
+        List<EngineEvent> events = Attempts.run(client, Attempts.over(head, tail, "poison", 1, 5));
+        assertFailed(Attempts.last(events), "tail", Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN);
+    }
+
+    /** Guards against a verdict may-have-run for an attempt that no engine took. */
+    @Test
+    void anAttemptThatNoEngineTookDidNotRun() {
+        head.setLeaving(true);
+        List<EngineEvent> events = Attempts.run(client, Attempts.over(head, tail, "leaving", 1, 5));
+        assertFailed(Attempts.last(events), "head", Reason.ENDPOINT_REFUSED, Verdict.NOT_RUN);
+        head.crash();
+        events = Attempts.run(client, Attempts.over(head, tail, "refused", 1, 5));
+        assertFailed(Attempts.last(events), "head", Reason.STAGE_DIED, Verdict.NOT_RUN);
+        assertThat(ledger.executions()).isZero();
+    }
+
+    /** Guards against engines that go on working for a caller that is gone. */
+    @Test
+    void aCancelledAttemptStopsOnAllStages() {
+        runUntil(Attempts.over(head, tail, "closed", 1, ENDLESS), 5, null);
+        awaitTrue(() -> head.running() == 0 && tail.running() == 0);
+        assertThat(head.cancelled()).isEqualTo(1);
+
+        Runnable cancel = () ->
+                client.cancel(Attempts.address(head), "deleted", 1).await().atMost(Duration.ofSeconds(20));
+        List<EngineEvent> events = runUntil(Attempts.over(head, tail, "deleted", 1, ENDLESS), 5, cancel);
+        assertFailed(Attempts.last(events), "head", Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN);
+        awaitTrue(() -> head.running() == 0 && tail.running() == 0);
+    }
+
+    /** Guards against events that overtake the reader's demand, and against a stream that stalls after a pause. */
+    @Test
+    void aSlowReaderReceivesEveryTokenInOrder() {
+        AttemptRequest attempt = Attempts.over(head, tail, "slow", 1, 300);
+        List<String> texts = client.start(attempt)
+                .onItem()
+                .transformToUniAndConcatenate(
+                        event -> Uni.createFrom().item(event).onItem().delayIt().by(Duration.ofMillis(1)))
+                .collect()
+                .asList()
+                .map(Attempts::texts)
+                .await()
+                .atMost(Duration.ofSeconds(60));
+        assertThat(String.join("", texts)).isEqualTo(Vocabulary.answer(attempt.prompt(), 300));
+    }
+
+    /** Guards against an order of a router that has lost its right to give it, and one of nobody known. */
+    @Test
+    void ordersFollowFencingNumbersAndKeys() {
+        EngineOrder order = new EngineOrder.LoadLayers(StandInFleet.MODEL, new LayerRange(0, 6));
+        assertThat(order(client, head, 7, order)).isTrue();
+        assertThat(order(client, head, 7, order)).isFalse();
+        assertThat(order(client, spare, 7, order)).isTrue();
+        assertThat(order(client, spare, 6, order)).isTrue();
+        HttpEngineClient stranger =
+                new HttpEngineClient(vertx, ClientOptions.defaults(), System::currentTimeMillis, "");
+        assertThat(stranger.order(Attempts.address(spare), 8, order)
+                        .map(accepted -> Verdict.RAN)
+                        .onFailure(EndpointException.class)
+                        .recoverWithItem(failure -> ((EndpointException) failure).verdict())
+                        .await()
+                        .atMost(Duration.ofSeconds(20)))
+                .isEqualTo(Verdict.NOT_RUN);
+        awaitTrue(() -> new LayerRange(0, 6).equals(head.layers()));
+    }
+
+    /** Guards against reports that lose a field on their way to the decision core. */
+    @Test
+    void loadReportsCacheEventsAndKvTransfersArriveWhole() {
+        AttemptRequest plain = Attempts.over(head, tail, "report", 1, 4);
+        AttemptRequest attempt = new AttemptRequest(
+                "report",
+                1,
+                plain.model(),
+                plain.stages(),
+                plain.prompt(),
+                4,
+                List.of(11L, -12L),
+                List.of(),
+                4,
+                0,
+                plain.deadlineMs());
+        Attempts.run(client, attempt);
+        EngineLoad load = client.load(Attempts.address(spare)).await().atMost(Duration.ofSeconds(20));
+        assertThat(load.report().holdings().get(0).layers()).isEqualTo(new LayerRange(12, 24));
+        assertThat(load.acceleratorKind()).isEqualTo("small");
+        assertThat(load.honoursFencing()).isFalse();
+        assertThat(load.checksOrders()).isTrue();
+        awaitTrue(() -> !cacheEvents(0).added().isEmpty());
+        assertThat(cacheEvents(0).added()).containsExactly(11L, -12L);
+        assertThat(cacheEvents(0).gap()).isFalse();
+        assertThat(cacheEvents(9).gap()).isTrue();
+        KvRange range = new KvRange("report", StandInFleet.MODEL, new LayerRange(12, 24));
+        assertThat(client.importKv(Attempts.address(spare), range, Attempts.address(tail))
+                        .await()
+                        .atMost(Duration.ofSeconds(20)))
+                .isEqualTo(8);
+        assertThat(client.exportKv(Attempts.address(spare), range).await().atMost(Duration.ofSeconds(20)))
+                .isNotEmpty();
+    }
+
+    private CacheEvents cacheEvents(long from) {
+        return client.cacheEvents(Attempts.address(head), from).await().atMost(Duration.ofSeconds(20));
+    }
+
+    private static boolean order(EngineClient client, EngineStandIn engine, long fencing, EngineOrder order) {
+        return client.order(Attempts.address(engine), fencing, order).await().atMost(Duration.ofSeconds(20));
+    }
+
+    private EngineStandIn start(EngineConfig config) {
+        return EngineStandIn.start(vertx, config, ledger);
+    }
+
+    /** Runs an attempt, acts after some tokens and returns all events; without an action it cancels the stream. */
+    private List<EngineEvent> runUntil(AttemptRequest attempt, int tokens, Runnable action) {
+        List<EngineEvent> events = Collections.synchronizedList(new ArrayList<>());
+        CountDownLatch enough = new CountDownLatch(tokens + 1);
+        CountDownLatch ended = new CountDownLatch(1);
+        EngineStream stream = client.open(attempt, event -> {
+            events.add(event);
+            enough.countDown();
+            if (event instanceof EngineEvent.Failed || event instanceof EngineEvent.Done) {
+                ended.countDown();
+            }
+        });
+        awaitTrue(() -> enough.getCount() == 0);
+        if (action == null) {
+            stream.cancel();
+            return events;
+        }
+        action.run();
+        awaitTrue(() -> ended.getCount() == 0);
+        return List.copyOf(events);
+    }
+
+    private static void assertFailed(EngineEvent event, String endpoint, Reason reason, Verdict verdict) {
+        assertThat(event).isInstanceOfSatisfying(EngineEvent.Failed.class, failed -> {
+            assertThat(failed.endpointId()).isEqualTo(endpoint);
+            assertThat(failed.reason()).isEqualTo(reason);
+            assertThat(failed.verdict()).isEqualTo(verdict);
+        });
+    }
+
+    private static void awaitTrue(BooleanSupplier condition) {
+        // Bounds a failing test only; a passing one ends as soon as the condition holds.
+        for (int i = 0; i < 4_000 && !condition.getAsBoolean(); i++) {
+            try {
+                Thread.sleep(5);
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+        assertThat(condition.getAsBoolean()).isTrue();
     }
 }
--- /dev/null
+++ b/server/src/test/java/io/radishwinch/server/engine/HttpEngineStreamTest.java
@@ -0,0 +1,160 @@
+package io.radishwinch.server.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.core.model.LayerRange;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.Verdict;
+import io.vertx.core.Handler;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** Streams of an engine that answers with given bytes. */
+class HttpEngineStreamTest {
+    private static final String ACCEPTED = "{\"type\":\"accepted\",\"request\":\"r\",\"epoch\":3,\"endpoint\":\"e\"}\n";
+    private static Vertx vertx;
+    private static HttpServer server;
+    private static HttpEngineClient client;
+    private static final AtomicReference<Handler<HttpServerRequest>> SCRIPT = new AtomicReference<>();
+
+    @BeforeAll
+    static void startEngine() {
+        vertx = Vertx.vertx();
+        server = vertx.createHttpServer()
+                .requestHandler(request -> SCRIPT.get().handle(request))
+                .listen(0, "127.0.0.1")
+                .toCompletionStage()
+                .toCompletableFuture()
+                .join();
+        client = new HttpEngineClient(
+                vertx, ClientOptions.defaults().withSilenceTimeoutMs(300), System::currentTimeMillis, "");
+    }
+
+    @AfterAll
+    static void stopEngine() {
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    /** Guards against tokens of another caller's request, of an earlier epoch or delivered twice. */
+    @Test
+    void foreignAndRepeatedTokensAreDiscarded() {
+        List<EngineEvent> events = answer(ACCEPTED
+                + token("other", 3, 0, "[[0,4]]")
+                + token("r", 2, 0, "[[0,4]]")
+                + token("r", 3, 0, "[[0,4]]")
+                + token("r", 3, 0, "[[0,4]]")
+                + token("r", 3, 1, "[[0,4]]")
+                + "\n{\"type\":\"done\",\"request\":\"r\",\"epoch\":3,\"tokens\":2}\n");
+        assertThat(Attempts.texts(events)).containsExactly(" t0", " t1");
+        assertThat(Attempts.last(events)).isInstanceOf(EngineEvent.Done.class);
+    }
+
+    /** Guards against an answer with a hole. */
+    @Test
+    void aMissingTokenEndsTheStream() {
+        assertFailed(answer(ACCEPTED + token("r", 3, 1, "[[0,4]]")), Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN);
+        assertFailed(
+                answer(ACCEPTED + "{\"type\":\"done\",\"request\":\"r\",\"epoch\":3,\"tokens\":2}\n"),
+                Reason.STAGE_DIED,
+                Verdict.MAY_HAVE_RUN);
+    }
+
+    /** Guards against a token whose layers did not all run, or ran elsewhere than planned. */
+    @Test
+    void otherLayersThanThoseOfTheChainEndTheStream() {
+        assertFailed(answer(ACCEPTED + token("r", 3, 0, "[[0,3]]")), Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN);
+        assertFailed(answer(ACCEPTED + token("r", 3, 0, "[[0,4],[0,4]]")), Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN);
+    }
+
+    /** Guards against memory that grows with a line without end. */
+    @Test
+    void anOversizeOrMalformedLineEndsTheStream() {
+        assertFailed(answer(ACCEPTED + "x".repeat(70_000)), Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN);
+        assertFailed(answer(ACCEPTED + "{\"type\":\"token\"}\n"), Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN);
+        assertFailed(answer("HTTP\n"), Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN);
+        assertThat(client.counters().malformedLines()).isGreaterThanOrEqualTo(3);
+    }
+
+    /** Guards against a verdict not-run for work that ran, and the other way round. */
+    @Test
+    void eachFailureClassHasItsVerdict() {
+        assertFailed(answer(""), Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN);
+        assertFailed(answer(ACCEPTED), Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN);
+        assertFailed(script(request -> request.connection().close()), Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN);
+        assertFailed(
+                script(request -> request.response().setStatusCode(500).end()),
+                Reason.ENDPOINT_REFUSED,
+                Verdict.MAY_HAVE_RUN);
+        assertFailed(
+                script(request -> request.response()
+                        .setStatusCode(503)
+                        .putHeader("X-Not-Run", "true")
+                        .end()),
+                Reason.ENDPOINT_REFUSED,
+                Verdict.NOT_RUN);
+        assertFailed(
+                answer(
+                        "{\"type\":\"error\",\"request\":\"r\",\"epoch\":3,\"endpoint\":\"e\",\"verdict\":\"not-run\"}\n"),
+                Reason.ENDPOINT_REFUSED,
+                Verdict.NOT_RUN);
+        assertFailed(script(request -> {}), Reason.ENDPOINT_TIMEOUT, Verdict.MAY_HAVE_RUN);
+    }
+
+    /** Guards against a request that waits for ever, or runs on behind its deadline. */
+    @Test
+    void aPassedDeadlineEndsTheStream() {
+        Handler<HttpServerRequest> silent = request -> {
+            request.response().setChunked(true).write(ACCEPTED);
+            vertx.setPeriodic(100, id -> request.response().write("\n").onFailure(gone -> vertx.cancelTimer(id)));
+        };
+        assertFailed(script(silent, 400), Reason.DEADLINE_EXCEEDED, Verdict.MAY_HAVE_RUN);
+        assertFailed(script(silent, 0), Reason.DEADLINE_UNREACHABLE, Verdict.NOT_RUN);
+    }
+
+    private static void assertFailed(List<EngineEvent> events, Reason reason, Verdict verdict) {
+        assertThat(Attempts.last(events)).isInstanceOfSatisfying(EngineEvent.Failed.class, failed -> {
+            assertThat(failed.endpointId()).isEqualTo("e");
+            assertThat(failed.reason()).isEqualTo(reason);
+            assertThat(failed.verdict()).isEqualTo(verdict);
+        });
+    }
+
+    private static String token(String request, int epoch, int sequence, String layers) {
+        return "{\"type\":\"token\",\"request\":\"" + request + "\",\"epoch\":" + epoch + ",\"seq\":" + sequence
+                + ",\"text\":\" t" + sequence + "\",\"layers\":" + layers + ",\"stageUs\":[5]}\n";
+    }
+
+    private static List<EngineEvent> answer(String body) {
+        return script(request -> request.response().end(Buffer.buffer(body)));
+    }
+
+    private static List<EngineEvent> script(Handler<HttpServerRequest> script) {
+        return script(script, 30_000);
+    }
+
+    private static List<EngineEvent> script(Handler<HttpServerRequest> script, long remainingMs) {
+        SCRIPT.set(script);
+        EndpointAddress engine = new EndpointAddress("e", "127.0.0.1", server.actualPort());
+        return Attempts.run(
+                client,
+                new AttemptRequest(
+                        "r",
+                        3,
+                        "m",
+                        List.of(new AttemptRequest.StageTarget(engine, new LayerRange(0, 4), List.of())),
+                        "p",
+                        1,
+                        List.of(),
+                        List.of(),
+                        8,
+                        0,
+                        System.currentTimeMillis() + remainingMs));
+    }
+}
--- /dev/null
+++ b/server/src/test/java/io/radishwinch/server/platform/HttpPlatformClientTest.java
@@ -0,0 +1,186 @@
+package io.radishwinch.server.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.cluster.platform.PlatformClient;
+import io.radishwinch.cluster.platform.PlatformClient.Change;
+import io.radishwinch.cluster.platform.PlatformClient.PutResult;
+import io.radishwinch.cluster.platform.PlatformException;
+import io.radishwinch.server.engine.ClientOptions;
+import io.radishwinch.standins.PlatformStandIn;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Calls to a platform stand-in over loopback sockets. */
+class HttpPlatformClientTest {
+    private Vertx vertx;
+    private PlatformStandIn platform;
+    private HttpPlatformClient client;
+
+    @BeforeEach
+    void startPlatform() {
+        vertx = Vertx.vertx();
+        platform = PlatformStandIn.start(vertx, 0, 4);
+        client = new HttpPlatformClient(
+                vertx,
+                "127.0.0.1",
+                platform.port(),
+                ClientOptions.defaults().withCallTimeoutMs(500).withSilenceTimeoutMs(1_000));
+    }
+
+    @AfterEach
+    void stopPlatform() {
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    /** Guards against an operator's change that overwrites another one without a trace. */
+    @Test
+    void ofTwoWritesWithTheSameExpectedVersionOneConflicts() {
+        assertThat(put("config/a b/ä", 0, "one", "n1")).isEqualTo(new PutResult.Written(1));
+        assertThat(put("config/a b/ä", 1, "two", "n2")).isEqualTo(new PutResult.Written(2));
+        assertThat(put("config/a b/ä", 1, "three", "n3")).isInstanceOfSatisfying(PutResult.Conflict.class, conflict -> {
+            assertThat(conflict.current().orElseThrow().nonce()).isEqualTo("n2");
+            assertThat(text(conflict.current().orElseThrow().value())).isEqualTo("two");
+        });
+        assertThat(await(client.delete("config/a b/ä", 1, "n4"))).isInstanceOf(PutResult.Conflict.class);
+        assertThat(await(client.delete("config/a b/ä", 2, "n5"))).isEqualTo(new PutResult.Written(3));
+        assertThat(await(client.get("config/a b/ä"))).isEmpty();
+        assertThat(await(client.delete("config/a b/ä", 0, "n6"))).isEqualTo(new PutResult.Conflict(Optional.empty()));
+    }
+
+    /** Guards against a write that is repeated or given up although it took effect. */
+    @Test
+    void aLostAnswerIsResolvedByTheNonce() {
+        platform.loseAnswers(1);
+        assertThat(kind(client.put("journal/1/1", 0, bytes("x"), "mine")))
+                .isEqualTo(PlatformException.Kind.EFFECT_UNKNOWN);
+        assertThat(await(client.get("journal/1/1")).orElseThrow().nonce()).isEqualTo("mine");
+    }
+
+    /** Guards against a failure that claims more, or less, than is known of its effect. */
+    @Test
+    void eachFailureClassSaysWhatIsKnownOfItsEffect() {
+        platform.setRates(1, 1);
+        put("a", 0, "1", "n");
+        assertThat(kind(client.put("b", 0, bytes("1"), "n"))).isEqualTo(PlatformException.Kind.NO_EFFECT);
+        platform.setRates(0, 0);
+        assertThat(kind(client.put("b", 0, new byte[PlatformClient.MAX_VALUE_BYTES + 1], "n")))
+                .isEqualTo(PlatformException.Kind.NO_EFFECT);
+        platform.setSlowMs(5_000);
+        assertThat(kind(client.put("c", 0, bytes("1"), "n"))).isEqualTo(PlatformException.Kind.EFFECT_UNKNOWN);
+        assertThat(kind(client.get("a"))).isEqualTo(PlatformException.Kind.NO_EFFECT);
+        platform.setSlowMs(0);
+        platform.setDown(true);
+        assertThat(kind(client.put("d", 0, bytes("1"), "n"))).isEqualTo(PlatformException.Kind.EFFECT_UNKNOWN);
+        platform.crash();
+        assertThat(kind(client.put("d", 0, bytes("1"), "n"))).isEqualTo(PlatformException.Kind.NO_EFFECT);
+    }
+
+    /** Guards against objects that are left out at the edge of a page. */
+    @Test
+    void pagesListEachObjectOnce() {
+        for (int i = 0; i < 5; i++) {
+            put("days/" + i, 0, "v" + i, "n");
+        }
+        put("dayz", 0, "other", "n");
+        PlatformClient.Page first = await(client.list("days/", "", 3));
+        PlatformClient.Page second =
+                await(client.list("days/", first.objects().get(2).key(), 3));
+        assertThat(first.more()).isTrue();
+        assertThat(second.more()).isFalse();
+        assertThat(second.storeVersion()).isEqualTo(6);
+        assertThat(first.objects())
+                .extracting(PlatformClient.StoredObject::key)
+                .containsExactly("days/0", "days/1", "days/2");
+        assertThat(second.objects())
+                .extracting(PlatformClient.StoredObject::key)
+                .containsExactly("days/3", "days/4");
+    }
+
+    /** Guards against changes that a watch skips, from before it started or after. */
+    @Test
+    void aWatchDeliversEveryChangeBehindItsStart() {
+        put("config/a", 0, "1", "n1");
+        put("other", 0, "2", "n2");
+        await(client.delete("config/a", 1, "n3"));
+        List<Change> changes = client.watch("config/", 0)
+                .onSubscription()
+                .invoke(() -> vertx.runOnContext(ignored -> client.put("config/b", 0, new byte[900_000], "n4")
+                        .subscribe()
+                        .with(written -> {})))
+                .select()
+                .first(3)
+                .collect()
+                .asList()
+                .await()
+                .atMost(Duration.ofSeconds(20));
+        assertThat(changes).extracting(Change::version).containsExactly(1L, 3L, 4L);
+        assertThat(changes.get(1).value()).isEmpty();
+        assertThat(changes.get(2).value().orElseThrow()).hasSize(900_000);
+    }
+
+    /** Guards against a configuration that stays behind because a watch skipped dropped history. */
+    @Test
+    void aWatchBehindDroppedHistoryIsRefused() {
+        for (int i = 0; i < 6; i++) {
+            put("config/" + i, 0, "v", "n");
+        }
+        assertThat(watchEnd(1)).isEqualTo(PlatformException.Kind.HISTORY_GONE);
+        assertThat(watchEnd(7)).isEqualTo(PlatformException.Kind.HISTORY_GONE);
+        platform.dropHistory();
+        assertThat(watchEnd(5)).isEqualTo(PlatformException.Kind.HISTORY_GONE);
+    }
+
+    /** Guards against a watch that waits for ever on a platform that hangs or went away. */
+    @Test
+    void aWatchOnASilentPlatformFails() {
+        platform.setPaused(true);
+        assertThat(watchEnd(0)).isEqualTo(PlatformException.Kind.NO_EFFECT);
+        platform.crash();
+        assertThat(watchEnd(0)).isEqualTo(PlatformException.Kind.NO_EFFECT);
+    }
+
+    /** Guards against VMs whose role or state is lost on the way. */
+    @Test
+    void theVmListArrivesWhole() {
+        PlatformStandIn.Vm vm = new PlatformStandIn.Vm("s-1", "dc2", "127.0.0.1", 81, "service", "billing", false);
+        platform.putVm(vm.asLeaving());
+        assertThat(await(client.vms()))
+                .containsExactly(new PlatformClient.Vm("s-1", "dc2", "127.0.0.1", 81, "service", "billing", true));
+    }
+
+    private PutResult put(String key, long expectedVersion, String value, String nonce) {
+        return await(client.put(key, expectedVersion, bytes(value), nonce));
+    }
+
+    private PlatformException.Kind watchEnd(long from) {
+        return kind(client.watch("config/", from).collect().last());
+    }
+
+    private static PlatformException.Kind kind(Uni<?> call) {
+        return call.map(result -> (PlatformException.Kind) null)
+                .onFailure(PlatformException.class)
+                .recoverWithItem(failure -> ((PlatformException) failure).kind())
+                .await()
+                .atMost(Duration.ofSeconds(20));
+    }
+
+    private static <T> T await(Uni<T> call) {
+        return call.await().atMost(Duration.ofSeconds(20));
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String text(byte[] bytes) {
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+}
--- a/standins/src/main/java/io/radishwinch/standins/EngineAttempts.java
+++ b/standins/src/main/java/io/radishwinch/standins/EngineAttempts.java
@@ -9,19 +9,27 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.RequestOptions;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 
 /** Attempts that an engine stand-in runs, as the head or as a later stage of their chains; owned by one event loop. */
 final class EngineAttempts implements StepLoop.Work {
     static final Buffer KEEP_ALIVE = Buffer.buffer("\n");
     private static final int MAX_LATER_ATTEMPTS = 10_000;
 
+    /** Time without a token after which the head asks the later stages whether they live. */
+    private static final long STAGE_PATIENCE_MS = 500;
+
+    private static final long PROBE_TIMEOUT_MS = 300;
+
     private final Vertx vertx;
     private final HttpClient client;
     private final EngineConfig config;
@@ -35,6 +43,7 @@
     private final PriorityQueue<StageAttempt> queue =
             new PriorityQueue<>(Comparator.<StageAttempt>comparingInt(attempt -> attempt.priority)
                     .thenComparingLong(attempt -> attempt.arrival));
+    private final Set<String> probing = new HashSet<>();
     private final Map<String, StageLink> links = new HashMap<>();
     private final Map<String, EngineConfig.Link> linkChanges = new HashMap<>();
     private String heldModel = "";
@@ -166,6 +175,38 @@
             } else if (attempt.isHead() && !attempt.response.writeQueueFull()) {
                 attempt.response.write(KEEP_ALIVE);
             }
+            if (attempt.isHead() && attempt.awaitsStages() && nowMs - attempt.stepStartedMs > STAGE_PATIENCE_MS) {
+                attempt.stages.subList(1, attempt.stages.size()).forEach(this::probe);
+            }
+        }
+    }
+
+    /** Asks a stage for its load; one that does not answer has failed, for example because it hangs. */
+    private void probe(StageRef stage) {
+        if (!probing.add(stage.endpoint())) {
+            return;
+        }
+        RequestOptions target = new RequestOptions()
+                .setHost(stage.host())
+                .setPort(stage.port())
+                .setURI("/v1/load")
+                .setTimeout(PROBE_TIMEOUT_MS);
+        client.request(target)
+                .compose(request -> request.send())
+                .compose(answer -> answer.body())
+                .onComplete(answer -> {
+                    probing.remove(stage.endpoint());
+                    if (answer.failed()) {
+                        stageLost(stage.endpoint());
+                    }
+                });
+    }
+
+    private void stageLost(String endpoint) {
+        for (StageAttempt attempt : List.copyOf(attempts.values())) {
+            if (attempt.isHead() && attempt.awaitsStages() && attempt.uses(endpoint)) {
+                end(attempt, error(attempt, endpoint, "may-have-run", "stage does not answer"));
+            }
         }
     }
 
--- a/standins/src/main/java/io/radishwinch/standins/StageAttempt.java
+++ b/standins/src/main/java/io/radishwinch/standins/StageAttempt.java
@@ -109,6 +109,15 @@
         return isLast() ? null : stages.get(index + 1);
     }
 
+    /** Returns whether a step is on its way through later stages, seen from the head. */
+    boolean awaitsStages() {
+        return admitted && !stalled && stages.size() > 1;
+    }
+
+    boolean uses(String endpoint) {
+        return stages.stream().anyMatch(stage -> stage.endpoint().equals(endpoint));
+    }
+
     boolean isHead() {
         return index == 0;
     }
--- a/standins/src/main/java/io/radishwinch/standins/StandInServer.java
+++ b/standins/src/main/java/io/radishwinch/standins/StandInServer.java
@@ -39,6 +39,7 @@
     private final Queue<HttpServerRequest> waiting = new ArrayDeque<>();
     private Context context;
     private HttpServer server;
+    private Future<Void> closing = Future.succeededFuture();
     private int port;
     private boolean paused;
 
@@ -67,10 +68,12 @@
     /** Closes all connections and stops listening; a crashed stand-in can be started again. */
     public void crash() {
         run(this::crashNow);
+        awaitClosed();
     }
 
     /** Listens again on the same port after {@link #crash}. */
     public void restart() {
+        awaitClosed();
         listen(port);
     }
 
@@ -89,7 +92,7 @@
 
     @Override
     public void close() {
-        run(this::crashNow);
+        crash();
         await(vertx.undeploy(deploymentId));
     }
 
@@ -123,10 +126,15 @@
         server = null;
         waiting.clear();
         stopped();
-        old.close();
+        closing = old.close();
         dropConnections();
     }
 
+    /** Waits until the port refuses connections. */
+    private void awaitClosed() {
+        await(call(() -> closing));
+    }
+
     final void dropConnections() {
         List<HttpConnection> open = new ArrayList<>(connections);
         connections.clear();
