Render the evening report as a page and as text

Change: EveningReport judges each contract's promises, floors, latency targets, charges and gaps, and renders one HTML file without other resources and text for a terminal. Plots stretch while their labels keep their size, so that the page can be read at 390 px.

--- /dev/null
+++ b/report/src/main/java/io/radishwinch/report/DayFindings.java
@@ -0,0 +1,302 @@
+package io.radishwinch.report;
+
+import io.radishwinch.core.model.Contract;
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.RankTerms;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.report.ContractResult.Floor;
+import io.radishwinch.report.ContractResult.Status;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** Judges a day: which promises were kept, and the verdict. */
+final class DayFindings {
+
+    /** A percentile over fewer requests than this says little and is not judged. */
+    private static final int MIN_REQUESTS_FOR_PERCENTILE = 20;
+
+    private final DaySummary summary;
+    private final ReportTargets targets;
+    private final List<ContractResult> results;
+    private final List<Gap> gaps;
+    private final long nowMs;
+
+    DayFindings(DaySummary summary, Collection<Contract> contracts, ReportTargets targets, long nowMs) {
+        this.summary = summary;
+        this.targets = targets;
+        this.nowMs = nowMs;
+        this.gaps = Gaps.find(summary, nowMs);
+        this.results = results(contracts);
+    }
+
+    // Access
+
+    DaySummary summary() {
+        return summary;
+    }
+
+    ReportTargets targets() {
+        return targets;
+    }
+
+    List<ContractResult> results() {
+        return results;
+    }
+
+    List<Gap> gaps() {
+        return gaps;
+    }
+
+    long nowMs() {
+        return nowMs;
+    }
+
+    boolean isDayOver() {
+        return nowMs >= summary.day().endMs();
+    }
+
+    // Verdict
+
+    /** How the day went. */
+    enum Level {
+        WELL,
+        NOTES,
+        BADLY,
+        NO_DATA
+    }
+
+    Level level() {
+        if (summary.coverage().isEmpty() && summary.callers().isEmpty()) {
+            return Level.NO_DATA;
+        }
+        boolean missed = results.stream().anyMatch(result -> result.status() == Status.MISSED);
+        if (missed || summary.charges().doubled() > 0) {
+            return Level.BADLY;
+        }
+        boolean limited = results.stream().anyMatch(result -> result.status() == Status.LIMITED);
+        return limited || summary.charges().inDoubt() > 0 || !gaps.isEmpty() ? Level.NOTES : Level.WELL;
+    }
+
+    /** Returns the verdict in one sentence. */
+    String sentence() {
+        String day = isDayOver() ? "The day" : "The day so far";
+        return switch (level()) {
+            case NO_DATA -> "Nothing is known about this day: no router has written a summary.";
+            case WELL -> day + " went well: " + good() + ".";
+            case NOTES -> day + " went well, with something to look at: " + String.join("; ", notes()) + ".";
+            case BADLY -> day + " did not go well: " + bad() + ".";
+        };
+    }
+
+    private String good() {
+        long offered = 0;
+        for (Rank rank : Rank.values()) {
+            offered += summary.service(rank).offered();
+        }
+        if (offered == 0) {
+            return "there were no requests";
+        }
+        ServiceTotals interactive = summary.service(Rank.INTERACTIVE);
+        String all = Words.count(offered, "request") + " from "
+                + Words.count(summary.callers().size(), "caller") + ", every promise kept";
+        return interactive.entitled() > 0
+                ? all + ", " + Words.percent(interactive.withinDeadlineShare())
+                        + " of interactive requests answered in time"
+                : all;
+    }
+
+    private String bad() {
+        List<String> parts = new ArrayList<>();
+        if (summary.charges().doubled() > 0) {
+            parts.add(Words.count(summary.charges().doubled(), "charge") + " ran twice");
+        }
+        List<ContractResult> missed = results.stream()
+                .filter(result -> result.status() == Status.MISSED)
+                .sorted(Comparator.comparing(ContractResult::rank)
+                        .thenComparing(result -> result.service().withinDeadlineShare()))
+                .toList();
+        if (!missed.isEmpty()) {
+            ContractResult first = missed.get(0);
+            parts.add(first.label() + " " + first.shortfalls().get(0) + why(first));
+            if (missed.size() > 1) {
+                parts.add(Words.count(missed.size() - 1L, "other promise") + " missed");
+            }
+        }
+        if (summary.charges().inDoubt() > 0) {
+            parts.add(inDoubt());
+        }
+        return String.join("; ", parts);
+    }
+
+    private List<String> notes() {
+        List<String> notes = new ArrayList<>();
+        if (summary.charges().inDoubt() > 0) {
+            notes.add(inDoubt());
+        }
+        results.stream()
+                .filter(result -> result.status() == Status.LIMITED)
+                .findFirst()
+                .ifPresent(result -> notes.add(result.label() + " had "
+                        + Words.count(result.service().unserved(), "request") + " refused, mostly because "
+                        + result.mainReason().map(ReasonText::of).orElse("of a surge")));
+        if (!gaps.isEmpty()) {
+            notes.add("data is missing for " + Words.count(gaps.size(), "period"));
+        }
+        return notes;
+    }
+
+    private String inDoubt() {
+        long inDoubt = summary.charges().inDoubt();
+        return Words.count(inDoubt, "charge") + (inDoubt == 1 ? " is" : " are") + " in doubt";
+    }
+
+    /** Names the main reason, the worst time and the event before it. */
+    private String why(ContractResult result) {
+        String reason = result.mainReason()
+                .map(r -> ", mostly because " + ReasonText.of(r))
+                .orElse(
+                        result.service().withinDeadline() < result.service().entitled()
+                                ? ", because answers came late"
+                                : "");
+        int worst = worstSlot(result);
+        if (worst < 0) {
+            return reason;
+        }
+        long atMs = summary.day().slotStartMs(worst);
+        String event = summary.events().stream()
+                .filter(e -> e.kind() == FleetEvent.Kind.FAILURE || e.kind() == FleetEvent.Kind.SURGE)
+                .filter(e -> e.atMs() < atMs + DaySlots.SLOT_MS && e.atMs() > atMs - 6 * DaySlots.SLOT_MS)
+                .reduce((first, second) -> second)
+                .map(e -> " after " + (e.kind() == FleetEvent.Kind.SURGE ? "a surge of " : "the failure of ")
+                        + Words.printable(e.subject()))
+                .orElse("");
+        return reason + ", worst at " + Words.time(atMs, summary.day().zone()) + event;
+    }
+
+    private int worstSlot(ContractResult result) {
+        if (result.floor().state() == Floor.State.MISSED) {
+            return result.floor().worstSlot();
+        }
+        int worst = -1;
+        long most = 0;
+        for (Map.Entry<Integer, ServiceTotals.SlotService> entry :
+                result.service().slots().entrySet()) {
+            if (entry.getValue().unserved() > most) {
+                most = entry.getValue().unserved();
+                worst = entry.getKey();
+            }
+        }
+        return worst;
+    }
+
+    // Contracts
+
+    private List<ContractResult> results(Collection<Contract> contracts) {
+        Map<String, Map<Rank, Optional<RankTerms>>> rows = new TreeMap<>();
+        for (Contract contract : contracts) {
+            contract.ranks()
+                    .forEach((rank, terms) -> row(rows, contract.caller()).put(rank, Optional.of(terms)));
+        }
+        summary.callers().forEach((caller, byRank) -> byRank.keySet()
+                .forEach(rank -> row(rows, caller).putIfAbsent(rank, Optional.empty())));
+        List<ContractResult> found = new ArrayList<>();
+        rows.forEach((caller, byRank) -> byRank.forEach((rank, terms) -> found.add(result(caller, rank, terms))));
+        found.sort(Comparator.comparing(ContractResult::rank).thenComparing(ContractResult::caller));
+        return List.copyOf(found);
+    }
+
+    private static Map<Rank, Optional<RankTerms>> row(Map<String, Map<Rank, Optional<RankTerms>>> rows, String caller) {
+        return rows.computeIfAbsent(caller, c -> new EnumMap<>(Rank.class));
+    }
+
+    private ContractResult result(String caller, Rank rank, Optional<RankTerms> terms) {
+        ServiceTotals service = summary.service(caller, rank);
+        Floor floor = floor(service, terms.map(RankTerms::floorTokensPerS).orElse(0.0));
+        Optional<Reason> mainReason = mainReason(service);
+        if (service.offered() == 0) {
+            return new ContractResult(caller, rank, terms, service, Status.NO_REQUESTS, List.of(), floor, mainReason);
+        }
+        List<String> shortfalls = new ArrayList<>();
+        boolean limited = false;
+        if (service.withinDeadlineShare() < targets.inTimeShare()) {
+            limited = rank == Rank.BATCH && isShareMetWithoutRefusals(service);
+            if (!limited) {
+                shortfalls.add("had " + Words.percent(service.withinDeadlineShare()) + " of "
+                        + Words.count(service.entitled(), "request") + " answered in time instead of "
+                        + Words.percent(targets.inTimeShare()));
+            }
+        }
+        if (floor.state() == Floor.State.MISSED) {
+            shortfalls.add("fell to " + Words.rate(floor.worstTokensPerS()) + " below its floor of "
+                    + Words.rate(terms.orElseThrow().floorTokensPerS()) + " in "
+                    + Words.count(floor.missedSlots(), "period") + " of 5 min");
+        }
+        if (rank == Rank.INTERACTIVE) {
+            addLatency(shortfalls, service.firstToken(), targets.firstTokenMs(), "waited", "for the first token");
+            addLatency(shortfalls, service.tokenInterval(), targets.tokenIntervalMs(), "waited", "between tokens");
+        }
+        Status status = !shortfalls.isEmpty() ? Status.MISSED : limited ? Status.LIMITED : Status.KEPT;
+        return new ContractResult(caller, rank, terms, service, status, List.copyOf(shortfalls), floor, mainReason);
+    }
+
+    /** Early refusals of batch work in a surge are intended as long as its floor is kept; late answers are not. */
+    private boolean isShareMetWithoutRefusals(ServiceTotals service) {
+        long refusedByFleet = service.refused().entrySet().stream()
+                .filter(entry -> Responsibility.of(entry.getKey()) == Responsibility.FLEET)
+                .mapToLong(Map.Entry::getValue)
+                .sum();
+        long rest = service.entitled() - refusedByFleet;
+        return rest <= 0 || (double) service.withinDeadline() / rest >= targets.inTimeShare();
+    }
+
+    private void addLatency(
+            List<String> shortfalls, LatencyHistogram histogram, double limitMs, String verb, String what) {
+        if (histogram.count() >= MIN_REQUESTS_FOR_PERCENTILE
+                && histogram.shareAtOrBelow(limitMs) < targets.inTimeShare()) {
+            shortfalls.add(verb + " " + Words.ms(histogram.percentileMs(targets.inTimeShare() * 100)) + " " + what
+                    + " at the 95th percentile instead of " + Words.ms(limitMs));
+        }
+    }
+
+    private Floor floor(ServiceTotals service, double floorTokensPerS) {
+        if (floorTokensPerS <= 0) {
+            return new Floor(Floor.State.NOT_PROMISED, 0, -1, 0);
+        }
+        if (service.unserved() > 0 && (summary.isCoarsened() || service.slots().isEmpty())) {
+            return new Floor(Floor.State.UNKNOWN, 0, -1, 0);
+        }
+        int missed = 0;
+        int worstSlot = -1;
+        double worst = Double.MAX_VALUE;
+        for (Map.Entry<Integer, ServiceTotals.SlotService> entry :
+                service.slots().entrySet()) {
+            double tokensPerS = entry.getValue().tokens() * 1000.0 / DaySlots.SLOT_MS;
+            if (entry.getValue().unserved() > 0 && tokensPerS < targets.floorShare() * floorTokensPerS) {
+                missed++;
+                if (tokensPerS < worst) {
+                    worst = tokensPerS;
+                    worstSlot = entry.getKey();
+                }
+            }
+        }
+        return missed == 0
+                ? new Floor(Floor.State.KEPT, 0, -1, 0)
+                : new Floor(Floor.State.MISSED, missed, worstSlot, worst);
+    }
+
+    private static Optional<Reason> mainReason(ServiceTotals service) {
+        Map<Reason, Long> counts = new EnumMap<>(Reason.class);
+        service.refused().forEach((reason, count) -> counts.merge(reason, count, Long::sum));
+        service.failed().forEach((reason, count) -> counts.merge(reason, count, Long::sum));
+        return counts.entrySet().stream()
+                .filter(entry -> Responsibility.of(entry.getKey()) == Responsibility.FLEET)
+                .max(Map.Entry.<Reason, Long>comparingByValue().thenComparing(Map.Entry.comparingByKey()))
+                .map(Map.Entry::getKey);
+    }
+}
--- /dev/null
+++ b/report/src/main/java/io/radishwinch/report/RankPlot.java
@@ -0,0 +1,137 @@
+package io.radishwinch.report;
+
+import io.radishwinch.core.model.Rank;
+import java.util.Locale;
+import java.util.function.IntFunction;
+
+/**
+ * Two small plots of one rank over the day: the share of requests answered in time, and the number of requests.
+ *
+ * <p>The drawings stretch to the width of the page; all text is outside of them, so that it keeps its size.
+ */
+final class RankPlot {
+    private static final int SHARE_HEIGHT = 100;
+    private static final int VOLUME_HEIGHT = 60;
+    private static final int LABEL_HOURS = 4;
+
+    private final DayFindings findings;
+    private final DaySummary summary;
+    private final DaySlots day;
+    private final Rank rank;
+
+    RankPlot(DayFindings findings, Rank rank) {
+        this.findings = findings;
+        this.summary = findings.summary();
+        this.day = summary.day();
+        this.rank = rank;
+    }
+
+    void render(Html html) {
+        ServiceTotals totals = summary.service(rank);
+        long peak = 1;
+        for (int slot = 0; slot < day.count(); slot++) {
+            peak = Math.max(peak, summary.slot(rank, slot).offered());
+        }
+        String title = Words.title(rank.wireName());
+        html.raw("<figure><figcaption>").element("b", title).raw("<small>");
+        if (totals.offered() == 0) {
+            html.text("no requests").raw("</small></figcaption></figure>\n");
+            return;
+        }
+        html.text(Words.percent(totals.withinDeadlineShare()) + " of " + Words.count(totals.entitled(), "request")
+                + " in time; peak " + perMinute(peak));
+        html.raw("</small></figcaption>");
+        open(html, "share", SHARE_HEIGHT, title + ": share of requests answered in time");
+        drawGaps(html, SHARE_HEIGHT);
+        bars(html, "served", slot -> bar(slot, 0, share(slot), SHARE_HEIGHT));
+        bars(html, "short", slot -> bar(slot, share(slot), hasEntitled(slot) ? 1 : 0, SHARE_HEIGHT));
+        double y = SHARE_HEIGHT * (1 - findings.targets().inTimeShare());
+        html.raw(String.format(
+                Locale.ROOT,
+                "<line class=\"target\" x1=\"0\" x2=\"%d\" y1=\"%.1f\" y2=\"%.1f\"/></svg>",
+                day.count(),
+                y,
+                y));
+        double scale = 1.0 / peak;
+        open(html, "volume", VOLUME_HEIGHT, title + ": requests");
+        drawGaps(html, VOLUME_HEIGHT);
+        bars(html, "offered", slot -> bar(slot, 0, at(slot).entitled() * scale, VOLUME_HEIGHT));
+        bars(
+                html,
+                "declined",
+                slot -> bar(slot, at(slot).entitled() * scale, at(slot).offered() * scale, VOLUME_HEIGHT));
+        html.raw("</svg>");
+        hours(html, "hours", day);
+        html.raw("</figure>\n");
+    }
+
+    /** Writes the hours below a plot or timeline, where they are on days on which the clock changes too. */
+    static void hours(Html html, String cssClass, DaySlots day) {
+        html.raw("<div class=\"" + cssClass + "\" aria-hidden=\"true\">");
+        double dayMs = day.endMs() - day.startMs();
+        for (int hour = 0; hour < 24; hour += LABEL_HOURS) {
+            long atMs =
+                    day.date().atTime(hour, 0).atZone(day.zone()).toInstant().toEpochMilli();
+            html.raw(String.format(
+                    Locale.ROOT,
+                    "<span style=\"left:%.2f%%\">%02d</span>",
+                    100 * (atMs - day.startMs()) / dayMs,
+                    hour));
+        }
+        html.raw("</div>");
+    }
+
+    private SlotTotals at(int slot) {
+        return summary.slot(rank, slot);
+    }
+
+    private boolean hasEntitled(int slot) {
+        return at(slot).entitled() > 0;
+    }
+
+    private double share(int slot) {
+        return hasEntitled(slot) ? Math.min(1, (double) at(slot).withinDeadline() / at(slot).entitled()) : 0;
+    }
+
+    private void open(Html html, String cssClass, int height, String label) {
+        html.raw("<svg class=\"plot " + cssClass + "\" viewBox=\"0 0 " + day.count() + " " + height
+                + "\" preserveAspectRatio=\"none\" role=\"img\" aria-label=\"" + Html.escape(label) + "\">");
+    }
+
+    private void drawGaps(Html html, int height) {
+        for (Gap gap : findings.gaps()) {
+            double x = (double) (gap.fromMs() - day.startMs()) / DaySlots.SLOT_MS;
+            double width = (double) (gap.toMs() - gap.fromMs()) / DaySlots.SLOT_MS;
+            if (gap.routerId().isEmpty()) {
+                html.raw(String.format(
+                        Locale.ROOT,
+                        "<rect class=\"gap\" x=\"%.2f\" y=\"0\" width=\"%.2f\" height=\"%d\"/>",
+                        x,
+                        width,
+                        height));
+            }
+        }
+    }
+
+    private void bars(Html html, String cssClass, IntFunction<String> bar) {
+        StringBuilder path = new StringBuilder();
+        for (int slot = 0; slot < day.count(); slot++) {
+            path.append(bar.apply(slot));
+        }
+        if (path.length() > 0) {
+            html.raw("<path class=\"" + cssClass + "\" d=\"" + path + "\"/>");
+        }
+    }
+
+    private static String bar(int slot, double from, double to, int height) {
+        if (to <= from) {
+            return "";
+        }
+        return String.format(Locale.ROOT, "M%d %.1fh1.05V%.1fh-1.05z", slot, height * (1 - from), height * (1 - to));
+    }
+
+    private static String perMinute(long perSlot) {
+        double perMinute = perSlot * 60_000.0 / DaySlots.SLOT_MS;
+        return String.format(Locale.ROOT, perMinute < 10 ? "%.1f a minute" : "%,.0f a minute", perMinute);
+    }
+}
--- /dev/null
+++ b/report/src/main/java/io/radishwinch/report/ReasonText.java
@@ -0,0 +1,44 @@
+package io.radishwinch.report;
+
+import io.radishwinch.core.model.Reason;
+
+/** Reasons in words for the owner of the service. */
+final class ReasonText {
+    private ReasonText() {}
+
+    static String of(Reason reason) {
+        return switch (reason) {
+            case UNKNOWN_CALLER -> "the key matches no contract";
+            case FORBIDDEN -> "the contract does not allow the rank, model or service";
+            case MALFORMED_REQUEST -> "the request could not be parsed";
+            case UNKNOWN_MODEL -> "no such model is configured";
+            case UNKNOWN_SERVICE -> "no such service is configured";
+            case BODY_TOO_LARGE -> "the body was too large";
+            case HEADER_TOO_LARGE -> "the headers were too large";
+            case SLOW_SENDER -> "the body did not arrive in time";
+            case SLOW_READER -> "the caller did not read its answer in time";
+            case RATE_LIMITED -> "the caller was over its rate limit";
+            case CONCURRENCY_LIMITED -> "the caller had too many requests open";
+            case QUEUE_FULL -> "the queue was full";
+            case DEADLINE_UNREACHABLE -> "there was too much work to meet the deadline";
+            case DEADLINE_EXCEEDED -> "the deadline passed while the request ran";
+            case NO_CAPACITY -> "the live endpoints did not cover the model";
+            case QUARANTINED -> "the content had crashed endpoints";
+            case STAGE_DIED -> "an endpoint failed during the request";
+            case ENDPOINT_REFUSED -> "an endpoint refused the request";
+            case ENDPOINT_TIMEOUT -> "an endpoint did not answer in time";
+            case PREEMPTED -> "the request yielded to more urgent work";
+            case RETRY_BUDGET_EXHAUSTED -> "the retry budget was used up";
+            case ATTEMPTS_EXHAUSTED -> "all attempts failed";
+            case PLATFORM_UNAVAILABLE -> "the platform's object API was not available";
+            case OUTCOME_UNKNOWN -> "an earlier request with the same key may have run";
+            case IN_PROGRESS -> "a request with the same key was still running";
+            case KEY_REUSED -> "the idempotency key was used with other content";
+            case KEY_REQUIRED -> "the idempotency key was missing";
+            case DRAINING -> "the router was shutting down";
+            case CALLER_DISCONNECTED -> "the caller closed its connection";
+            case CONTRACT_WITHDRAWN -> "the contract was deleted";
+            case INTERNAL_ERROR -> "a fault in the router";
+        };
+    }
+}
--- /dev/null
+++ b/report/src/test/java/io/radishwinch/report/EveningReportTest.java
@@ -0,0 +1,88 @@
+package io.radishwinch.report;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.core.model.Rank;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a report that hides what went wrong, or that runs what a caller wrote into it. */
+class EveningReportTest {
+    private static final long EVENING_MS = SampleDay.DAY.endMs();
+
+    private static EveningReport report(DaySummary summary) {
+        return EveningReport.of("Quiet Night", summary, SampleDay.contracts(), EVENING_MS);
+    }
+
+    @Test
+    void aDayWithTroubleSaysForWhomWhyAndWhenInTheFirstSentence() {
+        assertThat(report(SampleDay.summary(true)).verdict())
+                .isEqualTo("The day did not go well: support-desk (interactive) fell to 0.0 tokens/s below its floor of"
+                        + " 60 tokens/s in 7 periods of 5 min, mostly because the live endpoints did not cover the"
+                        + " model, worst at 14:10 after the failure of rack-4; 1 other promise missed; 2 charges are"
+                        + " in doubt.");
+    }
+
+    @Test
+    void aGoodDaySaysSo() {
+        EveningReport report = report(SampleDay.summary(false));
+        assertThat(report.wentWell()).isTrue();
+        assertThat(report.verdict())
+                .isEqualTo("The day went well: 11,520 requests from 4 callers, every promise kept, 100% of interactive"
+                        + " requests answered in time.");
+    }
+
+    @Test
+    void aDayWithoutAnySummaryIsNotReportedAsGood() {
+        EveningReport report = report(DaySummary.builder(SampleDay.DAY).build());
+        assertThat(report.wentWell()).isFalse();
+        assertThat(report.verdict()).startsWith("Nothing is known");
+    }
+
+    @Test
+    void oneChargeThatRanTwiceMakesAnOtherwiseGoodDayBad() {
+        DaySummary summary = DaySummary.builder(SampleDay.DAY)
+                .add(SampleDay.summary(false))
+                .addDoubledCharge("q-1")
+                .build();
+        assertThat(report(summary).verdict()).isEqualTo("The day did not go well: 1 charge ran twice.");
+    }
+
+    @Test
+    void theSilenceOfALostRouterIsShownAsAGap() {
+        DaySummary summary = SampleDay.summary(true);
+        assertThat(report(summary).text()).contains("16:45 to 19:10  router r-2");
+        assertThat(Gaps.find(SampleDay.summary(false), EVENING_MS)).isEmpty();
+    }
+
+    @Test
+    void aRouterThatEndedWithoutHandingOverLeavesAGapAfterItsLastWrite() {
+        long lastMs = SampleDay.DAY.startMs() + 3_600_000;
+        DayRecorder recorder = new DayRecorder("r-9", SampleDay.DAY.zone(), SampleDay.DAY.startMs());
+        DaySummary summary = recorder.summary(lastMs).merge(SampleDay.summary(false));
+        assertThat(Gaps.find(summary, EVENING_MS)).contains(new Gap("r-9", lastMs, lastMs + DaySlots.SLOT_MS));
+    }
+
+    @Test
+    void namesAndTextsCannotBreakOutOfThePageOrSteerATerminal() {
+        String hostile = "<script>alert('x')</script>\"&\u001b[31m\u202e";
+        DaySummary summary = DaySummary.builder(SampleDay.DAY)
+                .add(SampleDay.summary(false))
+                .add(RequestOutcome.builder("q-1", hostile, Rank.INTERACTIVE, "m")
+                        .answered(true, EVENING_MS - 1))
+                .add(new FleetEvent(EVENING_MS - 5, FleetEvent.Kind.FAILURE, hostile, hostile))
+                .addDoubledCharge(hostile)
+                .build();
+        EveningReport report = EveningReport.of(hostile, summary, List.of(), EVENING_MS);
+        assertThat(report.html())
+                .doesNotContain("<script", "alert('", "\u001b", "\u202e")
+                .contains("&lt;script&gt;");
+        assertThat(report.text()).doesNotContain("\u001b", "\u202e");
+    }
+
+    @Test
+    void thePageNeedsNoOtherResource() {
+        assertThat(report(SampleDay.summary(true)).html())
+                .doesNotContain("http://", "https://", "src=", "href=", "url(", "@import");
+    }
+}
