Give back grants that a forwarded or lost request may have left

Cause: random schedules left keys in doubt that had never run. A request that was answered by the direct path could still be recorded later by the preferred writer, and a conflict with the router's own earlier batch cleared the mark that its record may exist.

Change: the doubt about a forwarded step is kept apart from its reply, and a step's doubt ends only when all sequence numbers up to its create are known. Adds the property over random schedules.

--- a/cluster/src/main/java/io/radishwinch/cluster/journal/PendingStep.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/PendingStep.java
@@ -12,7 +12,7 @@
     private final Consumer<Reply> done;
     private boolean answered;
     private boolean fresh;
-    private boolean mayBeRecorded;
+    private long sentSequence;
 
     PendingStep(Request request, Hash128 key, Consumer<Reply> done) {
         this.request = request;
@@ -61,13 +61,20 @@
         fresh = true;
     }
 
-    /** Notes whether a create that holds the step's record may have taken effect or may yet do so. */
-    void setMayBeRecorded(boolean value) {
-        mayBeRecorded = value;
+    /** Notes that a create of the given sequence number holds the step's record. */
+    void onSent(long sequence) {
+        sentSequence = sequence;
     }
 
-    /** Returns whether a record of this step may exist or may yet appear. */
+    /** Returns whether a record of this step may exist or may yet appear, without being in the state that was read. */
     boolean mayBeRecorded() {
-        return mayBeRecorded;
+        return sentSequence > 0;
+    }
+
+    /** Notes that all sequence numbers before the given one are used and their batches are known. */
+    void onKnownUpTo(long nextSequence) {
+        if (sentSequence < nextSequence) {
+            sentSequence = 0;
+        }
     }
 }
--- a/cluster/src/main/java/io/radishwinch/cluster/journal/ShardLog.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/ShardLog.java
@@ -250,7 +250,9 @@
         long sequence = next;
         String nonce = nonces.next();
         byte[] value = JournalCodec.encodeBatch(batch);
-        members.forEach(step -> step.setMayBeRecorded(true));
+        List<PendingStep> unsent =
+                members.stream().filter(step -> !step.mayBeRecorded()).toList();
+        members.forEach(step -> step.onSent(sequence));
         notBeforeMs = scheduler.nowMs() + settings.commitIntervalMs();
         store.create(sequence, value, nonce)
                 .subscribe()
@@ -263,12 +265,12 @@
                                         .ifPresent(current ->
                                                 minStoreVersion = Math.max(minStoreVersion, current.version()));
                                 listener.onConflict(shard);
-                                members.forEach(step -> step.setMayBeRecorded(false));
+                                unsent.forEach(step -> step.onSent(0));
                                 notBeforeMs = scheduler.nowMs();
                                 catchUp();
                             }
                         },
-                        failure -> onCreateFailed(members, failure));
+                        failure -> onCreateFailed(unsent, failure));
     }
 
     /** Reads the log behind the new batch and accepts the batch if its number was not used and deleted before. */
@@ -327,6 +329,7 @@
             next++;
         }
         waiting.forEach(PendingStep::markFresh);
+        queue.forEach(step -> step.onKnownUpTo(next));
         backoffMs = FIRST_BACKOFF_MS;
         failures = 0;
         answerDecided();
@@ -351,9 +354,9 @@
 
     // ---- failures ----
 
-    private void onCreateFailed(List<PendingStep> members, Throwable failure) {
+    private void onCreateFailed(List<PendingStep> unsent, Throwable failure) {
         if (!isEffectUnknown(failure)) {
-            members.forEach(step -> step.setMayBeRecorded(false));
+            unsent.forEach(step -> step.onSent(0));
         }
         onFailed(failure);
     }
--- a/cluster/src/main/java/io/radishwinch/cluster/journal/ShardedJournal.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/ShardedJournal.java
@@ -97,12 +97,12 @@
         String nonce = nonces.next();
         openNonces.add(nonce);
         Request request = new Request(Step.OPEN, caller, idempotencyKey, fingerprint, nonce, Optional.empty());
-        submit(request, key, reply -> {
+        submit(request, key, (reply, inDoubt) -> {
             if (reply.result() != Result.GRANTED) {
                 openNonces.remove(nonce);
-                if (reply.isInDoubt()) {
+                if (inDoubt) {
                     // An intent may exist or may still be written. No byte was sent under it, so it is given back.
-                    submit(abandonOf(request), key, ignored -> {});
+                    submit(abandonOf(request), key, (ignored, stillInDoubt) -> {});
                 }
             }
             done.accept(decision(request, reply));
@@ -127,7 +127,10 @@
                             grant.nonce(),
                             isKept ? Optional.of(outcome) : Optional.empty());
                     openNonces.remove(grant.nonce());
-                    submit(request, key, reply -> emitter.complete(isKept && reply.result() == Result.RECORDED));
+                    submit(
+                            request,
+                            key,
+                            (reply, inDoubt) -> emitter.complete(isKept && reply.result() == Result.RECORDED));
                 })
                 .memoize()
                 .indefinitely();
@@ -147,7 +150,7 @@
                                     grant.nonce(),
                                     Optional.empty()),
                             Hash128.ofKey(grant.caller(), grant.idempotencyKey()),
-                            reply -> emitter.complete(reply.result() == Result.RECORDED));
+                            (reply, inDoubt) -> emitter.complete(reply.result() == Result.RECORDED));
                 })
                 .memoize()
                 .indefinitely();
@@ -190,19 +193,18 @@
     // ---- steps ----
 
     /** Sends a step to the preferred writer, or to the own view of the shard if that is this router or fails. */
-    private void submit(Request request, Hash128 key, Consumer<Reply> done) {
+    private void submit(Request request, Hash128 key, Answer done) {
         int shard = key.shard(shards.length);
         Optional<JournalPeer> peer = writers.writerOf(shard);
         if (peer.isEmpty()) {
-            shards[shard].submit(request, key, done);
+            submitHere(request, key, false, done);
             return;
         }
         AtomicBoolean decided = new AtomicBoolean();
-        Consumer<Boolean> writeDirectly = mayReachPeer -> {
+        Consumer<Boolean> writeDirectly = peerInDoubt -> {
             if (decided.compareAndSet(false, true)) {
                 listener.onPeerFailure(shard);
-                shards[shard].submit(
-                        request, key, reply -> done.accept(mayReachPeer ? withDoubt(request, reply) : reply));
+                submitHere(request, key, peerInDoubt, done);
             }
         };
         Scheduler.Timer timeout = scheduler.schedule(settings.peerTimeoutMs(), () -> writeDirectly.accept(true));
@@ -215,7 +217,7 @@
                             if (reply.result() == Result.UNAVAILABLE) {
                                 writeDirectly.accept(reply.isInDoubt());
                             } else if (decided.compareAndSet(false, true)) {
-                                done.accept(reply);
+                                done.accept(reply, false);
                             }
                         },
                         failure -> {
@@ -224,9 +226,19 @@
                         });
     }
 
-    /** After a forwarded step stayed unanswered, a refusal can't rule out that the peer still records it. */
-    private static Reply withDoubt(Request request, Reply reply) {
-        return reply.result() == Result.UNAVAILABLE ? Reply.of(Result.UNAVAILABLE, request.grantNonce()) : reply;
+    private void submitHere(Request request, Hash128 key, boolean peerInDoubt, Answer done) {
+        shards[key.shard(shards.length)].submit(
+                request, key, reply -> done.accept(reply, peerInDoubt || reply.isInDoubt()));
+    }
+
+    /** Receives the answer to a step. */
+    private interface Answer {
+        /**
+         * Takes the answer.
+         *
+         * @param inDoubt whether a record of the step may exist or may yet be written, whatever the reply says
+         */
+        void accept(Reply reply, boolean inDoubt);
     }
 
     private static Request abandonOf(Request open) {
--- /dev/null
+++ b/cluster/src/test/java/io/radishwinch/cluster/journal/AtMostOncePropertyTest.java
@@ -0,0 +1,37 @@
+package io.radishwinch.cluster.journal;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.ShrinkingMode;
+
+/**
+ * Guards against a second run of a key under random schedules of re-sends, crashes, pauses, lost answers, stale reads,
+ * outages and disagreement about the preferred writer.
+ */
+class AtMostOncePropertyTest {
+    private static final int TRIES = 200;
+    /** Schedules in each try, so that {@code -Dradishwinch.tries=10000} runs at least that many. */
+    private static final int SCHEDULES_PER_TRY =
+            Math.max(1, (Integer.getInteger("radishwinch.tries", TRIES) + TRIES - 1) / TRIES);
+
+    @Provide
+    Arbitrary<Long> seeds() {
+        return Arbitraries.longs().between(1, Long.MAX_VALUE / 2).withoutEdgeCases();
+    }
+
+    @Property(tries = TRIES, seed = "20", shrinking = ShrinkingMode.OFF)
+    void everyKeyRunsAtMostOnceAndReplaysItsAnswer(@ForAll("seeds") long seed) {
+        for (int i = 0; i < SCHEDULES_PER_TRY; i++) {
+            RandomSchedule schedule = new RandomSchedule(seed + i);
+            schedule.run();
+            assertThat(schedule.violations())
+                    .as("schedule of seed %d", seed + i)
+                    .isEmpty();
+        }
+    }
+}
--- a/cluster/src/test/java/io/radishwinch/cluster/journal/TestRouter.java
+++ b/cluster/src/test/java/io/radishwinch/cluster/journal/TestRouter.java
@@ -9,7 +9,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Function;
 
 /**
  * A router process that can die or be paused between any two of its tasks: everything that reaches its journal, timers
@@ -25,6 +24,7 @@
 
     private final Fleet fleet;
     private final List<Runnable> held = new ArrayList<>();
+    private final List<Runnable> onDeath = new ArrayList<>();
     private boolean paused;
 
     TestRouter(Fleet fleet, String id, JournalSettings template) {
@@ -50,6 +50,16 @@
     void die() {
         dead = true;
         held.clear();
+        onDeath.forEach(Runnable::run);
+    }
+
+    void onDeath(Runnable task) {
+        onDeath.add(task);
+    }
+
+    /** Runs a task of this process later, unless it dies before. */
+    void after(long delayMs, Runnable task) {
+        fleet.scheduler.schedule(delayMs, () -> run(task));
     }
 
     void pause() {
@@ -63,7 +73,7 @@
         tasks.forEach(this::run);
     }
 
-    private void run(Runnable task) {
+    void run(Runnable task) {
         if (paused && !dead) {
             held.add(task);
         } else if (!dead) {
@@ -96,9 +106,8 @@
         @Override
         public Optional<JournalPeer> writerOf(int shard) {
             return fleet.writer().filter(writer -> writer != TestRouter.this).map(writer -> request -> {
-                Function<Object, Uni<Reply>> never = ignored -> Uni.createFrom().nothing();
                 if (cutFromPeers || writer.cutFromPeers || writer.dead) {
-                    return never.apply(null);
+                    return Uni.createFrom().<Reply>nothing();
                 }
                 return gated(Uni.createFrom()
                         .emitter(emitter -> fleet.scheduler.schedule(
