Add endpoint health and the inference of slow links

Cause: endpoints that fail or are ten times slower kept their share of work. Change: EndpointHealth (consecutive failures, median outliers, stepwise reinstatement, cap of a third, slow start); measured times of this router count more than reports; unexplained token time is attributed to unmeasured links.

--- a/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
@@ -18,6 +18,11 @@
     /** Weight of a new measurement in the moving average of the layer time. */
     private static final double LAYER_TIME_GAIN = 0.3;
 
+    /**
+     * Time for which measurements of this router count more than reports, in ms: an engine may not see its slowness.
+     */
+    private static final long STAGE_TIME_VALID_MS = 10_000;
+
     /** Layer time assumed before the first measurement, in us. */
     private static final double DEFAULT_LAYER_TIME_US = 500;
 
@@ -53,6 +58,7 @@
     private long kvCapacityBytes;
     private double layerTimeUs = DEFAULT_LAYER_TIME_US;
     private boolean layerTimeKnown;
+    private long stageMeasuredAtMs = Long.MIN_VALUE;
 
     EndpointRow(int index, int zone, EndpointSpec spec) {
         this.index = index;
@@ -125,6 +131,11 @@
         return layerTimeUs;
     }
 
+    /** Returns the measured time of one layer for one token in us, or 0 if there is no measurement. */
+    double measuredLayerTimeUs() {
+        return layerTimeKnown ? layerTimeUs : 0;
+    }
+
     /** Returns the load that the endpoint last reported, running and queued, without any correction. */
     public int reported() {
         return report == null ? 0 : report.running() + report.queued();
@@ -168,6 +179,7 @@
     void revive(EndpointSpec newSpec) {
         spec = newSpec;
         gone = false;
+        layerTimeKnown = false;
         report = null;
         background = 0;
         kvCapacityBytes = 0;
@@ -196,12 +208,10 @@
         runningAtReport = history.runningAt(report.measuredAtMs());
         kvBytesAtReport = history.kvBytesAt(report.measuredAtMs());
         kvCapacityBytes = Math.max(kvCapacityBytes, newReport.kvFreeBytes());
-        if (!layerTimeKnown && newReport.layerTimeUs() > 0) {
-            layerTimeUs = newReport.layerTimeUs();
-        } else if (newReport.layerTimeUs() > 0) {
-            measureLayerTime(newReport.layerTimeUs());
+        boolean measuredLater = stageMeasuredAtMs > newReport.measuredAtMs() - STAGE_TIME_VALID_MS;
+        if (newReport.layerTimeUs() > 0 && !measuredLater) {
+            averageLayerTime(newReport.layerTimeUs());
         }
-        layerTimeKnown = layerTimeKnown || newReport.layerTimeUs() > 0;
     }
 
     /** Returns the price of one more slot, in us; recomputed when the table refreshes the row. */
@@ -237,7 +247,12 @@
         }
     }
 
-    void measureLayerTime(double measuredUs) {
+    void measureLayerTime(double measuredUs, long nowMs) {
+        stageMeasuredAtMs = nowMs;
+        averageLayerTime(measuredUs);
+    }
+
+    private void averageLayerTime(double measuredUs) {
         layerTimeUs = layerTimeKnown ? layerTimeUs + LAYER_TIME_GAIN * (measuredUs - layerTimeUs) : measuredUs;
         layerTimeKnown = true;
     }
--- a/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
@@ -12,8 +12,10 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -64,15 +66,15 @@
     /** Returns the endpoints that hold layers of a pool and are neither gone nor leaving, in order of appearance. */
     public List<EndpointRow> members(String pool) {
         PoolIndex index = pools.get(pool);
-        List<EndpointRow> members = new ArrayList<>();
+        Set<EndpointRow> members = new LinkedHashSet<>();
         if (index != null) {
             for (HeldRange entry : index.entries()) {
-                if (!entry.row.leaving && !members.contains(entry.row)) {
+                if (!entry.row.leaving) {
                     members.add(entry.row);
                 }
             }
         }
-        return members;
+        return List.copyOf(members);
     }
 
     /** Returns whether usable endpoints hold every layer of a pool. */
@@ -192,10 +194,10 @@
         }
     }
 
-    void measureStage(String endpointId, double layerTimeUs) {
+    void measureStage(String endpointId, double layerTimeUs, long nowMs) {
         EndpointRow row = rows.get(endpointId);
         if (row != null && layerTimeUs > 0) {
-            row.measureLayerTime(layerTimeUs);
+            row.measureLayerTime(layerTimeUs, nowMs);
             refresh(row);
         }
     }
@@ -208,6 +210,39 @@
         }
     }
 
+    /**
+     * Attributes the difference between the measured and the expected token interval of a chain to those of its links
+     * that were not measured directly of late, in equal parts.
+     */
+    void measureChain(Chain chain, double tokenIntervalMs, long nowMs) {
+        links.measureStream(tokenIntervalMs);
+        if (tokenIntervalMs <= 0) {
+            return;
+        }
+        double unexplainedUs = tokenIntervalMs * 1_000;
+        List<EndpointRow> from = new ArrayList<>();
+        List<EndpointRow> to = new ArrayList<>();
+        EndpointRow previous = null;
+        for (Stage stage : chain.stages()) {
+            EndpointRow row = rows.get(stage.endpointId());
+            if (row == null) {
+                return;
+            }
+            unexplainedUs -= stage.layers().size() * row.layerTimeUs();
+            if (previous != null) {
+                unexplainedUs -= links.plainDelayUs(previous, row, nowMs);
+                if (!links.isMeasured(previous, row, nowMs)) {
+                    from.add(previous);
+                    to.add(row);
+                }
+            }
+            previous = row;
+        }
+        for (int i = 0; i < from.size(); i++) {
+            links.infer(from.get(i), to.get(i), unexplainedUs / from.size(), nowMs);
+        }
+    }
+
     void setWeight(EndpointRow row, double weight) {
         if (row.weight != weight) {
             boolean usabilityChanged = row.weight == 0 || weight == 0;
--- a/core/src/main/java/io/radishwinch/core/chain/Link.java
+++ b/core/src/main/java/io/radishwinch/core/chain/Link.java
@@ -10,6 +10,7 @@
     double delayUs;
     double tokensPerS;
     long measuredAtMs;
+    boolean inferred;
     int streams;
 
     Link(EndpointRow to, double delayUs, double tokensPerS, long measuredAtMs) {
@@ -23,5 +24,6 @@
         delayUs += GAIN * (newDelayUs - delayUs);
         tokensPerS = newTokensPerS;
         measuredAtMs = nowMs;
+        inferred = false;
     }
 }
--- a/core/src/main/java/io/radishwinch/core/chain/LinkTable.java
+++ b/core/src/main/java/io/radishwinch/core/chain/LinkTable.java
@@ -19,6 +19,9 @@
     /** A measurement older than this no longer decides alone: a link that nobody uses would stay slow forever. */
     private static final long FADE_AFTER_MS = 60_000;
 
+    /** Time for which a direct measurement is not corrected by what the chains show, in ms. */
+    private static final long DIRECT_VALID_MS = 10_000;
+
     /** Weight of a new measurement in the mean between two data centres. */
     private static final double MEAN_GAIN = 0.05;
 
@@ -64,23 +67,54 @@
         return streamTokensPerS;
     }
 
+    /** Returns whether the link was measured directly within the last ten seconds. */
+    boolean isMeasured(EndpointRow from, EndpointRow to, long nowMs) {
+        Link link = from.outgoing.get(to.index());
+        return link != null && !link.inferred && nowMs - link.measuredAtMs <= DIRECT_VALID_MS;
+    }
+
+    /** Corrects the delay of a link that has no recent measurement of its own. */
+    void infer(EndpointRow from, EndpointRow to, double correctionUs, long nowMs) {
+        Link link = from.outgoing.get(to.index());
+        if (link == null && from.outgoing.size() < MAX_LINKS_PER_ENDPOINT) {
+            link = new Link(to, meanUs(from, to), 0, nowMs);
+            from.outgoing.put(to.index(), link);
+        }
+        if (link != null) {
+            double delayUs = plainDelayUs(from, to, nowMs);
+            link.delayUs = delayUs;
+            link.measure(Math.max(0, delayUs + correctionUs), link.tokensPerS, nowMs);
+            link.inferred = true;
+            from.rankNearest(link);
+        }
+    }
+
     /** Returns the expected one-way delay of one token, in us, with queueing on a link near its capacity. */
     double delayUs(EndpointRow from, EndpointRow to, long nowMs) {
         Link link = from.outgoing.get(to.index());
+        double delayUs = delayUs(link, from, to, nowMs);
+        if (link == null || link.tokensPerS <= 0) {
+            return delayUs;
+        }
+        double load = (link.streams + 1) * streamTokensPerS / link.tokensPerS;
+        return load >= FULL_SHARE ? delayUs * FULL_FACTOR : delayUs / (1 - load);
+    }
+
+    /** Returns the one-way delay of one token without queueing, in us. */
+    double plainDelayUs(EndpointRow from, EndpointRow to, long nowMs) {
+        return delayUs(from.outgoing.get(to.index()), from, to, nowMs);
+    }
+
+    private double delayUs(Link link, EndpointRow from, EndpointRow to, long nowMs) {
         if (link == null) {
             return meanUs(from, to);
         }
         long ageMs = nowMs - link.measuredAtMs;
-        double delayUs = link.delayUs;
-        if (ageMs > FADE_AFTER_MS) {
-            double trust = (double) FADE_AFTER_MS / ageMs;
-            delayUs = trust * delayUs + (1 - trust) * meanUs(from, to);
-        }
-        if (link.tokensPerS <= 0) {
-            return delayUs;
+        if (ageMs <= FADE_AFTER_MS) {
+            return link.delayUs;
         }
-        double load = (link.streams + 1) * streamTokensPerS / link.tokensPerS;
-        return load >= FULL_SHARE ? delayUs * FULL_FACTOR : delayUs / (1 - load);
+        double trust = (double) FADE_AFTER_MS / ageMs;
+        return trust * link.delayUs + (1 - trust) * meanUs(from, to);
     }
 
     private double meanUs(EndpointRow from, EndpointRow to) {
--- a/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
+++ b/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
@@ -4,6 +4,8 @@
 import io.radishwinch.core.DecisionCore.PoolView;
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.event.Event;
+import io.radishwinch.core.health.EndpointHealth;
+import io.radishwinch.core.health.HealthSettings;
 import io.radishwinch.core.model.Chain;
 import io.radishwinch.core.model.ModelSpec;
 import io.radishwinch.core.model.Reason;
@@ -24,17 +26,20 @@
 
     private final EndpointTable table;
     private final BoundCache bounds;
+    private final EndpointHealth health;
+    private final DeliveredTokens delivered = new DeliveredTokens();
     private long nextScanMs = Long.MIN_VALUE;
 
     /** Creates a directory over a table. */
-    public TableEndpointDirectory(EndpointTable table) {
+    public TableEndpointDirectory(EndpointTable table, HealthSettings settings) {
         this.table = table;
         bounds = new BoundCache(table);
+        health = new EndpointHealth(settings, new TableHealthView(table));
     }
 
-    /** Creates a directory over an empty table. */
+    /** Creates a directory over an empty table, with the default health settings. */
     public TableEndpointDirectory() {
-        this(new EndpointTable());
+        this(new EndpointTable(), HealthSettings.defaults());
     }
 
     /** Returns the table, for planners. */
@@ -46,11 +51,13 @@
     public List<Action> handle(Event event, long nowMs) {
         List<Action> actions = new ArrayList<>();
         if (event instanceof Event.Tick) {
-            tick(nowMs);
+            tick(nowMs, actions);
         } else if (event instanceof Event.ConfigInForce e) {
             table.setConfig(e.config());
         } else if (event instanceof Event.EndpointJoined e) {
             if (table.join(e.endpoint())) {
+                health.joined(e.endpoint().id(), nowMs);
+                applyWeight(e.endpoint().id(), nowMs);
                 actions.add(new Action.StateChanged(e.endpoint().id(), "joined"));
             }
         } else if (event instanceof Event.EndpointLeaving e) {
@@ -59,6 +66,7 @@
             }
         } else if (event instanceof Event.EndpointGone e) {
             if (table.remove(e.endpointId(), nowMs)) {
+                health.removed(e.endpointId());
                 actions.add(new Action.StateChanged(e.endpointId(), e.crashed() ? "gone, crashed" : "gone"));
             }
         } else if (event instanceof Event.LoadReported e) {
@@ -66,11 +74,15 @@
         } else if (event instanceof Event.PeerLoad e) {
             table.peerLoad(e.endpointId(), e.running(), nowMs);
         } else if (event instanceof Event.StageMeasured e) {
-            table.measureStage(e.endpointId(), e.layerTimeUs());
+            table.measureStage(e.endpointId(), e.layerTimeUs(), nowMs);
         } else if (event instanceof Event.CacheReported e) {
             reportCache(e);
         } else if (event instanceof Event.LinkMeasured e) {
             table.measureLink(e.fromEndpointId(), e.toEndpointId(), e.delayUs(), e.tokensPerS(), nowMs);
+        } else if (event instanceof Event.Progress e) {
+            delivered.count(e.requestId(), e.deliveredTokens(), nowMs);
+        } else if (event instanceof Event.AttemptFinished e) {
+            delivered.count(e.requestId(), e.deliveredTokens(), nowMs);
         }
         return actions;
     }
@@ -84,6 +96,7 @@
 
     @Override
     public void acquire(Chain chain, RequestSpec request, long nowMs) {
+        delivered.started(request.requestId(), request.pool());
         table.changeOwn(chain, request, 1, nowMs);
     }
 
@@ -94,6 +107,8 @@
 
     @Override
     public List<Action> succeeded(Chain chain, long firstTokenMs, double tokenIntervalMs, long nowMs) {
+        table.measureChain(chain, tokenIntervalMs, nowMs);
+        chain.stages().forEach(stage -> health.succeeded(stage.endpointId()));
         return List.of();
     }
 
@@ -102,7 +117,10 @@
         if (reason == Reason.ENDPOINT_REFUSED) {
             table.refused(endpointId);
         }
-        return List.of();
+        List<Action> actions = new ArrayList<>();
+        health.failed(endpointId, reason, nowMs).ifPresent(change -> actions.add(toAction(change)));
+        applyWeight(endpointId, nowMs);
+        return actions;
     }
 
     @Override
@@ -146,18 +164,35 @@
         names.addAll(table.config().models().keySet());
         List<PoolView> views = new ArrayList<>();
         for (String name : names) {
-            views.add(new PoolView(name, isCovered(name, nowMs), boundTokensPerS(name, nowMs), 0));
+            views.add(new PoolView(
+                    name, isCovered(name, nowMs), boundTokensPerS(name, nowMs), delivered.tokensPerS(name, nowMs)));
         }
         return views;
     }
 
-    private void tick(long nowMs) {
-        if (nowMs >= nextScanMs) {
-            nextScanMs = nowMs + SCAN_INTERVAL_MS;
-            table.expire(nowMs);
+    private void tick(long nowMs, List<Action> actions) {
+        if (nowMs < nextScanMs) {
+            return;
+        }
+        nextScanMs = nowMs + SCAN_INTERVAL_MS;
+        health.tick(nowMs).forEach(change -> actions.add(toAction(change)));
+        for (EndpointRow row : table.rows()) {
+            applyWeight(row.id(), nowMs);
+        }
+        table.expire(nowMs);
+    }
+
+    private void applyWeight(String endpointId, long nowMs) {
+        EndpointRow row = table.row(endpointId);
+        if (row != null && !row.isGone()) {
+            table.setWeight(row, health.weight(endpointId, nowMs));
         }
     }
 
+    private static Action toAction(EndpointHealth.Change change) {
+        return new Action.StateChanged(change.endpointId(), change.change());
+    }
+
     private static String state(EndpointRow row) {
         if (row.isLeaving()) {
             return "leaving";
