--- /dev/null
+++ b/embedded/src/main/java/io/radishwinch/embedded/Quickstart.java
@@ -0,0 +1,223 @@
+package io.radishwinch.embedded;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import io.radishwinch.cli.Main;
+import io.radishwinch.server.EmbeddedMode;
+import io.radishwinch.standins.EngineStandIn;
+import io.radishwinch.standins.StandInFleet;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.LocalDate;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.BooleanSupplier;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * Runs a small deployment, applies example contracts, serves requests of all ranks, kills a stage in the middle of a
+ * stream, and writes the evening report.
+ */
+public final class Quickstart implements EmbeddedMode {
+    private static final String MODEL = StandInFleet.MODEL;
+    private static final int STREAM_TOKENS = 120;
+    private static final int KILL_AFTER_TOKENS = 30;
+    private static final int BATCH_REQUESTS = 6;
+    private static final long READY_TIMEOUT_MS = 15_000;
+    private static final long POLL_MS = 50;
+    private static final String APP_KEY = "app-members-key";
+    private static final String BATCH_KEY = "night-batch-key";
+
+    private final PrintStream out = System.out;
+    private int requests;
+    private int failovers;
+
+    /** Arguments behind {@code --embedded}. */
+    static final class Arguments {
+        @Parameter(names = "--examples", description = "directory with the contracts to apply")
+        private String examples = "examples/quickstart";
+
+        @Parameter(names = "--out", description = "file of the evening report")
+        private String out = "out/evening-report.html";
+
+        @Parameter(names = "--keep", description = "keep the deployment running")
+        private boolean keep;
+
+        @Parameter(names = "--log", description = "show log lines")
+        private boolean log;
+    }
+
+    @Override
+    public int run(List<String> args) throws Exception {
+        Arguments arguments = new Arguments();
+        try {
+            JCommander.newBuilder().addObject(arguments).build().parse(args.toArray(String[]::new));
+        } catch (ParameterException e) {
+            System.err.println("radishwinchd --embedded: " + e.getMessage());
+            return 2;
+        }
+        if (!arguments.log) {
+            Logger.getLogger("").setLevel(Level.OFF);
+        }
+        try (EmbeddedDeployment deployment = new EmbeddedDeployment(2)) {
+            return run(deployment, arguments);
+        }
+    }
+
+    private int run(EmbeddedDeployment deployment, Arguments arguments) throws Exception {
+        out.println("started a platform, " + deployment.fleet().engines().size() + " engines of 3 accelerator kinds, "
+                + deployment.fleet().services().size() + " plain services and 2 routers on loopback");
+        Path toolSettings = writeToolSettings(deployment);
+        operatorTool(toolSettings, "model", "apply", arguments.examples + "/models");
+        operatorTool(toolSettings, "service", "apply", arguments.examples + "/services");
+        operatorTool(toolSettings, "contract", "apply", arguments.examples + "/contracts");
+        int first = deployment.routers().get(0).callerPort();
+        int second = deployment.routers().get(1).callerPort();
+        CallerClient app = new CallerClient(APP_KEY);
+        waitUntil("both routers serve the model", () -> answers(app, first) && answers(app, second));
+
+        CallerClient.Answer reference =
+                app.stream(first, "interactive", MODEL, "how do I sleep", STREAM_TOKENS, n -> {});
+        expect(reference.complete() && reference.tokens().size() == STREAM_TOKENS, "an interactive stream is whole");
+        CallerClient.Answer resumed = streamThroughFailure(deployment, app, second);
+        expect(resumed.complete() && resumed.tokens().equals(reference.tokens()), "the resumed answer is whole");
+        out.println(
+                "killed a stage after " + KILL_AFTER_TOKENS + " tokens; the answer arrived whole, equal to the first");
+        charges(deployment, app, first, second);
+        batch(second);
+        int duplicates = duplicates(deployment);
+        writeReport(toolSettings, arguments.out);
+        out.println("evening report: " + Path.of(arguments.out).toAbsolutePath());
+        if (arguments.keep) {
+            keep(deployment, first);
+        }
+        out.println("quickstart: ok requests=" + requests + " failovers=" + failovers + " duplicates=" + duplicates);
+        return duplicates == 0 ? 0 : 1;
+    }
+
+    private boolean answers(CallerClient app, int port) {
+        try {
+            requests++;
+            return app.complete(port, "interactive", MODEL, "ready?", 1).complete();
+        } catch (IOException e) {
+            return false;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    private CallerClient.Answer streamThroughFailure(EmbeddedDeployment deployment, CallerClient app, int port)
+            throws IOException, InterruptedException {
+        requests += 2;
+        List<EngineStandIn> killed = new ArrayList<>();
+        CallerClient.Answer answer = app.stream(port, "interactive", MODEL, "how do I sleep", STREAM_TOKENS, tokens -> {
+            if (tokens == KILL_AFTER_TOKENS) {
+                deployment.fleet().engines().stream()
+                        .filter(engine -> engine.running() > 0)
+                        .findFirst()
+                        .ifPresent(engine -> {
+                            engine.crash();
+                            killed.add(engine);
+                        });
+            }
+        });
+        expect(killed.size() == 1, "a stage of the running stream was killed");
+        failovers += killed.size();
+        killed.forEach(EngineStandIn::restart);
+        return answer;
+    }
+
+    private void charges(EmbeddedDeployment deployment, CallerClient app, int first, int second)
+            throws IOException, InterruptedException {
+        String path = "/services/" + StandInFleet.BILLING + "/charges";
+        HttpResponse<String> charge = app.call(first, path, "renewal-17", "{\"cents\":1900}");
+        HttpResponse<String> again = app.call(second, path, "renewal-17", "{\"cents\":1900}");
+        requests += 2;
+        expect(charge.statusCode() / 100 == 2, "the charge ran, status " + charge.statusCode() + " " + charge.body());
+        expect(again.body().equals(charge.body()), "the re-sent charge got the same answer: " + again.body());
+        int runs = deployment.fleet().service(StandInFleet.BILLING).executions("renewal-17");
+        expect(runs == 1, "the charge ran once, not " + runs + " times");
+        out.println("sent a charge twice, through both routers: it ran once and both got the same answer");
+    }
+
+    private void batch(int port) throws IOException, InterruptedException {
+        CallerClient batch = new CallerClient(BATCH_KEY);
+        for (int i = 0; i < BATCH_REQUESTS; i++) {
+            requests++;
+            expect(
+                    batch.complete(port, "batch", MODEL, "damage summary " + i, 20)
+                            .complete(),
+                    "batch request " + i + " is answered");
+        }
+        out.println("answered " + BATCH_REQUESTS + " batch requests");
+    }
+
+    private static int duplicates(EmbeddedDeployment deployment) {
+        int doubled = (int) deployment.fleet().service(StandInFleet.BILLING).executions().values().stream()
+                .filter(count -> count > 1)
+                .count();
+        return doubled + deployment.fleet().ledger().violations().size();
+    }
+
+    private void writeReport(Path toolSettings, String file) throws IOException {
+        Path parent = Path.of(file).toAbsolutePath().getParent();
+        Files.createDirectories(parent);
+        operatorTool(toolSettings, "report", "--day", LocalDate.now().toString(), "--out", file);
+    }
+
+    private void keep(EmbeddedDeployment deployment, int port) throws InterruptedException {
+        out.println();
+        out.println("callers:   http://127.0.0.1:" + port);
+        out.println("operators: http://127.0.0.1:" + deployment.routers().get(0).adminPort());
+        out.println("  curl -N http://127.0.0.1:" + port + "/v1/completions -H 'Authorization: Bearer " + APP_KEY
+                + "' -d '{\"model\":\"" + MODEL + "\",\"prompt\":\"good evening\",\"max_tokens\":20,\"stream\":true}'");
+        out.println("  curl http://127.0.0.1:" + port + "/services/" + StandInFleet.BILLING
+                + "/charges -H 'Authorization: Bearer " + APP_KEY
+                + "' -H 'Idempotency-Key: demo-1' -d '{\"cents\":100}'");
+        out.println("stop with Ctrl-C");
+        new CountDownLatch(1).await();
+    }
+
+    private static Path writeToolSettings(EmbeddedDeployment deployment) throws IOException {
+        Path directory = Files.createTempDirectory("radishwinch-quickstart");
+        Path keyFile = directory.resolve("operator.key");
+        Files.writeString(keyFile, EmbeddedDeployment.OPERATOR_KEY + "\n");
+        Path settings = directory.resolve("tool.yaml");
+        Files.writeString(
+                settings,
+                "routers: ['127.0.0.1:" + deployment.routers().get(0).adminPort() + "']\nkeyFile: " + keyFile + "\n");
+        return settings;
+    }
+
+    private void operatorTool(Path toolSettings, String... arguments) {
+        List<String> all = new ArrayList<>(List.of(arguments));
+        all.add("--config");
+        all.add(toolSettings.toString());
+        PrintStream quiet = new PrintStream(java.io.OutputStream.nullOutputStream(), true, StandardCharsets.UTF_8);
+        int code = Main.run(all.toArray(String[]::new), System.in, quiet, System.err);
+        expect(code == 0, "radishwinch " + String.join(" ", arguments) + " ended with " + code);
+        out.println("radishwinch " + String.join(" ", arguments));
+    }
+
+    private static void waitUntil(String what, BooleanSupplier condition) throws InterruptedException {
+        long deadlineMs = System.currentTimeMillis() + READY_TIMEOUT_MS;
+        while (!condition.getAsBoolean()) {
+            expect(System.currentTimeMillis() < deadlineMs, what + " within " + READY_TIMEOUT_MS + " ms");
+            Thread.sleep(POLL_MS);
+        }
+    }
+
+    private static void expect(boolean condition, String what) {
+        if (!condition) {
+            throw new IllegalStateException("quickstart failed: not true that " + what);
+        }
+    }
+}
--- a/report/src/main/java/io/radishwinch/report/ReasonText.java
+++ b/report/src/main/java/io/radishwinch/report/ReasonText.java
@@ -31,6 +31,7 @@
             case RETRY_BUDGET_EXHAUSTED -> "the retry budget was used up";
             case ATTEMPTS_EXHAUSTED -> "all attempts failed";
             case PLATFORM_UNAVAILABLE -> "the platform's object API was not available";
+            case OUTCOME_NOT_STORED -> "ran before; its answer was too large to be kept";
             case OUTCOME_UNKNOWN -> "an earlier request with the same key may have run";
             case IN_PROGRESS -> "a request with the same key was still running";
             case KEY_REUSED -> "the idempotency key was used with other content";
