Add the placement planner

Cause: layers that lost their last holder stayed uncovered. Conclusion: the directory now returns orders to engines.

--- a/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
@@ -42,6 +42,7 @@
     int cacheGaps;
     boolean gone;
     boolean leaving;
+    boolean reloading;
     long goneAtMs = Long.MIN_VALUE;
     double weight = 1;
 
@@ -101,9 +102,9 @@
         return gone;
     }
 
-    /** Returns whether the endpoint may receive new work: alive, not leaving and not ejected. */
+    /** Returns whether the endpoint may receive new work: alive, not leaving, reloading or ejected. */
     public boolean isUsable() {
-        return !gone && !leaving && weight > 0;
+        return !gone && !leaving && !reloading && weight > 0;
     }
 
     /** Returns whether the endpoint is usable and has a free slot. */
@@ -180,6 +181,7 @@
         spec = newSpec;
         gone = false;
         layerTimeKnown = false;
+        reloading = false;
         report = null;
         background = 0;
         kvCapacityBytes = 0;
--- a/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
@@ -243,6 +243,15 @@
         }
     }
 
+    /** Marks an endpoint that this router ordered to replace its layers; it receives no new work meanwhile. */
+    void setReloading(EndpointRow row, boolean reloading) {
+        if (row.reloading != reloading) {
+            row.reloading = reloading;
+            refresh(row);
+            structureVersion++;
+        }
+    }
+
     void setWeight(EndpointRow row, double weight) {
         if (row.weight != weight) {
             boolean usabilityChanged = row.weight == 0 || weight == 0;
--- a/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
+++ b/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
@@ -10,6 +10,8 @@
 import io.radishwinch.core.model.ModelSpec;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.placement.PlacementEndpoint;
+import io.radishwinch.core.placement.PlacementPlanner;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
@@ -24,22 +26,32 @@
     /** Interval of the scan over all rows, in ms. */
     private static final long SCAN_INTERVAL_MS = 1_000;
 
+    /** Interval of placement, in ms; it adds to the time until lost layers are loaded again. */
+    private static final long PLACEMENT_INTERVAL_MS = 250;
+
     private final EndpointTable table;
     private final BoundCache bounds;
     private final EndpointHealth health;
     private final DeliveredTokens delivered = new DeliveredTokens();
+    private final PlacementPlanner placement;
+    private long nextPlacementMs = Long.MIN_VALUE;
     private long nextScanMs = Long.MIN_VALUE;
 
-    /** Creates a directory over a table. */
-    public TableEndpointDirectory(EndpointTable table, HealthSettings settings) {
+    /**
+     * Creates a directory over a table.
+     *
+     * @param placement planner of orders to engines, or null to give none
+     */
+    public TableEndpointDirectory(EndpointTable table, HealthSettings settings, PlacementPlanner placement) {
         this.table = table;
+        this.placement = placement;
         bounds = new BoundCache(table);
         health = new EndpointHealth(settings, new TableHealthView(table));
     }
 
-    /** Creates a directory over an empty table, with the default health settings. */
+    /** Creates a directory over an empty table, with the default health settings and without placement. */
     public TableEndpointDirectory() {
-        this(new EndpointTable(), HealthSettings.defaults());
+        this(new EndpointTable(), HealthSettings.defaults(), null);
     }
 
     /** Returns the table, for planners. */
@@ -79,6 +91,8 @@
             reportCache(e);
         } else if (event instanceof Event.LinkMeasured e) {
             table.measureLink(e.fromEndpointId(), e.toEndpointId(), e.delayUs(), e.tokensPerS(), nowMs);
+        } else if (event instanceof Event.OrderAcknowledged e && placement != null) {
+            placement.acknowledged(e.endpointId(), e.fencingNumber(), e.accepted());
         } else if (event instanceof Event.Progress e) {
             delivered.count(e.requestId(), e.deliveredTokens(), nowMs);
         } else if (event instanceof Event.AttemptFinished e) {
@@ -171,6 +185,10 @@
     }
 
     private void tick(long nowMs, List<Action> actions) {
+        if (placement != null && nowMs >= nextPlacementMs) {
+            nextPlacementMs = nowMs + PLACEMENT_INTERVAL_MS;
+            place(nowMs, actions);
+        }
         if (nowMs < nextScanMs) {
             return;
         }
@@ -182,6 +200,19 @@
         table.expire(nowMs);
     }
 
+    private void place(long nowMs, List<Action> actions) {
+        List<PlacementEndpoint> endpoints = new ArrayList<>();
+        for (EndpointRow row : table.rows()) {
+            if (!row.isGone() && !row.isLeaving()) {
+                boolean ejected = health.isEjected(row.id());
+                endpoints.add(new PlacementEndpoint(row.spec(), row.holdings(), ejected, row.occupied()));
+            }
+        }
+        actions.addAll(placement.tick(endpoints, table.config().models().values(), nowMs));
+        endpoints.forEach(
+                endpoint -> table.setReloading(table.row(endpoint.id()), placement.isReloading(endpoint.id())));
+    }
+
     private void applyWeight(String endpointId, long nowMs) {
         EndpointRow row = table.row(endpointId);
         if (row != null && !row.isGone()) {
@@ -197,7 +228,7 @@
         if (row.isLeaving()) {
             return "leaving";
         }
-        if (!row.isUsable()) {
+        if (row.weight == 0) {
             return "ejected";
         }
         return row.weight < 1 ? "slow-start" : "live";
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/placement/FencingSource.java
@@ -0,0 +1,10 @@
+package io.radishwinch.core.placement;
+
+import java.util.OptionalLong;
+
+/** Source of fencing numbers; the numbers are kept by the platform and read again before an order. */
+public interface FencingSource {
+
+    /** Returns the highest number used for the endpoint so far, or empty while it is not known. */
+    OptionalLong floor(String endpointId);
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/placement/PlacementEndpoint.java
@@ -0,0 +1,26 @@
+package io.radishwinch.core.placement;
+
+import io.radishwinch.core.model.EndpointSpec;
+import io.radishwinch.core.model.Holding;
+import java.util.List;
+
+/**
+ * An endpoint as placement sees it; endpoints that are gone or leaving are left out.
+ *
+ * @param spec fixed properties
+ * @param holdings layers held
+ * @param ejected whether health has ejected it
+ * @param occupied estimated attempts of all routers
+ */
+public record PlacementEndpoint(EndpointSpec spec, List<Holding> holdings, boolean ejected, int occupied) {
+
+    /** Copies the holdings. */
+    public PlacementEndpoint {
+        holdings = List.copyOf(holdings);
+    }
+
+    /** Returns the identifier. */
+    public String id() {
+        return spec.id();
+    }
+}
