--- a/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
@@ -54,18 +54,14 @@
         if (state.draining) {
             return Reason.DRAINING;
         }
+        if (state.quarantine.isQuarantined(spec.fingerprint(), nowMs)) {
+            return Reason.QUARANTINED;
+        }
         PoolRow pool = state.pool(spec.pool());
         if (nowMs + pool.neededMs(spec, 0, false, nowMs) >= spec.deadlineMs()) {
             return Reason.DEADLINE_UNREACHABLE;
         }
-        if (state.directory.isCovered(spec.pool(), nowMs)) {
-            pool.uncoveredSinceMs = -1;
-            return null;
-        }
-        if (pool.uncoveredSinceMs < 0) {
-            pool.uncoveredSinceMs = nowMs;
-        }
-        return nowMs - pool.uncoveredSinceMs >= state.settings.uncoveredGraceMs() ? Reason.NO_CAPACITY : null;
+        return state.isUncoveredForLong(spec.pool(), nowMs) ? Reason.NO_CAPACITY : null;
     }
 
     private static boolean isTransient(Reason reason) {
--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -6,6 +6,7 @@
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.Stage;
 import io.radishwinch.core.model.Verdict;
+import io.radishwinch.core.retry.RetryPolicy;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -13,14 +14,26 @@
 final class AttemptSystem {
 
     private final CoreState state;
+    private final SuspectSystem suspects;
 
-    AttemptSystem(CoreState state) {
+    AttemptSystem(CoreState state, SuspectSystem suspects) {
         this.state = state;
+        this.suspects = suspects;
+    }
+
+    // Progress
+
+    void started(Event.AttemptStarted event) {
+        RequestRow row = current(event.requestId(), event.epoch());
+        if (row != null) {
+            row.accepted = true;
+        }
     }
 
     void firstToken(Event.FirstToken event, long nowMs) {
         RequestRow row = current(event.requestId(), event.epoch());
         if (row != null && row.firstTokenAtMs < 0) {
+            row.accepted = true;
             row.firstTokenAtMs = nowMs;
         }
     }
@@ -32,6 +45,8 @@
         }
     }
 
+    // End
+
     void finished(Event.AttemptFinished event, long nowMs) {
         RequestRow row = current(event.requestId(), event.epoch());
         if (row == null) {
@@ -43,9 +58,11 @@
         int newTokens = row.deliveredTokens - row.attemptFirstTokens;
         double intervalMs = newTokens > 1 ? (double) (nowMs - row.attemptStartedAtMs - firstMs) / (newTokens - 1) : 0;
         state.out.addAll(state.directory.succeeded(row.chain, firstMs, intervalMs, nowMs));
-        if (row.attempts == 1) {
+        state.quarantine.finished(row.spec.fingerprint(), nowMs);
+        if (row.epoch == 1) {
             state.pool(row.spec.pool()).sample(row.spec, firstMs, intervalMs, newTokens, nowMs);
         }
+        state.retries.completed(row.spec, nowMs);
         state.complete(row, nowMs);
     }
 
@@ -58,15 +75,25 @@
         boolean cancelled = row.state == RequestRow.State.CANCELLING;
         Reason reason = cancelled ? row.cancelReason : event.reason();
         String endpointId = cancelled ? row.cancelEndpointId : event.failedEndpointId();
-        boolean ran = row.firstTokenAtMs >= 0 || row.deliveredTokens > row.attemptFirstTokens;
-        ended(row, endpointId, reason, ran ? event.verdict().combine(Verdict.MAY_HAVE_RUN) : event.verdict(), nowMs);
+        boolean answered = row.firstTokenAtMs >= 0 || row.deliveredTokens > row.attemptFirstTokens;
+        Verdict verdict = answered ? event.verdict().combine(Verdict.MAY_HAVE_RUN) : event.verdict();
+        ended(row, endpointId, reason, verdict, nowMs);
     }
 
     /** Cancels the attempts that run on an endpoint that is gone; their ends state the tokens delivered. */
-    void endpointGone(String endpointId, long nowMs) {
-        for (RequestRow row : List.copyOf(state.running)) {
-            if (row.state == RequestRow.State.RUNNING && row.chain.uses(endpointId)) {
-                cancel(row, Reason.STAGE_DIED, endpointId, nowMs);
+    void endpointGone(Event.EndpointGone gone, long nowMs) {
+        List<RequestRow> rows = state.running.stream()
+                .filter(row -> row.chain.uses(gone.endpointId()))
+                .toList();
+        for (RequestRow row : rows) {
+            if (row.state == RequestRow.State.RUNNING) {
+                row.cancelledByCrash = gone.crashed();
+                cancel(row, Reason.STAGE_DIED, gone.endpointId(), nowMs);
+            }
+        }
+        for (RequestRow row : rows) {
+            if (gone.crashed() && row.accepted && state.requests.containsKey(row.id())) {
+                suspects.crashed(row, gone.endpointId(), nowMs);
             }
         }
     }
@@ -81,31 +108,48 @@
         state.note(row, nowMs, "attempt " + row.epoch + " cancelled: " + reason.wireName());
     }
 
-    /** Ends requests whose deadline passed and attempts whose cancellation was not confirmed. */
+    /** Ends requests whose deadline passed, attempts whose cancellation was not confirmed and waits for the budget. */
     void tick(long nowMs) {
         for (RequestRow row : List.copyOf(state.running)) {
-            if (row.spec.deadlineMs() <= nowMs) {
+            if (!row.isRunning()) {
+                continue;
+            }
+            if (state.deadlineMs(row) <= nowMs) {
                 state.pool(row.spec.pool()).sampleUnfinished(row.spec, nowMs - row.attemptStartedAtMs, nowMs);
-                state.refuse(row, Reason.DEADLINE_EXCEEDED, nowMs);
+                state.refuse(row, state.deadlineReason(row, Reason.DEADLINE_EXCEEDED), nowMs);
             } else if (row.state == RequestRow.State.CANCELLING && row.dueAtMs <= nowMs) {
                 ended(row, row.cancelEndpointId, row.cancelReason, Verdict.MAY_HAVE_RUN, nowMs);
             }
         }
+        for (RequestRow row : List.copyOf(state.waiting)) {
+            if (row.needsBudget && row.dueAtMs <= nowMs) {
+                row.budgetWaits++;
+                retryOrRefuse(row, nowMs);
+            }
+        }
     }
 
     private void ended(RequestRow row, String endpointId, Reason reason, Verdict verdict, long nowMs) {
         Chain chain = row.chain;
+        boolean crashed = reason == Reason.STAGE_DIED
+                && verdict != Verdict.NOT_RUN
+                && (row.state != RequestRow.State.CANCELLING || row.cancelledByCrash);
         state.release(row, nowMs);
+        row.state = RequestRow.State.BACKING_OFF;
         row.verdict = row.verdict == null ? verdict : row.verdict.combine(verdict);
         row.lastReason = reason;
-        row.state = RequestRow.State.BACKING_OFF;
+        row.budgetWaits = 0;
+        row.cancelledByCrash = false;
         row.kvSourceEndpointIds = new ArrayList<>();
         for (Stage stage : chain.stages()) {
             if (!stage.endpointId().equals(endpointId)) {
                 row.kvSourceEndpointIds.add(stage.endpointId());
             }
         }
-        if (isEndpointFault(reason) && endpointId != null) {
+        if (reason == Reason.PREEMPTED) {
+            row.attempts--;
+            row.preemptions++;
+        } else if (isEndpointFault(reason) && chain.uses(endpointId)) {
             row.excludedEndpointIds.add(endpointId);
             state.out.addAll(state.directory.failed(endpointId, reason, nowMs));
         }
@@ -114,17 +158,36 @@
                 nowMs,
                 "attempt " + row.epoch + " ended: " + reason.wireName() + " at " + endpointId + ", "
                         + verdict.wireName());
+        if (crashed && chain.uses(endpointId)) {
+            suspects.crashed(row, endpointId, nowMs);
+        }
+        if (state.requests.containsKey(row.id())) {
+            retryOrRefuse(row, nowMs);
+        }
+    }
+
+    private void retryOrRefuse(RequestRow row, long nowMs) {
+        RetryPolicy.Decision decision = state.retries.decide(
+                new RetryPolicy.Failure(
+                        row.spec, row.lastReason, row.verdict, row.attempts, row.budgetWaits, row.deliveredTokens),
+                nowMs);
         Reason withdrawn = state.contractReason(row.spec);
-        if (!isRetryable(reason) || !row.mayStart() || row.callerGone) {
-            state.refuse(row, reason, nowMs);
-        } else if (withdrawn != null) {
-            state.refuse(row, withdrawn, nowMs);
-        } else if (row.attempts >= state.settings.maxAttempts()) {
-            state.refuse(row, Reason.ATTEMPTS_EXHAUSTED, nowMs);
-        } else {
-            row.dueAtMs = nowMs;
+        row.needsBudget = false;
+        if (decision instanceof RetryPolicy.GiveUp giveUp) {
+            state.refuse(row, giveUp.reason(), nowMs);
+        } else if (row.callerGone || withdrawn != null) {
+            state.refuse(row, row.callerGone ? row.lastReason : withdrawn, nowMs);
+        } else if (decision instanceof RetryPolicy.AskAgain askAgain) {
+            row.needsBudget = true;
+            row.dueAtMs = nowMs + askAgain.waitMs();
+            state.waiting.add(row);
+        } else if (decision instanceof RetryPolicy.Retry retry) {
+            state.out.add(new Action.CountRetry(row.spec.caller(), row.spec.rank(), row.lastReason));
+            row.dueAtMs = nowMs + retry.waitMs();
             state.waiting.add(row);
-            state.out.add(new Action.CountRetry(row.spec.caller(), row.spec.rank(), reason));
+            if (retry.waitMs() == 0) {
+                state.requeue(row, nowMs);
+            }
         }
     }
 
@@ -133,10 +196,6 @@
         return row != null && row.isRunning() && row.epoch == epoch ? row : null;
     }
 
-    private static boolean isRetryable(Reason reason) {
-        return isEndpointFault(reason) || reason == Reason.PREEMPTED;
-    }
-
     private static boolean isEndpointFault(Reason reason) {
         return reason == Reason.STAGE_DIED || reason == Reason.ENDPOINT_REFUSED || reason == Reason.ENDPOINT_TIMEOUT;
     }
--- a/core/src/main/java/io/radishwinch/core/impl/CoreSettings.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreSettings.java
@@ -1,29 +1,37 @@
 package io.radishwinch.core.impl;
 
+import io.radishwinch.core.quarantine.QuarantineSettings;
 import io.radishwinch.core.queue.QueueSettings;
+import io.radishwinch.core.retry.RetrySettings;
 
 /**
  * Settings of the decision core.
  *
  * @param seed seed of the random source
  * @param queue bounds of the request queue
+ * @param retry limits on retries
+ * @param quarantine settings of the crash quarantine
  * @param limitBurstMs burst of a caller's rate limits, in ms of its rate
  * @param initialAllotmentShare share of a contract's limits used before the first allotment, 0 to 1
- * @param maxAttempts attempts of one request, preempted ones not counted
  * @param uncoveredGraceMs time for which requests are still queued for a pool that lost its cover, in ms
- * @param cancelTimeoutMs time after which a cancelled attempt counts as ended without an answer of the adapter, in ms
+ * @param cancelTimeoutMs time after which a cancelled attempt counts as ended without an event, in ms
  * @param exclusionMs longest wait for an endpoint on which no earlier attempt failed, in ms
+ * @param preemptAfterMs wait of urgent work after which batch work yields, in ms
+ * @param maxPreemptions preemptions of one request
  * @param maxHistory decisions kept for one request
  */
 public record CoreSettings(
         long seed,
         QueueSettings queue,
+        RetrySettings retry,
+        QuarantineSettings quarantine,
         long limitBurstMs,
         double initialAllotmentShare,
-        int maxAttempts,
         long uncoveredGraceMs,
         long cancelTimeoutMs,
         long exclusionMs,
+        long preemptAfterMs,
+        int maxPreemptions,
         int maxHistory) {
 
     /** Returns the defaults. */
@@ -36,47 +44,62 @@
         return new Builder();
     }
 
-    /** Returns a copy with another value: seed of the random source. */
+    /** Returns a copy with another seed of the random source. */
     public CoreSettings withSeed(long value) {
         return toBuilder().seed(value).build();
     }
 
-    /** Returns a copy with another value: bounds of the request queue. */
+    /** Returns a copy with other bounds of the request queue. */
     public CoreSettings withQueue(QueueSettings value) {
         return toBuilder().queue(value).build();
     }
 
-    /** Returns a copy with another value: burst of the rate limits, in ms. */
+    /** Returns a copy with other limits on retries. */
+    public CoreSettings withRetry(RetrySettings value) {
+        return toBuilder().retry(value).build();
+    }
+
+    /** Returns a copy with other settings of the crash quarantine. */
+    public CoreSettings withQuarantine(QuarantineSettings value) {
+        return toBuilder().quarantine(value).build();
+    }
+
+    /** Returns a copy with another burst of a caller's rate limits, in ms of its rate. */
     public CoreSettings withLimitBurstMs(long value) {
         return toBuilder().limitBurstMs(value).build();
     }
 
-    /** Returns a copy with another value: share of the limits before the first allotment. */
+    /** Returns a copy with another share of a contract's limits used before the first allotment, 0 to 1. */
     public CoreSettings withInitialAllotmentShare(double value) {
         return toBuilder().initialAllotmentShare(value).build();
     }
 
-    /** Returns a copy with another value: attempts of one request. */
-    public CoreSettings withMaxAttempts(int value) {
-        return toBuilder().maxAttempts(value).build();
-    }
-
-    /** Returns a copy with another value: grace for a pool without cover, in ms. */
+    /** Returns a copy with another time for which requests are still queued for a pool that lost its cover, in ms. */
     public CoreSettings withUncoveredGraceMs(long value) {
         return toBuilder().uncoveredGraceMs(value).build();
     }
 
-    /** Returns a copy with another value: wait for a cancelled attempt, in ms. */
+    /** Returns a copy with another time after which a cancelled attempt counts as ended without an event, in ms. */
     public CoreSettings withCancelTimeoutMs(long value) {
         return toBuilder().cancelTimeoutMs(value).build();
     }
 
-    /** Returns a copy with another value: longest wait for another endpoint, in ms. */
+    /** Returns a copy with another longest wait for an endpoint on which no earlier attempt failed, in ms. */
     public CoreSettings withExclusionMs(long value) {
         return toBuilder().exclusionMs(value).build();
     }
 
-    /** Returns a copy with another value: decisions kept for one request. */
+    /** Returns a copy with another wait of urgent work after which batch work yields, in ms. */
+    public CoreSettings withPreemptAfterMs(long value) {
+        return toBuilder().preemptAfterMs(value).build();
+    }
+
+    /** Returns a copy with another preemptions of one request. */
+    public CoreSettings withMaxPreemptions(int value) {
+        return toBuilder().maxPreemptions(value).build();
+    }
+
+    /** Returns a copy with another decisions kept for one request. */
     public CoreSettings withMaxHistory(int value) {
         return toBuilder().maxHistory(value).build();
     }
@@ -86,12 +109,15 @@
         Builder builder = new Builder();
         builder.seed = seed;
         builder.queue = queue;
+        builder.retry = retry;
+        builder.quarantine = quarantine;
         builder.limitBurstMs = limitBurstMs;
         builder.initialAllotmentShare = initialAllotmentShare;
-        builder.maxAttempts = maxAttempts;
         builder.uncoveredGraceMs = uncoveredGraceMs;
         builder.cancelTimeoutMs = cancelTimeoutMs;
         builder.exclusionMs = exclusionMs;
+        builder.preemptAfterMs = preemptAfterMs;
+        builder.maxPreemptions = maxPreemptions;
         builder.maxHistory = maxHistory;
         return builder;
     }
@@ -101,12 +127,15 @@
 
         private long seed = 1;
         private QueueSettings queue = QueueSettings.defaults();
+        private RetrySettings retry = RetrySettings.defaults();
+        private QuarantineSettings quarantine = QuarantineSettings.defaults();
         private long limitBurstMs = 2_000;
         private double initialAllotmentShare = 1.0;
-        private int maxAttempts = 4;
         private long uncoveredGraceMs = 2_000;
         private long cancelTimeoutMs = 1_000;
         private long exclusionMs = 1_000;
+        private long preemptAfterMs = 200;
+        private int maxPreemptions = 2;
         private int maxHistory = 32;
 
         private Builder() {}
@@ -123,42 +152,60 @@
             return this;
         }
 
-        /** Sets the burst of the rate limits, in ms. */
+        /** Sets the limits on retries. */
+        public Builder retry(RetrySettings value) {
+            this.retry = value;
+            return this;
+        }
+
+        /** Sets the settings of the crash quarantine. */
+        public Builder quarantine(QuarantineSettings value) {
+            this.quarantine = value;
+            return this;
+        }
+
+        /** Sets the burst of a caller's rate limits, in ms of its rate. */
         public Builder limitBurstMs(long value) {
             this.limitBurstMs = value;
             return this;
         }
 
-        /** Sets the share of the limits before the first allotment. */
+        /** Sets the share of a contract's limits used before the first allotment, 0 to 1. */
         public Builder initialAllotmentShare(double value) {
             this.initialAllotmentShare = value;
             return this;
         }
 
-        /** Sets the attempts of one request. */
-        public Builder maxAttempts(int value) {
-            this.maxAttempts = value;
-            return this;
-        }
-
-        /** Sets the grace for a pool without cover, in ms. */
+        /** Sets the time for which requests are still queued for a pool that lost its cover, in ms. */
         public Builder uncoveredGraceMs(long value) {
             this.uncoveredGraceMs = value;
             return this;
         }
 
-        /** Sets the wait for a cancelled attempt, in ms. */
+        /** Sets the time after which a cancelled attempt counts as ended without an event, in ms. */
         public Builder cancelTimeoutMs(long value) {
             this.cancelTimeoutMs = value;
             return this;
         }
 
-        /** Sets the longest wait for another endpoint, in ms. */
+        /** Sets the longest wait for an endpoint on which no earlier attempt failed, in ms. */
         public Builder exclusionMs(long value) {
             this.exclusionMs = value;
             return this;
         }
 
+        /** Sets the wait of urgent work after which batch work yields, in ms. */
+        public Builder preemptAfterMs(long value) {
+            this.preemptAfterMs = value;
+            return this;
+        }
+
+        /** Sets the preemptions of one request. */
+        public Builder maxPreemptions(int value) {
+            this.maxPreemptions = value;
+            return this;
+        }
+
         /** Sets the decisions kept for one request. */
         public Builder maxHistory(int value) {
             this.maxHistory = value;
@@ -170,12 +217,15 @@
             return new CoreSettings(
                     seed,
                     queue,
+                    retry,
+                    quarantine,
                     limitBurstMs,
                     initialAllotmentShare,
-                    maxAttempts,
                     uncoveredGraceMs,
                     cancelTimeoutMs,
                     exclusionMs,
+                    preemptAfterMs,
+                    maxPreemptions,
                     maxHistory);
         }
     }
--- a/core/src/main/java/io/radishwinch/core/impl/CoreState.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreState.java
@@ -3,6 +3,8 @@
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.chain.ChainPlanner;
 import io.radishwinch.core.chain.EndpointDirectory;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.Chain;
 import io.radishwinch.core.model.Contract;
 import io.radishwinch.core.model.FleetConfig;
 import io.radishwinch.core.model.ModelSpec;
@@ -11,9 +13,15 @@
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.model.Verdict;
+import io.radishwinch.core.quarantine.CrashQuarantine;
 import io.radishwinch.core.queue.DeadlineIndex;
 import io.radishwinch.core.queue.Entitlements;
 import io.radishwinch.core.queue.RequestQueue;
+import io.radishwinch.core.retry.Backoff;
+import io.radishwinch.core.retry.BudgetedRetryPolicy;
+import io.radishwinch.core.retry.RetryBudget;
+import io.radishwinch.core.retry.RetryPolicy;
+import io.radishwinch.core.retry.RetrySettings;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -21,16 +29,23 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 
 /** Tables and collaborators that the systems of the core share. */
 final class CoreState implements Entitlements {
 
     private static final double DEFAULT_WEIGHT = 1;
+    private static final int MAX_EARLY_ALLOTMENTS = 10_000;
 
     final CoreSettings settings;
     final EndpointDirectory directory;
     final ChainPlanner planner;
     final RequestQueue queue;
+    final RetryPolicy retries;
+    final CrashQuarantine quarantine;
+    /** Attempts of this router by endpoint; endpoints without any are absent. */
+    final Map<String, Integer> attemptsByEndpoint = new HashMap<>();
+
     final Map<String, CallerRow> callers = new HashMap<>();
     final Map<String, PoolRow> pools = new HashMap<>();
     /** Requests between admission and their last action, in order of arrival. */
@@ -40,6 +55,12 @@
     /** Rows that wait outside the queue, in the order in which they began to wait. */
     final Set<RequestRow> waiting = new LinkedHashSet<>();
 
+    /** Endpoints that run a suspect under observation; each runs one suspect at most. */
+    final Set<String> observedEndpointIds = new LinkedHashSet<>();
+
+    /** Allotments that arrived before the contract they belong to. */
+    final Map<String, Event.AllotmentChanged> earlyAllotments = new LinkedHashMap<>();
+
     FleetConfig config = FleetConfig.empty();
     boolean draining;
     long drainDeadlineMs;
@@ -55,6 +76,12 @@
         this.directory = directory;
         this.planner = planner;
         this.queue = queues.create(settings.queue(), this, new DeadlineIndex(this::minServiceMs));
+        RetrySettings retry = settings.retry();
+        this.retries = new BudgetedRetryPolicy(
+                retry,
+                new RetryBudget(retry),
+                new Backoff(retry.backoffBaseMs(), retry.backoffMaxMs(), new SplittableRandom(settings.seed())));
+        this.quarantine = new CrashQuarantine(settings.quarantine());
     }
 
     @Override
@@ -84,6 +111,29 @@
         return callers.computeIfAbsent(contract.caller(), key -> new CallerRow(contract.limits(), settings, nowMs));
     }
 
+    /** Applies this router's share of a caller's limits, or keeps it until the contract is in force. */
+    void allot(Event.AllotmentChanged allotment, long nowMs) {
+        Contract contract = config.contracts().get(allotment.caller());
+        if (contract != null) {
+            caller(contract, nowMs).setAllotment(allotment, contract.limits(), nowMs);
+        } else if (earlyAllotments.size() < MAX_EARLY_ALLOTMENTS) {
+            earlyAllotments.put(allotment.caller(), allotment);
+        }
+    }
+
+    /** Returns whether the pool has been without cover for longer than the grace. */
+    boolean isUncoveredForLong(String poolName, long nowMs) {
+        PoolRow pool = pool(poolName);
+        if (directory.isCovered(poolName, nowMs)) {
+            pool.uncoveredSinceMs = -1;
+            return false;
+        }
+        if (pool.uncoveredSinceMs < 0) {
+            pool.uncoveredSinceMs = nowMs;
+        }
+        return nowMs - pool.uncoveredSinceMs >= settings.uncoveredGraceMs();
+    }
+
     /** Returns why the configuration in force does not allow the request, or null. */
     Reason contractReason(RequestSpec spec) {
         Contract contract = config.contracts().get(spec.caller());
@@ -115,7 +165,7 @@
     /** Ends a request with an error that carries the verdict over all its attempts. */
     void refuse(RequestRow row, Reason reason, long nowMs) {
         Action action = new Action.Refuse(row.id(), reason, row.verdictNow(), 0);
-        if (row.isRunning()) {
+        if (row.state == RequestRow.State.RUNNING) {
             out.add(new Action.CancelAttempt(row.id(), row.epoch, reason));
         }
         forget(row, nowMs);
@@ -147,11 +197,57 @@
         }
     }
 
+    /** Occupies the slots of a chain for an attempt that starts. */
+    void acquire(RequestRow row, Chain chain, long nowMs) {
+        row.chain = chain;
+        running.add(row);
+        directory.acquire(chain, row.spec, nowMs);
+        quarantine.started(row.spec.fingerprint());
+        chain.stages().forEach(stage -> attemptsByEndpoint.merge(stage.endpointId(), 1, Integer::sum));
+        if (quarantine.isSuspect(row.spec.fingerprint(), nowMs)) {
+            row.observed = true;
+            chain.stages().forEach(stage -> observedEndpointIds.add(stage.endpointId()));
+        }
+    }
+
     /** Frees the slots of the running attempt. */
     void release(RequestRow row, long nowMs) {
+        endObservation(row);
         directory.release(row.chain, row.spec, nowMs);
+        quarantine.ended(row.spec.fingerprint());
+        row.chain
+                .stages()
+                .forEach(stage -> attemptsByEndpoint.computeIfPresent(
+                        stage.endpointId(), (id, count) -> count > 1 ? count - 1 : null));
         row.chain = null;
         running.remove(row);
         pool(row.spec.pool()).unblock();
     }
+
+    /** Lets the endpoints of a suspect's attempt receive other work again. */
+    void endObservation(RequestRow row) {
+        if (row.observed) {
+            row.observed = false;
+            row.chain.stages().forEach(stage -> observedEndpointIds.remove(stage.endpointId()));
+            pool(row.spec.pool()).unblock();
+        }
+    }
+
+    /** Returns a request that waited or was preempted to the queue, in front of its caller's other requests. */
+    void requeue(RequestRow row, long nowMs) {
+        waiting.remove(row);
+        row.state = RequestRow.State.QUEUED;
+        row.gated = false;
+        queue.requeue(row.spec, nowMs);
+    }
+
+    /** Returns the time in ms by which the request must have ended: its deadline, or earlier that of the drain. */
+    long deadlineMs(RequestRow row) {
+        return draining ? Math.min(drainDeadlineMs, row.spec.deadlineMs()) : row.spec.deadlineMs();
+    }
+
+    /** Returns the reason for refusing a request that misses its deadline. */
+    Reason deadlineReason(RequestRow row, Reason ownReason) {
+        return deadlineMs(row) < row.spec.deadlineMs() ? Reason.DRAINING : ownReason;
+    }
 }
--- a/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
@@ -6,6 +6,7 @@
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -32,7 +33,7 @@
             }
             RequestRow row = state.requests.get(next.get().requestId());
             if (isTooLate(row, nowMs)) {
-                state.refuse(row, Reason.DEADLINE_UNREACHABLE, nowMs);
+                drop(row, nowMs);
             } else if (planned == null) {
                 park(row, nowMs);
             } else {
@@ -45,15 +46,15 @@
     void tick(long nowMs) {
         state.pools.values().forEach(PoolRow::unblock);
         int parkedTried = 0;
-        List<RequestRow> due = new ArrayList<>(state.waiting);
-        for (RequestRow row : due) {
+        for (RequestRow row : new ArrayList<>(state.waiting)) {
             if (isTooLate(row, nowMs)) {
-                state.refuse(row, Reason.DEADLINE_UNREACHABLE, nowMs);
-            } else if (row.state == RequestRow.State.BACKING_OFF && row.dueAtMs <= nowMs) {
-                state.waiting.remove(row);
-                row.state = RequestRow.State.QUEUED;
-                state.queue.requeue(row.spec, nowMs);
-            } else if (row.state == RequestRow.State.PARKED && parkedTried++ < MAX_PARKED_PER_TICK) {
+                drop(row, nowMs);
+            } else if (row.state == RequestRow.State.BACKING_OFF) {
+                if (row.dueAtMs <= nowMs && !row.needsBudget) {
+                    state.requeue(row, nowMs);
+                }
+            } else if (state.quarantine.mayStart(row.spec.fingerprint(), nowMs)
+                    && parkedTried++ < MAX_PARKED_PER_TICK) {
                 tryParked(row, nowMs);
             }
         }
@@ -61,69 +62,108 @@
     }
 
     private void tryParked(RequestRow row, long nowMs) {
-        if (row.dueAtMs <= nowMs) {
+        if (row.gated) {
+            state.requeue(row, nowMs);
+        } else if (row.dueAtMs <= nowMs) {
             row.excludedEndpointIds.clear();
-            state.waiting.remove(row);
-            row.state = RequestRow.State.QUEUED;
-            state.queue.requeue(row.spec, nowMs);
-            return;
+            row.impatient = true;
+            state.requeue(row, nowMs);
+        } else {
+            ModelSpec model = state.config.pool(row.spec.pool());
+            state.planner.plan(row.spec, model, exclusions(row, nowMs), nowMs).ifPresent(chain -> {
+                state.waiting.remove(row);
+                start(row, chain, nowMs);
+            });
         }
-        state.planner
-                .plan(row.spec, state.config.pool(row.spec.pool()), row.excludedEndpointIds, nowMs)
-                .ifPresent(chain -> {
-                    state.waiting.remove(row);
-                    start(row, chain, nowMs);
-                });
     }
 
     private boolean isDispatchable(RequestSpec spec, long nowMs) {
         planned = null;
         RequestRow row = state.requests.get(spec.requestId());
         PoolRow pool = state.pool(spec.pool());
-        if (isTooLate(row, nowMs)) {
+        row.gated = !state.quarantine.mayStart(spec.fingerprint(), nowMs);
+        if (isTooLate(row, nowMs) || row.gated) {
             return true;
         }
         if (pool.isBlocked()) {
             return false;
         }
         ModelSpec model = state.config.pool(spec.pool());
-        planned =
-                state.planner.plan(spec, model, row.excludedEndpointIds, nowMs).orElse(null);
+        planned = state.planner.plan(spec, model, exclusions(row, nowMs), nowMs).orElse(null);
         if (planned != null) {
             return true;
         }
-        // A request that only lacks endpoints it has not failed on is parked, so that others can pass it.
-        boolean others = !row.excludedEndpointIds.isEmpty()
-                && state.planner.plan(spec, model, Set.of(), nowMs).isPresent();
-        if (!others) {
-            pool.block(nowMs);
+        // A request that lacks only endpoints that suit it alone is parked, so that others can pass it.
+        boolean selective = !row.excludedEndpointIds.isEmpty() || state.quarantine.isSuspect(spec.fingerprint(), nowMs);
+        if (selective && state.planner.plan(spec, model, Set.of(), nowMs).isPresent()) {
+            return true;
+        }
+        pool.block(nowMs);
+        return false;
+    }
+
+    /**
+     * Returns the endpoints that the request must not use: those of earlier failures, and for the observation of
+     * suspects those that already run one or have too many other attempts.
+     */
+    private Set<String> exclusions(RequestRow row, long nowMs) {
+        boolean suspect = state.quarantine.isSuspect(row.spec.fingerprint(), nowMs);
+        if (!suspect && state.observedEndpointIds.isEmpty()) {
+            return row.excludedEndpointIds;
+        }
+        int maxNeighbours = state.settings.quarantine().maxNeighbours();
+        Set<String> exclusions = new LinkedHashSet<>(row.excludedEndpointIds);
+        if (!suspect) {
+            state.observedEndpointIds.stream()
+                    .filter(id -> state.attemptsByEndpoint.getOrDefault(id, 0) > maxNeighbours)
+                    .forEach(exclusions::add);
+            return exclusions;
+        }
+        exclusions.addAll(state.observedEndpointIds);
+        if (!row.impatient) {
+            exclusions.add(state.quarantine.crashedEndpointId(row.spec.fingerprint(), nowMs));
+            state.attemptsByEndpoint.forEach((id, attempts) -> {
+                if (attempts > maxNeighbours) {
+                    exclusions.add(id);
+                }
+            });
         }
-        return others;
+        return exclusions;
+    }
+
+    private void drop(RequestRow row, long nowMs) {
+        state.refuse(row, state.deadlineReason(row, Reason.DEADLINE_UNREACHABLE), nowMs);
     }
 
     private boolean isTooLate(RequestRow row, long nowMs) {
         PoolRow pool = state.pool(row.spec.pool());
         return nowMs + pool.neededMs(row.spec, row.deliveredTokens, pool.isContended(nowMs), nowMs)
-                >= row.spec.deadlineMs();
+                >= state.deadlineMs(row);
     }
 
     private void park(RequestRow row, long nowMs) {
+        boolean suspect = state.quarantine.isSuspect(row.spec.fingerprint(), nowMs);
+        long waitMs = suspect ? state.settings.quarantine().patienceMs() : state.settings.exclusionMs();
         row.state = RequestRow.State.PARKED;
-        row.dueAtMs = nowMs + state.settings.exclusionMs();
+        row.dueAtMs = nowMs + waitMs;
         state.waiting.add(row);
-        state.note(row, nowMs, "parked, endpoints of earlier failures excluded");
+        state.note(
+                row, nowMs, row.gated ? "parked, its fingerprint runs already" : "parked, waits for other endpoints");
     }
 
     private void start(RequestRow row, Chain chain, long nowMs) {
+        if (row.epoch == 0) {
+            state.retries.firstAttempt(row.spec, nowMs);
+        }
         row.state = RequestRow.State.RUNNING;
         row.epoch++;
         row.attempts++;
-        row.chain = chain;
         row.attemptStartedAtMs = nowMs;
         row.firstTokenAtMs = -1;
         row.attemptFirstTokens = row.deliveredTokens;
-        state.running.add(row);
-        state.directory.acquire(chain, row.spec, nowMs);
+        row.accepted = false;
+        row.impatient = false;
+        state.acquire(row, chain, nowMs);
         List<String> kvSources = row.kvSourceEndpointIds.stream()
                 .filter(id -> state.directory.isUsable(id, nowMs))
                 .toList();
--- a/core/src/main/java/io/radishwinch/core/impl/PoolRow.java
+++ b/core/src/main/java/io/radishwinch/core/impl/PoolRow.java
@@ -87,6 +87,11 @@
         return (long) (contended ? expectedMs + DEVIATIONS * deviationMs : FEASIBLE_SHARE * expectedMs);
     }
 
+    /** Returns the mean time in ms that the rest of the request takes, 0 if it is not known. */
+    long expectedMs(RequestSpec request, int deliveredTokens, long nowMs) {
+        return (long) (neededMs(request, deliveredTokens, false, nowMs) / FEASIBLE_SHARE);
+    }
+
     private double meanMs(int maxNewTokens) {
         return firstTokenMs + tokenIntervalMs * answerShare * maxNewTokens;
     }
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/impl/PreemptionSystem.java
@@ -0,0 +1,68 @@
+package io.radishwinch.core.impl;
+
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.RequestSpec;
+import java.util.Comparator;
+import java.util.Optional;
+
+/** Lets running batch work yield its slot to urgent work that would otherwise wait too long. */
+final class PreemptionSystem {
+
+    private final CoreState state;
+    private final AttemptSystem attempts;
+
+    PreemptionSystem(CoreState state, AttemptSystem attempts) {
+        this.state = state;
+        this.attempts = attempts;
+    }
+
+    /** Preempts at most one attempt for each pool and tick, so that a freed slot is used before the next one is. */
+    void tick(long nowMs) {
+        state.pools.forEach((name, pool) -> {
+            if (pool.isBlocked() && !isPreempting(name) && hasWaitingUrgentWork(name, nowMs)) {
+                victim(name, nowMs).ifPresent(row -> attempts.cancel(row, Reason.PREEMPTED, "", nowMs));
+            }
+        });
+    }
+
+    private boolean isPreempting(String pool) {
+        return state.running.stream()
+                .anyMatch(row -> row.state == RequestRow.State.CANCELLING
+                        && row.cancelReason == Reason.PREEMPTED
+                        && row.spec.pool().equals(pool));
+    }
+
+    private boolean hasWaitingUrgentWork(String pool, long nowMs) {
+        for (Rank rank : Rank.values()) {
+            Optional<RequestSpec> next = rank == Rank.BATCH ? Optional.empty() : state.queue.peek(rank, pool);
+            if (next.isPresent() && nowMs - next.get().arrivedAtMs() >= state.settings.preemptAfterMs()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Returns the batch attempt that loses least: the fewest tokens to compute again. A caller below its floor keeps
+     * its slots, and an attempt that ends soon frees its slot anyway.
+     */
+    private Optional<RequestRow> victim(String pool, long nowMs) {
+        return state.running.stream()
+                .filter(row -> row.state == RequestRow.State.RUNNING
+                        && row.spec.rank() == Rank.BATCH
+                        && row.spec.pool().equals(pool)
+                        && row.spec.repeatable()
+                        && row.preemptions < state.settings.maxPreemptions()
+                        && !state.queue.isFloorService(row.id())
+                        && !endsSoon(row, nowMs))
+                .min(Comparator.comparingLong(row -> (long) row.spec.promptTokens() + row.deliveredTokens))
+                .filter(row -> state.retries.tryPreempt(row.spec, nowMs));
+    }
+
+    private boolean endsSoon(RequestRow row, long nowMs) {
+        long expectedMs = state.pool(row.spec.pool()).expectedMs(row.spec, row.attemptFirstTokens, nowMs);
+        long leftMs = row.attemptStartedAtMs + expectedMs - nowMs;
+        return expectedMs > 0 && leftMs >= 0 && leftMs < state.settings.preemptAfterMs();
+    }
+}
--- a/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
+++ b/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
@@ -52,6 +52,19 @@
 
     Reason cancelReason;
     String cancelEndpointId;
+    /** Whether a cancelled attempt ended because an endpoint crashed rather than left. */
+    boolean cancelledByCrash;
+    /** Whether the retry that the request waits for was not granted yet. */
+    boolean needsBudget;
+    /** Whether the request waits until fewer attempts with its fingerprint run. */
+    boolean gated;
+    /** Whether the request has waited long enough for an endpoint with few other attempts. */
+    boolean impatient;
+    /** Whether the first endpoint accepted the running attempt. */
+    boolean accepted;
+    /** Whether the running attempt is a suspect's under observation. */
+    boolean observed;
+
     boolean callerGone;
 
     RequestRow(RequestSpec spec) {
@@ -74,11 +87,6 @@
         return verdict == null ? Verdict.NOT_RUN : verdict;
     }
 
-    /** Returns whether another attempt may be started: always after {@code not-run}, else only if repeatable. */
-    boolean mayStart() {
-        return spec.repeatable() || verdict == null || verdict == Verdict.NOT_RUN;
-    }
-
     /** Returns the tokens to charge when the request ends: none if it did not run. */
     long usedTokens() {
         return verdictNow() == Verdict.NOT_RUN ? 0 : (long) spec.promptTokens() + deliveredTokens;
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/impl/SuspectSystem.java
@@ -0,0 +1,63 @@
+package io.radishwinch.core.impl;
+
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.Reason;
+import java.util.List;
+
+/** Applies the crash quarantine to the requests of this router and shares its findings with the peers. */
+final class SuspectSystem {
+
+    private final CoreState state;
+
+    SuspectSystem(CoreState state) {
+        this.state = state;
+    }
+
+    /** Notes that a request was running on an endpoint when it crashed. */
+    void crashed(RequestRow row, String endpointId, long nowMs) {
+        String fingerprint = row.spec.fingerprint();
+        if (state.quarantine.crashed(fingerprint, endpointId, nowMs)) {
+            state.out.add(new Action.ShareCrash(fingerprint, endpointId));
+            applyQuarantine(fingerprint, true, nowMs);
+        }
+    }
+
+    void crashShared(Event.CrashShared event, long nowMs) {
+        if (state.quarantine.crashed(event.fingerprint(), event.endpointId(), nowMs)) {
+            applyQuarantine(event.fingerprint(), true, nowMs);
+        }
+    }
+
+    void quarantineShared(Event.QuarantineShared event, long nowMs) {
+        state.quarantine.quarantine(event.fingerprint(), event.untilMs(), nowMs);
+        applyQuarantine(event.fingerprint(), false, nowMs);
+    }
+
+    /** Ends the observation of suspects that got past the token at which an endpoint crashed under them. */
+    void tick(long nowMs) {
+        long observationMs = state.settings.quarantine().observationMs();
+        for (RequestRow row : state.running) {
+            if (row.observed && row.firstTokenAtMs >= 0 && nowMs - row.firstTokenAtMs >= observationMs) {
+                state.endObservation(row);
+            }
+        }
+    }
+
+    /** Refuses the requests with a fingerprint if it is quarantined; running ones are cancelled. */
+    private void applyQuarantine(String fingerprint, boolean share, long nowMs) {
+        long untilMs = state.quarantine.quarantinedUntilMs(fingerprint, nowMs);
+        if (untilMs == 0) {
+            return;
+        }
+        if (share) {
+            state.out.add(new Action.ShareQuarantine(fingerprint, untilMs));
+            state.out.add(new Action.StateChanged(fingerprint, "suspect to quarantined, two endpoints crashed"));
+        }
+        for (RequestRow row : List.copyOf(state.requests.values())) {
+            if (row.spec.fingerprint().equals(fingerprint)) {
+                state.refuse(row, Reason.QUARANTINED, nowMs);
+            }
+        }
+    }
+}
--- a/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -5,9 +5,9 @@
 import io.radishwinch.core.chain.ChainPlanner;
 import io.radishwinch.core.chain.EndpointDirectory;
 import io.radishwinch.core.event.Event;
-import io.radishwinch.core.model.Contract;
 import io.radishwinch.core.model.FleetConfig;
 import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.queue.DeadlineIndex;
 import io.radishwinch.core.queue.Entitlements;
 import io.radishwinch.core.queue.QueueSettings;
@@ -29,13 +29,17 @@
     private final CoreState state;
     private final AdmissionSystem admission;
     private final DispatchSystem dispatch;
+    private final SuspectSystem suspects;
     private final AttemptSystem attempts;
+    private final PreemptionSystem preemption;
 
     private TableDecisionCore(CoreState state) {
         this.state = state;
         this.admission = new AdmissionSystem(state);
         this.dispatch = new DispatchSystem(state);
-        this.attempts = new AttemptSystem(state);
+        this.suspects = new SuspectSystem(state);
+        this.attempts = new AttemptSystem(state, suspects);
+        this.preemption = new PreemptionSystem(state, attempts);
     }
 
     /** Creates a core with a {@link RankedFairQueue}. */
@@ -68,6 +72,8 @@
         } else if (event instanceof Event.RequestArrived arrived) {
             admission.arrived(arrived.request(), nowMs);
             dispatch.dispatch(nowMs);
+        } else if (event instanceof Event.AttemptStarted started) {
+            attempts.started(started);
         } else if (event instanceof Event.FirstToken first) {
             attempts.firstToken(first, nowMs);
         } else if (event instanceof Event.Progress progress) {
@@ -90,12 +96,14 @@
         if (event instanceof Event.ConfigInForce changed) {
             configure(changed.config(), nowMs);
         } else if (event instanceof Event.AllotmentChanged allotment) {
-            Contract contract = state.config.contracts().get(allotment.caller());
-            if (contract != null) {
-                state.caller(contract, nowMs).setAllotment(allotment, contract.limits(), nowMs);
-            }
+            state.allot(allotment, nowMs);
         } else if (event instanceof Event.EndpointGone gone) {
-            attempts.endpointGone(gone.endpointId(), nowMs);
+            attempts.endpointGone(gone, nowMs);
+            dispatch.dispatch(nowMs);
+        } else if (event instanceof Event.CrashShared crash) {
+            suspects.crashShared(crash, nowMs);
+        } else if (event instanceof Event.QuarantineShared shared) {
+            suspects.quarantineShared(shared, nowMs);
         } else if (event instanceof Event.DrainStarted drain) {
             state.draining = true;
             state.drainDeadlineMs = drain.deadlineMs();
@@ -104,11 +112,14 @@
 
     private void tick(long nowMs) {
         attempts.tick(nowMs);
-        state.queue.removeExpired(nowMs).forEach(spec -> {
-            RequestRow row = state.requests.get(spec.requestId());
-            state.refuse(row, Reason.DEADLINE_UNREACHABLE, nowMs);
-        });
+        for (RequestSpec spec : state.queue.removeExpired(nowMs)) {
+            state.refuse(state.requests.get(spec.requestId()), Reason.DEADLINE_UNREACHABLE, nowMs);
+        }
+        state.quarantine.tick(nowMs);
+        suspects.tick(nowMs);
+        state.pools.keySet().forEach(pool -> state.isUncoveredForLong(pool, nowMs));
         dispatch.tick(nowMs);
+        preemption.tick(nowMs);
     }
 
     private void callerGone(String requestId, long nowMs) {
@@ -132,6 +143,12 @@
         state.config = config;
         config.contracts().values().forEach(contract -> state.caller(contract, nowMs)
                 .setLimits(contract.limits(), nowMs));
+        for (Event.AllotmentChanged allotment : List.copyOf(state.earlyAllotments.values())) {
+            if (config.contracts().containsKey(allotment.caller())) {
+                state.earlyAllotments.remove(allotment.caller());
+                state.allot(allotment, nowMs);
+            }
+        }
         for (RequestRow row : List.copyOf(state.requests.values())) {
             if (row.isRunning()) {
                 continue;
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/quarantine/ExpiringMap.java
@@ -0,0 +1,55 @@
+package io.radishwinch.core.quarantine;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Bounded map whose entries expire; the oldest entry makes room for a new one. */
+final class ExpiringMap<V> {
+
+    private record Timed<V>(V value, long untilMs) {}
+
+    private final int maxEntries;
+    private final LinkedHashMap<String, Timed<V>> entries = new LinkedHashMap<>();
+
+    ExpiringMap(int maxEntries) {
+        this.maxEntries = maxEntries;
+    }
+
+    /** Returns the value, or null if there is none or it has expired. */
+    V get(String key, long nowMs) {
+        Timed<V> timed = entries.get(key);
+        if (timed != null && timed.untilMs() <= nowMs) {
+            entries.remove(key);
+            return null;
+        }
+        return timed == null ? null : timed.value();
+    }
+
+    void put(String key, V value, long untilMs) {
+        entries.remove(key);
+        entries.put(key, new Timed<>(value, untilMs));
+        if (entries.size() > maxEntries) {
+            entries.remove(entries.keySet().iterator().next());
+        }
+    }
+
+    void remove(String key) {
+        entries.remove(key);
+    }
+
+    /** Removes expired entries from the oldest on, up to the first that is still valid. */
+    void expire(long nowMs) {
+        var iterator = entries.entrySet().iterator();
+        while (iterator.hasNext()) {
+            Map.Entry<String, Timed<V>> oldest = iterator.next();
+            if (oldest.getValue().untilMs() > nowMs) {
+                return;
+            }
+            iterator.remove();
+        }
+    }
+
+    int size() {
+        return entries.size();
+    }
+}
--- a/core/src/main/java/io/radishwinch/core/queue/FifoQueue.java
+++ b/core/src/main/java/io/radishwinch/core/queue/FifoQueue.java
@@ -70,6 +70,11 @@
         }
     }
 
+    @Override
+    public Optional<RequestSpec> peek(Rank rank, String pool) {
+        return Optional.empty();
+    }
+
     @Override
     public boolean remove(String requestId) {
         Entry entry = entriesById.remove(requestId);
@@ -101,7 +106,7 @@
     }
 
     @Override
-    public boolean isBelowFloor(String caller, Rank rank, long nowMs) {
+    public boolean isFloorService(String requestId) {
         return false;
     }
 
--- a/core/src/main/java/io/radishwinch/core/queue/RankedFairQueue.java
+++ b/core/src/main/java/io/radishwinch/core/queue/RankedFairQueue.java
@@ -32,7 +32,7 @@
 
     private record AccountKey(String caller, Rank rank) {}
 
-    private record Charge(Flow flow, double tokens) {}
+    private record Charge(Flow flow, double tokens, boolean keepsFloor) {}
 
     private static final long SWEEP_INTERVAL_MS = 1_000;
     /** An idle account is kept for this time, because it holds what the caller uses of its reservations. */
@@ -138,7 +138,7 @@
                         && tried.add(lane)
                         && dispatchable.test(flow.head().request())) {
                     lane.advance();
-                    return Optional.of(take(flow, nowMs));
+                    return Optional.of(take(flow, true, nowMs));
                 }
             }
         }
@@ -150,27 +150,39 @@
                 Flow flow = lane.nextInFairOrder();
                 if (dispatchable.test(flow.head().request())) {
                     lane.advance();
-                    return Optional.of(take(flow, nowMs));
+                    return Optional.of(take(flow, false, nowMs));
                 }
             }
         }
         return Optional.empty();
     }
 
-    private RequestSpec take(Flow flow, long nowMs) {
+    private RequestSpec take(Flow flow, boolean keepsFloor, long nowMs) {
         Flow.Queued head = flow.head();
+        RequestSpec request = head.request();
         Account account = flow.account;
         removeEntry(head);
-        if (!head.isCharged()) {
-            double tokens = account.expectedTokens(head.request().costTokens());
-            chargesById.put(head.request().requestId(), new Charge(flow, tokens));
-            account.running++;
-            retag(account, () -> {
-                account.charge(tokens, nowMs, settings.floorBurstMs());
-                flow.startTag += tokens / entitlements.weight(account.caller);
-            });
+        if (head.isCharged()) {
+            chargesById.computeIfPresent(
+                    request.requestId(), (id, charge) -> new Charge(charge.flow(), charge.tokens(), keepsFloor));
+            return request;
         }
-        return head.request();
+        double tokens = account.expectedTokens(request.costTokens());
+        chargesById.put(request.requestId(), new Charge(flow, tokens, keepsFloor));
+        account.running++;
+        retag(account, () -> {
+            account.charge(tokens, nowMs, settings.floorBurstMs());
+            flow.startTag += tokens / entitlements.weight(account.caller);
+        });
+        return request;
+    }
+
+    @Override
+    public Optional<RequestSpec> peek(Rank rank, String pool) {
+        Lane lane = lanes.get(rank).get(pool);
+        return lane == null || lane.isEmpty()
+                ? Optional.empty()
+                : Optional.of(lane.nextInFairOrder().head().request());
     }
 
     @Override
@@ -246,10 +258,9 @@
     // Views
 
     @Override
-    public boolean isBelowFloor(String caller, Rank rank, long nowMs) {
-        double floor = entitlements.floorTokensPerS(caller, rank);
-        Account account = accounts.get(new AccountKey(caller, rank));
-        return floor > 0 && (account == null || account.floorTagMs <= nowMs);
+    public boolean isFloorService(String requestId) {
+        Charge charge = chargesById.get(requestId);
+        return charge != null && charge.keepsFloor();
     }
 
     @Override
--- a/core/src/main/java/io/radishwinch/core/queue/RequestQueue.java
+++ b/core/src/main/java/io/radishwinch/core/queue/RequestQueue.java
@@ -31,6 +31,11 @@
      */
     Optional<RequestSpec> poll(Predicate<RequestSpec> dispatchable, long nowMs);
 
+    /**
+     * Returns the request of a rank and pool that would run next, or empty if none waits or ranks are not kept apart.
+     */
+    Optional<RequestSpec> peek(Rank rank, String pool);
+
     /** Removes a request, for example because its caller has gone; returns whether it was queued. */
     boolean remove(String requestId);
 
@@ -45,8 +50,8 @@
      */
     void settle(RequestSpec request, long usedTokens);
 
-    /** Returns whether the caller receives less than the floor of this rank at the moment. */
-    boolean isBelowFloor(String caller, Rank rank, long nowMs);
+    /** Returns whether a polled request that has not been settled was polled to keep its caller's floor. */
+    boolean isFloorService(String requestId);
 
     /** Returns the number of queued requests. */
     int size();
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/retry/Backoff.java
@@ -0,0 +1,31 @@
+package io.radishwinch.core.retry;
+
+import java.util.random.RandomGenerator;
+
+/**
+ * Exponential backoff with full jitter: a uniform wait between zero and a bound that doubles with each retry.
+ *
+ * <p>Source: M. Brooker, "Exponential Backoff And Jitter", AWS Architecture Blog, 2015.
+ */
+public final class Backoff {
+
+    /** Largest doubling, so that the bound does not overflow. */
+    private static final int MAX_DOUBLINGS = 30;
+
+    private final long baseMs;
+    private final long maxMs;
+    private final RandomGenerator random;
+
+    /** Creates a backoff with the given bounds in ms over a seeded random source. */
+    public Backoff(long baseMs, long maxMs, RandomGenerator random) {
+        this.baseMs = baseMs;
+        this.maxMs = maxMs;
+        this.random = random;
+    }
+
+    /** Returns the wait in ms before the retry with the given number, counted from zero. */
+    public long waitMs(int retry) {
+        long boundMs = Math.min(maxMs, baseMs << Math.min(retry, MAX_DOUBLINGS));
+        return random.nextLong(boundMs + 1);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/retry/BudgetedRetryPolicy.java
@@ -0,0 +1,69 @@
+package io.radishwinch.core.retry;
+
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Verdict;
+
+/**
+ * Retries faults of endpoints within a budget and a number of attempts.
+ *
+ * <p>A non-repeatable request is retried only while every attempt ended with {@code not-run}. Preempted attempts are
+ * charged when they are preempted, not when they resume.
+ */
+public final class BudgetedRetryPolicy implements RetryPolicy {
+
+    private final RetrySettings settings;
+    private final RetryBudget budget;
+    private final Backoff backoff;
+
+    /** Creates a policy. */
+    public BudgetedRetryPolicy(RetrySettings settings, RetryBudget budget, Backoff backoff) {
+        this.settings = settings;
+        this.budget = budget;
+        this.backoff = backoff;
+    }
+
+    @Override
+    public void firstAttempt(RequestSpec request, long nowMs) {
+        budget.firstAttempt(request.caller(), request.pool(), nowMs);
+    }
+
+    @Override
+    public void completed(RequestSpec request, long nowMs) {
+        budget.completed(request.caller(), request.pool(), nowMs);
+    }
+
+    @Override
+    public Decision decide(Failure failure, long nowMs) {
+        RequestSpec request = failure.request();
+        if (!isRetryable(failure.reason()) || (!request.repeatable() && failure.verdict() != Verdict.NOT_RUN)) {
+            return new GiveUp(failure.reason());
+        }
+        if (failure.reason() == Reason.PREEMPTED) {
+            return new Retry(0);
+        }
+        if (failure.attempts() >= settings.maxAttempts()) {
+            return new GiveUp(Reason.ATTEMPTS_EXHAUSTED);
+        }
+        if (budget.tryWithdraw(request.caller(), request.pool(), nowMs)) {
+            // The reader of a broken stream waits for its next token, and other endpoints take over its first retry.
+            boolean immediate = failure.deliveredTokens() > 0 && failure.attempts() == 1 && failure.budgetWaits() == 0;
+            return new Retry(immediate ? 0 : backoff.waitMs(failure.attempts() - 1));
+        }
+        return failure.budgetWaits() < settings.maxBudgetWaits()
+                ? new AskAgain(1 + backoff.waitMs(failure.attempts() + failure.budgetWaits()))
+                : new GiveUp(Reason.RETRY_BUDGET_EXHAUSTED);
+    }
+
+    @Override
+    public boolean tryPreempt(RequestSpec request, long nowMs) {
+        return budget.tryWithdraw(request.caller(), request.pool(), nowMs);
+    }
+
+    private static boolean isRetryable(Reason reason) {
+        return switch (reason) {
+            case STAGE_DIED, ENDPOINT_REFUSED, ENDPOINT_TIMEOUT, PREEMPTED -> true;
+            default -> false;
+        };
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/retry/RetryBudget.java
@@ -0,0 +1,108 @@
+package io.radishwinch.core.retry;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Token bucket of retries for each caller and for each pool; a retry takes one token from both.
+ *
+ * <p>Each first attempt adds a small fraction of a token and its completion most of it, so that a total outage, in
+ * which nothing completes, adds little. The balance is limited to what the load of a short window adds, so that retries
+ * follow the load and a quiet period saves up no storm.
+ */
+public final class RetryBudget {
+
+    private static final double MS_PER_S = 1_000.0;
+
+    private final RetrySettings settings;
+    private final Map<String, Account> callers;
+    private final Map<String, Account> pools;
+
+    /** Creates budgets that start at the smallest balance. */
+    public RetryBudget(RetrySettings settings) {
+        this.settings = settings;
+        this.callers = boundedMap(settings.maxEntries());
+        this.pools = boundedMap(settings.maxEntries());
+    }
+
+    /** Adds the share of a first attempt that starts. */
+    public void firstAttempt(String caller, String pool, long nowMs) {
+        caller(caller, nowMs).attempted(settings, nowMs);
+        pool(pool, nowMs).attempted(settings, nowMs);
+    }
+
+    /** Adds the share of a request that completed. */
+    public void completed(String caller, String pool, long nowMs) {
+        double amount = settings.ratio() - settings.attemptRatio();
+        caller(caller, nowMs).deposit(settings, amount);
+        pool(pool, nowMs).deposit(settings, amount);
+    }
+
+    /** Takes one retry; returns false and takes nothing if the caller or the pool has none left. */
+    public boolean tryWithdraw(String caller, String pool, long nowMs) {
+        Account callerAccount = caller(caller, nowMs);
+        Account poolAccount = pool(pool, nowMs);
+        callerAccount.refill(settings, nowMs);
+        if (callerAccount.balance < 1 || poolAccount.balance < 1) {
+            return false;
+        }
+        callerAccount.balance--;
+        poolAccount.balance--;
+        return true;
+    }
+
+    /** Returns the number of callers and pools with a budget. */
+    public int size() {
+        return callers.size() + pools.size();
+    }
+
+    private Account caller(String caller, long nowMs) {
+        return callers.computeIfAbsent(caller, key -> new Account(settings.minBalance(), nowMs));
+    }
+
+    private Account pool(String pool, long nowMs) {
+        return pools.computeIfAbsent(pool, key -> new Account(settings.minBalance(), nowMs));
+    }
+
+    private static Map<String, Account> boundedMap(int maxEntries) {
+        return new LinkedHashMap<>(16, 0.75f, true) {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, Account> eldest) {
+                return size() > maxEntries;
+            }
+        };
+    }
+
+    private static final class Account {
+
+        private double balance;
+        /** First attempts of about the last window, exponentially weighted. */
+        private double load;
+
+        private long updatedAtMs;
+        private long refilledAtMs;
+
+        private Account(double balance, long nowMs) {
+            this.balance = balance;
+            this.updatedAtMs = nowMs;
+            this.refilledAtMs = nowMs;
+        }
+
+        private void attempted(RetrySettings settings, long nowMs) {
+            load = load * Math.exp(-(double) (nowMs - updatedAtMs) / settings.windowMs()) + 1;
+            updatedAtMs = nowMs;
+            deposit(settings, settings.attemptRatio());
+        }
+
+        private void deposit(RetrySettings settings, double amount) {
+            double capacity = Math.max(settings.minBalance(), settings.ratio() * load);
+            balance = Math.min(capacity, balance + amount);
+        }
+
+        private void refill(RetrySettings settings, long nowMs) {
+            double refilled = balance + settings.callerRefillPerS() * (nowMs - refilledAtMs) / MS_PER_S;
+            balance = Math.max(balance, Math.min(settings.minBalance(), refilled));
+            refilledAtMs = nowMs;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/retry/RetrySettings.java
@@ -0,0 +1,81 @@
+package io.radishwinch.core.retry;
+
+/**
+ * Limits on retries.
+ *
+ * @param maxAttempts attempts of one request, preempted ones not counted
+ * @param ratio retries granted for each first attempt whose request completes, 0 to 1
+ * @param attemptRatio part of it that is granted when the attempt starts, 0 to {@code ratio}
+ * @param windowMs unused retries of this period may be used at once, in ms
+ * @param minBalance retries that a pool or caller may save up at any load
+ * @param callerRefillPerS retries/s that a caller gains at any load, within the budget of the pool
+ * @param backoffBaseMs largest wait before the first retry, in ms; doubles with each further one
+ * @param backoffMaxMs largest wait before any retry, in ms
+ * @param maxBudgetWaits waits for an empty budget before the request is refused
+ * @param maxEntries callers and pools with a budget of their own
+ */
+public record RetrySettings(
+        int maxAttempts,
+        double ratio,
+        double attemptRatio,
+        long windowMs,
+        double minBalance,
+        double callerRefillPerS,
+        long backoffBaseMs,
+        long backoffMaxMs,
+        int maxBudgetWaits,
+        int maxEntries) {
+
+    /**
+     * Returns the defaults. Most of the budget is granted on completion, because in a total outage retries help nobody;
+     * the smallest balance lets the streams of one lost endpoint resume at low load.
+     */
+    public static RetrySettings defaults() {
+        return new RetrySettings(4, 0.1, 0.02, 10_000, 24, 0.1, 50, 2_000, 4, 10_000);
+    }
+
+    /** Returns a copy with another number of attempts. */
+    public RetrySettings withMaxAttempts(int attempts) {
+        return new RetrySettings(
+                attempts,
+                ratio,
+                attemptRatio,
+                windowMs,
+                minBalance,
+                callerRefillPerS,
+                backoffBaseMs,
+                backoffMaxMs,
+                maxBudgetWaits,
+                maxEntries);
+    }
+
+    /** Returns a copy with other ratios of retries to first attempts and another smallest balance. */
+    public RetrySettings withBudget(double newRatio, double newAttemptRatio, double newMinBalance) {
+        return new RetrySettings(
+                maxAttempts,
+                newRatio,
+                newAttemptRatio,
+                windowMs,
+                newMinBalance,
+                callerRefillPerS,
+                backoffBaseMs,
+                backoffMaxMs,
+                maxBudgetWaits,
+                maxEntries);
+    }
+
+    /** Returns a copy with another backoff, in ms. */
+    public RetrySettings withBackoff(long baseMs, long maxMs) {
+        return new RetrySettings(
+                maxAttempts,
+                ratio,
+                attemptRatio,
+                windowMs,
+                minBalance,
+                callerRefillPerS,
+                baseMs,
+                maxMs,
+                maxBudgetWaits,
+                maxEntries);
+    }
+}
--- a/core/src/test/java/io/radishwinch/core/impl/CoreBench.java
+++ b/core/src/test/java/io/radishwinch/core/impl/CoreBench.java
@@ -10,6 +10,7 @@
 import io.radishwinch.core.model.RankTerms;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.ServiceSpec;
 import io.radishwinch.core.model.Verdict;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -19,6 +20,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 /**
  * One core under a virtual clock: delivers events in order of time, answers attempts after a service time, and checks
@@ -28,6 +30,8 @@
 
     static final String MODEL = "m";
     static final long TICK_MS = 50;
+    static final long TOKEN_MS = 10;
+    static final long PROGRESS_MS = 1_000;
 
     /** End of an attempt: after which time, and with which event. */
     record Outcome(long afterMs, Event event) {}
@@ -43,6 +47,10 @@
         int deliveredTokens;
         boolean live;
         boolean callerGone;
+        /** Whether an attempt may have run: it is live, or it ended with another verdict than not-run. */
+        boolean mayHaveRun;
+
+        long startedAtMs;
 
         Trace(RequestSpec spec) {
             this.spec = spec;
@@ -62,11 +70,16 @@
     final Map<String, Trace> traces = new LinkedHashMap<>();
     final List<Action> actions = new ArrayList<>();
     final Map<String, Contract> contracts = new HashMap<>();
+    final Map<String, ModelSpec> models = new HashMap<>(Map.of(MODEL, new ModelSpec(MODEL, 8, 1, 1, 10_000)));
+    private final Map<Action.StartAttempt, Long> startTimes = new LinkedHashMap<>();
     private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) ->
             a.atMs() != b.atMs() ? Long.compare(a.atMs(), b.atMs()) : Long.compare(a.sequence(), b.sequence()));
     /** Behaviour of attempts; by default they finish with the whole answer after 10 ms for each token. */
     Function<Action.StartAttempt, Outcome> endpoints = this::finishes;
 
+    /** Whether the adapter reports the end of cancelled attempts. */
+    boolean confirmCancels = true;
+
     long nowMs;
     private long sequence;
 
@@ -98,7 +111,7 @@
 
     CoreBench configure() {
         handle(new Event.ConfigInForce(
-                new FleetConfig(1, contracts, Map.of(MODEL, new ModelSpec(MODEL, 8, 1, 1, 10_000)), Map.of())));
+                new FleetConfig(1, contracts, models, Map.of("pay", new ServiceSpec("pay", 5_000, List.of())))));
         return this;
     }
 
@@ -141,18 +154,24 @@
         return traces.get(id);
     }
 
+    /** Starts that satisfy a condition within a period. */
+    long starts(long fromMs, long toMs, Predicate<Action.StartAttempt> of) {
+        return startTimes.entrySet().stream()
+                .filter(e -> e.getValue() >= fromMs && e.getValue() < toMs && of.test(e.getKey()))
+                .count();
+    }
+
     // Actions
 
     void handle(Event event) {
         if (event instanceof Event.RequestArrived arrived) {
             traces.putIfAbsent(arrived.request().requestId(), new Trace(arrived.request()));
         } else if (event instanceof Event.CallerGone gone) {
-            traces.get(gone.requestId()).callerGone = true;
+            trace(gone.requestId()).callerGone = true;
         } else if (event instanceof Event.AttemptFailed failed) {
-            attemptEnded(failed.requestId(), failed.epoch());
+            attemptEnded(failed.requestId(), failed.epoch(), failed.verdict(), failed.deliveredTokens());
         } else if (event instanceof Event.AttemptFinished finished) {
-            traces.get(finished.requestId()).deliveredTokens = finished.deliveredTokens();
-            attemptEnded(finished.requestId(), finished.epoch());
+            attemptEnded(finished.requestId(), finished.epoch(), Verdict.RAN, finished.deliveredTokens());
         }
         for (Action action : core.handle(event, nowMs)) {
             actions.add(action);
@@ -160,50 +179,75 @@
         }
     }
 
-    private void attemptEnded(String requestId, int epoch) {
-        Trace trace = traces.get(requestId);
-        if (trace.starts.get(trace.starts.size() - 1).epoch() == epoch) {
+    private void attemptEnded(String requestId, int epoch, Verdict verdict, int deliveredTokens) {
+        Trace trace = trace(requestId);
+        if (trace.live && trace.starts.size() == epoch) {
             trace.live = false;
+            trace.mayHaveRun |= verdict != Verdict.NOT_RUN;
+            trace.deliveredTokens = Math.max(trace.deliveredTokens, deliveredTokens);
         }
     }
 
     private void apply(Action action) {
         if (action instanceof Action.StartAttempt start) {
-            Trace trace = open(start.requestId());
-            check(!trace.live, "a second live attempt of " + start.requestId());
-            check(start.epoch() > trace.starts.size(), "epoch " + start.epoch() + " does not increase");
-            check(
-                    start.chain().stages().stream()
-                            .noneMatch(s -> directory.runningByEndpoint.get(s.endpointId()) > directory.slots),
-                    "slots");
-            trace.starts.add(start);
-            trace.live = true;
-            Outcome outcome = endpoints.apply(start);
-            if (outcome != null) {
-                at(nowMs + outcome.afterMs(), outcome.event());
-            }
+            started(start);
         } else if (action instanceof Action.CancelAttempt cancel) {
             Trace trace = open(cancel.requestId());
-            trace.live = false;
-            at(
-                    nowMs,
-                    new Event.AttemptFailed(
-                            cancel.requestId(),
-                            cancel.epoch(),
-                            "",
-                            cancel.reason(),
-                            Verdict.MAY_HAVE_RUN,
-                            trace.starts.get(trace.starts.size() - 1).resumeFromToken()));
+            check(trace.starts.size() == cancel.epoch(), "cancel names epoch " + cancel.epoch());
+            if (trace.live) {
+                int delivered = deliveredNow(trace);
+                attemptEnded(cancel.requestId(), cancel.epoch(), Verdict.MAY_HAVE_RUN, delivered);
+                Event ended = new Event.AttemptFailed(
+                        cancel.requestId(), cancel.epoch(), "", cancel.reason(), Verdict.MAY_HAVE_RUN, delivered);
+                if (confirmCancels) {
+                    at(nowMs, ended);
+                }
+            }
         } else if (action instanceof Action.Refuse refuse) {
-            end(refuse.requestId(), action);
+            Trace trace = open(refuse.requestId());
+            check(refuse.verdict() != Verdict.NOT_RUN || !trace.mayHaveRun, refuse + " but it may have run");
+            end(trace, action);
         } else if (action instanceof Action.Complete complete) {
-            end(complete.requestId(), action);
+            end(open(complete.requestId()), action);
         }
     }
 
-    private void end(String requestId, Action action) {
-        Trace trace = open(requestId);
-        check(!trace.live, requestId + " ended with a live attempt");
+    private void started(Action.StartAttempt start) {
+        Trace trace = open(start.requestId());
+        check(!trace.live, "a second live attempt of " + start.requestId());
+        check(start.epoch() == trace.starts.size() + 1, "epoch " + start.epoch() + " of " + start.requestId());
+        check(trace.spec.repeatable() || !trace.mayHaveRun, start.requestId() + " is not repeatable but may run twice");
+        check(start.resumeFromToken() == trace.deliveredTokens, start + " resumes from a wrong token");
+        directory.runningByEndpoint.forEach(
+                (id, running) -> check(running <= directory.slots, id + " is over its slots"));
+        trace.starts.add(start);
+        startTimes.put(start, nowMs);
+        trace.startedAtMs = nowMs;
+        trace.live = true;
+        Outcome outcome = endpoints.apply(start);
+        if (outcome != null) {
+            at(nowMs + outcome.afterMs(), outcome.event());
+            if (outcome.event() instanceof Event.AttemptFailed failed && failed.verdict() == Verdict.NOT_RUN) {
+                return;
+            }
+            at(nowMs, new Event.AttemptStarted(start.requestId(), start.epoch()));
+            if (outcome.afterMs() > TOKEN_MS) {
+                at(nowMs + TOKEN_MS, new Event.FirstToken(start.requestId(), start.epoch()));
+            }
+            for (long afterMs = PROGRESS_MS; afterMs < outcome.afterMs(); afterMs += PROGRESS_MS) {
+                int delivered = start.resumeFromToken() + (int) (afterMs / TOKEN_MS);
+                at(nowMs + afterMs, new Event.Progress(start.requestId(), start.epoch(), delivered));
+            }
+        }
+    }
+
+    int deliveredNow(Trace trace) {
+        int resumed = trace.starts.get(trace.starts.size() - 1).resumeFromToken();
+        return (int) Math.min(trace.spec.maxNewTokens() - 1, resumed + (nowMs - trace.startedAtMs) / TOKEN_MS);
+    }
+
+    private void end(Trace trace, Action action) {
+        check(!trace.live, trace.spec.requestId() + " ended with a live attempt");
         trace.end = action;
         trace.endedAtMs = nowMs;
     }
@@ -225,7 +269,7 @@
     Outcome finishes(Action.StartAttempt start) {
         int tokens = traces.get(start.requestId()).spec.maxNewTokens();
         return new Outcome(
-                10L * (tokens - start.resumeFromToken()),
+                TOKEN_MS * (tokens - start.resumeFromToken()),
                 new Event.AttemptFinished(start.requestId(), start.epoch(), tokens));
     }
 
