Add the configuration store, shared limits and the cost measurement

Cause: routers had no way to keep configuration from reverting and no shares of the callers' limits.

Change: ConfigurationStore (per-object highest version, tombstones, listings, refusal of invalid objects, learning from peers before the platform), Allotment with bucket owners at two levels and a frozen split during a partition, and tests on a virtual bus.

--- a/cluster/src/main/java/io/radishwinch/cluster/PeerNode.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/PeerNode.java
@@ -1,5 +1,13 @@
 package io.radishwinch.cluster;
 
+import io.radishwinch.cluster.allotment.Allotment;
+import io.radishwinch.cluster.allotment.AllotmentPeers;
+import io.radishwinch.cluster.allotment.Amounts;
+import io.radishwinch.cluster.allotment.CallerLimits;
+import io.radishwinch.cluster.allotment.Share;
+import io.radishwinch.cluster.configuration.ConfigurationObject;
+import io.radishwinch.cluster.configuration.ConfigurationStore;
+import io.radishwinch.cluster.configuration.ConfigurationValidator;
 import io.radishwinch.cluster.gossip.Gossip;
 import io.radishwinch.cluster.gossip.GossipEntry;
 import io.radishwinch.cluster.gossip.GossipPeers;
@@ -18,8 +26,10 @@
 import io.radishwinch.protocol.generated.Message;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 
 /**
  * All state that one router shares with others, as one state machine.
@@ -34,13 +44,29 @@
     /** Time between two ticks, in ms. */
     public static final long TICK_INTERVAL_MS = 100;
 
+    /** Routers of a data centre that watch the platform: one may fail without a gap. */
+    public static final int PLATFORM_WATCHERS = 2;
+
+    /** Time after which a router without peers stops waiting for them, in ms. */
+    public static final long LEARN_TIMEOUT_MS = 5_000;
+
     private final List<PeerListener> listeners = new ArrayList<>();
     private final Membership membership;
     private final RemoteDataCentres remotes;
     private final GossipTable table = new GossipTable();
     private final Gossip gossip;
     private final DirectoryPublisher directoryPublisher = new DirectoryPublisher();
+    private final ConfigurationStore configuration;
+    private final Allotment allotment;
+    private boolean admitting;
     private boolean left;
+    private long startMs = Long.MIN_VALUE;
+    private long nowMs;
+
+    /** Creates a router that knows no other one and takes every configuration object as valid. */
+    public PeerNode(String id, String dataCentre, Address address, long incarnation, long seed) {
+        this(id, dataCentre, address, incarnation, seed, (key, value) -> Optional.empty());
+    }
 
     /**
      * Creates a router that knows no other one.
@@ -51,13 +77,25 @@
      * @param incarnation start time of the process in ms since the epoch; an earlier process at the same address should
      *     have had a lower number, and if it did not, the number is raised when peers remember a higher one
      * @param seed seed of all random choices
+     * @param validator check of configuration objects
      */
-    public PeerNode(String id, String dataCentre, Address address, long incarnation, long seed) {
+    public PeerNode(
+            String id,
+            String dataCentre,
+            Address address,
+            long incarnation,
+            long seed,
+            ConfigurationValidator validator) {
         Random random = new Random(seed);
         MemberInfo self = new MemberInfo(id, dataCentre, address, incarnation, MemberState.ALIVE);
         membership = new Membership(self, random, this::onMember);
         remotes = new RemoteDataCentres(id, dataCentre, random);
-        gossip = new Gossip(table, new Peers(), this::onEntry);
+        Peers peers = new Peers();
+        configuration = new ConfigurationStore(
+                validator, this::onConfiguration, key -> table.forget(EntryKind.CONFIGURATION, key));
+        gossip = new Gossip(table, peers, this::admit, this::onEntry);
+        allotment = new Allotment(
+                peers, (caller, share) -> listeners.forEach(listener -> listener.shareChanged(caller, share)));
     }
 
     // Inputs
@@ -82,12 +120,17 @@
         if (left) {
             return List.of();
         }
+        this.nowMs = nowMs;
+        if (startMs == Long.MIN_VALUE) {
+            startMs = nowMs;
+        }
         List<Envelope> out = new ArrayList<>();
         membership.tick(nowMs, out);
         List<String> ids = membership.ids();
         remotes.tick(ids, nowMs, out);
         publishDirectory(nowMs);
         gossip.tick(nowMs, out);
+        allotment.tick(nowMs, out);
         return frames(out);
     }
 
@@ -97,11 +140,14 @@
         if (left || sender.id().equals(membership.self().id())) {
             return List.of();
         }
+        this.nowMs = nowMs;
         List<Envelope> out = new ArrayList<>();
         boolean local = sender.dataCentre().equals(membership.self().dataCentre());
         boolean wasMember = local && membership.knows(sender);
         if (local) {
             membership.heardFrom(sender, nowMs, out);
+        } else {
+            remotes.heardFrom(sender, nowMs);
         }
         dispatch(sender, local, wasMember, frame.getMessage(), nowMs, out);
         return frames(out);
@@ -124,8 +170,10 @@
      * @param deadlineMs time at which the entry expires, in ms of this router's clock; {@link GossipEntry#NEVER} is
      *     allowed only for kinds without a longest lifetime
      * @return false if the entry is above a bound of its kind
+     * @throws IllegalArgumentException if the kind is configuration, which only the platform's versions order
      */
     public boolean publish(EntryKind kind, String key, byte[] value, long deadlineMs, long nowMs) {
+        checkPublishable(kind);
         GossipEntry known = table.get(kind, key);
         // The incarnation grows with the start time, so a restarted router numbers above its predecessor.
         long version = Math.max(
@@ -136,9 +184,41 @@
 
     /** Deletes an entry, whoever published it. */
     public void withdraw(EntryKind kind, String key, long nowMs) {
+        checkPublishable(kind);
         gossip.withdraw(kind, key, membership.self().id(), nowMs);
     }
 
+    /**
+     * Offers a configuration object that the platform's watch or a read returned.
+     *
+     * @param value content, or null for a deletion
+     */
+    public ConfigurationStore.Outcome offerConfiguration(String key, long version, byte[] value, long nowMs) {
+        this.nowMs = nowMs;
+        return configuration.offer(key, version, value == null ? null : value.clone());
+    }
+
+    /**
+     * Offers a complete listing of the configuration from the platform.
+     *
+     * @param storeVersion lowest store version of the listing's pages
+     */
+    public void offerConfigurationListing(
+            String prefix, List<ConfigurationObject> listing, long storeVersion, long nowMs) {
+        this.nowMs = nowMs;
+        configuration.offerListing(prefix, listing, storeVersion);
+    }
+
+    /** Replaces the limits of all callers that the routers share. */
+    public void limits(Map<String, CallerLimits> limits) {
+        allotment.limits(limits);
+    }
+
+    /** Takes the load offered to this router since the last call, in rates; to be called every 500 ms to 1 s. */
+    public void observe(Map<String, Amounts> offered, long nowMs) {
+        allotment.observe(offered, nowMs);
+    }
+
     /** Returns the frame that carries a journal message to a member of any data centre, or empty if it is unknown. */
     public Optional<Outgoing> journalFrame(String memberId, Message message) {
         MemberInfo member = membership.member(memberId);
@@ -195,8 +275,73 @@
         return gossip.isSynchronised();
     }
 
+    /** Returns the configuration in effect, for reading. */
+    public ConfigurationStore configuration() {
+        return configuration;
+    }
+
+    /** Returns the share of a caller's limits at this router. */
+    public Share share(String caller) {
+        return allotment.share(caller);
+    }
+
+    /**
+     * Returns whether this router knows what its peers know, so that it may read the platform: it has synchronised with
+     * a peer, or no peer answered for {@link #LEARN_TIMEOUT_MS}.
+     */
+    public boolean mayReadPlatform() {
+        boolean alone = membership.isAlone() && startMs != Long.MIN_VALUE && nowMs - startMs >= LEARN_TIMEOUT_MS;
+        return gossip.isSynchronised() || alone;
+    }
+
+    /** Returns whether this router is one of those in its data centre that watch the platform's configuration now. */
+    public boolean isPlatformWatcher() {
+        String id = membership.self().id();
+        return !left
+                && mayReadPlatform()
+                && RendezvousHash.isAmongTop(id, "platform-watch", membership.ids(), PLATFORM_WATCHERS);
+    }
+
     // Internals
 
+    private static void checkPublishable(EntryKind kind) {
+        if (kind == EntryKind.CONFIGURATION) {
+            throw new IllegalArgumentException("configuration entries come from the platform only");
+        }
+    }
+
+    /** Takes a configuration entry into effect before it enters the table, and refuses it if it is invalid. */
+    private boolean admit(GossipEntry entry) {
+        if (entry.kind() != EntryKind.CONFIGURATION) {
+            return true;
+        }
+        if (!entry.origin().isEmpty() || entry.deadlineMs() != GossipEntry.NEVER) {
+            return false;
+        }
+        admitting = true;
+        try {
+            configuration.offer(entry.key(), entry.version(), entry.value());
+        } finally {
+            admitting = false;
+        }
+        return configuration.holds(entry.key(), entry.version());
+    }
+
+    private void onConfiguration(ConfigurationObject object) {
+        if (!admitting) {
+            gossip.publish(
+                    new GossipEntry(
+                            EntryKind.CONFIGURATION,
+                            object.key(),
+                            object.version(),
+                            "",
+                            object.value(),
+                            GossipEntry.NEVER),
+                    nowMs);
+        }
+        listeners.forEach(listener -> listener.configurationChanged(object));
+    }
+
     private void dispatch(
             MemberInfo sender, boolean local, boolean wasMember, Message message, long nowMs, List<Envelope> out) {
         Address from = sender.address();
@@ -226,8 +371,11 @@
             case ENTRY_REQUEST -> gossip.onEntryRequest(from, local, message.getEntryRequest(), nowMs, out);
             case JOURNAL_REQUEST, JOURNAL_REPLY ->
                 listeners.forEach(listener -> listener.journalMessage(sender, message));
-            case DEMAND_REPORT, SHARE_GRANT -> {
-                // Handled once shared limits are wired.
+            case DEMAND_REPORT -> allotment.onReport(sender.id(), local, message.getDemandReport(), nowMs, out);
+            case SHARE_GRANT -> {
+                if (local) {
+                    allotment.onGrant(sender.id(), message.getShareGrant());
+                }
             }
         }
     }
@@ -263,7 +411,7 @@
                 new Frame(FrameCodec.PROTOCOL_VERSION, membership.self().toThrift(), envelope.message()));
     }
 
-    private final class Peers implements GossipPeers {
+    private final class Peers implements GossipPeers, AllotmentPeers {
         @Override
         public List<Address> randomMembers(int count, Address excluded) {
             return membership.randomMembers(count, excluded);
@@ -278,5 +426,54 @@
         public boolean isLocal(String routerId) {
             return membership.isLocal(routerId);
         }
+
+        @Override
+        public String selfId() {
+            return membership.self().id();
+        }
+
+        @Override
+        public String dataCentre() {
+            return membership.self().dataCentre();
+        }
+
+        @Override
+        public long incarnation() {
+            return membership.self().incarnation();
+        }
+
+        @Override
+        public List<String> localIds() {
+            return membership.ids();
+        }
+
+        @Override
+        public Address localAddress(String id) {
+            MemberInfo member = membership.member(id);
+            return member == null ? null : member.address();
+        }
+
+        @Override
+        public Set<String> remoteDataCentres() {
+            return remotes.names();
+        }
+
+        @Override
+        public Address remoteOwner(String dataCentre, String key) {
+            List<MemberInfo> members = remotes.members(dataCentre);
+            String owner = RendezvousHash.owner(
+                            key, members.stream().map(MemberInfo::id).toList())
+                    .orElse(null);
+            return members.stream()
+                    .filter(info -> info.id().equals(owner))
+                    .map(MemberInfo::address)
+                    .findFirst()
+                    .orElse(null);
+        }
+
+        @Override
+        public int fleetSize() {
+            return membership.others().size() + 1 + remotes.size();
+        }
     }
 }
--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/allotment/AllotmentPeers.java
@@ -0,0 +1,33 @@
+package io.radishwinch.cluster.allotment;
+
+import io.radishwinch.cluster.membership.Address;
+import java.util.List;
+import java.util.Set;
+
+/** The routers that share limits, as membership sees them. */
+public interface AllotmentPeers {
+
+    /** Returns the id of this router. */
+    String selfId();
+
+    /** Returns the own data centre. */
+    String dataCentre();
+
+    /** Returns a number that grows from one process to the next at the same address. */
+    long incarnation();
+
+    /** Returns the ids of all members of the own data centre, including this router. */
+    List<String> localIds();
+
+    /** Returns the address of another member of the own data centre, or null. */
+    Address localAddress(String id);
+
+    /** Returns the other data centres that exist. */
+    Set<String> remoteDataCentres();
+
+    /** Returns the address of the owner of a key in another data centre, or null if its members are unknown. */
+    Address remoteOwner(String dataCentre, String key);
+
+    /** Returns the number of routers in the whole fleet, at least 1. */
+    int fleetSize();
+}
--- a/cluster/src/main/java/io/radishwinch/cluster/gossip/Gossip.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/gossip/Gossip.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * Dissemination of a {@link GossipTable}: changes are pushed once to a few members by each router that learns them, and
@@ -62,6 +63,7 @@
 
     private final GossipTable table;
     private final GossipPeers peers;
+    private final Predicate<GossipEntry> admission;
     private final Consumer<GossipEntry> listener;
     private final Map<PendingKey, Pending> pending = new LinkedHashMap<>();
     private final ByteBudget budget = new ByteBudget();
@@ -78,9 +80,12 @@
     /**
      * Creates the dissemination of a table.
      *
+     * @param admission asked before a newer entry is taken over; a refused one is neither kept nor spread
      * @param listener told about each entry that changed, tombstones included, and, as tombstones, entries that expired
      */
-    public Gossip(GossipTable table, GossipPeers peers, Consumer<GossipEntry> listener) {
+    public Gossip(
+            GossipTable table, GossipPeers peers, Predicate<GossipEntry> admission, Consumer<GossipEntry> listener) {
+        this.admission = admission;
         this.table = table;
         this.peers = peers;
         this.listener = listener;
@@ -230,6 +235,11 @@
     }
 
     private GossipTable.Merge accept(GossipEntry entry, Address source, long nowMs) {
+        GossipEntry known = table.get(entry.kind(), entry.key());
+        boolean newer = known == null || entry.supersedes(known);
+        if (newer && !admission.test(entry)) {
+            return GossipTable.Merge.REFUSED;
+        }
         GossipTable.Merge merge = table.merge(entry, nowMs);
         if (merge == GossipTable.Merge.NEWER) {
             PendingKey key = new PendingKey(entry.kind(), entry.key());
--- a/cluster/src/main/java/io/radishwinch/cluster/gossip/GossipTable.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/gossip/GossipTable.java
@@ -86,6 +86,15 @@
         return buckets.get(BucketHashes.bucket(kind, key)).get(new Key(kind, key));
     }
 
+    /** Removes an entry without leaving a tombstone. */
+    public void forget(EntryKind kind, String key) {
+        int bucket = BucketHashes.bucket(kind, key);
+        GossipEntry known = buckets.get(bucket).remove(new Key(kind, key));
+        if (known != null) {
+            account(bucket, known, -1);
+        }
+    }
+
     /** Returns the entries of a kind without tombstones, in no particular order. */
     public List<GossipEntry> list(EntryKind kind) {
         List<GossipEntry> found = new ArrayList<>();
--- a/cluster/src/main/java/io/radishwinch/cluster/membership/RemoteDataCentres.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/membership/RemoteDataCentres.java
@@ -12,6 +12,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * Links to other data centres.
@@ -38,12 +39,17 @@
     /** Bound on data centres, far above the 12 of the design target. */
     static final int MAX_DATA_CENTRES = 64;
 
+    /** A data centre that the VM list does not contain is forgotten after this silence, in ms. */
+    static final long EXISTENCE_MS = 30_000;
+
     private static final int MAX_MEMBERS = 512;
 
     private final String selfId;
     private final String ownDataCentre;
     private final Random random;
     private final Map<String, Remote> remotes = new TreeMap<>();
+    private boolean seeded;
+    private long nowMs;
 
     private static final class Remote {
         private List<MemberInfo> members = List.of();
@@ -53,6 +59,7 @@
         private boolean confirmed;
         private boolean relay;
         private long nextProbeMs = Long.MIN_VALUE;
+        private long heardMs = -EXISTENCE_MS;
     }
 
     /** Creates the state without any other data centre. */
@@ -62,8 +69,12 @@
         this.random = random;
     }
 
-    /** Replaces the seeds. Data centres that are missing from the list stay known. */
+    /** Replaces the seeds, unless the list is empty. */
     public void seeds(List<Seed> seeds) {
+        if (seeds.isEmpty()) {
+            return;
+        }
+        seeded = true;
         for (Seed seed : seeds) {
             remote(seed.dataCentre());
         }
@@ -86,9 +97,36 @@
         }
     }
 
-    /** Returns the names of the other data centres, in order. */
+    /**
+     * Returns the names of the other data centres that exist, in order: those in the VM list and those that were heard
+     * of late. A data centre that only stopped answering still exists.
+     */
     public Set<String> names() {
-        return new java.util.LinkedHashSet<>(remotes.keySet());
+        Set<String> names = new TreeSet<>();
+        remotes.forEach((name, remote) -> {
+            if (!seeded || !remote.seeds.isEmpty() || nowMs - remote.heardMs < EXISTENCE_MS) {
+                names.add(name);
+            }
+        });
+        return names;
+    }
+
+    /** Takes note of a frame from another data centre. */
+    public void heardFrom(MemberInfo sender, long atMs) {
+        Remote remote = remote(sender.dataCentre());
+        if (remote != null) {
+            remote.heardMs = atMs;
+        }
+    }
+
+    /** Returns the number of routers in all other data centres that exist. */
+    public int size() {
+        int size = 0;
+        for (String name : names()) {
+            Remote remote = remotes.get(name);
+            size += remote.members.isEmpty() ? remote.seeds.size() : remote.members.size();
+        }
+        return size;
     }
 
     /** Returns the members of another data centre by its directory. */
@@ -109,7 +147,8 @@
     }
 
     /** Advances time: probes the targets. */
-    public void tick(Collection<String> localIds, long nowMs, List<Envelope> out) {
+    public void tick(Collection<String> localIds, long tickMs, List<Envelope> out) {
+        nowMs = tickMs;
         remotes.forEach((dataCentre, remote) -> {
             remote.relay = RendezvousHash.isAmongTop(selfId, "relay/" + dataCentre, localIds, RELAYS);
             if (!remote.relay) {
@@ -135,7 +174,6 @@
 
     /** Answers a probe from another data centre. */
     public void onPing(MemberInfo sender, Ping ping, List<Envelope> out) {
-        remote(sender.dataCentre());
         out.add(new Envelope(sender.address(), Message.ack(new Ack(ping.getSequence(), selfId, List.of()))));
     }
 
--- /dev/null
+++ b/cluster/src/test/java/io/radishwinch/cluster/ConfigurationTest.java
@@ -0,0 +1,237 @@
+package io.radishwinch.cluster;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.radishwinch.cluster.configuration.ConfigurationObject;
+import io.radishwinch.cluster.configuration.ConfigurationStore;
+import io.radishwinch.cluster.membership.Seed;
+import io.radishwinch.protocol.generated.EntryKind;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/** Guards against configuration that reverts, is lost, or takes effect although it is invalid. */
+class ConfigurationTest {
+
+    private static final long EFFECT_BOUND_MS = 16_000;
+
+    /** Schedules in a normal run; the system property {@code radishwinch.tries} asks for more. */
+    private static final int TRIES = 200;
+
+    /** The platform of these tests: the newest state and every state before it, for stale reads. */
+    private static final class FakePlatform {
+        final Map<String, ConfigurationObject> objects = new TreeMap<>();
+        final List<Map<String, ConfigurationObject>> history = new ArrayList<>();
+        long version;
+        boolean down;
+
+        void write(String key, String value) {
+            history.add(new TreeMap<>(objects));
+            version++;
+            objects.remove(key);
+            if (value != null) {
+                objects.put(key, new ConfigurationObject(key, version, value.getBytes(StandardCharsets.UTF_8)));
+            }
+        }
+
+        /** Lets each watcher list the configuration, now and then from an old state. */
+        void poll(TestBus bus, Random random) {
+            for (TestBus.Router router : bus.routers.values()) {
+                if (down || router.paused || !router.node.isPlatformWatcher()) {
+                    continue;
+                }
+                boolean stale = !history.isEmpty() && random.nextInt(4) == 0;
+                int index = stale ? random.nextInt(history.size()) : 0;
+                Map<String, ConfigurationObject> state = stale ? history.get(index) : objects;
+                long stateVersion = stale ? index : version;
+                router.node.offerConfigurationListing(
+                        "config/", List.copyOf(state.values()), stateVersion, bus.nowMs + router.skewMs);
+            }
+        }
+    }
+
+    /** Fails when any object at any router moves to a lower version, and counts changes. */
+    private static final class NoRevert implements PeerListener {
+        final Map<String, Long> seen = new HashMap<>();
+
+        @Override
+        public void configurationChanged(ConfigurationObject object) {
+            Long before = seen.put(object.key(), object.version());
+            assertThat(before == null || before < object.version()).isTrue();
+        }
+    }
+
+    private static Map<String, Long> versions(PeerNode node) {
+        Map<String, Long> versions = new TreeMap<>();
+        node.configuration().objects().forEach(o -> versions.put(o.key(), o.version()));
+        return versions;
+    }
+
+    private static Map<String, Long> versions(FakePlatform platform) {
+        Map<String, Long> versions = new TreeMap<>();
+        platform.objects.values().forEach(o -> versions.put(o.key(), o.version()));
+        return versions;
+    }
+
+    private static void assertInEffectEverywhere(TestBus bus, FakePlatform platform) {
+        bus.routers.values().forEach(r -> assertThat(versions(r.node))
+                .as(r.node.self().id())
+                .isEqualTo(versions(platform)));
+    }
+
+    private static void run(TestBus bus, FakePlatform platform, long durationMs) {
+        for (long end = bus.nowMs + durationMs; bus.nowMs < end; ) {
+            platform.poll(bus, bus.random);
+            bus.runFor(Math.min(500, end - bus.nowMs));
+        }
+    }
+
+    private static TestBus.Router start(TestBus bus, Seed seed, List<Seed> seeds, long skewMs) {
+        TestBus.Router router = bus.start(seed, seeds, skewMs);
+        router.node.addListener(new NoRevert());
+        return router;
+    }
+
+    @Property(tries = TRIES, seed = "4711")
+    void no_configuration_ever_reverts_over_random_schedules(@ForAll long seed) {
+        for (int i = 0; i < Math.max(1, Integer.getInteger("radishwinch.tries", TRIES) / TRIES); i++) {
+            runSchedule(seed + i * 7_919L);
+        }
+    }
+
+    private static void runSchedule(long seed) {
+        TestBus bus = new TestBus(seed);
+        FakePlatform platform = new FakePlatform();
+        List<Seed> seeds = TestBus.seeds(2, 3);
+        seeds.forEach(s -> start(bus, s, seeds, bus.random.nextInt(10_001) - 5_000));
+        run(bus, platform, 6_000);
+        for (int step = 0; step < 12; step++) {
+            Seed chosen = seeds.get(bus.random.nextInt(seeds.size()));
+            TestBus.Router router = bus.routers.get(chosen.address());
+            switch (bus.random.nextInt(8)) {
+                case 0 -> platform.down = !platform.down;
+                case 1 -> router.paused = !router.paused;
+                case 2 -> start(bus, chosen, seeds, bus.random.nextInt(10_001) - 5_000);
+                case 3 ->
+                    bus.blocked = bus.random.nextBoolean()
+                            ? (from, to) -> !from.host()
+                                    .substring(0, 6)
+                                    .equals(to.host().substring(0, 6))
+                            : (from, to) -> false;
+                case 4 -> bus.loss = bus.random.nextInt(3) * 0.1;
+                case 5 -> platform.write("config/" + bus.random.nextInt(4), null);
+                default -> platform.write("config/" + bus.random.nextInt(4), "v" + step);
+            }
+            run(bus, platform, bus.random.nextInt(3_000));
+        }
+        bus.blocked = (from, to) -> false;
+        bus.loss = 0;
+        platform.down = false;
+        bus.routers.values().forEach(r -> r.paused = false);
+        run(bus, platform, EFFECT_BOUND_MS);
+        assertInEffectEverywhere(bus, platform);
+    }
+
+    @Example
+    void a_change_is_in_effect_at_60_routers_within_16_s_of_a_partition_from_the_platform_by_half_of_them() {
+        TestBus bus = new TestBus(1);
+        List<Seed> seeds = TestBus.seeds(2, 30);
+        seeds.forEach(s -> start(bus, s, seeds, 0));
+        bus.runFor(8_000);
+        // Only the first data centre reaches the platform, so the second one learns through relays.
+        for (int i = 0; i < 50; i++) {
+            for (TestBus.Router r : bus.routers.values()) {
+                if (r.node.isPlatformWatcher() && r.node.self().dataCentre().equals("dc0")) {
+                    r.node.offerConfiguration("config/" + i, i + 1, new byte[1_000], bus.nowMs);
+                }
+            }
+        }
+        bus.runFor(EFFECT_BOUND_MS);
+        bus.routers.values().forEach(r -> {
+            assertThat(r.node.configuration().versionInEffect()).isEqualTo(50);
+            assertThat(r.node.configuration().objects()).hasSize(50);
+        });
+    }
+
+    @Example
+    void replacing_every_router_while_the_platform_is_down_for_30_min_loses_nothing() {
+        TestBus bus = new TestBus(2);
+        FakePlatform platform = new FakePlatform();
+        List<Seed> seeds = TestBus.seeds(1, 8);
+        seeds.forEach(s -> start(bus, s, seeds, 0));
+        run(bus, platform, 6_000);
+        for (int i = 0; i < 20; i++) {
+            platform.write("config/" + i, "value");
+        }
+        platform.write("config/3", null);
+        run(bus, platform, EFFECT_BOUND_MS);
+        long fingerprint = bus.node("dc0", 0).configuration().fingerprint();
+        platform.down = true;
+        long outageEndMs = bus.nowMs + 30 * 60_000;
+        for (int i = 0; i < 8; i++) {
+            Seed old = TestBus.seed("dc0", i);
+            bus.send(old.address(), bus.routers.remove(old.address()).node.leave(bus.nowMs));
+            // The VM list cannot be read either, so every other VM takes over its predecessor's address as a seed.
+            Seed replacement = new Seed("dc0-new" + i, "dc0", TestBus.address("dc0", i % 2 == 0 ? i : 100 + i));
+            TestBus.Router router = start(bus, replacement, seeds, 0);
+            bus.runFor(EFFECT_BOUND_MS);
+            assertThat(router.node.configuration().fingerprint()).isEqualTo(fingerprint);
+            bus.runFor(200_000);
+        }
+        bus.runUntil(outageEndMs);
+        // A tombstone must survive too: a stale read after the outage must not bring the object back.
+        bus.routers.values().forEach(r -> assertThat(
+                        r.node.offerConfiguration("config/3", 4, new byte[] {1}, bus.nowMs))
+                .isEqualTo(ConfigurationStore.Outcome.STALE));
+        platform.down = false;
+        run(bus, platform, EFFECT_BOUND_MS);
+        assertInEffectEverywhere(bus, platform);
+    }
+
+    @Example
+    void an_invalid_object_is_refused_whole_and_neither_kept_nor_spread() {
+        List<ConfigurationObject> inEffect = new ArrayList<>();
+        ConfigurationStore store = new ConfigurationStore(
+                (key, value) -> value.length > 3 ? Optional.of("too long") : Optional.empty(),
+                inEffect::add,
+                key -> {});
+        assertThat(store.offer("a", 5, new byte[3])).isEqualTo(ConfigurationStore.Outcome.IN_EFFECT);
+        assertThat(store.offer("a", 9, new byte[4])).isEqualTo(ConfigurationStore.Outcome.INVALID);
+        assertThat(store.object("a").orElseThrow().version()).isEqualTo(5);
+        assertThat(store.refused()).singleElement().satisfies(r -> {
+            assertThat(r.version()).isEqualTo(9);
+            assertThat(r.problem()).isEqualTo("too long");
+        });
+        assertThat(store.offer("a", 4, new byte[1])).isEqualTo(ConfigurationStore.Outcome.STALE);
+        assertThat(store.offer("a", 10, new byte[1])).isEqualTo(ConfigurationStore.Outcome.IN_EFFECT);
+        assertThat(store.refused()).isEmpty();
+        assertThat(inEffect).hasSize(2);
+    }
+
+    @Example
+    void dropping_old_tombstones_does_not_bring_objects_back() {
+        List<String> forgotten = new ArrayList<>();
+        ConfigurationStore store = new ConfigurationStore((key, value) -> Optional.empty(), o -> {}, forgotten::add);
+        for (int i = 0; i <= ConfigurationStore.MAX_TOMBSTONES; i++) {
+            store.offer("k" + i, 2L * i + 2, null);
+        }
+        assertThat(forgotten).contains("k0").hasSize(ConfigurationStore.MAX_TOMBSTONES / 4);
+        assertThat(store.offer("k0", 1, new byte[1])).isEqualTo(ConfigurationStore.Outcome.STALE);
+    }
+
+    @Example
+    void only_the_platform_can_write_configuration() {
+        PeerNode node = new PeerNode("r", "dc0", TestBus.address("dc0", 0), 1, 1);
+        assertThatThrownBy(() -> node.publish(EntryKind.CONFIGURATION, "k", new byte[1], 5, 1))
+                .isInstanceOf(IllegalArgumentException.class);
+    }
+}
--- /dev/null
+++ b/cluster/src/test/java/io/radishwinch/cluster/ControlCostTest.java
@@ -0,0 +1,153 @@
+package io.radishwinch.cluster;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.cluster.allotment.Amounts;
+import io.radishwinch.cluster.allotment.CallerLimits;
+import io.radishwinch.cluster.membership.Seed;
+import io.radishwinch.protocol.generated.EntryKind;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against control traffic above 3 KB/s per router at the design target. With the system property
+ * {@code radishwinch.measure} the table of docs/CAPACITY.md is printed.
+ */
+class ControlCostTest {
+
+    private static final double BOUND_BYTES_PER_S = 3_000;
+    private static final int CALLERS = 1_300;
+    private static final double FLEET_REQUESTS_PER_S = 8_200;
+    private static final int FLEET_ROUTERS = 360;
+
+    /** Mean and largest bytes/s, frames/s and CPU time of a fleet. */
+    private record Cost(double meanBytesPerS, double maxBytesPerS, double framesPerS, double cpuUsPerS) {}
+
+    private final Map<String, Double> byMessage = new TreeMap<>();
+
+    private Cost measure(int dataCentres, int perDataCentre, boolean busy, int seconds) {
+        TestBus bus = new TestBus(dataCentres * 1_000L + perDataCentre);
+        List<Seed> seeds = TestBus.seeds(dataCentres, perDataCentre);
+        bus.startAll(seeds);
+        Map<String, CallerLimits> limits = new HashMap<>();
+        for (int c = 0; c < CALLERS; c++) {
+            double requestsPerS = 2.0 * callerRequestsPerS(c);
+            limits.put("caller-" + c, new CallerLimits(new Amounts(requestsPerS, requestsPerS * 300, 50), 10));
+        }
+        if (busy) {
+            bus.routers.values().forEach(r -> r.node.limits(limits));
+        }
+        bus.runFor(10_000);
+        for (int s = 0; busy && s < 10; s++) {
+            work(bus, s);
+        }
+        bus.routers.values().forEach(r -> {
+            r.sentBytes = 0;
+            r.sentFrames = 0;
+            r.cpuNs = 0;
+            r.bytesByMessage.clear();
+        });
+        for (int s = 10; s < 10 + seconds; s++) {
+            if (busy) {
+                work(bus, s);
+            } else {
+                bus.runFor(1_000);
+            }
+        }
+        byMessage.clear();
+        double nodes = bus.routers.size();
+        bus.routers
+                .values()
+                .forEach(r -> r.bytesByMessage.forEach((k, v) -> byMessage.merge(k, v / nodes / seconds, Double::sum)));
+        return new Cost(
+                bus.routers.values().stream()
+                                .mapToLong(r -> r.sentBytes)
+                                .average()
+                                .orElse(0)
+                        / seconds,
+                bus.routers.values().stream().mapToLong(r -> r.sentBytes).max().orElse(0) / (double) seconds,
+                bus.routers.values().stream()
+                                .mapToLong(r -> r.sentFrames)
+                                .average()
+                                .orElse(0)
+                        / seconds,
+                bus.routers.values().stream().mapToLong(r -> r.cpuNs).average().orElse(0) / seconds / 1e3);
+    }
+
+    /** Demand of a caller over the fleet: a few large callers and many small ones, by Zipf's law. */
+    private static double callerRequestsPerS(int caller) {
+        return FLEET_REQUESTS_PER_S / 7.75 / (caller + 1);
+    }
+
+    /** One second of a busy fleet: random arrivals, load entries, endpoint events and configuration changes. */
+    private static void work(TestBus bus, int second) {
+        for (int half = 0; half < 2; half++) {
+            for (TestBus.Router router : bus.routers.values()) {
+                Map<String, Amounts> offered = new HashMap<>();
+                for (int c = 0; c < CALLERS; c++) {
+                    double mean = callerRequestsPerS(c) / FLEET_ROUTERS / 2;
+                    int arrivals = 0;
+                    for (double p = bus.random.nextDouble(), l = Math.exp(-mean); p > l; arrivals++) {
+                        p *= bus.random.nextDouble();
+                    }
+                    if (arrivals > 0) {
+                        offered.put("caller-" + c, new Amounts(arrivals * 2, arrivals * 600, arrivals * 6));
+                    }
+                }
+                router.node.observe(offered, bus.nowMs);
+            }
+            bus.runFor(500);
+        }
+        int index = 0;
+        for (TestBus.Router router : bus.routers.values()) {
+            // Every router tells its running attempts on about 30 endpoints every 10 s.
+            if ((index++ + second) % 10 == 0) {
+                String key = router.node.self().id();
+                router.node.publish(EntryKind.ENDPOINT_LOAD, key, new byte[120], bus.nowMs + 30_000, bus.nowMs);
+            }
+        }
+        List<TestBus.Router> all = List.copyOf(bus.routers.values());
+        PeerNode any = all.get(bus.random.nextInt(all.size())).node;
+        any.publish(EntryKind.EJECTION, "engine-" + second, new byte[40], bus.nowMs + 60_000, bus.nowMs);
+        if (second % 9 == 0) {
+            // 9,600 configuration changes a day are one in 9 s; every watcher sees it.
+            for (TestBus.Router router : all) {
+                if (router.node.isPlatformWatcher()) {
+                    router.node.offerConfiguration("config/" + second, second + 1, new byte[800], bus.nowMs);
+                }
+            }
+        }
+    }
+
+    @Test
+    void a_router_sends_at_most_3_kb_per_s_with_30_routers_in_each_of_12_data_centres() {
+        assertThat(measure(12, 30, false, 10).maxBytesPerS()).isLessThan(BOUND_BYTES_PER_S);
+        assertThat(measure(12, 30, true, 10).meanBytesPerS()).isLessThan(BOUND_BYTES_PER_S);
+    }
+
+    @Test
+    void the_table_of_the_capacity_page_is_printed_on_request() {
+        if (!Boolean.getBoolean("radishwinch.measure")) {
+            return;
+        }
+        System.out.println("| DCs x routers | load | mean B/s | max B/s | frames/s | CPU us/s |");
+        for (boolean busy : new boolean[] {false, true}) {
+            for (int[] size : new int[][] {{1, 2}, {1, 4}, {1, 8}, {1, 16}, {1, 32}, {3, 8}, {3, 30}, {12, 30}}) {
+                Cost cost = measure(size[0], size[1], busy, 30);
+                System.out.printf(
+                        "| %d x %d | %s | %.0f | %.0f | %.1f | %.0f | %s%n",
+                        size[0],
+                        size[1],
+                        busy ? "busy" : "quiet",
+                        cost.meanBytesPerS(),
+                        cost.maxBytesPerS(),
+                        cost.framesPerS(),
+                        cost.cpuUsPerS(),
+                        byMessage);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/cluster/src/test/java/io/radishwinch/cluster/SharedLimitsTest.java
@@ -0,0 +1,183 @@
+package io.radishwinch.cluster;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.cluster.allotment.Allotment;
+import io.radishwinch.cluster.allotment.Amounts;
+import io.radishwinch.cluster.allotment.CallerLimits;
+import io.radishwinch.cluster.membership.RendezvousHash;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToDoubleFunction;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against fleets that admit more or less than the limit, or that divide it wrongly after failures. */
+class SharedLimitsTest {
+
+    private static final String CALLER = "clinic";
+    private static final double LIMIT_TOKENS_PER_S = 10_000;
+    private static final double FLOOR_TOKENS_PER_S = 1_500;
+    private static final CallerLimits LIMITS =
+            new CallerLimits(new Amounts(100, LIMIT_TOKENS_PER_S, 80), FLOOR_TOKENS_PER_S);
+    private static final double TOLERANCE = 0.10;
+    private static final long CONVERGENCE_MS = 3_000;
+
+    /** Offered tokens/s by router id. */
+    private final Map<String, Double> offered = new HashMap<>();
+
+    private static TestBus fleet(int dataCentres, int perDataCentre) {
+        TestBus bus = new TestBus(dataCentres * 100L + perDataCentre);
+        bus.startAll(TestBus.seeds(dataCentres, perDataCentre));
+        bus.routers.values().forEach(r -> r.node.limits(Map.of(CALLER, LIMITS)));
+        bus.runFor(8_000);
+        return bus;
+    }
+
+    private static Amounts amounts(double tokensPerS) {
+        return new Amounts(tokensPerS / 100, tokensPerS, tokensPerS / 125);
+    }
+
+    private void run(TestBus bus, long durationMs) {
+        for (long end = bus.nowMs + durationMs; bus.nowMs < end; ) {
+            bus.routers
+                    .values()
+                    .forEach(r -> r.node.observe(
+                            Map.of(
+                                    CALLER,
+                                    amounts(offered.getOrDefault(r.node.self().id(), 0.0))),
+                            bus.nowMs));
+            bus.runFor(Math.min(500, end - bus.nowMs));
+        }
+    }
+
+    private double admitted(TestBus bus, ToDoubleFunction<Amounts> dimension, String dataCentre) {
+        return bus.routers.values().stream()
+                .map(r -> r.node)
+                .filter(node -> node.self().dataCentre().startsWith(dataCentre))
+                .mapToDouble(node -> Math.min(
+                        dimension.applyAsDouble(
+                                amounts(offered.getOrDefault(node.self().id(), 0.0))),
+                        dimension.applyAsDouble(node.share(CALLER).amounts())))
+                .sum();
+    }
+
+    private void assertWithinLimit(TestBus bus) {
+        double demand = bus.routers.values().stream()
+                .mapToDouble(r -> offered.getOrDefault(r.node.self().id(), 0.0))
+                .sum();
+        double wanted = Math.min(demand, LIMIT_TOKENS_PER_S);
+        double slack = TOLERANCE * LIMIT_TOKENS_PER_S;
+        assertThat(admitted(bus, Amounts::tokensPerS, "dc")).isBetween(wanted - slack, wanted + slack);
+        assertThat(admitted(bus, Amounts::requestsPerS, "dc") * 100).isBetween(wanted - slack, wanted + slack);
+        assertThat(admitted(bus, Amounts::concurrent, "dc") * 125).isBetween(wanted - slack, wanted + slack);
+    }
+
+    private void offer(TestBus bus, double... tokensPerS) {
+        offered.clear();
+        List<TestBus.Router> routers = List.copyOf(bus.routers.values());
+        for (int i = 0; i < tokensPerS.length; i++) {
+            offered.put(routers.get(i).node.self().id(), tokensPerS[i]);
+        }
+    }
+
+    @Test
+    void eight_routers_with_uneven_arrivals_stay_within_a_tenth_of_the_limit_3_s_after_every_change() {
+        TestBus bus = fleet(1, 8);
+        double[][] steps = {
+            {9_000, 3_000, 500, 100, 10, 0, 0, 0},
+            {0, 0, 0, 0, 0, 0, 20_000, 100},
+            {200, 300, 400, 100, 100, 200, 100, 300},
+            {5_000, 5_000, 5_000, 5_000, 5_000, 5_000, 5_000, 5_000},
+            {0, 900, 0, 0, 0, 0, 0, 0},
+            {0, 0, 0, 100_000, 0, 0, 0, 0},
+        };
+        for (double[] step : steps) {
+            offer(bus, step);
+            run(bus, CONVERGENCE_MS);
+            assertWithinLimit(bus);
+            run(bus, 10_000);
+            assertWithinLimit(bus);
+        }
+    }
+
+    @Test
+    void three_data_centres_follow_demand_that_moves_between_them_in_3_s() {
+        TestBus bus = fleet(3, 8);
+        double[] first = new double[24];
+        java.util.Arrays.fill(first, 0, 8, 3_000);
+        first[9] = 700;
+        offer(bus, first);
+        run(bus, CONVERGENCE_MS);
+        assertWithinLimit(bus);
+        double[] moved = new double[24];
+        java.util.Arrays.fill(moved, 16, 22, 4_000);
+        offer(bus, moved);
+        run(bus, CONVERGENCE_MS);
+        assertWithinLimit(bus);
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {0.0, 0.05})
+    void the_loss_of_the_owner_or_of_the_busiest_router_keeps_the_limit(double loss) {
+        TestBus bus = fleet(1, 8);
+        bus.loss = loss;
+        offer(bus, 9_000, 8_000, 7_000, 500, 100, 100, 100, 100);
+        run(bus, 10_000);
+        String owner = RendezvousHash.owner(
+                        Allotment.ownerKey(Allotment.bucketOf(CALLER)),
+                        bus.routers.values().stream()
+                                .map(r -> r.node.self().id())
+                                .toList())
+                .orElseThrow();
+        bus.routers.values().removeIf(r -> r.node.self().id().equals(owner));
+        run(bus, 5_000 + CONVERGENCE_MS);
+        assertWithinLimit(bus);
+        bus.routers.remove(bus.routers.keySet().iterator().next());
+        run(bus, 5_000 + CONVERGENCE_MS);
+        assertWithinLimit(bus);
+    }
+
+    @Test
+    void a_partitioned_data_centre_keeps_its_last_share_and_the_floor_and_the_overshoot_is_below_the_floors() {
+        TestBus bus = fleet(3, 8);
+        double[] load = new double[24];
+        java.util.Arrays.fill(load, 0, 8, 2_000);
+        load[8] = 1_000;
+        offer(bus, load);
+        run(bus, 10_000);
+        bus.blocked =
+                (from, to) -> from.host().startsWith("10.0.2.") != to.host().startsWith("10.0.2.");
+        run(bus, 10_000);
+        java.util.Arrays.fill(load, 8, 24, 20_000);
+        offer(bus, load);
+        run(bus, 20_000);
+        // The third data centre had no demand before, so it serves the floor and nothing beyond its share.
+        double slack = TOLERANCE * LIMIT_TOKENS_PER_S;
+        assertThat(admitted(bus, Amounts::tokensPerS, "dc2"))
+                .isBetween(FLOOR_TOKENS_PER_S * (1 - TOLERANCE), FLOOR_TOKENS_PER_S + slack);
+        double floors = bus.routers.values().stream()
+                .filter(r -> r.node.self().dataCentre().equals("dc2"))
+                .mapToDouble(r -> r.node.share(CALLER).floorShare())
+                .sum();
+        assertThat(floors).isBetween(1 - TOLERANCE, 1.0 + 1e-6 + 0.01);
+        assertThat(admitted(bus, Amounts::tokensPerS, "dc"))
+                .isBetween(LIMIT_TOKENS_PER_S - slack, LIMIT_TOKENS_PER_S + 3 * FLOOR_TOKENS_PER_S);
+        bus.blocked = (from, to) -> false;
+        run(bus, 12_000);
+        assertWithinLimit(bus);
+    }
+
+    @Test
+    void duplicated_reordered_and_lost_messages_do_not_change_the_limit() {
+        TestBus bus = fleet(2, 8);
+        bus.loss = 0.05;
+        bus.duplication = 0.2;
+        bus.maxDelayMs = 400;
+        offer(bus, 9_000, 0, 0, 4_000, 0, 0, 100, 100, 2_000, 2_000);
+        run(bus, 15_000);
+        assertWithinLimit(bus);
+    }
+}
--- a/protocol/src/main/thrift/radishwinch.thrift
+++ b/protocol/src/main/thrift/radishwinch.thrift
@@ -71,14 +71,6 @@
   4: required i64 milliConcurrent
 }
 
-/** Demand of one router (inside a data centre) or of one data centre (between them) for the callers of a bucket. */
-struct DemandReport {
-  1: required i32 bucket
-  2: required i64 sequence
-  3: required bool whole
-  4: required list<CallerDemand> demands
-}
-
 /** Share of one caller's limits; floorPermille is the part of the contracted floors, in thousandths. */
 struct CallerShare {
   1: required string caller
@@ -88,6 +80,22 @@
   5: required i32 floorPermille
 }
 
+/**
+ * Demand of one router (inside a data centre) or of one data centre (between them) for the callers of a bucket.
+ * A whole report replaces earlier ones. The optional fields: the data centre and its owner of the bucket; data centres
+ * that this owner does not hear; the shares that a router holds, for an owner that has just taken over.
+ */
+struct DemandReport {
+  1: required i32 bucket
+  2: required i64 sequence
+  3: required bool whole
+  4: required list<CallerDemand> demands
+  5: optional string dataCentre
+  6: optional string origin
+  7: optional list<string> unheard
+  8: optional list<CallerShare> held
+}
+
 /** Shares that the owner of a bucket grants to one router. */
 struct ShareGrant {
   1: required i32 bucket
