--- a/config/src/main/java/io/radishwinch/config/settings/SettingKey.java
+++ b/config/src/main/java/io/radishwinch/config/settings/SettingKey.java
@@ -202,6 +202,15 @@
             0,
             "",
             "File with the key that this router presents with orders to engines that check them."),
+    /** Rate at which engines of this data centre may read weights together. */
+    PLACEMENT_STORE_BYTES_PER_S(
+            "placement.storeBytesPerS",
+            Kind.NUMBER,
+            "1000000000",
+            1,
+            1e13,
+            "bytes/s",
+            "Rate at which engines of this data centre may read weights together."),
     /** Event loops that serve callers and endpoints. */
     TRAFFIC_THREADS(
             "trafficThreads", Kind.INTEGER, "2", 1, 256, "threads", "Event loops that serve callers and endpoints."),
--- a/server/src/main/java/io/radishwinch/server/AdminControl.java
+++ b/server/src/main/java/io/radishwinch/server/AdminControl.java
@@ -1,6 +1,7 @@
 package io.radishwinch.server;
 
 import io.radishwinch.cluster.PeerNode;
+import io.radishwinch.cluster.configuration.ConfigurationObject;
 import io.radishwinch.cluster.membership.MemberInfo;
 import io.radishwinch.cluster.platform.PlatformClient;
 import io.radishwinch.cluster.platform.PlatformClient.PutResult;
@@ -159,23 +160,27 @@
 
     // Configuration objects
 
+    /** The platform knows who made the last change; while it is down, the object in effect is returned without that. */
     @Override
     public Uni<Optional<StoredDocument>> getObject(ObjectKind kind, String name) {
-        return onControl(() -> Optional.ofNullable(configuration.objects().get(kind.key(name)))
-                .flatMap(object -> document(kind.key(name), object)));
+        return onControl(() -> platform.get(kind.key(name)))
+                .flatMap(found -> found)
+                .map(found -> found.map(AdminControl::document))
+                .onFailure()
+                .recoverWithUni(error -> onControl(
+                        () -> node.configuration().object(kind.key(name)).map(AdminControl::document)));
     }
 
     @Override
     public Uni<List<StoredDocument>> listObjects(ObjectKind kind) {
-        return onControl(() -> new TreeMap<>(configuration.objects())
-                .entrySet().stream()
-                        .filter(entry -> entry.getKey().startsWith(kind.key("")))
-                        .flatMap(entry -> document(entry.getKey(), entry.getValue()).stream())
-                        .toList());
+        return onControl(() -> node.configuration().objects().stream()
+                .filter(object -> object.key().startsWith(kind.key("")))
+                .map(AdminControl::document)
+                .toList());
     }
 
-    private static Optional<StoredDocument> document(String key, ConfigurationFollower.Versioned object) {
-        return object.text().map(text -> document(key, object.version(), text, object.nonce()));
+    private static StoredDocument document(ConfigurationObject object) {
+        return document(object.key(), object.version(), new String(object.value(), StandardCharsets.UTF_8), "");
     }
 
     private static StoredDocument document(String key, long version, String text, String nonce) {
@@ -192,12 +197,20 @@
     public Uni<ChangeResult> putObject(
             ObjectKind kind, String name, String text, long expectedVersion, ChangeMark change) {
         byte[] value = text.getBytes(StandardCharsets.UTF_8);
-        return onPlatform(() -> platform.put(kind.key(name), expectedVersion, value, change.toNonce()));
+        return onPlatform(() -> platform.put(kind.key(name), expectedVersion, value, change.toNonce())
+                .invoke(result -> written(kind.key(name), result, value)));
     }
 
     @Override
     public Uni<ChangeResult> deleteObject(ObjectKind kind, String name, long expectedVersion, ChangeMark change) {
-        return onPlatform(() -> platform.delete(kind.key(name), expectedVersion, change.toNonce()));
+        return onPlatform(() -> platform.delete(kind.key(name), expectedVersion, change.toNonce())
+                .invoke(result -> written(kind.key(name), result, null)));
+    }
+
+    private void written(String key, PutResult result, byte[] value) {
+        if (result instanceof PutResult.Written written) {
+            configuration.written(key, written.version(), value);
+        }
     }
 
     private Uni<ChangeResult> onPlatform(Supplier<Uni<PutResult>> write) {
--- a/server/src/main/java/io/radishwinch/server/ControlLoop.java
+++ b/server/src/main/java/io/radishwinch/server/ControlLoop.java
@@ -22,6 +22,7 @@
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private Runnable idleListener = () -> {};
     private Consumer<Event> observer = event -> {};
+    private Consumer<String> finishListener = requestId -> {};
 
     /**
      * Creates a loop.
@@ -43,6 +44,11 @@
         observer = newObserver;
     }
 
+    /** Sets a function that is told of the final action of each request; to be called before the first event. */
+    public void onFinish(Consumer<String> listener) {
+        finishListener = listener;
+    }
+
     /** Applies an event on the control thread; may be called from any thread. */
     public void post(Event event) {
         execute(() -> apply(event));
@@ -134,6 +140,7 @@
         if (exchange != null) {
             call.accept(exchange);
         }
+        finishListener.accept(requestId);
         notifyIfIdle();
     }
 
--- a/server/src/main/java/io/radishwinch/server/RouterProcess.java
+++ b/server/src/main/java/io/radishwinch/server/RouterProcess.java
@@ -1,6 +1,5 @@
 package io.radishwinch.server;
 
-import io.radishwinch.cluster.PeerListener;
 import io.radishwinch.cluster.PeerNode;
 import io.radishwinch.cluster.journal.JournalListener;
 import io.radishwinch.cluster.journal.JournalSettings;
@@ -10,18 +9,24 @@
 import io.radishwinch.cluster.membership.Seed;
 import io.radishwinch.cluster.platform.PlatformClient;
 import io.radishwinch.cluster.platform.PlatformClient.Vm;
+import io.radishwinch.config.settings.RouterFeature;
 import io.radishwinch.config.settings.RouterSettings;
 import io.radishwinch.config.settings.SettingKey;
 import io.radishwinch.core.action.Action;
-import io.radishwinch.core.chain.ChainPlanner;
-import io.radishwinch.core.chain.FewestStagesChainPlanner;
+import io.radishwinch.core.chain.CostChainPlanner;
+import io.radishwinch.core.chain.EndpointTable;
 import io.radishwinch.core.chain.TableEndpointDirectory;
 import io.radishwinch.core.event.Event;
+import io.radishwinch.core.health.HealthSettings;
 import io.radishwinch.core.impl.CoreSettings;
 import io.radishwinch.core.impl.TableDecisionCore;
 import io.radishwinch.core.model.FleetConfig;
 import io.radishwinch.core.model.Reason;
-import io.radishwinch.protocol.generated.Message;
+import io.radishwinch.core.placement.NeverGrantedLease;
+import io.radishwinch.core.placement.PlacementLease;
+import io.radishwinch.core.placement.PlacementPlanner;
+import io.radishwinch.core.placement.PlacementSettings;
+import io.radishwinch.core.placement.RendezvousPlacementLease;
 import io.radishwinch.report.FleetEvent;
 import io.radishwinch.server.engine.ClientOptions;
 import io.radishwinch.server.engine.HttpEngineClient;
@@ -42,6 +47,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.ThreadLocalRandom;
 
@@ -55,6 +61,10 @@
     private static final long CACHE_INTERVAL_MS = 1000;
     private static final long DAY_TICK_INTERVAL_MS = 10_000;
     private static final long HAND_OVER_TIMEOUT_MS = 2000;
+    private static final long SHARE_INTERVAL_MS = 500;
+
+    /** An isolated router stops giving orders after this time, in ms; longer than the detection of a failed router. */
+    private static final long PLACEMENT_LEASE_MS = 6000;
 
     private final RouterSettings settings;
     private final RouterClock clock = new RouterClock();
@@ -76,6 +86,9 @@
     private ConfigurationFollower configuration;
     private DayService day;
     private OrderSender orders;
+    private SharedState shared;
+    private DemandMeter demand;
+    private RendezvousPlacementLease lease;
     private CallerServer callers;
     private volatile int adminPort;
     private volatile boolean configured;
@@ -118,11 +131,10 @@
     /** Starts all servers; fails if an address is in use or a TLS file cannot be read. */
     public Future<Void> start() {
         Context context = controlVertx.getOrCreateContext();
-        TableEndpointDirectory directory = new TableEndpointDirectory();
-        ChainPlanner planner = new FewestStagesChainPlanner(directory.table());
-        TableDecisionCore core = TableDecisionCore.create(CoreSettings.defaults(), directory, planner);
+        TableDecisionCore core = decisionCore();
         control = new ControlLoop(context, clock, core, this::perform);
         control.observe(this::observe);
+        control.onFinish(requestId -> demand.finished(requestId));
         ClientOptions options = ClientOptions.defaults();
         HttpEngineClient engines = new HttpEngineClient(controlVertx, options, clock, "");
         endpoints = new EndpointTracker(control, engines);
@@ -131,7 +143,6 @@
                 settings.text(SettingKey.PLATFORM_HOST),
                 settings.integer(SettingKey.PLATFORM_PORT),
                 options);
-        configuration = new ConfigurationFollower(controlVertx, platform, this::configure);
         peers = new PeerTransport(
                 controlVertx,
                 PeerTls.of(settings),
@@ -143,6 +154,22 @@
                 .compose(ignored -> startAdmin());
     }
 
+    private TableDecisionCore decisionCore() {
+        EndpointTable table = new EndpointTable();
+        String routerId = settings.text(SettingKey.ROUTER_ID);
+        lease = new RendezvousPlacementLease(routerId, PLACEMENT_LEASE_MS);
+        PlacementLease effective =
+                settings.isEnabled(RouterFeature.PLACEMENT_ORDERS) ? lease : new NeverGrantedLease(PLACEMENT_LEASE_MS);
+        PlacementPlanner placement = new PlacementPlanner(
+                PlacementSettings.forStore(settings.number(SettingKey.PLACEMENT_STORE_BYTES_PER_S)),
+                effective,
+                endpointId -> OptionalLong.of(0));
+        TableEndpointDirectory directory = new TableEndpointDirectory(table, HealthSettings.defaults(), placement);
+        long seed = ThreadLocalRandom.current().nextLong();
+        return TableDecisionCore.create(
+                CoreSettings.defaults().withSeed(seed), directory, new CostChainPlanner(table, seed));
+    }
+
     private void startControl(Context context, HttpEngineClient engines, int peerPort) {
         String routerId = settings.text(SettingKey.ROUTER_ID);
         String host = settings.text(SettingKey.PEER_HOST);
@@ -150,7 +177,13 @@
         String processId = PeerJournal.processId(id, startedAtMs);
         Random random = new Random();
         node = new PeerNode(
-                id, settings.text(SettingKey.DATA_CENTRE), new Address(host, peerPort), startedAtMs, random.nextLong());
+                id,
+                settings.text(SettingKey.DATA_CENTRE),
+                new Address(host, peerPort),
+                startedAtMs,
+                random.nextLong(),
+                ConfigurationFollower::problem);
+        configuration = new ConfigurationFollower(platform, node, clock, this::configure);
         JournalSettings journalSettings = JournalSettings.of(processId);
         journalPeers = new PeerJournal(controlVertx, node, journalSettings.peerTimeoutMs(), peers::send);
         journal = new ShardedJournal(
@@ -164,8 +197,14 @@
         day = new DayService(platform, processId, ZoneId.systemDefault());
         orders = new OrderSender(control, platform, engines, endpoints, processId);
         callers = new CallerServer(trafficVertx, settings, callerParts());
-        node.addListener(new Listener());
-        configuration.start();
+        demand = new DemandMeter(clock.getAsLong());
+        shared = new SharedState(
+                node,
+                control,
+                endpoints,
+                configuration,
+                (sender, message) -> journalPeers.receive(sender, message, journal));
+        node.addListener(shared);
         startTimers();
     }
 
@@ -192,7 +231,8 @@
 
     private void startTimers() {
         every(TICK_INTERVAL_MS, () -> control.post(new Event.Tick()));
-        every(PeerNode.TICK_INTERVAL_MS, () -> peers.send(node.tick(clock.getAsLong())));
+        every(PeerNode.TICK_INTERVAL_MS, this::tickPeers);
+        every(SHARE_INTERVAL_MS, this::shareLoad);
         every(settings.integer(SettingKey.ENDPOINT_LOAD_INTERVAL_MS), endpoints::readLoads);
         every(CACHE_INTERVAL_MS, endpoints::readCacheEvents);
         every(settings.integer(SettingKey.PLATFORM_VM_LIST_MS), this::readVms);
@@ -272,6 +312,24 @@
 
     // Control thread
 
+    private void tickPeers() {
+        peers.send(node.tick(clock.getAsLong()));
+        configuration.tick();
+    }
+
+    private void shareLoad() {
+        long nowMs = clock.getAsLong();
+        node.observe(demand.read(nowMs), nowMs);
+        shared.publishLoad();
+        List<String> live =
+                new ArrayList<>(node.members().stream().map(MemberInfo::id).toList());
+        // A router that hears neither from peers nor from the platform may be cut off, so it gives no orders.
+        if (!live.isEmpty() || platformHealth.isReachable()) {
+            live.add(node.self().id());
+            lease.confirm(live, nowMs);
+        }
+    }
+
     private void readVms() {
         platform.vms().subscribe().with(this::vmsRead, error -> platformHealth.failed());
     }
@@ -303,13 +361,20 @@
         }
         LOG.log(System.Logger.Level.INFO, "configuration version {0} is in effect", config.version());
         authenticator.configure(config);
+        shared.configure(config);
         control.post(new Event.ConfigInForce(config));
         configured = true;
     }
 
     /** Sees every event before the decision core does. */
     private void observe(Event event) {
-        if (event instanceof Event.AttemptFailed failed
+        if (event instanceof Event.RequestArrived arrived) {
+            demand.arrived(arrived.request());
+        } else if (event instanceof Event.CallerGone gone) {
+            demand.finished(gone.requestId());
+        } else if (event instanceof Event.EndpointLeaving leaving) {
+            shared.leaving(leaving.endpointId());
+        } else if (event instanceof Event.AttemptFailed failed
                 && (failed.reason() == Reason.STAGE_DIED || failed.reason() == Reason.ENDPOINT_TIMEOUT)) {
             endpoints.suspect(failed.failedEndpointId());
         } else if (event instanceof Event.EndpointGone gone && gone.crashed()) {
@@ -326,19 +391,10 @@
             day.record(FleetEvent.Kind.RESPONSE, change.subject(), change.change());
         } else if (action instanceof Action.OrderEngine order) {
             orders.send(order);
-        }
-    }
-
-    /** Takes changes of the state that routers share. */
-    private final class Listener implements PeerListener {
-        @Override
-        public void memberChanged(MemberInfo member) {
-            LOG.log(System.Logger.Level.INFO, "router {0} is {1}", member.id(), member.state());
-        }
-
-        @Override
-        public void journalMessage(MemberInfo sender, Message message) {
-            journalPeers.receive(sender, message, journal);
+        } else if (action instanceof Action.ShareQuarantine quarantine) {
+            shared.quarantined(quarantine);
+        } else if (action instanceof Action.ShareCrash crash) {
+            shared.crashed(crash);
         }
     }
 
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/SharedState.java
@@ -0,0 +1,185 @@
+package io.radishwinch.server;
+
+import io.radishwinch.cluster.PeerListener;
+import io.radishwinch.cluster.PeerNode;
+import io.radishwinch.cluster.allotment.Amounts;
+import io.radishwinch.cluster.allotment.CallerLimits;
+import io.radishwinch.cluster.allotment.Share;
+import io.radishwinch.cluster.configuration.ConfigurationObject;
+import io.radishwinch.cluster.gossip.GossipEntry;
+import io.radishwinch.cluster.gossip.KindPolicy;
+import io.radishwinch.cluster.membership.MemberInfo;
+import io.radishwinch.core.DecisionCore.EndpointView;
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.Contract;
+import io.radishwinch.core.model.FleetConfig;
+import io.radishwinch.core.model.RankTerms;
+import io.radishwinch.protocol.generated.EntryKind;
+import io.radishwinch.protocol.generated.Message;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+
+/** Translates between the decision core and the state that routers share; used on the control thread. */
+final class SharedState implements PeerListener {
+    private static final System.Logger LOG = System.getLogger(SharedState.class.getName());
+    private static final long LOAD_LIFETIME_MS = 5_000;
+    private static final long CRASH_LIFETIME_MS = 600_000;
+    private static final long LEAVING_LIFETIME_MS = 3_600_000;
+    private static final String CRASH_SEPARATOR = "|";
+
+    private final PeerNode node;
+    private final ControlLoop control;
+    private final EndpointTracker endpoints;
+    private final ConfigurationFollower configuration;
+    private final BiConsumer<MemberInfo, Message> journalReceiver;
+    private final Map<String, Map<String, Integer>> peerLoads = new HashMap<>();
+    private final Set<String> reportedEndpoints = new HashSet<>();
+    private byte[] publishedLoad = {};
+
+    SharedState(
+            PeerNode node,
+            ControlLoop control,
+            EndpointTracker endpoints,
+            ConfigurationFollower configuration,
+            BiConsumer<MemberInfo, Message> journalReceiver) {
+        this.node = node;
+        this.control = control;
+        this.endpoints = endpoints;
+        this.configuration = configuration;
+        this.journalReceiver = journalReceiver;
+    }
+
+    // From the decision core to the peers
+
+    void configure(FleetConfig config) {
+        Map<String, CallerLimits> limits = new HashMap<>();
+        for (Contract contract : config.contracts().values()) {
+            double floor = contract.ranks().values().stream()
+                    .mapToDouble(RankTerms::floorTokensPerS)
+                    .sum();
+            Amounts amounts = new Amounts(
+                    contract.limits().requestsPerS(),
+                    contract.limits().tokensPerS(),
+                    contract.limits().concurrentRequests());
+            limits.put(contract.caller(), new CallerLimits(amounts, floor));
+        }
+        node.limits(limits);
+    }
+
+    void quarantined(Action.ShareQuarantine action) {
+        node.publish(EntryKind.QUARANTINE, action.fingerprint(), new byte[0], action.untilMs(), control.nowMs());
+    }
+
+    void crashed(Action.ShareCrash action) {
+        String key = action.fingerprint() + CRASH_SEPARATOR + action.endpointId();
+        node.publish(EntryKind.CRASH, key, new byte[0], control.nowMs() + CRASH_LIFETIME_MS, control.nowMs());
+    }
+
+    void leaving(String endpointId) {
+        if (node.entry(EntryKind.LEAVING, endpointId).isEmpty()) {
+            node.publish(
+                    EntryKind.LEAVING, endpointId, new byte[0], control.nowMs() + LEAVING_LIFETIME_MS, control.nowMs());
+        }
+    }
+
+    /** Publishes the attempts that this router runs on each endpoint. */
+    void publishLoad() {
+        Map<String, Integer> running = new HashMap<>();
+        for (EndpointView endpoint : control.core().view().endpoints()) {
+            if (endpoint.running() > 0) {
+                running.put(endpoint.endpointId(), endpoint.running());
+            }
+        }
+        byte[] value = EndpointLoads.encode(
+                running, KindPolicy.of(EntryKind.ENDPOINT_LOAD).maxValueBytes());
+        boolean idle = running.isEmpty() && publishedLoad.length == value.length;
+        if (!idle) {
+            node.publish(
+                    EntryKind.ENDPOINT_LOAD,
+                    node.self().id(),
+                    value,
+                    control.nowMs() + LOAD_LIFETIME_MS,
+                    control.nowMs());
+            publishedLoad = value;
+        }
+    }
+
+    // From the peers to the decision core
+
+    @Override
+    public void memberChanged(MemberInfo member) {
+        LOG.log(System.Logger.Level.INFO, "router {0} is {1}", member.id(), member.state());
+    }
+
+    @Override
+    public void configurationChanged(ConfigurationObject object) {
+        configuration.objectChanged();
+    }
+
+    @Override
+    public void shareChanged(String caller, Share share) {
+        control.post(new Event.AllotmentChanged(
+                caller,
+                share.amounts().requestsPerS(),
+                share.amounts().tokensPerS(),
+                share.amounts().concurrent(),
+                share.floorShare()));
+    }
+
+    @Override
+    public void journalMessage(MemberInfo sender, Message message) {
+        journalReceiver.accept(sender, message);
+    }
+
+    @Override
+    public void entryChanged(GossipEntry entry) {
+        boolean own = entry.origin().equals(node.self().id());
+        if (own) {
+            return;
+        }
+        switch (entry.kind()) {
+            case QUARANTINE -> {
+                if (!entry.isTombstone()) {
+                    control.post(new Event.QuarantineShared(entry.key(), entry.deadlineMs()));
+                }
+            }
+            case CRASH -> crashEntry(entry);
+            case LEAVING -> {
+                if (!entry.isTombstone()) {
+                    endpoints.markLeaving(entry.key());
+                }
+            }
+            case ENDPOINT_LOAD -> loadEntry(entry);
+            default -> {
+                // The other kinds are handled inside the shared state.
+            }
+        }
+    }
+
+    private void crashEntry(GossipEntry entry) {
+        int separator = entry.key().indexOf(CRASH_SEPARATOR);
+        if (!entry.isTombstone() && separator > 0) {
+            String fingerprint = entry.key().substring(0, separator);
+            control.post(new Event.CrashShared(fingerprint, entry.key().substring(separator + 1)));
+        }
+    }
+
+    private void loadEntry(GossipEntry entry) {
+        Map<String, Integer> loads = entry.isTombstone() ? Map.of() : EndpointLoads.decode(entry.value());
+        peerLoads.put(entry.key(), loads);
+        if (loads.isEmpty()) {
+            peerLoads.remove(entry.key());
+        }
+        Map<String, Integer> sums = new HashMap<>();
+        peerLoads.values().forEach(each -> each.forEach((id, running) -> sums.merge(id, running, Integer::sum)));
+        Set<String> changed = new HashSet<>(reportedEndpoints);
+        changed.addAll(sums.keySet());
+        changed.forEach(id -> control.post(new Event.PeerLoad(id, sums.getOrDefault(id, 0))));
+        reportedEndpoints.clear();
+        reportedEndpoints.addAll(sums.keySet());
+    }
+}
