Estimate the achievable throughput by a packing of chains; test the rest

A refused placement order was repeated only after 60 s. Tests of planners, bound, health and placement. Endpoints move again at once to repair lost layers.

--- a/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
@@ -214,8 +214,12 @@
      * Attributes the difference between the measured and the expected token interval of a chain to those of its links
      * that were not measured directly of late, in equal parts.
      */
-    void measureChain(Chain chain, double tokenIntervalMs, long nowMs) {
+    void measureChain(Chain chain, double firstTokenMs, double tokenIntervalMs, long nowMs) {
         links.measureStream(tokenIntervalMs);
+        PoolIndex index = poolOf(chain);
+        if (index != null) {
+            index.measureAnswer(firstTokenMs, tokenIntervalMs);
+        }
         if (tokenIntervalMs <= 0) {
             return;
         }
@@ -243,6 +247,12 @@
         }
     }
 
+    private PoolIndex poolOf(Chain chain) {
+        EndpointRow row = rows.get(chain.head().endpointId());
+        boolean isKnown = row != null && row.entries.size() == 1;
+        return isKnown ? pools.get(row.entries.get(0).pool) : null;
+    }
+
     /** Marks an endpoint that this router ordered to replace its layers; it receives no new work meanwhile. */
     void setReloading(EndpointRow row, boolean reloading) {
         if (row.reloading != reloading) {
@@ -266,7 +276,7 @@
         ModelSpec pool = config.pool(request.pool());
         PoolIndex index = pools.get(request.pool());
         if (index != null && sign > 0) {
-            index.measureRequest(request.costTokens());
+            index.measureRequest(request.costTokens(), request.maxNewTokens());
         }
         EndpointRow previous = null;
         for (Stage stage : chain.stages()) {
--- a/core/src/main/java/io/radishwinch/core/chain/PoolCapacity.java
+++ b/core/src/main/java/io/radishwinch/core/chain/PoolCapacity.java
@@ -3,7 +3,9 @@
 import io.radishwinch.core.model.ModelSpec;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * Capacities of the stages and links of a pool, for {@link ThroughputBound}.
@@ -14,6 +16,9 @@
  */
 final class PoolCapacity {
 
+    /** Logarithm of the ratio up to which layer times count as alike, about ten percent. */
+    private static final double ALIKE_LOG = 0.1;
+
     private final EndpointTable table;
     private final ModelSpec pool;
     private final List<HeldRange> entries = new ArrayList<>();
@@ -39,6 +44,36 @@
         return ThroughputBound.tokensPerS(pool.layerCount(), stages(), links);
     }
 
+    /** Returns the packing of chains for stages alike in range and layer time. */
+    ChainPacking packing() {
+        links();
+        Map<List<Integer>, double[]> groups = new LinkedHashMap<>();
+        boolean each = entries.size() <= ThroughputBound.MAX_STAGES_WITH_PAIRS;
+        for (int i = 0; i < entries.size(); i++) {
+            HeldRange entry = entries.get(i);
+            int end = Math.min(entry.end, pool.layerCount());
+            double layerUs = entry.row.layerTimeUs();
+            int alike = each ? i : (int) Math.round(Math.log(layerUs) / ALIKE_LOG);
+            double[] sums = groups.computeIfAbsent(List.of(entry.first, end, alike), key -> new double[2]);
+            double streams = streams(entry, end);
+            sums[0] += streams;
+            sums[1] += streams * layerUs;
+        }
+        groups.values().removeIf(sums -> sums[0] <= 0);
+        int[] first = new int[groups.size()];
+        int[] last = new int[groups.size()];
+        double[] layerUs = new double[groups.size()];
+        double[] slots = new double[groups.size()];
+        int i = 0;
+        for (Map.Entry<List<Integer>, double[]> group : groups.entrySet()) {
+            first[i] = group.getKey().get(0);
+            last[i] = group.getKey().get(1);
+            slots[i] = group.getValue()[0];
+            layerUs[i++] = group.getValue()[1] / slots[i - 1];
+        }
+        return new ChainPacking(pool.layerCount(), first, last, layerUs, slots, hopUs);
+    }
+
     private List<ThroughputBound.LinkCapacity> links() {
         List<ThroughputBound.LinkCapacity> links = new ArrayList<>();
         for (HeldRange from : entries) {
--- a/core/src/main/java/io/radishwinch/core/chain/PoolIndex.java
+++ b/core/src/main/java/io/radishwinch/core/chain/PoolIndex.java
@@ -23,6 +23,9 @@
     private CandidateList[][] lists = new CandidateList[16][];
     private int zoneCount = 1;
     private double meanRequestTokens;
+    private double answerShare = 1;
+    private boolean answerShareKnown;
+    private double meanNewTokens;
 
     List<HeldRange> entries() {
         return entries;
@@ -33,8 +36,24 @@
         return meanRequestTokens;
     }
 
-    void measureRequest(long tokens) {
-        meanRequestTokens += (meanRequestTokens == 0 ? 1 : REQUEST_GAIN) * (tokens - meanRequestTokens);
+    /** Returns the share of slot time in which answer tokens are produced; the rest goes to prompts. */
+    double answerShare() {
+        return answerShare;
+    }
+
+    void measureAnswer(double firstTokenMs, double tokenIntervalMs) {
+        double answerMs = tokenIntervalMs * Math.max(1, meanNewTokens);
+        if (firstTokenMs > tokenIntervalMs && tokenIntervalMs > 0) {
+            double share = answerMs / (answerMs + firstTokenMs - tokenIntervalMs);
+            answerShare += (answerShareKnown ? REQUEST_GAIN : 1) * (share - answerShare);
+            answerShareKnown = true;
+        }
+    }
+
+    void measureRequest(long tokens, long newTokens) {
+        double gain = meanRequestTokens == 0 ? 1 : REQUEST_GAIN;
+        meanRequestTokens += gain * (tokens - meanRequestTokens);
+        meanNewTokens += gain * (newTokens - meanNewTokens);
     }
 
     int zoneCount() {
--- a/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
+++ b/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
@@ -121,7 +121,7 @@
 
     @Override
     public List<Action> succeeded(Chain chain, long firstTokenMs, double tokenIntervalMs, long nowMs) {
-        table.measureChain(chain, tokenIntervalMs, nowMs);
+        table.measureChain(chain, firstTokenMs, tokenIntervalMs, nowMs);
         chain.stages().forEach(stage -> health.succeeded(stage.endpointId()));
         return List.of();
     }
@@ -185,6 +185,7 @@
     }
 
     private void tick(long nowMs, List<Action> actions) {
+        bounds.tick();
         if (placement != null && nowMs >= nextPlacementMs) {
             nextPlacementMs = nowMs + PLACEMENT_INTERVAL_MS;
             place(nowMs, actions);
--- a/core/src/main/java/io/radishwinch/core/placement/PlacementPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/placement/PlacementPlanner.java
@@ -69,6 +69,7 @@
         }
         if (!accepted) {
             pending.remove(endpointId);
+            movedAtMs.remove(endpointId);
         } else if (!(order.order instanceof EngineOrder.LoadLayers)) {
             pending.remove(endpointId);
             done.computeIfAbsent(endpointId, key -> new HashSet<>()).add(order.order);
@@ -213,7 +214,7 @@
         /** Returns the endpoint to load a range on; without load data, all routers choose the same one. */
         private PlacementEndpoint donor(ModelSpec model, LayerRange range, boolean idleOnly) {
             return endpoints.values().stream()
-                    .filter(endpoint -> mayMove(endpoint) && layersThatFit(endpoint, model) > 0)
+                    .filter(endpoint -> mayMove(endpoint, idleOnly) && layersThatFit(endpoint, model) > 0)
                     .filter(endpoint -> !idleOnly || isIdle(endpoint, model) && lease.holds(endpoint.id(), nowMs))
                     .min(Comparator.comparing((PlacementEndpoint endpoint) ->
                                     !endpoint.holdings().isEmpty())
@@ -224,9 +225,9 @@
                     .orElse(null);
         }
 
-        private boolean mayMove(PlacementEndpoint endpoint) {
+        private boolean mayMove(PlacementEndpoint endpoint, boolean afterCooldown) {
             Long lastMs = movedAtMs.get(endpoint.id());
-            boolean cooling = lastMs != null && nowMs - lastMs < settings.cooldownMs();
+            boolean cooling = afterCooldown && lastMs != null && nowMs - lastMs < settings.cooldownMs();
             if (endpoint.ejected() || cooling || pending.containsKey(endpoint.id())) {
                 return false;
             }
--- a/core/src/test/java/io/radishwinch/core/chain/PlannerMeasurement.java
+++ b/core/src/test/java/io/radishwinch/core/chain/PlannerMeasurement.java
@@ -41,7 +41,8 @@
     private long refused;
     private double deliveredTokens;
 
-    private record Running(double endMs, long number, int router, Chain chain, RequestSpec request, double tokenMs)
+    private record Running(
+            double endMs, long number, int router, Chain chain, RequestSpec request, double firstMs, double tokenMs)
             implements Comparable<Running> {
         @Override
         public int compareTo(Running other) {
@@ -92,6 +93,10 @@
                 directories.get(router).handle(new Event.Tick(), nowMs);
             }
         }
+        directories.get(0).boundTokensPerS("m", END_MS);
+        for (int i = 0; i < 500; i++) {
+            directories.get(0).handle(new Event.Tick(), END_MS);
+        }
         double bound = directories.get(0).boundTokensPerS("m", END_MS);
         return new Result(
                 deliveredTokens * 1000 / (END_MS - WARM_UP_MS),
@@ -165,14 +170,14 @@
         // Tokens count by their share of the measured window, so that long answers do not bias it.
         double from = Math.max(WARM_UP_MS, nowMs + firstMs);
         deliveredTokens += Math.max(0, Math.min(END_MS, endMs) - from) / tokenMs;
-        running.add(
-                new Running(endMs, Long.parseLong(request.requestId().substring(1)), router, chain, request, tokenMs));
+        running.add(new Running(
+                endMs, Long.parseLong(request.requestId().substring(1)), router, chain, request, firstMs, tokenMs));
     }
 
     private void finish(Running done, long nowMs) {
         done.chain.stages().forEach(stage -> change(done.router, stage, done.request, -1));
         directories.get(done.router).release(done.chain, done.request, nowMs);
-        directories.get(done.router).succeeded(done.chain, 0, done.tokenMs, nowMs);
+        directories.get(done.router).succeeded(done.chain, Math.round(done.firstMs), done.tokenMs, nowMs);
     }
 
     private void change(int router, Stage stage, RequestSpec request, int sign) {
--- /dev/null
+++ b/core/src/test/java/io/radishwinch/core/chain/ThroughputBoundTest.java
@@ -0,0 +1,83 @@
+package io.radishwinch.core.chain;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.data.Offset.offset;
+
+import io.radishwinch.core.chain.ThroughputBound.LinkCapacity;
+import io.radishwinch.core.chain.ThroughputBound.StageCapacity;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a bound that differs from the smallest cut, found by trying every cut. */
+class ThroughputBoundTest {
+
+    @Property(seed = "31", tries = 150)
+    void withUnlimitedLinksTheBoundIsTheSmallestSetOfStagesWithoutWhichLayersAreMissing(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<StageCapacity> stages = new ArrayList<>();
+        for (int i = 0; i < 7; i++) {
+            int first = random.nextInt(5);
+            stages.add(new StageCapacity("s" + i, first, first + 1 + random.nextInt(5 - first), 1 + random.nextInt(9)));
+        }
+        double smallest = Double.MAX_VALUE;
+        for (int cut = 0; cut < 1 << stages.size(); cut++) {
+            double capacity = 0;
+            int layers = 0;
+            for (int i = 0; i < stages.size(); i++) {
+                StageCapacity stage = stages.get(i);
+                boolean removed = (cut >> i & 1) == 1;
+                capacity += removed ? stage.tokensPerS() : 0;
+                layers |= removed ? 0 : (1 << stage.end()) - (1 << stage.first());
+            }
+            smallest = layers == 31 ? smallest : Math.min(smallest, capacity);
+        }
+        assertThat(ThroughputBound.tokensPerS(5, stages, List.of())).isEqualTo(smallest, offset(1e-6));
+    }
+
+    @Property(seed = "32", tries = 100)
+    void withLimitedLinksTheBoundIsTheSmallestCutOfStagesAndLinks(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<StageCapacity> stages = new ArrayList<>();
+        List<LinkCapacity> links = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            // Stages of one layer cannot be split, so that no chain passes through two stages of the same slice.
+            stages.add(new StageCapacity("s" + i, i / 2, i / 2 + 1, 1 + random.nextInt(9)));
+        }
+        for (int from = 0; from < 4; from++) {
+            for (int to = from / 2 * 2 + 2; to < from / 2 * 2 + 4; to++) {
+                links.add(new LinkCapacity("s" + from, "s" + to, 1 + random.nextInt(5)));
+            }
+        }
+        // A cut assigns each stage's two sides to the source or the sink; 12 sides give 4,096 cuts.
+        double smallest = Double.MAX_VALUE;
+        for (int cut = 0; cut < 1 << 12; cut++) {
+            double capacity = 0;
+            for (int i = 0; i < 6; i++) {
+                capacity += isCut(cut, 2 * i, 2 * i + 1) ? stages.get(i).tokensPerS() : 0;
+                capacity += i < 2 && (cut >> 2 * i & 1) == 0 ? 1_000 : 0;
+                capacity += i >= 4 && (cut >> (2 * i + 1) & 1) == 1 ? 1_000 : 0;
+            }
+            for (LinkCapacity link : links) {
+                int from = link.fromId().charAt(1) - '0';
+                int to = link.toId().charAt(1) - '0';
+                capacity += isCut(cut, 2 * from + 1, 2 * to) ? link.tokensPerS() : 0;
+            }
+            smallest = Math.min(smallest, capacity);
+        }
+        assertThat(ThroughputBound.tokensPerS(3, stages, links)).isEqualTo(smallest, offset(1e-6));
+    }
+
+    private static boolean isCut(int cut, int from, int to) {
+        return (cut >> from & 1) == 1 && (cut >> to & 1) == 0;
+    }
+
+    @Test
+    void anUncoveredModelHasNoThroughput() {
+        assertThat(ThroughputBound.tokensPerS(8, List.of(new StageCapacity("a", 0, 6, 10)), List.of()))
+                .isZero();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/radishwinch/core/health/EndpointHealthTest.java
@@ -0,0 +1,125 @@
+package io.radishwinch.core.health;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.core.model.Reason;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** Guards against endpoints that fail and keep their work, and against ejection of most of a pool. */
+class EndpointHealthTest {
+
+    private final Map<String, Double> layerTimesUs = new HashMap<>();
+    private final EndpointHealth health = health(9);
+
+    private EndpointHealth health(int size) {
+        layerTimesUs.clear();
+        EndpointHealth created = new EndpointHealth(HealthSettings.defaults(), new HealthView() {
+            @Override
+            public Collection<String> poolsOf(String endpointId) {
+                return List.of("m");
+            }
+
+            @Override
+            public Collection<String> membersOf(String pool) {
+                return layerTimesUs.keySet();
+            }
+
+            @Override
+            public boolean isCoveredWithout(String pool, String endpointId) {
+                return true;
+            }
+
+            @Override
+            public String kindOf(String endpointId) {
+                return "k";
+            }
+
+            @Override
+            public double layerTimeUs(String endpointId) {
+                return layerTimesUs.get(endpointId);
+            }
+        });
+        for (int i = 0; i < size; i++) {
+            layerTimesUs.put("e" + i, 500.0);
+            created.joined("e" + i, 0);
+        }
+        return created;
+    }
+
+    @Property(seed = "41", tries = 100)
+    void neverMoreThanAThirdOfAPoolIsEjected(@ForAll long seed, @ForAll @IntRange(min = 1, max = 30) int size) {
+        EndpointHealth pool = health(size);
+        SplittableRandom random = new SplittableRandom(seed);
+        for (long nowMs = 0; nowMs < 60_000; nowMs += 100) {
+            String id = "e" + random.nextInt(size);
+            pool.failed(id, random.nextBoolean() ? Reason.STAGE_DIED : Reason.ENDPOINT_TIMEOUT, nowMs);
+            layerTimesUs.put("e" + random.nextInt(size), random.nextInt(10) < 3 ? 6_000.0 : 500.0);
+            if (nowMs % 1_000 == 0) {
+                pool.tick(nowMs);
+            }
+            long ejected =
+                    layerTimesUs.keySet().stream().filter(pool::isEjected).count();
+            assertThat(ejected * 3).isLessThanOrEqualTo(size);
+        }
+    }
+
+    @Test
+    void anEjectedEndpointReturnsInStepsAndOneFailureEjectsItForLonger() {
+        for (int i = 0; i < 3; i++) {
+            health.failed("e0", Reason.STAGE_DIED, 1_000);
+        }
+        assertThat(health.weight("e0", 1_000)).isZero();
+        double last = 0;
+        for (long nowMs = 6_000; nowMs <= 9_000; nowMs += 3_000) {
+            health.tick(nowMs);
+            assertThat(health.weight("e0", nowMs)).isGreaterThan(last).isLessThan(1);
+            last = health.weight("e0", nowMs);
+        }
+        health.failed("e0", Reason.STAGE_DIED, 9_500);
+        health.tick(15_000);
+        assertThat(health.weight("e0", 15_000)).isZero();
+        for (long nowMs = 20_000; nowMs <= 32_000; nowMs += 1_000) {
+            health.tick(nowMs);
+        }
+        assertThat(health.weight("e0", 32_000)).isEqualTo(1);
+    }
+
+    @Test
+    void aSuccessBetweenFailuresPreventsEjection() {
+        for (int i = 0; i < 10; i++) {
+            health.failed("e0", Reason.STAGE_DIED, i);
+            health.failed("e0", Reason.ENDPOINT_TIMEOUT, i);
+            health.succeeded("e0");
+        }
+        assertThat(health.weight("e0", 10)).isEqualTo(1);
+    }
+
+    @Test
+    void aSlowEndpointReturnsOnlyWhenItIsFastAgain() {
+        layerTimesUs.put("e0", 5_000.0);
+        for (long nowMs = 0; nowMs <= 20_000; nowMs += 1_000) {
+            health.tick(nowMs);
+        }
+        assertThat(health.isEjected("e0")).isTrue();
+        layerTimesUs.put("e0", 500.0);
+        health.tick(21_000);
+        assertThat(health.weight("e0", 21_000)).isPositive();
+    }
+
+    @Test
+    void anEndpointThatJoinsLaterStartsSlowly() {
+        layerTimesUs.put("new", 500.0);
+        health.joined("new", 60_000);
+        assertThat(health.weight("new", 60_000)).isEqualTo(0.1);
+        assertThat(health.weight("new", 67_500)).isEqualTo(0.5);
+        assertThat(health.weight("new", 75_000)).isEqualTo(1);
+    }
+}
