Check the core with random events and refuse streams whose position is unknown

Cause: CorePropertyTest (seed 21) found that a cancelled attempt without a report of its end resumed from an outdated count of tokens, so the caller would receive tokens twice. Change: such a request is refused after the cancel timeout. Properties: one end for each request, one live attempt, epochs that increase, at most one run of non-repeatable requests, not-run only if nothing ran, bounded tables, nothing left, the same actions for the same events. Conclusion: adapters must report the end of cancelled attempts.

--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -118,7 +118,8 @@
                 state.pool(row.spec.pool()).sampleUnfinished(row.spec, nowMs - row.attemptStartedAtMs, nowMs);
                 state.refuse(row, state.deadlineReason(row, Reason.DEADLINE_EXCEEDED), nowMs);
             } else if (row.state == RequestRow.State.CANCELLING && row.dueAtMs <= nowMs) {
-                ended(row, row.cancelEndpointId, row.cancelReason, Verdict.MAY_HAVE_RUN, nowMs);
+                // A resume from an outdated count would deliver tokens twice.
+                state.refuse(row, row.cancelReason, nowMs);
             }
         }
         for (RequestRow row : List.copyOf(state.waiting)) {
--- a/core/src/main/java/io/radishwinch/core/impl/CoreSettings.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreSettings.java
@@ -14,7 +14,7 @@
  * @param limitBurstMs burst of a caller's rate limits, in ms of its rate
  * @param initialAllotmentShare share of a contract's limits used before the first allotment, 0 to 1
  * @param uncoveredGraceMs time for which requests are still queued for a pool that lost its cover, in ms
- * @param cancelTimeoutMs time after which a cancelled attempt counts as ended without an event, in ms
+ * @param cancelTimeoutMs time within which the end of a cancelled attempt must be reported, in ms
  * @param exclusionMs longest wait for an endpoint on which no earlier attempt failed, in ms
  * @param preemptAfterMs wait of urgent work after which batch work yields, in ms
  * @param maxPreemptions preemptions of one request
@@ -79,7 +79,7 @@
         return toBuilder().uncoveredGraceMs(value).build();
     }
 
-    /** Returns a copy with another time after which a cancelled attempt counts as ended without an event, in ms. */
+    /** Returns a copy with another time within which the end of a cancelled attempt must be reported, in ms. */
     public CoreSettings withCancelTimeoutMs(long value) {
         return toBuilder().cancelTimeoutMs(value).build();
     }
@@ -182,7 +182,7 @@
             return this;
         }
 
-        /** Sets the time after which a cancelled attempt counts as ended without an event, in ms. */
+        /** Sets the time within which the end of a cancelled attempt must be reported, in ms. */
         public Builder cancelTimeoutMs(long value) {
             this.cancelTimeoutMs = value;
             return this;
--- a/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -22,7 +22,8 @@
  *
  * <p>Systems run over the tables on each tick and on the events that concern them. An adapter answers every
  * {@link Action.CancelAttempt} of a request that has not ended with the attempt's end, either finished or failed with
- * the tokens delivered; without an answer the attempt counts as ended after {@link CoreSettings#cancelTimeoutMs()}.
+ * the tokens delivered; without this answer the request is refused after {@link CoreSettings#cancelTimeoutMs()}, since
+ * it is not known from which token it would resume.
  */
 public final class TableDecisionCore implements DecisionCore {
 
@@ -166,6 +167,10 @@
 
     // Views
 
+    CoreState state() {
+        return state;
+    }
+
     @Override
     public Optional<RequestView> request(String requestId) {
         RequestRow row = state.requests.get(requestId);
--- /dev/null
+++ b/core/src/test/java/io/radishwinch/core/impl/CorePropertyTest.java
@@ -0,0 +1,140 @@
+package io.radishwinch.core.impl;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.Limits;
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Verdict;
+import io.radishwinch.core.quarantine.QuarantineSettings;
+import io.radishwinch.core.queue.QueueSettings;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/**
+ * Guards against wrong, missing or second answers, second runs of non-repeatable requests and leaks under random
+ * events. {@link CoreBench} checks each action; the properties check what is left at the end.
+ */
+class CorePropertyTest {
+
+    private static final int CAPACITY = 60;
+    private static final long END_MS = 20_000;
+    /** Longest deadline of a request after the last arrival, with room for the last tick. */
+    private static final long SETTLED_MS = END_MS + 11_000;
+
+    private static CoreBench chaos(long seed) {
+        Random random = new Random(seed);
+        FakeDirectory directory =
+                new FakeDirectory(1 + random.nextInt(3), 4 + random.nextInt(6), 1 + random.nextInt(4));
+        CoreBench bench = CoreBench.of(
+                directory,
+                CoreSettings.defaults()
+                        .withSeed(seed)
+                        .withQueue(QueueSettings.defaults().withCapacity(CAPACITY))
+                        .withQuarantine(QuarantineSettings.defaults().withMaxEntries(50)));
+        bench.confirmCancels = random.nextInt(4) > 0;
+        for (String caller : List.of("a", "b", "c")) {
+            bench.contract(caller, 1 + random.nextInt(3), new Limits(200, 20_000, 80), random.nextInt(2) * 300);
+        }
+        Random outcomes = new Random(seed + 1);
+        bench.endpoints = start -> outcome(bench, start, outcomes);
+        int requests = 50 + random.nextInt(400);
+        for (int n = 0; n < requests; n++) {
+            RequestSpec spec = request("r" + n, random);
+            bench.arrive(spec);
+            if (random.nextInt(15) == 0) {
+                bench.at(spec.arrivedAtMs() + random.nextInt(2_000), new Event.CallerGone(spec.requestId()));
+            }
+        }
+        for (int n = 0; n < 20; n++) {
+            bench.at(random.nextInt((int) END_MS), controlEvent(random));
+        }
+        if (random.nextInt(3) == 0) {
+            bench.at(END_MS / 2, new Event.DrainStarted(END_MS / 2 + 3_000));
+        }
+        return bench;
+    }
+
+    private static RequestSpec request(String id, Random random) {
+        boolean service = random.nextInt(5) == 0;
+        long arrivedAtMs = random.nextInt((int) END_MS);
+        return new RequestSpec(
+                id,
+                "" + "abcd".charAt(random.nextInt(4)),
+                Rank.values()[random.nextInt(3)],
+                service ? "service:pay" : CoreBench.MODEL,
+                random.nextInt(50),
+                service ? 0 : 1 + random.nextInt(300),
+                arrivedAtMs,
+                arrivedAtMs + random.nextInt(10_000),
+                random.nextInt(4) == 0 ? "shared" + random.nextInt(5) : "f-" + id,
+                List.of(),
+                !service || random.nextBoolean());
+    }
+
+    private static CoreBench.Outcome outcome(CoreBench bench, Action.StartAttempt start, Random random) {
+        String head = start.chain().head().endpointId();
+        int delivered = start.resumeFromToken();
+        return switch (random.nextInt(40)) {
+            case 0, 9 -> CoreBench.fails(start, 5, Reason.STAGE_DIED, Verdict.NOT_RUN, delivered);
+            case 1 -> CoreBench.fails(start, 5, Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN, delivered);
+            case 2 -> CoreBench.fails(start, 500, Reason.ENDPOINT_TIMEOUT, Verdict.MAY_HAVE_RUN, delivered);
+            case 3 -> CoreBench.fails(start, 50, Reason.SLOW_READER, Verdict.MAY_HAVE_RUN, delivered);
+            case 4 -> new CoreBench.Outcome(20, new Event.EndpointGone(head, random.nextBoolean()));
+            case 5 -> null;
+            case 6, 7, 8 -> CoreBench.fails(start, 5, Reason.ENDPOINT_REFUSED, Verdict.NOT_RUN, delivered);
+            default -> bench.finishes(start);
+        };
+    }
+
+    private static Event controlEvent(Random random) {
+        String fingerprint = "shared" + random.nextInt(5);
+        return switch (random.nextInt(5)) {
+            case 0 ->
+                new Event.AllotmentChanged(
+                        "a", random.nextInt(100), random.nextInt(20_000), random.nextInt(40), random.nextDouble());
+            case 1 -> new Event.CrashShared(fingerprint, "peer" + random.nextInt(3));
+            case 2 -> new Event.QuarantineShared(fingerprint, random.nextInt(40_000));
+            case 3 -> new Event.AttemptFailed("r1", random.nextInt(4), "0-0", Reason.STAGE_DIED, Verdict.NOT_RUN, 0);
+            default -> new Event.AttemptFinished("r2", random.nextInt(2) + 7, 5);
+        };
+    }
+
+    @Property(seed = "21", tries = 150)
+    void everyRequestEndsExactlyOnceAndNothingIsLeft(@ForAll long seed) {
+        CoreBench bench = chaos(seed);
+        for (long atMs = 0; atMs <= SETTLED_MS; atMs += 100) {
+            bench.run(atMs);
+            CoreState state = bench.core.state();
+            // Requeued requests held a slot or a place in the queue before, so both bounds together limit the queue.
+            assertThat(state.requests.size()).isLessThanOrEqualTo(CAPACITY + bench.directory.totalSlots());
+            assertThat(state.quarantine.size()).isLessThanOrEqualTo(3 * 50 + bench.directory.totalSlots());
+            bench.traces.values().stream().filter(t -> t.live).forEach(t -> assertThat(state.requests)
+                    .containsKey(t.spec.requestId()));
+        }
+        assertThat(bench.traces.values()).allMatch(t -> t.end != null || t.callerGone);
+        CoreState state = bench.core.state();
+        assertThat(state.requests).isEmpty();
+        assertThat(state.running).isEmpty();
+        assertThat(state.waiting).isEmpty();
+        assertThat(state.queue.size()).isZero();
+        assertThat(state.attemptsByEndpoint).isEmpty();
+        assertThat(state.observedEndpointIds).isEmpty();
+        assertThat(bench.directory.runningByEndpoint.values()).allMatch(running -> running == 0);
+        assertThat(state.callers.values()).allMatch(caller -> caller.active == 0);
+    }
+
+    @Property(seed = "22", tries = 25)
+    void theSameEventsGiveTheSameActions(@ForAll long seed) {
+        CoreBench first = chaos(seed);
+        CoreBench second = chaos(seed);
+        first.run(SETTLED_MS);
+        second.run(SETTLED_MS);
+        assertThat(first.actions).isEqualTo(second.actions);
+    }
+}
--- a/core/src/test/java/io/radishwinch/core/impl/FakeDirectory.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FakeDirectory.java
@@ -38,6 +38,10 @@
         }
     }
 
+    int totalSlots() {
+        return runningByEndpoint.size() * slots;
+    }
+
     @Override
     public Optional<Chain> plan(RequestSpec request, ModelSpec pool, Set<String> excluded, long nowMs) {
         int columns = pool.layerCount() == 1 ? 1 : stageCount;
