Add the call budget, the resilient client and the watch follower

Cause: the platform counts the calls of all routers together, loses answers and has outages, and a router that reads a shard while another compacts it refused requests without need.

Inconsistent reads of a shard are repeated. Commits of a shard are spaced by 200 ms on average with a burst of four, so that creates and deletes together stay below the shard's share of writes.

--- a/cluster/src/main/java/io/radishwinch/cluster/journal/JournalSettings.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/JournalSettings.java
@@ -7,7 +7,7 @@
  *
  * @param routerId identifier of this router that is never used again, also not after a restart; without {@code #}
  * @param shardCount number of shards, equal on all routers of a deployment
- * @param commitIntervalMs shortest time between two batches of one shard, in ms
+ * @param commitIntervalMs shortest time between two batches of one shard on average, in ms; a few may follow at once
  * @param stepTimeoutMs time after which a step is answered as unavailable, in ms
  * @param peerTimeoutMs time to wait for the preferred writer before writing directly, in ms
  * @param retentionMs time for which a key is remembered, counted from its intent, in ms
@@ -39,10 +39,26 @@
     /** Largest snapshot, in bytes. */
     static final int MAX_SEGMENT_BYTES = 900_000;
 
+    /**
+     * With 16 shards, 80 batches per second in total. Each is created and later deleted, which leaves a tenth of the
+     * 180 writes per second of {@link io.radishwinch.cluster.platform.CallRates} for snapshots.
+     */
+    private static final long DEFAULT_COMMIT_INTERVAL_MS = 200;
+
     /** Returns the default settings for a router. */
     public static JournalSettings of(String routerId) {
         return new JournalSettings(
-                routerId, 16, 20, 3_000, 1_000, Duration.ofHours(24).toMillis(), 256, 4_096, 64, 200_000, 4_000_000);
+                routerId,
+                16,
+                DEFAULT_COMMIT_INTERVAL_MS,
+                3_000,
+                1_000,
+                Duration.ofHours(24).toMillis(),
+                256,
+                4_096,
+                64,
+                200_000,
+                4_000_000);
     }
 
     /** Returns these settings with another number of shards. */
--- a/cluster/src/main/java/io/radishwinch/cluster/journal/ShardLog.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/ShardLog.java
@@ -34,6 +34,9 @@
     private static final long MAX_BACKOFF_MS = 1_000;
 
     private static final int FAILURES_BEFORE_FAST_REFUSAL = 2;
+    private static final int MAX_INCONSISTENT_READS = 10;
+    private static final long READ_AGAIN_MS = 10;
+    private static final int COMMIT_BURST = 4;
     private static final long MAX_QUEUED_BYTES = 4_000_000;
 
     private final int shard;
@@ -50,8 +53,10 @@
     private boolean busy;
     private Scheduler.Timer wakeUp;
     private long notBeforeMs;
+    private long commitAllowanceMs;
     private long backoffMs = FIRST_BACKOFF_MS;
     private int failures;
+    private int inconsistentReads;
     private boolean tickWanted;
     private long lastUsedMs;
 
@@ -253,7 +258,7 @@
         List<PendingStep> unsent =
                 members.stream().filter(step -> !step.mayBeRecorded()).toList();
         members.forEach(step -> step.onSent(sequence));
-        notBeforeMs = scheduler.nowMs() + settings.commitIntervalMs();
+        spendCommit();
         store.create(sequence, value, nonce)
                 .subscribe()
                 .with(
@@ -273,6 +278,15 @@
                         failure -> onCreateFailed(unsent, failure));
     }
 
+    /**
+     * Spaces commits by the interval in the long run and lets a few pass at once, such as an intent and its outcome.
+     */
+    private void spendCommit() {
+        long intervalMs = settings.commitIntervalMs();
+        commitAllowanceMs = Math.max(commitAllowanceMs, scheduler.nowMs()) + intervalMs;
+        notBeforeMs = commitAllowanceMs - COMMIT_BURST * intervalMs;
+    }
+
     /** Reads the log behind the new batch and accepts the batch if its number was not used and deleted before. */
     private void verify(long sequence, Batch batch, int bytes, long version) {
         minStoreVersion = Math.max(minStoreVersion, version);
@@ -319,7 +333,8 @@
                 continue;
             }
             if (batch.getKey() > next) {
-                onFailed(new PlatformException(Kind.NO_EFFECT, "batch " + next + " missing in shard " + shard, null));
+                forget();
+                readAgain();
                 return;
             }
             StoredBatch stored = batch.getValue();
@@ -410,8 +425,7 @@
                 .with(
                         snapshot -> {
                             if (!snapshot.isComplete()) {
-                                onFailed(new PlatformException(
-                                        Kind.NO_EFFECT, "shard " + shard + " was compacted while it was read", null));
+                                readAgain();
                                 return;
                             }
                             restore(snapshot);
@@ -421,6 +435,17 @@
                         this::onFailed);
     }
 
+    /** Another router compacted the shard between two reads; the steps wait for a second attempt. */
+    private void readAgain() {
+        inconsistentReads++;
+        if (inconsistentReads > MAX_INCONSISTENT_READS) {
+            onFailed(new PlatformException(Kind.NO_EFFECT, "reads of shard " + shard + " do not fit together", null));
+            return;
+        }
+        notBeforeMs = scheduler.nowMs() + READ_AGAIN_MS;
+        release();
+    }
+
     private void restore(ShardSnapshot snapshot) {
         forget();
         manifest = snapshot.tail().manifest();
@@ -430,6 +455,7 @@
         index.trimOutcomes(sealedUpTo());
         next = manifest.floor() + 1;
         loaded = true;
+        inconsistentReads = 0;
         snapshot.tail()
                 .batches()
                 .headMap(next)
@@ -489,6 +515,7 @@
             manifest = written;
             manifestVersion = version;
             minStoreVersion = Math.max(minStoreVersion, version);
+            index.trimOutcomes(sealedUpTo());
         }
     }
 
--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/CallBudget.java
@@ -0,0 +1,112 @@
+package io.radishwinch.cluster.platform;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/**
+ * Limits the platform calls of one router by token buckets for reads and writes.
+ *
+ * <p>Calls beyond the rate wait, urgent ones first, in a bounded queue. A pending watch uses up one read per second, as
+ * the platform counts it as one call.
+ */
+public final class CallBudget {
+    private static final int MAX_WAITING_CALLS = 1_000;
+
+    private final Scheduler scheduler;
+    private final Lane reads;
+    private final Lane writes;
+    private CallRates rates;
+    private int pendingWatches;
+
+    /** Creates a budget with full buckets. */
+    public CallBudget(Scheduler scheduler, CallRates rates) {
+        this.scheduler = scheduler;
+        this.rates = rates;
+        this.reads = new Lane(rates.readsPerS());
+        this.writes = new Lane(rates.writesPerS());
+    }
+
+    /** Changes the rates, for example when a router joins or the ownership of a shard changes. */
+    public void setRates(CallRates newRates) {
+        rates = newRates;
+        applyRates();
+    }
+
+    /** Returns the number of calls that wait for a token. */
+    public int waitingCalls() {
+        return reads.waiting.size() + writes.waiting.size();
+    }
+
+    /**
+     * Runs a call as soon as the budget allows it.
+     *
+     * @param maxWaitMs time after which the call is refused instead, in ms
+     * @param refused runs if the call is refused; the call then never runs
+     */
+    void whenAllowed(boolean isWrite, CallPriority priority, long maxWaitMs, Runnable call, Runnable refused) {
+        (isWrite ? writes : reads).add(priority, maxWaitMs, call, refused);
+    }
+
+    void onWatchStarted() {
+        pendingWatches++;
+        applyRates();
+    }
+
+    void onWatchEnded() {
+        pendingWatches--;
+        applyRates();
+    }
+
+    private void applyRates() {
+        reads.bucket.setRate(rates.readsPerS() - pendingWatches, scheduler.nowMs());
+        writes.bucket.setRate(rates.writesPerS(), scheduler.nowMs());
+        reads.serve();
+        writes.serve();
+    }
+
+    private record Waiting(CallPriority priority, long order, Runnable call) {}
+
+    /** Calls of one kind. */
+    private final class Lane {
+        private final TokenBucket bucket;
+        private final PriorityQueue<Waiting> waiting =
+                new PriorityQueue<>(Comparator.comparing(Waiting::priority).thenComparing(Waiting::order));
+        private long nextOrder;
+        private Scheduler.Timer timer;
+
+        private Lane(double ratePerS) {
+            bucket = new TokenBucket(ratePerS, scheduler.nowMs());
+        }
+
+        private void add(CallPriority priority, long maxWaitMs, Runnable call, Runnable refused) {
+            if (waiting.isEmpty() && bucket.tryTake(scheduler.nowMs())) {
+                call.run();
+                return;
+            }
+            if (waiting.size() >= MAX_WAITING_CALLS) {
+                refused.run();
+                return;
+            }
+            Waiting added = new Waiting(priority, nextOrder++, call);
+            waiting.add(added);
+            scheduler.schedule(maxWaitMs, () -> {
+                if (waiting.remove(added)) {
+                    refused.run();
+                }
+            });
+            serve();
+        }
+
+        private void serve() {
+            while (!waiting.isEmpty() && bucket.tryTake(scheduler.nowMs())) {
+                waiting.poll().call().run();
+            }
+            if (!waiting.isEmpty()) {
+                if (timer != null) {
+                    timer.cancel();
+                }
+                timer = scheduler.schedule(Math.max(1, bucket.waitMs(scheduler.nowMs())), this::serve);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/ResilientPlatformClient.java
@@ -0,0 +1,305 @@
+package io.radishwinch.cluster.platform;
+
+import io.radishwinch.cluster.platform.PlatformException.Kind;
+import io.smallrye.mutiny.Multi;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * A platform client that keeps to the call budget, bounds the time of calls, repeats failed ones and resolves lost
+ * answers.
+ *
+ * <p>A write whose answer was lost is resolved by reading the object and comparing its nonce. If the object shows
+ * neither the write nor the state before it, the call fails with {@link Kind#EFFECT_UNKNOWN}. Not thread-safe.
+ */
+public final class ResilientPlatformClient implements PlatformClient {
+    private static final int MAX_ATTEMPTS = 4;
+    private static final long FIRST_BACKOFF_MS = 20;
+    /** A platform that needs longer is treated as unavailable, because requests wait for the answers. */
+    private static final long CALL_TIMEOUT_MS = 1_000;
+
+    private static final long MAX_BUDGET_WAIT_MS = 2_000;
+    private static final long MAX_BACKGROUND_WAIT_MS = 60_000;
+
+    private final PlatformClient platform;
+    private final CallBudget budget;
+    private final Scheduler scheduler;
+    private final RandomGenerator random;
+    private final PlatformListener listener;
+    private final CircuitBreaker circuit;
+    private final CallPriority priority;
+
+    /** Creates a client whose calls have {@link CallPriority#NORMAL}. */
+    public ResilientPlatformClient(
+            PlatformClient platform,
+            CallBudget budget,
+            Scheduler scheduler,
+            RandomGenerator random,
+            PlatformListener listener) {
+        this.platform = platform;
+        this.budget = budget;
+        this.scheduler = scheduler;
+        this.random = random;
+        this.listener = listener;
+        this.priority = CallPriority.NORMAL;
+        this.circuit = new CircuitBreaker(scheduler, random, listener, () -> timed(false, () -> platform.get("probe")));
+    }
+
+    private ResilientPlatformClient(ResilientPlatformClient shared, CallPriority priority) {
+        this.platform = shared.platform;
+        this.budget = shared.budget;
+        this.scheduler = shared.scheduler;
+        this.random = shared.random;
+        this.listener = shared.listener;
+        this.circuit = shared.circuit;
+        this.priority = priority;
+    }
+
+    /** Returns a client with another priority that shares the budget and the circuit of this one. */
+    public ResilientPlatformClient withPriority(CallPriority newPriority) {
+        return new ResilientPlatformClient(this, newPriority);
+    }
+
+    /** Returns whether calls are made; false while the platform does not answer. */
+    public boolean isAvailable() {
+        return !circuit.isOpen();
+    }
+
+    // ---- PlatformClient ----
+
+    @Override
+    public Uni<Optional<StoredObject>> get(String key) {
+        return read(() -> platform.get(key), 1);
+    }
+
+    @Override
+    public Uni<Page> list(String prefix, String afterKey, int limit) {
+        return read(() -> platform.list(prefix, afterKey, limit), 1);
+    }
+
+    @Override
+    public Uni<List<Vm>> vms() {
+        return read(platform::vms, 1);
+    }
+
+    @Override
+    public Uni<PutResult> put(String key, long expectedVersion, byte[] value, String nonce) {
+        if (value.length > MAX_VALUE_BYTES) {
+            return failure(Kind.NO_EFFECT, "value of " + key + " has " + value.length + " bytes, limit is 1000000");
+        }
+        return put(key, expectedVersion, value, nonce, 1, false);
+    }
+
+    @Override
+    public Uni<PutResult> delete(String key, long expectedVersion, String nonce) {
+        return delete(key, expectedVersion, nonce, 1, false);
+    }
+
+    @Override
+    public Multi<Change> watch(String prefix, long fromVersion) {
+        return Multi.createFrom().deferred(() -> {
+            AtomicBoolean ended = new AtomicBoolean();
+            Runnable end = () -> {
+                if (ended.compareAndSet(false, true)) {
+                    budget.onWatchEnded();
+                }
+            };
+            return call(false, () -> Uni.createFrom().item(true)).onItem().transformToMulti(allowed -> {
+                budget.onWatchStarted();
+                return platform.watch(prefix, fromVersion).onTermination().invoke(end);
+            });
+        });
+    }
+
+    // ---- reads ----
+
+    private <T> Uni<T> read(Supplier<Uni<T>> operation, int attempt) {
+        return call(false, operation)
+                .onFailure()
+                .recoverWithUni(failure -> canRetry(failure, attempt)
+                        ? afterBackoff(attempt).onItem().transformToUni(waited -> read(operation, attempt + 1))
+                        : Uni.createFrom().failure(failure));
+    }
+
+    // ---- writes ----
+
+    /**
+     * Attempts a put.
+     *
+     * @param inDoubt whether an earlier attempt may have taken effect
+     */
+    private Uni<PutResult> put(
+            String key, long expectedVersion, byte[] value, String nonce, int attempt, boolean inDoubt) {
+        return call(true, () -> platform.put(key, expectedVersion, value, nonce))
+                .onItem()
+                .transformToUni(result -> inDoubt ? resolveConflict(key, nonce, result) : item(result))
+                .onFailure()
+                .recoverWithUni(failure -> {
+                    boolean doubt = inDoubt || kindOf(failure) == Kind.EFFECT_UNKNOWN;
+                    if (!canRetry(failure, attempt)) {
+                        return Uni.createFrom().failure(doubt ? unknown(key, failure) : failure);
+                    }
+                    Uni<Boolean> backoff = afterBackoff(attempt);
+                    if (!doubt) {
+                        return backoff.onItem()
+                                .transformToUni(waited -> put(key, expectedVersion, value, nonce, attempt + 1, false));
+                    }
+                    return backoff.onItem()
+                            .transformToUni(waited -> resolvePut(key, expectedVersion, value, nonce, attempt));
+                });
+    }
+
+    private Uni<PutResult> resolvePut(String key, long expectedVersion, byte[] value, String nonce, int attempt) {
+        return read(() -> platform.get(key), 1)
+                .onFailure()
+                .recoverWithUni(failure -> Uni.createFrom().failure(unknown(key, failure)))
+                .onItem()
+                .transformToUni(found -> {
+                    if (found.isPresent() && found.get().nonce().equals(nonce)) {
+                        listener.onLostAnswerResolved();
+                        return item(new PutResult.Written(found.get().version()));
+                    }
+                    // The read may be stale, so only the store can decide: the same conditional put is sent again.
+                    return put(key, expectedVersion, value, nonce, attempt + 1, true);
+                });
+    }
+
+    /** After a lost answer, a conflict with the own nonce is a success, and any other leaves the effect open. */
+    private Uni<PutResult> resolveConflict(String key, String nonce, PutResult result) {
+        if (result instanceof PutResult.Conflict conflict) {
+            boolean isOwn = conflict.current()
+                    .filter(current -> current.nonce().equals(nonce))
+                    .isPresent();
+            if (!isOwn) {
+                return Uni.createFrom().failure(unknown(key, null));
+            }
+            listener.onLostAnswerResolved();
+            return item(new PutResult.Written(conflict.current().get().version()));
+        }
+        listener.onLostAnswerResolved();
+        return item(result);
+    }
+
+    private Uni<PutResult> delete(String key, long expectedVersion, String nonce, int attempt, boolean inDoubt) {
+        return call(true, () -> platform.delete(key, expectedVersion, nonce))
+                .onItem()
+                .transformToUni(result -> inDoubt && isAbsent(result) ? deleted(key) : item(result))
+                .onFailure()
+                .recoverWithUni(failure -> {
+                    boolean doubt = inDoubt || kindOf(failure) == Kind.EFFECT_UNKNOWN;
+                    if (!canRetry(failure, attempt)) {
+                        return Uni.createFrom().failure(doubt ? unknown(key, failure) : failure);
+                    }
+                    return afterBackoff(attempt)
+                            .onItem()
+                            .transformToUni(waited -> delete(key, expectedVersion, nonce, attempt + 1, doubt));
+                });
+    }
+
+    private static boolean isAbsent(PutResult result) {
+        return result instanceof PutResult.Conflict conflict
+                && conflict.current().isEmpty();
+    }
+
+    /** The object is gone as wanted; a version of the store at which it was absent stands for that of the deletion. */
+    private Uni<PutResult> deleted(String key) {
+        listener.onLostAnswerResolved();
+        return read(() -> platform.list(key, "", 1), 1).map(page -> new PutResult.Written(page.storeVersion()));
+    }
+
+    // ---- calls ----
+
+    private <T> Uni<T> call(boolean isWrite, Supplier<Uni<T>> operation) {
+        return Uni.createFrom().emitter((UniEmitter<? super T> emitter) -> {
+            if (circuit.isOpen()) {
+                emitter.fail(new PlatformException(Kind.NO_EFFECT, "platform unavailable, circuit open", null));
+                return;
+            }
+            long maxWaitMs = priority == CallPriority.BACKGROUND ? MAX_BACKGROUND_WAIT_MS : MAX_BUDGET_WAIT_MS;
+            budget.whenAllowed(
+                    isWrite,
+                    priority,
+                    maxWaitMs,
+                    () -> {
+                        listener.onCall(isWrite);
+                        timed(isWrite, operation)
+                                .subscribe()
+                                .with(
+                                        item -> {
+                                            circuit.onSuccess();
+                                            emitter.complete(item);
+                                        },
+                                        failure -> {
+                                            listener.onFailure(kindOf(failure));
+                                            circuit.onFailure();
+                                            emitter.fail(failure);
+                                        });
+                    },
+                    () -> {
+                        listener.onBudgetExceeded(isWrite);
+                        emitter.fail(new PlatformException(Kind.NO_EFFECT, "call budget exceeded", null));
+                    });
+        });
+    }
+
+    /** Makes a call that fails after {@link #CALL_TIMEOUT_MS}; the effect of a write is then unknown. */
+    private <T> Uni<T> timed(boolean isWrite, Supplier<Uni<T>> operation) {
+        return Uni.createFrom().emitter((UniEmitter<? super T> emitter) -> {
+            Scheduler.Timer timer = scheduler.schedule(
+                    CALL_TIMEOUT_MS,
+                    () -> emitter.fail(new PlatformException(
+                            isWrite ? Kind.EFFECT_UNKNOWN : Kind.NO_EFFECT,
+                            "no answer of the platform for " + CALL_TIMEOUT_MS + " ms",
+                            null)));
+            operation
+                    .get()
+                    .subscribe()
+                    .with(
+                            item -> {
+                                timer.cancel();
+                                emitter.complete(item);
+                            },
+                            failure -> {
+                                timer.cancel();
+                                emitter.fail(failure);
+                            });
+        });
+    }
+
+    private boolean canRetry(Throwable failure, int attempt) {
+        boolean mayHelp = failure instanceof PlatformException exception && exception.kind() != Kind.HISTORY_GONE;
+        if (!mayHelp || attempt >= MAX_ATTEMPTS || circuit.isOpen()) {
+            return false;
+        }
+        listener.onRetry();
+        return true;
+    }
+
+    /** Full jitter: the delay is uniform up to a bound that doubles with each attempt. */
+    private Uni<Boolean> afterBackoff(int attempt) {
+        long boundMs = FIRST_BACKOFF_MS << attempt;
+        return Uni.createFrom()
+                .emitter(emitter -> scheduler.schedule(random.nextLong(boundMs) + 1, () -> emitter.complete(true)));
+    }
+
+    private static Kind kindOf(Throwable failure) {
+        return failure instanceof PlatformException exception ? exception.kind() : Kind.EFFECT_UNKNOWN;
+    }
+
+    private static PlatformException unknown(String key, Throwable cause) {
+        return new PlatformException(Kind.EFFECT_UNKNOWN, "effect of the write of " + key + " is unknown", cause);
+    }
+
+    private static Uni<PutResult> item(PutResult result) {
+        return Uni.createFrom().item(result);
+    }
+
+    private static <T> Uni<T> failure(Kind kind, String message) {
+        return Uni.createFrom().failure(new PlatformException(kind, message, null));
+    }
+}
--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/TokenBucket.java
@@ -0,0 +1,53 @@
+package io.radishwinch.cluster.platform;
+
+/** A token bucket that is filled by the passage of time. */
+final class TokenBucket {
+    /** Bounds a burst to what the rate gives in this time, and to one call at least. */
+    private static final double BURST_S = 0.25;
+
+    private static final double MS_PER_S = 1_000;
+    /** Smallest rate, so that watches never stop the reads of a router entirely. */
+    private static final double MIN_RATE_PER_S = 0.05;
+
+    private double ratePerS;
+    private double tokens;
+    private long filledAtMs;
+
+    TokenBucket(double ratePerS, long nowMs) {
+        this.ratePerS = Math.max(MIN_RATE_PER_S, ratePerS);
+        this.tokens = capacity();
+        this.filledAtMs = nowMs;
+    }
+
+    void setRate(double newRatePerS, long nowMs) {
+        fill(nowMs);
+        ratePerS = Math.max(MIN_RATE_PER_S, newRatePerS);
+        tokens = Math.min(tokens, capacity());
+    }
+
+    boolean tryTake(long nowMs) {
+        fill(nowMs);
+        // Rounding must not make a caller that waited exactly long enough wait again.
+        if (tokens < 1 - 1e-9) {
+            return false;
+        }
+        tokens -= 1;
+        return true;
+    }
+
+    /** Returns the time until a token is there, in ms. */
+    long waitMs(long nowMs) {
+        fill(nowMs);
+        return tokens >= 1 ? 0 : (long) Math.ceil((1 - tokens) / ratePerS * MS_PER_S);
+    }
+
+    private double capacity() {
+        return Math.max(1, ratePerS * BURST_S);
+    }
+
+    private void fill(long nowMs) {
+        double elapsedS = Math.max(0, nowMs - filledAtMs) / MS_PER_S;
+        tokens = Math.min(capacity(), tokens + elapsedS * ratePerS);
+        filledAtMs = nowMs;
+    }
+}
--- /dev/null
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/WatchFollower.java
@@ -0,0 +1,213 @@
+package io.radishwinch.cluster.platform;
+
+import io.radishwinch.cluster.platform.PlatformClient.Change;
+import io.radishwinch.cluster.platform.PlatformClient.Page;
+import io.radishwinch.cluster.platform.PlatformClient.StoredObject;
+import io.radishwinch.cluster.platform.PlatformException.Kind;
+import io.smallrye.mutiny.subscription.Cancellable;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+/**
+ * Follows the objects under a prefix: lists them, watches from the version of the listing, and lists again when history
+ * was lost, and at intervals in case a change got lost on the way.
+ *
+ * <p>The receiver sees each key's versions in increasing order only. A listing that is older than anything seen before
+ * is discarded, so a stale read never lowers a version and never brings a deleted object back.
+ */
+public final class WatchFollower {
+    private static final int PAGE_OBJECTS = 200;
+    private static final long FIRST_BACKOFF_MS = 100;
+    private static final long MAX_BACKOFF_MS = 10_000;
+    private static final long RELIST_INTERVAL_MS = Duration.ofMinutes(5).toMillis();
+
+    private final PlatformClient platform;
+    private final Scheduler scheduler;
+    private final RandomGenerator random;
+    private final String prefix;
+    private final Consumer<Change> receiver;
+
+    private final Map<String, Long> versions = new HashMap<>();
+    private final Set<String> present = new HashSet<>();
+    private long seenVersion;
+    /** Version up to which every change was received, unlike {@link #seenVersion}, which one page may raise. */
+    private long completeVersion;
+
+    private long backoffMs = FIRST_BACKOFF_MS;
+    private boolean running;
+    private Cancellable watch;
+    private Scheduler.Timer timer;
+
+    /**
+     * Creates a follower that does nothing until it is started.
+     *
+     * @param receiver receives every change; a key that a listing no longer shows is reported as deleted
+     */
+    public WatchFollower(
+            PlatformClient platform,
+            Scheduler scheduler,
+            RandomGenerator random,
+            String prefix,
+            Consumer<Change> receiver) {
+        this.platform = platform;
+        this.scheduler = scheduler;
+        this.random = random;
+        this.prefix = prefix;
+        this.receiver = receiver;
+    }
+
+    /** Starts to list and to watch. */
+    public void start() {
+        if (!running) {
+            running = true;
+            list();
+        }
+    }
+
+    /** Stops; versions seen so far stay known for a later start. */
+    public void stop() {
+        running = false;
+        endWatch();
+        if (timer != null) {
+            timer.cancel();
+        }
+    }
+
+    /** Returns the highest version of the store that was seen. */
+    public long seenVersion() {
+        return seenVersion;
+    }
+
+    // ---- listing ----
+
+    private void list() {
+        list("", new HashMap<>(), Long.MAX_VALUE, seenVersion);
+    }
+
+    private void list(String afterKey, Map<String, StoredObject> found, long lowestVersion, long neededVersion) {
+        platform.list(prefix, afterKey, PAGE_OBJECTS)
+                .subscribe()
+                .with(
+                        page -> onPage(page, found, Math.min(lowestVersion, page.storeVersion()), neededVersion),
+                        failure -> retry());
+    }
+
+    private void onPage(Page page, Map<String, StoredObject> found, long lowestVersion, long neededVersion) {
+        if (!running) {
+            return;
+        }
+        List<StoredObject> objects = page.objects();
+        objects.forEach(object -> found.put(object.key(), object));
+        if (page.more()) {
+            list(objects.get(objects.size() - 1).key(), found, lowestVersion, neededVersion);
+        } else if (lowestVersion < neededVersion) {
+            retry();
+        } else {
+            onListed(found, lowestVersion);
+        }
+    }
+
+    private void onListed(Map<String, StoredObject> found, long listedVersion) {
+        found.values()
+                .forEach(object -> receive(
+                        new Change(object.key(), object.version(), Optional.of(object.value()), object.nonce())));
+        for (String key : Set.copyOf(present)) {
+            if (!found.containsKey(key)) {
+                receive(new Change(key, listedVersion, Optional.empty(), ""));
+            }
+        }
+        seenVersion = Math.max(seenVersion, listedVersion);
+        // No listing older than this one is accepted any more, so deletions before it need not be remembered.
+        versions.keySet().removeIf(key -> !present.contains(key) && versions.get(key) <= listedVersion);
+        backoffMs = FIRST_BACKOFF_MS;
+        watchFrom(listedVersion);
+        schedule(RELIST_INTERVAL_MS / 2 + random.nextLong(RELIST_INTERVAL_MS), this::list);
+    }
+
+    // ---- watching ----
+
+    private void watchFrom(long version) {
+        endWatch();
+        completeVersion = version;
+        watch = platform.watch(prefix, version)
+                .subscribe()
+                .with(
+                        change -> {
+                            completeVersion = Math.max(completeVersion, change.version());
+                            receive(change);
+                        },
+                        this::onWatchFailed,
+                        () -> onWatchFailed(null));
+    }
+
+    private void endWatch() {
+        if (watch != null) {
+            watch.cancel();
+            watch = null;
+        }
+    }
+
+    private void onWatchFailed(Throwable failure) {
+        if (!running) {
+            return;
+        }
+        boolean isHistoryGone = failure instanceof PlatformException exception && exception.kind() == Kind.HISTORY_GONE;
+        // A watch that breaks continues behind its last change without a listing.
+        long fromVersion = completeVersion;
+        schedule(
+                backoff(),
+                isHistoryGone
+                        ? this::list
+                        : () -> {
+                            watchFrom(fromVersion);
+                            schedule(RELIST_INTERVAL_MS / 2 + random.nextLong(RELIST_INTERVAL_MS), this::list);
+                        });
+    }
+
+    private void receive(Change change) {
+        seenVersion = Math.max(seenVersion, change.version());
+        if (change.version() <= versions.getOrDefault(change.key(), 0L)) {
+            return;
+        }
+        backoffMs = FIRST_BACKOFF_MS;
+        versions.put(change.key(), change.version());
+        if (change.value().isPresent()) {
+            present.add(change.key());
+        } else {
+            present.remove(change.key());
+        }
+        receiver.accept(change);
+    }
+
+    // ---- timers ----
+
+    private void retry() {
+        if (running) {
+            schedule(backoff(), this::list);
+        }
+    }
+
+    private long backoff() {
+        long delayMs = backoffMs / 2 + random.nextLong(backoffMs);
+        backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
+        return delayMs;
+    }
+
+    private void schedule(long delayMs, Runnable task) {
+        if (timer != null) {
+            timer.cancel();
+        }
+        timer = scheduler.schedule(delayMs, () -> {
+            if (running) {
+                task.run();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/cluster/src/test/java/io/radishwinch/cluster/journal/JournalFailureTest.java
@@ -0,0 +1,247 @@
+package io.radishwinch.cluster.journal;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.cluster.journal.Journal.Decision;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Causes each failure of routers, peers and the platform, and guards against second runs and against needless doubt.
+ */
+class JournalFailureTest {
+    private static final long SEED = 11;
+    /** Longer than any answer of the platform, shorter than a step's timeout. */
+    private static final long ROUND_TRIP_MS = 50;
+
+    private final Fleet fleet = new Fleet(
+            SEED,
+            3,
+            JournalSettings.of("template")
+                    .withShardCount(1)
+                    .withCommitIntervalMs(1)
+                    .withShardLimits(4, 1_000, 0));
+    private final TestRouter first = fleet.router(0);
+    private final TestRouter second = fleet.router(1);
+
+    // ---- death of a router ----
+
+    @Test
+    void aRouterThatDiesBeforeItsWriteLeavesTheKeyFree() {
+        fleet.begin(second, "warm-up", "x");
+        fleet.begun(first, "refund", "5");
+        first.die();
+        fleet.platform.faults().setDown(true);
+        fleet.scheduler.advance(ROUND_TRIP_MS);
+        fleet.platform.faults().clear();
+        fleet.scheduler.advance(5_000);
+        assertThat(fleet.begin(second, "refund", "5")).isInstanceOf(Decision.Granted.class);
+    }
+
+    @Test
+    void aRouterThatDiesBetweenItsWriteAndTheReplyLeavesTheKeyInDoubt() {
+        AtomicReference<Decision> decision = fleet.begun(first, "refund", "5");
+        long before = fleet.platform.storeVersion();
+        while (fleet.platform.storeVersion() == before) {
+            fleet.scheduler.runNext();
+        }
+        first.die();
+        fleet.scheduler.advance(ROUND_TRIP_MS);
+        assertThat(decision.get()).isNull();
+        assertThat(fleet.begin(second, "refund", "5")).isInstanceOf(Decision.OutcomeUnknown.class);
+    }
+
+    @Test
+    void aRouterThatDiesWithAGrantOrAfterSendingLeavesTheKeyInDoubt() {
+        assertThat(fleet.begin(first, "refund", "5")).isInstanceOf(Decision.Granted.class);
+        assertThat(fleet.begin(second, "refund", "5")).isInstanceOf(Decision.InProgress.class);
+        first.die();
+        assertThat(fleet.begin(second, "refund", "5")).isInstanceOf(Decision.OutcomeUnknown.class);
+        assertThat(fleet.begin(fleet.start(), "refund", "5")).isInstanceOf(Decision.OutcomeUnknown.class);
+    }
+
+    @Test
+    void anOutcomeWrittenJustBeforeItsRouterDiedIsReplayed() {
+        Decision.Granted grant = (Decision.Granted) fleet.begin(first, "refund", "5");
+        first.journal.complete(grant, Fleet.bytes("refunded")).subscribe().with(recorded -> {});
+        long before = fleet.platform.storeVersion();
+        while (fleet.platform.storeVersion() == before) {
+            fleet.scheduler.runNext();
+        }
+        first.die();
+        assertThat(Fleet.replayed(fleet.begin(second, "refund", "5"))).isEqualTo("refunded");
+    }
+
+    // ---- pauses ----
+
+    @Test
+    void aPausedWriterWhoseNextNumberWasCompactedAwayIsNotGrantedTheKey() {
+        fleet.begin(first, "warm-up", "x");
+        first.pause();
+        Decision grant = fleet.begin(second, "refund", "5");
+        fleet.complete(second, grant, "refunded");
+        for (int i = 0; i < 20; i++) {
+            fleet.begin(second, "filler-" + i, "x");
+        }
+        fleet.scheduler.advance(1_000);
+        assertThat(second.count("compaction")).isPositive();
+        assertThat(fleet.platform.contents()).doesNotContainKey("journal/0/0000000000000000002");
+
+        first.resume();
+        assertThat(Fleet.replayed(fleet.begin(first, "refund", "5"))).isEqualTo("refunded");
+        assertThat(first.count("void")).isEqualTo(1);
+        fleet.scheduler.advance(1_000);
+        assertThat(fleet.platform.contents()).doesNotContainKey("journal/0/0000000000000000002");
+    }
+
+    @Test
+    void aGrantOutlivesThePauseOfItsRouter() {
+        Decision grant = fleet.begin(first, "refund", "5");
+        first.pause();
+        fleet.scheduler.advance(Duration.ofHours(2).toMillis());
+        assertThat(fleet.begin(second, "refund", "5")).isInstanceOf(Decision.InProgress.class);
+        first.resume();
+        assertThat(fleet.complete(first, grant, "refunded")).isTrue();
+        assertThat(Fleet.replayed(fleet.begin(second, "refund", "5"))).isEqualTo("refunded");
+    }
+
+    // ---- platform ----
+
+    @Test
+    void aLostAnswerToTheCreateStillGivesTheGrantOnce() {
+        fleet.platform.faults().loseNextWriteAnswers(1);
+        assertThat(fleet.begin(first, "refund", "5")).isInstanceOf(Decision.Granted.class);
+        assertThat(fleet.begin(second, "refund", "5")).isInstanceOf(Decision.InProgress.class);
+    }
+
+    @Test
+    void anIntentOfUnknownEffectIsGivenBackWhenThePlatformReturns() {
+        fleet.begin(first, "warm-up", "x");
+        AtomicReference<Decision> decision = fleet.begun(first, "refund", "5");
+        fleet.platform.faults().loseNextWriteAnswers(1);
+        fleet.scheduler.advance(1);
+        fleet.platform.faults().setDown(true);
+        assertThat(fleet.await(decision)).isInstanceOf(Decision.Unavailable.class);
+        fleet.platform.faults().clear();
+        fleet.scheduler.advance(10_000);
+        assertThat(fleet.begin(second, "refund", "5")).isInstanceOf(Decision.Granted.class);
+    }
+
+    @Test
+    void anOutageRefusesNewRunsAndStillReplaysRecordedOutcomes() {
+        fleet.preferred = 0;
+        Decision grant = fleet.begin(second, "refund", "5");
+        fleet.complete(second, grant, "refunded");
+        fleet.platform.faults().setDown(true);
+        assertThat(fleet.begin(second, "renewal", "20")).isInstanceOf(Decision.Unavailable.class);
+        assertThat(Fleet.replayed(fleet.begin(first, "refund", "5"))).isEqualTo("refunded");
+        assertThat(Fleet.replayed(fleet.begin(second, "refund", "5"))).isEqualTo("refunded");
+        assertThat(Fleet.replayed(fleet.begin(fleet.router(2), "refund", "5"))).isEqualTo("refunded");
+        fleet.platform.faults().clear();
+        fleet.scheduler.advance(5_000);
+        assertThat(fleet.begin(second, "renewal", "20")).isInstanceOf(Decision.Granted.class);
+    }
+
+    @Test
+    void anOutcomeThatFellIntoAnOutageIsRecordedAfterIt() {
+        Decision grant = fleet.begin(first, "refund", "5");
+        fleet.platform.faults().setDown(true);
+        assertThat(fleet.complete(first, grant, "refunded")).isFalse();
+        assertThat(Fleet.replayed(fleet.begin(first, "refund", "5"))).isEqualTo("refunded");
+        fleet.platform.faults().clear();
+        fleet.scheduler.advance(10_000);
+        assertThat(Fleet.replayed(fleet.begin(second, "refund", "5"))).isEqualTo("refunded");
+    }
+
+    @Test
+    void aSlowPlatformEndsInARefusalWhoseGrantIsNeverUsed() {
+        fleet.platform.faults().setLatencyMs(10_000, 10_000);
+        assertThat(fleet.begin(first, "refund", "5")).isInstanceOf(Decision.Unavailable.class);
+        fleet.platform.faults().clear();
+        fleet.scheduler.advance(60_000);
+        assertThat(fleet.begin(second, "refund", "5")).isInstanceOf(Decision.Granted.class);
+    }
+
+    // ---- preferred writer ----
+
+    @Test
+    void aForwardedRequestWhoseReplyIsLostIsGrantedByTheOwnNonce() {
+        fleet.preferred = 0;
+        first.losesPeerReplies = true;
+        Decision grant = fleet.begin(second, "refund", "5");
+        assertThat(grant).isInstanceOf(Decision.Granted.class);
+        assertThat(fleet.begin(fleet.router(2), "refund", "5")).isInstanceOf(Decision.InProgress.class);
+        assertThat(fleet.complete(second, grant, "refunded")).isTrue();
+    }
+
+    @Test
+    void aPausedPreferredWriterThatWakesDoesNotTakeTheKey() {
+        fleet.preferred = 0;
+        fleet.begin(second, "warm-up", "x");
+        first.pause();
+        Decision grant = fleet.begin(second, "refund", "5");
+        assertThat(grant).isInstanceOf(Decision.Granted.class);
+        assertThat(fleet.abandon(second, grant)).isTrue();
+        first.resume();
+        fleet.scheduler.advance(5_000);
+        assertThat(fleet.begin(fleet.router(2), "refund", "5")).isInstanceOf(Decision.Granted.class);
+    }
+
+    // ---- snapshots, retention, bounds ----
+
+    @Test
+    void outcomesSurviveCompactionAndTheDeathOfAllRouters() {
+        for (int i = 0; i < 40; i++) {
+            fleet.complete(first, fleet.begin(first, "key-" + i, "x"), "answer-" + i);
+        }
+        fleet.scheduler.advance(5_000);
+        fleet.routers.forEach(TestRouter::die);
+        TestRouter heir = fleet.start();
+        for (int i = 0; i < 40; i++) {
+            assertThat(Fleet.replayed(fleet.begin(heir, "key-" + i, "x"))).isEqualTo("answer-" + i);
+        }
+        assertThat(fleet.platform.contents()).hasSizeLessThan(10);
+    }
+
+    @Test
+    void outcomesBeyondTheMemoryBoundAreReplayedFromTheirSnapshot() {
+        String large = "a".repeat(60_000);
+        for (int i = 0; i < 30; i++) {
+            fleet.complete(first, fleet.begin(first, "key-" + i, "x"), large + i);
+        }
+        assertThat(Fleet.replayed(fleet.begin(second, "key-0", "x"))).isEqualTo(large + 0);
+        assertThat(Fleet.replayed(fleet.begin(second, "key-29", "x"))).isEqualTo(large + 29);
+        fleet.platform.contents().values().forEach(object -> assertThat(object.value())
+                .hasSizeLessThan(1_000_000));
+    }
+
+    @Test
+    void anOutcomeBeyondTheSizeBoundLeavesTheKeyInDoubt() {
+        Decision grant = fleet.begin(first, "refund", "5");
+        assertThat(fleet.complete(first, grant, "a".repeat(JournalSettings.MAX_OUTCOME_BYTES + 1)))
+                .isFalse();
+        assertThat(fleet.begin(second, "refund", "5")).isInstanceOf(Decision.OutcomeUnknown.class);
+    }
+
+    @Test
+    void keysAreForgottenAndDeletedAfterRetentionAndNotBefore() {
+        Decision grant = fleet.begin(first, "refund", "5");
+        fleet.complete(first, grant, "refunded");
+        fleet.scheduler.advance(Duration.ofHours(23).toMillis());
+        assertThat(Fleet.replayed(fleet.begin(second, "refund", "5"))).isEqualTo("refunded");
+        fleet.scheduler.advance(Duration.ofHours(3).toMillis());
+        assertThat(fleet.platform.contents()).hasSizeLessThan(6);
+        assertThat(fleet.platform.contents().keySet()).noneMatch(key -> key.startsWith("journal-segments"));
+        assertThat(fleet.begin(second, "refund", "5")).isInstanceOf(Decision.Granted.class);
+    }
+
+    @Test
+    void aFullShardRefusesNewKeys() {
+        Fleet small = new Fleet(
+                SEED, 1, JournalSettings.of("template").withShardCount(1).withShardLimits(4, 2, 0));
+        small.begin(small.router(0), "key-0", "x");
+        small.begin(small.router(0), "key-1", "x");
+        assertThat(small.begin(small.router(0), "key-2", "x")).isInstanceOf(Decision.Unavailable.class);
+    }
+}
