Measure direct calls of the engine client to the stand-ins

Cause: the router's added latency and the cost of a token need a baseline without the router. Change: DirectCallBenchmark with tokens/s in total, per client core and per stand-in core.

--- /dev/null
+++ b/bench/src/main/java/io/radishwinch/bench/DirectCallBenchmark.java
@@ -0,0 +1,167 @@
+package io.radishwinch.bench;
+
+import io.radishwinch.core.model.LayerRange;
+import io.radishwinch.server.engine.AttemptRequest;
+import io.radishwinch.server.engine.ClientOptions;
+import io.radishwinch.server.engine.EndpointAddress;
+import io.radishwinch.server.engine.EngineEvent;
+import io.radishwinch.server.engine.HttpEngineClient;
+import io.radishwinch.standins.EngineConfig;
+import io.radishwinch.standins.EngineStandIn;
+import io.radishwinch.standins.ExecutionLedger;
+import io.radishwinch.standins.StandInFleet;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+
+/**
+ * Measures direct calls of the engine client to engine stand-ins without a router: tokens/s in total, per core of the
+ * client and per core of the stand-ins.
+ *
+ * <p>Arguments: stages per chain, concurrent streams, tokens per answer, seconds, {@code handler} or {@code multi}.
+ * Layers take no time, so that the figures are those of the code.
+ */
+public final class DirectCallBenchmark {
+    private static final int CLIENT_LOOPS = 2;
+    private static final long DEADLINE_MS = 60_000;
+    private static final int MAX_SECONDS = 60;
+    private static final PrintStream OUT = System.out;
+
+    private final Vertx clientVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(CLIENT_LOOPS));
+    private final Vertx engineVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(4));
+    private final HttpEngineClient client =
+            new HttpEngineClient(clientVertx, ClientOptions.defaults(), System::currentTimeMillis, "");
+    private final List<AttemptRequest.StageTarget> stages = new ArrayList<>();
+    private final LongAdder tokens = new LongAdder();
+    private final LongAdder failures = new LongAdder();
+    private final AtomicInteger requests = new AtomicInteger();
+    private final int answerTokens;
+    private final boolean multi;
+    private volatile boolean stopping;
+
+    private DirectCallBenchmark(int stageCount, int streams, int answerTokens, boolean multi) {
+        this.answerTokens = answerTokens;
+        this.multi = multi;
+        ExecutionLedger ledger = new ExecutionLedger();
+        int layersPerStage = StandInFleet.MODEL_LAYERS / stageCount;
+        for (int i = 0; i < stageCount; i++) {
+            LayerRange layers = new LayerRange(i * layersPerStage, (i + 1) * layersPerStage);
+            EngineStandIn engine = EngineStandIn.start(
+                    engineVertx, EngineConfig.of("e" + i, "large", 0, layers).withSlots(streams), ledger);
+            stages.add(new AttemptRequest.StageTarget(
+                    new EndpointAddress(engine.id(), "127.0.0.1", engine.port()), layers, List.of()));
+        }
+    }
+
+    /** Runs the measurement and prints its figures. */
+    public static void main(String[] args) throws Exception {
+        int stageCount = Integer.parseInt(args[0]);
+        int streams = Integer.parseInt(args[1]);
+        int seconds = Math.min(MAX_SECONDS, Integer.parseInt(args[3]));
+        DirectCallBenchmark benchmark =
+                new DirectCallBenchmark(stageCount, streams, Integer.parseInt(args[2]), args[4].equals("multi"));
+        benchmark.run(streams, seconds);
+    }
+
+    private void run(int streams, int seconds) throws Exception {
+        List<Context> loops = new ArrayList<>();
+        List<Long> clientThreads = new ArrayList<>();
+        for (int i = 0; i < CLIENT_LOOPS; i++) {
+            CompletableFuture<Long> thread = new CompletableFuture<>();
+            Context loop = newLoop();
+            loop.runOnContext(ignored -> thread.complete(Thread.currentThread().getId()));
+            loops.add(loop);
+            clientThreads.add(thread.get());
+        }
+        for (int i = 0; i < streams; i++) {
+            loops.get(i % CLIENT_LOOPS).runOnContext(ignored -> next());
+        }
+        TimeUnit.SECONDS.sleep(seconds);
+        long startNs = System.nanoTime();
+        long startTokens = tokens.sum();
+        long startRequests = requests.get();
+        long startClientNs = cpuNs(clientThreads);
+        long startCpuNs = processCpuNs();
+        TimeUnit.SECONDS.sleep(seconds);
+        double elapsedS = (System.nanoTime() - startNs) / 1e9;
+        double clientCores = (cpuNs(clientThreads) - startClientNs) / 1e9 / elapsedS;
+        double allCores = (processCpuNs() - startCpuNs) / 1e9 / elapsedS;
+        double tokensPerS = (tokens.sum() - startTokens) / elapsedS;
+        stopping = true;
+        OUT.printf(
+                "stages %d, %d streams, %d tokens, %s: %.0f tokens/s, %.0f requests/s, %d failures%n",
+                stages.size(),
+                streams,
+                answerTokens,
+                multi ? "multi" : "handler",
+                tokensPerS,
+                (requests.get() - startRequests) / elapsedS,
+                failures.sum());
+        OUT.printf(
+                "client %.2f cores, %.0f tokens/s per core; rest %.2f cores, %.0f tokens/s per core%n",
+                clientCores, tokensPerS / clientCores, allCores - clientCores, tokensPerS / (allCores - clientCores));
+        clientVertx.close().toCompletionStage().toCompletableFuture().get();
+        engineVertx.close().toCompletionStage().toCompletableFuture().get();
+    }
+
+    private Context newLoop() throws Exception {
+        CompletableFuture<Context> context = new CompletableFuture<>();
+        // A thread of its own gets a context of its own.
+        Thread thread = new Thread(() -> context.complete(clientVertx.getOrCreateContext()));
+        thread.start();
+        return context.get();
+    }
+
+    private void next() {
+        if (stopping) {
+            return;
+        }
+        AttemptRequest attempt = new AttemptRequest(
+                "r" + requests.incrementAndGet(),
+                1,
+                StandInFleet.MODEL,
+                stages,
+                "a prompt of ordinary length, as a member of the clinic network might send it",
+                16,
+                List.of(),
+                List.of(),
+                answerTokens,
+                0,
+                System.currentTimeMillis() + DEADLINE_MS);
+        if (multi) {
+            client.start(attempt).subscribe().with(this::take);
+        } else {
+            client.open(attempt, this::take);
+        }
+    }
+
+    private void take(EngineEvent event) {
+        if (event instanceof EngineEvent.Token) {
+            tokens.increment();
+        } else if (event instanceof EngineEvent.Done) {
+            next();
+        } else if (event instanceof EngineEvent.Failed) {
+            failures.increment();
+            next();
+        }
+    }
+
+    private static long cpuNs(List<Long> threadIds) {
+        ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+        return threadIds.stream().mapToLong(threads::getThreadCpuTime).sum();
+    }
+
+    private static long processCpuNs() {
+        return ((com.sun.management.OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean())
+                .getProcessCpuTime();
+    }
+}
