--- a/server/src/main/java/io/radishwinch/server/engine/HttpEngineStream.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpEngineStream.java
@@ -211,15 +211,12 @@
         if (line.tokens != nextSequence) {
             throw new MalformedLineException("answer of " + line.tokens + " tokens ended after " + nextSequence);
         }
-        end();
-        // The rest of the response is read, so that its connection returns to the pool.
-        response.resume();
+        endAndRelease();
         receiver.handle(new EngineEvent.Done(line.tokens, line.finishReason));
     }
 
     private void error(EngineLineParser.Line line) {
-        end();
-        response.resume();
+        endAndRelease();
         Reason reason = line.verdict == Verdict.NOT_RUN ? Reason.ENDPOINT_REFUSED : Reason.STAGE_DIED;
         receiver.handle(new EngineEvent.Failed(line.endpointId, reason, line.verdict, line.detail));
     }
@@ -263,6 +260,15 @@
         }
     }
 
+    /** Reads the rest of the response, so that its connection returns to the pool; closes it if the engine holds it. */
+    private void endAndRelease() {
+        end();
+        long timer = vertx.setTimer(options.silenceTimeoutMs(), id -> request.reset());
+        response.endHandler(ignored -> vertx.cancelTimer(timer));
+        response.exceptionHandler(ignored -> vertx.cancelTimer(timer));
+        response.resume();
+    }
+
     private void end() {
         ended = true;
         vertx.cancelTimer(deadlineTimer);
--- a/standins/src/main/java/io/radishwinch/standins/EngineAttempts.java
+++ b/standins/src/main/java/io/radishwinch/standins/EngineAttempts.java
@@ -51,6 +51,7 @@
     private double slowFactor = 1;
     private String crashMarker;
     private long arrivals;
+    private long begun;
     private long cancelled;
     private int running;
 
@@ -88,6 +89,10 @@
         return queue.size();
     }
 
+    long begun() {
+        return begun;
+    }
+
     long cancelled() {
         return cancelled;
     }
@@ -227,6 +232,7 @@
 
     /** Opens the attempt on the next stage and fetches KV cache for this one. */
     private void begin(StageAttempt attempt) {
+        begun++;
         if (!attempt.isLast()) {
             link(attempt.nextStage()).send(Json.line(attempt.openMessage()));
         }
--- a/standins/src/main/java/io/radishwinch/standins/EngineStandIn.java
+++ b/standins/src/main/java/io/radishwinch/standins/EngineStandIn.java
@@ -75,6 +75,11 @@
         return call(attempts::running);
     }
 
+    /** Returns the attempts begun here so far, as the head or a later stage. */
+    public long begun() {
+        return call(attempts::begun);
+    }
+
     /** Returns the attempts stopped by a cancel or a closed connection. */
     public long cancelled() {
         return call(attempts::cancelled);
--- /dev/null
+++ b/standins/src/test/java/io/radishwinch/standins/StandInStateTest.java
@@ -0,0 +1,82 @@
+package io.radishwinch.standins;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.radishwinch.core.model.LayerRange;
+import io.vertx.core.Vertx;
+import java.net.ServerSocket;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** State of the stand-ins on which other tests rely. */
+class StandInStateTest {
+
+    /** Guards against a ledger that calls a repeated, skipped or reordered layer exactly once. */
+    @Test
+    void theLedgerFindsRepeatedSkippedAndReorderedLayers() {
+        ExecutionLedger ledger = new ExecutionLedger();
+        ledger.record("r/1", 5, 0, 12, "a");
+        ledger.record("r/1", 5, 12, 24, "b");
+        assertThat(ledger.violations()).isEmpty();
+        assertThat(ledger.layersRun("r", 1, 5)).isEqualTo(24);
+        ledger.record("r/1", 5, 12, 24, "b");
+        ledger.record("r/1", 6, 12, 24, "b");
+        ledger.record("r/1", 7, 0, 12, "a");
+        ledger.record("r/1", 7, 14, 24, "b");
+        assertThat(ledger.violations()).hasSize(3);
+        assertThat(ledger.layersRun("r", 1, 6)).isZero();
+    }
+
+    /** Guards against a cache that never evicts, tells events at once or hides gaps. */
+    @Test
+    void theCacheEvictsAndTellsOfItLateAndWithGaps() {
+        PrefixCache cache = new PrefixCache(2, new EngineConfig.Timing(1, 100, 2, 1));
+        assertThat(cache.use(List.of(1L, 2L), 0)).isZero();
+        assertThat(cache.use(List.of(1L, 2L), 1)).isEqualTo(2);
+        assertThat(cache.use(List.of(1L, 3L), 2)).isEqualTo(1);
+        assertThat(cache.use(List.of(1L, 2L), 3)).isEqualTo(1);
+        assertThat(cache.size()).isEqualTo(2);
+        ObjectNode early = cache.eventsAfter(0, 99);
+        assertThat(early.get("events")).isEmpty();
+        ObjectNode late = cache.eventsAfter(0, 200);
+        assertThat(late.get("events")).hasSize(2);
+        assertThat(late.get("gap").asBoolean()).isTrue();
+        assertThat(late.get("next").asLong()).isEqualTo(3);
+        assertThat(late.get("events").get(1).get("removed")).hasSize(1);
+    }
+
+    /** Guards against KV cache that is offered for layers that were not computed, or grows without end. */
+    @Test
+    void kvCacheIsHeldForItsLayersOnlyAndWithinItsBound() {
+        KvStore kv = new KvStore(100);
+        kv.put("a", new LayerRange(0, 12), 60);
+        assertThat(kv.tokens("a", new LayerRange(0, 6))).isEqualTo(60);
+        assertThat(kv.tokens("a", new LayerRange(6, 14))).isZero();
+        kv.put("b", new LayerRange(0, 12), 50);
+        assertThat(kv.tokens("a", new LayerRange(0, 6))).isZero();
+        assertThat(kv.freeTokens()).isEqualTo(50);
+    }
+
+    /** Guards against a fleet that leaves ports or VMs behind, or misses what the router has to cope with. */
+    @Test
+    void aFleetIsMixedListsItsVmsAndClosesCleanly() throws Exception {
+        Vertx vertx = Vertx.vertx();
+        StandInFleet fleet = StandInFleet.start(vertx);
+        assertThat(fleet.engines())
+                .extracting(engine -> engine.config().acceleratorKind())
+                .contains("large", "medium", "small");
+        assertThat(fleet.services()).hasSize(2);
+        EngineStandIn joined = fleet.join(EngineConfig.of("late", "large", 40, new LayerRange(0, 24)));
+        int port = joined.port();
+        joined.crash();
+        joined.restart();
+        assertThat(joined.port()).isEqualTo(port);
+        fleet.leave("late");
+        fleet.remove("late");
+        assertThat(fleet.engines()).hasSize(9);
+        fleet.close();
+        new ServerSocket(port).close();
+        vertx.close().toCompletionStage().toCompletableFuture().get();
+    }
+}
