--- a/config/src/main/java/io/radishwinch/config/settings/SettingKey.java
+++ b/config/src/main/java/io/radishwinch/config/settings/SettingKey.java
@@ -217,15 +217,6 @@
     /** Largest number of queued requests. */
     QUEUE_MAX_REQUESTS(
             "queue.maxRequests", Kind.INTEGER, "10000", 1, 1_000_000, "requests", "Largest number of queued requests."),
-    /** Largest number of queued requests of one caller. */
-    QUEUE_MAX_REQUESTS_PER_CALLER(
-            "queue.maxRequestsPerCaller",
-            Kind.INTEGER,
-            "2000",
-            1,
-            1_000_000,
-            "requests",
-            "Largest number of queued requests of one caller."),
     /** Longest time that running requests may take after a stop was asked for. */
     DRAIN_TIMEOUT_MS(
             "drainTimeoutMs",
--- a/server/src/main/java/io/radishwinch/server/AdminControl.java
+++ b/server/src/main/java/io/radishwinch/server/AdminControl.java
@@ -53,7 +53,7 @@
     private final long startedAtMs = System.currentTimeMillis();
 
     /** Creates the adapter; parts belong to the control thread unless they are safe for use by several threads. */
-    AdminControl(RouterProcess.Parts parts, Supplier<String> metrics, Supplier<Optional<String>> notReady) {
+    AdminControl(ControlPlane parts, Supplier<String> metrics, Supplier<Optional<String>> notReady) {
         this.settings = parts.settings();
         this.control = parts.control();
         this.node = parts.node();
@@ -62,7 +62,7 @@
         this.platform = parts.platform();
         this.day = parts.day();
         this.endpoints = parts.endpoints();
-        this.config = parts.authenticator()::config;
+        this.config = parts::config;
         this.metrics = metrics;
         this.notReady = notReady;
         this.explanations = new Explanations(parts);
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/ControlPlane.java
@@ -0,0 +1,363 @@
+package io.radishwinch.server;
+
+import io.radishwinch.cluster.PeerNode;
+import io.radishwinch.cluster.journal.JournalSettings;
+import io.radishwinch.cluster.journal.ShardedJournal;
+import io.radishwinch.cluster.membership.Address;
+import io.radishwinch.cluster.membership.MemberInfo;
+import io.radishwinch.cluster.membership.Seed;
+import io.radishwinch.cluster.platform.CallBudget;
+import io.radishwinch.cluster.platform.CallPriority;
+import io.radishwinch.cluster.platform.CallRates;
+import io.radishwinch.cluster.platform.PlatformClient;
+import io.radishwinch.cluster.platform.PlatformClient.Vm;
+import io.radishwinch.cluster.platform.ResilientPlatformClient;
+import io.radishwinch.config.settings.RouterFeature;
+import io.radishwinch.config.settings.RouterSettings;
+import io.radishwinch.config.settings.SettingKey;
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.chain.CostChainPlanner;
+import io.radishwinch.core.chain.EndpointTable;
+import io.radishwinch.core.chain.TableEndpointDirectory;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.health.HealthSettings;
+import io.radishwinch.core.impl.CoreSettings;
+import io.radishwinch.core.impl.TableDecisionCore;
+import io.radishwinch.core.model.FleetConfig;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.placement.NeverGrantedLease;
+import io.radishwinch.core.placement.PlacementLease;
+import io.radishwinch.core.placement.PlacementPlanner;
+import io.radishwinch.core.placement.PlacementSettings;
+import io.radishwinch.core.placement.RendezvousPlacementLease;
+import io.radishwinch.core.queue.QueueSettings;
+import io.radishwinch.protocol.generated.Frame;
+import io.radishwinch.report.FleetEvent;
+import io.radishwinch.server.engine.ClientOptions;
+import io.radishwinch.server.engine.HttpEngineClient;
+import io.radishwinch.server.http.Authenticator;
+import io.radishwinch.server.metrics.RouterMetrics;
+import io.radishwinch.server.peer.PeerTransport;
+import io.radishwinch.server.platform.HttpPlatformClient;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.time.ZoneId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Random;
+
+/** Everything that the control thread owns. The constructor and all methods are called on that thread. */
+final class ControlPlane {
+    private static final System.Logger LOG = System.getLogger(ControlPlane.class.getName());
+    private static final long TICK_INTERVAL_MS = 50;
+    private static final long CACHE_INTERVAL_MS = 1000;
+    private static final long DAY_TICK_INTERVAL_MS = 10_000;
+    private static final long SHARE_INTERVAL_MS = 500;
+    private static final long HAND_OVER_TIMEOUT_MS = 2000;
+
+    /** An isolated router stops giving orders after this time, in ms; longer than the detection of a failed router. */
+    private static final long PLACEMENT_LEASE_MS = 6000;
+
+    private final Vertx vertx;
+    private final RouterSettings settings;
+    private final RouterClock clock;
+    private final RouterMetrics metrics;
+    private final Authenticator authenticator;
+    private final PeerTransport peers;
+    private final PeerNode node;
+    private final PlatformHealth platformHealth = new PlatformHealth();
+    private final ResilientPlatformClient platform;
+    private final CallBudget budget;
+    private final ControlLoop control;
+    private final EndpointTracker endpoints;
+    private final ConfigurationFollower configuration;
+    private final PeerJournal journalPeers;
+    private final JournalSettings journalSettings;
+    private final ShardedJournal journal;
+    private final DayService day;
+    private final OrderSender orders;
+    private final SharedState shared;
+    private final DemandMeter demand;
+    private final RendezvousPlacementLease lease;
+    private boolean configured;
+
+    ControlPlane(
+            Vertx vertx,
+            RouterSettings settings,
+            RouterClock clock,
+            RouterMetrics metrics,
+            Authenticator authenticator,
+            PeerTransport peers,
+            int peerPort) {
+        this.vertx = vertx;
+        this.settings = settings;
+        this.clock = clock;
+        this.metrics = metrics;
+        this.authenticator = authenticator;
+        this.peers = peers;
+        Context context = vertx.getOrCreateContext();
+        Random random = new Random();
+        long startedAtMs = System.currentTimeMillis();
+        String host = settings.text(SettingKey.PEER_HOST);
+        String id = settings.text(SettingKey.ROUTER_ID).isEmpty()
+                ? host + ":" + peerPort
+                : settings.text(SettingKey.ROUTER_ID);
+        String processId = PeerJournal.processId(id, startedAtMs);
+        node = new PeerNode(
+                id,
+                settings.text(SettingKey.DATA_CENTRE),
+                new Address(host, peerPort),
+                startedAtMs,
+                random.nextLong(),
+                ConfigurationFollower::problem);
+        ControlTimers scheduler = new ControlTimers(vertx, context);
+        budget = new CallBudget(scheduler, CallRates.share(1, 1, 1));
+        platform =
+                new ResilientPlatformClient(platformClient(), budget, scheduler, random, new PlatformCounters(metrics));
+        lease = new RendezvousPlacementLease(id, PLACEMENT_LEASE_MS);
+        control = new ControlLoop(context, clock, decisionCore(random.nextLong()), this::perform);
+        demand = new DemandMeter(clock.getAsLong());
+        HttpEngineClient engines = new HttpEngineClient(vertx, ClientOptions.defaults(), clock, orderKey());
+        endpoints = new EndpointTracker(control, engines);
+        configuration = new ConfigurationFollower(platform, node, clock, this::configure);
+        journalSettings = JournalSettings.of(processId);
+        journalPeers = new PeerJournal(vertx, node, journalSettings.peerTimeoutMs(), peers::send);
+        PlatformClient urgent = platform.withPriority(CallPriority.URGENT);
+        PlatformClient background = platform.withPriority(CallPriority.BACKGROUND);
+        journal = new ShardedJournal(
+                journalSettings, urgent, background, scheduler, random, journalPeers, new JournalCounters(metrics));
+        day = new DayService(background, processId, ZoneId.systemDefault());
+        orders = new OrderSender(control, platform, engines, endpoints, processId);
+        shared = new SharedState(
+                node,
+                control,
+                endpoints,
+                configuration,
+                (sender, message) -> journalPeers.receive(sender, message, journal));
+        node.addListener(shared);
+        control.observe(this::observe);
+        control.onFinish(demand::finished);
+    }
+
+    private PlatformClient platformClient() {
+        ClientOptions options =
+                ClientOptions.defaults().withCallTimeoutMs(settings.integer(SettingKey.PLATFORM_TIMEOUT_MS));
+        return new HttpPlatformClient(
+                vertx, settings.text(SettingKey.PLATFORM_HOST), settings.integer(SettingKey.PLATFORM_PORT), options);
+    }
+
+    private String orderKey() {
+        return KeyFiles.read(settings.text(SettingKey.ENDPOINT_ORDER_KEY_FILE));
+    }
+
+    private TableDecisionCore decisionCore(long seed) {
+        EndpointTable table = new EndpointTable();
+        PlacementLease effective =
+                settings.isEnabled(RouterFeature.PLACEMENT_ORDERS) ? lease : new NeverGrantedLease(PLACEMENT_LEASE_MS);
+        // The order itself carries a number of the platform, see OrderSender; the planner's own numbers only tell its
+        // orders apart.
+        PlacementPlanner placement = new PlacementPlanner(
+                PlacementSettings.forStore(settings.number(SettingKey.PLACEMENT_STORE_BYTES_PER_S)),
+                effective,
+                endpointId -> OptionalLong.of(0));
+        TableEndpointDirectory directory = new TableEndpointDirectory(table, HealthSettings.defaults(), placement);
+        QueueSettings queue = QueueSettings.defaults()
+                .withCapacity(settings.integer(SettingKey.QUEUE_MAX_REQUESTS));
+        CoreSettings core = CoreSettings.defaults().withSeed(seed).withQueue(queue);
+        return TableDecisionCore.create(core, directory, new CostChainPlanner(table, seed));
+    }
+
+    // Life cycle
+
+    void start() {
+        every(TICK_INTERVAL_MS, () -> control.post(new Event.Tick()));
+        every(PeerNode.TICK_INTERVAL_MS, this::tickPeers);
+        every(SHARE_INTERVAL_MS, this::shareLoad);
+        every(settings.integer(SettingKey.ENDPOINT_LOAD_INTERVAL_MS), endpoints::readLoads);
+        every(CACHE_INTERVAL_MS, endpoints::readCacheEvents);
+        every(settings.integer(SettingKey.PLATFORM_VM_LIST_MS), this::readVms);
+        every(DAY_TICK_INTERVAL_MS, day::tick);
+        every(
+                settings.integer(SettingKey.REPORT_INTERVAL_MS),
+                () -> day.write().subscribe().with(done -> {}, e -> {}));
+        readVms();
+    }
+
+    /** Refuses new requests; the result completes when the last running one was answered or the time has passed. */
+    Future<Void> drain(long timeoutMs) {
+        Promise<Void> idle = Promise.promise();
+        control.post(new Event.DrainStarted(clock.getAsLong() + timeoutMs));
+        control.onIdle(idle::tryComplete);
+        vertx.setTimer(Math.max(1, timeoutMs), ignored -> idle.tryComplete());
+        return idle.future();
+    }
+
+    /** Writes the last day summary and leaves the peers. */
+    Future<Void> leave() {
+        Promise<Void> left = Promise.promise();
+        day.record(FleetEvent.Kind.DRAIN, node.self().id(), "the router stopped after its requests had finished");
+        day.handOver().subscribe().with(done -> left.tryComplete(), error -> left.tryComplete());
+        peers.send(node.leave(clock.getAsLong()));
+        vertx.setTimer(HAND_OVER_TIMEOUT_MS, ignored -> left.tryComplete());
+        return left.future();
+    }
+
+    void receive(Frame frame) {
+        peers.send(node.receive(frame, clock.getAsLong()));
+    }
+
+    // Access
+
+    RouterSettings settings() {
+        return settings;
+    }
+
+    ControlLoop control() {
+        return control;
+    }
+
+    PeerNode node() {
+        return node;
+    }
+
+    EndpointTracker endpoints() {
+        return endpoints;
+    }
+
+    ConfigurationFollower configuration() {
+        return configuration;
+    }
+
+    PlatformHealth platformHealth() {
+        return platformHealth;
+    }
+
+    PlatformClient platform() {
+        return platform;
+    }
+
+    DayService day() {
+        return day;
+    }
+
+    ShardedJournal journal() {
+        return journal;
+    }
+
+    FleetConfig config() {
+        return authenticator.config();
+    }
+
+    // Periodic work
+
+    private void tickPeers() {
+        peers.send(node.tick(clock.getAsLong()));
+        configuration.tick();
+    }
+
+    private void shareLoad() {
+        long nowMs = clock.getAsLong();
+        node.observe(demand.read(nowMs), nowMs);
+        shared.publishLoad();
+        List<String> live =
+                new ArrayList<>(node.members().stream().map(MemberInfo::id).toList());
+        // A router that hears neither from peers nor from the platform may be cut off, so it gives no orders.
+        if (!live.isEmpty() || platformHealth.isReachable()) {
+            live.add(node.self().id());
+            lease.confirm(live, nowMs);
+        }
+        updateBudget(live.size());
+    }
+
+    private void updateBudget(int localRouters) {
+        int remoteRouters = node.remoteDataCentres().stream()
+                .mapToInt(name -> node.remoteMembers(name).size())
+                .sum();
+        int owned = 0;
+        for (int shard = 0; shard < journalSettings.shardCount(); shard++) {
+            if (journalPeers.writerOf(shard).isEmpty()) {
+                owned++;
+            }
+        }
+        budget.setRates(
+                CallRates.share(Math.max(1, localRouters + remoteRouters), journalSettings.shardCount(), owned));
+    }
+
+    private void readVms() {
+        platform.vms().subscribe().with(this::vmsRead, error -> platformHealth.failed());
+    }
+
+    private void vmsRead(List<Vm> vms) {
+        platformHealth.succeeded();
+        endpoints.vmsListed(vms);
+        List<Seed> seeds = new ArrayList<>(configuredSeeds());
+        vms.stream()
+                .filter(vm -> vm.role().equals("router") && !vm.leaving())
+                .forEach(vm -> seeds.add(new Seed(vm.id(), vm.dataCentre(), new Address(vm.host(), vm.port()))));
+        peers.send(node.join(seeds, clock.getAsLong()));
+    }
+
+    private List<Seed> configuredSeeds() {
+        return settings.texts(SettingKey.PEER_SEEDS).stream()
+                .map(text -> {
+                    int colon = text.lastIndexOf(':');
+                    Address address =
+                            new Address(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+                    return new Seed(text, settings.text(SettingKey.DATA_CENTRE), address);
+                })
+                .toList();
+    }
+
+    // Events and actions
+
+    private void configure(FleetConfig config) {
+        if (configured && config.version() > authenticator.config().version()) {
+            day.record(FleetEvent.Kind.CONFIGURATION, "configuration", "version " + config.version() + " is in effect");
+        }
+        LOG.log(System.Logger.Level.INFO, "configuration version {0} is in effect", Long.toString(config.version()));
+        authenticator.configure(config);
+        shared.configure(config);
+        control.post(new Event.ConfigInForce(config));
+        configured = true;
+    }
+
+    /** Sees every event before the decision core does. */
+    private void observe(Event event) {
+        if (event instanceof Event.RequestArrived arrived) {
+            demand.arrived(arrived.request());
+        } else if (event instanceof Event.CallerGone gone) {
+            demand.finished(gone.requestId());
+        } else if (event instanceof Event.EndpointLeaving leaving) {
+            shared.leaving(leaving.endpointId());
+        } else if (event instanceof Event.AttemptFailed failed) {
+            if (failed.reason() == Reason.STAGE_DIED || failed.reason() == Reason.ENDPOINT_TIMEOUT) {
+                endpoints.suspect(failed.failedEndpointId());
+            }
+        } else if (event instanceof Event.EndpointGone gone && gone.crashed()) {
+            day.record(FleetEvent.Kind.FAILURE, gone.endpointId(), "the endpoint does not answer");
+        }
+    }
+
+    private void perform(Action action) {
+        if (action instanceof Action.CountRetry retry) {
+            metrics.retried(retry.rank(), retry.reason());
+            day.recordRetry(retry.caller(), retry.rank(), retry.reason());
+        } else if (action instanceof Action.StateChanged change) {
+            LOG.log(System.Logger.Level.INFO, "{0}: {1}", change.subject(), change.change());
+            day.record(FleetEvent.Kind.RESPONSE, change.subject(), change.change());
+        } else if (action instanceof Action.OrderEngine order) {
+            orders.send(order);
+        } else if (action instanceof Action.ShareQuarantine quarantine) {
+            shared.quarantined(quarantine);
+        } else if (action instanceof Action.ShareCrash crash) {
+            shared.crashed(crash);
+        }
+    }
+
+    private void every(long intervalMs, Runnable task) {
+        vertx.setPeriodic(intervalMs, ignored -> task.run());
+    }
+}
--- a/server/src/main/java/io/radishwinch/server/Explanations.java
+++ b/server/src/main/java/io/radishwinch/server/Explanations.java
@@ -22,10 +22,10 @@
 
 /** Texts and figures that answer why something happened; used on the control thread. */
 final class Explanations {
-    private final RouterProcess.Parts parts;
+    private final ControlPlane parts;
     private volatile Map<String, Double> latestBounds = Map.of();
 
-    Explanations(RouterProcess.Parts parts) {
+    Explanations(ControlPlane parts) {
         this.parts = parts;
     }
 
