--- /dev/null
+++ b/cli/src/main/java/io/radishwinch/cli/AdminClient.java
@@ -0,0 +1,245 @@
+package io.radishwinch.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.net.PemTrustOptions;
+import io.vertx.ext.web.client.HttpRequest;
+import io.vertx.ext.web.client.HttpResponse;
+import io.vertx.ext.web.client.WebClient;
+import io.vertx.ext.web.client.WebClientOptions;
+import java.io.IOException;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/** Client of the operators' interface; tries the routers in turn until one answers. */
+final class AdminClient implements AutoCloseable {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int CONNECT_TIMEOUT_MS = 2_000;
+    private static final long CALL_TIMEOUT_MS = 30_000;
+
+    private final Vertx vertx;
+    private final WebClient client;
+    private final List<URI> routers;
+    private final String key;
+
+    /**
+     * Creates a client.
+     *
+     * @param settings routers and trust file
+     * @param trustFile path of the trust file, or an empty string
+     * @param key operator's key
+     */
+    AdminClient(ToolSettings settings, String trustFile, String key) {
+        this.routers = settings.routers().stream()
+                .map(router -> endpoint(router, !trustFile.isEmpty()))
+                .toList();
+        if (routers.isEmpty()) {
+            throw new CliException(
+                    ExitCode.USAGE, "no router is given", "use --router host:port, or routers in the tool settings");
+        }
+        this.key = key;
+        this.vertx = Vertx.vertx(new VertxOptions()
+                .setEventLoopPoolSize(1)
+                .setFileSystemOptions(
+                        new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+        WebClientOptions options = new WebClientOptions()
+                .setConnectTimeout(CONNECT_TIMEOUT_MS)
+                .setVerifyHost(true)
+                .setFollowRedirects(false)
+                .setUserAgent("radishwinch");
+        if (!trustFile.isEmpty()) {
+            options.setTrustOptions(new PemTrustOptions().addCertPath(trustFile));
+        }
+        this.client = WebClient.create(vertx, options);
+    }
+
+    /**
+     * Answer of a router.
+     *
+     * @param status HTTP status
+     * @param body JSON body
+     */
+    record Answer(int status, JsonNode body) {
+        boolean isOk() {
+            return status / 100 == 2;
+        }
+
+        /** Returns the failure that the answer stands for. */
+        CliException failure() {
+            JsonNode error = body.path("error");
+            String message = error.path("message").asText("the router answered with status " + status);
+            ExitCode code =
+                    switch (status) {
+                        case 401, 403 -> ExitCode.NOT_ALLOWED;
+                        case 409 -> ExitCode.CONFLICT;
+                        case 422 -> ExitCode.INVALID;
+                        default -> ExitCode.FAILED;
+                    };
+            return new CliException(code, message, error.path("hint").asText(""));
+        }
+
+        /** Returns the body of a successful answer; any other ends the command. */
+        JsonNode orFail() {
+            if (!isOk()) {
+                throw failure();
+            }
+            return body;
+        }
+    }
+
+    /** Returns the number of routers that may be asked. */
+    int routerCount() {
+        return routers.size();
+    }
+
+    /** Reads a resource from the first router that answers. */
+    Answer get(String path) {
+        return call(HttpMethod.GET, path, -1, "");
+    }
+
+    /** Reads a resource that not every router has; routers are asked until one has it. */
+    Answer getFromAny(String path) {
+        Answer last = null;
+        List<String> failures = new ArrayList<>();
+        for (URI router : routers) {
+            try {
+                last = callOne(router, HttpMethod.GET, path, -1, "");
+                if (last.status() != 404) {
+                    return last;
+                }
+            } catch (IOException e) {
+                failures.add(router.getAuthority() + ": " + e.getMessage());
+            }
+        }
+        if (last == null) {
+            throw unreachable(failures);
+        }
+        return last;
+    }
+
+    /**
+     * Changes a resource. The version makes a repetition at another router harmless.
+     *
+     * @param version expected version, or -1 for none
+     */
+    Answer call(HttpMethod method, String path, long version, String body) {
+        List<String> failures = new ArrayList<>();
+        Answer unavailable = null;
+        for (URI router : routers) {
+            try {
+                Answer answer = callOne(router, method, path, version, body);
+                if (answer.status() != 503) {
+                    return answer;
+                }
+                unavailable = answer;
+            } catch (IOException e) {
+                failures.add(router.getAuthority() + ": " + e.getMessage());
+            }
+        }
+        if (unavailable != null) {
+            return unavailable;
+        }
+        throw unreachable(failures);
+    }
+
+    /** Returns a path segment with reserved characters encoded. */
+    static String segment(String name) {
+        return URLEncoder.encode(name, StandardCharsets.UTF_8).replace("+", "%20");
+    }
+
+    @Override
+    public void close() {
+        client.close();
+        vertx.close();
+    }
+
+    private static CliException unreachable(List<String> failures) {
+        return new CliException(
+                ExitCode.UNREACHABLE,
+                "no router can be reached: " + String.join("; ", failures),
+                "check the addresses and whether the routers run");
+    }
+
+    private Answer callOne(URI router, HttpMethod method, String path, long version, String body) throws IOException {
+        HttpRequest<Buffer> request = client.request(method, router.getPort(), host(router), "/admin/v1" + path)
+                .ssl(router.getScheme().equals("https"))
+                .timeout(CALL_TIMEOUT_MS)
+                .putHeader("Authorization", "Bearer " + key);
+        if (version >= 0) {
+            request.putHeader("If-Match", "\"" + version + "\"");
+        }
+        try {
+            HttpResponse<Buffer> response = request.sendBuffer(Buffer.buffer(body))
+                    .toCompletionStage()
+                    .toCompletableFuture()
+                    .get(2 * CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            Buffer answer = response.body();
+            return new Answer(
+                    response.statusCode(), answer == null ? JSON.nullNode() : JSON.readTree(answer.getBytes()));
+        } catch (ExecutionException e) {
+            throw new IOException(reason(e.getCause()), e);
+        } catch (TimeoutException e) {
+            throw new IOException("no answer within " + 2 * CALL_TIMEOUT_MS / 1000 + " s", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+
+    private static String reason(Throwable failure) {
+        String message = String.valueOf(failure.getMessage());
+        return message.contains("refused")
+                ? "connection refused"
+                : message.lines().findFirst().orElse("failed");
+    }
+
+    private static String host(URI router) {
+        return router.getHost().replace("[", "").replace("]", "");
+    }
+
+    /** Reads host:port or a URL; a key is never sent over plain HTTP to another machine. */
+    private static URI endpoint(String router, boolean trustGiven) {
+        URI uri = parse(router.contains("://") ? router : "https://" + router, router);
+        boolean loopback = isLoopback(host(uri));
+        if (!router.contains("://") && loopback && !trustGiven) {
+            return parse("http://" + router, router);
+        }
+        if (uri.getScheme().equals("http") && !loopback) {
+            throw new CliException(
+                    ExitCode.USAGE, "plain HTTP to " + router + " would send the key unencrypted", "use https");
+        }
+        return uri;
+    }
+
+    private static URI parse(String text, String router) {
+        URI uri;
+        try {
+            uri = URI.create(text);
+        } catch (IllegalArgumentException e) {
+            uri = null;
+        }
+        boolean valid = uri != null
+                && uri.getHost() != null
+                && uri.getPort() > 0
+                && (uri.getScheme().equals("http") || uri.getScheme().equals("https"));
+        if (!valid) {
+            throw new CliException(ExitCode.USAGE, "not a router address: " + router, "write host:port");
+        }
+        return uri;
+    }
+
+    private static boolean isLoopback(String host) {
+        return host.equals("localhost") || host.equals("::1") || host.matches("127(\\.[0-9]{1,3}){3}");
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/radishwinch/cli/CommandTree.java
@@ -0,0 +1,141 @@
+package io.radishwinch.cli;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import io.radishwinch.config.contract.ObjectKind;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** All commands, and the choice of one by the arguments. */
+final class CommandTree {
+    private static final String NAME = "radishwinch";
+
+    private final JCommander root;
+    private final Group rootOptions = new Group();
+    private final Map<String, Map<String, Command>> groups = new LinkedHashMap<>();
+    private final Map<String, Command> single = new LinkedHashMap<>();
+
+    CommandTree() {
+        for (ObjectKind kind : ObjectKind.values()) {
+            groups.put(kind.singular(), ObjectCommands.of(kind));
+        }
+        groups.put(
+                "explain",
+                Map.of("request", new FleetCommands.ExplainRequest(), "caller", new FleetCommands.ExplainCaller()));
+        groups.put("settings", Map.of("check", new LocalCommands.CheckSettings()));
+        groups.put("key", Map.of("new", new LocalCommands.NewKey()));
+        single.put("status", new FleetCommands.Status());
+        single.put("drain", new FleetCommands.Drain());
+        single.put("report", new ReportCommand());
+        root = JCommander.newBuilder().programName(NAME).addObject(rootOptions).build();
+        groups.forEach((name, commands) -> {
+            root.addCommand(name, new Group());
+            JCommander group = root.getCommands().get(name);
+            commands.forEach(group::addCommand);
+        });
+        single.forEach(root::addCommand);
+    }
+
+    /** Options of a name that only groups commands. */
+    @Parameters
+    private static final class Group {
+        @Parameter(names = "--help", description = "Show this help.", help = true)
+        private boolean help;
+    }
+
+    /**
+     * What the arguments ask for.
+     *
+     * @param command command to run, or null to print the help
+     * @param help text of the help
+     */
+    record Choice(Command command, String help) {}
+
+    /**
+     * Chooses the command.
+     *
+     * @throws CliException if the arguments are wrong
+     */
+    Choice choose(List<String> args) {
+        try {
+            root.parse(args.toArray(String[]::new));
+        } catch (ParameterException e) {
+            throw new CliException(
+                    ExitCode.USAGE, e.getMessage().lines().findFirst().orElse("wrong arguments"), helpHint(args));
+        }
+        String name = root.getParsedCommand();
+        if (name == null) {
+            return help(rootOptions.help, rootHelp(), args);
+        }
+        if (single.containsKey(name)) {
+            return choice(single.get(name), root.getCommands().get(name), name);
+        }
+        JCommander group = root.getCommands().get(name);
+        String sub = group.getParsedCommand();
+        if (sub == null) {
+            Group options = (Group) group.getObjects().get(0);
+            return help(options.help, groupHelp(name), args);
+        }
+        return choice(groups.get(name).get(sub), group.getCommands().get(sub), name + " " + sub);
+    }
+
+    private Choice help(boolean asked, String text, List<String> args) {
+        if (!asked) {
+            throw new CliException(ExitCode.USAGE, "a command is missing", helpHint(args));
+        }
+        return new Choice(null, text);
+    }
+
+    /** Names the help of the longest part of the command that exists. */
+    private String helpHint(List<String> args) {
+        String name = args.isEmpty() ? "" : args.get(0);
+        String words = NAME;
+        if (single.containsKey(name)) {
+            words += " " + name;
+        } else if (groups.containsKey(name)) {
+            boolean known = args.size() > 1 && groups.get(name).containsKey(args.get(1));
+            words += " " + name + (known ? " " + args.get(1) : "");
+        }
+        return "see '" + words + " --help'";
+    }
+
+    private static Choice choice(Command command, JCommander parser, String name) {
+        return command.common.help
+                ? new Choice(null, HelpText.command(NAME + " " + name, parser))
+                : new Choice(command, "");
+    }
+
+    private String groupHelp(String name) {
+        StringBuilder text = new StringBuilder("Usage: " + NAME + " " + name + " COMMAND [OPTIONS] [ARGUMENTS]\n\n");
+        JCommander group = root.getCommands().get(name);
+        groups.get(name).keySet().stream()
+                .sorted()
+                .forEach(sub -> text.append(
+                        HelpText.line(name + " " + sub, group.getCommands().get(sub))));
+        return text.toString();
+    }
+
+    private String rootHelp() {
+        StringBuilder text = new StringBuilder("Usage: " + NAME + " COMMAND [OPTIONS] [ARGUMENTS]\n\n");
+        groups.forEach((name, commands) -> commands.keySet().stream()
+                .sorted()
+                .forEach(sub -> text.append(HelpText.line(
+                        name + " " + sub,
+                        root.getCommands().get(name).getCommands().get(sub)))));
+        single.keySet()
+                .forEach(name ->
+                        text.append(HelpText.line(name, root.getCommands().get(name))));
+        text.append("\nEvery command has --help. Exit codes:\n");
+        for (ExitCode code : ExitCode.values()) {
+            text.append("  ")
+                    .append(code.code())
+                    .append("  ")
+                    .append(code.description())
+                    .append('\n');
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/radishwinch/cli/CommonOptions.java
@@ -0,0 +1,32 @@
+package io.radishwinch.cli;
+
+import com.beust.jcommander.Parameter;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Options of every command. */
+final class CommonOptions {
+    @Parameter(
+            names = "--router",
+            description = "Router as host:port; may be given several times, each is tried in turn. HTTPS is used,"
+                    + " but plain HTTP on loopback unless --trust-file is given.")
+    List<String> routers = new ArrayList<>();
+
+    @Parameter(
+            names = "--key-file",
+            description = "File with the operator's key; without it the variable " + Environment.KEY_VARIABLE
+                    + " and then the tool settings are used.")
+    String keyFile = "";
+
+    @Parameter(names = "--trust-file", description = "PEM certificates that may sign the routers' certificates.")
+    String trustFile = "";
+
+    @Parameter(names = "--config", description = "Tool settings; by default ~/.config/radishwinch/tool.yaml.")
+    String config = "";
+
+    @Parameter(names = "--output", description = "Form of the result: text or json.")
+    String output = "";
+
+    @Parameter(names = "--help", description = "Show this help.", help = true)
+    boolean help;
+}
--- a/server/src/main/java/io/radishwinch/server/admin/AdminApi.java
+++ b/server/src/main/java/io/radishwinch/server/admin/AdminApi.java
@@ -1,6 +1,7 @@
 package io.radishwinch.server.admin;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
 import io.radishwinch.config.settings.Operator;
 import io.radishwinch.config.settings.Operator.Role;
 import io.radishwinch.report.DaySlots;
@@ -39,7 +40,7 @@
     /** Largest request body, in bytes; equal to the largest value of the platform. */
     public static final int MAX_BODY_BYTES = 1_000_000;
 
-    static final ObjectMapper JSON = new ObjectMapper();
+    static final ObjectMapper JSON = new ObjectMapper().enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS);
 
     private static final System.Logger LOG = System.getLogger(AdminApi.class.getName());
     private static final String OPERATOR = "operator";
--- a/server/src/main/java/io/radishwinch/server/admin/ObjectRoutes.java
+++ b/server/src/main/java/io/radishwinch/server/admin/ObjectRoutes.java
@@ -30,7 +30,7 @@
     void addTo(Router router) {
         for (ObjectKind kind : ObjectKind.values()) {
             String path = AdminApi.BASE_PATH + "/" + kind.plural();
-            router.get(path).handler(ctx -> api.answer(ctx, list(kind)));
+            router.get(path).handler(ctx -> api.answer(ctx, list(kind, ctx)));
             router.get(path + "/:name").handler(ctx -> api.answer(ctx, get(kind, ctx)));
             router.post(path + "/:name/check").handler(ctx -> api.answer(ctx, check(kind, ctx)));
             router.put(path + "/:name")
@@ -42,13 +42,16 @@
         }
     }
 
-    private Uni<Object> list(ObjectKind kind) {
+    private Uni<Object> list(ObjectKind kind, RoutingContext ctx) {
+        boolean text = "true".equals(ctx.request().getParam("text"));
         return control.listObjects(kind)
                 .map(documents -> Map.of(
                         "kind",
                         kind.singular(),
                         "objects",
-                        documents.stream().map(ObjectRoutes::describe).toList()));
+                        documents.stream()
+                                .map(document -> text ? withText(document) : describe(document))
+                                .toList()));
     }
 
     private Uni<Object> get(ObjectKind kind, RoutingContext ctx) {
