--- a/embedded/src/main/java/io/radishwinch/embedded/Quickstart.java
+++ b/embedded/src/main/java/io/radishwinch/embedded/Quickstart.java
@@ -7,6 +7,7 @@
 import io.radishwinch.server.EmbeddedMode;
 import io.radishwinch.standins.EngineStandIn;
 import io.radishwinch.standins.StandInFleet;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.http.HttpResponse;
@@ -77,6 +78,7 @@
         Path toolSettings = writeToolSettings(deployment);
         operatorTool(toolSettings, "model", "apply", arguments.examples + "/models");
         operatorTool(toolSettings, "service", "apply", arguments.examples + "/services");
+        waitUntil("the model is covered", () -> status(toolSettings).contains("\"covered\":true"));
         operatorTool(toolSettings, "contract", "apply", arguments.examples + "/contracts");
         int first = deployment.routers().get(0).callerPort();
         int second = deployment.routers().get(1).callerPort();
@@ -198,13 +200,27 @@
     }
 
     private void operatorTool(Path toolSettings, String... arguments) {
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        int code = runTool(toolSettings, output, arguments);
+        expect(
+                code == 0,
+                "radishwinch " + String.join(" ", arguments) + " ends with 0, not " + code + ": "
+                        + output.toString(StandardCharsets.UTF_8));
+        out.println("radishwinch " + String.join(" ", arguments));
+    }
+
+    private static String status(Path toolSettings) {
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        runTool(toolSettings, output, "status", "--output", "json");
+        return output.toString(StandardCharsets.UTF_8).replace(" ", "");
+    }
+
+    private static int runTool(Path toolSettings, ByteArrayOutputStream output, String... arguments) {
         List<String> all = new ArrayList<>(List.of(arguments));
         all.add("--config");
         all.add(toolSettings.toString());
-        PrintStream quiet = new PrintStream(java.io.OutputStream.nullOutputStream(), true, StandardCharsets.UTF_8);
-        int code = Main.run(all.toArray(String[]::new), System.in, quiet, System.err);
-        expect(code == 0, "radishwinch " + String.join(" ", arguments) + " ended with " + code);
-        out.println("radishwinch " + String.join(" ", arguments));
+        PrintStream stream = new PrintStream(output, true, StandardCharsets.UTF_8);
+        return Main.run(all.toArray(String[]::new), System.in, stream, stream);
     }
 
     private static void waitUntil(String what, BooleanSupplier condition) throws InterruptedException {
--- a/server/src/main/java/io/radishwinch/server/AdminControl.java
+++ b/server/src/main/java/io/radishwinch/server/AdminControl.java
@@ -38,6 +38,7 @@
     private static final String RELEASE = "0.1.0";
     private static final int HTTP_UNAVAILABLE = 503;
 
+    private final ControlPlane parts;
     private final RouterSettings settings;
     private final ControlLoop control;
     private final PeerNode node;
@@ -54,6 +55,7 @@
 
     /** Creates the adapter; parts belong to the control thread unless they are safe for use by several threads. */
     AdminControl(ControlPlane parts, Supplier<String> metrics, Supplier<Optional<String>> notReady) {
+        this.parts = parts;
         this.settings = parts.settings();
         this.control = parts.control();
         this.node = parts.node();
@@ -272,7 +274,7 @@
 
     @Override
     public Map<String, Double> boundTokensPerSByPool() {
-        return explanations.latestBounds();
+        return parts.boundTokensPerSByPool();
     }
 
     @Override
--- a/server/src/main/java/io/radishwinch/server/ControlPlane.java
+++ b/server/src/main/java/io/radishwinch/server/ControlPlane.java
@@ -15,6 +15,7 @@
 import io.radishwinch.config.settings.RouterFeature;
 import io.radishwinch.config.settings.RouterSettings;
 import io.radishwinch.config.settings.SettingKey;
+import io.radishwinch.core.DecisionCore.PoolView;
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.chain.CostChainPlanner;
 import io.radishwinch.core.chain.EndpointTable;
@@ -46,8 +47,10 @@
 import java.time.ZoneId;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.stream.Collectors;
 
 /** Everything that the control thread owns. The constructor and all methods are called on that thread. */
 final class ControlPlane {
@@ -82,6 +85,7 @@
     private final SharedState shared;
     private final DemandMeter demand;
     private final RendezvousPlacementLease lease;
+    private volatile Map<String, Double> boundTokensPerSByPool = Map.of();
     private boolean configured;
 
     ControlPlane(
@@ -164,8 +168,7 @@
                 effective,
                 endpointId -> OptionalLong.of(0));
         TableEndpointDirectory directory = new TableEndpointDirectory(table, HealthSettings.defaults(), placement);
-        QueueSettings queue = QueueSettings.defaults()
-                .withCapacity(settings.integer(SettingKey.QUEUE_MAX_REQUESTS));
+        QueueSettings queue = QueueSettings.defaults().withCapacity(settings.integer(SettingKey.QUEUE_MAX_REQUESTS));
         CoreSettings core = CoreSettings.defaults().withSeed(seed).withQueue(queue);
         return TableDecisionCore.create(core, directory, new CostChainPlanner(table, seed));
     }
@@ -247,6 +250,11 @@
         return journal;
     }
 
+    /** Returns the achievable throughput of each pool in tokens/s, at most 0.5 s old; safe for use by any thread. */
+    Map<String, Double> boundTokensPerSByPool() {
+        return boundTokensPerSByPool;
+    }
+
     FleetConfig config() {
         return authenticator.config();
     }
@@ -270,6 +278,8 @@
             lease.confirm(live, nowMs);
         }
         updateBudget(live.size());
+        boundTokensPerSByPool = control.core().view().pools().stream()
+                .collect(Collectors.toUnmodifiableMap(PoolView::pool, PoolView::boundTokensPerS));
     }
 
     private void updateBudget(int localRouters) {
--- a/server/src/main/java/io/radishwinch/server/Explanations.java
+++ b/server/src/main/java/io/radishwinch/server/Explanations.java
@@ -2,7 +2,6 @@
 
 import io.radishwinch.core.DecisionCore.CoreView;
 import io.radishwinch.core.DecisionCore.EndpointView;
-import io.radishwinch.core.DecisionCore.PoolView;
 import io.radishwinch.core.DecisionCore.RequestView;
 import io.radishwinch.core.model.Contract;
 import io.radishwinch.core.model.Rank;
@@ -23,28 +22,12 @@
 /** Texts and figures that answer why something happened; used on the control thread. */
 final class Explanations {
     private final ControlPlane parts;
-    private volatile Map<String, Double> latestBounds = Map.of();
 
     Explanations(ControlPlane parts) {
         this.parts = parts;
     }
 
-    /** Returns the bounds seen at the latest status; safe for use by any thread. */
-    Map<String, Double> latestBounds() {
-        parts.control().execute(() -> remember(parts.control().core().view()));
-        return latestBounds;
-    }
-
-    private void remember(CoreView view) {
-        Map<String, Double> bounds = new HashMap<>();
-        for (PoolView pool : view.pools()) {
-            bounds.put(pool.pool(), pool.boundTokensPerS());
-        }
-        latestBounds = Map.copyOf(bounds);
-    }
-
     Map<String, List<EndpointView>> endpointsByPool(CoreView view) {
-        remember(view);
         Map<String, List<EndpointView>> byPool = new HashMap<>();
         for (EndpointView endpoint : view.endpoints()) {
             parts.endpoints().pools(endpoint.endpointId()).forEach(pool -> byPool.computeIfAbsent(
