--- a/core/src/main/java/io/radishwinch/core/chain/PoolCapacity.java
+++ b/core/src/main/java/io/radishwinch/core/chain/PoolCapacity.java
@@ -21,10 +21,13 @@
 
     private final EndpointTable table;
     private final ModelSpec pool;
+    private final long nowMs;
     private final List<HeldRange> entries = new ArrayList<>();
+    private final Map<HeldRange, Integer> stageOf = new LinkedHashMap<>();
     private double hopUs = Double.MAX_VALUE;
 
-    PoolCapacity(EndpointTable table, ModelSpec pool) {
+    PoolCapacity(EndpointTable table, ModelSpec pool, long nowMs) {
+        this.nowMs = nowMs;
         this.table = table;
         this.pool = pool;
         PoolIndex index = table.pool(pool.name());
@@ -40,13 +43,26 @@
 
     /** Returns the achievable throughput in tokens/s, 0 if the pool is not covered. */
     double tokensPerS() {
-        List<ThroughputBound.LinkCapacity> links = links();
+        // Single links matter in small pools; a large pool has many ways around each of them.
+        boolean small = entries.size() <= ThroughputBound.MAX_STAGES_WITH_PAIRS;
+        List<ThroughputBound.LinkCapacity> links = small ? links() : List.of();
         return ThroughputBound.tokensPerS(pool.layerCount(), stages(), links);
     }
 
+    /** Sets the price of a slot of every endpoint from the packing that {@link #packing} returned. */
+    void applyPrices(ChainPacking packing) {
+        stageOf.forEach((entry, stage) -> {
+            entry.scarcityUs = packing.priceUs(stage);
+            table.refresh(entry.row);
+        });
+    }
+
     /** Returns the packing of chains for stages alike in range and layer time. */
     ChainPacking packing() {
-        links();
+        for (HeldRange entry : entries) {
+            entry.row.outgoing.all().forEach(link -> hopUs = Math.min(hopUs, link.delayUs));
+        }
+        hopUs = hopUs == Double.MAX_VALUE ? 0 : hopUs;
         Map<List<Integer>, double[]> groups = new LinkedHashMap<>();
         boolean each = entries.size() <= ThroughputBound.MAX_STAGES_WITH_PAIRS;
         for (int i = 0; i < entries.size(); i++) {
@@ -54,12 +70,16 @@
             int end = Math.min(entry.end, pool.layerCount());
             double layerUs = entry.row.layerTimeUs();
             int alike = each ? i : (int) Math.round(Math.log(layerUs) / ALIKE_LOG);
-            double[] sums = groups.computeIfAbsent(List.of(entry.first, end, alike), key -> new double[2]);
             double streams = streams(entry, end);
+            if (streams <= 0) {
+                continue;
+            }
+            double[] sums =
+                    groups.computeIfAbsent(List.of(entry.first, end, alike), key -> new double[] {0, 0, groups.size()});
+            stageOf.put(entry, (int) sums[2]);
             sums[0] += streams;
             sums[1] += streams * layerUs;
         }
-        groups.values().removeIf(sums -> sums[0] <= 0);
         int[] first = new int[groups.size()];
         int[] last = new int[groups.size()];
         double[] layerUs = new double[groups.size()];
@@ -71,14 +91,26 @@
             slots[i] = group.getValue()[0];
             layerUs[i++] = group.getValue()[1] / slots[i - 1];
         }
-        return new ChainPacking(pool.layerCount(), first, last, layerUs, slots, hopUs);
+        return new ChainPacking(pool.layerCount(), first, last, layerUs, slots, linksUs(first.length, each));
+    }
+
+    /** Returns the delay between stages: measured for single endpoints, the smallest of all for groups. */
+    private double[][] linksUs(int count, boolean each) {
+        double[][] linksUs = new double[count][count];
+        for (double[] row : linksUs) {
+            Arrays.fill(row, hopUs);
+        }
+        if (each) {
+            stageOf.forEach((from, i) ->
+                    stageOf.forEach((to, j) -> linksUs[i][j] = table.links().plainDelayUs(from.row, to.row, nowMs)));
+        }
+        return linksUs;
     }
 
     private List<ThroughputBound.LinkCapacity> links() {
         List<ThroughputBound.LinkCapacity> links = new ArrayList<>();
         for (HeldRange from : entries) {
             for (Link link : from.row.outgoing.all()) {
-                hopUs = Math.min(hopUs, link.delayUs);
                 for (HeldRange to : link.to.entries) {
                     if (link.tokensPerS > 0 && to.pool.equals(pool.name()) && to.row.isUsable()) {
                         links.add(new ThroughputBound.LinkCapacity(name(from), name(to), link.tokensPerS));
@@ -86,7 +118,6 @@
                 }
             }
         }
-        hopUs = hopUs == Double.MAX_VALUE ? 0 : hopUs;
         return links;
     }
 
