Keep retries within the budget in short outages and room for small callers in a full rank

Cause: FailurePairTest: an outage of 10 s at 30 requests/s together with a lost endpoint gave 30 retries for 299 first attempts, because retries saved up before the outage came on top. RankedFairQueueTest: floods of 51 callers together left no room in their rank for another caller. Change: a pool with 16 failures in a row and no completed request loses its savings, the window of savings is 5 s, started streams wait for the budget until their deadline; a caller with fewer requests displaces the newest of the largest one. Conclusion: the budget holds from about 200 first attempts on; below that the smallest balance of 16 retries dominates.

--- a/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
@@ -38,7 +38,7 @@
             state.refuseEarly(spec, Reason.RATE_LIMITED, waitMs);
             return;
         }
-        if (!state.queue.offer(spec, nowMs)) {
+        if (!state.queue.offer(spec, nowMs, other -> displaced(other, nowMs))) {
             state.refuseEarly(spec, Reason.QUEUE_FULL, RETRY_AFTER_MS);
             return;
         }
@@ -64,6 +64,10 @@
         return state.isUncoveredForLong(spec.pool(), nowMs) ? Reason.NO_CAPACITY : null;
     }
 
+    private void displaced(RequestSpec spec, long nowMs) {
+        state.refuse(state.requests.get(spec.requestId()), Reason.QUEUE_FULL, nowMs);
+    }
+
     private static boolean isTransient(Reason reason) {
         return reason == Reason.DRAINING || reason == Reason.NO_CAPACITY;
     }
--- a/core/src/main/java/io/radishwinch/core/queue/FifoQueue.java
+++ b/core/src/main/java/io/radishwinch/core/queue/FifoQueue.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 /** Baseline queue: order of arrival within each pool, whatever the rank and the caller. */
@@ -35,7 +36,7 @@
     }
 
     @Override
-    public boolean offer(RequestSpec request, long nowMs) {
+    public boolean offer(RequestSpec request, long nowMs, Consumer<RequestSpec> displaced) {
         if (entriesById.size() >= capacity) {
             return false;
         }
--- a/core/src/main/java/io/radishwinch/core/queue/RankedFairQueue.java
+++ b/core/src/main/java/io/radishwinch/core/queue/RankedFairQueue.java
@@ -3,6 +3,7 @@
 import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.RequestSpec;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -11,6 +12,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 /**
@@ -25,6 +28,8 @@
  * <p>Each rank has a reserve of the capacity, and each caller may hold at most as many requests of a rank as that rank
  * has room left (dynamic thresholds, A. Choudhury, E. Hahne, "Dynamic queue length thresholds for shared-memory packet
  * switches", IEEE/ACM Transactions on Networking 6(2), 1998), so that one caller's flood leaves room for the others.
+ * When many floods together fill a rank, a caller with fewer requests displaces the newest one of the caller with the
+ * most.
  *
  * <p>{@code poll} looks at one request per rank and pool at most, so its time does not grow with the queue.
  */
@@ -38,10 +43,14 @@
     /** An idle account is kept for this time, because it holds what the caller uses of its reservations. */
     private static final long ACCOUNT_TTL_MS = 60_000;
 
+    private static final Comparator<Account> BY_SIZE =
+            Comparator.<Account>comparingInt(account -> account.queued).thenComparing(account -> account.caller);
+
     private final QueueSettings settings;
     private final Entitlements entitlements;
     private final DeadlineIndex deadlines;
     private final Map<Rank, TreeMap<String, Lane>> lanes = new EnumMap<>(Rank.class);
+    private final Map<Rank, TreeSet<Account>> bySize = new EnumMap<>(Rank.class);
     private final Map<AccountKey, Account> accounts = new HashMap<>();
     private final Map<String, Flow.Queued> queuedById = new HashMap<>();
     private final Map<String, Charge> chargesById = new HashMap<>();
@@ -57,22 +66,56 @@
         this.deadlines = deadlines;
         for (Rank rank : Rank.values()) {
             lanes.put(rank, new TreeMap<>());
+            bySize.put(rank, new TreeSet<>(BY_SIZE));
         }
     }
 
     // Adding
 
     @Override
-    public boolean offer(RequestSpec request, long nowMs) {
+    public boolean offer(RequestSpec request, long nowMs, Consumer<RequestSpec> displaced) {
         Account account = accounts.get(new AccountKey(request.caller(), request.rank()));
+        int queued = account == null ? 0 : account.queued;
         int free = freeFor(request.rank());
-        if (free <= 0 || (account != null && account.queued >= free)) {
+        if (free <= 0) {
+            Optional<Flow.Queued> last = displaceable(request.rank(), queued + 1);
+            if (last.isEmpty()) {
+                return false;
+            }
+            removeEntry(last.get());
+            displaced.accept(last.get().request());
+        } else if (queued >= free) {
             return false;
         }
         add(new Flow.Queued(nextSequence++, request, false, flow(request, nowMs)), nowMs);
         return true;
     }
 
+    /**
+     * Returns the newest request of the caller with most requests of the rank, if it has more than the given number.
+     */
+    private Optional<Flow.Queued> displaceable(Rank rank, int moreThan) {
+        TreeSet<Account> accountsOfRank = bySize.get(rank);
+        if (accountsOfRank.isEmpty() || accountsOfRank.last().queued <= moreThan) {
+            return Optional.empty();
+        }
+        return accountsOfRank.last().flows.stream()
+                .filter(flow -> !flow.waiting.isEmpty())
+                .map(flow -> flow.waiting.lastEntry().getValue())
+                .filter(queued -> !queued.isCharged())
+                .max(Comparator.comparingLong(Flow.Queued::sequence));
+    }
+
+    private void resize(Account account, int change) {
+        TreeSet<Account> accountsOfRank = bySize.get(account.rank);
+        accountsOfRank.remove(account);
+        account.queued += change;
+        queuedByRank[account.rank.ordinal()] += change;
+        if (account.queued > 0) {
+            accountsOfRank.add(account);
+        }
+    }
+
     @Override
     public void requeue(RequestSpec request, long nowMs) {
         add(
@@ -106,9 +149,8 @@
         }
         flow.waiting.put(queued.sequence(), queued);
         flow.lane.attach(flow);
-        account.queued++;
         account.usedAtMs = nowMs;
-        queuedByRank[account.rank.ordinal()]++;
+        resize(account, 1);
         queuedById.put(queued.request().requestId(), queued);
         deadlines.add(queued.request());
     }
@@ -214,8 +256,7 @@
         flow.lane.detach(flow);
         flow.waiting.remove(queued.sequence());
         flow.lane.attach(flow);
-        flow.account.queued--;
-        queuedByRank[flow.account.rank.ordinal()]--;
+        resize(flow.account, -1);
         queuedById.remove(queued.request().requestId());
         deadlines.remove(queued.request());
     }
--- a/core/src/main/java/io/radishwinch/core/queue/RequestQueue.java
+++ b/core/src/main/java/io/radishwinch/core/queue/RequestQueue.java
@@ -4,6 +4,7 @@
 import io.radishwinch.core.model.RequestSpec;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 /** Bounded queue of the requests that wait for a chain. */
@@ -12,9 +13,10 @@
     /**
      * Adds a request.
      *
+     * @param displaced receives a request that leaves the queue to make room
      * @return false if the queue is full; the request is then not queued
      */
-    boolean offer(RequestSpec request, long nowMs);
+    boolean offer(RequestSpec request, long nowMs, Consumer<RequestSpec> displaced);
 
     /**
      * Puts a request that was polled earlier back in front of the other requests of its caller and rank, without a
--- a/core/src/main/java/io/radishwinch/core/retry/BudgetedRetryPolicy.java
+++ b/core/src/main/java/io/radishwinch/core/retry/BudgetedRetryPolicy.java
@@ -42,6 +42,9 @@
         if (failure.reason() == Reason.PREEMPTED) {
             return new Retry(0);
         }
+        if (failure.budgetWaits() == 0) {
+            budget.failed(request.pool(), nowMs);
+        }
         if (failure.attempts() >= settings.maxAttempts()) {
             return new GiveUp(Reason.ATTEMPTS_EXHAUSTED);
         }
@@ -50,7 +53,7 @@
             boolean immediate = failure.deliveredTokens() > 0 && failure.attempts() == 1 && failure.budgetWaits() == 0;
             return new Retry(immediate ? 0 : backoff.waitMs(failure.attempts() - 1));
         }
-        return failure.budgetWaits() < settings.maxBudgetWaits()
+        return failure.deliveredTokens() > 0 || failure.budgetWaits() < settings.maxBudgetWaits()
                 ? new AskAgain(1 + backoff.waitMs(failure.attempts() + failure.budgetWaits()))
                 : new GiveUp(Reason.RETRY_BUDGET_EXHAUSTED);
     }
--- a/core/src/main/java/io/radishwinch/core/retry/RetryBudget.java
+++ b/core/src/main/java/io/radishwinch/core/retry/RetryBudget.java
@@ -35,7 +35,18 @@
     public void completed(String caller, String pool, long nowMs) {
         double amount = settings.ratio() - settings.attemptRatio();
         caller(caller, nowMs).deposit(settings, amount);
-        pool(pool, nowMs).deposit(settings, amount);
+        Account poolAccount = pool(pool, nowMs);
+        poolAccount.deposit(settings, amount);
+        poolAccount.failuresInRow = 0;
+    }
+
+    /** Notes a failed attempt; after many without a completed request the pool is down and its savings are void. */
+    public void failed(String pool, long nowMs) {
+        Account account = pool(pool, nowMs);
+        account.failuresInRow++;
+        if (account.failuresInRow == settings.outageFailures() + 1) {
+            account.balance = 0;
+        }
     }
 
     /** Takes one retry; returns false and takes nothing if the caller or the pool has none left. */
@@ -79,6 +90,7 @@
         /** First attempts of about the last window, exponentially weighted. */
         private double load;
 
+        private int failuresInRow;
         private long updatedAtMs;
         private long refilledAtMs;
 
--- a/core/src/main/java/io/radishwinch/core/retry/RetrySettings.java
+++ b/core/src/main/java/io/radishwinch/core/retry/RetrySettings.java
@@ -8,10 +8,13 @@
  * @param attemptRatio part of it that is granted when the attempt starts, 0 to {@code ratio}
  * @param windowMs unused retries of this period may be used at once, in ms
  * @param minBalance retries that a pool or caller may save up at any load
+ * @param outageFailures failures in a row, without a completed request, after which a pool counts as down and what it
+ *     saved up is void
  * @param callerRefillPerS retries/s that a caller gains at any load, within the budget of the pool
  * @param backoffBaseMs largest wait before the first retry, in ms; doubles with each further one
  * @param backoffMaxMs largest wait before any retry, in ms
- * @param maxBudgetWaits waits for an empty budget before the request is refused
+ * @param maxBudgetWaits waits for an empty budget before a request is refused; a started stream waits until its
+ *     deadline
  * @param maxEntries callers and pools with a budget of their own
  */
 public record RetrySettings(
@@ -20,6 +23,7 @@
         double attemptRatio,
         long windowMs,
         double minBalance,
+        int outageFailures,
         double callerRefillPerS,
         long backoffBaseMs,
         long backoffMaxMs,
@@ -28,10 +32,10 @@
 
     /**
      * Returns the defaults. Most of the budget is granted on completion, because in a total outage retries help nobody;
-     * the smallest balance lets the streams of one lost endpoint resume at low load.
+     * the smallest balance and the failures in a row let the streams of one lost endpoint resume.
      */
     public static RetrySettings defaults() {
-        return new RetrySettings(4, 0.1, 0.02, 10_000, 24, 0.1, 50, 2_000, 4, 10_000);
+        return new RetrySettings(4, 0.1, 0.02, 5_000, 16, 16, 0.1, 50, 2_000, 4, 10_000);
     }
 
     /** Returns a copy with another number of attempts. */
@@ -42,6 +46,7 @@
                 attemptRatio,
                 windowMs,
                 minBalance,
+                outageFailures,
                 callerRefillPerS,
                 backoffBaseMs,
                 backoffMaxMs,
@@ -49,14 +54,16 @@
                 maxEntries);
     }
 
-    /** Returns a copy with other ratios of retries to first attempts and another smallest balance. */
-    public RetrySettings withBudget(double newRatio, double newAttemptRatio, double newMinBalance) {
+    /** Returns a copy with another budget. */
+    public RetrySettings withBudget(
+            double newRatio, double newAttemptRatio, double newMinBalance, int newOutageFailures) {
         return new RetrySettings(
                 maxAttempts,
                 newRatio,
                 newAttemptRatio,
                 windowMs,
                 newMinBalance,
+                newOutageFailures,
                 callerRefillPerS,
                 backoffBaseMs,
                 backoffMaxMs,
@@ -72,6 +79,7 @@
                 attemptRatio,
                 windowMs,
                 minBalance,
+                outageFailures,
                 callerRefillPerS,
                 baseMs,
                 maxMs,
--- /dev/null
+++ b/core/src/test/java/io/radishwinch/core/impl/FailurePairTest.java
@@ -0,0 +1,143 @@
+package io.radishwinch.core.impl;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.Limits;
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Verdict;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Guards against failures that are handled alone but not together; each pair runs at the same time. */
+class FailurePairTest {
+
+    private static final long FROM_MS = 10_000;
+    private static final long TO_MS = 20_000;
+    private static final long END_MS = 40_000;
+    private static final Limits WIDE = new Limits(1e6, 1e9, 1_000_000);
+
+    enum Failure {
+        STAGE_DEATH,
+        OUTAGE,
+        BATCH_FLOOD,
+        INTERACTIVE_FLOOD,
+        CRASHING_REQUEST,
+        DRAIN,
+        SHORT_DEADLINES
+    }
+
+    static Stream<Set<Failure>> pairs() {
+        List<Set<Failure>> pairs = new ArrayList<>();
+        for (Failure first : Failure.values()) {
+            for (Failure second : Failure.values()) {
+                if (first.ordinal() < second.ordinal()) {
+                    pairs.add(EnumSet.of(first, second));
+                }
+            }
+        }
+        return pairs.stream();
+    }
+
+    private static void load(
+            CoreBench bench, String id, String caller, Rank rank, double perS, long[] period, long timeoutMs) {
+        Random random = new Random(id.hashCode());
+        int n = 0;
+        for (double atMs = period[0]; atMs < period[1]; atMs -= Math.log(1 - random.nextDouble()) * 1_000 / perS) {
+            bench.arrive(bench.request(id + n++, caller, rank, (long) atMs, 50, timeoutMs));
+        }
+    }
+
+    private static void inject(CoreBench bench, Failure failure) {
+        long[] period = {FROM_MS, TO_MS};
+        switch (failure) {
+            case STAGE_DEATH -> {
+                bench.at(FROM_MS, new Event.EndpointGone("0-9", true));
+                bench.at(FROM_MS + 1_000, new Event.EndpointGone("1-9", false));
+            }
+            case BATCH_FLOOD -> load(bench, "batch", "nightly", Rank.BATCH, 600, period, 8_000);
+            case INTERACTIVE_FLOOD -> load(bench, "flood", "clinic", Rank.INTERACTIVE, 600, period, 3_000);
+            case CRASHING_REQUEST -> {
+                for (int n = 0; n < 20; n++) {
+                    RequestSpec spec =
+                            bench.request("p" + n, "clinic", Rank.INTERACTIVE, FROM_MS + n * 400L, 50, 5_000);
+                    bench.arrive(new RequestSpec(
+                            spec.requestId(),
+                            spec.caller(),
+                            spec.rank(),
+                            spec.pool(),
+                            10,
+                            50,
+                            spec.arrivedAtMs(),
+                            spec.deadlineMs(),
+                            "poison",
+                            List.of(),
+                            true));
+                }
+            }
+            case DRAIN -> bench.at(TO_MS - 2_000, new Event.DrainStarted(TO_MS));
+            case SHORT_DEADLINES -> load(bench, "short", "small", Rank.INTERACTIVE, 20, period, 100);
+            default -> {}
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("pairs")
+    void everyRequestEndsRightlyWhileTwoFailuresCoincide(Set<Failure> failures) {
+        FakeDirectory directory = new FakeDirectory(2, 10, 4);
+        CoreBench bench = CoreBench.of(directory, CoreSettings.defaults());
+        bench.contract("small", 1, WIDE, 0).contract("clinic", 1, WIDE, 0).contract("nightly", 1, WIDE, 400);
+        bench.endpoints = start -> {
+            if (bench.trace(start.requestId()).spec.fingerprint().equals("poison")) {
+                return new CoreBench.Outcome(
+                        50, new Event.EndpointGone(start.chain().head().endpointId(), true));
+            }
+            boolean outage = failures.contains(Failure.OUTAGE) && bench.nowMs >= FROM_MS && bench.nowMs < TO_MS;
+            return outage
+                    ? CoreBench.fails(start, 5, Reason.ENDPOINT_REFUSED, Verdict.NOT_RUN, start.resumeFromToken())
+                    : bench.finishes(start);
+        };
+        load(bench, "s", "small", Rank.INTERACTIVE, 20, new long[] {0, END_MS}, 3_000);
+        load(bench, "b", "nightly", Rank.BATCH, 10, new long[] {0, END_MS}, 8_000);
+        failures.forEach(failure -> inject(bench, failure));
+        bench.run(END_MS + 20_000);
+
+        assertThat(bench.traces.values()).allMatch(t -> t.end != null);
+        assertThat(bench.core.state().requests).isEmpty();
+        assertThat(bench.traces.values().stream()
+                        .filter(t -> t.end instanceof Action.Refuse
+                                && !t.spec.fingerprint().equals("poison"))
+                        .map(t -> t.refusal().reason()))
+                .doesNotContain(Reason.QUARANTINED, Reason.INTERNAL_ERROR);
+        int planned = failures.contains(Failure.STAGE_DEATH) ? 2 : 0;
+        assertThat(directory.down.size() - planned).isLessThanOrEqualTo(2);
+        if (!failures.contains(Failure.OUTAGE) && !failures.contains(Failure.DRAIN)) {
+            assertServed(bench, 0.99, 0, END_MS);
+        } else if (!failures.contains(Failure.DRAIN)) {
+            assertServed(bench, 0.99, TO_MS, END_MS);
+        }
+        if (failures.contains(Failure.OUTAGE)) {
+            long first = bench.starts(FROM_MS, TO_MS, s -> s.epoch() == 1);
+            assertThat(bench.starts(FROM_MS, TO_MS, s -> s.epoch() > 1)).isLessThanOrEqualTo((long) (0.1 * first));
+        }
+    }
+
+    /** Small caller within its contract, 3 s deadline and 0.5 s service: the retained service of the floods' target. */
+    private static void assertServed(CoreBench bench, double share, long fromMs, long toMs) {
+        List<CoreBench.Trace> small = bench.traces.values().stream()
+                .filter(t -> t.spec.requestId().matches("s\\d+"))
+                .filter(t -> t.spec.arrivedAtMs() >= fromMs && t.spec.arrivedAtMs() < toMs)
+                .toList();
+        double served = small.stream().filter(CoreBench.Trace::isServed).count();
+        assertThat(served / small.size()).isGreaterThanOrEqualTo(share);
+    }
+}
--- a/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
@@ -134,7 +134,7 @@
     @Test
     void retriesStayWithinTenPercentOfTheLoadInATotalOutageAndAfterIt() {
         CoreBench bench = outage(RetrySettings.defaults());
-        CoreBench unbounded = outage(RetrySettings.defaults().withBudget(1, 1, 1e9));
+        CoreBench unbounded = outage(RetrySettings.defaults().withBudget(1, 1, 1e9, Integer.MAX_VALUE));
         System.out.printf(
                 "outage: retries per first attempt %.4f with budget, %.4f without; 2 s after return %.4f and %.4f%n",
                 retryShare(bench, 30_000, 90_000),
