Bound the requests that wait outside the queue

Cause: requests that back off or wait for other endpoints left the queue and no longer counted against its bound; calls of plain services have no tokens and cost nothing in fair queueing. Change: queued and waiting requests share the capacity, one caller may use a quarter of it outside the queue and keep 100 copies of one content waiting; a request costs at least one token.

--- a/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
@@ -9,6 +9,9 @@
     /** Wait suggested to callers when the state that refuses them has no known end, in ms. */
     private static final long RETRY_AFTER_MS = 1_000;
 
+    /** Requests of one content that may wait while the crash quarantine lets no further one start. */
+    private static final int MAX_WAITING_COPIES = 100;
+
     private final CoreState state;
 
     AdmissionSystem(CoreState state) {
@@ -38,7 +41,14 @@
             state.refuseEarly(spec, Reason.RATE_LIMITED, waitMs);
             return;
         }
-        if (!state.queue.offer(spec, nowMs, other -> displaced(other, nowMs))) {
+        int copies = state.activeByFingerprint.getOrDefault(spec.fingerprint(), 0);
+        if (copies >= MAX_WAITING_COPIES && !state.quarantine.mayStart(spec.fingerprint(), nowMs)) {
+            state.refuseEarly(spec, Reason.QUEUE_FULL, RETRY_AFTER_MS);
+            return;
+        }
+        if (state.requests.size() - state.running.size()
+                        >= state.settings.queue().capacity()
+                || !state.queue.offer(spec, nowMs, other -> displaced(other, nowMs))) {
             state.refuseEarly(spec, Reason.QUEUE_FULL, RETRY_AFTER_MS);
             return;
         }
@@ -47,6 +57,7 @@
         caller.active++;
         RequestRow row = new RequestRow(spec);
         state.requests.put(spec.requestId(), row);
+        state.activeByFingerprint.merge(spec.fingerprint(), 1, Integer::sum);
         state.note(row, nowMs, "admitted");
     }
 
--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -124,6 +124,7 @@
         }
         for (RequestRow row : List.copyOf(state.waiting)) {
             if (row.needsBudget && row.dueAtMs <= nowMs) {
+                state.endWait(row);
                 row.budgetWaits++;
                 retryOrRefuse(row, nowMs);
             }
@@ -181,12 +182,11 @@
         } else if (decision instanceof RetryPolicy.AskAgain askAgain) {
             row.needsBudget = true;
             row.dueAtMs = nowMs + askAgain.waitMs();
-            state.waiting.add(row);
+            state.await(row, RequestRow.State.BACKING_OFF, nowMs);
         } else if (decision instanceof RetryPolicy.Retry retry) {
             state.out.add(new Action.CountRetry(row.spec.caller(), row.spec.rank(), row.lastReason));
             row.dueAtMs = nowMs + retry.waitMs();
-            state.waiting.add(row);
-            if (retry.waitMs() == 0) {
+            if (state.await(row, RequestRow.State.BACKING_OFF, nowMs) && retry.waitMs() == 0) {
                 state.requeue(row, nowMs);
             }
         }
--- a/core/src/main/java/io/radishwinch/core/impl/CallerRow.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CallerRow.java
@@ -10,7 +10,11 @@
     private final double initialShare;
     final TokenBucket requests;
     final TokenBucket tokens;
+    /** Requests between admission and their last action. */
     int active;
+    /** Requests that wait outside the queue. */
+    int waiting;
+
     private Event.AllotmentChanged allotment;
     private double concurrentLimit;
 
--- a/core/src/main/java/io/radishwinch/core/impl/CoreState.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreState.java
@@ -35,6 +35,9 @@
 final class CoreState implements Entitlements {
 
     private static final double DEFAULT_WEIGHT = 1;
+    /** Largest part of the capacity that the requests of one caller may use outside the queue. */
+    private static final double MAX_WAITING_SHARE = 0.25;
+
     private static final int MAX_EARLY_ALLOTMENTS = 10_000;
 
     final CoreSettings settings;
@@ -55,6 +58,8 @@
     /** Rows that wait outside the queue, in the order in which they began to wait. */
     final Set<RequestRow> waiting = new LinkedHashSet<>();
 
+    /** Requests between admission and their last action by fingerprint. */
+    final Map<String, Integer> activeByFingerprint = new HashMap<>();
     /** Endpoints that run a suspect under observation; each runs one suspect at most. */
     final Set<String> observedEndpointIds = new LinkedHashSet<>();
 
@@ -180,16 +185,21 @@
     /** Removes a request from all tables and settles what it was charged. */
     void forget(RequestRow row, long nowMs) {
         long usedTokens = row.usedTokens();
+        boolean ran = row.verdictNow() != Verdict.NOT_RUN;
         if (row.chain != null) {
             release(row, nowMs);
         }
         if (row.state == RequestRow.State.QUEUED) {
             queue.remove(row.id());
         }
-        // Also settles requests that were polled and then dropped, so that they do not use up a floor.
-        queue.settle(row.spec, usedTokens);
-        waiting.remove(row);
+        // Also settles requests that were polled and then dropped, so that they do not use up a floor. A call of a
+        // plain
+        // service has no tokens and counts as one.
+        queue.settle(row.spec, ran ? Math.max(1, usedTokens) : 0);
+        endWait(row);
         requests.remove(row.id());
+        activeByFingerprint.computeIfPresent(
+                row.spec.fingerprint(), (fingerprint, count) -> count > 1 ? count - 1 : null);
         CallerRow caller = callers.get(row.spec.caller());
         if (caller != null) {
             caller.active--;
@@ -233,9 +243,34 @@
         }
     }
 
+    /**
+     * Lets a request wait outside the queue until {@code row.dueAtMs}.
+     *
+     * @return false if too many wait already; the request is then refused
+     */
+    boolean await(RequestRow row, RequestRow.State newState, long nowMs) {
+        row.state = newState;
+        int capacity = settings.queue().capacity();
+        CallerRow caller = callers.get(row.spec.caller());
+        if (waiting.size() >= capacity || caller.waiting >= Math.max(1, (int) (capacity * MAX_WAITING_SHARE))) {
+            refuse(row, Reason.QUEUE_FULL, nowMs);
+            return false;
+        }
+        waiting.add(row);
+        caller.waiting++;
+        return true;
+    }
+
+    /** Ends the wait of a request outside the queue, if it waits. */
+    void endWait(RequestRow row) {
+        if (waiting.remove(row)) {
+            callers.get(row.spec.caller()).waiting--;
+        }
+    }
+
     /** Returns a request that waited or was preempted to the queue, in front of its caller's other requests. */
     void requeue(RequestRow row, long nowMs) {
-        waiting.remove(row);
+        endWait(row);
         row.state = RequestRow.State.QUEUED;
         row.gated = false;
         queue.requeue(row.spec, nowMs);
--- a/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
@@ -71,7 +71,7 @@
         } else {
             ModelSpec model = state.config.pool(row.spec.pool());
             state.planner.plan(row.spec, model, exclusions(row, nowMs), nowMs).ifPresent(chain -> {
-                state.waiting.remove(row);
+                state.endWait(row);
                 start(row, chain, nowMs);
             });
         }
@@ -144,9 +144,8 @@
     private void park(RequestRow row, long nowMs) {
         boolean suspect = state.quarantine.isSuspect(row.spec.fingerprint(), nowMs);
         long waitMs = suspect ? state.settings.quarantine().patienceMs() : state.settings.exclusionMs();
-        row.state = RequestRow.State.PARKED;
         row.dueAtMs = nowMs + waitMs;
-        state.waiting.add(row);
+        state.await(row, RequestRow.State.PARKED, nowMs);
         state.note(
                 row, nowMs, row.gated ? "parked, its fingerprint runs already" : "parked, waits for other endpoints");
     }
--- a/core/src/main/java/io/radishwinch/core/queue/Account.java
+++ b/core/src/main/java/io/radishwinch/core/queue/Account.java
@@ -12,6 +12,8 @@
     private static final double SAMPLE_WEIGHT = 0.1;
     /** Smallest assumed use, so that a request always costs something before it ends. */
     private static final double MIN_USE_RATIO = 0.01;
+    /** Smallest cost of a request; calls of plain services have no tokens. */
+    private static final double MIN_TOKENS = 1;
 
     final String caller;
     final Rank rank;
@@ -33,7 +35,7 @@
 
     /** Returns the tokens that a request is expected to use. */
     double expectedTokens(long costTokens) {
-        return costTokens * useRatio;
+        return Math.max(MIN_TOKENS, costTokens * useRatio);
     }
 
     void charge(double tokens, long nowMs, long floorBurstMs) {
--- a/core/src/main/java/io/radishwinch/core/queue/RequestQueue.java
+++ b/core/src/main/java/io/radishwinch/core/queue/RequestQueue.java
@@ -48,7 +48,7 @@
      * Corrects the charge of a polled request, which was its largest cost, to the tokens that it used.
      *
      * @param request request that ended
-     * @param usedTokens prompt and answer tokens that it used
+     * @param usedTokens prompt and answer tokens that it used, at least 1 if it ran
      */
     void settle(RequestSpec request, long usedTokens);
 
--- a/core/src/test/java/io/radishwinch/core/impl/CorePropertyTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/CorePropertyTest.java
@@ -111,8 +111,9 @@
         for (long atMs = 0; atMs <= SETTLED_MS; atMs += 100) {
             bench.run(atMs);
             CoreState state = bench.core.state();
-            // Requeued requests held a slot or a place in the queue before, so both bounds together limit the queue.
+            // All but the running requests are queued or wait, within the capacity.
             assertThat(state.requests.size()).isLessThanOrEqualTo(CAPACITY + bench.directory.totalSlots());
+            assertThat(state.waiting.size()).isLessThanOrEqualTo(CAPACITY);
             assertThat(state.quarantine.size()).isLessThanOrEqualTo(3 * 50 + bench.directory.totalSlots());
             bench.traces.values().stream().filter(t -> t.live).forEach(t -> assertThat(state.requests)
                     .containsKey(t.spec.requestId()));
@@ -124,9 +125,10 @@
         assertThat(state.waiting).isEmpty();
         assertThat(state.queue.size()).isZero();
         assertThat(state.attemptsByEndpoint).isEmpty();
+        assertThat(state.activeByFingerprint).isEmpty();
         assertThat(state.observedEndpointIds).isEmpty();
         assertThat(bench.directory.runningByEndpoint.values()).allMatch(running -> running == 0);
-        assertThat(state.callers.values()).allMatch(caller -> caller.active == 0);
+        assertThat(state.callers.values()).allMatch(caller -> caller.active == 0 && caller.waiting == 0);
     }
 
     @Property(seed = "22", tries = 25)
