Count waiting requests after a request was displaced and bound the suggested wait

Cause: an allotment of zero still admitted one request and suggested an unbounded wait. Change: a rate of zero admits nothing, the suggested wait is at most 60 s; the shared capacity is checked after the queue had the chance to displace a request. Conclusion: an allotment of zero holds.

--- a/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
@@ -8,6 +8,8 @@
 
     /** Wait suggested to callers when the state that refuses them has no known end, in ms. */
     private static final long RETRY_AFTER_MS = 1_000;
+    /** Longest wait suggested to callers, in ms; limits and allotments change meanwhile. */
+    private static final long MAX_RETRY_AFTER_MS = 60_000;
 
     /** Requests of one content that may wait while the crash quarantine lets no further one start. */
     private static final int MAX_WAITING_COPIES = 100;
@@ -38,7 +40,7 @@
         }
         long waitMs = Math.max(caller.requests.waitMs(1, nowMs), caller.tokens.waitMs(spec.costTokens(), nowMs));
         if (waitMs > 0) {
-            state.refuseEarly(spec, Reason.RATE_LIMITED, waitMs);
+            state.refuseEarly(spec, Reason.RATE_LIMITED, Math.min(waitMs, MAX_RETRY_AFTER_MS));
             return;
         }
         int copies = state.activeByFingerprint.getOrDefault(spec.fingerprint(), 0);
@@ -46,9 +48,14 @@
             state.refuseEarly(spec, Reason.QUEUE_FULL, RETRY_AFTER_MS);
             return;
         }
+        if (!state.queue.offer(spec, nowMs, other -> displaced(other, nowMs))) {
+            state.refuseEarly(spec, Reason.QUEUE_FULL, RETRY_AFTER_MS);
+            return;
+        }
         if (state.requests.size() - state.running.size()
-                        >= state.settings.queue().capacity()
-                || !state.queue.offer(spec, nowMs, other -> displaced(other, nowMs))) {
+                >= state.settings.queue().capacity()) {
+            // Requests that wait outside the queue use its capacity too.
+            state.queue.remove(spec.requestId());
             state.refuseEarly(spec, Reason.QUEUE_FULL, RETRY_AFTER_MS);
             return;
         }
--- a/core/src/main/java/io/radishwinch/core/impl/TokenBucket.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TokenBucket.java
@@ -32,11 +32,11 @@
      */
     long waitMs(double amount, long nowMs) {
         fill(nowMs);
-        double missing = Math.min(amount, capacity) - balance;
-        if (missing <= 0) {
-            return 0;
+        if (ratePerS <= 0) {
+            return Long.MAX_VALUE;
         }
-        return ratePerS > 0 ? (long) Math.ceil(missing / ratePerS * MS_PER_S) : Long.MAX_VALUE;
+        double missing = Math.min(amount, capacity) - balance;
+        return missing <= 0 ? 0 : (long) Math.ceil(missing / ratePerS * MS_PER_S);
     }
 
     void take(double amount) {
--- a/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
@@ -279,10 +279,11 @@
         assertThat(bench.trace("over").refusal().reason()).isEqualTo(Reason.RATE_LIMITED);
         assertThat(bench.trace("over").refusal().retryAfterMs()).isBetween(900L, 1_000L);
         assertThat(bench.trace("refunded").isServed()).isTrue();
-        bench.handle(new Event.AllotmentChanged("a", 0, 0, 0, 0));
+        bench.handle(new Event.AllotmentChanged("a", 0, 1_000, 10, 0));
         bench.arrive(bench.request("none", "a", Rank.INTERACTIVE, 1_100, 10, 5_000));
         bench.run(2_000);
-        assertThat(bench.trace("none").refusal().verdict()).isEqualTo(Verdict.NOT_RUN);
+        assertThat(bench.trace("none").refusal())
+                .isEqualTo(new Action.Refuse("none", Reason.RATE_LIMITED, Verdict.NOT_RUN, 60_000));
     }
 
     @Test
