--- a/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
@@ -8,6 +8,11 @@
 
     /** Wait suggested to callers when the state that refuses them has no known end, in ms. */
     private static final long RETRY_AFTER_MS = 1_000;
+    /** Longest wait suggested to callers, in ms; limits and allotments change meanwhile. */
+    private static final long MAX_RETRY_AFTER_MS = 60_000;
+
+    /** Requests of one content that may wait while the crash quarantine lets no further one start. */
+    private static final int MAX_WAITING_COPIES = 100;
 
     private final CoreState state;
 
@@ -35,10 +40,22 @@
         }
         long waitMs = Math.max(caller.requests.waitMs(1, nowMs), caller.tokens.waitMs(spec.costTokens(), nowMs));
         if (waitMs > 0) {
-            state.refuseEarly(spec, Reason.RATE_LIMITED, waitMs);
+            state.refuseEarly(spec, Reason.RATE_LIMITED, Math.min(waitMs, MAX_RETRY_AFTER_MS));
             return;
         }
-        if (!state.queue.offer(spec, nowMs)) {
+        int copies = state.activeByFingerprint.getOrDefault(spec.fingerprint(), 0);
+        if (copies >= MAX_WAITING_COPIES && !state.quarantine.mayStart(spec.fingerprint(), nowMs)) {
+            state.refuseEarly(spec, Reason.QUEUE_FULL, RETRY_AFTER_MS);
+            return;
+        }
+        if (!state.queue.offer(spec, nowMs, other -> displaced(other, nowMs))) {
+            state.refuseEarly(spec, Reason.QUEUE_FULL, RETRY_AFTER_MS);
+            return;
+        }
+        if (state.requests.size() - state.running.size()
+                >= state.settings.queue().capacity()) {
+            // Requests that wait outside the queue use its capacity too.
+            state.queue.remove(spec.requestId());
             state.refuseEarly(spec, Reason.QUEUE_FULL, RETRY_AFTER_MS);
             return;
         }
@@ -47,6 +64,7 @@
         caller.active++;
         RequestRow row = new RequestRow(spec);
         state.requests.put(spec.requestId(), row);
+        state.activeByFingerprint.merge(spec.fingerprint(), 1, Integer::sum);
         state.note(row, nowMs, "admitted");
     }
 
@@ -64,6 +82,10 @@
         return state.isUncoveredForLong(spec.pool(), nowMs) ? Reason.NO_CAPACITY : null;
     }
 
+    private void displaced(RequestSpec spec, long nowMs) {
+        state.refuse(state.requests.get(spec.requestId()), Reason.QUEUE_FULL, nowMs);
+    }
+
     private static boolean isTransient(Reason reason) {
         return reason == Reason.DRAINING || reason == Reason.NO_CAPACITY;
     }
--- a/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
@@ -134,7 +134,7 @@
     @Test
     void retriesStayWithinTenPercentOfTheLoadInATotalOutageAndAfterIt() {
         CoreBench bench = outage(RetrySettings.defaults());
-        CoreBench unbounded = outage(RetrySettings.defaults().withBudget(1, 1, 1e9));
+        CoreBench unbounded = outage(RetrySettings.defaults().withBudget(1, 1, 1e9, Integer.MAX_VALUE));
         System.out.printf(
                 "outage: retries per first attempt %.4f with budget, %.4f without; 2 s after return %.4f and %.4f%n",
                 retryShare(bench, 30_000, 90_000),
@@ -279,10 +279,11 @@
         assertThat(bench.trace("over").refusal().reason()).isEqualTo(Reason.RATE_LIMITED);
         assertThat(bench.trace("over").refusal().retryAfterMs()).isBetween(900L, 1_000L);
         assertThat(bench.trace("refunded").isServed()).isTrue();
-        bench.handle(new Event.AllotmentChanged("a", 0, 0, 0, 0));
+        bench.handle(new Event.AllotmentChanged("a", 0, 1_000, 10, 0));
         bench.arrive(bench.request("none", "a", Rank.INTERACTIVE, 1_100, 10, 5_000));
         bench.run(2_000);
-        assertThat(bench.trace("none").refusal().verdict()).isEqualTo(Verdict.NOT_RUN);
+        assertThat(bench.trace("none").refusal())
+                .isEqualTo(new Action.Refuse("none", Reason.RATE_LIMITED, Verdict.NOT_RUN, 60_000));
     }
 
     @Test
