--- a/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
@@ -39,10 +39,15 @@
         this.maxAnswerBytes = maxAnswerBytes;
     }
 
-    /** Creates the HTTP client on which exchanges run. */
+    /** Creates the HTTP client on which exchanges run, with connections that are kept for further calls. */
     public static HttpClient newClient(Vertx vertx, ClientOptions options) {
+        return newClient(vertx, options, true);
+    }
+
+    static HttpClient newClient(Vertx vertx, ClientOptions options, boolean keepAlive) {
         HttpClientOptions http = new HttpClientOptions()
                 .setConnectTimeout(options.connectTimeoutMs())
+                .setKeepAlive(keepAlive)
                 .setKeepAliveTimeout(options.keepAliveTimeoutS())
                 .setTcpNoDelay(true)
                 .setMaxHeaderSize(16 << 10);
--- a/server/src/main/java/io/radishwinch/server/engine/HttpServiceClient.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpServiceClient.java
@@ -8,7 +8,8 @@
 /** Service port over HTTP. */
 public final class HttpServiceClient implements ServiceClient {
     private final Vertx vertx;
-    private final HttpClient client;
+    private final HttpClient pooled;
+    private final HttpClient fresh;
     private final ClientOptions options;
     private final LongSupplier nowMs;
 
@@ -19,20 +20,21 @@
      */
     public HttpServiceClient(Vertx vertx, ClientOptions options, LongSupplier nowMs) {
         this.vertx = vertx;
-        this.client = HttpExchange.newClient(vertx, options);
+        this.pooled = HttpExchange.newClient(vertx, options, true);
+        this.fresh = HttpExchange.newClient(vertx, options, false);
         this.options = options;
         this.nowMs = nowMs;
     }
 
     /** Closes all connections. */
     public Future<Void> close() {
-        return client.close();
+        return Future.join(pooled.close(), fresh.close()).mapEmpty();
     }
 
     @Override
     public Exchange call(Call call) {
         HttpServiceExchange exchange = new HttpServiceExchange(vertx, call, options.maxServiceBodyBytes(), nowMs);
-        exchange.start(client);
+        exchange.start(call.freshConnection() ? fresh : pooled);
         return exchange;
     }
 }
--- a/server/src/main/java/io/radishwinch/server/engine/ServiceClient.java
+++ b/server/src/main/java/io/radishwinch/server/engine/ServiceClient.java
@@ -30,9 +30,30 @@
      * @param headers end-to-end headers; hop-by-hop headers are left out by the client
      * @param body body
      * @param deadlineMs time by which the answer must be complete, in ms of the router's clock
+     * @param freshConnection whether to open a connection for this call alone. A pooled connection that the service is
+     *     closing makes the verdict {@code MAY_HAVE_RUN}; a fresh one is refused with {@code NOT_RUN}. Meant for
+     *     non-repeatable calls
      */
     record Call(
-            EndpointAddress endpoint, HttpMethod method, String uri, MultiMap headers, Body body, long deadlineMs) {}
+            EndpointAddress endpoint,
+            HttpMethod method,
+            String uri,
+            MultiMap headers,
+            Body body,
+            long deadlineMs,
+            boolean freshConnection) {
+
+        /** Creates a call over a pooled connection. */
+        public Call(
+                EndpointAddress endpoint, HttpMethod method, String uri, MultiMap headers, Body body, long deadlineMs) {
+            this(endpoint, method, uri, headers, body, deadlineMs, false);
+        }
+
+        /** Returns a copy that opens a connection of its own. */
+        public Call withFreshConnection() {
+            return new Call(endpoint, method, uri, headers, body, deadlineMs, true);
+        }
+    }
 
     /** Body of a call. */
     sealed interface Body {
