Accept floors before endpoints are live, and warn of unknown names

Cause: while a fleet is set up no endpoint has a bound, so every contract with a floor was refused; a contract that lists a misspelt model was accepted without a word and refused all its requests later. TLS of the tool was untested.

Change: without any live endpoint a floor gives a warning; models and services that are not configured give a warning at $.models and $.services. A test shows that an untrusted certificate stops the tool before it sends the key.

--- a/cli/src/main/java/io/radishwinch/cli/ObjectCommands.java
+++ b/cli/src/main/java/io/radishwinch/cli/ObjectCommands.java
@@ -65,7 +65,11 @@
             Answer answer = session.client()
                     .call(HttpMethod.POST, path(kind, document.name()) + "/check" + query, -1, document.text());
             if (answer.status() == 422) {
-                findings(session, document.file(), answer.body().path("error").path("errors"));
+                JsonNode error = answer.body().path("error");
+                findings(session, document.file(), error.path("errors"));
+                if (error.path("errors").isEmpty()) {
+                    session.note(document.file() + ": " + error.path("message").asText());
+                }
                 refused++;
             } else {
                 findings(session, document.file(), answer.orFail().path("warnings"));
--- a/cli/src/test/java/io/radishwinch/cli/MainTest.java
+++ b/cli/src/test/java/io/radishwinch/cli/MainTest.java
@@ -9,6 +9,8 @@
 import io.radishwinch.report.DayRecorder;
 import io.radishwinch.report.RequestOutcome;
 import io.radishwinch.server.admin.FakeRouterControl;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.net.PemKeyCertOptions;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.ZoneOffset;
@@ -156,6 +158,23 @@
         Approvals.verify(session.text());
     }
 
+    @Test
+    void aRouterWhoseCertificateIsNotTrustedDoesNotReceiveTheKey() throws Exception {
+        Path tls = Path.of("src/test/resources/tls").toAbsolutePath();
+        HttpServerOptions options = new HttpServerOptions()
+                .setSsl(true)
+                .setKeyCertOptions(new PemKeyCertOptions()
+                        .addCertPath(tls.resolve("cert.pem").toString())
+                        .addKeyPath(tls.resolve("key.pem").toString()));
+        try (Transcript secured = new Transcript(directory, options)) {
+            String router = " --router https://127.0.0.1:" + secured.port;
+            assertThat(secured.run("contract list" + router)).isEqualTo(ExitCode.UNREACHABLE);
+            assertThat(secured.run("contract list --trust-file " + tls.resolve("cert.pem") + router))
+                    .isEqualTo(ExitCode.OK);
+            assertThat(secured.text().split("-> GET", -1)).hasSize(2);
+        }
+    }
+
     @Test
     void everyCommandHasHelp() {
         session.run("--help");
--- a/server/src/main/java/io/radishwinch/server/admin/FloorCheck.java
+++ b/server/src/main/java/io/radishwinch/server/admin/FloorCheck.java
@@ -15,22 +15,13 @@
 final class FloorCheck {
     private FloorCheck() {}
 
-    /**
-     * A promise that the fleet cannot keep.
-     *
-     * @param path field of the contract
-     * @param message what is promised and what is available
-     * @param hint what to do
-     * @param error whether this contract alone exceeds the bound; false if it does so only with others
-     */
-    record Finding(String path, String message, String hint, boolean error) {}
-
     /**
      * Checks one contract.
      *
      * @param contract contract to be applied
      * @param inEffect contracts in effect; one of the same caller is replaced
-     * @param boundTokensPerS highest throughput by model pool, in tokens/s
+     * @param boundTokensPerS highest throughput by model pool, in tokens/s; without any throughput, which is usual
+     *     while a fleet is set up, a floor is a warning and no error
      */
     static List<Finding> check(Contract contract, Collection<Contract> inEffect, Map<String, Double> boundTokensPerS) {
         List<Finding> findings = new ArrayList<>();
@@ -39,6 +30,14 @@
             return findings;
         }
         double available = available(contract, boundTokensPerS);
+        if (available == 0) {
+            findings.add(new Finding(
+                    "$.ranks",
+                    "promises " + rate(own) + ", but no live endpoint serves the contract's models yet",
+                    "the floor holds once endpoints have loaded a model; see 'radishwinch status'",
+                    false));
+            return findings;
+        }
         String pools = contract.models().isEmpty()
                 ? "all models"
                 : "the contract's models (" + String.join(", ", new TreeSet<>(contract.models())) + ")";
--- a/server/src/main/java/io/radishwinch/server/admin/ObjectRoutes.java
+++ b/server/src/main/java/io/radishwinch/server/admin/ObjectRoutes.java
@@ -4,6 +4,7 @@
 import io.radishwinch.config.contract.ObjectKind;
 import io.radishwinch.config.contract.ObjectReader;
 import io.radishwinch.config.settings.Operator.Role;
+import io.radishwinch.core.model.Contract;
 import io.radishwinch.server.admin.RouterControl.ChangeResult;
 import io.radishwinch.server.admin.RouterControl.StoredDocument;
 import io.smallrye.mutiny.Uni;
@@ -11,10 +12,13 @@
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Supplier;
 
 /** Routes of contracts, models and services. */
@@ -62,19 +66,17 @@
     }
 
     private Uni<Object> check(ObjectKind kind, RoutingContext ctx) {
-        return deferred(() -> {
-            List<FloorCheck.Finding> findings = checked(kind, ctx);
-            return Uni.createFrom().item(Map.of("name", ctx.pathParam("name"), "warnings", findings));
-        });
+        return deferred(
+                () -> checked(kind, ctx).map(findings -> Map.of("name", ctx.pathParam("name"), "warnings", findings)));
     }
 
     private Uni<Object> put(ObjectKind kind, RoutingContext ctx) {
         return deferred(() -> {
             String name = ctx.pathParam("name");
             long expectedVersion = expectedVersion(ctx);
-            List<FloorCheck.Finding> findings = checked(kind, ctx);
-            return control.putObject(kind, name, body(ctx), expectedVersion, api.changeMark(ctx))
-                    .map(result -> changed(kind, name, expectedVersion, result, findings));
+            return checked(kind, ctx)
+                    .flatMap(findings -> control.putObject(kind, name, body(ctx), expectedVersion, api.changeMark(ctx))
+                            .map(result -> changed(kind, name, expectedVersion, result, findings)));
         });
     }
 
@@ -93,11 +95,7 @@
     }
 
     private static Object changed(
-            ObjectKind kind,
-            String name,
-            long expectedVersion,
-            ChangeResult result,
-            List<FloorCheck.Finding> findings) {
+            ObjectKind kind, String name, long expectedVersion, ChangeResult result, List<Finding> findings) {
         if (result instanceof ChangeResult.Changed changed) {
             return Map.of("name", name, "version", changed.version(), "warnings", findings);
         }
@@ -124,7 +122,7 @@
     }
 
     /** Checks the body and returns warnings; faults are thrown. */
-    private List<FloorCheck.Finding> checked(ObjectKind kind, RoutingContext ctx) {
+    private Uni<List<Finding>> checked(ObjectKind kind, RoutingContext ctx) {
         String name = ctx.pathParam("name");
         String text = body(ctx);
         Either<List<ConfigError>, String> parsed = ObjectReader.check(kind, name, text);
@@ -141,20 +139,42 @@
                     "a name cannot be changed; create the new object and delete the old one"));
         }
         if (kind != ObjectKind.CONTRACT) {
-            return List.of();
+            return Uni.createFrom().item(List.of());
         }
-        List<FloorCheck.Finding> findings = FloorCheck.check(
-                ObjectReader.readContract(name, text).get(), control.contracts(), control.boundTokensPerSByPool());
+        Contract contract = ObjectReader.readContract(name, text).get();
+        List<Finding> floors = FloorCheck.check(contract, control.contracts(), control.boundTokensPerSByPool());
         boolean allowFloors = "true".equals(ctx.request().getParam("allowFloors"));
-        if (!allowFloors && findings.stream().anyMatch(FloorCheck.Finding::error)) {
+        if (!allowFloors && floors.stream().anyMatch(Finding::error)) {
             throw new AdminApi.Rejected(AdminError.of(
                             422,
                             "floors",
                             "the contract promises more than the fleet can deliver",
                             "see the fields listed")
-                    .withDetail("errors", findings));
+                    .withDetail("errors", floors));
+        }
+        return Uni.combine()
+                .all()
+                .unis(control.listObjects(ObjectKind.MODEL), control.listObjects(ObjectKind.SERVICE))
+                .with((models, services) -> {
+                    List<Finding> findings = new ArrayList<>(floors);
+                    addUnknown(findings, ObjectKind.MODEL, contract.models(), models);
+                    addUnknown(findings, ObjectKind.SERVICE, contract.services(), services);
+                    return findings;
+                });
+    }
+
+    /** Adds a warning for each name that the contract allows but nothing is configured under. */
+    private static void addUnknown(
+            List<Finding> findings, ObjectKind kind, Set<String> names, List<StoredDocument> configured) {
+        Set<String> unknown = new TreeSet<>(names);
+        configured.forEach(document -> unknown.remove(document.name()));
+        for (String name : unknown) {
+            findings.add(new Finding(
+                    "$." + kind.plural(),
+                    "the " + kind.singular() + " " + name + " is not configured",
+                    "correct the name or apply the " + kind.singular(),
+                    false));
         }
-        return findings;
     }
 
     private static long expectedVersion(RoutingContext ctx) {
--- a/server/src/test/java/io/radishwinch/server/admin/AdminApiTest.java
+++ b/server/src/test/java/io/radishwinch/server/admin/AdminApiTest.java
@@ -161,6 +161,26 @@
                 .isEqualTo(200);
     }
 
+    @Test
+    void aFloorIsAcceptedWithAWarningWhileNoEndpointIsLive() throws Exception {
+        control.bounds.clear();
+        Answer answer = put("operator-key", "0", CONTRACT + "ranks:\n  interactive: {floorTokensPerS: 1500}\n");
+        assertThat(answer.status()).isEqualTo(200);
+        assertThat(answer.body().at("/warnings/0/message").asText()).contains("no live endpoint");
+    }
+
+    @Test
+    void aContractThatNamesAnUnknownModelOrServiceIsAcceptedWithAWarning() throws Exception {
+        control.store(ObjectKind.MODEL, "dreamcoach-12l", "", "dana");
+        Answer answer =
+                put("operator-key", "0", CONTRACT + "models: [dreamcoach-12l, dreamcoach]\nservices: [orders]\n");
+        assertThat(answer.status()).isEqualTo(200);
+        assertThat(answer.body().at("/warnings/0/path").asText()).isEqualTo("$.models");
+        assertThat(answer.body().at("/warnings/0/message").asText()).contains("dreamcoach is not configured");
+        assertThat(answer.body().at("/warnings/1/message").asText()).contains("orders is not configured");
+        assertThat(answer.body().path("warnings")).hasSize(2);
+    }
+
     @Test
     void floorsThatOnlyTogetherExceedTheBoundAreAWarning() throws Exception {
         control.store(
