--- a/config/src/main/java/io/radishwinch/config/settings/RouterSettings.java
+++ b/config/src/main/java/io/radishwinch/config/settings/RouterSettings.java
@@ -17,6 +17,9 @@
 /** Settings of one router: immutable, checked as a whole. */
 public final class RouterSettings {
     private static final Pattern KEY_HASH = Pattern.compile("sha256:[0-9a-f]{64}");
+    /** Journal records name routers, so the length is bounded. */
+    private static final Pattern ROUTER_ID = Pattern.compile("[A-Za-z0-9.:-]{0,32}");
+
     private static final Set<String> LOG_LEVELS = Set.of("DEBUG", "INFO", "WARNING", "ERROR");
     private static final Set<String> LOG_FORMATS = Set.of("text", "json");
 
@@ -126,6 +129,9 @@
             values.put(key, readValue(sections, key));
         }
         checkTls(sections, values);
+        if (!ROUTER_ID.matcher(values.get(SettingKey.ROUTER_ID)).matches()) {
+            sections.fault(SettingKey.ROUTER_ID, "use at most 32 letters, digits, dots, colons and hyphens");
+        }
         checkChoice(sections, values, SettingKey.LOG_LEVEL, LOG_LEVELS);
         checkChoice(sections, values, SettingKey.LOG_FORMAT, LOG_FORMATS);
         Set<RouterFeature> features = readFeatures(root);
--- a/server/src/main/java/io/radishwinch/server/Main.java
+++ b/server/src/main/java/io/radishwinch/server/Main.java
@@ -56,8 +56,13 @@
     }
 
     /** Runs the program and ends the process with its exit code. */
-    public static void main(String[] args) throws Exception {
-        int exitCode = run(args);
+    public static void main(String[] args) {
+        int exitCode = EXIT_FAILED;
+        try {
+            exitCode = run(args);
+        } catch (Exception e) {
+            System.err.println("radishwinchd: " + e.getMessage());
+        }
         System.exit(exitCode);
     }
 
--- a/server/src/main/java/io/radishwinch/server/PeerJournal.java
+++ b/server/src/main/java/io/radishwinch/server/PeerJournal.java
@@ -31,6 +31,8 @@
     /** Refutations of suspicion raise an incarnation by one, so the start time is found a little below it. */
     private static final long MAX_REFUTATIONS = 1000;
 
+    private static final char SEPARATOR = '_';
+
     private final Vertx vertx;
     private final PeerNode node;
     private final long timeoutMs;
@@ -50,7 +52,7 @@
 
     /** Returns the identifier under which a process writes grants: unique for each start of a router. */
     static String processId(String routerId, long startedAtMs) {
-        return routerId + "@" + startedAtMs;
+        return routerId + SEPARATOR + startedAtMs;
     }
 
     // JournalWriters
@@ -66,7 +68,7 @@
 
     @Override
     public boolean isLive(String processId) {
-        int at = processId.lastIndexOf('@');
+        int at = processId.lastIndexOf(SEPARATOR);
         if (at < 0) {
             return false;
         }
