Keep leaving marks of unknown endpoints; drop links to dead ones

Cause: a leaving mark that arrived before the join was lost; the 256 links of an endpoint could fill with dead peers; layers without KV memory for one request broke the packing; labels above the best whole chain were extended. Change: early marks, removal of dead links, a guard, and an exact cut-off.

--- a/core/src/main/java/io/radishwinch/core/chain/ChainLabels.java
+++ b/core/src/main/java/io/radishwinch/core/chain/ChainLabels.java
@@ -33,6 +33,11 @@
         counts[0] = 1;
     }
 
+    /** Returns the lowest cost of a partial chain that ends at the layer, in us; infinite if there is none. */
+    double bestUs(int layer) {
+        return counts[layer] == 0 ? Double.POSITIVE_INFINITY : costUs[layer * WIDTH];
+    }
+
     /** Adds a partial chain unless the boundary has enough cheaper ones; one for each last endpoint is kept. */
     void offer(int layer, double cost, HeldRange entry, int previousLabel) {
         int base = layer * WIDTH;
--- a/core/src/main/java/io/radishwinch/core/chain/ChainPacking.java
+++ b/core/src/main/java/io/radishwinch/core/chain/ChainPacking.java
@@ -64,8 +64,11 @@
 
     /** Returns whether further chains would change the estimate by little. */
     boolean isFinal() {
+        if (chains >= MAX_CHAINS) {
+            return true;
+        }
         double mostUsed = Arrays.stream(used).max().orElse(1);
-        return chains >= MAX_CHAINS || chains > 0 && routed / mostUsed >= upper * (1 - FINAL_GAP);
+        return chains > 0 && routed / mostUsed >= upper * (1 - FINAL_GAP);
     }
 
     /** Returns the smallest bound so far in tokens/s, infinite before the first chain. */
@@ -91,6 +94,12 @@
         int[] best = new int[0];
         for (int n = 0; n < SEARCHES; n++) {
             int label = search();
+            if (costs[label] == Double.MAX_VALUE) {
+                // Stages without memory for a single request are left out, so that layers can be missing.
+                upper = 0;
+                chains = MAX_CHAINS;
+                return;
+            }
             double price = 0;
             double us = 0;
             int[] stages = new int[layerCount];
--- a/core/src/main/java/io/radishwinch/core/chain/CostChainPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/chain/CostChainPlanner.java
@@ -70,7 +70,8 @@
         Search search = new Search(pool, excludedEndpointIds, index, matches, EndpointTable.kvBytes(pool, request, 1));
         labels.reset(pool.layerCount());
         for (int layer = 0; layer < pool.layerCount(); layer++) {
-            if (labels.counts[layer] > 0) {
+            // Costs never decrease along a chain, so that a partial chain above the best whole one is of no use.
+            if (labels.counts[layer] > 0 && labels.bestUs(layer) < labels.bestUs(pool.layerCount())) {
                 collectCandidates(search, layer);
                 extend(search, layer);
             }
--- a/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
@@ -163,7 +163,7 @@
 
     /** Keeps the links with the smallest delay, fastest first. */
     void rankNearest(Link link) {
-        nearest.remove(link);
+        nearest.removeIf(near -> near == link || near.to.gone);
         int position = nearest.size();
         while (position > 0 && nearest.get(position - 1).delayUs > link.delayUs) {
             position--;
--- a/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
@@ -34,11 +34,15 @@
     /** Cost of a hop in the sort key of a candidate, in us; the planner itself uses the measured delay. */
     private static final double TYPICAL_HOP_US = 200;
 
+    /** Leaving marks kept for endpoints that are not known yet; the oldest is dropped first. */
+    private static final int MAX_EARLY_MARKS = 10_000;
+
     private final Map<String, EndpointRow> rows = new TreeMap<>();
     private final Map<String, PoolIndex> pools = new TreeMap<>();
     private final Map<String, Integer> zones = new HashMap<>();
     private final LinkTable links = new LinkTable();
     private final PrefixIndex prefixes = new PrefixIndex();
+    private final Set<String> earlyMarks = new LinkedHashSet<>();
     private FleetConfig config = FleetConfig.empty();
     private int nextIndex;
     private long structureVersion;
@@ -126,7 +130,9 @@
         EndpointRow row = rows.get(spec.id());
         if (row == null) {
             Integer zone = zones.computeIfAbsent(spec.dataCentre(), key -> zones.size());
-            rows.put(spec.id(), new EndpointRow(nextIndex++, zone, spec));
+            EndpointRow added = new EndpointRow(nextIndex++, zone, spec);
+            added.leaving = earlyMarks.remove(spec.id());
+            rows.put(spec.id(), added);
             structureVersion++;
             return true;
         }
@@ -138,10 +144,16 @@
         return false;
     }
 
-    /** Marks an endpoint as leaving; returns whether the mark is new. */
+    /** Marks an endpoint as leaving, also before it is known; returns whether the mark is new. */
     boolean leave(String endpointId) {
         EndpointRow row = rows.get(endpointId);
-        if (row == null || row.leaving) {
+        if (row == null) {
+            if (earlyMarks.size() == MAX_EARLY_MARKS) {
+                earlyMarks.remove(earlyMarks.iterator().next());
+            }
+            return earlyMarks.add(endpointId);
+        }
+        if (row.leaving) {
             return false;
         }
         row.leaving = true;
--- a/core/src/main/java/io/radishwinch/core/chain/LinkMap.java
+++ b/core/src/main/java/io/radishwinch/core/chain/LinkMap.java
@@ -1,6 +1,7 @@
 package io.radishwinch.core.chain;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /** Links by the index of the receiving endpoint: open addressing, because planning looks up many links. */
@@ -37,6 +38,15 @@
         return all;
     }
 
+    /** Removes the links to endpoints that are gone. */
+    void removeGone() {
+        List<Link> kept = all();
+        kept.removeIf(link -> link.to.gone);
+        Arrays.fill(links, null);
+        size = 0;
+        kept.forEach(link -> put(link.to.index(), link));
+    }
+
     /** Adds a link; the receiving endpoint must not have one yet. */
     void put(int toIndex, Link link) {
         if (size * 2 >= keys.length) {
--- a/core/src/main/java/io/radishwinch/core/chain/LinkTable.java
+++ b/core/src/main/java/io/radishwinch/core/chain/LinkTable.java
@@ -48,7 +48,7 @@
         Link link = from.outgoing.get(to.index());
         if (link != null) {
             link.measure(delayUs, tokensPerS, nowMs);
-        } else if (from.outgoing.size() < MAX_LINKS_PER_ENDPOINT) {
+        } else if (hasRoom(from)) {
             link = new Link(to, delayUs, tokensPerS, nowMs);
             from.outgoing.put(to.index(), link);
         }
@@ -76,7 +76,7 @@
     /** Corrects the delay of a link that has no recent measurement of its own. */
     void infer(EndpointRow from, EndpointRow to, double correctionUs, long nowMs) {
         Link link = from.outgoing.get(to.index());
-        if (link == null && from.outgoing.size() < MAX_LINKS_PER_ENDPOINT) {
+        if (link == null && hasRoom(from)) {
             link = new Link(to, meanUs(from, to), 0, nowMs);
             from.outgoing.put(to.index(), link);
         }
@@ -100,6 +100,13 @@
         return load >= FULL_SHARE ? delayUs * FULL_FACTOR : delayUs / (1 - load);
     }
 
+    private static boolean hasRoom(EndpointRow from) {
+        if (from.outgoing.size() == MAX_LINKS_PER_ENDPOINT) {
+            from.outgoing.removeGone();
+        }
+        return from.outgoing.size() < MAX_LINKS_PER_ENDPOINT;
+    }
+
     /** Returns the one-way delay of one token without queueing, in us. */
     double plainDelayUs(EndpointRow from, EndpointRow to, long nowMs) {
         return delayUs(from.outgoing.get(to.index()), from, to, nowMs);
--- a/core/src/main/java/io/radishwinch/core/chain/PoolCapacity.java
+++ b/core/src/main/java/io/radishwinch/core/chain/PoolCapacity.java
@@ -35,7 +35,7 @@
             return;
         }
         for (HeldRange entry : index.entries()) {
-            if (entry.row.isUsable()) {
+            if (entry.row.isUsable() && entry.first < pool.layerCount()) {
                 entries.add(entry);
             }
         }
--- a/core/src/test/java/io/radishwinch/core/chain/ChainPlannersTest.java
+++ b/core/src/test/java/io/radishwinch/core/chain/ChainPlannersTest.java
@@ -12,6 +12,7 @@
 import io.radishwinch.core.model.ModelSpec;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Stage;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -109,6 +110,13 @@
         assertThat(plan(400)).isEmpty();
     }
 
+    @Test
+    void aLeavingMarkThatArrivesBeforeTheJoinHolds() {
+        directory.handle(new Event.EndpointLeaving("a"), 0);
+        add(directory, "a", 0, 12, 4);
+        assertThat(plan(0)).isEmpty();
+    }
+
     @Test
     void aReportFromBeforeACrashDoesNotBringTheHoldingsBack() {
         add(directory, "a", 0, 12, 4);
@@ -128,8 +136,7 @@
         report(directory, "a", 0, 12, 0, 5);
         assertThat(plan(20)).isEmpty();
         // The report of 12 ms includes both own attempts; they must not count twice after one has ended.
-        directory.release(
-                new Chain(List.of(new io.radishwinch.core.model.Stage("a", new LayerRange(0, 12)))), REQUEST, 15);
+        directory.release(new Chain(List.of(new Stage("a", new LayerRange(0, 12)))), REQUEST, 15);
         report(directory, "a", 0, 12, 2, 12);
         assertThat(plan(20)).isPresent();
     }
