Wait for the peers between a crash and the next attempt of a suspect

Cause: a request that its caller resends to another router as soon as it is refused crashed two endpoints at each router, because gossip was slower than the caller. Change: the next attempt after a crash waits 200 ms, after the report of a peer 1.2 s.

--- a/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
@@ -63,6 +63,7 @@
 
     private void tryParked(RequestRow row, long nowMs) {
         if (row.gated) {
+            row.impatient = row.dueAtMs <= nowMs;
             state.requeue(row, nowMs);
         } else if (row.dueAtMs <= nowMs) {
             row.excludedEndpointIds.clear();
--- a/core/src/main/java/io/radishwinch/core/impl/SuspectSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/SuspectSystem.java
@@ -17,14 +17,14 @@
     /** Notes that a request was running on an endpoint when it crashed. */
     void crashed(RequestRow row, String endpointId, long nowMs) {
         String fingerprint = row.spec.fingerprint();
-        if (state.quarantine.crashed(fingerprint, endpointId, nowMs)) {
+        if (state.quarantine.crashed(fingerprint, endpointId, false, nowMs)) {
             state.out.add(new Action.ShareCrash(fingerprint, endpointId));
             applyQuarantine(fingerprint, true, nowMs);
         }
     }
 
     void crashShared(Event.CrashShared event, long nowMs) {
-        if (state.quarantine.crashed(event.fingerprint(), event.endpointId(), nowMs)) {
+        if (state.quarantine.crashed(event.fingerprint(), event.endpointId(), true, nowMs)) {
             applyQuarantine(event.fingerprint(), true, nowMs);
         }
     }
--- a/core/src/main/java/io/radishwinch/core/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/io/radishwinch/core/quarantine/CrashQuarantine.java
@@ -19,7 +19,7 @@
     /** Reports of a crash of the same endpoint within this time are about the same crash, in ms. */
     private static final long SAME_CRASH_MS = 5_000;
 
-    private record Crash(String endpointId, long atMs) {}
+    private record Crash(String endpointId, long atMs, long startableAtMs) {}
 
     private final QuarantineSettings settings;
     private final ExpiringMap<Long> quarantined;
@@ -58,11 +58,14 @@
         if (isQuarantined(fingerprint, nowMs)) {
             return false;
         }
-        boolean suspect = isSuspect(fingerprint, nowMs);
-        if (!suspect && trusted.get(fingerprint, nowMs) != null) {
+        Crash crash = suspects.get(fingerprint, nowMs);
+        if (crash != null && nowMs < crash.startableAtMs()) {
+            return false;
+        }
+        if (crash == null && trusted.get(fingerprint, nowMs) != null) {
             return true;
         }
-        return (suspect ? 1 : 0) + running.getOrDefault(fingerprint, 0) < MAX_CRASHES;
+        return (crash == null ? 0 : 1) + running.getOrDefault(fingerprint, 0) < MAX_CRASHES;
     }
 
     /** Returns the endpoint that crashed under a suspect, or an empty string if the fingerprint is no suspect. */
@@ -97,17 +100,19 @@
     // Crashes
 
     /**
-     * Notes that the fingerprint was running on an endpoint when it crashed, seen here or by a peer.
+     * Notes that the fingerprint was running on an endpoint when it crashed.
      *
+     * @param byPeer whether a peer reported the crash
      * @return whether this crash was not known before
      */
-    public boolean crashed(String fingerprint, String endpointId, long nowMs) {
+    public boolean crashed(String fingerprint, String endpointId, boolean byPeer, long nowMs) {
         Crash earlier = suspects.get(fingerprint, nowMs);
         if (earlier != null && earlier.endpointId().equals(endpointId) && nowMs - earlier.atMs() < SAME_CRASH_MS) {
             return false;
         }
         trusted.remove(fingerprint);
-        Crash crash = new Crash(endpointId, nowMs);
+        long holdMs = byPeer ? settings.peerHoldMs() : settings.holdMs();
+        Crash crash = new Crash(endpointId, nowMs, nowMs + holdMs);
         if (earlier == null) {
             suspects.put(fingerprint, crash, nowMs + settings.suspectMs());
             return true;
--- a/core/src/main/java/io/radishwinch/core/quarantine/QuarantineSettings.java
+++ b/core/src/main/java/io/radishwinch/core/quarantine/QuarantineSettings.java
@@ -6,6 +6,10 @@
  * @param quarantineMs time for which a fingerprint is refused, in ms
  * @param suspectMs time for which a crash counts against a fingerprint, in ms
  * @param trustMs time for which a finished request speaks for its fingerprint, in ms
+ * @param holdMs time from a crash here to the next attempt with the fingerprint, in ms; peers learn of the crash
+ *     meanwhile
+ * @param peerHoldMs time from the report of a peer to an attempt here, in ms; longer than the peer needs for its own
+ *     next attempt and the report of its end
  * @param maxEntries fingerprints kept in each table
  * @param maxNeighbours other attempts on an endpoint while a suspect is under observation there
  * @param patienceMs time after which a suspect may also run on endpoints with more other attempts, in ms
@@ -16,6 +20,8 @@
         long quarantineMs,
         long suspectMs,
         long trustMs,
+        long holdMs,
+        long peerHoldMs,
         int maxEntries,
         int maxNeighbours,
         long patienceMs,
@@ -23,18 +29,48 @@
 
     /** Returns the defaults. */
     public static QuarantineSettings defaults() {
-        return new QuarantineSettings(15 * 60_000, 5 * 60_000, 10 * 60_000, 10_000, 2, 200, 200);
+        return new QuarantineSettings(15 * 60_000, 5 * 60_000, 10 * 60_000, 200, 1_200, 10_000, 2, 200, 200);
     }
 
     /** Returns a copy with other times, in ms. */
     public QuarantineSettings withTimes(long newQuarantineMs, long newSuspectMs, long newTrustMs) {
         return new QuarantineSettings(
-                newQuarantineMs, newSuspectMs, newTrustMs, maxEntries, maxNeighbours, patienceMs, observationMs);
+                newQuarantineMs,
+                newSuspectMs,
+                newTrustMs,
+                holdMs,
+                peerHoldMs,
+                maxEntries,
+                maxNeighbours,
+                patienceMs,
+                observationMs);
     }
 
     /** Returns a copy with another bound of the tables. */
     public QuarantineSettings withMaxEntries(int newMaxEntries) {
         return new QuarantineSettings(
-                quarantineMs, suspectMs, trustMs, newMaxEntries, maxNeighbours, patienceMs, observationMs);
+                quarantineMs,
+                suspectMs,
+                trustMs,
+                holdMs,
+                peerHoldMs,
+                newMaxEntries,
+                maxNeighbours,
+                patienceMs,
+                observationMs);
+    }
+
+    /** Returns a copy with other times between a crash and the next attempt, in ms. */
+    public QuarantineSettings withHold(long newHoldMs, long newPeerHoldMs) {
+        return new QuarantineSettings(
+                quarantineMs,
+                suspectMs,
+                trustMs,
+                newHoldMs,
+                newPeerHoldMs,
+                maxEntries,
+                maxNeighbours,
+                patienceMs,
+                observationMs);
     }
 }
