Simplify the tests' construction of requests

Cause: each test built its own request records. Change: CoreBench builds requests with a fingerprint; a cancelled attempt is not cancelled again when its caller goes.

--- a/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -133,7 +133,7 @@
             row.callerGone = true;
             return;
         }
-        if (row.isRunning()) {
+        if (row.state == RequestRow.State.RUNNING) {
             state.out.add(new Action.CancelAttempt(requestId, row.epoch, Reason.CALLER_DISCONNECTED));
         }
         state.forget(row, nowMs);
--- a/core/src/test/java/io/radishwinch/core/impl/CoreBench.java
+++ b/core/src/test/java/io/radishwinch/core/impl/CoreBench.java
@@ -118,18 +118,13 @@
     }
 
     RequestSpec request(String id, String caller, Rank rank, long arrivalMs, int maxNewTokens, long timeoutMs) {
+        return request(id, "f-" + id, caller, rank, arrivalMs, maxNewTokens, timeoutMs);
+    }
+
+    RequestSpec request(
+            String id, String fingerprint, String caller, Rank rank, long atMs, int tokens, long timeoutMs) {
         return new RequestSpec(
-                id,
-                caller,
-                rank,
-                MODEL,
-                10,
-                maxNewTokens,
-                arrivalMs,
-                arrivalMs + timeoutMs,
-                "f-" + id,
-                List.of(),
-                true);
+                id, caller, rank, MODEL, 10, tokens, atMs, atMs + timeoutMs, fingerprint, List.of(), true);
     }
 
     void at(long atMs, Event event) {
--- a/core/src/test/java/io/radishwinch/core/impl/FailurePairTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FailurePairTest.java
@@ -7,9 +7,7 @@
 import io.radishwinch.core.model.Limits;
 import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.Reason;
-import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.model.Verdict;
-import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Random;
@@ -37,15 +35,9 @@
     }
 
     static Stream<Set<Failure>> pairs() {
-        List<Set<Failure>> pairs = new ArrayList<>();
-        for (Failure first : Failure.values()) {
-            for (Failure second : Failure.values()) {
-                if (first.ordinal() < second.ordinal()) {
-                    pairs.add(EnumSet.of(first, second));
-                }
-            }
-        }
-        return pairs.stream();
+        return Stream.of(Failure.values()).flatMap(first -> Stream.of(Failure.values())
+                .filter(second -> first.ordinal() < second.ordinal())
+                .map(second -> EnumSet.of(first, second)));
     }
 
     private static void load(
@@ -68,20 +60,8 @@
             case INTERACTIVE_FLOOD -> load(bench, "flood", "clinic", Rank.INTERACTIVE, 600, period, 3_000);
             case CRASHING_REQUEST -> {
                 for (int n = 0; n < 20; n++) {
-                    RequestSpec spec =
-                            bench.request("p" + n, "clinic", Rank.INTERACTIVE, FROM_MS + n * 400L, 50, 5_000);
-                    bench.arrive(new RequestSpec(
-                            spec.requestId(),
-                            spec.caller(),
-                            spec.rank(),
-                            spec.pool(),
-                            10,
-                            50,
-                            spec.arrivedAtMs(),
-                            spec.deadlineMs(),
-                            "poison",
-                            List.of(),
-                            true));
+                    bench.arrive(bench.request(
+                            "p" + n, "poison", "clinic", Rank.INTERACTIVE, FROM_MS + n * 400L, 50, 5_000));
                 }
             }
             case DRAIN -> bench.at(TO_MS - 2_000, new Event.DrainStarted(TO_MS));
--- a/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
@@ -35,21 +35,6 @@
         return bench(stages, endpoints, slots, CoreSettings.defaults());
     }
 
-    private static RequestSpec withFingerprint(RequestSpec s, String fingerprint) {
-        return new RequestSpec(
-                s.requestId(),
-                s.caller(),
-                s.rank(),
-                s.pool(),
-                s.promptTokens(),
-                s.maxNewTokens(),
-                s.arrivedAtMs(),
-                s.deadlineMs(),
-                fingerprint,
-                s.prefixHashes(),
-                s.repeatable());
-    }
-
     private static RequestSpec nonRepeatable(String id, long atMs) {
         return new RequestSpec(
                 id, "a", Rank.ACCOUNT_ACTION, "service:pay", 0, 0, atMs, atMs + 5_000, "f-" + id, List.of(), false);
@@ -171,12 +156,11 @@
         };
         bench.arrive(bench.request("innocent1", "a", Rank.INTERACTIVE, 0, 100, 30_000));
         bench.arrive(bench.request("innocent2", "b", Rank.INTERACTIVE, 0, 100, 30_000));
-        bench.arrive(withFingerprint(bench.request("p", "a", Rank.INTERACTIVE, 10, 100, 30_000), "poison"));
+        bench.arrive(bench.request("p", "poison", "a", Rank.INTERACTIVE, 10, 100, 30_000));
         bench.run(20);
         bench.directory.down.clear();
         for (int n = 0; n < 10; n++) {
-            RequestSpec copy = bench.request("copy" + n, "a", Rank.INTERACTIVE, 30 + n * 300L, 100, 30_000);
-            bench.arrive(withFingerprint(copy, "poison"));
+            bench.arrive(bench.request("copy" + n, "poison", "a", Rank.INTERACTIVE, 30 + n * 300L, 100, 30_000));
         }
         bench.run(40_000);
         assertThat(bench.directory.down).hasSizeLessThanOrEqualTo(2);
@@ -195,7 +179,7 @@
         bench.endpoints = start -> new CoreBench.Outcome(
                 50, new Event.EndpointGone(start.chain().head().endpointId(), true));
         for (int n = 0; n < 20; n++) {
-            bench.arrive(withFingerprint(bench.request("c" + n, "a", Rank.INTERACTIVE, 0, 100, 30_000), "poison"));
+            bench.arrive(bench.request("c" + n, "poison", "a", Rank.INTERACTIVE, 0, 100, 30_000));
         }
         bench.run(40_000);
         assertThat(bench.directory.down).hasSize(2);
@@ -208,9 +192,9 @@
         bench.endpoints = start -> new CoreBench.Outcome(
                 50, new Event.EndpointGone(start.chain().head().endpointId(), true));
         bench.at(0, new Event.CrashShared("poison", "elsewhere"));
-        bench.arrive(withFingerprint(bench.request("c", "a", Rank.INTERACTIVE, 10, 100, 30_000), "poison"));
+        bench.arrive(bench.request("c", "poison", "a", Rank.INTERACTIVE, 10, 100, 30_000));
         bench.at(500, new Event.QuarantineShared("other", 60_000));
-        bench.arrive(withFingerprint(bench.request("o", "a", Rank.INTERACTIVE, 600, 100, 30_000), "other"));
+        bench.arrive(bench.request("o", "other", "a", Rank.INTERACTIVE, 600, 100, 30_000));
         bench.run(40_000);
         assertThat(bench.directory.down).hasSize(1);
         assertThat(bench.trace("c").refusal().reason()).isEqualTo(Reason.QUARANTINED);
@@ -236,8 +220,7 @@
             CoreBench last = routers.get(Math.floorMod(copies - 1, 4));
             if (copies < 40 && (copies == 0 || last.trace("c" + (copies - 1)).end != null)) {
                 CoreBench next = routers.get(copies % 4);
-                next.arrive(withFingerprint(
-                        next.request("c" + copies++, "a", Rank.INTERACTIVE, atMs, 100, 30_000), "poison"));
+                next.arrive(next.request("c" + copies++, "poison", "a", Rank.INTERACTIVE, atMs, 100, 30_000));
             }
             for (int n = 0; n < 4; n++) {
                 CoreBench router = routers.get(n);
--- a/core/src/test/java/io/radishwinch/core/impl/FloodTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FloodTest.java
@@ -56,8 +56,7 @@
             if (atMs >= END_MS) {
                 return;
             }
-            RequestSpec spec = bench.request("r" + nextId++, caller, rank, (long) atMs, ANSWER_TOKENS, timeoutMs);
-            bench.arrive(spec);
+            bench.arrive(bench.request("r" + nextId++, caller, rank, (long) atMs, ANSWER_TOKENS, timeoutMs));
         }
     }
 
@@ -107,13 +106,10 @@
 
     @Test
     void aBatchFloodOfTenTimesCapacityLeavesInteractiveServiceIntact() {
-        double alone;
-        {
-            CoreBench bench = bench(RankedFairQueue::new);
-            load(bench, "clerk", Rank.INTERACTIVE, 30, 4_000);
-            bench.run(END_MS + 60_000);
-            alone = served(bench, spec -> true);
-        }
+        CoreBench undisturbed = bench(RankedFairQueue::new);
+        load(undisturbed, "clerk", Rank.INTERACTIVE, 30, 4_000);
+        undisturbed.run(END_MS + 60_000);
+        double alone = served(undisturbed, spec -> true);
         double ranked = interactiveInBatchFlood(RankedFairQueue::new);
         double fifo = interactiveInBatchFlood((settings, entitlements, index) -> new FifoQueue(settings, index));
         System.out.printf("batch flood: alone %.4f ranked %.4f fifo %.4f%n", alone, ranked, fifo);
