--- a/cluster/src/test/java/io/radishwinch/cluster/SharedLimitsTest.java
+++ b/cluster/src/test/java/io/radishwinch/cluster/SharedLimitsTest.java
@@ -70,6 +70,11 @@
                 .sum();
         double wanted = Math.min(demand, LIMIT_TOKENS_PER_S);
         double slack = TOLERANCE * LIMIT_TOKENS_PER_S;
+        if (Boolean.getBoolean("radishwinch.measure")) {
+            System.out.printf(
+                    "shares: admitted %.3f of what is allowed, %d routers%n",
+                    admitted(bus, Amounts::tokensPerS, "dc") / wanted, bus.routers.size());
+        }
         assertThat(admitted(bus, Amounts::tokensPerS, "dc")).isBetween(wanted - slack, wanted + slack);
         assertThat(admitted(bus, Amounts::requestsPerS, "dc") * 100).isBetween(wanted - slack, wanted + slack);
         assertThat(admitted(bus, Amounts::concurrent, "dc") * 125).isBetween(wanted - slack, wanted + slack);
@@ -156,6 +161,14 @@
         double slack = TOLERANCE * LIMIT_TOKENS_PER_S;
         assertThat(admitted(bus, Amounts::tokensPerS, "dc2"))
                 .isBetween(FLOOR_TOKENS_PER_S * (1 - TOLERANCE), FLOOR_TOKENS_PER_S + slack);
+        if (Boolean.getBoolean("radishwinch.measure")) {
+            System.out.printf(
+                    "partition: %.0f tokens/s in the cut-off data centre, %.0f in all, limit %.0f, floor %.0f%n",
+                    admitted(bus, Amounts::tokensPerS, "dc2"),
+                    admitted(bus, Amounts::tokensPerS, "dc"),
+                    LIMIT_TOKENS_PER_S,
+                    FLOOR_TOKENS_PER_S);
+        }
         double floors = bus.routers.values().stream()
                 .filter(r -> r.node.self().dataCentre().equals("dc2"))
                 .mapToDouble(r -> r.node.share(CALLER).floorShare())
