--- a/cluster/src/main/java/io/radishwinch/cluster/journal/PendingStep.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/PendingStep.java
@@ -3,10 +3,13 @@
 import io.radishwinch.cluster.journal.JournalPeer.Reply;
 import io.radishwinch.cluster.journal.JournalPeer.Request;
 import io.radishwinch.cluster.journal.JournalPeer.Step;
+import java.lang.System.Logger.Level;
 import java.util.function.Consumer;
 
 /** A step that waits for its shard. */
 final class PendingStep {
+    private static final System.Logger LOGGER = System.getLogger(PendingStep.class.getName());
+
     private final Request request;
     private final Hash128 key;
     private final Consumer<Reply> done;
@@ -48,7 +51,12 @@
     void answer(Reply reply) {
         if (!answered) {
             answered = true;
-            done.accept(reply);
+            try {
+                done.accept(reply);
+            } catch (RuntimeException e) {
+                // A receiver that fails must not stop the shard, which would refuse every later request.
+                LOGGER.log(Level.ERROR, "receiver of a journal reply failed", e);
+            }
         }
     }
 
--- a/cluster/src/main/java/io/radishwinch/cluster/journal/ShardLog.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/ShardLog.java
@@ -12,6 +12,7 @@
 import io.radishwinch.cluster.platform.PlatformException;
 import io.radishwinch.cluster.platform.PlatformException.Kind;
 import io.radishwinch.cluster.platform.Scheduler;
+import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -30,6 +31,7 @@
  * a number whose batch had been deleted.
  */
 final class ShardLog {
+    private static final System.Logger LOGGER = System.getLogger(ShardLog.class.getName());
     private static final long FIRST_BACKOFF_MS = 50;
     /** Bounds the time for which requests are still refused after the platform has returned. */
     private static final long MAX_BACKOFF_MS = 1_000;
@@ -382,6 +384,9 @@
         tickWanted = false;
         listener.onPlatformFailure(shard, isEffectUnknown(failure));
         failures++;
+        if (!(failure instanceof PlatformException) && failures == 1) {
+            LOGGER.log(Level.ERROR, () -> "shard " + shard + " of the journal cannot be used", failure);
+        }
         for (PendingStep step : List.copyOf(queue)) {
             if (step.step() == Step.OPEN && !isEffectUnknown(failure)) {
                 remove(step);
@@ -429,7 +434,13 @@
                                 readAgain();
                                 return;
                             }
-                            restore(snapshot);
+                            try {
+                                restore(snapshot);
+                            } catch (IllegalStateException e) {
+                                forget();
+                                onFailed(e);
+                                return;
+                            }
                             listener.onRecovery(shard, index.size(), scheduler.nowMs() - startMs);
                             applyTail(snapshot.tail(), current);
                         },
--- a/cluster/src/main/java/io/radishwinch/cluster/journal/ShardSnapshot.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/ShardSnapshot.java
@@ -22,7 +22,7 @@
     void restoreInto(ShardIndex index) {
         for (Segment segment : tail.manifest().segments()) {
             index.restore(
-                    JournalCodec.decodeSegment(segments.get(segment.name()).value()),
+                    ShardStore.decode(segments.get(segment.name()), JournalCodec::decodeSegment),
                     tail.manifest().logMs());
         }
         index.restore(Map.of(), tail.manifest().logMs());
--- a/cluster/src/main/java/io/radishwinch/cluster/journal/ShardStore.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/ShardStore.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Function;
 
 /** The objects of one shard in the platform. */
 final class ShardStore {
@@ -89,7 +90,7 @@
                 } else {
                     batches.put(
                             sequenceOf(object.key()),
-                            new StoredBatch(object.version(), JournalCodec.decodeBatch(object.value())));
+                            new StoredBatch(object.version(), decode(object, JournalCodec::decodeBatch)));
                 }
             }
             if (page.more()) {
@@ -109,6 +110,15 @@
         });
     }
 
+    /** Names the object if its value can't be decoded, because an operator has to restore it. */
+    static <T> T decode(StoredObject object, Function<byte[], T> decoder) {
+        try {
+            return decoder.apply(object.value());
+        } catch (IllegalStateException e) {
+            throw new IllegalStateException(object.key() + ": " + e.getMessage(), e);
+        }
+    }
+
     private Uni<Boolean> after(long delayMs) {
         return Uni.createFrom().emitter(emitter -> scheduler.schedule(delayMs, () -> emitter.complete(true)));
     }
@@ -116,7 +126,7 @@
     private static Tail tail(TreeMap<Long, StoredBatch> batches, Optional<StoredObject> manifest) {
         return new Tail(
                 batches,
-                manifest.map(object -> JournalCodec.decodeManifest(object.value()))
+                manifest.map(object -> decode(object, JournalCodec::decodeManifest))
                         .orElse(Manifest.EMPTY),
                 manifest.map(StoredObject::version).orElse(PlatformClient.ABSENT));
     }
--- a/cluster/src/main/java/io/radishwinch/cluster/journal/ShardedJournal.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/ShardedJournal.java
@@ -211,8 +211,8 @@
             }
         };
         Scheduler.Timer timeout = scheduler.schedule(settings.peerTimeoutMs(), () -> writeDirectly.accept(true));
-        peer.get()
-                .call(request)
+        Uni.createFrom()
+                .deferred(() -> peer.get().call(request))
                 .subscribe()
                 .with(
                         reply -> {
--- a/cluster/src/test/java/io/radishwinch/cluster/journal/JournalCapacity.java
+++ b/cluster/src/test/java/io/radishwinch/cluster/journal/JournalCapacity.java
@@ -8,6 +8,7 @@
 import io.radishwinch.cluster.platform.PlatformListener;
 import io.radishwinch.cluster.platform.ResilientPlatformClient;
 import io.radishwinch.cluster.platform.VirtualScheduler;
+import io.smallrye.mutiny.Uni;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -18,6 +19,7 @@
 public final class JournalCapacity {
     private static final int SHARDS = 16;
     private static final int OUTCOME_BYTES = 500;
+    private static final double[] LOADS_PER_S = {5, 50, 200, 1_000, 4_000, 8_000};
     private static final long RUN_MS = 50;
     private static final long WARM_UP_MS = 5_000;
     private static final long MEASURED_MS = 60_000;
@@ -33,6 +35,8 @@
     private long records;
     private long recoveredKeys;
     private int deadRouter = -1;
+    private int silentRouter = -1;
+    private long refusedAtMs;
 
     private JournalCapacity(int routers) {
         platform.faults().setLatencyMs(2, 6);
@@ -56,7 +60,9 @@
                 int owner = owner(shard, routers);
                 return owner == self
                         ? Optional.empty()
-                        : Optional.of(request -> journals.get(owner).handle(request));
+                        : Optional.of(request -> owner == silentRouter
+                                ? Uni.createFrom().nothing()
+                                : journals.get(owner).handle(request));
             }
 
             @Override
@@ -101,6 +107,8 @@
                 scheduler.schedule(RUN_MS, () -> journal.complete(grant, new byte[OUTCOME_BYTES])
                         .subscribe()
                         .with(recorded -> {}));
+            } else {
+                refusedAtMs = scheduler.nowMs();
             }
         });
     }
@@ -148,23 +156,48 @@
         JournalCapacity run = new JournalCapacity(routers);
         run.load(requestsPerS, durationMs);
         run.scheduler.advance(70_000);
-        run.deadRouter = run.owner(0, routers);
+        run.silentRouter = run.owner(0, routers);
+        run.grantMs.clear();
+        run.ask(routers - 1, run.keyOfShard0("before-"));
+        run.scheduler.advance(30_000);
+        System.out.printf("dead writer not yet noticed: routers %d grant after ms %s%n", routers, run.grantMs);
+        run.deadRouter = run.silentRouter;
         int heir = run.owner(0, routers);
         // The dead router's shards come with their part of the budget.
         run.budgets.get(heir).setRates(CallRates.share(routers, SHARDS, routers < SHARDS ? 2 * SHARDS / routers : 1));
-        int index = 0;
-        while (Hash128.ofKey("clinic", "after-" + index).shard(SHARDS) != 0) {
-            index++;
-        }
         run.grantMs.clear();
         long reads = run.platform.readCalls();
-        run.ask(heir, "after-" + index);
+        run.ask(heir, run.keyOfShard0("after-"));
         run.scheduler.advance(30_000);
         System.out.printf(
                 "recovery routers %d keys in shard %d reads %d first grant after ms %s%n",
                 routers, run.recoveredKeys, run.platform.readCalls() - reads, run.grantMs);
     }
 
+    private String keyOfShard0(String prefix) {
+        int index = 0;
+        while (Hash128.ofKey("clinic", prefix + index).shard(SHARDS) != 0) {
+            index++;
+        }
+        return prefix + index;
+    }
+
+    private static void outage(int routers, double requestsPerS) {
+        JournalCapacity run = new JournalCapacity(routers);
+        run.load(requestsPerS, WARM_UP_MS);
+        run.platform.faults().setDown(true);
+        run.load(requestsPerS, MEASURED_MS);
+        run.platform.faults().setDown(false);
+        long returnedAtMs = run.scheduler.nowMs();
+        long calls = run.platform.readCalls() + run.platform.writeCalls();
+        run.load(requestsPerS, 1_000);
+        long firstSecond = run.platform.readCalls() + run.platform.writeCalls() - calls;
+        run.load(requestsPerS, MEASURED_MS);
+        System.out.printf(
+                "outage of 60 s: routers %d calls in the first second %d last refusal after return ms %d%n",
+                routers, firstSecond, run.refusedAtMs - returnedAtMs);
+    }
+
     private static void memory() {
         int keys = 200_000;
         ShardIndex[] holder = new ShardIndex[1];
@@ -200,9 +233,10 @@
                 ? new int[] {8, 360}
                 : Arrays.stream(arguments).mapToInt(Integer::parseInt).toArray();
         for (int routers : fleets) {
-            for (double requestsPerS : new double[] {5, 50, 200, 1_000, 4_000, 8_000}) {
+            for (double requestsPerS : LOADS_PER_S) {
                 throughput(routers, requestsPerS);
             }
+            outage(routers, 50);
             recovery(routers, 50, 60_000);
             recovery(routers, 500, 300_000);
         }
--- a/cluster/src/test/java/io/radishwinch/cluster/journal/JournalFailureTest.java
+++ b/cluster/src/test/java/io/radishwinch/cluster/journal/JournalFailureTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.radishwinch.cluster.journal.Journal.Decision;
+import io.radishwinch.cluster.platform.PlatformClient.StoredObject;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
@@ -244,4 +245,28 @@
         small.begin(small.router(0), "key-1", "x");
         assertThat(small.begin(small.router(0), "key-2", "x")).isInstanceOf(Decision.Unavailable.class);
     }
+
+    @Test
+    void aSegmentThatCannotBeDecodedRefusesItsShardUntilItIsRestored() {
+        for (int i = 0; i < 10; i++) {
+            fleet.complete(first, fleet.begin(first, "key-" + i, "x"), "answer-" + i);
+        }
+        fleet.scheduler.advance(5_000);
+        StoredObject segment = fleet.platform.contents().values().stream()
+                .filter(object -> object.key().startsWith("journal-segments"))
+                .findFirst()
+                .orElseThrow();
+        fleet.await(written(segment.key(), segment.version(), new byte[] {99}));
+        assertThat(fleet.begin(second, "key-0", "x")).isInstanceOf(Decision.Unavailable.class);
+        long version = fleet.platform.contents().get(segment.key()).version();
+        fleet.await(written(segment.key(), version, segment.value()));
+        fleet.scheduler.advance(5_000);
+        assertThat(Fleet.replayed(fleet.begin(second, "key-0", "x"))).isEqualTo("answer-0");
+    }
+
+    private AtomicReference<Object> written(String key, long version, byte[] value) {
+        AtomicReference<Object> result = new AtomicReference<>();
+        fleet.platform.put(key, version, value, "operator").subscribe().with(result::set);
+        return result;
+    }
 }
