Bound the memory and time of day summaries at 1,300 callers

Cause: a trial with 1,300 callers in three ranks, 2,000,000 requests and a heap of 256 MB ended with OutOfMemoryError while the full JSON tree was built, before it could be coarsened. With 10 callers, a copy of the summary took 29 ms, because adding packed histograms is slow.

Change: the writer streams and stops at the bound; slots of a caller are two int arrays; histograms start small and grow instead of being packed. DayRecorder can encode without a copy.

Encoding belongs on another thread than the one that records.

--- a/report/src/main/java/io/radishwinch/report/DayFindings.java
+++ b/report/src/main/java/io/radishwinch/report/DayFindings.java
@@ -185,11 +185,10 @@
         }
         int worst = -1;
         long most = 0;
-        for (Map.Entry<Integer, ServiceTotals.SlotService> entry :
-                result.service().slots().entrySet()) {
-            if (entry.getValue().unserved() > most) {
-                most = entry.getValue().unserved();
-                worst = entry.getKey();
+        for (int slot = 0; slot < summary.day().count(); slot++) {
+            if (result.service().unserved(slot) > most) {
+                most = result.service().unserved(slot);
+                worst = slot;
             }
         }
         return worst;
@@ -268,20 +267,19 @@
         if (floorTokensPerS <= 0) {
             return new Floor(Floor.State.NOT_PROMISED, 0, -1, 0);
         }
-        if (service.unserved() > 0 && (summary.isCoarsened() || service.slots().isEmpty())) {
+        if (service.unserved() > 0 && (summary.isCoarsened() || service.slots.isEmpty())) {
             return new Floor(Floor.State.UNKNOWN, 0, -1, 0);
         }
         int missed = 0;
         int worstSlot = -1;
         double worst = Double.MAX_VALUE;
-        for (Map.Entry<Integer, ServiceTotals.SlotService> entry :
-                service.slots().entrySet()) {
-            double tokensPerS = entry.getValue().tokens() * 1000.0 / DaySlots.SLOT_MS;
-            if (entry.getValue().unserved() > 0 && tokensPerS < targets.floorShare() * floorTokensPerS) {
+        for (int slot = 0; slot < summary.day().count(); slot++) {
+            double tokensPerS = service.tokens(slot) * 1000.0 / DaySlots.SLOT_MS;
+            if (service.unserved(slot) > 0 && tokensPerS < targets.floorShare() * floorTokensPerS) {
                 missed++;
                 if (tokensPerS < worst) {
                     worst = tokensPerS;
-                    worstSlot = entry.getKey();
+                    worstSlot = slot;
                 }
             }
         }
--- a/report/src/main/java/io/radishwinch/report/DayRecorder.java
+++ b/report/src/main/java/io/radishwinch/report/DayRecorder.java
@@ -83,7 +83,10 @@
         return day;
     }
 
-    /** Returns the summary of the day so far. */
+    /**
+     * Returns the summary of the day so far, a copy that another thread may encode. With 1,300 callers the copy takes
+     * about 40 MB for as long as it is held.
+     */
     public DaySummary summary(long nowMs) {
         advance(nowMs);
         return build(nowMs, false);
@@ -95,6 +98,18 @@
         return build(nowMs, true);
     }
 
+    /**
+     * Returns the encoded summary of the day so far, without the copy that {@link #summary} makes. Encoding takes
+     * longer than copying, so a thread that serves requests uses {@link #summary} instead.
+     *
+     * @param maxBytes largest result, in bytes; see {@link DaySummaryCodec#encode(DaySummary, int)}
+     */
+    public byte[] encodedSummary(long nowMs, int maxBytes) {
+        advance(nowMs);
+        builder.add(new Coverage(routerId, covered, nowMs, false));
+        return DaySummaryCodec.encode(builder.view(), maxBytes);
+    }
+
     private void advance(long nowMs) {
         if (nowMs >= day.endMs()) {
             finished = Optional.of(build(day.endMs(), true));
--- a/report/src/main/java/io/radishwinch/report/DaySummary.java
+++ b/report/src/main/java/io/radishwinch/report/DaySummary.java
@@ -3,7 +3,6 @@
 import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.Verdict;
-import java.util.BitSet;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
@@ -240,6 +239,11 @@
             return new DaySummary(copy);
         }
 
+        /** Returns a summary that changes with this builder, for use before the next addition. */
+        DaySummary view() {
+            return new DaySummary(this);
+        }
+
         ServiceTotals totals(String caller, Rank rank) {
             boolean known = callers.containsKey(caller) || caller.equals(OTHER);
             int named = callers.size() - (callers.containsKey(OTHER) ? 1 : 0);
@@ -256,10 +260,5 @@
         Collection<FleetEvent> sortedEvents() {
             return events;
         }
-
-        BitSet coveredSlots(String routerId) {
-            Coverage known = coverage.get(routerId);
-            return known == null ? new BitSet() : known.slots();
-        }
     }
 }
--- /dev/null
+++ b/report/src/main/java/io/radishwinch/report/DaySummaryWriter.java
@@ -0,0 +1,275 @@
+package io.radishwinch.report;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.Reason;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Writes a summary as JSON in a bounded number of bytes. */
+final class DaySummaryWriter {
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private final DaySummary summary;
+    private final Detail detail;
+    private final JsonGenerator json;
+
+    private DaySummaryWriter(DaySummary summary, Detail detail, JsonGenerator json) {
+        this.summary = summary;
+        this.detail = detail;
+        this.json = json;
+    }
+
+    /** Slots of callers that are written. */
+    private enum SlotDetail {
+        ALL,
+        UNSERVED,
+        NONE
+    }
+
+    /**
+     * What to write.
+     *
+     * @param slots whose slots to write
+     * @param histograms number of callers, largest first, whose histograms are written
+     * @param callers number of callers, largest first, that are told apart
+     * @param events number of events
+     */
+    private record Detail(SlotDetail slots, int histograms, int callers, int events) {
+        static final Detail FULL =
+                new Detail(SlotDetail.ALL, Integer.MAX_VALUE, Integer.MAX_VALUE, DaySummary.MAX_EVENTS);
+
+        static List<Detail> steps(int callers) {
+            return List.of(
+                    FULL,
+                    new Detail(SlotDetail.UNSERVED, callers, callers, DaySummary.MAX_EVENTS),
+                    new Detail(SlotDetail.NONE, callers, callers, DaySummary.MAX_EVENTS),
+                    new Detail(SlotDetail.NONE, callers / 4, callers, DaySummary.MAX_EVENTS),
+                    new Detail(SlotDetail.NONE, 0, callers, DaySummary.MAX_EVENTS),
+                    new Detail(SlotDetail.NONE, callers / 8, callers / 2, DaySummary.MAX_EVENTS),
+                    new Detail(SlotDetail.NONE, callers / 4, callers / 4, DaySummary.MAX_EVENTS / 4),
+                    new Detail(SlotDetail.NONE, 0, callers / 8, DaySummary.MAX_EVENTS / 4),
+                    new Detail(SlotDetail.NONE, 0, 0, 0));
+        }
+    }
+
+    /** Ends the writing of a summary that does not fit, before it takes more memory. */
+    private static final class BoundExceededException extends IOException {
+        private static final long serialVersionUID = 1L;
+    }
+
+    /** Bytes up to a bound. */
+    private static final class BoundedOutput extends OutputStream {
+        private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        private final int maxBytes;
+
+        BoundedOutput(int maxBytes) {
+            this.maxBytes = maxBytes;
+        }
+
+        @Override
+        public void write(int b) throws IOException {
+            write(new byte[] {(byte) b}, 0, 1);
+        }
+
+        @Override
+        public void write(byte[] source, int offset, int length) throws IOException {
+            if (bytes.size() + length > maxBytes) {
+                throw new BoundExceededException();
+            }
+            bytes.write(source, offset, length);
+        }
+    }
+
+    static byte[] write(DaySummary summary, int maxBytes) {
+        for (Detail detail : Detail.steps(summary.callers().size())) {
+            BoundedOutput output = new BoundedOutput(maxBytes);
+            try {
+                JsonGenerator json = JSON.createGenerator(output);
+                new DaySummaryWriter(summary, detail, json).writeAll();
+                json.close();
+                return output.bytes.toByteArray();
+            } catch (BoundExceededException e) {
+                continue;
+            } catch (IOException e) {
+                throw new IllegalStateException("a summary could not be written as JSON", e);
+            }
+        }
+        throw new IllegalArgumentException("a summary needs more than " + maxBytes + " bytes");
+    }
+
+    private void writeAll() throws IOException {
+        json.writeStartObject();
+        json.writeStringField("schema", DaySummaryCodec.SCHEMA);
+        json.writeStringField("date", summary.day().date().toString());
+        json.writeStringField("zone", summary.day().zone().getId());
+        json.writeBooleanField("coarsened", summary.isCoarsened() || detail != Detail.FULL);
+        writeCallers();
+        json.writeObjectFieldStart("slots");
+        for (Rank rank : Rank.values()) {
+            writeSlots(rank);
+        }
+        json.writeEndObject();
+        writeCharges(summary.charges());
+        writeEvents();
+        json.writeObjectFieldStart("coverage");
+        for (Coverage covered : summary.coverage()) {
+            json.writeObjectFieldStart(covered.routerId());
+            json.writeBinaryField("slots", covered.slots().toByteArray());
+            json.writeNumberField("recordedUntilMs", covered.recordedUntilMs());
+            json.writeBooleanField("handedOver", covered.handedOver());
+            json.writeEndObject();
+        }
+        json.writeEndObject();
+        json.writeEndObject();
+    }
+
+    /** Writes callers in name order, so that equal summaries have equal bytes. */
+    private void writeCallers() throws IOException {
+        Map<String, Integer> place = new HashMap<>();
+        summary.callers().keySet().stream()
+                .sorted(Comparator.comparingLong((String caller) -> -offered(caller))
+                        .thenComparing(Comparator.naturalOrder()))
+                .forEach(caller -> place.put(caller, place.size()));
+        json.writeObjectFieldStart("callers");
+        DaySummary.Builder folded = DaySummary.builder(summary.day());
+        for (Map.Entry<String, Map<Rank, ServiceTotals>> entry :
+                summary.callers().entrySet()) {
+            String caller = entry.getKey();
+            if (place.get(caller) < detail.callers() && !caller.equals(DaySummary.OTHER)) {
+                writeCaller(caller, entry.getValue(), detail.slots(), place.get(caller) < detail.histograms());
+            } else {
+                entry.getValue().forEach((rank, totals) -> folded.totals(DaySummary.OTHER, rank)
+                        .add(totals));
+            }
+        }
+        for (Map.Entry<String, Map<Rank, ServiceTotals>> entry : folded.callers.entrySet()) {
+            writeCaller(entry.getKey(), entry.getValue(), SlotDetail.NONE, true);
+        }
+        json.writeEndObject();
+    }
+
+    private long offered(String caller) {
+        return summary.callers().get(caller).values().stream()
+                .mapToLong(ServiceTotals::offered)
+                .sum();
+    }
+
+    private void writeCaller(String caller, Map<Rank, ServiceTotals> byRank, SlotDetail slots, boolean histograms)
+            throws IOException {
+        json.writeObjectFieldStart(caller);
+        for (Map.Entry<Rank, ServiceTotals> entry : new TreeMap<>(byRank).entrySet()) {
+            json.writeObjectFieldStart(entry.getKey().wireName());
+            writeTotals(entry.getValue(), slots, histograms);
+            json.writeEndObject();
+        }
+        json.writeEndObject();
+    }
+
+    private void writeTotals(ServiceTotals totals, SlotDetail slots, boolean histograms) throws IOException {
+        json.writeNumberField("offered", totals.offered);
+        json.writeNumberField("admitted", totals.admitted);
+        json.writeNumberField("withinDeadline", totals.withinDeadline);
+        json.writeNumberField("promptTokens", totals.promptTokens);
+        json.writeNumberField("answerTokens", totals.answerTokens);
+        json.writeNumberField("retriedRequests", totals.retriedRequests);
+        json.writeNumberField("worstTokenIntervalMs", totals.worstTokenIntervalMs);
+        writeReasons("refused", totals.refused);
+        writeReasons("failed", totals.failed);
+        writeReasons("retries", totals.retries);
+        if (histograms && totals.firstToken.count() > 0) {
+            json.writeBinaryField("firstToken", totals.firstToken.toBytes());
+        }
+        if (histograms && totals.tokenInterval.count() > 0) {
+            json.writeBinaryField("tokenInterval", totals.tokenInterval.toBytes());
+        }
+        if (slots == SlotDetail.ALL || (slots == SlotDetail.UNSERVED && totals.unserved() > 0)) {
+            json.writeArrayFieldStart("slots");
+            for (int slot = 0; slot < totals.slots.end(); slot++) {
+                if (totals.tokens(slot) != 0 || totals.unserved(slot) != 0) {
+                    writeRow(slot, totals.tokens(slot), totals.unserved(slot));
+                }
+            }
+            json.writeEndArray();
+        }
+    }
+
+    private void writeReasons(String field, Map<Reason, Long> counts) throws IOException {
+        if (!counts.isEmpty()) {
+            json.writeObjectFieldStart(field);
+            for (Map.Entry<Reason, Long> entry : counts.entrySet()) {
+                json.writeNumberField(entry.getKey().wireName(), entry.getValue());
+            }
+            json.writeEndObject();
+        }
+    }
+
+    private void writeSlots(Rank rank) throws IOException {
+        json.writeArrayFieldStart(rank.wireName());
+        for (int slot = 0; slot < summary.day().count(); slot++) {
+            SlotTotals totals = summary.slot(rank, slot);
+            if (!totals.equals(SlotTotals.ZERO)) {
+                writeRow(
+                        slot,
+                        totals.offered(),
+                        totals.entitled(),
+                        totals.admitted(),
+                        totals.withinDeadline(),
+                        totals.retries(),
+                        totals.tokens());
+            }
+        }
+        json.writeEndArray();
+    }
+
+    private void writeRow(long... numbers) throws IOException {
+        json.writeStartArray();
+        for (long number : numbers) {
+            json.writeNumber(number);
+        }
+        json.writeEndArray();
+    }
+
+    private void writeEvents() throws IOException {
+        json.writeArrayFieldStart("events");
+        for (FleetEvent event : summary.events().stream().limit(detail.events()).toList()) {
+            json.writeStartArray();
+            json.writeNumber(event.atMs());
+            json.writeString(event.kind().wireName());
+            json.writeString(event.subject());
+            json.writeString(event.text());
+            json.writeEndArray();
+        }
+        json.writeEndArray();
+        long droppedNow = Math.max(0, summary.events().size() - (long) detail.events());
+        json.writeNumberField("droppedEvents", summary.droppedEvents() + droppedNow);
+    }
+
+    private void writeCharges(ChargeTotals charges) throws IOException {
+        json.writeObjectFieldStart("charges");
+        json.writeNumberField("run", charges.run);
+        json.writeNumberField("refused", charges.refused);
+        json.writeNumberField("replayed", charges.replayed);
+        json.writeNumberField("inDoubt", charges.inDoubt);
+        json.writeNumberField("doubled", charges.doubled);
+        writeIds("inDoubtIds", charges.inDoubtIds);
+        writeIds("doubledIds", charges.doubledIds);
+        json.writeEndObject();
+    }
+
+    private void writeIds(String field, Collection<String> ids) throws IOException {
+        json.writeArrayFieldStart(field);
+        for (String id : ids) {
+            json.writeString(id);
+        }
+        json.writeEndArray();
+    }
+}
--- a/report/src/main/java/io/radishwinch/report/LatencyHistogram.java
+++ b/report/src/main/java/io/radishwinch/report/LatencyHistogram.java
@@ -3,30 +3,20 @@
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.zip.DataFormatException;
-import org.HdrHistogram.Histogram;
-import org.HdrHistogram.PackedHistogram;
+import org.HdrHistogram.IntCountsHistogram;
 
 /**
- * Histogram of times with two significant digits, from 0.01 ms to 24 h.
+ * Histogram of times with two significant digits, from 0.1 ms to 24 h.
  *
- * <p>The packed form of HdrHistogram keeps memory proportional to the number of different values, since a summary holds
- * two histograms for each caller and rank.
+ * <p>It starts small and grows with the largest time, since a summary holds two histograms for each caller and rank: a
+ * typical one takes 2 to 5 KB. The packed form of HdrHistogram is smaller, but merging it took 0.5 ms a histogram.
  */
 public final class LatencyHistogram {
-    private static final double UNITS_PER_MS = 100;
+    private static final double UNITS_PER_MS = 10;
     private static final long MAX_UNITS = (long) (24 * 3600 * 1000L * UNITS_PER_MS);
     private static final int SIGNIFICANT_DIGITS = 2;
 
-    private final Histogram histogram;
-
-    /** Creates an empty histogram. */
-    public LatencyHistogram() {
-        this(new PackedHistogram(MAX_UNITS, SIGNIFICANT_DIGITS));
-    }
-
-    private LatencyHistogram(Histogram histogram) {
-        this.histogram = histogram;
-    }
+    private final IntCountsHistogram histogram = new IntCountsHistogram(SIGNIFICANT_DIGITS);
 
     /** Adds one time, in ms; negative times are ignored. */
     void recordMs(double valueMs) {
@@ -37,7 +27,9 @@
 
     /** Adds all times of another histogram. */
     void add(LatencyHistogram other) {
-        histogram.add(other.histogram);
+        if (other.count() > 0) {
+            histogram.add(other.histogram);
+        }
     }
 
     /** Returns the number of times. */
@@ -69,12 +61,14 @@
      */
     static LatencyHistogram fromBytes(byte[] bytes) {
         try {
-            Histogram decoded = PackedHistogram.decodeFromCompressedByteBuffer(ByteBuffer.wrap(bytes), MAX_UNITS);
+            IntCountsHistogram decoded = IntCountsHistogram.decodeFromCompressedByteBuffer(ByteBuffer.wrap(bytes), 2);
             if (decoded.getNumberOfSignificantValueDigits() != SIGNIFICANT_DIGITS
-                    || decoded.getHighestTrackableValue() > 2 * MAX_UNITS) {
+                    || decoded.getMaxValue() > 2 * MAX_UNITS) {
                 throw new IllegalArgumentException("the histogram has another precision or range");
             }
-            return new LatencyHistogram(decoded);
+            LatencyHistogram result = new LatencyHistogram();
+            result.histogram.add(decoded);
+            return result;
         } catch (DataFormatException | RuntimeException e) {
             throw new IllegalArgumentException("not a compressed histogram: " + e.getMessage(), e);
         }
--- a/report/src/main/java/io/radishwinch/report/ServiceTotals.java
+++ b/report/src/main/java/io/radishwinch/report/ServiceTotals.java
@@ -6,7 +6,6 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 
 /** Service of one caller in one rank over a day. */
 public final class ServiceTotals {
@@ -20,24 +19,12 @@
     final Map<Reason, Long> refused = new EnumMap<>(Reason.class);
     final Map<Reason, Long> failed = new EnumMap<>(Reason.class);
     final Map<Reason, Long> retries = new EnumMap<>(Reason.class);
-    final TreeMap<Integer, SlotService> slots = new TreeMap<>();
+    final SlotSeries slots = new SlotSeries();
     final LatencyHistogram firstToken = new LatencyHistogram();
     final LatencyHistogram tokenInterval = new LatencyHistogram();
 
     ServiceTotals() {}
 
-    /**
-     * What a caller received in one slot.
-     *
-     * @param tokens tokens of prompts and answers that finished in the slot
-     * @param unserved requests that the fleet refused or failed in the slot
-     */
-    public record SlotService(long tokens, long unserved) {
-        SlotService plus(SlotService other) {
-            return new SlotService(tokens + other.tokens, unserved + other.unserved);
-        }
-    }
-
     // Reading
 
     /** Returns the number of requests received. */
@@ -95,9 +82,14 @@
         return tokenInterval;
     }
 
-    /** Returns the service by slot, for slots with any. */
-    public Map<Integer, SlotService> slots() {
-        return Collections.unmodifiableMap(slots);
+    /** Returns the tokens of prompts and answers that finished in a slot. */
+    public long tokens(int slot) {
+        return slots.tokens(slot);
+    }
+
+    /** Returns the requests that the fleet refused or failed in a slot. */
+    public long unserved(int slot) {
+        return slots.unserved(slot);
     }
 
     /**
@@ -147,7 +139,7 @@
                 .orElse(0L);
         long tokens = (long) outcome.promptTokens() + outcome.answerTokens();
         if (tokens > 0 || unserved > 0) {
-            slots.merge(slot, new SlotService(tokens, unserved), SlotService::plus);
+            slots.add(slot, tokens, unserved);
         }
     }
 
@@ -166,7 +158,7 @@
         other.refused.forEach((reason, count) -> refused.merge(reason, count, Long::sum));
         other.failed.forEach((reason, count) -> failed.merge(reason, count, Long::sum));
         other.retries.forEach((reason, count) -> retries.merge(reason, count, Long::sum));
-        other.slots.forEach((slot, service) -> slots.merge(slot, service, SlotService::plus));
+        slots.add(other.slots);
         firstToken.add(other.firstToken);
         tokenInterval.add(other.tokenInterval);
     }
--- /dev/null
+++ b/report/src/main/java/io/radishwinch/report/SlotSeries.java
@@ -0,0 +1,50 @@
+package io.radishwinch.report;
+
+import java.util.Arrays;
+
+/**
+ * Service of one caller and rank by slot, in two arrays that are allocated with the first entry. Counts stop at the
+ * largest int, which a slot of the whole fleet at its design size does not reach.
+ */
+final class SlotSeries {
+    private int[] tokens = {};
+    private int[] unserved = {};
+
+    boolean isEmpty() {
+        return tokens.length == 0;
+    }
+
+    /** Returns the slot behind the last one with any service. */
+    int end() {
+        return tokens.length;
+    }
+
+    long tokens(int slot) {
+        return slot < tokens.length ? tokens[slot] : 0;
+    }
+
+    long unserved(int slot) {
+        return slot < unserved.length ? unserved[slot] : 0;
+    }
+
+    void add(int slot, long moreTokens, long moreUnserved) {
+        if (slot >= tokens.length) {
+            tokens = Arrays.copyOf(tokens, slot + 1);
+            unserved = Arrays.copyOf(unserved, slot + 1);
+        }
+        tokens[slot] = sum(tokens[slot], moreTokens);
+        unserved[slot] = sum(unserved[slot], moreUnserved);
+    }
+
+    void add(SlotSeries other) {
+        for (int slot = other.end() - 1; slot >= 0; slot--) {
+            if (other.tokens[slot] != 0 || other.unserved[slot] != 0) {
+                add(slot, other.tokens[slot], other.unserved[slot]);
+            }
+        }
+    }
+
+    private static int sum(int count, long more) {
+        return (int) Math.min(Integer.MAX_VALUE, count + more);
+    }
+}
