Keep the histograms of a rank complete when a summary is coarsened

Cause: at 1,300 callers a summary of 1 MB dropped the histograms of all callers, so that neither large callers nor ranks had percentiles.

Change: histograms of callers that are left out are added to those of '(other)'; a step with the histograms of a sixteenth of the callers was added; each plot names the 95th percentile of the first token of its rank.

Conclusion: DaySummaryTest now requires the percentiles of a rank to survive at 1 MB, 200 KB and 60 KB.

--- a/report/src/main/java/io/radishwinch/report/DayFindings.java
+++ b/report/src/main/java/io/radishwinch/report/DayFindings.java
@@ -206,6 +206,8 @@
                 .forEach(rank -> row(rows, caller).putIfAbsent(rank, Optional.empty())));
         List<ContractResult> found = new ArrayList<>();
         rows.forEach((caller, byRank) -> byRank.forEach((rank, terms) -> found.add(result(caller, rank, terms))));
+        found.removeIf(result ->
+                result.caller().equals(DaySummary.OTHER) && result.service().offered() == 0);
         found.sort(Comparator.comparing(ContractResult::rank).thenComparing(ContractResult::caller));
         return List.copyOf(found);
     }
--- a/report/src/main/java/io/radishwinch/report/DaySummaryCodec.java
+++ b/report/src/main/java/io/radishwinch/report/DaySummaryCodec.java
@@ -18,7 +18,7 @@
  *
  * <p>A value that would exceed the bound is coarsened step by step: first the slots of callers that were served in
  * full, then the slots of all callers, then the histograms of callers with few requests, then those callers themselves,
- * which are counted together. Counts over all callers never change.
+ * which are counted together. Counts and histograms over all callers of a rank never change.
  */
 public final class DaySummaryCodec {
 
--- a/report/src/main/java/io/radishwinch/report/DaySummaryWriter.java
+++ b/report/src/main/java/io/radishwinch/report/DaySummaryWriter.java
@@ -53,6 +53,7 @@
                     new Detail(SlotDetail.UNSERVED, callers, callers, DaySummary.MAX_EVENTS),
                     new Detail(SlotDetail.NONE, callers, callers, DaySummary.MAX_EVENTS),
                     new Detail(SlotDetail.NONE, callers / 4, callers, DaySummary.MAX_EVENTS),
+                    new Detail(SlotDetail.NONE, callers / 16, callers, DaySummary.MAX_EVENTS),
                     new Detail(SlotDetail.NONE, 0, callers, DaySummary.MAX_EVENTS),
                     new Detail(SlotDetail.NONE, callers / 8, callers / 2, DaySummary.MAX_EVENTS),
                     new Detail(SlotDetail.NONE, callers / 4, callers / 4, DaySummary.MAX_EVENTS / 4),
@@ -144,12 +145,18 @@
         for (Map.Entry<String, Map<Rank, ServiceTotals>> entry :
                 summary.callers().entrySet()) {
             String caller = entry.getKey();
-            if (place.get(caller) < detail.callers() && !caller.equals(DaySummary.OTHER)) {
-                writeCaller(caller, entry.getValue(), detail.slots(), place.get(caller) < detail.histograms());
-            } else {
-                entry.getValue().forEach((rank, totals) -> folded.totals(DaySummary.OTHER, rank)
-                        .add(totals));
+            boolean named = place.get(caller) < detail.callers() && !caller.equals(DaySummary.OTHER);
+            boolean histograms = place.get(caller) < detail.histograms();
+            if (named) {
+                writeCaller(caller, entry.getValue(), detail.slots(), histograms);
             }
+            entry.getValue().forEach((rank, totals) -> {
+                if (!named) {
+                    folded.totals(DaySummary.OTHER, rank).add(totals);
+                } else if (!histograms) {
+                    folded.totals(DaySummary.OTHER, rank).addHistograms(totals);
+                }
+            });
         }
         for (Map.Entry<String, Map<Rank, ServiceTotals>> entry : folded.callers.entrySet()) {
             writeCaller(entry.getKey(), entry.getValue(), SlotDetail.NONE, true);
--- a/report/src/main/java/io/radishwinch/report/RankPlot.java
+++ b/report/src/main/java/io/radishwinch/report/RankPlot.java
@@ -38,8 +38,11 @@
             html.text("no requests").raw("</small></figcaption></figure>\n");
             return;
         }
+        String latency = totals.firstToken().count() == 0
+                ? ""
+                : "; first token " + Words.ms(totals.firstToken().percentileMs(95)) + " at the 95th percentile";
         html.text(Words.percent(totals.withinDeadlineShare()) + " of " + Words.count(totals.entitled(), "request")
-                + " in time; peak " + perMinute(peak));
+                + " in time" + latency + "; peak " + perMinute(peak));
         html.raw("</small></figcaption>");
         open(html, "share", SHARE_HEIGHT, title + ": share of requests answered in time");
         drawGaps(html, SHARE_HEIGHT);
--- a/report/src/main/java/io/radishwinch/report/ServiceTotals.java
+++ b/report/src/main/java/io/radishwinch/report/ServiceTotals.java
@@ -159,6 +159,10 @@
         other.failed.forEach((reason, count) -> failed.merge(reason, count, Long::sum));
         other.retries.forEach((reason, count) -> retries.merge(reason, count, Long::sum));
         slots.add(other.slots);
+        addHistograms(other);
+    }
+
+    void addHistograms(ServiceTotals other) {
         firstToken.add(other.firstToken);
         tokenInterval.add(other.tokenInterval);
     }
--- a/report/src/test/java/io/radishwinch/report/DaySummaryTest.java
+++ b/report/src/test/java/io/radishwinch/report/DaySummaryTest.java
@@ -66,6 +66,8 @@
             for (Rank rank : Rank.values()) {
                 assertThat(decoded.service(rank).offered())
                         .isEqualTo(large.service(rank).offered());
+                assertThat(decoded.service(rank).firstToken().percentileMs(95))
+                        .isEqualTo(large.service(rank).firstToken().percentileMs(95));
                 assertThat(decoded.service(rank).refused())
                         .isEqualTo(large.service(rank).refused());
             }
