Bound the wait of the operators' interface and the reach of arguments

Cause: a router without a result left an operator waiting until the tool gave up, without a word on whether a change was made; JCommander replaces an argument @FILE by the content of the file.

Arguments are taken as they are. Tests for both, and for batch work limited in a surge and slow first tokens in the report.

--- a/cli/src/main/java/io/radishwinch/cli/CommandTree.java
+++ b/cli/src/main/java/io/radishwinch/cli/CommandTree.java
@@ -31,6 +31,8 @@
         single.put("drain", new FleetCommands.Drain());
         single.put("report", new ReportCommand());
         root = JCommander.newBuilder().programName(NAME).addObject(rootOptions).build();
+        // By default JCommander replaces an argument @FILE by the content of the file.
+        root.setExpandAtSign(false);
         groups.forEach((name, commands) -> {
             root.addCommand(name, new Group());
             JCommander group = root.getCommands().get(name);
--- a/cli/src/test/java/io/radishwinch/cli/MainTest.java
+++ b/cli/src/test/java/io/radishwinch/cli/MainTest.java
@@ -175,6 +175,13 @@
         }
     }
 
+    @Test
+    void anArgumentWithAnAtSignIsNotReplacedByAFile() throws Exception {
+        session.write("secret", "status");
+        session.run("contract get @" + directory.resolve("secret"));
+        assertThat(session.text()).contains("there is no contract @").doesNotContain("no contract status");
+    }
+
     @Test
     void everyCommandHasHelp() {
         session.run("--help");
--- a/report/src/test/java/io/radishwinch/report/EveningReportTest.java
+++ b/report/src/test/java/io/radishwinch/report/EveningReportTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.Verdict;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -48,6 +50,36 @@
         assertThat(report(summary).verdict()).isEqualTo("The day did not go well: 1 charge ran twice.");
     }
 
+    @Test
+    void batchWorkRefusedEarlyInASurgeIsANoteWhileItsFloorIsKept() {
+        DaySummary.Builder surge = DaySummary.builder(SampleDay.DAY).add(SampleDay.summary(false));
+        for (int i = 0; i < 900; i++) {
+            surge.add(RequestOutcome.builder("s-" + i, "night-followups", Rank.BATCH, "m")
+                    .failed(Verdict.NOT_RUN, Reason.DEADLINE_UNREACHABLE, EVENING_MS - 1));
+        }
+        assertThat(report(surge.build()).verdict())
+                .isEqualTo("The day went well, with something to look at: night-followups (batch) had 900 requests"
+                        + " refused, mostly because there was too much work to meet the deadline.");
+        for (int i = 0; i < 200; i++) {
+            surge.add(RequestOutcome.builder("l-" + i, "night-followups", Rank.BATCH, "m")
+                    .failed(Verdict.MAY_HAVE_RUN, Reason.DEADLINE_EXCEEDED, EVENING_MS - 1));
+        }
+        assertThat(report(surge.build()).wentWell()).isFalse();
+    }
+
+    @Test
+    void slowFirstTokensOfInteractiveWorkAreAMissedPromise() {
+        DaySummary.Builder slow = DaySummary.builder(SampleDay.DAY).add(SampleDay.summary(false));
+        for (int i = 0; i < 300; i++) {
+            slow.add(RequestOutcome.builder("s-" + i, "app-members", Rank.INTERACTIVE, "m")
+                    .withFirstTokenMs(1_900)
+                    .answered(true, EVENING_MS - 1));
+        }
+        assertThat(report(slow.build()).verdict())
+                .startsWith("The day did not go well: app-members (interactive) waited 1.9")
+                .contains("for the first token at the 95th percentile instead of 1.40 s");
+    }
+
     @Test
     void theSilenceOfALostRouterIsShownAsAGap() {
         DaySummary summary = SampleDay.summary(true);
--- a/server/src/main/java/io/radishwinch/server/admin/AdminApi.java
+++ b/server/src/main/java/io/radishwinch/server/admin/AdminApi.java
@@ -18,6 +18,7 @@
 import io.vertx.ext.web.handler.BodyHandler;
 import java.io.IOException;
 import java.time.DateTimeException;
+import java.time.Duration;
 import java.time.LocalDate;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -45,9 +46,13 @@
     private static final System.Logger LOG = System.getLogger(AdminApi.class.getName());
     private static final String OPERATOR = "operator";
 
+    /** Below the 30 s that the tool waits, so that it learns why there is no result. */
+    private static final long ANSWER_TIMEOUT_MS = 20_000;
+
     private final Vertx vertx;
     private final RouterControl control;
     private final OperatorAuthenticator authenticator;
+    private final long answerTimeoutMs;
 
     /**
      * Creates the interface.
@@ -57,6 +62,11 @@
      * @param operators operators of the settings in effect
      */
     public AdminApi(Vertx vertx, RouterControl control, Supplier<List<Operator>> operators) {
+        this(vertx, control, operators, ANSWER_TIMEOUT_MS);
+    }
+
+    AdminApi(Vertx vertx, RouterControl control, Supplier<List<Operator>> operators, long answerTimeoutMs) {
+        this.answerTimeoutMs = answerTimeoutMs;
         this.vertx = vertx;
         this.control = control;
         this.authenticator = new OperatorAuthenticator(operators);
@@ -92,7 +102,13 @@
     /** Answers with the item as JSON, or with the error that the failure stands for. */
     void answer(RoutingContext ctx, Uni<Object> result) {
         Context context = vertx.getOrCreateContext();
-        result.subscribe()
+        result.ifNoItem()
+                .after(Duration.ofMillis(answerTimeoutMs))
+                .failWith(() -> new ControlException(
+                        503,
+                        "the router had no result within " + answerTimeoutMs + " ms; a change may have taken effect",
+                        "repeat the command; the expected version keeps a change from being made twice"))
+                .subscribe()
                 .with(
                         item -> context.runOnContext(ignored -> send(ctx, 200, item)),
                         failure -> context.runOnContext(ignored -> fail(ctx, errorOf(failure))));
--- a/server/src/test/java/io/radishwinch/server/admin/AdminApiTest.java
+++ b/server/src/test/java/io/radishwinch/server/admin/AdminApiTest.java
@@ -29,6 +29,7 @@
 /** Guards against changes without the right to make them, lost conflicts, and answers that do not say what to do. */
 class AdminApiTest {
     private static final String CONTRACT = "schema: contract/v1\ncaller: app-members\n";
+    private static final long TIMEOUT_MS = 2_000;
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final HttpClient CLIENT = HttpClient.newHttpClient();
     private static Vertx vertx;
@@ -52,8 +53,8 @@
                 new Operator("vera", Operator.Role.VIEWER, KeyHash.of("viewer-key")),
                 new Operator("otto", Operator.Role.OPERATOR, KeyHash.of("operator-key")),
                 new Operator("ada", Operator.Role.ADMIN, KeyHash.of("admin-key")));
-        HttpServer server =
-                vertx.createHttpServer().requestHandler(new AdminApi(vertx, control, () -> operators).router());
+        HttpServer server = vertx.createHttpServer()
+                .requestHandler(new AdminApi(vertx, control, () -> operators, TIMEOUT_MS).router());
         port = server.listen(0, "127.0.0.1")
                 .toCompletionStage()
                 .toCompletableFuture()
@@ -238,6 +239,14 @@
                 .isEqualTo(404);
     }
 
+    @Test
+    void aRouterWithoutAResultIsAnsweredInsteadOfHangingForEver() throws Exception {
+        control.silent = true;
+        Answer answer = call("GET", "/admin/v1/status", "viewer-key", null, "");
+        assertThat(answer.status()).isEqualTo(503);
+        assertThat(answer.error("message")).contains("may have taken effect");
+    }
+
     @Test
     void theMarkOfAChangeSurvivesTheNonce() {
         ChangeMark mark = new ChangeMark("Dana O'Neil. (ops)", 5, "r.1");
--- a/server/src/test/java/io/radishwinch/server/admin/FakeRouterControl.java
+++ b/server/src/test/java/io/radishwinch/server/admin/FakeRouterControl.java
@@ -26,6 +26,7 @@
     public final List<DaySummary> summaries = new ArrayList<>();
     public Optional<String> notReady = Optional.empty();
     public boolean failing;
+    public boolean silent;
 
     /** Stores an object as another operator would. */
     public synchronized long store(ObjectKind kind, String name, String text, String operator) {
@@ -35,6 +36,9 @@
 
     @Override
     public Uni<FleetStatus> status() {
+        if (silent) {
+            return Uni.createFrom().nothing();
+        }
         if (failing) {
             return Uni.createFrom().failure(new ControlException(503, "the control thread is busy", "try again"));
         }
