--- a/config/src/main/java/io/radishwinch/config/settings/RouterSettings.java
+++ b/config/src/main/java/io/radishwinch/config/settings/RouterSettings.java
@@ -4,6 +4,8 @@
 import io.radishwinch.config.YamlDocument;
 import io.radishwinch.config.YamlMapping;
 import io.vavr.control.Either;
+import java.time.DateTimeException;
+import java.time.ZoneId;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.EnumSet;
@@ -129,6 +131,7 @@
             values.put(key, readValue(sections, key));
         }
         checkTls(sections, values);
+        checkTimeZone(sections, values);
         if (!ROUTER_ID.matcher(values.get(SettingKey.ROUTER_ID)).matches()) {
             sections.fault(SettingKey.ROUTER_ID, "use at most 32 letters, digits, dots, colons and hyphens");
         }
@@ -226,6 +229,14 @@
         }
     }
 
+    private static void checkTimeZone(Sections sections, Map<SettingKey, String> values) {
+        try {
+            ZoneId.of(values.get(SettingKey.REPORT_TIME_ZONE));
+        } catch (DateTimeException e) {
+            sections.fault(SettingKey.REPORT_TIME_ZONE, "no such time zone; use a name such as Europe/Athens");
+        }
+    }
+
     private static void checkChoice(
             Sections sections, Map<SettingKey, String> values, SettingKey key, Set<String> choices) {
         if (!choices.contains(values.get(key))) {
--- a/config/src/main/java/io/radishwinch/config/settings/SettingKey.java
+++ b/config/src/main/java/io/radishwinch/config/settings/SettingKey.java
@@ -238,6 +238,15 @@
             3_600_000,
             "ms",
             "Interval between writes of the day summary to the platform; also the largest gap that the loss of a router leaves."),
+    /** Time zone whose midnight ends the day of the report. */
+    REPORT_TIME_ZONE(
+            "report.timeZone",
+            Kind.TEXT,
+            "UTC",
+            0,
+            0,
+            "",
+            "Time zone whose midnight ends the day of the report, for example America/Chicago."),
     /** Least severe level that is logged: DEBUG, INFO, WARNING or ERROR. */
     LOG_LEVEL(
             "log.level",
--- a/server/src/main/java/io/radishwinch/server/ControlPlane.java
+++ b/server/src/main/java/io/radishwinch/server/ControlPlane.java
@@ -60,6 +60,7 @@
     private static final long DAY_TICK_INTERVAL_MS = 10_000;
     private static final long SHARE_INTERVAL_MS = 500;
     private static final long HAND_OVER_TIMEOUT_MS = 2000;
+    private static final long LOAD_INTERVAL_PER_ROUTER_MS = 330;
 
     /** An isolated router stops giving orders after this time, in ms; longer than the detection of a failed router. */
     private static final long PLACEMENT_LEASE_MS = 6000;
@@ -87,6 +88,7 @@
     private final RendezvousPlacementLease lease;
     private volatile Map<String, Double> boundTokensPerSByPool = Map.of();
     private boolean configured;
+    private long nextLoadAtMs;
 
     ControlPlane(
             Vertx vertx,
@@ -133,7 +135,7 @@
         PlatformClient background = platform.withPriority(CallPriority.BACKGROUND);
         journal = new ShardedJournal(
                 journalSettings, urgent, background, scheduler, random, journalPeers, new JournalCounters(metrics));
-        day = new DayService(background, processId, ZoneId.systemDefault());
+        day = new DayService(vertx, background, processId, ZoneId.of(settings.text(SettingKey.REPORT_TIME_ZONE)));
         orders = new OrderSender(control, platform, engines, endpoints, processId);
         shared = new SharedState(
                 node,
@@ -269,7 +271,7 @@
     private void shareLoad() {
         long nowMs = clock.getAsLong();
         node.observe(demand.read(nowMs), nowMs);
-        shared.publishLoad();
+        publishLoad(nowMs);
         List<String> live =
                 new ArrayList<>(node.members().stream().map(MemberInfo::id).toList());
         // A router that hears neither from peers nor from the platform may be cut off, so it gives no orders.
@@ -282,6 +284,14 @@
                 .collect(Collectors.toUnmodifiableMap(PoolView::pool, PoolView::boundTokensPerS));
     }
 
+    /** The interval grows with the routers of the data centre, so that the bytes that each of them relays do not. */
+    private void publishLoad(long nowMs) {
+        if (nowMs >= nextLoadAtMs) {
+            shared.publishLoad();
+            nextLoadAtMs = nowMs + LOAD_INTERVAL_PER_ROUTER_MS * (node.members().size() + 1);
+        }
+    }
+
     private void updateBudget(int localRouters) {
         int remoteRouters = node.remoteDataCentres().stream()
                 .mapToInt(name -> node.remoteMembers(name).size())
--- a/server/src/main/java/io/radishwinch/server/DayService.java
+++ b/server/src/main/java/io/radishwinch/server/DayService.java
@@ -12,6 +12,7 @@
 import io.radishwinch.report.RequestOutcome;
 import io.smallrye.mutiny.Multi;
 import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
 import java.io.IOException;
 import java.time.LocalDate;
 import java.time.ZoneId;
@@ -25,6 +26,10 @@
     private static final String PREFIX = "days/";
     private static final int PAGE_SIZE = 20;
 
+    /** Bound of one summary, so that a write each 5 min stays below the 3 KB/s of control traffic. */
+    private static final int MAX_SUMMARY_BYTES = 600_000;
+
+    private final Vertx vertx;
     private final PlatformClient platform;
     private final String processId;
     private final DayRecorder recorder;
@@ -34,7 +39,8 @@
     /**
      * Creates a service; every process writes an object of its own, so nothing that an earlier one wrote is replaced.
      */
-    DayService(PlatformClient platform, String processId, ZoneId zone) {
+    DayService(Vertx vertx, PlatformClient platform, String processId, ZoneId zone) {
+        this.vertx = vertx;
         this.platform = platform;
         this.processId = processId;
         this.recorder = new DayRecorder(processId, zone, System.currentTimeMillis());
@@ -132,6 +138,13 @@
                 .replaceWithVoid();
     }
 
+    /** Encoding takes a long time for many callers, so it runs on a worker thread. */
+    private Uni<byte[]> encode(DaySummary summary) {
+        return Uni.createFrom()
+                .completionStage(() -> vertx.executeBlocking(() -> DaySummaryCodec.encode(summary, MAX_SUMMARY_BYTES))
+                        .toCompletionStage());
+    }
+
     private void written(String key, PutResult result) {
         if (!key.equals(writtenKey)) {
             return;
--- a/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
@@ -28,6 +28,7 @@
     private Decision.Granted grant;
     private boolean sent;
     private int epoch;
+    private String endpointId = "";
     private ServiceClient.Exchange inFlight;
     private ServiceAnswer answer;
     private ServiceAnswer streamed;
@@ -58,7 +59,7 @@
     @Override
     void startAttempt(Action.StartAttempt attempt) {
         epoch = attempt.epoch();
-        String endpointId = attempt.chain().head().endpointId();
+        endpointId = attempt.chain().head().endpointId();
         EndpointAddress address = shared.endpoints().address(endpointId);
         if (address == null) {
             fail(epoch, endpointId, Reason.ENDPOINT_REFUSED, Verdict.NOT_RUN);
@@ -128,14 +129,15 @@
         int attemptEpoch = attempt.epoch();
         sent = true;
         post(new Event.AttemptStarted(request.requestId(), attemptEpoch));
-        inFlight = shared.services()
-                .call(new ServiceClient.Call(
-                        address,
-                        call.method(),
-                        call.uri(),
-                        ServiceHeaders.towardsService(call.headers(), request.requestId()),
-                        new ServiceClient.Body.Whole(call.body()),
-                        attempt.deadlineMs()));
+        ServiceClient.Call outgoing = new ServiceClient.Call(
+                address,
+                call.method(),
+                call.uri(),
+                ServiceHeaders.towardsService(call.headers(), request.requestId()),
+                new ServiceClient.Body.Whole(call.body()),
+                attempt.deadlineMs());
+        // On a kept connection that breaks it cannot be known whether the call ran.
+        inFlight = shared.services().call(request.repeatable() ? outgoing : outgoing.withFreshConnection());
         inFlight.response()
                 .onComplete(
                         head -> readBody(attemptEpoch, address, head), error -> failed(attemptEpoch, address, error));
@@ -175,11 +177,10 @@
         }
     }
 
+    /** The core is told even if the caller has gone, because a non-repeatable call runs on without its caller. */
     private void deliver(ServiceAnswer newAnswer) {
-        if (!isFinished()) {
-            answer = newAnswer;
-            post(new Event.AttemptFinished(request.requestId(), epoch, 0));
-        }
+        answer = newAnswer;
+        post(new Event.AttemptFinished(request.requestId(), epoch, 0));
     }
 
     private void beginStream(ServiceAnswer newAnswer) {
@@ -228,10 +229,10 @@
             return;
         }
         if (!sent) {
-            fail(cancelledEpoch, "", reason, Verdict.NOT_RUN);
+            fail(cancelledEpoch, endpointId, reason, Verdict.NOT_RUN);
         } else if (grant == null) {
             release();
-            fail(cancelledEpoch, "", reason, Verdict.MAY_HAVE_RUN);
+            fail(cancelledEpoch, endpointId, reason, Verdict.MAY_HAVE_RUN);
         }
     }
 
