--- a/core/src/main/java/io/radishwinch/core/chain/ChainLabels.java
+++ b/core/src/main/java/io/radishwinch/core/chain/ChainLabels.java
@@ -11,7 +11,7 @@
 final class ChainLabels {
 
     /** Partial chains kept at each boundary. */
-    static final int WIDTH = 3;
+    static final int WIDTH = 2;
 
     double[] costUs = new double[0];
     HeldRange[] entries = new HeldRange[0];
--- a/core/src/main/java/io/radishwinch/core/chain/CostChainPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/chain/CostChainPlanner.java
@@ -97,7 +97,7 @@
 
         int layersWithMemory(HeldRange entry) {
             boolean isExcluded = !excluded.isEmpty() && excluded.contains(entry.row.id());
-            return isExcluded ? 0 : CostModel.layersWithMemory(entry.row, kvBytesPerLayer);
+            return isExcluded ? 0 : CostModel.layersWithMemory(entry, kvBytesPerLayer);
         }
     }
 
--- a/core/src/main/java/io/radishwinch/core/chain/CostModel.java
+++ b/core/src/main/java/io/radishwinch/core/chain/CostModel.java
@@ -61,10 +61,10 @@
     }
 
     /** Returns the layers for which the endpoint has KV cache memory for a request of the given size. */
-    static int layersWithMemory(EndpointRow row, long bytesPerLayer) {
-        if (bytesPerLayer == 0) {
-            return Integer.MAX_VALUE;
-        }
-        return (int) Math.min(Integer.MAX_VALUE, Math.max(0, row.kvFreeBytes()) / bytesPerLayer);
+    static int layersWithMemory(HeldRange entry, long bytesPerLayer) {
+        long freeBytes = Math.max(0, entry.row.kvFreeBytes());
+        // Most endpoints have memory for their whole range, which needs no division.
+        boolean fitsWhole = freeBytes >= bytesPerLayer * entry.size();
+        return fitsWhole ? entry.size() : (int) (freeBytes / bytesPerLayer);
     }
 }
--- a/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
@@ -34,6 +34,9 @@
     /** Cost of a hop in the sort key of a candidate, in us; the planner itself uses the measured delay. */
     private static final double TYPICAL_HOP_US = 200;
 
+    /** Share of a token interval that must be unexplained before links are blamed for it. */
+    private static final double MIN_UNEXPLAINED_SHARE = 0.2;
+
     /** Leaving marks kept for endpoints that are not known yet; the oldest is dropped first. */
     private static final int MAX_EARLY_MARKS = 10_000;
 
@@ -254,6 +257,10 @@
             }
             previous = row;
         }
+        // Token times vary by several percent, which is more than the delay of most links.
+        if (Math.abs(unexplainedUs) < MIN_UNEXPLAINED_SHARE * tokenIntervalMs * 1_000) {
+            return;
+        }
         for (int i = 0; i < from.size(); i++) {
             links.infer(from.get(i), to.get(i), unexplainedUs / from.size(), nowMs);
         }
--- a/core/src/test/java/io/radishwinch/core/chain/PlannerMeasurement.java
+++ b/core/src/test/java/io/radishwinch/core/chain/PlannerMeasurement.java
@@ -243,6 +243,7 @@
             for (double load : new double[] {2, 0.9, 0.7}) {
                 boolean slow = load == 0.7;
                 double tokensPerS = 0;
+                double foundTokensPerS = 0;
                 Result worst = null;
                 int seeds = 3;
                 for (int seed = 1; seed <= seeds; seed++) {
@@ -252,10 +253,12 @@
                             .withSlow(slow ? 12 : pool.size() * 2)
                             .run(load * bound / MEAN_NEW_TOKENS);
                     tokensPerS += result.tokensPerS / seeds;
+                    foundTokensPerS += result.boundTokensPerS / seeds;
                     worst = worst == null || result.firstTokenMs > worst.firstTokenMs ? result : worst;
                 }
-                // The first run overloads the pool for certain; later ones are relative to the bound that it found.
-                bound = name.equals("CostChainPlanner") && load == 2 ? worst.boundTokensPerS : bound;
+                // The first runs overload the pool for certain; later ones are relative to the mean bound that they
+                // found.
+                bound = name.equals("CostChainPlanner") && load == 2 ? foundTokensPerS : bound;
                 System.out.printf(
                         Locale.ROOT,
                         "%-26s load %.2f: %.0f tokens/s of %.0f (%.3f), first token %.0f ms, interval %.1f ms,"
--- a/core/src/test/java/io/radishwinch/core/placement/PlacementPlannerTest.java
+++ b/core/src/test/java/io/radishwinch/core/placement/PlacementPlannerTest.java
@@ -123,6 +123,43 @@
                 .containsExactly("b");
     }
 
+    @Test
+    void routersThatSeeDifferentEndpointsDoNotTakeTheLastTwoHolders() {
+        // Without the spare, each router would move one of the two holders of layers 0 to 4.
+        put("a", 0, 4, true);
+        put("b", 0, 4, true);
+        Set<String> moved = new HashSet<>();
+        for (boolean seesEjection : List.of(true, false)) {
+            PlacementPlanner planner = planner(new AlwaysGrantedLease());
+            EndpointSpec spec = new EndpointSpec("c", "dc", "", 0, "k", 8, true, true);
+            List<Holding> holdings = List.of(new Holding("m", new LayerRange(2, 4)));
+            endpoints.put("c", new PlacementEndpoint(spec, holdings, seesEjection, 0));
+            tick(planner, 0);
+            tick(planner, 1_000).forEach(order -> moved.add(order.endpointId()));
+        }
+        assertThat(moved).hasSize(2).doesNotContain("a");
+    }
+
+    @Test
+    void anIdleEndpointIsMovedToOverloadedLayersAfterTheOverloadHasLasted() {
+        for (int i = 0; i < 3; i++) {
+            put("a" + i, 0, 4, true);
+        }
+        put("b", 4, 8, true);
+        PlacementEndpoint b = endpoints.get("b");
+        endpoints.put("b", new PlacementEndpoint(b.spec(), b.holdings(), false, 8));
+        PlacementPlanner planner = planner(new AlwaysGrantedLease());
+        List<Action.OrderEngine> orders = new ArrayList<>();
+        for (long nowMs = 0; nowMs < 10_000; nowMs += 250) {
+            assertThat(tick(planner, nowMs)).isEmpty();
+        }
+        for (long nowMs = 10_000; nowMs < 60_000; nowMs += 250) {
+            orders.addAll(tick(planner, nowMs));
+        }
+        assertThat(orders).hasSize(1);
+        assertThat(orders.get(0).order()).isEqualTo(new LoadLayers("m", new LayerRange(4, 8)));
+    }
+
     @Test
     void aRefusedOrderIsRepeatedWithAHigherNumber() {
         put("a", 0, 4, true);
