Preempt batch work outside the retry budget

Cause: in a flood of batch answers of 10 s each the retry budget, which grows with the number of requests, allowed too few preemptions.

--- a/core/src/main/java/io/radishwinch/core/impl/CoreSettings.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreSettings.java
@@ -135,7 +135,7 @@
         private long cancelTimeoutMs = 1_000;
         private long exclusionMs = 1_000;
         private long preemptAfterMs = 200;
-        private int maxPreemptions = 2;
+        private int maxPreemptions = 4;
         private int maxHistory = 32;
 
         private Builder() {}
--- a/core/src/main/java/io/radishwinch/core/impl/PreemptionSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/PreemptionSystem.java
@@ -44,8 +44,8 @@
     }
 
     /**
-     * Returns the batch attempt that loses least: the fewest tokens to compute again. A caller below its floor keeps
-     * its slots, and an attempt that ends soon frees its slot anyway.
+     * Returns the batch attempt that loses least: the fewest tokens to compute again. Work that keeps a floor stays,
+     * and an attempt that ends soon frees its slot anyway.
      */
     private Optional<RequestRow> victim(String pool, long nowMs) {
         return state.running.stream()
@@ -56,8 +56,7 @@
                         && row.preemptions < state.settings.maxPreemptions()
                         && !state.queue.isFloorService(row.id())
                         && !endsSoon(row, nowMs))
-                .min(Comparator.comparingLong(row -> (long) row.spec.promptTokens() + row.deliveredTokens))
-                .filter(row -> state.retries.tryPreempt(row.spec, nowMs));
+                .min(Comparator.comparingLong(row -> (long) row.spec.promptTokens() + row.deliveredTokens));
     }
 
     private boolean endsSoon(RequestRow row, long nowMs) {
--- a/core/src/main/java/io/radishwinch/core/retry/BudgetedRetryPolicy.java
+++ b/core/src/main/java/io/radishwinch/core/retry/BudgetedRetryPolicy.java
@@ -7,8 +7,8 @@
 /**
  * Retries faults of endpoints within a budget and a number of attempts.
  *
- * <p>A non-repeatable request is retried only while every attempt ended with {@code not-run}. Preempted attempts are
- * charged when they are preempted, not when they resume.
+ * <p>A non-repeatable request is retried only while every attempt ended with {@code not-run}. Preempted attempts resume
+ * without a charge: no endpoint failed, and the core bounds preemptions itself.
  */
 public final class BudgetedRetryPolicy implements RetryPolicy {
 
@@ -58,11 +58,6 @@
                 : new GiveUp(Reason.RETRY_BUDGET_EXHAUSTED);
     }
 
-    @Override
-    public boolean tryPreempt(RequestSpec request, long nowMs) {
-        return budget.tryWithdraw(request.caller(), request.pool(), nowMs);
-    }
-
     private static boolean isRetryable(Reason reason) {
         return switch (reason) {
             case STAGE_DIED, ENDPOINT_REFUSED, ENDPOINT_TIMEOUT, PREEMPTED -> true;
--- a/core/src/main/java/io/radishwinch/core/retry/RetryPolicy.java
+++ b/core/src/main/java/io/radishwinch/core/retry/RetryPolicy.java
@@ -16,9 +16,6 @@
     /** Returns what to do after a failed attempt; a granted retry is charged at once. */
     Decision decide(Failure failure, long nowMs);
 
-    /** Charges the resume of an attempt that is about to be preempted; returns false if the budget has no room. */
-    boolean tryPreempt(RequestSpec request, long nowMs);
-
     /**
      * A failed attempt.
      *
--- a/core/src/test/java/io/radishwinch/core/impl/FloodTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FloodTest.java
@@ -127,4 +127,25 @@
         assertThat(ranked[1]).isGreaterThanOrEqualTo(0.95);
         assertThat(ranked[2]).isGreaterThanOrEqualTo(0.95);
     }
+
+    /** Interactive service in a flood of batch answers of 10 s that hold all slots. */
+    private double interactiveInLongBatchFlood(long preemptAfterMs) {
+        FakeDirectory directory = new FakeDirectory(1, 10, 4);
+        CoreBench bench = CoreBench.of(directory, CoreSettings.defaults().withPreemptAfterMs(preemptAfterMs));
+        bench.contract("clerk", 1, WIDE, 0).contract("nightly", 1, WIDE, 400);
+        for (int n = 0; n < 40 * END_MS / 1_000; n++) {
+            bench.arrive(bench.request("b" + n, "nightly", Rank.BATCH, n * 25L, 1_000, 60_000));
+        }
+        load(bench, "clerk", Rank.INTERACTIVE, 20, 4_000);
+        bench.run(END_MS + 120_000);
+        return served(bench, spec -> spec.rank() == Rank.INTERACTIVE);
+    }
+
+    @Test
+    void aFloodOfLongBatchAnswersLeavesInteractiveServiceIntact() {
+        double preempting = interactiveInLongBatchFlood(CoreSettings.defaults().preemptAfterMs());
+        double waiting = interactiveInLongBatchFlood(END_MS);
+        System.out.printf("long batch flood: interactive %.4f, without preemption %.4f%n", preempting, waiting);
+        assertThat(preempting).isGreaterThanOrEqualTo(0.99);
+    }
 }
