Name an unreadable trust file, and end on faults of the tool without a trace

Cause: a trust file that does not exist was reported as an unreachable router (exit code 5); an unexpected fault printed a stack trace.

Change: the trust file is read before the connection (exit code 1); a fault of the tool is one line with exit code 1.

--- a/cli/src/main/java/io/radishwinch/cli/Main.java
+++ b/cli/src/main/java/io/radishwinch/cli/Main.java
@@ -44,6 +44,9 @@
             String hint = e.hint().isEmpty() ? "" : " (" + e.hint() + ")";
             err.println("radishwinch: " + Session.printable(e.getMessage() + hint));
             return e.exitCode();
+        } catch (RuntimeException e) {
+            err.println("radishwinch: fault in the tool: " + Session.printable(String.valueOf(e)));
+            return ExitCode.FAILED;
         } finally {
             out.flush();
             err.flush();
--- a/cli/src/main/java/io/radishwinch/cli/Session.java
+++ b/cli/src/main/java/io/radishwinch/cli/Session.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.SerializationFeature;
 import io.radishwinch.config.ConfigError;
 import java.io.PrintStream;
+import java.nio.file.Path;
 import java.time.Instant;
 import java.util.List;
 import java.util.Locale;
@@ -44,9 +45,12 @@
     /** Returns the client, connecting with the operator's key. */
     AdminClient client() {
         if (client == null) {
-            String trustFile = settings.trustFile().isEmpty()
-                    ? ""
-                    : environment.resolve(settings.trustFile()).toString();
+            String trustFile = "";
+            if (!settings.trustFile().isEmpty()) {
+                Path path = environment.resolve(settings.trustFile());
+                TextFiles.read(path, settings.trustFile());
+                trustFile = path.toString();
+            }
             client = new AdminClient(settings, trustFile, settings.key(options, environment));
         }
         return client;
--- a/cli/src/test/java/io/radishwinch/cli/MainTest.java
+++ b/cli/src/test/java/io/radishwinch/cli/MainTest.java
@@ -143,6 +143,7 @@
         session.run("status --router http://192.0.2.1:8081");
         session.run("status --router 127.0.0.1:1");
         session.run("status --key-file missing.key");
+        session.run("status --trust-file missing.pem");
         session.withKey("wrong-key").run("status");
         session.withKey("viewer-key").run("drain vm-17");
         session.write("a.yaml", MEMBERS);
