--- a/cli/src/test/java/io/radishwinch/cli/MainTest.java
+++ b/cli/src/test/java/io/radishwinch/cli/MainTest.java
@@ -43,7 +43,7 @@
     void contractsAreCheckedComparedAppliedAndDeleted() throws Exception {
         session.write("fleet/app-members.yaml", MEMBERS);
         session.write("fleet/support-desk.yaml", "schema: contract/v1\ncaller: support-desk\n");
-        session.write("fleet/model.yaml", "schema: model/v1\nname: dreamcoach-12l\nlayerCount: 12\n");
+        session.write("fleet/model.yaml", "schema: model/v1\nname: dreamcoach-24l\nlayerCount: 12\n");
         session.run("contract validate fleet");
         session.run("contract diff fleet");
         session.run("contract apply fleet");
--- a/embedded/src/main/java/io/radishwinch/embedded/EmbeddedDeployment.java
+++ b/embedded/src/main/java/io/radishwinch/embedded/EmbeddedDeployment.java
@@ -18,7 +18,7 @@
 /** Stand-ins of platform, engines and plain services, and routers, all on loopback. */
 public final class EmbeddedDeployment implements AutoCloseable {
     /** Bearer key of the operator of an embedded deployment. */
-    public static final String OPERATOR_KEY = "embedded-operator";
+    public static final String OPERATOR_KEY = "example-admin";
 
     private static final String LOOPBACK = "127.0.0.1";
     private static final String DATA_CENTRE = "dc1";
@@ -51,7 +51,7 @@
                 .with(SettingKey.PEER_PORT, 0)
                 .with(SettingKey.PLATFORM_PORT, fleet.platform().port())
                 .with(SettingKey.PLATFORM_VM_LIST_MS, 500)
-                .withOperators(List.of(new Operator("quickstart", Operator.Role.ADMIN, KeyHash.of(OPERATOR_KEY)))));
+                .withOperators(List.of(new Operator("example-admin", Operator.Role.ADMIN, KeyHash.of(OPERATOR_KEY)))));
         await(router.start());
         routers.add(router);
         fleet.platform()
--- a/embedded/src/main/java/io/radishwinch/embedded/Quickstart.java
+++ b/embedded/src/main/java/io/radishwinch/embedded/Quickstart.java
@@ -28,13 +28,15 @@
  */
 public final class Quickstart implements EmbeddedMode {
     private static final String MODEL = StandInFleet.MODEL;
+    private static final List<String> CALLERS =
+            List.of("clinic-network", "app-members", "support-desk", "night-followups");
     private static final int STREAM_TOKENS = 120;
     private static final int KILL_AFTER_TOKENS = 30;
     private static final int BATCH_REQUESTS = 6;
     private static final long READY_TIMEOUT_MS = 15_000;
     private static final long POLL_MS = 50;
-    private static final String APP_KEY = "app-members-key";
-    private static final String BATCH_KEY = "night-batch-key";
+    private static final String APP_KEY = "example-app-members";
+    private static final String BATCH_KEY = "example-night-followups";
 
     private final PrintStream out = System.out;
     private int requests;
@@ -43,7 +45,7 @@
     /** Arguments behind {@code --embedded}. */
     static final class Arguments {
         @Parameter(names = "--examples", description = "directory with the contracts to apply")
-        private String examples = "examples/quickstart";
+        private String examples = "examples/quietnight";
 
         @Parameter(names = "--out", description = "file of the evening report")
         private String out = "out/evening-report.html";
@@ -76,10 +78,13 @@
         out.println("started a platform, " + deployment.fleet().engines().size() + " engines of 3 accelerator kinds, "
                 + deployment.fleet().services().size() + " plain services and 2 routers on loopback");
         Path toolSettings = writeToolSettings(deployment);
-        operatorTool(toolSettings, "model", "apply", arguments.examples + "/models");
-        operatorTool(toolSettings, "service", "apply", arguments.examples + "/services");
+        operatorTool(toolSettings, "model", "apply", arguments.examples + "/" + MODEL + ".yaml");
+        operatorTool(toolSettings, "service", "apply", arguments.examples + "/" + StandInFleet.BILLING + ".yaml");
+        operatorTool(toolSettings, "service", "apply", arguments.examples + "/" + StandInFleet.SHIPPING + ".yaml");
         waitUntil("the model is covered", () -> status(toolSettings).contains("\"covered\":true"));
-        operatorTool(toolSettings, "contract", "apply", arguments.examples + "/contracts");
+        for (String caller : CALLERS) {
+            operatorTool(toolSettings, "contract", "apply", arguments.examples + "/" + caller + ".yaml");
+        }
         int first = deployment.routers().get(0).callerPort();
         int second = deployment.routers().get(1).callerPort();
         CallerClient app = new CallerClient(APP_KEY);
@@ -155,8 +160,7 @@
         for (int i = 0; i < BATCH_REQUESTS; i++) {
             requests++;
             expect(
-                    batch.complete(port, "batch", MODEL, "damage summary " + i, 20)
-                            .complete(),
+                    batch.complete(port, "batch", MODEL, "follow-up " + i, 20).complete(),
                     "batch request " + i + " is answered");
         }
         out.println("answered " + BATCH_REQUESTS + " batch requests");
--- a/report/src/test/java/io/radishwinch/report/SampleDay.java
+++ b/report/src/test/java/io/radishwinch/report/SampleDay.java
@@ -64,13 +64,13 @@
         String[] callers = {"clinic-network", "app-members", "support-desk", "night-followups"};
         String caller = callers[i % 4];
         Rank rank = i % 4 == 3 ? Rank.BATCH : i % 20 == 2 ? Rank.ACCOUNT_ACTION : Rank.INTERACTIVE;
-        RequestOutcome.Builder outcome = RequestOutcome.builder(id, caller, rank, "dreamcoach-12l")
+        RequestOutcome.Builder outcome = RequestOutcome.builder(id, caller, rank, "dreamcoach-24l")
                 .withRepeatable(rank != Rank.ACCOUNT_ACTION)
                 .withTokens(600 + random.nextInt(400), 1500 + random.nextInt(900))
                 .withFirstTokenMs(250 + random.nextInt(800))
                 .withTokenIntervalsMs(25 + random.nextInt(25), 80 + random.nextInt(60));
         if (failing && rank == Rank.INTERACTIVE && random.nextInt(10) < 9) {
-            recorder.record(RequestOutcome.builder(id, caller, rank, "dreamcoach-12l")
+            recorder.record(RequestOutcome.builder(id, caller, rank, "dreamcoach-24l")
                     .failed(Verdict.NOT_RUN, Reason.NO_CAPACITY, atMs));
             recorder.recordRetry(caller, rank, Reason.STAGE_DIED, atMs);
             return;
@@ -82,7 +82,7 @@
         recorder.record(outcome.answered(true, atMs));
         if (surge && rank == Rank.BATCH) {
             for (int n = 0; n < 12; n++) {
-                recorder.record(RequestOutcome.builder(id + "-" + n, caller, rank, "dreamcoach-12l")
+                recorder.record(RequestOutcome.builder(id + "-" + n, caller, rank, "dreamcoach-24l")
                         .failed(Verdict.NOT_RUN, n < 9 ? Reason.DEADLINE_UNREACHABLE : Reason.RATE_LIMITED, atMs));
             }
         }
@@ -96,7 +96,7 @@
                 recorder,
                 failure + 2_400,
                 FleetEvent.Kind.RESPONSE,
-                "dreamcoach-12l",
+                "dreamcoach-24l",
                 "layers 6 to 11 ordered on three spare engines");
         event(recorder, failure + 34 * MINUTE_MS, FleetEvent.Kind.RECOVERY, "rack-4", "all layers are covered again");
         event(recorder, surge, FleetEvent.Kind.SURGE, "night-followups", "batch work at 13 times its usual rate");
--- a/server/src/main/java/io/radishwinch/server/DayService.java
+++ b/server/src/main/java/io/radishwinch/server/DayService.java
@@ -129,11 +129,10 @@
             writtenKey = key;
             writtenVersion = PlatformClient.ABSENT;
         }
-        return platform.put(
-                        key,
-                        writtenVersion,
-                        DaySummaryCodec.encode(summary),
-                        UUID.randomUUID().toString())
+        long expectedVersion = writtenVersion;
+        return encode(summary)
+                .flatMap(value -> platform.put(
+                        key, expectedVersion, value, UUID.randomUUID().toString()))
                 .invoke(result -> written(key, result))
                 .replaceWithVoid();
     }
--- a/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
@@ -110,6 +110,10 @@
     }
 
     private void replay(StoredAnswer stored) {
+        if (!stored.isKnown()) {
+            answerWithoutRun(new Decision.OutcomeUnknown());
+            return;
+        }
         if (!stored.stored()) {
             endWith(new Refusal(Reason.OUTCOME_NOT_STORED, Verdict.RAN, Messages.of(Reason.OUTCOME_NOT_STORED), 0));
             return;
@@ -215,6 +219,10 @@
         Verdict verdict = error instanceof EndpointException known ? known.verdict() : Verdict.MAY_HAVE_RUN;
         if (verdict == Verdict.NOT_RUN) {
             sent = false;
+        } else if (grant != null) {
+            // Without this record, callers that send again would be told that the call is still running.
+            shared.journal()
+                    .complete(shared.context(), grant, StoredAnswer.unknown().encode(), recorded -> {});
         }
         fail(attemptEpoch, address.endpointId(), reason, verdict);
     }
--- a/server/src/main/java/io/radishwinch/server/http/StoredAnswer.java
+++ b/server/src/main/java/io/radishwinch/server/http/StoredAnswer.java
@@ -18,6 +18,7 @@
     /** Largest body that is kept, in bytes; base64 and the other fields fit into a journal outcome of 64 KiB. */
     static final int MAX_BODY_BYTES = 45_000;
 
+    private static final int UNKNOWN_STATUS = 0;
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     /** Returns an answer that keeps the body if it is small enough. */
@@ -26,6 +27,16 @@
         return new StoredAnswer(status, contentType, stored ? body : new byte[0], stored);
     }
 
+    /** Returns the record of a call whose outcome is not known and never will be. */
+    static StoredAnswer unknown() {
+        return new StoredAnswer(UNKNOWN_STATUS, "", new byte[0], false);
+    }
+
+    /** Returns whether it is known how the call ended. */
+    boolean isKnown() {
+        return status != UNKNOWN_STATUS;
+    }
+
     byte[] encode() {
         ObjectNode node = MAPPER.createObjectNode();
         node.put("status", status);
@@ -48,7 +59,7 @@
         try {
             JsonNode node = MAPPER.readTree(bytes);
             return new StoredAnswer(
-                    node.path("status").asInt(200),
+                    node.path("status").asInt(UNKNOWN_STATUS),
                     node.path("contentType").asText(""),
                     node.path("body").binaryValue(),
                     node.path("stored").asBoolean());
--- a/server/src/test/java/io/radishwinch/server/admin/AdminApiTest.java
+++ b/server/src/test/java/io/radishwinch/server/admin/AdminApiTest.java
@@ -172,9 +172,9 @@
 
     @Test
     void aContractThatNamesAnUnknownModelOrServiceIsAcceptedWithAWarning() throws Exception {
-        control.store(ObjectKind.MODEL, "dreamcoach-12l", "", "dana");
+        control.store(ObjectKind.MODEL, "dreamcoach-24l", "", "dana");
         Answer answer =
-                put("operator-key", "0", CONTRACT + "models: [dreamcoach-12l, dreamcoach]\nservices: [orders]\n");
+                put("operator-key", "0", CONTRACT + "models: [dreamcoach-24l, dreamcoach]\nservices: [orders]\n");
         assertThat(answer.status()).isEqualTo(200);
         assertThat(answer.body().at("/warnings/0/path").asText()).isEqualTo("$.models");
         assertThat(answer.body().at("/warnings/0/message").asText()).contains("dreamcoach is not configured");
--- a/server/src/test/java/io/radishwinch/server/admin/FakeRouterControl.java
+++ b/server/src/test/java/io/radishwinch/server/admin/FakeRouterControl.java
@@ -22,7 +22,7 @@
     private final Map<String, StoredDocument> objects = new TreeMap<>();
     private long version = 100;
 
-    public final Map<String, Double> bounds = new TreeMap<>(Map.of("dreamcoach-12l", 1000.0));
+    public final Map<String, Double> bounds = new TreeMap<>(Map.of("dreamcoach-24l", 1000.0));
     public final List<DaySummary> summaries = new ArrayList<>();
     public Optional<String> notReady = Optional.empty();
     public boolean failing;
@@ -56,7 +56,7 @@
                                 new RouterStatus("r-1", "dc-1", "alive", version),
                                 new RouterStatus("r-2", "dc-2", "suspected", 98)),
                         List.of(
-                                new PoolStatus("dreamcoach-12l", 12, 1, 2, true, 1000),
+                                new PoolStatus("dreamcoach-24l", 12, 1, 2, true, 1000),
                                 new PoolStatus("service:orders", 0, 0, 0, false, 0)),
                         List.of(new RankStatus("interactive", 0, 14), new RankStatus("batch", 230, 6)),
                         List.of("the object API has not answered for 42 s; charges are refused not-run")));
@@ -71,7 +71,7 @@
                                         "q-7",
                                         "app-members",
                                         "batch",
-                                        "dreamcoach-12l",
+                                        "dreamcoach-24l",
                                         "finished",
                                         "not-run",
                                         "rate-limited",
--- a/standins/src/main/java/io/radishwinch/standins/StandInFleet.java
+++ b/standins/src/main/java/io/radishwinch/standins/StandInFleet.java
@@ -15,16 +15,16 @@
  */
 public final class StandInFleet implements AutoCloseable {
     /** Model that the engines hold. */
-    public static final String MODEL = "coach-24";
+    public static final String MODEL = "dreamcoach-24l";
 
     /** Layers of {@link #MODEL}. */
     public static final int MODEL_LAYERS = 24;
 
     /** Plain service with charges. */
-    public static final String BILLING = "billing";
+    public static final String BILLING = "subscriptions";
 
     /** Plain service with shipments. */
-    public static final String SHIPPING = "shipping";
+    public static final String SHIPPING = "orders";
 
     /** Key that {@code medium-2} demands with orders. */
     public static final String ORDER_KEY = "stand-in-order-key";
