Divide a limit among all routers as soon as its caller is contended

Cause: at 360 routers, those with demand too small to be reported kept using 0.6 of the limits until their next whole report, so a caller of 1,000 requests/s took 5 s to come within 10% of its limit.

Change: the owner grants shares to all routers of its data centre when a caller becomes contended, and they report what they had not.

--- a/cluster/src/main/java/io/radishwinch/cluster/allotment/Allotment.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/allotment/Allotment.java
@@ -86,6 +86,7 @@
         private final ReportFilter filter = new ReportFilter();
         private final int bucket;
         private Share granted;
+        private boolean reportDue;
 
         Local(int bucket) {
             this.bucket = bucket;
@@ -101,6 +102,7 @@
         private long nextRemoteMs;
         private long nextRemoteWholeMs;
         private boolean partitioned;
+        private final Set<String> announced = new HashSet<>();
         private final Map<String, ReportFilter> sentToRemotes = new HashMap<>();
         private final Map<String, Map<String, Share>> granted = new HashMap<>();
         private final Deque<Repeat> repeats = new ArrayDeque<>();
@@ -175,6 +177,7 @@
                 bucket.owner = new BucketOwner(nowMs);
                 bucket.granted.clear();
                 bucket.repeats.clear();
+                bucket.announced.clear();
                 bucket.sentToRemotes.clear();
             }
             report(i, bucket, newOwner, nowMs, out);
@@ -233,6 +236,10 @@
             Local local = locals.get(share.getCaller());
             if (local != null && local.bucket == grant.getBucket()) {
                 local.granted = Wire.share(share);
+                // Demand too small to be reported counts as soon as the caller is contended.
+                local.reportDue = local.filter.reported().isNegligible()
+                        && !local.demand.isNegligible()
+                        && limits.get(share.getCaller()).limits().requestsPerS() >= peers.fleetSize();
                 listener.accept(share.getCaller(), local.granted);
             }
         }
@@ -268,7 +275,9 @@
             }
             boolean active =
                     !local.demand.isNegligible() || !local.filter.reported().isNegligible();
-            if (local.filter.isDue(local.demand, scale(caller, local), nowMs) || (whole && active)) {
+            boolean due = local.filter.isDue(local.demand, scale(caller, local), nowMs) || local.reportDue;
+            if (due || (whole && active)) {
+                local.reportDue = false;
                 local.filter.reported(local.demand);
                 demands.add(Wire.demand(caller, local.filter.reported()));
             }
@@ -329,7 +338,7 @@
             Map<String, Amounts> split = owner.split(caller, limit, peers.dataCentre(), others, nowMs);
             shares.put(caller, split);
             Amounts own = Objects.requireNonNull(split.get(peers.dataCentre()));
-            for (String routerId : owner.isReady(nowMs) ? owner.routersWith(caller) : List.<String>of()) {
+            for (String routerId : receivers(bucket, caller, localIds, nowMs)) {
                 Amounts demand = local.getOrDefault(caller, Amounts.ZERO);
                 Share share = owner.routerShare(routerId, caller, limit, own, demand, localIds.size());
                 Map<String, Share> before = bucket.granted.computeIfAbsent(routerId, id -> new HashMap<>());
@@ -347,6 +356,7 @@
                 }
             }
         }
+        bucket.announced.retainAll(shares.keySet());
         owner.record(shares, nowMs);
         grants.forEach((routerId, list) -> {
             ShareGrant grant = new ShareGrant(index, nextSequence(), list);
@@ -359,6 +369,23 @@
         reportToRemotes(index, bucket, local, others, nowMs, out);
     }
 
+    /**
+     * Returns the routers to grant shares to: those with demand, and all when the caller has just become contended.
+     * With less than one request/s for each router of the fleet, demand is noise and the second group would be told too
+     * often.
+     */
+    private List<String> receivers(Bucket bucket, String caller, List<String> localIds, long nowMs) {
+        if (!bucket.owner.isReady(nowMs)) {
+            return List.of();
+        }
+        if (!bucket.owner.isContended(caller)) {
+            bucket.announced.remove(caller);
+        } else if (limits.get(caller).limits().requestsPerS() >= peers.fleetSize() && bucket.announced.add(caller)) {
+            return localIds;
+        }
+        return bucket.owner.routersWith(caller);
+    }
+
     private static Map<String, Set<String>> dueRepeats(Bucket bucket, long nowMs) {
         Map<String, Set<String>> due = new HashMap<>();
         while (!bucket.repeats.isEmpty() && bucket.repeats.getFirst().dueMs() <= nowMs) {
