Check whole caller sessions against golden files; close connections of slow senders

Cause: after a refusal with an unread body the server kept the connection open, because the request had not ended; a slow sender could hold it for the idle timeout of 300 s. The connection is now closed once the refusal is written. Before: the golden session of refusals did not end within its 30 s read timeout; after: it ends. Unknown paths have a reason of their own and the status 404.

--- a/core/src/main/java/io/radishwinch/core/model/Reason.java
+++ b/core/src/main/java/io/radishwinch/core/model/Reason.java
@@ -10,6 +10,8 @@
     FORBIDDEN,
     /** The request line, header or body cannot be parsed. */
     MALFORMED_REQUEST,
+    /** No resource has this path and method. */
+    UNKNOWN_PATH,
     /** No model of this name is configured. */
     UNKNOWN_MODEL,
     /** No service of this name is configured. */
--- a/report/src/main/java/io/radishwinch/report/ReasonText.java
+++ b/report/src/main/java/io/radishwinch/report/ReasonText.java
@@ -11,6 +11,7 @@
             case UNKNOWN_CALLER -> "the key matches no contract";
             case FORBIDDEN -> "the contract does not allow the rank, model or service";
             case MALFORMED_REQUEST -> "the request could not be parsed";
+            case UNKNOWN_PATH -> "no resource has this path and method";
             case UNKNOWN_MODEL -> "no such model is configured";
             case UNKNOWN_SERVICE -> "no such service is configured";
             case BODY_TOO_LARGE -> "the body was too large";
--- a/report/src/main/java/io/radishwinch/report/Responsibility.java
+++ b/report/src/main/java/io/radishwinch/report/Responsibility.java
@@ -15,6 +15,7 @@
             case UNKNOWN_CALLER,
                     FORBIDDEN,
                     MALFORMED_REQUEST,
+                    UNKNOWN_PATH,
                     UNKNOWN_MODEL,
                     UNKNOWN_SERVICE,
                     BODY_TOO_LARGE,
--- a/server/src/main/java/io/radishwinch/server/http/CallerApi.java
+++ b/server/src/main/java/io/radishwinch/server/http/CallerApi.java
@@ -65,7 +65,7 @@
                         ctx,
                         "",
                         Optional.empty(),
-                        Refusal.notRun(Reason.MALFORMED_REQUEST, "no such path: " + path(ctx))));
+                        Refusal.notRun(Reason.UNKNOWN_PATH, Messages.of(Reason.UNKNOWN_PATH) + ": " + path(ctx))));
         router.route().failureHandler(this::failure);
         return router;
     }
@@ -243,15 +243,20 @@
         reject(ctx, caller.contract().caller(), Optional.of(caller.rank()), refusal);
     }
 
-    /** The rest of the body is not read, so the connection cannot be used again. */
     private void rejectBody(RoutingContext ctx, CallerRequest caller, Refusal refusal) {
-        ctx.response().putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
         reject(ctx, caller.contract().caller(), Optional.of(caller.rank()), refusal);
     }
 
     private void reject(RoutingContext ctx, String caller, Optional<Rank> rank, Refusal refusal) {
         shared.listener().rejected(caller, rank, refusal);
-        ErrorAnswer.send(ctx.response(), requestIds.get(), refusal);
+        if (ctx.request().isEnded()) {
+            ErrorAnswer.send(ctx.response(), requestIds.get(), refusal);
+            return;
+        }
+        // A connection whose request body is not read to its end cannot be used again, and a slow sender would keep it.
+        ctx.response().putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
+        ErrorAnswer.send(ctx.response(), requestIds.get(), refusal)
+                .onComplete(ignored -> ctx.request().connection().close());
     }
 
     private void failure(RoutingContext ctx) {
--- a/server/src/main/java/io/radishwinch/server/http/ErrorAnswer.java
+++ b/server/src/main/java/io/radishwinch/server/http/ErrorAnswer.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.radishwinch.core.model.Reason;
+import io.vertx.core.Future;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerResponse;
 
@@ -15,10 +16,13 @@
 
     private ErrorAnswer() {}
 
-    /** Sends the whole answer; does nothing if an answer was begun or the connection is closed. */
-    static void send(HttpServerResponse response, String requestId, Refusal refusal) {
+    /**
+     * Sends the whole answer and returns when it was written; does nothing if an answer was begun or the connection is
+     * closed.
+     */
+    static Future<Void> send(HttpServerResponse response, String requestId, Refusal refusal) {
         if (response.headWritten() || response.closed()) {
-            return;
+            return Future.succeededFuture();
         }
         response.setStatusCode(status(refusal.reason()))
                 .putHeader(HttpHeaders.CONTENT_TYPE, "application/json")
@@ -32,7 +36,7 @@
         if (refusal.reason() == Reason.UNKNOWN_CALLER) {
             response.putHeader("WWW-Authenticate", "Bearer");
         }
-        response.end(body(refusal, requestId).toString());
+        return response.end(body(refusal, requestId).toString());
     }
 
     /** Returns the JSON body. */
@@ -59,7 +63,7 @@
             case MALFORMED_REQUEST, KEY_REQUIRED -> 400;
             case UNKNOWN_CALLER -> 401;
             case FORBIDDEN, CONTRACT_WITHDRAWN -> 403;
-            case UNKNOWN_MODEL, UNKNOWN_SERVICE -> 404;
+            case UNKNOWN_PATH, UNKNOWN_MODEL, UNKNOWN_SERVICE -> 404;
             case SLOW_SENDER -> 408;
             case OUTCOME_UNKNOWN, OUTCOME_NOT_STORED, IN_PROGRESS -> 409;
             case BODY_TOO_LARGE -> 413;
--- a/server/src/main/java/io/radishwinch/server/http/Messages.java
+++ b/server/src/main/java/io/radishwinch/server/http/Messages.java
@@ -12,6 +12,7 @@
             case UNKNOWN_CALLER -> "the bearer key is missing or belongs to no contract";
             case FORBIDDEN -> "the contract does not allow this rank, model or service";
             case MALFORMED_REQUEST -> "the request cannot be parsed";
+            case UNKNOWN_PATH -> "no such path or method";
             case UNKNOWN_MODEL -> "no such model; see /v1/models";
             case UNKNOWN_SERVICE -> "no such service";
             case BODY_TOO_LARGE -> "the body is too large";
--- /dev/null
+++ b/server/src/test/java/io/radishwinch/server/CallerSessionTest.java
@@ -0,0 +1,210 @@
+package io.radishwinch.server;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.standins.EngineStandIn;
+import io.radishwinch.standins.StandInFleet;
+import io.vertx.core.Future;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.approvaltests.Approvals;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Golden files of whole sessions: guards what callers send and receive, in order, also when parts fail. */
+class CallerSessionTest {
+    private static final String CHARGES = "/services/" + StandInFleet.BILLING + "/charges";
+
+    private static TestDeployment deployment;
+    private Session session;
+
+    @BeforeAll
+    static void start() throws Exception {
+        deployment = new TestDeployment(2);
+    }
+
+    @AfterAll
+    static void stop() throws Exception {
+        deployment.close();
+    }
+
+    @BeforeEach
+    void open() {
+        session = new Session(deployment.routers.get(0).callerPort());
+    }
+
+    @AfterEach
+    void everyLayerRanOnceForEachToken() {
+        assertThat(deployment.fleet.ledger().violations()).isEmpty();
+    }
+
+    @Test
+    void aWholeAnswer() throws Exception {
+        session.post("/v1/completions", Session.completion("good evening", 8, false));
+        session.post(
+                "/v1/chat/completions",
+                "{\"model\":\"" + TestDeployment.MODEL
+                        + "\",\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}],\"max_completion_tokens\":4}");
+        Approvals.verify(session);
+    }
+
+    @Test
+    void aStreamedAnswer() throws Exception {
+        session.post("/v1/completions", Session.completion("good evening", 4, true));
+        session.post(
+                "/v1/chat/completions",
+                "{\"model\":\"" + TestDeployment.MODEL + "\",\"messages\":[{\"role\":\"user\",\"content\":"
+                        + "[{\"type\":\"text\",\"text\":\"hello\"}]}],\"max_tokens\":3,\"stream\":true,"
+                        + "\"stream_options\":{\"include_usage\":true}}");
+        Approvals.verify(session);
+    }
+
+    @Test
+    void aStreamWhoseStageDiesArrivesWhole() throws Exception {
+        Session uninterrupted = new Session(deployment.routers.get(0).callerPort());
+        uninterrupted.post("/v1/completions", Session.completion("a long night", 60, true));
+        EngineStandIn[] killed = {null};
+        session.post("/v1/completions", Session.completion("a long night", 60, true), events -> {
+            if (events >= 10 && killed[0] == null) {
+                killed[0] = kill(running());
+            }
+        });
+        assertThat(killed[0]).as("a stage was killed while it ran").isNotNull();
+        killed[0].restart();
+        assertThat(session).hasToString(uninterrupted.toString());
+        Approvals.verify(session);
+    }
+
+    private static Optional<EngineStandIn> running() {
+        return deployment.fleet.engines().stream()
+                .filter(engine -> engine.running() > 0)
+                .findFirst();
+    }
+
+    private static EngineStandIn kill(Optional<EngineStandIn> engine) {
+        engine.ifPresent(EngineStandIn::crash);
+        return engine.orElse(null);
+    }
+
+    @Test
+    void refusalsSayWhyAndThatNothingRan() throws Exception {
+        session.post("/v1/completions", "{\"model\":");
+        session.post("/v1/completions", "{\"model\":\"other\",\"prompt\":\"x\"}");
+        session.post("/v1/completions", "{\"model\":\"" + TestDeployment.MODEL + "\",\"prompt\":\"x\",\"n\":2}");
+        session.post("/v1/completions", Session.completion("x", 1, false), "X-Radishwinch-Rank: batch");
+        session.post("/v1/completions", Session.completion("x", 1, false), "X-Radishwinch-Rank: fast");
+        session.post("/v1/completions", Session.completion("x", 1, false), "X-Radishwinch-Deadline-Ms: soon");
+        session.post("/v1/completions", Session.completion("x".repeat(70_000), 1, false));
+        session.post("/v1/completions", Session.completion("x", 1, false), "X-Filler: " + "y".repeat(20_000));
+        session.post("/v1/nothing", "{}");
+        session.post(CHARGES, "{\"cents\":1}");
+        session.post("/services/none/x", "{}");
+        session.note("a missing key, a key of nobody, bad UTF-8 and a body that does not arrive");
+        session.raw(bytes("POST /v1/completions HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n"), n -> {});
+        session.raw(
+                bytes(
+                        "GET /v1/models HTTP/1.1\r\nHost: r\r\nConnection: close\r\nAuthorization: Bearer nobody\r\n\r\n"),
+                n -> {});
+        session.raw(rawPost("Content-Length: 3\r\n", new byte[] {'"', (byte) 0xff, '"'}), n -> {});
+        session.raw(rawPost("Content-Length: 100\r\n", new byte[] {'{'}), n -> {});
+        Approvals.verify(session);
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static byte[] rawPost(String header, byte[] body) {
+        return bytes("POST /v1/completions HTTP/1.1\r\nHost: r\r\nConnection: close\r\nAuthorization: Bearer "
+                + TestDeployment.KEY + "\r\n" + header + "\r\n" + new String(body, StandardCharsets.ISO_8859_1));
+    }
+
+    @Test
+    void aNonRepeatableCallRunsOnceAndItsAnswerIsReplayed() throws Exception {
+        session.post(CHARGES, "{\"cents\":1900}", "Idempotency-Key: renewal-1");
+        session.note("the same key again, and with other content");
+        session.post(CHARGES, "{\"cents\":1900}", "Idempotency-Key: renewal-1");
+        session.post(CHARGES, "{\"cents\":2000}", "Idempotency-Key: renewal-1");
+        session.note("executions: " + executions("renewal-1"));
+        Approvals.verify(session);
+    }
+
+    @Test
+    void aNonRepeatableCallWithAnAmbiguousFailureIsNotSentAgain() throws Exception {
+        deployment.fleet.service(StandInFleet.BILLING).loseAnswers(1);
+        session.post(CHARGES, "{\"cents\":500}", "Idempotency-Key: refund-1");
+        session.note("the caller sends it again, through the other router");
+        Session other = new Session(deployment.routers.get(1).callerPort());
+        other.post(CHARGES, "{\"cents\":500}", "Idempotency-Key: refund-1");
+        session.note("executions: " + executions("refund-1"));
+        Approvals.verify(session.toString() + other);
+    }
+
+    private static int executions(String key) {
+        return deployment.fleet.service(StandInFleet.BILLING).executions(key);
+    }
+
+    @Test
+    void withoutThePlatformNonRepeatableCallsDoNotRunAndOthersDo() throws Exception {
+        deployment.fleet.platform().setDown(true);
+        try {
+            session.post(CHARGES, "{\"cents\":7}", "Idempotency-Key: while-down");
+            session.post("/v1/completions", Session.completion("good evening", 3, false));
+        } finally {
+            deployment.fleet.platform().setDown(false);
+        }
+        assertThat(executions("while-down")).isZero();
+        Approvals.verify(session);
+    }
+
+    @Test
+    void aDisconnectCancelsTheWorkDownstream() throws Exception {
+        long cancelledBefore = cancelled();
+        try (Socket socket = new Socket("127.0.0.1", deployment.routers.get(0).callerPort())) {
+            byte[] body = bytes(Session.completion("read half of it", 2000, true));
+            socket.getOutputStream().write(rawPost("Content-Length: " + body.length + "\r\n", body));
+            assertThat(socket.getInputStream().readNBytes(2000)).hasSize(2000);
+        }
+        TestDeployment.waitUntil(() -> cancelled() > cancelledBefore);
+        TestDeployment.waitUntil(() -> running().isEmpty());
+    }
+
+    private static long cancelled() {
+        return deployment.fleet.engines().stream()
+                .mapToLong(EngineStandIn::cancelled)
+                .sum();
+    }
+
+    @Test
+    void aPlannedStopCutsNoRunningStream() throws Exception {
+        RouterProcess leaving = deployment.startRouter("router-leaving");
+        Session stream = new Session(leaving.callerPort());
+        TestDeployment.waitUntil(
+                () -> stream.statusOf("/v1/completions", Session.completion("warm-up", 1, false)) == 200);
+        @SuppressWarnings({"unchecked", "rawtypes"})
+        Future<Void>[] drained = new Future[] {null};
+        String answer = stream.post("/v1/completions", Session.completion("last words", 200, true), events -> {
+            if (events >= 5 && drained[0] == null) {
+                drained[0] = leaving.drain();
+                refusedWhileDraining(leaving);
+            }
+        });
+        assertThat(answer).contains("data: [DONE]");
+        TestDeployment.await(drained[0]);
+    }
+
+    private void refusedWhileDraining(RouterProcess leaving) {
+        try {
+            Session late = new Session(leaving.callerPort());
+            String refused = late.post("/v1/completions", Session.completion("too late", 1, false));
+            assertThat(refused).contains("\"reason\":\"draining\"").contains("\"verdict\":\"not-run\"");
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+}
