Measure the decision core on a virtual clock with bin/measure

Change: bin/measure runs the real decision core against a queueing model of 40 engines of seven kinds, with the baseline planners and the FIFO queue side by side, and writes a table and JSON.

--- /dev/null
+++ b/bench/src/main/java/io/radishwinch/bench/Runs.java
@@ -0,0 +1,116 @@
+package io.radishwinch.bench;
+
+import io.radishwinch.core.chain.ChainPlanner;
+import io.radishwinch.core.chain.CostChainPlanner;
+import io.radishwinch.core.chain.EndpointTable;
+import io.radishwinch.core.chain.TableEndpointDirectory;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.health.HealthSettings;
+import io.radishwinch.core.impl.CoreSettings;
+import io.radishwinch.core.impl.TableDecisionCore;
+import io.radishwinch.core.impl.TableDecisionCore.QueueFactory;
+import io.radishwinch.core.model.Contract;
+import io.radishwinch.core.model.FleetConfig;
+import io.radishwinch.core.model.Limits;
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.RankTerms;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.placement.PlacementPlanner;
+import io.radishwinch.core.queue.FifoQueue;
+import io.radishwinch.core.queue.RankedFairQueue;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.BiFunction;
+
+/** Builds runs of the decision core and their arrivals. */
+final class Runs {
+    static final long SEED = 7;
+    static final int ENGINES = 40;
+    static final double MEAN_NEW_TOKENS = 149.5;
+    static final double MEAN_PROMPT_TOKENS = 149.5;
+    static final QueueFactory RANKED = RankedFairQueue::new;
+    static final QueueFactory FIFO = (settings, entitlements, index) -> new FifoQueue(settings, index);
+    static final BiFunction<EndpointTable, Long, ChainPlanner> COST = CostChainPlanner::new;
+
+    private static final Limits WIDE = new Limits(1e6, 1e9, 1_000_000);
+
+    private Runs() {}
+
+    /** Returns a contract with wide limits and the same floor for every rank, in tokens/s. */
+    static Contract contract(String caller, double floorTokensPerS) {
+        Map<Rank, RankTerms> ranks = new HashMap<>();
+        for (Rank rank : Rank.values()) {
+            ranks.put(rank, new RankTerms(30_000, floorTokensPerS));
+        }
+        return new Contract(caller, List.of(), 1, WIDE, ranks, Rank.INTERACTIVE, Set.of(), Set.of());
+    }
+
+    static FleetConfig config(Contract... contracts) {
+        FleetConfig config = new FleetConfig(1, Map.of(), Map.of(EnginePool.MODEL.name(), EnginePool.MODEL), Map.of());
+        for (Contract contract : contracts) {
+            config = config.withContract(1, contract);
+        }
+        return config;
+    }
+
+    static EnginePool pool() {
+        return new EnginePool(ENGINES, SEED, ENGINES - 1);
+    }
+
+    static EngineRun run(
+            EnginePool pool,
+            BiFunction<EndpointTable, Long, ChainPlanner> planner,
+            QueueFactory queues,
+            CoreSettings settings,
+            PlacementPlanner placement,
+            FleetConfig config) {
+        EndpointTable table = new EndpointTable();
+        TableEndpointDirectory directory = new TableEndpointDirectory(table, HealthSettings.defaults(), placement);
+        TableDecisionCore core = TableDecisionCore.create(settings, directory, planner.apply(table, SEED), queues);
+        return new EngineRun(pool, core, config, SEED);
+    }
+
+    static EngineRun run(FleetConfig config, QueueFactory queues) {
+        return run(pool(), COST, queues, CoreSettings.defaults(), null, config);
+    }
+
+    /** Returns the bound of the pool, after its estimate is complete. */
+    static double boundTokensPerS(EngineRun run) {
+        for (int i = 0; i < 500; i++) {
+            run.core.handle(new Event.Tick(), run.nowMs);
+        }
+        return run.core.view().pools().get(0).boundTokensPerS();
+    }
+
+    /** Adds Poisson arrivals of a caller; returns their number. */
+    static long load(
+            EngineRun run, String caller, Rank rank, double tokensPerS, long fromMs, long toMs, long timeoutMs) {
+        SplittableRandom random = new SplittableRandom(SEED + caller.hashCode() * 31L + rank.ordinal());
+        double atMs = fromMs;
+        long count = 0;
+        while (true) {
+            atMs -= Math.log(1 - random.nextDouble()) * 1_000 * MEAN_NEW_TOKENS / tokensPerS;
+            if (atMs >= toMs) {
+                return count;
+            }
+            String id = caller + "-" + rank.ordinal() + "-" + fromMs + "-" + count++;
+            int promptTokens = 50 + random.nextInt(200);
+            int newTokens = 50 + random.nextInt(200);
+            run.arrive(new RequestSpec(
+                    id,
+                    caller,
+                    rank,
+                    EnginePool.MODEL.name(),
+                    promptTokens,
+                    newTokens,
+                    (long) atMs,
+                    (long) atMs + timeoutMs,
+                    id,
+                    List.of(),
+                    true));
+        }
+    }
+}
