--- /dev/null
+++ b/bench/src/main/java/io/radishwinch/bench/CoreParts.java
@@ -0,0 +1,36 @@
+package io.radishwinch.bench;
+
+import io.radishwinch.core.DecisionCore;
+import io.radishwinch.core.chain.CostChainPlanner;
+import io.radishwinch.core.chain.EndpointTable;
+import io.radishwinch.core.chain.TableEndpointDirectory;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.health.HealthSettings;
+import io.radishwinch.core.impl.CoreSettings;
+import io.radishwinch.core.impl.TableDecisionCore;
+import io.radishwinch.core.model.FleetConfig;
+
+/** A decision core that knows all endpoints of a pool, as the router builds it, without placement. */
+final class CoreParts {
+    final EnginePool pool;
+    final DecisionCore core;
+
+    CoreParts(EnginePool pool, FleetConfig config) {
+        this.pool = pool;
+        EndpointTable table = new EndpointTable();
+        TableEndpointDirectory directory = new TableEndpointDirectory(table, HealthSettings.defaults(), null);
+        core = TableDecisionCore.create(
+                CoreSettings.defaults(), directory, new CostChainPlanner(table, Runs.SEED));
+        core.handle(new Event.ConfigInForce(config), 0);
+        pool.specs.forEach(spec -> core.handle(new Event.EndpointJoined(spec), 0));
+        report(0);
+        pool.links.forEach(link -> core.handle(link, 0));
+    }
+
+    /** Lets every endpoint report that it runs nothing of other routers. */
+    void report(long nowMs) {
+        for (int i = 0; i < pool.size(); i++) {
+            core.handle(new Event.LoadReported(pool.report(i, 0, 0, nowMs)), nowMs);
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/io/radishwinch/bench/DecisionBenchmark.java
@@ -0,0 +1,49 @@
+package io.radishwinch.bench;
+
+import io.radishwinch.core.action.Action;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** One routing decision, from the arrival of a request to the start of its attempt, and the end of another attempt. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.SampleTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Fork(1)
+@Warmup(iterations = 3, time = 2)
+@Measurement(iterations = 3, time = 3)
+public class DecisionBenchmark {
+    /** Number of endpoints. */
+    @Param({"480", "5800"})
+    public int endpoints;
+
+    private SpeedMeasures.Bench bench;
+    private int next;
+
+    /** Creates a core with half of the slots in use. */
+    @Setup(Level.Trial)
+    public void setUp() {
+        bench = new SpeedMeasures.Bench(endpoints, 10);
+        bench.fill(0.5);
+    }
+
+    /** Returns the attempt that the decision started. */
+    @Benchmark
+    public Action.StartAttempt decide() {
+        Action.StartAttempt start = bench.arrive();
+        if (start != null) {
+            bench.finish(next++ % bench.running.size());
+        }
+        return start;
+    }
+}
--- a/bench/src/main/java/io/radishwinch/bench/EngineRun.java
+++ b/bench/src/main/java/io/radishwinch/bench/EngineRun.java
@@ -59,7 +59,6 @@
     /** Whether all engines refuse all attempts. */
     boolean outage;
 
-    private final FleetConfig config;
     private final SplittableRandom random;
     private final int[] used;
     private final long[] usedKv;
@@ -86,7 +85,6 @@
     EngineRun(EnginePool pool, DecisionCore core, FleetConfig config, long seed) {
         this.pool = pool;
         this.core = core;
-        this.config = config;
         random = new SplittableRandom(seed);
         used = new int[pool.size()];
         usedKv = new long[pool.size()];
@@ -129,6 +127,7 @@
             next.task().run();
         }
         nowMs = untilMs;
+        running.values().forEach(attempt -> deliver(attempt, nowMs));
     }
 
     void handle(Event event) {
@@ -340,10 +339,6 @@
         at(nowMs + (long) loadMs, () -> pool.ranges.set(i, load.layers()));
     }
 
-    FleetConfig config() {
-        return config;
-    }
-
     /** Returns the delivered tokens/s in a period of whole seconds. */
     double tokensPerS(long fromS, long toS) {
         return tokensBySecond.subMap(fromS, toS).values().stream()
--- /dev/null
+++ b/bench/src/main/java/io/radishwinch/bench/JournalMeasure.java
@@ -0,0 +1,129 @@
+package io.radishwinch.bench;
+
+import io.radishwinch.cluster.journal.Journal.Decision;
+import io.radishwinch.cluster.journal.JournalListener;
+import io.radishwinch.cluster.journal.JournalPeer;
+import io.radishwinch.cluster.journal.JournalSettings;
+import io.radishwinch.cluster.journal.JournalWriters;
+import io.radishwinch.cluster.journal.ShardedJournal;
+import io.radishwinch.cluster.platform.CallBudget;
+import io.radishwinch.cluster.platform.CallPriority;
+import io.radishwinch.cluster.platform.CallRates;
+import io.radishwinch.cluster.platform.InMemoryPlatform;
+import io.radishwinch.cluster.platform.PlatformListener;
+import io.radishwinch.cluster.platform.ResilientPlatformClient;
+import io.radishwinch.cluster.platform.VirtualScheduler;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+
+/** Intents of the journal per platform write, over 8 routers whose call budgets sum to less than the platform's rates. */
+final class JournalMeasure {
+    private static final int ROUTERS = 8;
+    private static final int SHARDS = 16;
+    private static final int OUTCOME_BYTES = 500;
+    private static final long START_MS = 1_700_000_000_000L;
+    private static final long RUN_MS = 50;
+    private static final long WARM_UP_MS = 5_000;
+    private static final long MEASURED_MS = 30_000;
+
+    /** Offered non-repeatable requests/s. */
+    private static final double[] OFFERED_PER_S = {50, 1_000, 4_000};
+
+    private final Random random = new Random(Runs.SEED);
+    private final VirtualScheduler scheduler = new VirtualScheduler(START_MS);
+    private final InMemoryPlatform platform = new InMemoryPlatform(scheduler, random);
+    private final List<ShardedJournal> journals = new ArrayList<>();
+    private long asked;
+    private long granted;
+
+    private JournalMeasure() {
+        platform.faults().setLatencyMs(2, 6);
+        for (int i = 0; i < ROUTERS; i++) {
+            journals.add(journal(i));
+        }
+    }
+
+    private ShardedJournal journal(int self) {
+        CallBudget budget = new CallBudget(scheduler, CallRates.share(ROUTERS, SHARDS, SHARDS / ROUTERS));
+        ResilientPlatformClient client =
+                new ResilientPlatformClient(platform, budget, scheduler, random, PlatformListener.NONE);
+        JournalWriters writers = new JournalWriters() {
+            @Override
+            public Optional<JournalPeer> writerOf(int shard) {
+                int owner = shard * ROUTERS / SHARDS;
+                return owner == self
+                        ? Optional.empty()
+                        : Optional.of(request -> journals.get(owner).handle(request));
+            }
+
+            @Override
+            public boolean isLive(String routerId) {
+                return true;
+            }
+        };
+        return new ShardedJournal(
+                JournalSettings.of("router-" + self).withShardCount(SHARDS),
+                client.withPriority(CallPriority.URGENT),
+                client.withPriority(CallPriority.BACKGROUND),
+                scheduler,
+                random,
+                writers,
+                JournalListener.NONE);
+    }
+
+    private void ask(int router) {
+        ShardedJournal journal = journals.get(router);
+        journal.begin("clinic", "key-" + asked++, new byte[32]).subscribe().with(decision -> {
+            if (decision instanceof Decision.Granted grant) {
+                granted++;
+                scheduler.schedule(RUN_MS, () -> journal.complete(grant, new byte[OUTCOME_BYTES])
+                        .subscribe()
+                        .with(recorded -> {}));
+            }
+        });
+    }
+
+    private void load(double requestsPerS, long durationMs) {
+        long endMs = scheduler.nowMs() + durationMs;
+        double nextMs = scheduler.nowMs();
+        while (nextMs < endMs) {
+            nextMs += -Math.log(1 - random.nextDouble()) * 1_000 / requestsPerS;
+            scheduler.runUntil((long) nextMs);
+            ask(random.nextInt(ROUTERS));
+        }
+    }
+
+    /** Granted share, intents per write and writes/s at each offered rate; the baseline is one write per record. */
+    static List<Figure> run() {
+        List<Figure> figures = new ArrayList<>();
+        for (double offeredPerS : OFFERED_PER_S) {
+            JournalMeasure run = new JournalMeasure();
+            run.load(offeredPerS, WARM_UP_MS);
+            long writes = run.platform.writeCalls();
+            long grants = run.granted;
+            run.load(offeredPerS, MEASURED_MS);
+            double grantedPerS = (run.granted - grants) * 1_000.0 / MEASURED_MS;
+            double writesPerS = (run.platform.writeCalls() - writes) * 1_000.0 / MEASURED_MS;
+            String at = "-at-" + (long) offeredPerS + "/s";
+            // Without batches a request needs one write for its intent and one for its outcome.
+            double unbatchedPerS = Math.min(offeredPerS, CallRates.FLEET_WRITES_PER_S / 2);
+            figures.add(Figure.of(
+                    "cluster.journal.intents" + at + " vs unbatched",
+                    grantedPerS,
+                    Figure.Target.NONE,
+                    "intents/s",
+                    unbatchedPerS));
+            figures.add(Figure.of(
+                    "cluster.journal.intents-per-write" + at + " vs unbatched",
+                    grantedPerS / writesPerS,
+                    Figure.Target.NONE,
+                    "ratio",
+                    0.5));
+            figures.add(Figure.of(
+                    "cluster.journal.writes" + at, writesPerS, Targets.PLATFORM_WRITES_PER_S, "writes/s"));
+        }
+        return figures;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/io/radishwinch/bench/LoadMeasure.java
@@ -0,0 +1,205 @@
+package io.radishwinch.bench;
+
+import io.radishwinch.server.engine.AttemptRequest;
+import io.radishwinch.server.engine.AttemptRequest.StageTarget;
+import io.radishwinch.server.engine.ClientOptions;
+import io.radishwinch.server.engine.EngineEvent;
+import io.radishwinch.server.engine.HttpEngineClient;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.LongConsumer;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Load run of one router in real time on loopback: streams at a fixed rate, and probes of one token that go through the
+ * router and directly to the same chain in turn. Stand-ins and callers share the JVM and its heap with the router.
+ */
+final class LoadMeasure {
+    private static final double STREAMS_PER_S = 260;
+    private static final int STREAM_TOKENS = 80;
+    private static final int PROBE_PERIOD_MS = 10;
+    private static final long CONFIGURED_S = 5;
+    private static final long WARM_UP_S = 20;
+    private static final long MEASURED_S = 20;
+    private static final long MAX_LATENCY_US = 60_000_000;
+    private static final long DEADLINE_MS = 20_000;
+    private static final String PROMPT = "a prompt of ordinary length, as a member of the clinic network might send it";
+
+    private final LoadFleet fleet;
+    private final Vertx loadVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(2));
+    private final Vertx probeVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    private final HttpClient load = loadVertx.createHttpClient(new PoolOptions().setHttp1MaxSize(1_024));
+    private final HttpClient probe = probeVertx.createHttpClient(new PoolOptions().setHttp1MaxSize(64));
+    private final HttpEngineClient direct =
+            new HttpEngineClient(probeVertx, ClientOptions.defaults(), System::currentTimeMillis, "");
+    private final Histogram routedUs = new ConcurrentHistogram(MAX_LATENCY_US, 3);
+    private final Histogram directUs = new ConcurrentHistogram(MAX_LATENCY_US, 3);
+    private final LongAdder tokens = new LongAdder();
+    private final LongAdder answers = new LongAdder();
+    private final LongAdder failures = new LongAdder();
+    private final Set<Long> otherThreads = new HashSet<>();
+    private List<StageTarget> stages;
+    private long probes;
+    private double streamsDue;
+    private long lastStreamNs;
+
+    private LoadMeasure() throws Exception {
+        fleet = new LoadFleet();
+    }
+
+    static List<Figure> run() throws Exception {
+        return new LoadMeasure().measure();
+    }
+
+    private List<Figure> measure() throws Exception {
+        stages = fleet.probeStages();
+        // All threads of stand-ins and callers exist before the router starts; the later ones are the router's.
+        probeVertx.setPeriodic(PROBE_PERIOD_MS, id -> probeDirect());
+        startLoops(loadVertx, 2);
+        startLoops(probeVertx, 1);
+        startLoops(fleet.vertx(), LoadFleet.ENGINE_LOOPS);
+        TimeUnit.SECONDS.sleep(CONFIGURED_S);
+        for (long id : threads().getAllThreadIds()) {
+            otherThreads.add(id);
+        }
+        fleet.startRouter();
+        TimeUnit.SECONDS.sleep(CONFIGURED_S);
+        lastStreamNs = System.nanoTime();
+        loadVertx.setPeriodic(1, id -> startStreams());
+        probeVertx.setPeriodic(PROBE_PERIOD_MS, id -> probeRouted());
+        TimeUnit.SECONDS.sleep(WARM_UP_S);
+        routedUs.reset();
+        directUs.reset();
+        long startNs = System.nanoTime();
+        long startTokens = tokens.sum();
+        long startAnswers = answers.sum();
+        long startFailures = failures.sum();
+        long startCpuNs = routerCpuNs();
+        TimeUnit.SECONDS.sleep(MEASURED_S);
+        double elapsedS = (System.nanoTime() - startNs) / 1e9;
+        double cores = (routerCpuNs() - startCpuNs) / 1e9 / elapsedS;
+        double tokensPerS = (tokens.sum() - startTokens) / elapsedS;
+        double answersPerS = (answers.sum() - startAnswers) / elapsedS;
+        return figures(tokensPerS, answersPerS, cores, failures.sum() - startFailures);
+    }
+
+    private List<Figure> figures(double tokensPerS, double answersPerS, double cores, long failed) {
+        double directMedian = directUs.getValueAtPercentile(50) / 1e3;
+        double directP99 = directUs.getValueAtPercentile(99) / 1e3;
+        double routedMedian = routedUs.getValueAtPercentile(50) / 1e3;
+        double routedP99 = routedUs.getValueAtPercentile(99) / 1e3;
+        return List.of(
+                Figure.of("load.requests", answersPerS, Targets.LOAD_REQUESTS_PER_S, "requests/s"),
+                Figure.of("load.tokens", tokensPerS, Targets.LOAD_TOKENS_PER_S, "tokens/s"),
+                Figure.of("load.failed-requests", failed, Figure.Target.atMost(0), "requests"),
+                Figure.of("load.latency.median vs direct", routedMedian, Figure.Target.NONE, "ms", directMedian),
+                Figure.of("load.latency.p99 vs direct", routedP99, Figure.Target.NONE, "ms", directP99),
+                Figure.of("load.latency.added-median", routedMedian - directMedian, Targets.ADDED_MEDIAN_MS, "ms"),
+                Figure.of("load.latency.added-p99", routedP99 - directP99, Targets.ADDED_P99_MS, "ms"),
+                Figure.of("load.cpu.router-cores", cores, Figure.Target.atMost(LoadFleet.TRAFFIC_THREADS), "cores"),
+                Figure.of("load.cpu.tokens-per-core", tokensPerS / cores, Figure.Target.NONE, "tokens/s"),
+                Figure.of(
+                        "load.heap.limit-of-whole-process",
+                        Runtime.getRuntime().maxMemory() / 1e6,
+                        Figure.Target.atMost(256 * 1.048576),
+                        "MB"));
+    }
+
+    /** Starts the threads of all event loops, which otherwise start with their first task. */
+    private static void startLoops(Vertx vertx, int count) throws InterruptedException {
+        for (int i = 0; i < count; i++) {
+            // A thread outside of Vert.x gets the next event loop.
+            Thread caller = new Thread(() -> vertx.getOrCreateContext().runOnContext(ignored -> {}));
+            caller.start();
+            caller.join();
+        }
+    }
+
+    private static ThreadMXBean threads() {
+        return ManagementFactory.getThreadMXBean();
+    }
+
+    /** Returns the CPU time of all threads that started with the router, in ns. */
+    private long routerCpuNs() {
+        long sumNs = 0;
+        for (long id : threads().getAllThreadIds()) {
+            sumNs += otherThreads.contains(id) ? 0 : Math.max(0, threads().getThreadCpuTime(id));
+        }
+        return sumNs;
+    }
+
+    // Load
+
+    private void startStreams() {
+        long nowNs = System.nanoTime();
+        streamsDue += (nowNs - lastStreamNs) / 1e9 * STREAMS_PER_S;
+        lastStreamNs = nowNs;
+        for (; streamsDue >= 1; streamsDue--) {
+            ask(load, LoadFleet.LOAD_MODEL, STREAM_TOKENS, true, ns -> tokens.add(STREAM_TOKENS));
+        }
+    }
+
+    private void probeRouted() {
+        ask(probe, LoadFleet.PROBE_MODEL, 1, false, ns -> {
+            routedUs.recordValue(Math.min(MAX_LATENCY_US, ns / 1_000));
+            tokens.increment();
+        });
+    }
+
+    private void ask(HttpClient client, String model, int maxTokens, boolean stream, LongConsumer onAnswer) {
+        long startNs = System.nanoTime();
+        String body = "{\"model\":\"" + model + "\",\"prompt\":\"" + PROMPT + "\",\"max_tokens\":" + maxTokens
+                + ",\"stream\":" + stream + "}";
+        client.request(HttpMethod.POST, fleet.router.callerPort(), "127.0.0.1", "/v1/completions")
+                .compose(request -> request.putHeader("Authorization", "Bearer " + LoadFleet.KEY)
+                        .putHeader("Content-Type", "application/json")
+                        .send(Buffer.buffer(body)))
+                .compose(response -> response.body().map(answer -> {
+                    boolean whole = !stream || answer.toString().endsWith("data: [DONE]\n\n");
+                    return response.statusCode() == 200 && whole;
+                }))
+                .onComplete(result -> {
+                    if (result.succeeded() && result.result()) {
+                        answers.increment();
+                        onAnswer.accept(System.nanoTime() - startNs);
+                    } else {
+                        failures.increment();
+                    }
+                });
+    }
+
+    private void probeDirect() {
+        long startNs = System.nanoTime();
+        AttemptRequest attempt = new AttemptRequest(
+                "direct-" + probes++,
+                1,
+                LoadFleet.PROBE_MODEL,
+                stages,
+                PROMPT,
+                16,
+                List.of(),
+                List.of(),
+                1,
+                0,
+                System.currentTimeMillis() + DEADLINE_MS);
+        direct.open(attempt, event -> {
+            if (event instanceof EngineEvent.Done) {
+                directUs.recordValue(Math.min(MAX_LATENCY_US, (System.nanoTime() - startNs) / 1_000));
+            } else if (event instanceof EngineEvent.Failed) {
+                failures.increment();
+            }
+        });
+    }
+}
--- a/bench/src/main/java/io/radishwinch/bench/Measure.java
+++ b/bench/src/main/java/io/radishwinch/bench/Measure.java
@@ -14,6 +14,7 @@
 /** The measurement run behind {@code bin/measure}: prints one table and optionally writes it as JSON. */
 public final class Measure {
     private static final PrintStream OUT = System.out;
+    private static final String LOAD = "load";
 
     @Parameter(names = "--json", description = "Write the figures to this file, as JSON")
     private String jsonFile = "";
@@ -43,15 +44,26 @@
         groups.put("core.outage", FailureMeasures::outage);
         groups.put("core.crash", FailureMeasures::crashingRequest);
         groups.put("core.leaving", FailureMeasures::leaving);
+        groups.put("cluster.configuration", ClusterMeasures::configuration);
+        groups.put("cluster.detection", ClusterMeasures::detection);
+        groups.put("cluster.leaving", ClusterMeasures::leaving);
+        groups.put("cluster.limits", ClusterMeasures::limits);
+        groups.put("cluster.control", ClusterMeasures::controlBytes);
+        groups.put("cluster.journal", JournalMeasure::run);
+        groups.put("speed.decision", SpeedMeasures::decision);
+        groups.put("speed.tick", SpeedMeasures::tick);
+        groups.put("speed.memory", SpeedMeasures::memory);
+        groups.put(LOAD, LoadMeasure::run);
         return groups;
     }
 
-    /**
-     * Runs the measurements.
-     *
-     * @throws Exception if a measurement fails
-     */
-    public static void main(String[] args) throws Exception {
+    /** The load run needs a small heap of its own, so that only its own name selects it. */
+    private boolean isSelected(String group) {
+        return group.startsWith(only) && (!group.equals(LOAD) || !only.isEmpty());
+    }
+
+    /** Runs the measurements; the exit code is 1 if one of them fails to run and 2 for wrong options. */
+    public static void main(String[] args) {
         Measure measure = new Measure();
         JCommander commander = JCommander.newBuilder()
                 .programName("measure")
@@ -67,16 +79,22 @@
             commander.usage();
             return;
         }
-        measure.run();
-        // Threads of clients that were closed late must not keep the process.
-        System.exit(0);
+        int exitCode = 0;
+        try {
+            measure.run();
+        } catch (Exception e) {
+            e.printStackTrace();
+            exitCode = 1;
+        }
+        // The event loops of a load run would keep the process alive.
+        System.exit(exitCode);
     }
 
     private void run() throws Exception {
         List<Figure> figures = new ArrayList<>();
         FigureTable.printHeader(OUT);
         for (Map.Entry<String, Group> group : groups().entrySet()) {
-            if (group.getKey().startsWith(only)) {
+            if (isSelected(group.getKey())) {
                 List<Figure> measured = group.getValue().run();
                 measured.forEach(figure -> FigureTable.print(OUT, figure));
                 figures.addAll(measured);
--- /dev/null
+++ b/bench/src/main/java/io/radishwinch/bench/TickBenchmark.java
@@ -0,0 +1,47 @@
+package io.radishwinch.bench;
+
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.event.Event;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** One control tick with 1,300 callers and half of the slots in use. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.SampleTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Fork(1)
+@Warmup(iterations = 3, time = 2)
+@Measurement(iterations = 3, time = 3)
+public class TickBenchmark {
+    /** Number of endpoints. */
+    @Param({"480", "5800"})
+    public int endpoints;
+
+    private SpeedMeasures.Bench bench;
+
+    /** Creates a core with half of the slots in use. */
+    @Setup(Level.Trial)
+    public void setUp() {
+        bench = new SpeedMeasures.Bench(endpoints, SpeedMeasures.CALLERS);
+        bench.fill(0.5);
+    }
+
+    /** Returns the actions of the tick. */
+    @Benchmark
+    public List<Action> tick() {
+        bench.nowMs += 50;
+        return bench.parts.core.handle(new Event.Tick(), bench.nowMs);
+    }
+}
