--- a/cli/src/test/java/io/radishwinch/cli/MainTest.java
+++ b/cli/src/test/java/io/radishwinch/cli/MainTest.java
@@ -43,7 +43,7 @@
     void contractsAreCheckedComparedAppliedAndDeleted() throws Exception {
         session.write("fleet/app-members.yaml", MEMBERS);
         session.write("fleet/support-desk.yaml", "schema: contract/v1\ncaller: support-desk\n");
-        session.write("fleet/model.yaml", "schema: model/v1\nname: dreamcoach-12l\nlayerCount: 12\n");
+        session.write("fleet/model.yaml", "schema: model/v1\nname: dreamcoach-24l\nlayerCount: 12\n");
         session.run("contract validate fleet");
         session.run("contract diff fleet");
         session.run("contract apply fleet");
@@ -143,6 +143,7 @@
         session.run("status --router http://192.0.2.1:8081");
         session.run("status --router 127.0.0.1:1");
         session.run("status --key-file missing.key");
+        session.run("status --trust-file missing.pem");
         session.withKey("wrong-key").run("status");
         session.withKey("viewer-key").run("drain vm-17");
         session.write("a.yaml", MEMBERS);
--- a/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
@@ -28,6 +28,7 @@
     private Decision.Granted grant;
     private boolean sent;
     private int epoch;
+    private String endpointId = "";
     private ServiceClient.Exchange inFlight;
     private ServiceAnswer answer;
     private ServiceAnswer streamed;
@@ -58,7 +59,7 @@
     @Override
     void startAttempt(Action.StartAttempt attempt) {
         epoch = attempt.epoch();
-        String endpointId = attempt.chain().head().endpointId();
+        endpointId = attempt.chain().head().endpointId();
         EndpointAddress address = shared.endpoints().address(endpointId);
         if (address == null) {
             fail(epoch, endpointId, Reason.ENDPOINT_REFUSED, Verdict.NOT_RUN);
@@ -109,6 +110,10 @@
     }
 
     private void replay(StoredAnswer stored) {
+        if (!stored.isKnown()) {
+            answerWithoutRun(new Decision.OutcomeUnknown());
+            return;
+        }
         if (!stored.stored()) {
             endWith(new Refusal(Reason.OUTCOME_NOT_STORED, Verdict.RAN, Messages.of(Reason.OUTCOME_NOT_STORED), 0));
             return;
@@ -128,14 +133,15 @@
         int attemptEpoch = attempt.epoch();
         sent = true;
         post(new Event.AttemptStarted(request.requestId(), attemptEpoch));
-        inFlight = shared.services()
-                .call(new ServiceClient.Call(
-                        address,
-                        call.method(),
-                        call.uri(),
-                        ServiceHeaders.towardsService(call.headers(), request.requestId()),
-                        new ServiceClient.Body.Whole(call.body()),
-                        attempt.deadlineMs()));
+        ServiceClient.Call outgoing = new ServiceClient.Call(
+                address,
+                call.method(),
+                call.uri(),
+                ServiceHeaders.towardsService(call.headers(), request.requestId()),
+                new ServiceClient.Body.Whole(call.body()),
+                attempt.deadlineMs());
+        // On a kept connection that breaks it cannot be known whether the call ran.
+        inFlight = shared.services().call(request.repeatable() ? outgoing : outgoing.withFreshConnection());
         inFlight.response()
                 .onComplete(
                         head -> readBody(attemptEpoch, address, head), error -> failed(attemptEpoch, address, error));
@@ -175,11 +181,10 @@
         }
     }
 
+    /** The core is told even if the caller has gone, because a non-repeatable call runs on without its caller. */
     private void deliver(ServiceAnswer newAnswer) {
-        if (!isFinished()) {
-            answer = newAnswer;
-            post(new Event.AttemptFinished(request.requestId(), epoch, 0));
-        }
+        answer = newAnswer;
+        post(new Event.AttemptFinished(request.requestId(), epoch, 0));
     }
 
     private void beginStream(ServiceAnswer newAnswer) {
@@ -214,6 +219,10 @@
         Verdict verdict = error instanceof EndpointException known ? known.verdict() : Verdict.MAY_HAVE_RUN;
         if (verdict == Verdict.NOT_RUN) {
             sent = false;
+        } else if (grant != null) {
+            // Without this record, callers that send again would be told that the call is still running.
+            shared.journal()
+                    .complete(shared.context(), grant, StoredAnswer.unknown().encode(), recorded -> {});
         }
         fail(attemptEpoch, address.endpointId(), reason, verdict);
     }
@@ -228,10 +237,10 @@
             return;
         }
         if (!sent) {
-            fail(cancelledEpoch, "", reason, Verdict.NOT_RUN);
+            fail(cancelledEpoch, endpointId, reason, Verdict.NOT_RUN);
         } else if (grant == null) {
             release();
-            fail(cancelledEpoch, "", reason, Verdict.MAY_HAVE_RUN);
+            fail(cancelledEpoch, endpointId, reason, Verdict.MAY_HAVE_RUN);
         }
     }
 
