--- /dev/null
+++ b/bench/src/main/java/io/radishwinch/bench/Measure.java
@@ -0,0 +1,111 @@
+package io.radishwinch.bench;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The measurement run behind {@code bin/measure}: prints one table and optionally writes it as JSON. */
+public final class Measure {
+    private static final PrintStream OUT = System.out;
+    private static final String LOAD = "load";
+
+    @Parameter(names = "--json", description = "Write the figures to this file, as JSON")
+    private String jsonFile = "";
+
+    @Parameter(names = "--only", description = "Run the groups whose name starts with this prefix")
+    private String only = "";
+
+    @Parameter(names = "--help", help = true, description = "Print the options")
+    private boolean help;
+
+    private Measure() {}
+
+    /** A group of figures that are measured together. */
+    @FunctionalInterface
+    interface Group {
+        List<Figure> run() throws Exception;
+    }
+
+    /** Returns all groups by name, in the order of the run. */
+    static Map<String, Group> groups() {
+        Map<String, Group> groups = new LinkedHashMap<>();
+        groups.put("core.throughput", CoreMeasures::throughput);
+        groups.put("core.latency", CoreMeasures::latency);
+        groups.put("core.batch-surge", SurgeMeasures::batchSurge);
+        groups.put("core.interactive-surge", SurgeMeasures::interactiveSurge);
+        groups.put("core.recovery", FailureMeasures::recovery);
+        groups.put("core.outage", FailureMeasures::outage);
+        groups.put("core.crash", FailureMeasures::crashingRequest);
+        groups.put("core.leaving", FailureMeasures::leaving);
+        groups.put("cluster.configuration", ClusterMeasures::configuration);
+        groups.put("cluster.detection", ClusterMeasures::detection);
+        groups.put("cluster.leaving", ClusterMeasures::leaving);
+        groups.put("cluster.limits", ClusterMeasures::limits);
+        groups.put("cluster.control", ClusterMeasures::controlBytes);
+        groups.put("cluster.journal", JournalMeasure::run);
+        groups.put("speed.decision", SpeedMeasures::decision);
+        groups.put("speed.tick", SpeedMeasures::tick);
+        groups.put("speed.memory", SpeedMeasures::memory);
+        groups.put(LOAD, LoadMeasure::run);
+        return groups;
+    }
+
+    /** The load run needs a small heap of its own, so that only its own name selects it. */
+    private boolean isSelected(String group) {
+        return group.startsWith(only) && (!group.equals(LOAD) || !only.isEmpty());
+    }
+
+    /** Runs the measurements; the exit code is 1 if one of them fails to run and 2 for wrong options. */
+    public static void main(String[] args) {
+        Measure measure = new Measure();
+        JCommander commander = JCommander.newBuilder()
+                .programName("measure")
+                .addObject(measure)
+                .build();
+        try {
+            commander.parse(args);
+        } catch (ParameterException e) {
+            System.err.println(e.getMessage());
+            System.exit(2);
+        }
+        if (measure.help) {
+            commander.usage();
+            return;
+        }
+        int exitCode = 0;
+        try {
+            measure.run();
+        } catch (Exception e) {
+            e.printStackTrace();
+            exitCode = 1;
+        }
+        // The event loops of a load run would keep the process alive.
+        System.exit(exitCode);
+    }
+
+    private void run() throws Exception {
+        List<Figure> figures = new ArrayList<>();
+        FigureTable.printHeader(OUT);
+        for (Map.Entry<String, Group> group : groups().entrySet()) {
+            if (isSelected(group.getKey())) {
+                List<Figure> measured = group.getValue().run();
+                measured.forEach(figure -> FigureTable.print(OUT, figure));
+                figures.addAll(measured);
+            }
+        }
+        write(figures);
+    }
+
+    private void write(List<Figure> figures) throws IOException {
+        if (!jsonFile.isEmpty()) {
+            FigureTable.write(Path.of(jsonFile), figures);
+        }
+    }
+}
