--- a/cli/src/test/java/io/radishwinch/cli/ExamplesTest.java
+++ b/cli/src/test/java/io/radishwinch/cli/ExamplesTest.java
@@ -69,7 +69,7 @@
                 .isFalse();
         assertThat(texas.services().get("orders").isRepeatable("POST", "/shipments"))
                 .isFalse();
-        assertThat(texas.models().get("dreamcoach-24l").layerCount()).isEqualTo(12);
+        assertThat(texas.models().get("dreamcoach-24l").layerCount()).isEqualTo(24);
         FleetConfig greece = read("thessaloniki");
         for (String path : List.of("/refunds", "/deposits")) {
             assertThat(greece.services().get("rental-ledger").isRepeatable("POST", path))
