--- a/core/src/main/java/io/radishwinch/core/DecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/DecisionCore.java
@@ -2,7 +2,10 @@
 
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Verdict;
 import java.util.List;
 import java.util.Optional;
 
@@ -24,9 +27,12 @@
      */
     List<Action> handle(Event event, long nowMs);
 
-    /** Returns what is known of a request that is queued or running, for operators. */
+    /** Returns what is known of a request that is queued, running or one of those that ended last, for operators. */
     Optional<RequestView> request(String requestId);
 
+    /** Returns this router's share of a caller's limits and its use, or empty if there is no such contract. */
+    Optional<CallerView> caller(String caller);
+
     /** Returns a summary of the tables, for operators and metrics. */
     CoreView view();
 
@@ -34,11 +40,19 @@
      * State of one request.
      *
      * @param request the request
-     * @param state {@code queued} or {@code running}
+     * @param state {@code queued}, {@code running} or {@code finished}
      * @param epoch epoch of the latest attempt, 0 before the first
      * @param history decisions so far, oldest first
+     * @param verdict whether the request ran, or empty while it is not finished
+     * @param reason why it failed, or empty if it did not
      */
-    record RequestView(RequestSpec request, String state, int epoch, List<String> history) {
+    record RequestView(
+            RequestSpec request,
+            String state,
+            int epoch,
+            List<String> history,
+            Optional<Verdict> verdict,
+            Optional<Reason> reason) {
 
         /** Copies the history. */
         public RequestView {
@@ -47,20 +61,55 @@
     }
 
     /**
-     * Summary of the tables.
+     * A caller's limits at this router.
+     *
+     * @param requestsPerS share of the rate limit in requests/s
+     * @param tokensPerS share of the rate limit in tokens/s
+     * @param concurrentRequests share of the concurrency limit
+     * @param ranks requests between admission and their last action, by rank
+     */
+    record CallerView(double requestsPerS, double tokensPerS, double concurrentRequests, List<RankView> ranks) {
+
+        /** Copies the list. */
+        public CallerView {
+            ranks = List.copyOf(ranks);
+        }
+    }
+
+    /**
+     * Requests of one rank at this router.
      *
+     * @param rank rank
      * @param queued requests queued
      * @param running requests running
+     */
+    record RankView(Rank rank, int queued, int running) {}
+
+    /**
+     * Summary of the tables.
+     *
+     * @param ranks requests by rank
      * @param endpoints state of each endpoint
      * @param pools state of each pool
      */
-    record CoreView(int queued, int running, List<EndpointView> endpoints, List<PoolView> pools) {
+    record CoreView(List<RankView> ranks, List<EndpointView> endpoints, List<PoolView> pools) {
 
         /** Copies the lists. */
         public CoreView {
+            ranks = List.copyOf(ranks);
             endpoints = List.copyOf(endpoints);
             pools = List.copyOf(pools);
         }
+
+        /** Returns the number of requests queued. */
+        public int queued() {
+            return ranks.stream().mapToInt(RankView::queued).sum();
+        }
+
+        /** Returns the number of requests running. */
+        public int running() {
+            return ranks.stream().mapToInt(RankView::running).sum();
+        }
     }
 
     /**
--- a/core/src/main/java/io/radishwinch/core/impl/CallerRow.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CallerRow.java
@@ -1,7 +1,10 @@
 package io.radishwinch.core.impl;
 
+import io.radishwinch.core.DecisionCore.CallerView;
+import io.radishwinch.core.DecisionCore.RankView;
 import io.radishwinch.core.event.Event;
 import io.radishwinch.core.model.Limits;
+import java.util.List;
 
 /** Row of the caller table: what a caller uses of its limits at this router. */
 final class CallerRow {
@@ -50,6 +53,10 @@
         return concurrentLimit > 0 && active < Math.max(1, Math.floor(concurrentLimit));
     }
 
+    CallerView view(List<RankView> ranks) {
+        return new CallerView(requests.ratePerS(), tokens.ratePerS(), concurrentLimit, ranks);
+    }
+
     double floorShare() {
         return allotment == null ? initialShare : allotment.floorShare();
     }
--- a/core/src/main/java/io/radishwinch/core/impl/CoreState.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreState.java
@@ -1,5 +1,6 @@
 package io.radishwinch.core.impl;
 
+import io.radishwinch.core.DecisionCore.RequestView;
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.chain.ChainPlanner;
 import io.radishwinch.core.chain.EndpointDirectory;
@@ -28,6 +29,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 
@@ -38,6 +40,8 @@
     /** Largest part of the capacity that the requests of one caller may use outside the queue. */
     private static final double MAX_WAITING_SHARE = 0.25;
 
+    private static final String FINISHED = "finished";
+    private static final int MAX_FINISHED = 2_000;
     private static final int MAX_EARLY_ALLOTMENTS = 10_000;
 
     final CoreSettings settings;
@@ -66,6 +70,9 @@
     /** Allotments that arrived before the contract they belong to. */
     final Map<String, Event.AllotmentChanged> earlyAllotments = new LinkedHashMap<>();
 
+    /** Requests that ended last, for operators. */
+    final FinishedRequests finished = new FinishedRequests(MAX_FINISHED);
+
     FleetConfig config = FleetConfig.empty();
     boolean draining;
     long drainDeadlineMs;
@@ -165,11 +172,16 @@
     /** Refuses a request that was not admitted. */
     void refuseEarly(RequestSpec spec, Reason reason, long retryAfterMs) {
         out.add(new Action.Refuse(spec.requestId(), reason, Verdict.NOT_RUN, retryAfterMs));
+        List<String> history = List.of("+" + (nowMs - spec.arrivedAtMs()) + " ms refused: " + reason.wireName());
+        finished.add(new RequestView(spec, FINISHED, 0, history, Optional.of(Verdict.NOT_RUN), Optional.of(reason)));
     }
 
     /** Ends a request with an error that carries the verdict over all its attempts. */
     void refuse(RequestRow row, Reason reason, long nowMs) {
-        Action action = new Action.Refuse(row.id(), reason, row.verdictNow(), 0);
+        Verdict verdict = row.verdictNow();
+        Action action = new Action.Refuse(row.id(), reason, verdict, 0);
+        note(row, nowMs, "refused: " + reason.wireName());
+        finished.add(row.view(FINISHED, Optional.of(verdict), Optional.of(reason)));
         if (row.state == RequestRow.State.RUNNING) {
             out.add(new Action.CancelAttempt(row.id(), row.epoch, reason));
         }
@@ -178,6 +190,8 @@
     }
 
     void complete(RequestRow row, long nowMs) {
+        note(row, nowMs, "answered");
+        finished.add(row.view(FINISHED, Optional.of(Verdict.RAN), Optional.empty()));
         forget(row, nowMs);
         out.add(new Action.Complete(row.id()));
     }
--- a/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
+++ b/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
@@ -1,5 +1,6 @@
 package io.radishwinch.core.impl;
 
+import io.radishwinch.core.DecisionCore.RequestView;
 import io.radishwinch.core.model.Chain;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
@@ -8,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /** Row of the request table: an admitted request until its last action. */
@@ -71,6 +73,10 @@
         this.spec = spec;
     }
 
+    RequestView view(String stateName, Optional<Verdict> finalVerdict, Optional<Reason> reason) {
+        return new RequestView(spec, stateName, epoch, List.copyOf(history), finalVerdict, reason);
+    }
+
     String id() {
         return spec.requestId();
     }
--- a/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -6,6 +6,7 @@
 import io.radishwinch.core.chain.EndpointDirectory;
 import io.radishwinch.core.event.Event;
 import io.radishwinch.core.model.FleetConfig;
+import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.queue.DeadlineIndex;
@@ -175,17 +176,35 @@
     public Optional<RequestView> request(String requestId) {
         RequestRow row = state.requests.get(requestId);
         return row == null
-                ? Optional.empty()
-                : Optional.of(new RequestView(
-                        row.spec, row.isRunning() ? "running" : "queued", row.epoch, List.copyOf(row.history)));
+                ? state.finished.find(requestId)
+                : Optional.of(row.view(row.isRunning() ? "running" : "queued", Optional.empty(), Optional.empty()));
+    }
+
+    @Override
+    public Optional<CallerView> caller(String caller) {
+        return Optional.ofNullable(state.callers.get(caller)).map(row -> row.view(ranks(caller)));
     }
 
     @Override
     public CoreView view() {
         return new CoreView(
-                state.requests.size() - state.running.size(),
-                state.running.size(),
-                state.directory.endpointViews(state.nowMs),
-                state.directory.poolViews(state.nowMs));
+                ranks(null), state.directory.endpointViews(state.nowMs), state.directory.poolViews(state.nowMs));
+    }
+
+    /** Counts the requests of one caller, or of all if it is null. */
+    private List<RankView> ranks(String caller) {
+        int[] queued = new int[Rank.values().length];
+        int[] running = new int[Rank.values().length];
+        for (RequestRow row : state.requests.values()) {
+            if (caller == null || row.spec.caller().equals(caller)) {
+                int[] counts = row.isRunning() ? running : queued;
+                counts[row.spec.rank().ordinal()]++;
+            }
+        }
+        List<RankView> views = new ArrayList<>();
+        for (Rank rank : Rank.values()) {
+            views.add(new RankView(rank, queued[rank.ordinal()], running[rank.ordinal()]));
+        }
+        return views;
     }
 }
--- a/core/src/main/java/io/radishwinch/core/impl/TokenBucket.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TokenBucket.java
@@ -39,6 +39,10 @@
         return missing <= 0 ? 0 : (long) Math.ceil(missing / ratePerS * MS_PER_S);
     }
 
+    double ratePerS() {
+        return ratePerS;
+    }
+
     void take(double amount) {
         balance -= amount;
     }
--- a/report/src/main/java/io/radishwinch/report/ReasonText.java
+++ b/report/src/main/java/io/radishwinch/report/ReasonText.java
@@ -3,10 +3,11 @@
 import io.radishwinch.core.model.Reason;
 
 /** Reasons in words for the owner of the service. */
-final class ReasonText {
+public final class ReasonText {
     private ReasonText() {}
 
-    static String of(Reason reason) {
+    /** Returns the reason in words, as a clause. */
+    public static String of(Reason reason) {
         return switch (reason) {
             case UNKNOWN_CALLER -> "the key matches no contract";
             case FORBIDDEN -> "the contract does not allow the rank, model or service";
--- a/server/src/main/java/io/radishwinch/server/ControlPlane.java
+++ b/server/src/main/java/io/radishwinch/server/ControlPlane.java
@@ -34,6 +34,7 @@
 import io.radishwinch.core.queue.QueueSettings;
 import io.radishwinch.protocol.generated.Frame;
 import io.radishwinch.report.FleetEvent;
+import io.radishwinch.report.RequestOutcome;
 import io.radishwinch.server.engine.ClientOptions;
 import io.radishwinch.server.engine.HttpEngineClient;
 import io.radishwinch.server.http.Authenticator;
@@ -46,10 +47,12 @@
 import io.vertx.core.Vertx;
 import java.time.ZoneId;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 /** Everything that the control thread owns. The constructor and all methods are called on that thread. */
@@ -87,6 +90,8 @@
     private final DemandMeter demand;
     private final RendezvousPlacementLease lease;
     private volatile Map<String, Double> boundTokensPerSByPool = Map.of();
+    private final Set<String> failedEndpoints = new HashSet<>();
+    private final SurgeDetector surges;
     private boolean configured;
     private long nextLoadAtMs;
 
@@ -136,6 +141,7 @@
         journal = new ShardedJournal(
                 journalSettings, urgent, background, scheduler, random, journalPeers, new JournalCounters(metrics));
         day = new DayService(vertx, background, processId, ZoneId.of(settings.text(SettingKey.REPORT_TIME_ZONE)));
+        surges = new SurgeDetector(day::record);
         orders = new OrderSender(control, platform, engines, endpoints, processId);
         shared = new SharedState(
                 node,
@@ -210,6 +216,12 @@
         return left.future();
     }
 
+    /** Takes the end of a request. */
+    void finished(RequestOutcome outcome) {
+        day.record(outcome);
+        surges.finished(outcome);
+    }
+
     void receive(Frame frame) {
         peers.send(node.receive(frame, clock.getAsLong()));
     }
@@ -248,6 +260,10 @@
         return day;
     }
 
+    DemandMeter demand() {
+        return demand;
+    }
+
     ShardedJournal journal() {
         return journal;
     }
@@ -280,6 +296,7 @@
             lease.confirm(live, nowMs);
         }
         updateBudget(live.size());
+        surges.tick(nowMs);
         boundTokensPerSByPool = control.core().view().pools().stream()
                 .collect(Collectors.toUnmodifiableMap(PoolView::pool, PoolView::boundTokensPerS));
     }
@@ -357,7 +374,11 @@
                 endpoints.suspect(failed.failedEndpointId());
             }
         } else if (event instanceof Event.EndpointGone gone && gone.crashed()) {
+            failedEndpoints.add(gone.endpointId());
             day.record(FleetEvent.Kind.FAILURE, gone.endpointId(), "the endpoint does not answer");
+        } else if (event instanceof Event.EndpointJoined joined
+                && failedEndpoints.remove(joined.endpoint().id())) {
+            day.record(FleetEvent.Kind.RECOVERY, joined.endpoint().id(), "the endpoint answers again");
         }
     }
 
--- a/server/src/main/java/io/radishwinch/server/DemandMeter.java
+++ b/server/src/main/java/io/radishwinch/server/DemandMeter.java
@@ -11,6 +11,7 @@
 
     private final Map<String, Row> rows = new HashMap<>();
     private final Map<String, String> callers = new HashMap<>();
+    private Map<String, Amounts> latest = Map.of();
     private long lastReadMs;
 
     DemandMeter(long nowMs) {
@@ -53,6 +54,12 @@
             row.mostOpen = row.open;
         });
         rows.values().removeIf(row -> row.open == 0 && row.mostOpen == 0);
+        latest = offered;
         return offered;
     }
+
+    /** Returns the load that the caller offered in the interval before the latest reading. */
+    Amounts latest(String caller) {
+        return latest.getOrDefault(caller, Amounts.ZERO);
+    }
 }
--- a/server/src/main/java/io/radishwinch/server/Explanations.java
+++ b/server/src/main/java/io/radishwinch/server/Explanations.java
@@ -1,15 +1,21 @@
 package io.radishwinch.server;
 
+import io.radishwinch.cluster.allotment.Amounts;
+import io.radishwinch.core.DecisionCore.CallerView;
 import io.radishwinch.core.DecisionCore.CoreView;
 import io.radishwinch.core.DecisionCore.EndpointView;
+import io.radishwinch.core.DecisionCore.RankView;
 import io.radishwinch.core.DecisionCore.RequestView;
 import io.radishwinch.core.model.Contract;
 import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.Verdict;
 import io.radishwinch.report.DaySummary;
+import io.radishwinch.report.ReasonText;
 import io.radishwinch.report.ServiceTotals;
 import io.radishwinch.server.admin.RouterControl.CallerExplanation;
 import io.radishwinch.server.admin.RouterControl.CallerRank;
+import io.radishwinch.server.admin.RouterControl.LimitUse;
 import io.radishwinch.server.admin.RouterControl.RankStatus;
 import io.radishwinch.server.admin.RouterControl.RequestExplanation;
 import io.radishwinch.server.admin.RouterControl.Step;
@@ -17,6 +23,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 
 /** Texts and figures that answer why something happened; used on the control thread. */
@@ -38,29 +45,51 @@
     }
 
     List<RankStatus> ranks(CoreView view) {
-        return List.of(new RankStatus("all", view.queued(), view.running()));
+        return view.ranks().stream()
+                .map(rank -> new RankStatus(rank.rank().wireName(), rank.queued(), rank.running()))
+                .toList();
     }
 
     RequestExplanation request(RequestView view) {
         List<Step> steps = view.history().stream()
                 .map(text -> new Step(stepAtMs(view, text), text))
                 .toList();
-        String last = view.history().isEmpty()
-                ? ""
-                : view.history().get(view.history().size() - 1);
         return new RequestExplanation(
                 view.request().requestId(),
                 view.request().caller(),
                 view.request().rank().wireName(),
                 view.request().pool(),
                 view.state(),
-                "",
-                "",
-                "the request is " + view.state() + "; last decision: " + last,
-                "",
+                view.verdict().map(Verdict::wireName).orElse(""),
+                view.reason().map(Reason::wireName).orElse(""),
+                summary(view),
+                view.reason().map(Explanations::advice).orElse(""),
                 steps);
     }
 
+    private static String summary(RequestView view) {
+        if (view.reason().isPresent()) {
+            return "the request failed: " + ReasonText.of(view.reason().get());
+        }
+        return view.verdict().isPresent()
+                ? "the request was answered after " + view.epoch() + (view.epoch() == 1 ? " attempt" : " attempts")
+                : "the request is " + view.state();
+    }
+
+    private static String advice(Reason reason) {
+        return switch (reason) {
+            case RATE_LIMITED, CONCURRENCY_LIMITED ->
+                "raise the limits of the contract, or let the caller send more slowly";
+            case NO_CAPACITY -> "see the pools in 'radishwinch status'; start endpoints that hold the missing layers";
+            case DEADLINE_UNREACHABLE, QUEUE_FULL ->
+                "the fleet is overloaded for this rank; add endpoints or raise a floor";
+            case OUTCOME_UNKNOWN -> "look the operation up in the service before it is repeated under a new key";
+            case PLATFORM_UNAVAILABLE -> "the caller may send it again once the platform answers";
+            case QUARANTINED -> "requests with this content crashed endpoints; see docs/operations";
+            default -> "";
+        };
+    }
+
     /** History entries start with the time since arrival, in the form {@code +120 ms}. */
     private static long stepAtMs(RequestView view, String text) {
         String digits = text.startsWith("+") && text.contains(" ") ? text.substring(1, text.indexOf(' ')) : "0";
@@ -73,7 +102,7 @@
         Map<String, Long> refused = new TreeMap<>();
         for (Rank rank : contract.ranks().keySet().stream().sorted().toList()) {
             ServiceTotals totals = summary.service(contract.caller(), rank);
-            ranks.add(new CallerRank(rank.wireName(), totals.offered(), totals.withinDeadline(), 0, 0));
+            ranks.add(callerRank(contract.caller(), rank, totals));
             add(refused, totals.refused());
             add(refused, totals.failed());
         }
@@ -82,7 +111,47 @@
                 ? "no request of " + contract.caller() + " was refused today at this router"
                 : total + " requests of " + contract.caller() + " were refused or failed today at this router";
         return new CallerExplanation(
-                contract.caller(), parts.configuration().version(contract.caller()), text, List.of(), ranks, refused);
+                contract.caller(),
+                parts.configuration().version(contract.caller()),
+                text,
+                limits(contract),
+                ranks,
+                refused);
+    }
+
+    private CallerRank callerRank(String caller, Rank rank, ServiceTotals totals) {
+        RankView now = parts.control().core().caller(caller).stream()
+                .flatMap(view -> view.ranks().stream())
+                .filter(view -> view.rank() == rank)
+                .findFirst()
+                .orElse(new RankView(rank, 0, 0));
+        return new CallerRank(rank.wireName(), totals.offered(), totals.withinDeadline(), now.queued(), now.running());
+    }
+
+    private List<LimitUse> limits(Contract contract) {
+        Optional<CallerView> view = parts.control().core().caller(contract.caller());
+        if (view.isEmpty()) {
+            return List.of();
+        }
+        Amounts offered = parts.demand().latest(contract.caller());
+        return List.of(
+                new LimitUse(
+                        "limits.requestsPerS",
+                        contract.limits().requestsPerS(),
+                        view.get().requestsPerS(),
+                        offered.requestsPerS()),
+                new LimitUse(
+                        "limits.tokensPerS",
+                        contract.limits().tokensPerS(),
+                        view.get().tokensPerS(),
+                        offered.tokensPerS()),
+                new LimitUse(
+                        "limits.concurrentRequests",
+                        contract.limits().concurrentRequests(),
+                        view.get().concurrentRequests(),
+                        view.get().ranks().stream()
+                                .mapToInt(rank -> rank.queued() + rank.running())
+                                .sum()));
     }
 
     private static void add(Map<String, Long> sums, Map<Reason, Long> counts) {
--- a/server/src/main/java/io/radishwinch/server/RouterProcess.java
+++ b/server/src/main/java/io/radishwinch/server/RouterProcess.java
@@ -81,8 +81,7 @@
                 plane.endpoints(),
                 new JournalAccess(plane.control(), plane.journal()),
                 authenticator,
-                new OutcomeRecorder(
-                        metrics, plane.control(), outcome -> plane.day().record(outcome)),
+                new OutcomeRecorder(metrics, plane.control(), plane::finished),
                 RouterProcess::newRequestId,
                 this::isReady);
     }
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/SurgeDetector.java
@@ -0,0 +1,68 @@
+package io.radishwinch.server;
+
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.report.FleetEvent;
+import io.radishwinch.report.RequestOutcome;
+import java.util.EnumMap;
+import java.util.EnumSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Notices surges by rank: many requests refused because more arrived than limits or capacity allow. A surge ends at a
+ * lower share than it begins at, so that it is not reported again and again.
+ */
+final class SurgeDetector {
+    private static final long WINDOW_MS = 10_000;
+    private static final int MIN_REQUESTS = 20;
+    private static final double BEGIN_SHARE = 0.2;
+    private static final double END_SHARE = 0.05;
+    private static final Set<Reason> OVERLOAD =
+            EnumSet.of(Reason.RATE_LIMITED, Reason.CONCURRENCY_LIMITED, Reason.QUEUE_FULL, Reason.DEADLINE_UNREACHABLE);
+
+    private final Recorder recorder;
+    private final Map<Rank, Integer> requests = new EnumMap<>(Rank.class);
+    private final Map<Rank, Integer> overloaded = new EnumMap<>(Rank.class);
+    private final Set<Rank> surging = EnumSet.noneOf(Rank.class);
+    private long windowEndMs = Long.MIN_VALUE;
+
+    /** Takes the events. */
+    @FunctionalInterface
+    interface Recorder {
+        void record(FleetEvent.Kind kind, String subject, String text);
+    }
+
+    SurgeDetector(Recorder recorder) {
+        this.recorder = recorder;
+    }
+
+    void finished(RequestOutcome outcome) {
+        requests.merge(outcome.rank(), 1, Integer::sum);
+        if (outcome.reason().filter(OVERLOAD::contains).isPresent()) {
+            overloaded.merge(outcome.rank(), 1, Integer::sum);
+        }
+    }
+
+    void tick(long nowMs) {
+        if (nowMs < windowEndMs) {
+            return;
+        }
+        windowEndMs = nowMs + WINDOW_MS;
+        for (Rank rank : Rank.values()) {
+            judge(rank, requests.getOrDefault(rank, 0), overloaded.getOrDefault(rank, 0));
+        }
+        requests.clear();
+        overloaded.clear();
+    }
+
+    private void judge(Rank rank, int total, int refused) {
+        double share = total == 0 ? 0 : (double) refused / total;
+        String counts = refused + " of " + total + " requests refused for overload within 10 s";
+        if (total >= MIN_REQUESTS && share >= BEGIN_SHARE && surging.add(rank)) {
+            recorder.record(FleetEvent.Kind.SURGE, rank.wireName(), counts);
+        } else if (share <= END_SHARE && surging.remove(rank)) {
+            recorder.record(FleetEvent.Kind.SURGE_END, rank.wireName(), counts);
+        }
+    }
+}
