--- a/bench/src/main/java/io/radishwinch/bench/ClusterMeasures.java
+++ b/bench/src/main/java/io/radishwinch/bench/ClusterMeasures.java
@@ -29,8 +29,8 @@
         for (int seed = 1; seed <= SEEDS; seed++) {
             slowest = Math.max(slowest, configurationMs(seed));
         }
-        return List.of(Figure.of(
-                "cluster.configuration.slow-platform-24-routers", slowest, Targets.CONFIGURATION_MS, "ms"));
+        return List.of(
+                Figure.of("cluster.configuration.slow-platform-24-routers", slowest, Targets.CONFIGURATION_MS, "ms"));
     }
 
     private static double configurationMs(long seed) {
@@ -42,16 +42,22 @@
         bus.clock = scheduler::runUntil;
         for (PeerNode node : bus.nodes()) {
             if (node.isPlatformWatcher()) {
-                new WatchFollower(platform, scheduler, bus.random, "config/", change -> node.offerConfiguration(
-                                change.key(), change.version(), change.value().orElse(null), scheduler.nowMs()))
+                new WatchFollower(
+                                platform,
+                                scheduler,
+                                bus.random,
+                                "config/",
+                                change -> node.offerConfiguration(
+                                        change.key(),
+                                        change.version(),
+                                        change.value().orElse(null),
+                                        scheduler.nowMs()))
                         .start();
             }
         }
         bus.runFor(20_000);
         List<Long> accepted = new ArrayList<>();
-        platform.put("config/contracts/app", 0, new byte[800], "n")
-                .subscribe()
-                .with(result -> accepted.add(bus.nowMs));
+        platform.put("config/contracts/app", 0, new byte[800], "n").subscribe().with(result -> accepted.add(bus.nowMs));
         bus.runUntilHolds(LIMIT_MS, () -> !accepted.isEmpty());
         return bus.runUntilHolds(LIMIT_MS, () -> bus.nodes().stream()
                 .allMatch(node ->
@@ -69,14 +75,11 @@
                 ClusterBus.Router failed = bus.routers.get(seed);
                 String id = failed.node.self().id();
                 failed.alive = false;
-                slowest = Math.max(
-                        slowest,
-                        bus.runUntilHolds(LIMIT_MS, () -> bus.nodes().stream()
-                                .noneMatch(node -> node.members().stream()
-                                        .anyMatch(member -> member.id().equals(id)))));
+                slowest = Math.max(slowest, bus.runUntilHolds(LIMIT_MS, () -> bus.nodes().stream()
+                        .noneMatch(node -> node.members().stream()
+                                .anyMatch(member -> member.id().equals(id)))));
             }
-            figures.add(Figure.of(
-                    "cluster.detection.failed-router-of-" + size, slowest, Targets.DETECTION_MS, "ms"));
+            figures.add(Figure.of("cluster.detection.failed-router-of-" + size, slowest, Targets.DETECTION_MS, "ms"));
         }
         return figures;
     }
@@ -88,14 +91,10 @@
             ClusterBus bus = new ClusterBus(1, 30, seed);
             bus.loss = LOSS;
             bus.routers.get(0).node.publish(EntryKind.LEAVING, "e1", new byte[] {1}, bus.nowMs + LIMIT_MS, bus.nowMs);
-            slowest = Math.max(
-                    slowest,
-                    bus.runUntilHolds(LIMIT_MS, () -> bus.nodes().stream()
-                            .allMatch(node ->
-                                    node.entry(EntryKind.LEAVING, "e1").isPresent())));
+            slowest = Math.max(slowest, bus.runUntilHolds(LIMIT_MS, () -> bus.nodes().stream()
+                    .allMatch(node -> node.entry(EntryKind.LEAVING, "e1").isPresent())));
         }
-        return List.of(
-                Figure.of("cluster.leaving.marker-at-30-routers", slowest, Targets.LEAVING_MS, "ms"));
+        return List.of(Figure.of("cluster.leaving.marker-at-30-routers", slowest, Targets.LEAVING_MS, "ms"));
     }
 
     // Limits
@@ -192,12 +191,12 @@
             });
             int seconds = 20;
             work(bus, seconds);
-            double bytes = bus.routers.stream().mapToLong(r -> r.sentBytes).max().orElse(0) / (double) seconds;
+            double bytes =
+                    bus.routers.stream().mapToLong(r -> r.sentBytes).max().orElse(0) / (double) seconds;
             double cpu = bus.routers.stream().mapToLong(r -> r.cpuNs).max().orElse(0) / 1e9 / seconds;
             figures.add(Figure.of(
                     "cluster.control.bytes-per-node-of-" + size, bytes, Targets.CONTROL_BYTES_PER_S, "bytes/s"));
-            figures.add(Figure.of(
-                    "cluster.control.cpu-per-node-of-" + size, cpu, Targets.CONTROL_CORE_SHARE, "cores"));
+            figures.add(Figure.of("cluster.control.cpu-per-node-of-" + size, cpu, Targets.CONTROL_CORE_SHARE, "cores"));
         }
         return figures;
     }
@@ -221,8 +220,7 @@
                             EntryKind.ENDPOINT_LOAD, node.self().id(), new byte[120], bus.nowMs + 30_000, bus.nowMs);
                 }
                 if (second % 9 == 0 && node.isPlatformWatcher()) {
-                    node.offerConfiguration(
-                            "config/" + bus.nowMs / 1_000, bus.nowMs / 1_000, new byte[800], bus.nowMs);
+                    node.offerConfiguration("config/" + bus.nowMs / 1_000, bus.nowMs / 1_000, new byte[800], bus.nowMs);
                 }
             }
             PeerNode any = bus.routers.get(bus.random.nextInt(bus.routers.size())).node;
@@ -245,5 +243,4 @@
         }
         return offered;
     }
-
 }
--- a/bench/src/main/java/io/radishwinch/bench/CoreMeasures.java
+++ b/bench/src/main/java/io/radishwinch/bench/CoreMeasures.java
@@ -8,6 +8,8 @@
 import io.radishwinch.core.impl.CoreSettings;
 import io.radishwinch.core.model.Rank;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,7 +24,10 @@
     private static final double ORDINARY_LOAD = 0.8;
     private static final double PERCENTILE = 0.95;
 
-    private static Double bound;
+    /** Seeds of the pools over which throughput is measured. */
+    private static final long[] POOL_SEEDS = {Runs.SEED, 8, 9};
+
+    private static final Map<Long, Double> BOUNDS = new HashMap<>();
 
     private CoreMeasures() {}
 
@@ -35,9 +40,15 @@
         return planners;
     }
 
-    private static EngineRun run(BiFunction<EndpointTable, Long, ChainPlanner> planner, double tokensPerS) {
+    private static EngineRun run(
+            long poolSeed, BiFunction<EndpointTable, Long, ChainPlanner> planner, double tokensPerS) {
         EngineRun run = Runs.run(
-                Runs.pool(), planner, Runs.RANKED, CoreSettings.defaults(), null, Runs.config(Runs.contract("app", 0)));
+                new EnginePool(Runs.ENGINES, poolSeed, Runs.ENGINES - 1),
+                planner,
+                Runs.RANKED,
+                CoreSettings.defaults(),
+                null,
+                Runs.config(Runs.contract("app", 0)));
         Runs.load(run, "app", Rank.INTERACTIVE, tokensPerS, 0, END_MS, TIMEOUT_MS);
         run.run(END_MS);
         return run;
@@ -45,42 +56,56 @@
 
     /** Returns the bound of the pool of {@link Runs#pool()} for the request sizes of the runs, in tokens/s. */
     static double poolBoundTokensPerS() {
-        if (bound == null) {
-            double estimate = Runs.boundTokensPerS(run(Runs.COST, 1_000));
-            bound = Runs.boundTokensPerS(run(Runs.COST, OVERLOAD * estimate));
-        }
-        return bound;
+        return BOUNDS.computeIfAbsent(Runs.SEED, CoreMeasures::boundTokensPerS);
+    }
+
+    /** Returns the bound that the core knows after an overload, which shows it the sizes of the requests. */
+    private static double boundTokensPerS(long poolSeed) {
+        double estimate = Runs.boundTokensPerS(run(poolSeed, Runs.COST, 1_000));
+        return Runs.boundTokensPerS(run(poolSeed, Runs.COST, OVERLOAD * estimate));
     }
 
     static List<Figure> throughput() {
-        double boundTokensPerS = poolBoundTokensPerS();
-        double value = share(Runs.COST, boundTokensPerS);
+        double[] value = shares(Runs.COST);
         List<Figure> figures = new ArrayList<>();
         for (Map.Entry<String, BiFunction<EndpointTable, Long, ChainPlanner>> baseline :
                 baselines().entrySet()) {
             figures.add(Figure.of(
                     "core.throughput.share-of-bound vs " + baseline.getKey(),
-                    value,
+                    Arrays.stream(value).average().orElse(0),
                     Targets.THROUGHPUT_SHARE,
                     "ratio",
-                    share(baseline.getValue(), boundTokensPerS)));
+                    Arrays.stream(shares(baseline.getValue())).average().orElse(0)));
+        }
+        for (int i = 0; i < POOL_SEEDS.length; i++) {
+            figures.add(Figure.of(
+                    "core.throughput.share-of-bound-pool-" + POOL_SEEDS[i],
+                    value[i],
+                    Targets.THROUGHPUT_SHARE,
+                    "ratio"));
         }
-        figures.add(Figure.of("core.throughput.bound", boundTokensPerS, Figure.Target.NONE, "tokens/s"));
+        figures.add(Figure.of(
+                "core.throughput.bound-pool-" + Runs.SEED, poolBoundTokensPerS(), Figure.Target.NONE, "tokens/s"));
         return figures;
     }
 
-    private static double share(BiFunction<EndpointTable, Long, ChainPlanner> planner, double boundTokensPerS) {
-        return run(planner, OVERLOAD * boundTokensPerS).tokensPerS(WARM_UP_MS / 1_000, END_MS / 1_000)
-                / boundTokensPerS;
+    /** Returns the delivered throughput of each pool relative to its bound, with arrivals of 1.5 times the bound. */
+    private static double[] shares(BiFunction<EndpointTable, Long, ChainPlanner> planner) {
+        return Arrays.stream(POOL_SEEDS)
+                .mapToDouble(seed -> {
+                    double bound = BOUNDS.computeIfAbsent(seed, CoreMeasures::boundTokensPerS);
+                    return run(seed, planner, OVERLOAD * bound).tokensPerS(WARM_UP_MS / 1_000, END_MS / 1_000) / bound;
+                })
+                .toArray();
     }
 
     static List<Figure> latency() {
         double tokensPerS = ORDINARY_LOAD * poolBoundTokensPerS();
-        EngineRun cost = run(Runs.COST, tokensPerS);
+        EngineRun cost = run(Runs.SEED, Runs.COST, tokensPerS);
         List<Figure> figures = new ArrayList<>();
         for (Map.Entry<String, BiFunction<EndpointTable, Long, ChainPlanner>> baseline :
                 baselines().entrySet()) {
-            EngineRun other = run(baseline.getValue(), tokensPerS);
+            EngineRun other = run(Runs.SEED, baseline.getValue(), tokensPerS);
             figures.add(Figure.of(
                     "core.latency.first-token-p95 vs " + baseline.getKey(),
                     firstTokenMs(cost),
--- a/bench/src/main/java/io/radishwinch/bench/JournalMeasure.java
+++ b/bench/src/main/java/io/radishwinch/bench/JournalMeasure.java
@@ -18,7 +18,9 @@
 import java.util.Optional;
 import java.util.Random;
 
-/** Intents of the journal per platform write, over 8 routers whose call budgets sum to less than the platform's rates. */
+/**
+ * Intents of the journal per platform write, over 8 routers whose call budgets sum to less than the platform's rates.
+ */
 final class JournalMeasure {
     private static final int ROUTERS = 8;
     private static final int SHARDS = 16;
@@ -121,8 +123,8 @@
                     Figure.Target.NONE,
                     "ratio",
                     0.5));
-            figures.add(Figure.of(
-                    "cluster.journal.writes" + at, writesPerS, Targets.PLATFORM_WRITES_PER_S, "writes/s"));
+            figures.add(
+                    Figure.of("cluster.journal.writes" + at, writesPerS, Targets.PLATFORM_WRITES_PER_S, "writes/s"));
         }
         return figures;
     }
--- a/bench/src/main/java/io/radishwinch/bench/LoadFleet.java
+++ b/bench/src/main/java/io/radishwinch/bench/LoadFleet.java
@@ -31,7 +31,8 @@
     static final int TRAFFIC_THREADS = 2;
 
     private static final LayerRange FIRST_HALF = new LayerRange(0, StandInFleet.MODEL_LAYERS / 2);
-    private static final LayerRange SECOND_HALF = new LayerRange(StandInFleet.MODEL_LAYERS / 2, StandInFleet.MODEL_LAYERS);
+    private static final LayerRange SECOND_HALF =
+            new LayerRange(StandInFleet.MODEL_LAYERS / 2, StandInFleet.MODEL_LAYERS);
     private static final double LOAD_TOKEN_US = 10_000;
     static final int ENGINE_LOOPS = 4;
     private static final int LOAD_SLOTS = 512;
--- a/bench/src/test/java/io/radishwinch/bench/FigureTableTest.java
+++ b/bench/src/test/java/io/radishwinch/bench/FigureTableTest.java
@@ -36,7 +36,8 @@
 
     @Test
     void aValueThatIsNotANumberMissesEveryTarget() {
-        assertThat(Figure.of("a", Double.NaN, Targets.ADDED_P99_MS, "ms").pass()).isFalse();
+        assertThat(Figure.of("a", Double.NaN, Targets.ADDED_P99_MS, "ms").pass())
+                .isFalse();
         assertThat(Figure.of("a", Double.NaN, Targets.THROUGHPUT_SHARE, "ratio").pass())
                 .isFalse();
     }
