--- a/bench/src/main/java/io/radishwinch/bench/Runs.java
+++ b/bench/src/main/java/io/radishwinch/bench/Runs.java
@@ -49,11 +49,11 @@
     }
 
     static FleetConfig config(Contract... contracts) {
-        FleetConfig config = new FleetConfig(1, Map.of(), Map.of(EnginePool.MODEL.name(), EnginePool.MODEL), Map.of());
+        Map<String, Contract> byCaller = new HashMap<>();
         for (Contract contract : contracts) {
-            config = config.withContract(1, contract);
+            byCaller.put(contract.caller(), contract);
         }
-        return config;
+        return new FleetConfig(1, byCaller, Map.of(EnginePool.MODEL.name(), EnginePool.MODEL), Map.of());
     }
 
     static EnginePool pool() {
--- a/bench/src/test/java/io/radishwinch/bench/FigureTableTest.java
+++ b/bench/src/test/java/io/radishwinch/bench/FigureTableTest.java
@@ -59,8 +59,8 @@
                 .contains("our bound is " + whole(Targets.LEAVING_MS, 1_000) + " s from the first indication")
                 .contains("our bound is " + whole(Targets.CONFIGURATION_MS, 1_000) + " s.")
                 .contains("removed within " + whole(Targets.DETECTION_MS, 1_000) + " s")
-                .contains("at most " + 100 * Targets.CONTROL_CORE_SHARE.bound() + "% of a core, 256 MB and "
-                        + whole(Targets.CONTROL_BYTES_PER_S, 1_000) + " KB/s")
+                .contains("at most " + Math.round(1_000 * Targets.CONTROL_CORE_SHARE.bound()) / 10.0
+                        + "% of a core, 256 MB and " + whole(Targets.CONTROL_BYTES_PER_S, 1_000) + " KB/s")
                 .contains("quarantined after two crashes at one router");
         assertThat(Targets.LOAD_TOKENS_PER_S.bound()).isEqualTo(20_000);
         assertThat(Targets.ENDPOINTS_LOST.bound()).isEqualTo(2);
--- a/server/src/main/java/io/radishwinch/server/AdminServer.java
+++ b/server/src/main/java/io/radishwinch/server/AdminServer.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.net.PemKeyCertOptions;
+import io.vertx.core.net.ServerSSLOptions;
 
 /** HTTP server for operators. */
 final class AdminServer {
@@ -31,6 +32,15 @@
                 .requestHandler(new AdminApi(vertx, control, settings::operators).router());
     }
 
+    /** Reads the TLS files again. */
+    Future<Boolean> reloadTls() {
+        ServerSSLOptions options = new ServerSSLOptions()
+                .setKeyCertOptions(new PemKeyCertOptions()
+                        .addCertPath(settings.text(SettingKey.ADMIN_TLS_CERT_FILE))
+                        .addKeyPath(settings.text(SettingKey.ADMIN_TLS_KEY_FILE)));
+        return server.updateSSLOptions(options, true);
+    }
+
     Future<Integer> start() {
         return server.listen(settings.integer(SettingKey.ADMIN_PORT), settings.text(SettingKey.ADMIN_HOST))
                 .map(HttpServer::actualPort);
--- a/server/src/main/java/io/radishwinch/server/RouterProcess.java
+++ b/server/src/main/java/io/radishwinch/server/RouterProcess.java
@@ -12,7 +12,9 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import java.util.Arrays;
 import java.util.HexFormat;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 
@@ -69,8 +71,10 @@
         AdminControl adminControl = new AdminControl(plane, metrics::scrape, this::notReadyReason);
         registerGauges();
         plane.start();
+        AdminServer admin = new AdminServer(trafficVertx, settings, adminControl);
+        startTlsReload(admin);
         return callers.start()
-                .compose(ignored -> new AdminServer(trafficVertx, settings, adminControl).start())
+                .compose(ignored -> admin.start())
                 .onSuccess(port -> adminPort = port)
                 .mapEmpty();
     }
@@ -86,6 +90,22 @@
                 this::isReady);
     }
 
+    private void startTlsReload(AdminServer admin) {
+        TlsReloader reloader = new TlsReloader();
+        reloader.add(
+                "callers", files(SettingKey.CALLER_TLS_CERT_FILE, SettingKey.CALLER_TLS_KEY_FILE), callers::reloadTls);
+        reloader.add(
+                "operators", files(SettingKey.ADMIN_TLS_CERT_FILE, SettingKey.ADMIN_TLS_KEY_FILE), admin::reloadTls);
+        PeerTls.of(settings)
+                .ifPresent(tls -> reloader.add(
+                        "routers", List.of(tls.certFile(), tls.keyFile(), tls.caFile()), () -> peers.reloadTls(tls)));
+        reloader.start(controlVertx, settings.integer(SettingKey.TLS_RELOAD_MS));
+    }
+
+    private List<String> files(SettingKey... keys) {
+        return Arrays.stream(keys).map(settings::text).toList();
+    }
+
     private void registerGauges() {
         metrics.gauge("radishwinch.caller.connections", "open connections of callers", callers::connections);
         metrics.gauge("radishwinch.caller.body.bytes", "memory taken by request bodies", callers::bodyBytes);
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/TlsReloader.java
@@ -0,0 +1,78 @@
+package io.radishwinch.server;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/**
+ * Applies changed certificate and key files to running servers and clients. New connections use the new files, open
+ * ones keep theirs; files that cannot be used leave the old ones in effect.
+ */
+final class TlsReloader {
+    private static final System.Logger LOG = System.getLogger(TlsReloader.class.getName());
+
+    private final List<Target> targets = new ArrayList<>();
+
+    /** A server or client, the files that it uses, and how it takes them again. */
+    private record Target(
+            String name, List<String> files, Supplier<Future<Boolean>> reload, Map<String, FileTime> seen) {}
+
+    /**
+     * Adds a server or client.
+     *
+     * @param files files that it uses; empty names are left out
+     * @param reload reads the files again
+     */
+    void add(String name, List<String> files, Supplier<Future<Boolean>> reload) {
+        List<String> used = files.stream().filter(file -> !file.isEmpty()).toList();
+        if (!used.isEmpty()) {
+            targets.add(new Target(name, used, reload, modificationTimes(used)));
+        }
+    }
+
+    /** Looks for changed files at an interval. */
+    void start(Vertx vertx, long intervalMs) {
+        if (!targets.isEmpty()) {
+            vertx.setPeriodic(intervalMs, ignored -> reloadChanged());
+        }
+    }
+
+    /** Applies the files that have changed since the last call. */
+    void reloadChanged() {
+        for (Target target : targets) {
+            Map<String, FileTime> now = modificationTimes(target.files());
+            if (!now.equals(target.seen())) {
+                target.seen().putAll(now);
+                target.reload()
+                        .get()
+                        .onSuccess(done ->
+                                LOG.log(System.Logger.Level.INFO, "{0}: new TLS files are in use", target.name()))
+                        .onFailure(error -> LOG.log(
+                                System.Logger.Level.ERROR,
+                                "{0}: new TLS files cannot be used, the old ones stay: {1}",
+                                target.name(),
+                                error.getMessage()));
+            }
+        }
+    }
+
+    private static Map<String, FileTime> modificationTimes(List<String> files) {
+        Map<String, FileTime> times = new HashMap<>();
+        for (String file : files) {
+            try {
+                times.put(file, Files.getLastModifiedTime(Path.of(file)));
+            } catch (IOException e) {
+                times.put(file, FileTime.fromMillis(0));
+            }
+        }
+        return times;
+    }
+}
--- a/server/src/main/java/io/radishwinch/server/http/CallerServer.java
+++ b/server/src/main/java/io/radishwinch/server/http/CallerServer.java
@@ -18,7 +18,10 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.net.PemKeyCertOptions;
+import io.vertx.core.net.ServerSSLOptions;
+import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -40,6 +43,7 @@
     private final MemoryBudget bodies =
             new MemoryBudget((long) (Runtime.getRuntime().maxMemory() * BODY_MEMORY_SHARE));
     private final AtomicInteger connections = new AtomicInteger();
+    private final List<HttpServer> servers = new CopyOnWriteArrayList<>();
     private volatile int port;
 
     /**
@@ -79,6 +83,20 @@
         return first.mapEmpty();
     }
 
+    /** Reads the TLS files again on all traffic threads. */
+    public Future<Boolean> reloadTls() {
+        ServerSSLOptions options = new ServerSSLOptions()
+                .setUseAlpn(true)
+                .setKeyCertOptions(new PemKeyCertOptions()
+                        .addCertPath(settings.text(SettingKey.CALLER_TLS_CERT_FILE))
+                        .addKeyPath(settings.text(SettingKey.CALLER_TLS_KEY_FILE)));
+        Future<Boolean> all = Future.succeededFuture(true);
+        for (HttpServer server : servers) {
+            all = all.compose(ignored -> server.updateSSLOptions(options, true));
+        }
+        return all;
+    }
+
     /** Returns the port that callers reach. */
     public int port() {
         return port;
@@ -111,6 +129,7 @@
                     .requestHandler(api.routes())
                     .invalidRequestHandler(this::invalidRequest)
                     .connectionHandler(this::connected);
+            servers.add(server);
             int setting = settings.integer(SettingKey.CALLER_PORT);
             return server.listen(setting == 0 ? SHARED_FREE_PORT : setting, settings.text(SettingKey.CALLER_HOST))
                     .onSuccess(listening -> port = listening.actualPort());
--- a/server/src/main/java/io/radishwinch/server/peer/PeerTls.java
+++ b/server/src/main/java/io/radishwinch/server/peer/PeerTls.java
@@ -3,10 +3,12 @@
 import io.radishwinch.config.settings.RouterSettings;
 import io.radishwinch.config.settings.SettingKey;
 import io.vertx.core.http.ClientAuth;
+import io.vertx.core.net.ClientSSLOptions;
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.PemKeyCertOptions;
 import io.vertx.core.net.PemTrustOptions;
+import io.vertx.core.net.ServerSSLOptions;
 import java.util.Optional;
 
 /**
@@ -49,6 +51,22 @@
         return options;
     }
 
+    /** Returns the options of a running server, with the files as they are now. */
+    ServerSSLOptions serverUpdate() {
+        return new ServerSSLOptions()
+                .setKeyCertOptions(keyCert())
+                .setTrustOptions(trust())
+                .setClientAuth(ClientAuth.REQUIRED);
+    }
+
+    /** Returns the options of a running client, with the files as they are now. */
+    ClientSSLOptions clientUpdate() {
+        return new ClientSSLOptions()
+                .setHostnameVerificationAlgorithm("")
+                .setKeyCertOptions(keyCert())
+                .setTrustOptions(trust());
+    }
+
     private PemKeyCertOptions keyCert() {
         return new PemKeyCertOptions().addCertPath(certFile).addKeyPath(keyFile);
     }
--- a/server/src/main/java/io/radishwinch/server/peer/PeerTransport.java
+++ b/server/src/main/java/io/radishwinch/server/peer/PeerTransport.java
@@ -65,6 +65,12 @@
         return server.connectHandler(this::accept).listen(port, host).map(NetServer::actualPort);
     }
 
+    /** Reads the TLS files again; new connections use them. */
+    public Future<Boolean> reloadTls(PeerTls tls) {
+        return server.updateSSLOptions(tls.serverUpdate(), true)
+                .compose(ignored -> client.updateSSLOptions(tls.clientUpdate(), true));
+    }
+
     /** Sends frames, in order for each receiver. */
     public void send(List<Outgoing> frames) {
         for (Outgoing outgoing : frames) {
