--- /dev/null
+++ b/embedded/src/test/java/io/radishwinch/embedded/SeparateProcessesTest.java
@@ -0,0 +1,145 @@
+package io.radishwinch.embedded;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.config.contract.KeyHash;
+import io.radishwinch.server.Main;
+import io.radishwinch.standins.PlatformStandIn;
+import io.radishwinch.standins.StandInFleet;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Guards the routers as processes of their own: their start from a settings file, SIGKILL, and SIGTERM during a stream.
+ */
+class SeparateProcessesTest {
+    private static final String KEY = "test-key";
+    private static final String CHARGES = "/services/" + StandInFleet.BILLING + "/charges";
+    private static final int MAX_POLLS = 600;
+
+    @TempDir
+    Path directory;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final List<Process> processes = new ArrayList<>();
+    private final CallerClient caller = new CallerClient(KEY);
+    private StandInFleet fleet;
+
+    @BeforeEach
+    void start() {
+        fleet = StandInFleet.start(vertx);
+        put("models/" + StandInFleet.MODEL, "schema: model/v1\nname: " + StandInFleet.MODEL + "\nlayerCount: 24\n");
+        put(
+                "services/" + StandInFleet.BILLING,
+                "schema: service/v1\nname: " + StandInFleet.BILLING
+                        + "\noperations: [{method: POST, pathPrefix: /charges, repeatable: false}]\n");
+        put(
+                "contracts/app",
+                "schema: contract/v1\ncaller: app\nkeyHashes: ['sha256:" + KeyHash.of(KEY)
+                        + "']\nranks: {interactive: {}, account-action: {}}\n");
+    }
+
+    private void put(String name, String text) {
+        fleet.platform().putObject("config/" + name, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @AfterEach
+    void stop() {
+        processes.forEach(Process::destroyForcibly);
+        fleet.close();
+        EmbeddedDeployment.await(vertx.close());
+    }
+
+    /** A started router and the port on which it serves callers. */
+    private record Router(Process process, int port) {}
+
+    private Router startRouter(String id) throws IOException {
+        int port = freePort();
+        int peerPort = freePort();
+        Path settings = directory.resolve(id + ".yaml");
+        Files.writeString(
+                settings,
+                "routerId: " + id + "\ncaller: {port: " + port + "}\nadmin: {port: " + freePort() + "}\npeer: {port: "
+                        + peerPort + "}\nplatform: {port: " + fleet.platform().port()
+                        + ", vmListIntervalMs: 200}\nlog: {format: json}\n");
+        Process process = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Xmx256m",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        Main.class.getName(),
+                        "--settings",
+                        settings.toString())
+                .redirectErrorStream(true)
+                .redirectOutput(directory.resolve(id + ".log").toFile())
+                .start();
+        processes.add(process);
+        fleet.platform().putVm(new PlatformStandIn.Vm(id, "dc-1", "127.0.0.1", peerPort, "router", "", false));
+        return new Router(process, port);
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private boolean answers(Router router) {
+        try {
+            return caller.complete(router.port(), "interactive", StandInFleet.MODEL, "ready?", 1)
+                    .complete();
+        } catch (IOException e) {
+            return false;
+        } catch (InterruptedException e) {
+            throw new AssertionError("interrupted", e);
+        }
+    }
+
+    private static void waitUntil(BooleanSupplier condition) throws InterruptedException {
+        for (int i = 0; i < MAX_POLLS && !condition.getAsBoolean(); i++) {
+            Thread.sleep(50);
+        }
+        assertThat(condition.getAsBoolean()).isTrue();
+    }
+
+    @Test
+    void aKilledRouterLosesNoChargeAndAStoppedOneCutsNoStream() throws Exception {
+        Router killed = startRouter("router-1");
+        Router stopped = startRouter("router-2");
+        waitUntil(() -> answers(killed) && answers(stopped));
+
+        HttpResponse<String> charge = caller.call(killed.port(), CHARGES, "renewal-1", "{\"cents\":1900}");
+        assertThat(charge.statusCode()).isEqualTo(200);
+        killed.process().destroyForcibly().waitFor();
+        HttpResponse<String> again = caller.call(stopped.port(), CHARGES, "renewal-1", "{\"cents\":1900}");
+        assertThat(again.body()).isEqualTo(charge.body());
+        assertThat(fleet.service(StandInFleet.BILLING).executions("renewal-1")).isEqualTo(1);
+
+        boolean[] asked = {false};
+        CallerClient.Answer answer =
+                caller.stream(stopped.port(), "interactive", StandInFleet.MODEL, "a long story", 300, tokens -> {
+                    if (tokens >= 10 && !asked[0]) {
+                        asked[0] = true;
+                        stopped.process().destroy();
+                    }
+                });
+        assertThat(answer.complete()).isTrue();
+        assertThat(answer.tokens()).hasSize(300);
+        assertThat(stopped.process().waitFor(60, TimeUnit.SECONDS)).isTrue();
+        assertThat(stopped.process().exitValue()).isZero();
+        assertThat(fleet.ledger().violations()).isEmpty();
+    }
+}
--- a/server/src/main/java/io/radishwinch/server/ControlPlane.java
+++ b/server/src/main/java/io/radishwinch/server/ControlPlane.java
@@ -92,6 +92,7 @@
     private volatile Map<String, Double> boundTokensPerSByPool = Map.of();
     private final Set<String> failedEndpoints = new HashSet<>();
     private final SurgeDetector surges;
+    private volatile int liveRouters = 1;
     private boolean configured;
     private long nextLoadAtMs;
 
@@ -268,6 +269,10 @@
         return journal;
     }
 
+    int liveRouters() {
+        return liveRouters;
+    }
+
     /** Returns the achievable throughput of each pool in tokens/s, at most 0.5 s old; safe for use by any thread. */
     Map<String, Double> boundTokensPerSByPool() {
         return boundTokensPerSByPool;
@@ -295,7 +300,8 @@
             live.add(node.self().id());
             lease.confirm(live, nowMs);
         }
-        updateBudget(live.size());
+        liveRouters = node.members().size() + 1;
+        updateBudget(liveRouters);
         surges.tick(nowMs);
         boundTokensPerSByPool = control.core().view().pools().stream()
                 .collect(Collectors.toUnmodifiableMap(PoolView::pool, PoolView::boundTokensPerS));
--- a/server/src/main/java/io/radishwinch/server/RouterProcess.java
+++ b/server/src/main/java/io/radishwinch/server/RouterProcess.java
@@ -152,6 +152,11 @@
         return peerPort;
     }
 
+    /** Returns the number of live routers in the data centre, this one included, as seen up to 0.5 s ago. */
+    public int liveRouters() {
+        return plane.liveRouters();
+    }
+
     /** Returns the metrics of this router. */
     public RouterMetrics metrics() {
         return metrics;
--- a/server/src/test/java/io/radishwinch/server/TestDeployment.java
+++ b/server/src/test/java/io/radishwinch/server/TestDeployment.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 
 /** Stand-ins and routers of one test, on loopback. */
 final class TestDeployment implements AutoCloseable {
@@ -46,7 +47,11 @@
     }
 
     RouterProcess startRouter(String id) throws Exception {
-        RouterProcess router = new RouterProcess(RouterSettings.defaults()
+        return startRouter(id, settings -> settings);
+    }
+
+    RouterProcess startRouter(String id, UnaryOperator<RouterSettings> change) throws Exception {
+        RouterProcess router = new RouterProcess(change.apply(RouterSettings.defaults()
                 .with(SettingKey.ROUTER_ID, id)
                 .with(SettingKey.CALLER_PORT, 0)
                 .with(SettingKey.ADMIN_PORT, 0)
@@ -55,7 +60,7 @@
                 .with(SettingKey.CALLER_BODY_TIMEOUT_MS, 500)
                 .with(SettingKey.PLATFORM_VM_LIST_MS, 200)
                 .with(SettingKey.ENDPOINT_LOAD_INTERVAL_MS, 100)
-                .with(SettingKey.PLATFORM_PORT, fleet.platform().port()));
+                .with(SettingKey.PLATFORM_PORT, fleet.platform().port())));
         await(router.start());
         routers.add(router);
         fleet.platform().putVm(new PlatformStandIn.Vm(id, "dc-1", "127.0.0.1", router.peerPort(), "router", "", false));
