Follow the configuration with the watch follower of the platform package

Cause: the follower of the server listed again 100 ms after each failed call and at every end of a watch, where the one of the cluster module backs off with jitter and continues behind the last change.

--- a/cluster/src/main/java/io/radishwinch/cluster/platform/WatchFollower.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/WatchFollower.java
@@ -6,13 +6,13 @@
 import io.radishwinch.cluster.platform.PlatformException.Kind;
 import io.smallrye.mutiny.subscription.Cancellable;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 /**
@@ -32,7 +32,7 @@
     private final Scheduler scheduler;
     private final RandomGenerator random;
     private final String prefix;
-    private final Consumer<Change> receiver;
+    private final Receiver receiver;
 
     private final Map<String, Long> versions = new HashMap<>();
     private final Set<String> present = new HashSet<>();
@@ -45,17 +45,30 @@
     private Cancellable watch;
     private Scheduler.Timer timer;
 
+    /** Receives what the follower sees. */
+    @FunctionalInterface
+    public interface Receiver {
+
+        /** A key changed; a key that a listing no longer shows is reported as deleted. */
+        void changed(Change change);
+
+        /**
+         * All objects under the prefix were listed, before their changes are reported. Objects that the receiver knows
+         * from elsewhere and that are missing were deleted.
+         *
+         * @param objects all objects
+         * @param storeVersion lowest store version of the pages
+         */
+        default void listed(Collection<StoredObject> objects, long storeVersion) {}
+    }
+
     /**
      * Creates a follower that does nothing until it is started.
      *
-     * @param receiver receives every change; a key that a listing no longer shows is reported as deleted
+     * @param receiver receives every listing and change
      */
     public WatchFollower(
-            PlatformClient platform,
-            Scheduler scheduler,
-            RandomGenerator random,
-            String prefix,
-            Consumer<Change> receiver) {
+            PlatformClient platform, Scheduler scheduler, RandomGenerator random, String prefix, Receiver receiver) {
         this.platform = platform;
         this.scheduler = scheduler;
         this.random = random;
@@ -115,6 +128,7 @@
     }
 
     private void onListed(Map<String, StoredObject> found, long listedVersion) {
+        receiver.listed(found.values(), listedVersion);
         found.values()
                 .forEach(object -> receive(
                         new Change(object.key(), object.version(), Optional.of(object.value()), object.nonce())));
@@ -183,7 +197,7 @@
         } else {
             present.remove(change.key());
         }
-        receiver.accept(change);
+        receiver.changed(change);
     }
 
     // ---- timers ----
--- a/server/src/main/java/io/radishwinch/server/ControlPlane.java
+++ b/server/src/main/java/io/radishwinch/server/ControlPlane.java
@@ -137,7 +137,7 @@
         demand = new DemandMeter(clock.getAsLong());
         HttpEngineClient engines = new HttpEngineClient(vertx, ClientOptions.defaults(), clock, orderKey());
         endpoints = new EndpointTracker(control, engines);
-        configuration = new ConfigurationFollower(platform, node, clock, this::configure);
+        configuration = new ConfigurationFollower(platform, scheduler, random, node, clock, this::configure);
         journalSettings = JournalSettings.of(processId);
         journalPeers = new PeerJournal(vertx, node, journalSettings.peerTimeoutMs(), peers::send);
         PlatformClient urgent = platform.withPriority(CallPriority.URGENT);
