Measure the memory of a request after a round that frees what earlier rounds left

Cause: garbage of earlier rounds was freed between the two readings, so the result was -829 bytes for each request.

--- a/bench/src/main/java/io/radishwinch/bench/SpeedMeasures.java
+++ b/bench/src/main/java/io/radishwinch/bench/SpeedMeasures.java
@@ -185,14 +185,17 @@
         double endpoints = heapBytes(() -> new Bench(LARGE_ENDPOINTS, 10));
         double callers = heapBytes(() -> new Bench(DESIGN_ENDPOINTS, MANY_CALLERS + 10));
         long[] held = new long[1];
-        double requests = heapBytes(() -> {
+        Supplier<Bench> withRequests = () -> {
             Bench bench = new Bench(DESIGN_ENDPOINTS, 10);
             for (int i = 0; i < MANY_REQUESTS; i++) {
                 bench.arrive();
             }
             held[0] = bench.parts.core.view().queued() + bench.parts.core.view().running();
             return bench;
-        });
+        };
+        // What earlier rounds left behind is freed in this round and would make the result too small.
+        heapBytes(withRequests);
+        double requests = heapBytes(withRequests);
         return List.of(
                 bytes("endpoint", (endpoints - small) / (LARGE_ENDPOINTS - DESIGN_ENDPOINTS)),
                 bytes("caller", (callers - small) / MANY_CALLERS),
