Do not send a non-repeatable call after its deadline

Cause: a router that is paused while it waits for its grant could send the call long after the caller had given up. The grant is given back instead, with the verdict not-run.

--- a/cluster/src/main/java/io/radishwinch/cluster/membership/Membership.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/membership/Membership.java
@@ -8,6 +8,7 @@
 import io.radishwinch.protocol.generated.PingRequest;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -367,7 +368,7 @@
         List<Address> candidates = new ArrayList<>();
         seeds.values().stream()
                 .filter(seed -> member(seed.id()) == null)
-                .sorted(java.util.Comparator.comparing(Seed::id))
+                .sorted(Comparator.comparing(Seed::id))
                 .forEach(seed -> candidates.add(seed.address()));
         table.inState(MemberState.DEAD).stream()
                 .map(MemberInfo::address)
--- a/server/src/main/java/io/radishwinch/server/http/BodyCollector.java
+++ b/server/src/main/java/io/radishwinch/server/http/BodyCollector.java
@@ -1,6 +1,7 @@
 package io.radishwinch.server.http;
 
 import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.Verdict;
 import io.vavr.control.Either;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -78,11 +79,7 @@
         if (body.length() + chunk.length() > maxBytes) {
             fail(tooLarge());
         } else if (!budget.tryReserve(chunk.length())) {
-            fail(new Refusal(
-                    Reason.QUEUE_FULL,
-                    io.radishwinch.core.model.Verdict.NOT_RUN,
-                    "too many request bodies in memory",
-                    1000));
+            fail(new Refusal(Reason.QUEUE_FULL, Verdict.NOT_RUN, "too many request bodies in memory", 1000));
         } else {
             body.appendBuffer(chunk);
         }
--- a/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
@@ -81,6 +81,10 @@
             grant = granted;
             if (isFinished() || attempt.epoch() != epoch) {
                 releaseGrant();
+            } else if (shared.control().nowMs() >= attempt.deadlineMs()) {
+                // A process that was paused may wake with its grant long after the caller has given up.
+                releaseGrant();
+                fail(attempt.epoch(), endpointId, Reason.DEADLINE_EXCEEDED, Verdict.NOT_RUN);
             } else {
                 send(attempt, address);
             }
