--- a/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
@@ -63,11 +63,11 @@
 
     private void tryParked(RequestRow row, long nowMs) {
         if (row.gated) {
-            row.impatient = row.dueAtMs <= nowMs;
+            row.mayJoinBusy = row.dueAtMs <= nowMs;
             state.requeue(row, nowMs);
         } else if (row.dueAtMs <= nowMs) {
             row.excludedEndpointIds.clear();
-            row.impatient = true;
+            row.mayJoinBusy = true;
             state.requeue(row, nowMs);
         } else {
             ModelSpec model = state.config.pool(row.spec.pool());
@@ -121,7 +121,7 @@
             return exclusions;
         }
         exclusions.addAll(state.observedEndpointIds);
-        if (!row.impatient) {
+        if (!row.mayJoinBusy) {
             exclusions.add(state.quarantine.crashedEndpointId(row.spec.fingerprint(), nowMs));
             state.attemptsByEndpoint.forEach((id, attempts) -> {
                 if (attempts > maxNeighbours) {
@@ -162,7 +162,7 @@
         row.firstTokenAtMs = -1;
         row.attemptFirstTokens = row.deliveredTokens;
         row.accepted = false;
-        row.impatient = false;
+        row.mayJoinBusy = false;
         state.acquire(row, chain, nowMs);
         List<String> kvSources = row.kvSourceEndpointIds.stream()
                 .filter(id -> state.directory.isUsable(id, nowMs))
--- a/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
+++ b/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
@@ -61,7 +61,7 @@
     /** Whether the request waits until fewer attempts with its fingerprint run. */
     boolean gated;
     /** Whether the request has waited long enough for an endpoint with few other attempts. */
-    boolean impatient;
+    boolean mayJoinBusy;
     /** Whether the first endpoint accepted the running attempt. */
     boolean accepted;
     /** Whether the running attempt is a suspect's under observation. */
--- a/core/src/main/java/io/radishwinch/core/retry/RetryBudget.java
+++ b/core/src/main/java/io/radishwinch/core/retry/RetryBudget.java
@@ -8,7 +8,7 @@
  *
  * <p>Each first attempt adds a small fraction of a token and its completion most of it, so that a total outage, in
  * which nothing completes, adds little. The balance is limited to what the load of a short window adds, so that retries
- * follow the load and a quiet period saves up no storm.
+ * follow the load and a quiet period saves up no burst of retries.
  */
 public final class RetryBudget {
 
--- a/server/src/test/java/io/radishwinch/server/platform/HttpPlatformClientTest.java
+++ b/server/src/test/java/io/radishwinch/server/platform/HttpPlatformClientTest.java
@@ -24,14 +24,14 @@
     private Vertx vertx;
     private PlatformStandIn platform;
     private HttpPlatformClient client;
-    private HttpPlatformClient impatient;
+    private HttpPlatformClient shortTimeoutClient;
 
     @BeforeEach
     void startPlatform() {
         vertx = Vertx.vertx();
         platform = PlatformStandIn.start(vertx, 0, 4);
         client = client(PATIENT_MS);
-        impatient = client(500);
+        shortTimeoutClient = client(500);
     }
 
     private HttpPlatformClient client(long timeoutMs) {
@@ -78,8 +78,9 @@
         assertThat(kind(client.put("b", 0, new byte[PlatformClient.MAX_VALUE_BYTES + 1], "n")))
                 .isEqualTo(PlatformException.Kind.NO_EFFECT);
         platform.setSlowMs(60_000);
-        assertThat(kind(impatient.put("c", 0, bytes("1"), "n"))).isEqualTo(PlatformException.Kind.EFFECT_UNKNOWN);
-        assertThat(kind(impatient.get("a"))).isEqualTo(PlatformException.Kind.NO_EFFECT);
+        assertThat(kind(shortTimeoutClient.put("c", 0, bytes("1"), "n")))
+                .isEqualTo(PlatformException.Kind.EFFECT_UNKNOWN);
+        assertThat(kind(shortTimeoutClient.get("a"))).isEqualTo(PlatformException.Kind.NO_EFFECT);
         platform.setSlowMs(0);
         platform.setDown(true);
         assertThat(kind(client.put("d", 0, bytes("1"), "n"))).isEqualTo(PlatformException.Kind.EFFECT_UNKNOWN);
@@ -146,7 +147,7 @@
     @Test
     void aWatchOnASilentPlatformFails() {
         platform.setPaused(true);
-        assertThat(watchEnd(impatient, 0)).isEqualTo(PlatformException.Kind.NO_EFFECT);
+        assertThat(watchEnd(shortTimeoutClient, 0)).isEqualTo(PlatformException.Kind.NO_EFFECT);
         platform.crash();
         assertThat(watchEnd(0)).isEqualTo(PlatformException.Kind.NO_EFFECT);
     }
