--- a/server/src/main/java/io/radishwinch/server/ControlPlane.java
+++ b/server/src/main/java/io/radishwinch/server/ControlPlane.java
@@ -15,6 +15,7 @@
 import io.radishwinch.config.settings.RouterFeature;
 import io.radishwinch.config.settings.RouterSettings;
 import io.radishwinch.config.settings.SettingKey;
+import io.radishwinch.core.DecisionCore.CoreView;
 import io.radishwinch.core.DecisionCore.PoolView;
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.chain.CostChainPlanner;
@@ -295,7 +296,8 @@
     private void shareLoad() {
         long nowMs = clock.getAsLong();
         node.observe(demand.read(nowMs), nowMs);
-        publishLoad(nowMs);
+        CoreView view = control.core().view();
+        publishLoad(view, nowMs);
         List<String> live =
                 new ArrayList<>(node.members().stream().map(MemberInfo::id).toList());
         // A router that hears neither from peers nor from the platform may be cut off, so it gives no orders.
@@ -306,14 +308,14 @@
         liveRouters = node.members().size() + 1;
         updateBudget(liveRouters);
         surges.tick(nowMs);
-        boundTokensPerSByPool = control.core().view().pools().stream()
-                .collect(Collectors.toUnmodifiableMap(PoolView::pool, PoolView::boundTokensPerS));
+        boundTokensPerSByPool =
+                view.pools().stream().collect(Collectors.toUnmodifiableMap(PoolView::pool, PoolView::boundTokensPerS));
     }
 
     /** The interval grows with the routers of the data centre, so that the bytes that each of them relays do not. */
-    private void publishLoad(long nowMs) {
+    private void publishLoad(CoreView view, long nowMs) {
         if (nowMs >= nextLoadAtMs) {
-            shared.publishLoad();
+            shared.publishLoad(view);
             nextLoadAtMs = nowMs + LOAD_INTERVAL_PER_ROUTER_MS * (node.members().size() + 1);
         }
     }
--- a/server/src/main/java/io/radishwinch/server/EndpointTracker.java
+++ b/server/src/main/java/io/radishwinch/server/EndpointTracker.java
@@ -64,8 +64,8 @@
     }
 
     /**
-     * Applies a reading of the VM list. The list lags: a listed VM may be dead, and one that is missing has left or is
-     * yet to be listed; so it gets no new work, but counts as gone only when it does not answer.
+     * Applies a reading of the VM list. The list lags, and one reading may be incomplete: an endpoint counts as leaving
+     * when it is missing twice in a row, but not when more than half of all endpoints are missing at once.
      */
     public void vmsListed(List<Vm> vms) {
         Set<String> listed = new HashSet<>();
--- a/server/src/main/java/io/radishwinch/server/SharedState.java
+++ b/server/src/main/java/io/radishwinch/server/SharedState.java
@@ -9,6 +9,7 @@
 import io.radishwinch.cluster.gossip.GossipEntry;
 import io.radishwinch.cluster.gossip.KindPolicy;
 import io.radishwinch.cluster.membership.MemberInfo;
+import io.radishwinch.core.DecisionCore.CoreView;
 import io.radishwinch.core.DecisionCore.EndpointView;
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.event.Event;
@@ -87,9 +88,9 @@
     }
 
     /** Publishes the attempts that this router runs on each endpoint. */
-    void publishLoad() {
+    void publishLoad(CoreView view) {
         Map<String, Integer> running = new HashMap<>();
-        for (EndpointView endpoint : control.core().view().endpoints()) {
+        for (EndpointView endpoint : view.endpoints()) {
             if (endpoint.running() > 0) {
                 running.put(endpoint.endpointId(), endpoint.running());
             }
