--- a/cli/src/test/java/io/radishwinch/cli/SettingsPageTest.java
+++ b/cli/src/test/java/io/radishwinch/cli/SettingsPageTest.java
@@ -44,11 +44,11 @@
     void thePageListsEverySettingAsTheRouterReadsIt() throws IOException {
         List<String> expected =
                 List.of(SettingKey.values()).stream().map(SettingsPageTest::row).toList();
-        Files.write(Path.of("target/settings-rows.md"), expected);
+        Files.write(Path.of("../target/radishwinch-cli/settings-rows.md"), expected);
         assertThat(rows("settings.md", "| `").stream()
                         .filter(line -> !line.startsWith("| `features.") && !line.startsWith("| `operators"))
                         .toList())
-                .as("the rows to write are in cli/target/settings-rows.md")
+                .as("the rows to write are in target/radishwinch-cli/settings-rows.md")
                 .isEqualTo(expected);
     }
 
--- a/cluster/src/main/java/io/radishwinch/cluster/platform/CircuitBreaker.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/CircuitBreaker.java
@@ -13,20 +13,27 @@
     private static final int FAILURES_TO_OPEN = 5;
     private static final long FIRST_PROBE_MS = 500;
     /** At 360 routers, one probe in 2 to 4 s each is about 120 calls/s, under a tenth of the platform's reads. */
-    private static final long MAX_PROBE_MS = 4_000;
+    static final long MAX_PROBE_MS = 4_000;
 
     private final Scheduler scheduler;
     private final RandomGenerator random;
     private final PlatformListener listener;
     private final Supplier<Uni<?>> probe;
+    private final long maxProbeMs;
     private int failures;
     private boolean open;
 
-    CircuitBreaker(Scheduler scheduler, RandomGenerator random, PlatformListener listener, Supplier<Uni<?>> probe) {
+    CircuitBreaker(
+            Scheduler scheduler,
+            RandomGenerator random,
+            PlatformListener listener,
+            Supplier<Uni<?>> probe,
+            long maxProbeMs) {
         this.scheduler = scheduler;
         this.random = random;
         this.listener = listener;
         this.probe = probe;
+        this.maxProbeMs = maxProbeMs;
     }
 
     boolean isOpen() {
@@ -55,7 +62,7 @@
             if (open) {
                 probe.get()
                         .subscribe()
-                        .with(answer -> onSuccess(), failure -> scheduleProbe(Math.min(MAX_PROBE_MS, delayMs * 2)));
+                        .with(answer -> onSuccess(), failure -> scheduleProbe(Math.min(maxProbeMs, delayMs * 2)));
             }
         });
     }
--- a/cluster/src/main/java/io/radishwinch/cluster/platform/ResilientPlatformClient.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/ResilientPlatformClient.java
@@ -41,13 +41,29 @@
             Scheduler scheduler,
             RandomGenerator random,
             PlatformListener listener) {
+        this(platform, budget, scheduler, random, listener, CircuitBreaker.MAX_PROBE_MS);
+    }
+
+    /**
+     * Creates a client whose calls have {@link CallPriority#NORMAL}.
+     *
+     * @param maxProbeMs longest wait between two probes of a platform that does not answer, in ms
+     */
+    public ResilientPlatformClient(
+            PlatformClient platform,
+            CallBudget budget,
+            Scheduler scheduler,
+            RandomGenerator random,
+            PlatformListener listener,
+            long maxProbeMs) {
         this.platform = platform;
         this.budget = budget;
         this.scheduler = scheduler;
         this.random = random;
         this.listener = listener;
         this.priority = CallPriority.NORMAL;
-        this.circuit = new CircuitBreaker(scheduler, random, listener, () -> timed(false, () -> platform.get("probe")));
+        this.circuit = new CircuitBreaker(
+                scheduler, random, listener, () -> timed(false, () -> platform.get("probe")), maxProbeMs);
     }
 
     private ResilientPlatformClient(ResilientPlatformClient shared, CallPriority priority) {
--- a/cluster/src/main/java/io/radishwinch/cluster/platform/Scheduler.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/Scheduler.java
@@ -3,7 +3,7 @@
 /** Time and timers of the control thread. All tasks run on that thread. */
 public interface Scheduler {
 
-    /** Returns the wall clock of this VM, in ms since the epoch. */
+    /** Returns the time of a clock that does not go backwards, in ms. */
     long nowMs();
 
     /**
--- a/cluster/src/main/java/io/radishwinch/cluster/platform/WatchFollower.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/WatchFollower.java
@@ -33,6 +33,7 @@
     private final RandomGenerator random;
     private final String prefix;
     private final Receiver receiver;
+    private final long maxBackoffMs;
 
     private final Map<String, Long> versions = new HashMap<>();
     private final Set<String> present = new HashSet<>();
@@ -69,11 +70,28 @@
      */
     public WatchFollower(
             PlatformClient platform, Scheduler scheduler, RandomGenerator random, String prefix, Receiver receiver) {
+        this(platform, scheduler, random, prefix, receiver, MAX_BACKOFF_MS);
+    }
+
+    /**
+     * Creates a follower that does nothing until it is started.
+     *
+     * @param receiver receives every listing and change
+     * @param maxBackoffMs longest wait between two tries while the platform fails, in ms
+     */
+    public WatchFollower(
+            PlatformClient platform,
+            Scheduler scheduler,
+            RandomGenerator random,
+            String prefix,
+            Receiver receiver,
+            long maxBackoffMs) {
         this.platform = platform;
         this.scheduler = scheduler;
         this.random = random;
         this.prefix = prefix;
         this.receiver = receiver;
+        this.maxBackoffMs = maxBackoffMs;
     }
 
     /** Starts to list and to watch. */
@@ -210,7 +228,7 @@
 
     private long backoff() {
         long delayMs = backoffMs / 2 + random.nextLong(backoffMs);
-        backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
+        backoffMs = Math.min(maxBackoffMs, backoffMs * 2);
         return delayMs;
     }
 
--- a/config/src/main/java/io/radishwinch/config/settings/SettingKey.java
+++ b/config/src/main/java/io/radishwinch/config/settings/SettingKey.java
@@ -211,6 +211,15 @@
             1e13,
             "bytes/s",
             "Rate at which engines of this data centre may read weights together."),
+    /** TCP port on which a platform's process serves its metrics. */
+    METRICS_PORT(
+            "metrics.port",
+            Kind.INTEGER,
+            "9464",
+            1,
+            65535,
+            "port",
+            "TCP port on which a platform's process serves its metrics."),
     /** Event loops that serve callers and endpoints. */
     TRAFFIC_THREADS(
             "trafficThreads", Kind.INTEGER, "2", 1, 256, "threads", "Event loops that serve callers and endpoints."),
--- a/core/src/main/java/io/radishwinch/core/DecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/DecisionCore.java
@@ -121,9 +121,16 @@
      * @param state {@code live}, {@code slow-start}, {@code ejected} or {@code leaving}
      * @param running attempts of this router on the endpoint
      * @param slots attempts that the endpoint runs at the same time
+     * @param kvBytes KV cache memory that the attempts of this router may use, in bytes
      */
     record EndpointView(
-            String endpointId, String dataCentre, String acceleratorKind, String state, int running, int slots) {}
+            String endpointId,
+            String dataCentre,
+            String acceleratorKind,
+            String state,
+            int running,
+            int slots,
+            long kvBytes) {}
 
     /**
      * State of one pool.
--- a/core/src/main/java/io/radishwinch/core/chain/CostModel.java
+++ b/core/src/main/java/io/radishwinch/core/chain/CostModel.java
@@ -44,9 +44,12 @@
         nowMs = newNowMs;
     }
 
-    /** Returns the delay between two stages, in us; zero in front of the first stage. */
+    /** Returns the delay between two stages, or the price of entering the chain at its first stage, in us. */
     double linkUs(EndpointRow from, EndpointRow to) {
-        return from == null || to == null ? 0 : links.delayUs(from, to, nowMs);
+        if (to == null) {
+            return 0;
+        }
+        return from == null ? links.entryUs(to) : links.delayUs(from, to, nowMs);
     }
 
     /** Returns the time of one layer, in us, less the prompt work that a cached prefix saves. */
--- a/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
@@ -26,6 +26,9 @@
     /** Layer time assumed before the first measurement, in us. */
     private static final double DEFAULT_LAYER_TIME_US = 500;
 
+    /** Time after which an endpoint that refused work is tried again without a new report, in ms; one report lag. */
+    private static final long REFUSING_MS = 300;
+
     /** Fast neighbours that the planner tries in addition to the cheapest candidates. */
     private static final int NEAREST = 4;
 
@@ -51,6 +54,8 @@
     private int peers;
     private long peersAtMs = Long.MIN_VALUE;
     private int background;
+    private long peersKvBytes;
+    private long refusingUntilMs = Long.MIN_VALUE;
     private boolean refusing;
     private int runningAtReport;
     private long kvBytesAtReport;
@@ -117,6 +122,11 @@
         return own;
     }
 
+    /** Returns the KV cache memory that the attempts of this router may use, in bytes. */
+    public long ownKvBytes() {
+        return ownKvBytes;
+    }
+
     /** Returns the estimated attempts of all routers on the endpoint. */
     public int occupied() {
         return own + background;
@@ -151,14 +161,14 @@
      * Returns the estimated free KV cache memory, in bytes.
      *
      * <p>An attempt fills its reservation over time. The estimate is therefore the smaller of the report corrected by
-     * what changed since, and the capacity minus all reservations of this router.
+     * what changed since, and the capacity minus the reservations of all routers.
      */
     public long kvFreeBytes() {
         if (report == null) {
             return 0;
         }
         long sinceReport = Math.max(0, ownKvBytes - kvBytesAtReport);
-        return Math.min(report.kvFreeBytes() - sinceReport, kvCapacityBytes - ownKvBytes);
+        return Math.min(report.kvFreeBytes() - sinceReport, kvCapacityBytes - ownKvBytes - peersKvBytes);
     }
 
     /** Keeps the links with the smallest delay, fastest first. */
@@ -198,8 +208,9 @@
         history.record(nowMs, own, ownKvBytes);
     }
 
-    void setPeers(int running, long nowMs) {
+    void setPeers(int running, long kvBytes, long nowMs) {
         peers = running;
+        peersKvBytes = kvBytes;
         peersAtMs = nowMs;
         background = running;
     }
@@ -222,12 +233,26 @@
     }
 
     void refreshPrice() {
-        slotPriceUs = CostModel.slotPriceUs((double) occupied() / usableSlots());
+        double slotShare = (double) occupied() / usableSlots();
+        double kvShare = kvCapacityBytes == 0 ? 0 : 1 - (double) kvFreeBytes() / kvCapacityBytes;
+        slotPriceUs = CostModel.slotPriceUs(Math.max(slotShare, kvShare));
     }
 
     /** Notes that the endpoint refused work: it counts as full until its next load report or own finished attempt. */
-    void setRefusing() {
+    void setRefusing(long nowMs) {
         refusing = true;
+        refusingUntilMs = nowMs + REFUSING_MS;
+    }
+
+    /** Ends the refusal once its time is over; returns whether that changed anything. */
+    boolean endRefusal(long nowMs) {
+        boolean ends = refusing && nowMs >= refusingUntilMs;
+        refusing &= !ends;
+        return ends;
+    }
+
+    void forgetKvCapacity() {
+        kvCapacityBytes = 0;
     }
 
     long reportedAtMs() {
@@ -240,6 +265,7 @@
      */
     void refreshBackground(long nowMs, long peerLoadValidMs) {
         boolean peersFresh = peersAtMs != Long.MIN_VALUE && nowMs - peersAtMs <= peerLoadValidMs;
+        peersKvBytes = peersFresh ? peersKvBytes : 0;
         if (peersFresh) {
             background = peers;
         } else if (report != null) {
--- a/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
@@ -2,8 +2,10 @@
 
 import io.radishwinch.core.model.Chain;
 import io.radishwinch.core.model.EndpointSpec;
+import io.radishwinch.core.model.EnginePoolSpec;
 import io.radishwinch.core.model.FleetConfig;
 import io.radishwinch.core.model.Holding;
+import io.radishwinch.core.model.LayerRange;
 import io.radishwinch.core.model.LoadReport;
 import io.radishwinch.core.model.ModelSpec;
 import io.radishwinch.core.model.RequestSpec;
@@ -43,13 +45,23 @@
     private final Map<String, EndpointRow> rows = new TreeMap<>();
     private final Map<String, PoolIndex> pools = new TreeMap<>();
     private final Map<String, Integer> zones = new HashMap<>();
-    private final LinkTable links = new LinkTable();
+    private final LinkTable links;
     private final PrefixIndex prefixes = new PrefixIndex();
     private final Set<String> earlyMarks = new LinkedHashSet<>();
     private FleetConfig config = FleetConfig.empty();
     private int nextIndex;
     private long structureVersion;
 
+    /** Creates an empty table with the default assumptions about links. */
+    public EndpointTable() {
+        this(LinkSettings.defaults());
+    }
+
+    /** Creates an empty table. */
+    public EndpointTable(LinkSettings settings) {
+        links = new LinkTable(settings);
+    }
+
     /** Returns the rows ordered by identifier, including those that are gone. */
     public Collection<EndpointRow> rows() {
         return Collections.unmodifiableCollection(rows.values());
@@ -125,6 +137,10 @@
 
     void setConfig(FleetConfig newConfig) {
         config = newConfig;
+        links.setCrossing(newConfig.enginePools().values().stream()
+                .mapToDouble(EnginePoolSpec::crossingUs)
+                .max()
+                .orElse(0));
         structureVersion++;
     }
 
@@ -184,27 +200,49 @@
         if (row == null || row.gone || report.measuredAtMs() < Math.max(row.goneAtMs, row.reportedAtMs())) {
             return;
         }
-        row.setReport(report);
-        row.refreshBackground(nowMs, PEER_LOAD_VALID_MS);
         if (!row.holdings().equals(report.holdings())) {
+            // The weights held determine the memory that is left, so an earlier reading says nothing of it.
+            row.forgetKvCapacity();
             replaceEntries(row, report.holdings());
         }
+        row.setReport(report);
+        row.refreshBackground(nowMs, PEER_LOAD_VALID_MS);
+        refresh(row);
+    }
+
+    /** Takes the layers that an order gives up out of use; those that it adds come with a load report. */
+    void restrict(String endpointId, String pool, LayerRange ordered) {
+        EndpointRow row = rows.get(endpointId);
+        if (row == null || row.gone) {
+            return;
+        }
+        List<Holding> kept = new ArrayList<>();
+        for (Holding holding : row.holdings()) {
+            int first = Math.max(holding.layers().first(), ordered.first());
+            int end = Math.min(holding.layers().end(), ordered.end());
+            if (!holding.pool().equals(pool)) {
+                kept.add(holding);
+            } else if (first < end) {
+                kept.add(new Holding(pool, new LayerRange(first, end)));
+            }
+        }
+        replaceEntries(row, kept);
         refresh(row);
     }
 
     /** Notes that an endpoint refused an attempt, which is a fresher sign of its load than the last report. */
-    void refused(String endpointId) {
+    void refused(String endpointId, long nowMs) {
         EndpointRow row = rows.get(endpointId);
         if (row != null) {
-            row.setRefusing();
+            row.setRefusing(nowMs);
             refresh(row);
         }
     }
 
-    void peerLoad(String endpointId, int running, long nowMs) {
+    void peerLoad(String endpointId, int running, long kvBytes, long nowMs) {
         EndpointRow row = rows.get(endpointId);
         if (row != null) {
-            row.setPeers(running, nowMs);
+            row.setPeers(running, kvBytes, nowMs);
             refresh(row);
         }
     }
@@ -235,7 +273,7 @@
         if (index != null) {
             index.measureAnswer(firstTokenMs, tokenIntervalMs);
         }
-        if (tokenIntervalMs <= 0) {
+        if (tokenIntervalMs <= 0 || !links.infersDelays()) {
             return;
         }
         double unexplainedUs = tokenIntervalMs * 1_000;
@@ -322,6 +360,15 @@
         return request.costTokens() * pool.kvBytesPerToken() / pool.layerCount() * layers;
     }
 
+    /** Tries endpoints that refused work again after a while. */
+    void endRefusals(long nowMs) {
+        for (EndpointRow row : rows.values()) {
+            if (row.endRefusal(nowMs)) {
+                refresh(row);
+            }
+        }
+    }
+
     /** Recomputes what depends on time: stale counts of peers, and rows kept after removal. */
     void expire(long nowMs) {
         rows.values().removeIf(row -> row.gone && nowMs - row.goneAtMs > KEEP_GONE_MS);
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/chain/LinkSettings.java
@@ -0,0 +1,18 @@
+package io.radishwinch.core.chain;
+
+/**
+ * What is assumed of links that were not measured.
+ *
+ * @param homeDataCentre data centre of the router, or an empty string if entering a chain costs the same everywhere
+ * @param localDelayUs delay of one token within a data centre, in us
+ * @param remoteDelayUs delay of one token between data centres, in us
+ * @param infersDelays whether the token interval of finished answers corrects the delay of links
+ */
+public record LinkSettings(
+        String homeDataCentre, double localDelayUs, double remoteDelayUs, boolean infersDelays) {
+
+    /** Returns the defaults; the delays are those of section 1.6 of the design page. */
+    public static LinkSettings defaults() {
+        return new LinkSettings("", 100, 500, true);
+    }
+}
--- a/core/src/main/java/io/radishwinch/core/chain/LinkTable.java
+++ b/core/src/main/java/io/radishwinch/core/chain/LinkTable.java
@@ -10,12 +10,6 @@
     /** Links kept for each sending endpoint, which bounds the memory at 5,800 endpoints to about 100 MB. */
     static final int MAX_LINKS_PER_ENDPOINT = 256;
 
-    /** Delay assumed within a data centre before the first measurement, in us. */
-    private static final double DEFAULT_LOCAL_DELAY_US = 100;
-
-    /** Delay assumed between data centres before the first measurement, in us; section 1.6 of the design page. */
-    private static final double DEFAULT_REMOTE_DELAY_US = 500;
-
     /** A measurement older than this no longer decides alone: a link that nobody uses would stay slow forever. */
     private static final long FADE_AFTER_MS = 60_000;
 
@@ -37,9 +31,32 @@
     /** Factor on the delay of a full link: high enough to prefer every other link, finite to keep coverage. */
     private static final double FULL_FACTOR = 1_000;
 
+    private final LinkSettings settings;
+    private double remoteDelayUs;
     private double[][] meansUs = new double[0][0];
     private double streamTokensPerS = DEFAULT_STREAM_TOKENS_PER_S;
 
+    LinkTable(LinkSettings settings) {
+        this.settings = settings;
+        this.remoteDelayUs = settings.remoteDelayUs();
+    }
+
+    /** Sets the time that the activations of a usual prompt occupy the path between two data centres, in us. */
+    void setCrossing(double crossingUs) {
+        remoteDelayUs = Math.max(settings.remoteDelayUs(), crossingUs);
+    }
+
+    /** Returns the price of a first stage in another data centre than that of the router, in us. */
+    double entryUs(EndpointRow to) {
+        return settings.homeDataCentre().isEmpty() || to.spec().dataCentre().equals(settings.homeDataCentre())
+                ? 0
+                : remoteDelayUs;
+    }
+
+    boolean infersDelays() {
+        return settings.infersDelays();
+    }
+
     /** Records a measurement; the link is ignored if the sender has too many links. */
     void measure(EndpointRow from, EndpointRow to, double delayUs, double tokensPerS, long nowMs) {
         growTo(Math.max(from.zone(), to.zone()) + 1);
@@ -130,7 +147,7 @@
         if (measuredUs > 0) {
             return measuredUs;
         }
-        return from.zone() == to.zone() ? DEFAULT_LOCAL_DELAY_US : DEFAULT_REMOTE_DELAY_US;
+        return from.zone() == to.zone() ? settings.localDelayUs() : remoteDelayUs;
     }
 
     private void growTo(int zones) {
--- a/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
+++ b/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
@@ -7,11 +7,12 @@
 import io.radishwinch.core.health.EndpointHealth;
 import io.radishwinch.core.health.HealthSettings;
 import io.radishwinch.core.model.Chain;
+import io.radishwinch.core.model.EngineOrder;
 import io.radishwinch.core.model.ModelSpec;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.placement.Placement;
 import io.radishwinch.core.placement.PlacementEndpoint;
-import io.radishwinch.core.placement.PlacementPlanner;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
@@ -33,7 +34,7 @@
     private final BoundCache bounds;
     private final EndpointHealth health;
     private final DeliveredTokens delivered = new DeliveredTokens();
-    private final PlacementPlanner placement;
+    private final Placement placement;
     private long nextPlacementMs = Long.MIN_VALUE;
     private long nextScanMs = Long.MIN_VALUE;
 
@@ -42,7 +43,7 @@
      *
      * @param placement planner of orders to engines, or null to give none
      */
-    public TableEndpointDirectory(EndpointTable table, HealthSettings settings, PlacementPlanner placement) {
+    public TableEndpointDirectory(EndpointTable table, HealthSettings settings, Placement placement) {
         this.table = table;
         this.placement = placement;
         bounds = new BoundCache(table);
@@ -84,7 +85,7 @@
         } else if (event instanceof Event.LoadReported e) {
             table.report(e.report(), nowMs);
         } else if (event instanceof Event.PeerLoad e) {
-            table.peerLoad(e.endpointId(), e.running(), nowMs);
+            table.peerLoad(e.endpointId(), e.running(), e.kvBytes(), nowMs);
         } else if (event instanceof Event.StageMeasured e) {
             table.measureStage(e.endpointId(), e.layerTimeUs(), nowMs);
         } else if (event instanceof Event.CacheReported e) {
@@ -128,8 +129,8 @@
 
     @Override
     public List<Action> failed(String endpointId, Reason reason, long nowMs) {
-        if (reason == Reason.ENDPOINT_REFUSED) {
-            table.refused(endpointId);
+        if (reason == Reason.ENDPOINT_REFUSED || reason == Reason.ENDPOINT_CHANGED) {
+            table.refused(endpointId, nowMs);
         }
         List<Action> actions = new ArrayList<>();
         health.failed(endpointId, reason, nowMs).ifPresent(change -> actions.add(toAction(change)));
@@ -166,7 +167,8 @@
                         row.spec().acceleratorKind(),
                         state(row),
                         row.own(),
-                        row.spec().slots()));
+                        row.spec().slots(),
+                        row.ownKvBytes()));
             }
         }
         return views;
@@ -186,6 +188,7 @@
 
     private void tick(long nowMs, List<Action> actions) {
         bounds.tick();
+        table.endRefusals(nowMs);
         if (placement != null && nowMs >= nextPlacementMs) {
             nextPlacementMs = nowMs + PLACEMENT_INTERVAL_MS;
             place(nowMs, actions);
@@ -210,7 +213,14 @@
                 endpoints.add(new PlacementEndpoint(row.spec(), row.holdings(), ejected, row.occupied()));
             }
         }
-        actions.addAll(placement.tick(endpoints, table.config().models().values(), nowMs));
+        for (Action action : placement.tick(endpoints, table.config(), nowMs)) {
+            actions.add(action);
+            if (action instanceof Action.OrderEngine order
+                    && order.order() instanceof EngineOrder.LoadLayers load
+                    && !placement.isReloading(order.endpointId())) {
+                table.restrict(order.endpointId(), load.model(), load.layers());
+            }
+        }
         endpoints.forEach(
                 endpoint -> table.setReloading(table.row(endpoint.id()), placement.isReloading(endpoint.id())));
     }
--- a/core/src/main/java/io/radishwinch/core/event/Event.java
+++ b/core/src/main/java/io/radishwinch/core/event/Event.java
@@ -152,8 +152,9 @@
      *
      * @param endpointId endpoint
      * @param running attempts of all other routers together
+     * @param kvBytes KV cache memory that these attempts may use, in bytes
      */
-    record PeerLoad(String endpointId, int running) implements Event {}
+    record PeerLoad(String endpointId, int running, long kvBytes) implements Event {}
 
     /**
      * This router's share of a caller's limits changed.
--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -140,6 +140,8 @@
         row.state = RequestRow.State.BACKING_OFF;
         row.verdict = row.verdict == null ? verdict : row.verdict.combine(verdict);
         row.lastReason = reason;
+        boolean endpointIsGone = !state.directory.isUsable(endpointId, nowMs);
+        row.runs += verdict == Verdict.NOT_RUN || endpointIsGone ? 0 : 1;
         row.budgetWaits = 0;
         row.cancelledByCrash = false;
         row.kvSourceEndpointIds = new ArrayList<>();
@@ -177,6 +179,8 @@
         row.needsBudget = false;
         if (decision instanceof RetryPolicy.GiveUp giveUp) {
             state.refuse(row, giveUp.reason(), nowMs);
+        } else if (row.runs >= row.spec.maxRuns()) {
+            state.refuse(row, Reason.ATTEMPTS_EXHAUSTED, nowMs);
         } else if (row.callerGone || withdrawn != null) {
             state.refuse(row, row.callerGone ? row.lastReason : withdrawn, nowMs);
         } else if (decision instanceof RetryPolicy.AskAgain askAgain) {
@@ -198,6 +202,10 @@
     }
 
     private static boolean isEndpointFault(Reason reason) {
-        return reason == Reason.STAGE_DIED || reason == Reason.ENDPOINT_REFUSED || reason == Reason.ENDPOINT_TIMEOUT;
+        return reason == Reason.STAGE_DIED
+                || reason == Reason.ENDPOINT_REFUSED
+                || reason == Reason.ENDPOINT_CHANGED
+                || reason == Reason.ENDPOINT_TIMEOUT
+                || reason == Reason.ENDPOINT_ERROR;
     }
 }
--- a/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
+++ b/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
@@ -36,6 +36,9 @@
     int epoch;
     int attempts;
     int preemptions;
+    /** Attempts that may have run on endpoints that are still alive. */
+    int runs;
+
     int budgetWaits;
     int deliveredTokens;
     /** Combined verdict of all ended attempts, null before the first has ended. */
--- a/core/src/main/java/io/radishwinch/core/model/FleetConfig.java
+++ b/core/src/main/java/io/radishwinch/core/model/FleetConfig.java
@@ -10,18 +10,30 @@
  * @param contracts contracts by caller
  * @param models models by name
  * @param services plain services by name
+ * @param enginePools engines by model name; a model without an entry is not laid out as a whole
  */
 public record FleetConfig(
         long version,
         Map<String, Contract> contracts,
         Map<String, ModelSpec> models,
-        Map<String, ServiceSpec> services) {
+        Map<String, ServiceSpec> services,
+        Map<String, EnginePoolSpec> enginePools) {
 
     /** Copies the maps. */
     public FleetConfig {
         contracts = Map.copyOf(contracts);
         models = Map.copyOf(models);
         services = Map.copyOf(services);
+        enginePools = Map.copyOf(enginePools);
+    }
+
+    /** Creates a configuration without engine pools. */
+    public FleetConfig(
+            long version,
+            Map<String, Contract> contracts,
+            Map<String, ModelSpec> models,
+            Map<String, ServiceSpec> services) {
+        this(version, contracts, models, services, Map.of());
     }
 
     /** Returns the configuration without any object. */
@@ -33,7 +45,7 @@
     public FleetConfig withContract(long newVersion, Contract contract) {
         Map<String, Contract> copy = new HashMap<>(contracts);
         copy.put(contract.caller(), contract);
-        return new FleetConfig(newVersion, copy, models, services);
+        return new FleetConfig(newVersion, copy, models, services, enginePools);
     }
 
     /** Returns the pool of a model or plain service, or null if none is configured under this name. */
--- a/core/src/main/java/io/radishwinch/core/model/Reason.java
+++ b/core/src/main/java/io/radishwinch/core/model/Reason.java
@@ -42,8 +42,12 @@
     STAGE_DIED,
     /** An endpoint refused the attempt before running it. */
     ENDPOINT_REFUSED,
+    /** An endpoint does not hold the layers or is not the one that the attempt was meant for. */
+    ENDPOINT_CHANGED,
     /** An endpoint did not answer in time. */
     ENDPOINT_TIMEOUT,
+    /** An endpoint ran the attempt and answered with an error of its own. */
+    ENDPOINT_ERROR,
     /** The attempt yielded to more urgent work and resumes later. */
     PREEMPTED,
     /** The retry budget of the caller or pool is used up. */
--- a/core/src/main/java/io/radishwinch/core/model/RequestSpec.java
+++ b/core/src/main/java/io/radishwinch/core/model/RequestSpec.java
@@ -16,6 +16,7 @@
  * @param fingerprint hash of caller, pool and content, equal for a re-sent request
  * @param prefixHashes cumulative hashes of the prompt's blocks, shortest prefix first
  * @param repeatable whether the request may be sent to an endpoint more than once
+ * @param maxRuns attempts that may run, those on endpoints that died not counted
  */
 public record RequestSpec(
         String requestId,
@@ -28,13 +29,42 @@
         long deadlineMs,
         String fingerprint,
         List<Long> prefixHashes,
-        boolean repeatable) {
+        boolean repeatable,
+        int maxRuns) {
 
     /** Copies the prefix hashes. */
     public RequestSpec {
         prefixHashes = List.copyOf(prefixHashes);
     }
 
+    /** Creates a request without a limit on its runs beyond that of the retry policy. */
+    public RequestSpec(
+            String requestId,
+            String caller,
+            Rank rank,
+            String pool,
+            int promptTokens,
+            int maxNewTokens,
+            long arrivedAtMs,
+            long deadlineMs,
+            String fingerprint,
+            List<Long> prefixHashes,
+            boolean repeatable) {
+        this(
+                requestId,
+                caller,
+                rank,
+                pool,
+                promptTokens,
+                maxNewTokens,
+                arrivedAtMs,
+                deadlineMs,
+                fingerprint,
+                prefixHashes,
+                repeatable,
+                Integer.MAX_VALUE);
+    }
+
     /** Returns the cost in tokens, the unit of fair queueing and of token limits. */
     public long costTokens() {
         return (long) promptTokens + maxNewTokens;
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/placement/GreedyLayout.java
@@ -0,0 +1,37 @@
+package io.radishwinch.core.placement;
+
+import io.radishwinch.core.model.EnginePoolSpec;
+import io.radishwinch.core.model.LayerRange;
+import io.radishwinch.core.model.ModelSpec;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Baseline: engines in the order of their identifiers take as many layers as their memory holds, one behind the other.
+ */
+public final class GreedyLayout implements Layout {
+
+    /** Requests for which each engine keeps memory. */
+    private static final int MIN_ROOM_REQUESTS = 1;
+
+    @Override
+    public Map<String, LayerRange> plan(Collection<PlacementEndpoint> endpoints, ModelSpec model, EnginePoolSpec pool) {
+        List<PlacementEndpoint> sorted = endpoints.stream()
+                .sorted(Comparator.comparing(PlacementEndpoint::id))
+                .toList();
+        Map<String, LayerRange> ranges = new LinkedHashMap<>();
+        int next = 0;
+        for (PlacementEndpoint endpoint : sorted) {
+            int layers = pool.layersWithRoom(endpoint.spec().acceleratorKind(), MIN_ROOM_REQUESTS, model);
+            if (layers > 0) {
+                int first = Math.min(next, model.layerCount() - layers);
+                ranges.put(endpoint.id(), new LayerRange(first, first + layers));
+                next = first + layers == model.layerCount() ? 0 : first + layers;
+            }
+        }
+        return ranges;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/placement/LayoutSettings.java
@@ -0,0 +1,30 @@
+package io.radishwinch.core.placement;
+
+/**
+ * Settings of the layout planner.
+ *
+ * @param settleMs time without a new engine before the first layout, in ms; engines register within a heartbeat of each
+ *     other
+ * @param maxOrdersPerTick orders given at once to repair a layout; the weight store slows down beyond a few loads
+ * @param minRoomRequests requests of usual size for which an engine that takes over layers must keep memory
+ * @param refusedHoldOffMs time for which an engine that refused an order is left alone, in ms; one report
+ * @param loadTimeFactor longest loading time relative to the expected one, when loads compete
+ * @param confirmMs time for the report of a finished load to arrive, in ms; about two heartbeats
+ * @param lossPerLoadS value lost for each second of loading, relative to that of covering a gap
+ * @param lossPerRoomShare value lost if an engine keeps no room at all, relative to that of covering a gap
+ */
+public record LayoutSettings(
+        long settleMs,
+        int maxOrdersPerTick,
+        double minRoomRequests,
+        long refusedHoldOffMs,
+        double loadTimeFactor,
+        long confirmMs,
+        double lossPerLoadS,
+        double lossPerRoomShare) {
+
+    /** Returns the defaults. */
+    public static LayoutSettings defaults() {
+        return new LayoutSettings(1_000, 6, 10, 1_000, 2, 3_000, 0.2, 0.5);
+    }
+}
--- a/core/src/main/java/io/radishwinch/core/placement/PlacementPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/placement/PlacementPlanner.java
@@ -3,6 +3,7 @@
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.model.EndpointSpec;
 import io.radishwinch.core.model.EngineOrder;
+import io.radishwinch.core.model.FleetConfig;
 import io.radishwinch.core.model.Holding;
 import io.radishwinch.core.model.LayerRange;
 import io.radishwinch.core.model.ModelSpec;
@@ -25,7 +26,7 @@
  * the rate of the weight store and are not planned twice. Orders carry fencing numbers (M. Burrows, "The Chubby lock
  * service for loosely-coupled distributed systems", OSDI 2006, section 2.4, where they are called sequencers).
  */
-public final class PlacementPlanner {
+public final class PlacementPlanner implements Placement {
 
     /**
      * Longest time to wait for the report that shows the effect of an order, in addition to its loading time, in ms.
@@ -61,7 +62,7 @@
         goals = newGoals;
     }
 
-    /** Records the answer of an engine; a refused order is planned again with a higher number. */
+    @Override
     public void acknowledged(String endpointId, long fencingNumber, boolean accepted) {
         Pending order = pending.get(endpointId);
         if (order == null || order.number != fencingNumber) {
@@ -76,20 +77,18 @@
         }
     }
 
-    /** Returns whether the endpoint is about to replace the layers it holds by this router's order. */
+    @Override
     public boolean isReloading(String endpointId) {
         Pending order = pending.get(endpointId);
         return order != null && order.number > 0 && order.order instanceof EngineOrder.LoadLayers;
     }
 
-    /**
-     * Plans the next orders.
-     *
-     * @param endpoints endpoints that are neither gone nor leaving
-     * @param models models in the configuration
-     * @return orders to send and changes to log
-     */
-    public List<Action> tick(Collection<PlacementEndpoint> endpoints, Collection<ModelSpec> models, long nowMs) {
+    @Override
+    public List<Action> tick(Collection<PlacementEndpoint> endpoints, FleetConfig config, long nowMs) {
+        return tick(endpoints, config.models().values(), nowMs);
+    }
+
+    List<Action> tick(Collection<PlacementEndpoint> endpoints, Collection<ModelSpec> models, long nowMs) {
         Round round = new Round(endpoints, models, nowMs);
         round.settle();
         for (ModelSpec model : round.sortedModels()) {
--- a/core/src/main/java/io/radishwinch/core/retry/BudgetedRetryPolicy.java
+++ b/core/src/main/java/io/radishwinch/core/retry/BudgetedRetryPolicy.java
@@ -60,7 +60,7 @@
 
     private static boolean isRetryable(Reason reason) {
         return switch (reason) {
-            case STAGE_DIED, ENDPOINT_REFUSED, ENDPOINT_TIMEOUT, PREEMPTED -> true;
+            case STAGE_DIED, ENDPOINT_REFUSED, ENDPOINT_CHANGED, ENDPOINT_TIMEOUT, ENDPOINT_ERROR, PREEMPTED -> true;
             default -> false;
         };
     }
--- a/core/src/test/java/io/radishwinch/core/chain/ChainPlannersTest.java
+++ b/core/src/test/java/io/radishwinch/core/chain/ChainPlannersTest.java
@@ -212,7 +212,7 @@
         CostChainPlanner planner = new CostChainPlanner(directory.table(), 1);
         assertThat(planner.plan(request, MODEL, Set.of(), 0).orElseThrow().uses("e2"))
                 .isTrue();
-        directory.handle(new Event.PeerLoad("e2", 8), 0);
+        directory.handle(new Event.PeerLoad("e2", 8, 0), 0);
         assertThat(planner.plan(request, MODEL, Set.of(), 0).orElseThrow().uses("e2"))
                 .isFalse();
     }
--- a/core/src/test/java/io/radishwinch/core/chain/PlannerMeasurement.java
+++ b/core/src/test/java/io/radishwinch/core/chain/PlannerMeasurement.java
@@ -124,7 +124,7 @@
                 directories
                         .get(router)
                         .handle(new Event.LoadReported(pool.report(i, used[i], usedKv[i], nowMs)), nowMs);
-                Event peers = new Event.PeerLoad(pool.id(i), used[i] - ownUsed[router][i]);
+                Event peers = new Event.PeerLoad(pool.id(i), used[i] - ownUsed[router][i], 0);
                 directories.get(router).handle(peers, nowMs);
             }
         }
--- a/report/src/main/java/io/radishwinch/report/ReasonText.java
+++ b/report/src/main/java/io/radishwinch/report/ReasonText.java
@@ -28,6 +28,8 @@
             case QUARANTINED -> "the content had crashed endpoints";
             case STAGE_DIED -> "an endpoint failed during the request";
             case ENDPOINT_REFUSED -> "an endpoint refused the request";
+            case ENDPOINT_CHANGED -> "an endpoint no longer served its part of the model";
+            case ENDPOINT_ERROR -> "an endpoint answered with an error";
             case ENDPOINT_TIMEOUT -> "an endpoint did not answer in time";
             case PREEMPTED -> "the request yielded to more urgent work";
             case RETRY_BUDGET_EXHAUSTED -> "the retry budget was used up";
--- a/report/src/main/java/io/radishwinch/report/Responsibility.java
+++ b/report/src/main/java/io/radishwinch/report/Responsibility.java
@@ -36,6 +36,8 @@
                     NO_CAPACITY,
                     STAGE_DIED,
                     ENDPOINT_REFUSED,
+                    ENDPOINT_CHANGED,
+                    ENDPOINT_ERROR,
                     ENDPOINT_TIMEOUT,
                     PREEMPTED,
                     RETRY_BUDGET_EXHAUSTED,
--- a/server/src/main/java/io/radishwinch/server/ControlLoop.java
+++ b/server/src/main/java/io/radishwinch/server/ControlLoop.java
@@ -22,6 +22,7 @@
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private Runnable idleListener = () -> {};
     private Consumer<Event> observer = event -> {};
+    private Consumer<Action> actionObserver = action -> {};
     private Consumer<String> finishListener = requestId -> {};
 
     /**
@@ -44,6 +45,11 @@
         observer = newObserver;
     }
 
+    /** Sets a function that sees every action before it is performed; to be called before the first event. */
+    public void observeActions(Consumer<Action> newObserver) {
+        actionObserver = newObserver;
+    }
+
     /** Sets a function that is told of the final action of each request; to be called before the first event. */
     public void onFinish(Consumer<String> listener) {
         finishListener = listener;
@@ -115,6 +121,7 @@
     }
 
     private void perform(Action action) {
+        actionObserver.accept(action);
         if (action instanceof Action.StartAttempt start) {
             withExchange(start.requestId(), exchange -> exchange.start(start));
         } else if (action instanceof Action.CancelAttempt cancel) {
--- a/server/src/main/java/io/radishwinch/server/ControlPlane.java
+++ b/server/src/main/java/io/radishwinch/server/ControlPlane.java
@@ -129,7 +129,7 @@
                 startedAtMs,
                 random.nextLong(),
                 ConfigurationFollower::problem);
-        ControlTimers scheduler = new ControlTimers(vertx, context);
+        ControlTimers scheduler = new ControlTimers(vertx, context, clock);
         budget = new CallBudget(scheduler, CallRates.share(1, 1, 1));
         platform =
                 new ResilientPlatformClient(platformClient(), budget, scheduler, random, new PlatformCounters(metrics));
@@ -151,8 +151,8 @@
         shared = new SharedState(
                 node,
                 control,
-                endpoints,
-                configuration,
+                endpoints::markLeaving,
+                configuration::objectChanged,
                 (sender, message) -> journalPeers.receive(sender, message, journal));
         node.addListener(shared);
         control.observe(this::observe);
--- a/server/src/main/java/io/radishwinch/server/ControlTimers.java
+++ b/server/src/main/java/io/radishwinch/server/ControlTimers.java
@@ -3,20 +3,28 @@
 import io.radishwinch.cluster.platform.Scheduler;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
+import java.util.function.LongSupplier;
 
 /** Timers of the control thread. */
-final class ControlTimers implements Scheduler {
+public final class ControlTimers implements Scheduler {
     private final Vertx vertx;
     private final Context context;
+    private final LongSupplier clockMs;
 
-    ControlTimers(Vertx vertx, Context context) {
+    /**
+     * Creates timers.
+     *
+     * @param clockMs clock that never decreases, in ms, so that a step of the wall clock delays nothing
+     */
+    public ControlTimers(Vertx vertx, Context context, LongSupplier clockMs) {
         this.vertx = vertx;
         this.context = context;
+        this.clockMs = clockMs;
     }
 
     @Override
     public long nowMs() {
-        return System.currentTimeMillis();
+        return clockMs.getAsLong();
     }
 
     /** The timer is created on the control context, so its task runs there. */
--- a/server/src/main/java/io/radishwinch/server/JsonLogFormatter.java
+++ b/server/src/main/java/io/radishwinch/server/JsonLogFormatter.java
@@ -2,21 +2,43 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Map;
 import java.util.logging.Formatter;
 import java.util.logging.LogRecord;
 
-/** Formats a log record as one JSON object on a line. */
+/** Formats a log record as one JSON object on a line; {@link LogFields} become members of it. */
 final class JsonLogFormatter extends Formatter {
     @Override
     public String format(LogRecord record) {
         ObjectNode line = JsonNodeFactory.instance.objectNode();
         line.put("time", record.getInstant().toString());
         line.put("level", record.getLevel().getName());
-        line.put("logger", record.getLoggerName());
-        line.put("message", formatMessage(record));
+        Object[] parameters = record.getParameters();
+        if (parameters != null && parameters.length == 1 && parameters[0] instanceof LogFields fields) {
+            line.put("event", fields.event());
+            fields.values().forEach((name, value) -> put(line, name, value));
+        } else {
+            line.put("logger", record.getLoggerName());
+            line.put("message", formatMessage(record));
+        }
         if (record.getThrown() != null) {
             line.put("error", record.getThrown().toString());
         }
         return line + "\n";
     }
+
+    private static void put(ObjectNode line, String name, Object value) {
+        if (value instanceof Integer || value instanceof Long) {
+            line.put(name, ((Number) value).longValue());
+        } else if (value instanceof Number number) {
+            line.put(name, number.doubleValue());
+        } else if (value instanceof Boolean bool) {
+            line.put(name, bool);
+        } else if (value instanceof Map<?, ?> map) {
+            ObjectNode child = line.putObject(name);
+            map.forEach((key, each) -> put(child, String.valueOf(key), each));
+        } else {
+            line.put(name, String.valueOf(value));
+        }
+    }
 }
--- a/server/src/main/java/io/radishwinch/server/LogSetup.java
+++ b/server/src/main/java/io/radishwinch/server/LogSetup.java
@@ -7,20 +7,23 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
-/** Sets level and format of the log lines, which go to standard error. */
-final class LogSetup {
+/** Sets level and format of the log lines: JSON lines go to standard output, text lines to standard error. */
+public final class LogSetup {
     private LogSetup() {}
 
-    static void apply(RouterSettings settings) {
+    /** Applies the settings to all loggers of the process. */
+    public static void apply(RouterSettings settings) {
         Logger root = Logger.getLogger("");
         for (Handler handler : root.getHandlers()) {
             root.removeHandler(handler);
         }
         Level level = level(settings.text(SettingKey.LOG_LEVEL));
-        Handler handler = new ConsoleHandler();
+        boolean isJson = settings.text(SettingKey.LOG_FORMAT).equals("json");
+        Handler handler = isJson ? new StdoutHandler(new JsonLogFormatter()) : new ConsoleHandler();
         handler.setLevel(level);
-        handler.setFormatter(
-                settings.text(SettingKey.LOG_FORMAT).equals("json") ? new JsonLogFormatter() : new TextLogFormatter());
+        if (!isJson) {
+            handler.setFormatter(new TextLogFormatter());
+        }
         root.addHandler(handler);
         root.setLevel(level);
     }
--- a/server/src/main/java/io/radishwinch/server/OutcomeRecorder.java
+++ b/server/src/main/java/io/radishwinch/server/OutcomeRecorder.java
@@ -11,7 +11,7 @@
 import java.util.function.Consumer;
 
 /** Counts the end of every request and passes it to the records of the day. */
-final class OutcomeRecorder implements ExchangeListener {
+public final class OutcomeRecorder implements ExchangeListener {
     private final RouterMetrics metrics;
     private final ControlLoop control;
     private final Consumer<RequestOutcome> day;
@@ -21,7 +21,7 @@
      *
      * @param day takes the outcomes, on the control thread
      */
-    OutcomeRecorder(RouterMetrics metrics, ControlLoop control, Consumer<RequestOutcome> day) {
+    public OutcomeRecorder(RouterMetrics metrics, ControlLoop control, Consumer<RequestOutcome> day) {
         this.metrics = metrics;
         this.control = control;
         this.day = day;
--- a/server/src/main/java/io/radishwinch/server/PlatformCounters.java
+++ b/server/src/main/java/io/radishwinch/server/PlatformCounters.java
@@ -6,7 +6,7 @@
 import io.radishwinch.server.metrics.RouterMetrics;
 
 /** Counts the calls to the platform. */
-final class PlatformCounters implements PlatformListener {
+public final class PlatformCounters implements PlatformListener {
     private static final System.Logger LOG = System.getLogger(PlatformCounters.class.getName());
 
     private final Counter reads;
@@ -16,7 +16,8 @@
     private final Counter overBudget;
     private final Counter resolved;
 
-    PlatformCounters(RouterMetrics metrics) {
+    /** Creates the counters. */
+    public PlatformCounters(RouterMetrics metrics) {
         reads = metrics.counter("radishwinch.platform.reads", "reads and watches of the platform");
         writes = metrics.counter("radishwinch.platform.writes", "writes to the platform");
         failures = metrics.counter("radishwinch.platform.failures", "calls to the platform that failed");
--- a/server/src/main/java/io/radishwinch/server/SharedState.java
+++ b/server/src/main/java/io/radishwinch/server/SharedState.java
@@ -23,9 +23,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /** Translates between the decision core and the state that routers share; used on the control thread. */
-final class SharedState implements PeerListener {
+public final class SharedState implements PeerListener {
     private static final System.Logger LOG = System.getLogger(SharedState.class.getName());
     private static final long LOAD_LIFETIME_MS = 5_000;
     private static final long CRASH_LIFETIME_MS = 600_000;
@@ -34,29 +35,37 @@
 
     private final PeerNode node;
     private final ControlLoop control;
-    private final EndpointTracker endpoints;
-    private final ConfigurationFollower configuration;
+    private final Consumer<String> leavingReceiver;
+    private final Runnable configurationChanged;
     private final BiConsumer<MemberInfo, Message> journalReceiver;
-    private final Map<String, Map<String, Integer>> peerLoads = new HashMap<>();
+    private final Map<String, Map<String, EndpointLoads.Load>> peerLoads = new HashMap<>();
     private final Set<String> reportedEndpoints = new HashSet<>();
     private byte[] publishedLoad = {};
 
-    SharedState(
+    /**
+     * Creates the translation.
+     *
+     * @param leavingReceiver takes endpoints that a peer saw leaving
+     * @param configurationChanged runs after a peer has sent a configuration object
+     * @param journalReceiver takes journal messages of peers
+     */
+    public SharedState(
             PeerNode node,
             ControlLoop control,
-            EndpointTracker endpoints,
-            ConfigurationFollower configuration,
+            Consumer<String> leavingReceiver,
+            Runnable configurationChanged,
             BiConsumer<MemberInfo, Message> journalReceiver) {
         this.node = node;
         this.control = control;
-        this.endpoints = endpoints;
-        this.configuration = configuration;
+        this.leavingReceiver = leavingReceiver;
+        this.configurationChanged = configurationChanged;
         this.journalReceiver = journalReceiver;
     }
 
     // From the decision core to the peers
 
-    void configure(FleetConfig config) {
+    /** Takes the limits of a configuration over. */
+    public void configure(FleetConfig config) {
         Map<String, CallerLimits> limits = new HashMap<>();
         for (Contract contract : config.contracts().values()) {
             double floor = contract.ranks().values().stream()
@@ -71,16 +80,19 @@
         node.limits(limits);
     }
 
-    void quarantined(Action.ShareQuarantine action) {
+    /** Tells peers of a quarantined fingerprint. */
+    public void quarantined(Action.ShareQuarantine action) {
         node.publish(EntryKind.QUARANTINE, action.fingerprint(), new byte[0], action.untilMs(), control.nowMs());
     }
 
-    void crashed(Action.ShareCrash action) {
+    /** Tells peers of a fingerprint that was running on an endpoint that crashed. */
+    public void crashed(Action.ShareCrash action) {
         String key = action.fingerprint() + CRASH_SEPARATOR + action.endpointId();
         node.publish(EntryKind.CRASH, key, new byte[0], control.nowMs() + CRASH_LIFETIME_MS, control.nowMs());
     }
 
-    void leaving(String endpointId) {
+    /** Tells peers that an endpoint is leaving. */
+    public void leaving(String endpointId) {
         if (node.entry(EntryKind.LEAVING, endpointId).isEmpty()) {
             node.publish(
                     EntryKind.LEAVING, endpointId, new byte[0], control.nowMs() + LEAVING_LIFETIME_MS, control.nowMs());
@@ -88,16 +100,16 @@
     }
 
     /** Publishes the attempts that this router runs on each endpoint. */
-    void publishLoad(CoreView view) {
-        Map<String, Integer> running = new HashMap<>();
+    public void publishLoad(CoreView view) {
+        Map<String, EndpointLoads.Load> loads = new HashMap<>();
         for (EndpointView endpoint : view.endpoints()) {
             if (endpoint.running() > 0) {
-                running.put(endpoint.endpointId(), endpoint.running());
+                loads.put(endpoint.endpointId(), new EndpointLoads.Load(endpoint.running(), endpoint.kvBytes()));
             }
         }
         byte[] value = EndpointLoads.encode(
-                running, KindPolicy.of(EntryKind.ENDPOINT_LOAD).maxValueBytes());
-        boolean idle = running.isEmpty() && publishedLoad.length == value.length;
+                loads, KindPolicy.of(EntryKind.ENDPOINT_LOAD).maxValueBytes());
+        boolean idle = loads.isEmpty() && publishedLoad.length == value.length;
         if (!idle) {
             node.publish(
                     EntryKind.ENDPOINT_LOAD,
@@ -118,7 +130,7 @@
 
     @Override
     public void configurationChanged(ConfigurationObject object) {
-        configuration.objectChanged();
+        configurationChanged.run();
     }
 
     @Override
@@ -151,7 +163,7 @@
             case CRASH -> crashEntry(entry);
             case LEAVING -> {
                 if (!entry.isTombstone()) {
-                    endpoints.markLeaving(entry.key());
+                    leavingReceiver.accept(entry.key());
                 }
             }
             case ENDPOINT_LOAD -> loadEntry(entry);
@@ -170,16 +182,19 @@
     }
 
     private void loadEntry(GossipEntry entry) {
-        Map<String, Integer> loads = entry.isTombstone() ? Map.of() : EndpointLoads.decode(entry.value());
+        Map<String, EndpointLoads.Load> loads = entry.isTombstone() ? Map.of() : EndpointLoads.decode(entry.value());
         peerLoads.put(entry.key(), loads);
         if (loads.isEmpty()) {
             peerLoads.remove(entry.key());
         }
-        Map<String, Integer> sums = new HashMap<>();
-        peerLoads.values().forEach(each -> each.forEach((id, running) -> sums.merge(id, running, Integer::sum)));
+        Map<String, EndpointLoads.Load> sums = new HashMap<>();
+        peerLoads.values().forEach(each -> each.forEach((id, load) -> sums.merge(id, load, EndpointLoads.Load::plus)));
         Set<String> changed = new HashSet<>(reportedEndpoints);
         changed.addAll(sums.keySet());
-        changed.forEach(id -> control.post(new Event.PeerLoad(id, sums.getOrDefault(id, 0))));
+        changed.forEach(id -> {
+            EndpointLoads.Load load = sums.getOrDefault(id, EndpointLoads.Load.NONE);
+            control.post(new Event.PeerLoad(id, load.running(), load.kvBytes()));
+        });
         reportedEndpoints.clear();
         reportedEndpoints.addAll(sums.keySet());
     }
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/StdoutHandler.java
@@ -0,0 +1,87 @@
+package io.radishwinch.server;
+
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+
+/**
+ * Writes log lines to standard output without ever blocking the thread that logs.
+ *
+ * <p>Lines wait in a bounded queue for a thread of their own, which writes them in batches. Lines that find the queue
+ * full are dropped and counted, and the count is written as soon as there is room again.
+ */
+final class StdoutHandler extends Handler {
+    private static final int MAX_WAITING_LINES = 4_096;
+    private static final long BATCH_INTERVAL_MS = 200;
+
+    private final BlockingQueue<LogRecord> waiting = new ArrayBlockingQueue<>(MAX_WAITING_LINES);
+    private final AtomicLong dropped = new AtomicLong();
+    private final Formatter lines;
+    private final OutputStream out = new FileOutputStream(FileDescriptor.out);
+    private final Thread writer = new Thread(this::run, "log-writer");
+
+    StdoutHandler(Formatter lines) {
+        this.lines = lines;
+        writer.setDaemon(true);
+        writer.start();
+    }
+
+    @Override
+    public void publish(LogRecord record) {
+        if (isLoggable(record) && !waiting.offer(record)) {
+            dropped.incrementAndGet();
+        }
+    }
+
+    @Override
+    public void flush() {
+        writeWaiting();
+    }
+
+    @Override
+    public void close() {
+        flush();
+    }
+
+    private void run() {
+        while (true) {
+            try {
+                Thread.sleep(BATCH_INTERVAL_MS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+            writeWaiting();
+        }
+    }
+
+    private synchronized void writeWaiting() {
+        StringBuilder batch = new StringBuilder();
+        for (LogRecord record = waiting.poll(); record != null; record = waiting.poll()) {
+            batch.append(lines.format(record));
+        }
+        long lost = dropped.getAndSet(0);
+        if (lost > 0) {
+            LogRecord note = new LogRecord(java.util.logging.Level.WARNING, "{0}");
+            note.setParameters(new Object[] {LogFields.of("log-lines-dropped").with("lines", lost)});
+            batch.append(lines.format(note));
+        }
+        if (batch.length() == 0) {
+            return;
+        }
+        try {
+            out.write(batch.toString().getBytes(StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            // Standard output is closed, so that nobody can be told.
+            dropped.addAndGet(1);
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/fleet/DecisionLogger.java
@@ -0,0 +1,85 @@
+package io.radishwinch.server.fleet;
+
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.Chain;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Stage;
+import io.radishwinch.server.LogFields;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+/** Logs what the core decides on requests, with the inputs that decided it. Used on the control thread. */
+final class DecisionLogger {
+
+    private final FleetLog log;
+
+    DecisionLogger(FleetLog log) {
+        this.log = log;
+    }
+
+    void event(Event event, long configVersion) {
+        if (event instanceof Event.RequestArrived arrived) {
+            RequestSpec request = arrived.request();
+            log.request(LogFields.of("request-arrived")
+                    .with("id", request.requestId())
+                    .with("caller", request.caller())
+                    .with("rank", request.rank().wireName())
+                    .with("pool", request.pool())
+                    .with("promptTokens", request.promptTokens())
+                    .with("maxNewTokens", request.maxNewTokens())
+                    .with("leftMs", request.deadlineMs() - request.arrivedAtMs())
+                    .with("config", configVersion));
+        } else if (event instanceof Event.AttemptFailed failed) {
+            log.request(LogFields.of("attempt-failed")
+                    .with("id", failed.requestId())
+                    .with("epoch", failed.epoch())
+                    .with("endpoint", failed.failedEndpointId())
+                    .with("reason", failed.reason().wireName())
+                    .with("verdict", failed.verdict().wireName())
+                    .with("delivered", failed.deliveredTokens()));
+        } else if (event instanceof Event.CallerGone gone) {
+            log.request(LogFields.of("caller-gone").with("id", gone.requestId()));
+        }
+    }
+
+    void action(Action action) {
+        if (action instanceof Action.StartAttempt start) {
+            log.request(LogFields.of("attempt-started")
+                    .with("id", start.requestId())
+                    .with("epoch", start.epoch())
+                    .with("chain", describe(start.chain()))
+                    .with("from", start.resumeFromToken()));
+        } else if (action instanceof Action.CancelAttempt cancel) {
+            log.request(LogFields.of("attempt-cancelled")
+                    .with("id", cancel.requestId())
+                    .with("epoch", cancel.epoch())
+                    .with("reason", cancel.reason().wireName()));
+        } else if (action instanceof Action.Refuse refuse) {
+            log.request(LogFields.of("refused")
+                    .with("id", refuse.requestId())
+                    .with("reason", refuse.reason().wireName())
+                    .with("verdict", refuse.verdict().wireName())
+                    .with("retryAfterMs", refuse.retryAfterMs()));
+        } else if (action instanceof Action.Complete complete) {
+            log.request(LogFields.of("answered").with("id", complete.requestId()));
+        } else if (action instanceof Action.CountRetry retry) {
+            log.request(LogFields.of("retried")
+                    .with("caller", retry.caller())
+                    .with("reason", retry.reason().wireName()));
+        }
+    }
+
+    private static String describe(Chain chain) {
+        return chain.stages().stream().map(DecisionLogger::describe).collect(Collectors.joining(" "));
+    }
+
+    private static String describe(Stage stage) {
+        return String.format(
+                Locale.ROOT,
+                "%s:%d-%d",
+                stage.endpointId(),
+                stage.layers().first(),
+                stage.layers().end());
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointControl.java
@@ -0,0 +1,30 @@
+package io.radishwinch.server.fleet;
+
+import io.radishwinch.core.model.LayerRange;
+import io.radishwinch.server.proxy.EndpointContact;
+import io.smallrye.mutiny.Uni;
+
+/** Questions and orders to endpoints, beside their requests. Failures are those of the connection. */
+public interface EndpointControl {
+
+    /** Asks an endpoint for its state. */
+    Uni<EndpointReport> report(EndpointContact contact);
+
+    /**
+     * Orders an engine to hold exactly a range of layers.
+     *
+     * @param acceptedOrders orders that the engine must have accepted so far; another number means that somebody else
+     *     ordered it meanwhile, and the order is refused
+     */
+    Uni<OrderResult> place(EndpointContact contact, LayerRange layers, long acceptedOrders);
+
+    /** What became of an order. */
+    enum OrderResult {
+        /** The engine has begun, or the state holds already. */
+        ACCEPTED,
+        /** The order does not fit the engine's state. */
+        CONFLICT,
+        /** The engine takes no orders, or another one has its address. */
+        REFUSED
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -0,0 +1,336 @@
+package io.radishwinch.server.fleet;
+
+import io.radishwinch.cluster.PeerNode;
+import io.radishwinch.cluster.membership.Address;
+import io.radishwinch.cluster.membership.MemberInfo;
+import io.radishwinch.cluster.membership.Seed;
+import io.radishwinch.cluster.platform.CallBudget;
+import io.radishwinch.cluster.platform.CallRates;
+import io.radishwinch.cluster.platform.PlatformClient;
+import io.radishwinch.cluster.platform.PlatformClient.Change;
+import io.radishwinch.cluster.platform.PlatformClient.StoredObject;
+import io.radishwinch.cluster.platform.ResilientPlatformClient;
+import io.radishwinch.cluster.platform.WatchFollower;
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.chain.CostChainPlanner;
+import io.radishwinch.core.chain.EndpointTable;
+import io.radishwinch.core.chain.TableEndpointDirectory;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.impl.CoreSettings;
+import io.radishwinch.core.impl.TableDecisionCore;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.placement.LayoutPlanner;
+import io.radishwinch.core.placement.LayoutSettings;
+import io.radishwinch.core.placement.RoomLayout;
+import io.radishwinch.protocol.generated.Frame;
+import io.radishwinch.server.ControlLoop;
+import io.radishwinch.server.ControlTimers;
+import io.radishwinch.server.PlatformCounters;
+import io.radishwinch.server.SharedState;
+import io.radishwinch.server.http.Authenticator;
+import io.radishwinch.server.metrics.RouterMetrics;
+import io.radishwinch.server.peer.PeerTransport;
+import io.radishwinch.server.proxy.ContactLookup;
+import io.radishwinch.server.route.RoutingConfig;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.LongSupplier;
+
+/** Everything that the control thread of a fleet's router owns. All methods run on that thread unless they say so. */
+final class FleetControl {
+
+    private static final long TICK_INTERVAL_MS = 50;
+    private static final long SHARE_INTERVAL_MS = 250;
+    private static final long LEASE_INTERVAL_MS = 250;
+
+    /** Longest wait between two tries while the platform is away, in ms; a regained platform is noticed within it. */
+    private static final long MAX_PLATFORM_BACKOFF_MS = 1_000;
+
+    /** Part of the platform's rates that the routers use together; the rest is for operators and endpoints. */
+    private static final double PLATFORM_RATE_SHARE = 0.5;
+
+    private final Vertx vertx;
+    private final FleetSettings settings;
+    private final LongSupplier clock;
+    private final RouterMetrics metrics;
+    private final Authenticator authenticator;
+    private final PeerTransport peers;
+    private final PeerNode node;
+    private final Random random = new Random();
+    private final FleetLog log;
+    private final DecisionLogger decisions;
+    private final ResilientPlatformClient platform;
+    private final CallBudget budget;
+    private final ControlLoop control;
+    private final EndpointRegistry registry;
+    private final EndpointProber prober;
+    private final LayerOrders orders;
+    private final LeaseKeeper lease;
+    private final ConfigSource config;
+    private final FleetDialect dialect;
+    private final SharedState shared;
+    private final WatchFollower endpointFollower;
+    private final WatchFollower configFollower;
+    private final RouterDirectory routers;
+    private volatile int liveRouters = 1;
+    private volatile boolean endpointsListed;
+    private boolean platformAvailable = true;
+
+    /** What the control plane uses of the deployment. */
+    record Ports(FleetDialect dialect, PlatformClient platform, EndpointControl endpoints) {}
+
+    FleetControl(
+            Vertx vertx,
+            FleetSettings settings,
+            LongSupplier clock,
+            RouterMetrics metrics,
+            Authenticator authenticator,
+            PeerTransport peers,
+            Ports ports,
+            FleetLog log) {
+        this.vertx = vertx;
+        this.settings = settings;
+        this.clock = clock;
+        this.metrics = metrics;
+        this.authenticator = authenticator;
+        this.peers = peers;
+        this.log = log;
+        this.dialect = ports.dialect();
+        decisions = new DecisionLogger(log);
+        Context context = vertx.getOrCreateContext();
+        node = new PeerNode(
+                settings.routerId(),
+                settings.dataCentre(),
+                settings.peers(),
+                System.currentTimeMillis(),
+                random.nextLong());
+        ControlTimers scheduler = new ControlTimers(vertx, context, clock);
+        budget = new CallBudget(scheduler, rates(1));
+        platform = new ResilientPlatformClient(
+                ports.platform(), budget, scheduler, random, new PlatformCounters(metrics), MAX_PLATFORM_BACKOFF_MS);
+        lease = new LeaseKeeper(
+                settings.routerId(),
+                node.self().incarnation(),
+                platform,
+                dialect.ownPrefix() + "lease-",
+                this::incarnationOf,
+                this::nonce,
+                log);
+        control = new ControlLoop(context, clock, decisionCore(), this::perform);
+        registry = new EndpointRegistry(control::post, log, settings.readmissionMs());
+        prober = new EndpointProber(ports.endpoints(), registry, log, clock);
+        orders = new LayerOrders(ports.endpoints(), registry, scheduler, control::post, lease::doubt, log, clock);
+        config = new ConfigSource(dialect, log);
+        shared = new SharedState(node, control, this::leavingAtPeer, () -> {}, (sender, message) -> {});
+        node.addListener(shared);
+        control.observe(this::observe);
+        control.observeActions(decisions::action);
+        endpointFollower = new WatchFollower(
+                platform, scheduler, random, dialect.endpointPrefix(), new EndpointReceiver(), MAX_PLATFORM_BACKOFF_MS);
+        configFollower = new WatchFollower(
+                platform, scheduler, random, dialect.configPrefix(), this::configChanged, MAX_PLATFORM_BACKOFF_MS);
+        routers = new RouterDirectory(platform, dialect.ownPrefix() + "router-", node.self(), this::nonce);
+    }
+
+    private TableDecisionCore decisionCore() {
+        long seed = random.nextLong();
+        EndpointTable table = new EndpointTable(FleetTuning.links(settings.dataCentre()));
+        LayoutPlanner placement = new LayoutPlanner(LayoutSettings.defaults(), new RoomLayout(), lease);
+        TableEndpointDirectory directory = new TableEndpointDirectory(table, FleetTuning.health(), placement);
+        CoreSettings core = FleetTuning.core().withSeed(seed);
+        return TableDecisionCore.create(core, directory, new CostChainPlanner(table, seed));
+    }
+
+    private CallRates rates(int routerCount) {
+        return new CallRates(
+                PLATFORM_RATE_SHARE * settings.platformReadsPerS() / routerCount,
+                PLATFORM_RATE_SHARE * settings.platformWritesPerS() / routerCount);
+    }
+
+    // Life cycle
+
+    void start() {
+        every(TICK_INTERVAL_MS, this::tick);
+        every(PeerNode.TICK_INTERVAL_MS, () -> peers.send(node.tick(clock.getAsLong())));
+        every(SHARE_INTERVAL_MS, this::share);
+        every(LEASE_INTERVAL_MS, () -> lease.tick(clock.getAsLong()));
+        endpointFollower.start();
+        configFollower.start();
+        routers.start(this::join);
+        join(List.of());
+    }
+
+    /** Refuses new requests from now on. */
+    void startDrain(long deadlineMs) {
+        control.post(new Event.DrainStarted(deadlineMs));
+    }
+
+    /** Tells the other routers that this one leaves. */
+    void leave() {
+        endpointFollower.stop();
+        configFollower.stop();
+        peers.send(node.leave(clock.getAsLong()));
+    }
+
+    void receive(Frame frame) {
+        peers.send(node.receive(frame, clock.getAsLong()));
+    }
+
+    // Access; safe for use by any thread
+
+    ControlLoop control() {
+        return control;
+    }
+
+    ContactLookup contacts() {
+        return registry;
+    }
+
+    RoutingConfig config() {
+        return config.inForce();
+    }
+
+    int liveRouters() {
+        return liveRouters;
+    }
+
+    /** Returns whether the configuration and the endpoints are known. */
+    boolean isReady() {
+        return endpointsListed && config.inForce().version() > 0;
+    }
+
+    /** Looks for the cause of silence at an endpoint. */
+    void stalled(String endpointId) {
+        control.execute(() -> prober.stalled(endpointId));
+    }
+
+    // Periodic work
+
+    private void tick() {
+        long nowMs = clock.getAsLong();
+        boolean isAvailable = platform.isAvailable();
+        if (isAvailable != platformAvailable) {
+            platformAvailable = isAvailable;
+            registry.platformReachable(isAvailable, nowMs);
+            log.belief(isAvailable ? "dependency-regained" : "dependency-lost", "platform", "");
+        }
+        registry.tick(nowMs);
+        prober.tick(nowMs);
+        orders.tick();
+        control.post(new Event.Tick());
+    }
+
+    private void share() {
+        shared.publishLoad(control.core().view());
+        int remote = node.remoteDataCentres().stream()
+                .mapToInt(name -> node.remoteMembers(name).size())
+                .sum();
+        int live = node.members().size() + remote + 1;
+        if (live != liveRouters) {
+            liveRouters = live;
+            budget.setRates(rates(live));
+        }
+    }
+
+    private void join(Collection<Seed> known) {
+        List<Seed> seeds = new ArrayList<>(known);
+        for (Address address : settings.seeds()) {
+            boolean isKnown = seeds.stream().anyMatch(seed -> seed.address().equals(address));
+            if (!isKnown && !address.equals(settings.peers())) {
+                seeds.add(new Seed(address.toString(), settings.dataCentre(), address));
+            }
+        }
+        peers.send(node.join(seeds, clock.getAsLong()));
+    }
+
+    private Optional<Long> incarnationOf(String routerId) {
+        List<MemberInfo> live = new ArrayList<>(node.members());
+        node.remoteDataCentres().forEach(name -> live.addAll(node.remoteMembers(name)));
+        return live.stream()
+                .filter(member -> member.id().equals(routerId))
+                .map(MemberInfo::incarnation)
+                .findFirst();
+    }
+
+    // The platform
+
+    private void configChanged(Change change) {
+        if (change.value().isEmpty() || !change.key().equals(dialect.configKey())) {
+            return;
+        }
+        if (config.offer(change.value().get(), change.version())) {
+            RoutingConfig inForce = config.inForce();
+            authenticator.configure(inForce.fleet());
+            control.post(new Event.ConfigInForce(inForce.fleet()));
+            registry.configure(inForce.fleet(), clock.getAsLong());
+        }
+    }
+
+    /** Passes the platform's list of endpoints on. */
+    private final class EndpointReceiver implements WatchFollower.Receiver {
+
+        @Override
+        public void listed(Collection<StoredObject> objects, long storeVersion) {
+            endpointsListed = true;
+        }
+
+        @Override
+        public void changed(Change change) {
+            String instanceId = change.key().substring(dialect.endpointPrefix().length());
+            long nowMs = clock.getAsLong();
+            if (change.value().isEmpty()) {
+                registry.unlisted(instanceId, nowMs);
+                return;
+            }
+            dialect.readEndpoint(instanceId, change.value().get())
+                    .peek(entry -> registry.listed(instanceId, entry, nowMs))
+                    .peekLeft(problem -> registry.unreadable(instanceId, problem));
+        }
+    }
+
+    private void leavingAtPeer(String endpointId) {
+        log.belief("endpoint-leaving-at-peer", endpointId, "");
+    }
+
+    // Events and actions
+
+    private void observe(Event event) {
+        decisions.event(event, config.inForce().version());
+        if (event instanceof Event.AttemptFailed failed) {
+            boolean maybeDead = failed.reason() == Reason.STAGE_DIED || failed.reason() == Reason.ENDPOINT_TIMEOUT;
+            if (maybeDead) {
+                prober.check(failed.failedEndpointId());
+            } else if (failed.reason() == Reason.ENDPOINT_CHANGED) {
+                prober.changed(failed.failedEndpointId());
+            }
+        }
+    }
+
+    private void perform(Action action) {
+        if (action instanceof Action.CountRetry retry) {
+            metrics.retried(retry.rank(), retry.reason());
+        } else if (action instanceof Action.StateChanged change) {
+            log.belief("state-changed", change.subject(), change.change());
+        } else if (action instanceof Action.OrderEngine order) {
+            orders.send(order);
+        } else if (action instanceof Action.ShareQuarantine quarantine) {
+            shared.quarantined(quarantine);
+        } else if (action instanceof Action.ShareCrash crash) {
+            shared.crashed(crash);
+        }
+    }
+
+    private String nonce() {
+        return HexFormat.of().toHexDigits(random.nextLong());
+    }
+
+    private void every(long intervalMs, Runnable task) {
+        vertx.setPeriodic(intervalMs, ignored -> task.run());
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetLog.java
@@ -0,0 +1,61 @@
+package io.radishwinch.server.fleet;
+
+import io.radishwinch.server.LogFields;
+import java.util.function.LongSupplier;
+
+/**
+ * Log lines of a router's decisions, as structured fields.
+ *
+ * <p>Lines on requests are bounded by a token bucket; those that exceed it are counted and the count is logged. Changes
+ * of what the router believes are rare and always logged.
+ */
+final class FleetLog {
+    private static final System.Logger LOG = System.getLogger("radishwinch");
+
+    /** Lines on requests, in lines/s; about ten for each request of a busy router. */
+    private static final double MAX_LINES_PER_S = 300;
+
+    private static final double MAX_BURST_LINES = 600;
+    private static final double MS_PER_S = 1_000;
+
+    private final LongSupplier clockMs;
+    private double tokens = MAX_BURST_LINES;
+    private long refilledAtMs;
+    private long suppressed;
+
+    FleetLog(LongSupplier clockMs) {
+        this.clockMs = clockMs;
+        this.refilledAtMs = clockMs.getAsLong();
+    }
+
+    /** Logs a change of what the router believes of a subject. */
+    void belief(String event, String subject, String detail) {
+        write(LogFields.of(event).with("subject", subject).with("detail", detail));
+    }
+
+    /** Logs a start, stop, reload, or a dependency that was lost or regained. */
+    void lifecycle(LogFields fields) {
+        write(fields);
+    }
+
+    /** Logs a decision on a request, unless too many were logged of late. */
+    void request(LogFields fields) {
+        long nowMs = clockMs.getAsLong();
+        tokens = Math.min(MAX_BURST_LINES, tokens + (nowMs - refilledAtMs) * MAX_LINES_PER_S / MS_PER_S);
+        refilledAtMs = nowMs;
+        if (tokens < 1) {
+            suppressed++;
+            return;
+        }
+        tokens--;
+        if (suppressed > 0) {
+            write(LogFields.of("request-lines-suppressed").with("lines", suppressed));
+            suppressed = 0;
+        }
+        write(fields);
+    }
+
+    private void write(LogFields fields) {
+        LOG.log(System.Logger.Level.INFO, "{0}", fields.with("atMs", clockMs.getAsLong()));
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
@@ -0,0 +1,199 @@
+package io.radishwinch.server.fleet;
+
+import io.radishwinch.cluster.membership.Address;
+import io.radishwinch.cluster.platform.PlatformClient;
+import io.radishwinch.server.LogFields;
+import io.radishwinch.server.OutcomeRecorder;
+import io.radishwinch.server.RouterClock;
+import io.radishwinch.server.http.Authenticator;
+import io.radishwinch.server.metrics.RouterMetrics;
+import io.radishwinch.server.peer.PeerTransport;
+import io.radishwinch.server.proxy.ProxyServer;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.Optional;
+import java.util.function.Function;
+
+/** One router of a fleet: its control thread, its traffic thread and its servers. */
+public final class FleetRouter {
+
+    private static final int HTTP_OK = 200;
+    private static final int HTTP_NOT_FOUND = 404;
+    private static final int HTTP_UNAVAILABLE = 503;
+
+    /** Time after the request to stop during which new requests are still served, in ms; the balancer needs two. */
+    private static final long SERVE_ON_MS = 2_800;
+
+    /** Part of the grace that is kept for closing, in ms. */
+    private static final long CLOSE_MARGIN_MS = 500;
+
+    private static final long IDLE_CHECK_MS = 50;
+
+    private final FleetSettings settings;
+    private final FleetDialect dialect;
+    private final Function<Vertx, Clients> clients;
+    private final RouterClock clock = new RouterClock();
+    private final FleetLog log = new FleetLog(clock);
+    private final RouterMetrics metrics = new RouterMetrics();
+    private final Authenticator authenticator = new Authenticator();
+    private final Vertx controlVertx = Vertx.vertx(
+            new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1));
+    private final Vertx trafficVertx = Vertx.vertx(
+            new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1));
+
+    private PeerTransport peers;
+    private FleetControl plane;
+    private ProxyServer proxy;
+    private volatile boolean draining;
+
+    /**
+     * Clients towards the platform and the endpoints.
+     *
+     * @param platform the platform's object API
+     * @param endpoints questions and orders to endpoints
+     */
+    public record Clients(PlatformClient platform, EndpointControl endpoints) {}
+
+    /**
+     * Creates a router that is not started.
+     *
+     * @param clients makes the clients that the control thread uses
+     */
+    public FleetRouter(FleetSettings settings, FleetDialect dialect, Function<Vertx, Clients> clients) {
+        this.settings = settings;
+        this.dialect = dialect;
+        this.clients = clients;
+    }
+
+    // Life cycle
+
+    /** Starts all servers; fails if an address is in use. */
+    public Future<Void> start() {
+        Promise<Void> started = Promise.promise();
+        controlVertx.getOrCreateContext().runOnContext(ignored -> startControl().onComplete(started));
+        return started.future()
+                .onSuccess(ignored -> log.lifecycle(LogFields.of("started")
+                        .with("router", settings.routerId())
+                        .with("dataCentre", settings.dataCentre())
+                        .with("callers", settings.callers())
+                        .with("peers", settings.peers())));
+    }
+
+    /** Runs on the control thread, so that every part of the control plane is created on the context that owns it. */
+    private Future<Void> startControl() {
+        peers = new PeerTransport(controlVertx, Optional.empty(), metrics, frame -> plane.receive(frame));
+        Clients made = clients.apply(controlVertx);
+        plane = new FleetControl(
+                controlVertx,
+                settings,
+                clock,
+                metrics,
+                authenticator,
+                peers,
+                new FleetControl.Ports(dialect, made.platform(), made.endpoints()),
+                log);
+        proxy = new ProxyServer(
+                trafficVertx,
+                new ProxyServer.Parts(
+                        plane.control(),
+                        dialect.proxy(),
+                        plane.contacts(),
+                        authenticator,
+                        plane::config,
+                        plane::liveRouters,
+                        new OutcomeRecorder(metrics, plane.control(), outcome -> {}),
+                        plane::stalled));
+        metrics.gauge("radishwinch.config.version", "version of the configuration in effect", () -> plane.config()
+                .version());
+        metrics.gauge("radishwinch.routers.live", "routers that this one believes alive", plane::liveRouters);
+        return peers.listen(settings.peers().host(), settings.peers().port())
+                .onSuccess(port -> plane.start())
+                .compose(port -> startTraffic());
+    }
+
+    private Future<Void> startTraffic() {
+        Promise<Void> started = Promise.promise();
+        trafficVertx.getOrCreateContext().runOnContext(ignored -> proxy.start(
+                        settings.callers().host(), settings.callers().port())
+                .compose(port -> serve(settings.readiness(), this::answerReadiness))
+                .compose(done -> serve(settings.metrics(), this::answerMetrics))
+                .onComplete(started));
+        return started.future();
+    }
+
+    private Future<Void> serve(Address address, io.vertx.core.Handler<HttpServerRequest> handler) {
+        return trafficVertx
+                .createHttpServer()
+                .requestHandler(handler)
+                .listen(address.port(), address.host())
+                .mapEmpty();
+    }
+
+    /** Notes that the settings were read again. */
+    public void reloaded() {
+        log.lifecycle(LogFields.of("reloaded").with("router", settings.routerId()));
+    }
+
+    /**
+     * Stops gracefully: readiness fails at once, requests that still arrive are served for a while, running ones
+     * finish.
+     *
+     * @return completes when the router may end
+     */
+    public Future<Void> stop() {
+        Promise<Void> stopped = Promise.promise();
+        draining = true;
+        long startedAtMs = clock.getAsLong();
+        long deadlineMs = startedAtMs + settings.stopGraceMs() - CLOSE_MARGIN_MS;
+        log.lifecycle(LogFields.of("stopping").with("router", settings.routerId()));
+        trafficVertx.getOrCreateContext().runOnContext(ignored -> {
+            proxy.startDrain();
+            trafficVertx.setTimer(SERVE_ON_MS, timer -> awaitIdle(deadlineMs, stopped));
+        });
+        controlVertx
+                .getOrCreateContext()
+                .runOnContext(ignored -> controlVertx.setTimer(SERVE_ON_MS, timer -> plane.startDrain(deadlineMs)));
+        return stopped.future()
+                .compose(ignored -> leave())
+                .onComplete(ignored -> log.lifecycle(LogFields.of("stopped").with("router", settings.routerId())));
+    }
+
+    private void awaitIdle(long deadlineMs, Promise<Void> stopped) {
+        trafficVertx.setPeriodic(IDLE_CHECK_MS, timer -> {
+            boolean isIdle = proxy.openRequests() == 0;
+            if (isIdle || clock.getAsLong() >= deadlineMs) {
+                trafficVertx.cancelTimer(timer);
+                stopped.tryComplete();
+            }
+        });
+    }
+
+    private Future<Void> leave() {
+        Promise<Void> left = Promise.promise();
+        controlVertx.getOrCreateContext().runOnContext(ignored -> {
+            plane.leave();
+            controlVertx.setTimer(IDLE_CHECK_MS, timer -> left.complete());
+        });
+        return left.future();
+    }
+
+    // Answers
+
+    private void answerReadiness(HttpServerRequest request) {
+        if (!request.path().equals(settings.readinessPath())) {
+            request.response().setStatusCode(HTTP_NOT_FOUND).end();
+            return;
+        }
+        boolean isReady = !draining && plane.isReady();
+        request.response().setStatusCode(isReady ? HTTP_OK : HTTP_UNAVAILABLE).end();
+    }
+
+    private void answerMetrics(HttpServerRequest request) {
+        request.response()
+                .putHeader("Content-Type", "text/plain; version=0.0.4")
+                .end(metrics.scrape());
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetTuning.java
@@ -0,0 +1,60 @@
+package io.radishwinch.server.fleet;
+
+import io.radishwinch.core.chain.LinkSettings;
+import io.radishwinch.core.health.HealthSettings;
+import io.radishwinch.core.impl.CoreSettings;
+import io.radishwinch.core.queue.QueueSettings;
+import io.radishwinch.core.retry.RetrySettings;
+
+/** Settings of the decision core for routers whose endpoints report little and whose callers send again themselves. */
+final class FleetTuning {
+
+    /** Attempts of one request; refusals by endpoints with outdated layers count too. */
+    private static final int MAX_ATTEMPTS = 6;
+
+    /** Repeats for each first attempt; the routers of a deployment keep to 0.2 together. */
+    private static final double RETRY_RATIO = 0.15;
+
+    /** Repeats that a pool may save up at one router; all routers of today's size stay below 200 together. */
+    private static final double RETRY_RESERVE = 20;
+
+    /** Failures in a row after which a pool counts as down; the streams of one lost endpoint fail together. */
+    private static final int OUTAGE_FAILURES = 60;
+
+    private static final long BACKOFF_BASE_MS = 10;
+    private static final long BACKOFF_MAX_MS = 200;
+
+    /** Time in which a new endpoint reaches its full share, in ms; weights are loaded before it is listed. */
+    private static final long SLOW_START_MS = 0;
+
+    /** Requests that wait at one router; beyond it, they would miss their targets. */
+    private static final int QUEUE_CAPACITY = 256;
+
+    /** Time for which requests wait for a pool that lost its cover, in ms; most repairs take no longer. */
+    private static final long UNCOVERED_GRACE_MS = 400;
+
+    /** Price of one more stage, in us; a token waits for about half a pass of an accelerator at each. */
+    private static final double STAGE_DELAY_US = 500;
+
+    private FleetTuning() {}
+
+    /** Batches make token intervals vary by more than links do, so that links are not corrected by them. */
+    static LinkSettings links(String homeDataCentre) {
+        return new LinkSettings(homeDataCentre, STAGE_DELAY_US, STAGE_DELAY_US, false);
+    }
+
+    static CoreSettings core() {
+        return CoreSettings.defaults()
+                .withQueue(QueueSettings.defaults().withCapacity(QUEUE_CAPACITY))
+                .withRetry(RetrySettings.defaults()
+                        .withMaxAttempts(MAX_ATTEMPTS)
+                        .withBudget(RETRY_RATIO, RETRY_RATIO, RETRY_RESERVE, OUTAGE_FAILURES)
+                        .withBackoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS))
+                .withInitialAllotmentShare(1)
+                .withUncoveredGraceMs(UNCOVERED_GRACE_MS);
+    }
+
+    static HealthSettings health() {
+        return HealthSettings.defaults().withSlowStartMs(SLOW_START_MS);
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/fleet/RouterDirectory.java
@@ -0,0 +1,91 @@
+package io.radishwinch.server.fleet;
+
+import io.radishwinch.cluster.membership.Address;
+import io.radishwinch.cluster.membership.MemberInfo;
+import io.radishwinch.cluster.membership.Seed;
+import io.radishwinch.cluster.platform.PlatformClient;
+import io.radishwinch.cluster.platform.PlatformClient.StoredObject;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * Objects in the platform by which routers find each other when they start.
+ *
+ * <p>The membership protocol spreads news of routers from then on, so that the objects are read only once.
+ */
+final class RouterDirectory {
+    private static final System.Logger LOG = System.getLogger(RouterDirectory.class.getName());
+
+    /** Routers read at a start; any live one among them knows the others. */
+    private static final int MAX_ROUTERS = 500;
+
+    private final PlatformClient platform;
+    private final String prefix;
+    private final MemberInfo self;
+    private final Supplier<String> nonces;
+
+    RouterDirectory(PlatformClient platform, String prefix, MemberInfo self, Supplier<String> nonces) {
+        this.platform = platform;
+        this.prefix = prefix;
+        this.self = self;
+        this.nonces = nonces;
+    }
+
+    /** Enters this router and reads the others. */
+    void start(Consumer<Collection<Seed>> receiver) {
+        write(PlatformClient.ABSENT);
+        platform.list(prefix, "", MAX_ROUTERS)
+                .subscribe()
+                .with(page -> receiver.accept(seeds(page.objects())), error -> failed("read", error));
+    }
+
+    private void write(long version) {
+        byte[] value = (self.dataCentre() + " " + self.address().host() + " "
+                        + self.address().port())
+                .getBytes(StandardCharsets.UTF_8);
+        platform.put(prefix + self.id(), version, value, nonces.get())
+                .subscribe()
+                .with(result -> written(version, result), error -> failed("write", error));
+    }
+
+    private void written(long version, PlatformClient.PutResult result) {
+        boolean isRestart = version == PlatformClient.ABSENT;
+        if (isRestart && result instanceof PlatformClient.PutResult.Conflict conflict) {
+            conflict.current().ifPresent(current -> write(current.version()));
+        }
+    }
+
+    private static void failed(String operation, Throwable error) {
+        LOG.log(System.Logger.Level.WARNING, "cannot {0} the directory of routers: {1}", operation, error.getMessage());
+    }
+
+    private List<Seed> seeds(List<StoredObject> objects) {
+        List<Seed> seeds = new ArrayList<>();
+        for (StoredObject object : objects) {
+            String id = object.key().substring(prefix.length());
+            if (!id.equals(self.id())) {
+                decode(object.value()).ifPresent(entry -> seeds.add(new Seed(id, entry.dataCentre, entry.address)));
+            }
+        }
+        return seeds;
+    }
+
+    private record Entry(String dataCentre, Address address) {}
+
+    private static Optional<Entry> decode(byte[] value) {
+        String[] parts = new String(value, StandardCharsets.UTF_8).split(" ", -1);
+        try {
+            return parts.length == 3
+                    ? Optional.of(new Entry(parts[0], new Address(parts[1], Integer.parseInt(parts[2]))))
+                    : Optional.empty();
+        } catch (IllegalArgumentException e) {
+            // An object that no router wrote leads to no router.
+            return Optional.empty();
+        }
+    }
+}
--- a/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
@@ -11,27 +11,32 @@
 import java.util.Optional;
 
 /** Common parts of the exchanges; all state belongs to one traffic thread. */
-abstract class AbstractExchange implements Exchange {
+public abstract class AbstractExchange<S extends ExchangeScope> implements Exchange {
     private static final long NO_TIMER = -1;
 
-    final ExchangeContext shared;
-    final CallerRequest caller;
-    final RequestSpec request;
-    final HttpServerResponse response;
-    final Delivery delivery;
+    /** What the exchanges of this traffic thread share. */
+    protected final S shared;
+
+    /** The request. */
+    protected final RequestSpec request;
+
+    /** The answer to the caller. */
+    protected final HttpServerResponse response;
+
+    /** What was delivered so far. */
+    protected final Delivery delivery;
 
     private final long reservedBytes;
     private boolean finished;
     private long writeTimer = NO_TIMER;
 
-    AbstractExchange(
-            ExchangeContext shared,
-            CallerRequest caller,
-            RequestSpec request,
-            HttpServerRequest httpRequest,
-            long reservedBytes) {
+    /**
+     * Creates an exchange.
+     *
+     * @param reservedBytes memory of the request body, given back at the end
+     */
+    protected AbstractExchange(S shared, RequestSpec request, HttpServerRequest httpRequest, long reservedBytes) {
         this.shared = shared;
-        this.caller = caller;
         this.request = request;
         this.response = httpRequest.response();
         this.delivery = new Delivery(request.arrivedAtMs());
@@ -41,7 +46,7 @@
     }
 
     /** Hands the request to the decision core. */
-    final void arrive() {
+    public final void arrive() {
         shared.control().arrive(request, this);
     }
 
@@ -79,33 +84,39 @@
         });
     }
 
-    abstract void startAttempt(Action.StartAttempt attempt);
+    /** Sends the request to the head of a chain. */
+    protected abstract void startAttempt(Action.StartAttempt attempt);
 
-    abstract void cancelAttempt(int epoch, Reason reason);
+    /** Stops an attempt and reports its end to the core. */
+    protected abstract void cancelAttempt(int epoch, Reason reason);
 
     /** Frees what the exchange holds at endpoints. */
-    abstract void release();
+    protected abstract void release();
 
-    abstract void completeAnswer();
+    /** Ends the answer. */
+    protected abstract void completeAnswer();
 
-    void refuseRequest(Refusal refusal) {
+    /** Answers with an error. */
+    protected void refuseRequest(Refusal refusal) {
         finish(Optional.of(refusal));
         ErrorAnswer.send(response, request.requestId(), refusal);
     }
 
     /** Ends the exchange without the core: the core is told that the request is withdrawn. */
-    final void withdraw(Optional<Refusal> refusal) {
+    protected final void withdraw(Optional<Refusal> refusal) {
         if (!finished) {
             finish(refusal);
             shared.control().withdraw(request.requestId());
         }
     }
 
-    final boolean isFinished() {
+    /** Returns whether the caller was answered or has gone. */
+    protected final boolean isFinished() {
         return finished;
     }
 
-    final void finish(Optional<Refusal> refusal) {
+    /** Ends the exchange after the core has decided its outcome. */
+    protected final void finish(Optional<Refusal> refusal) {
         if (!finished) {
             finished = true;
             cancelWriteTimer();
@@ -115,16 +126,18 @@
         }
     }
 
-    final void onTrafficThread(Runnable task) {
+    /** Runs a task on the traffic thread of this exchange. */
+    protected final void onTrafficThread(Runnable task) {
         shared.context().runOnContext(ignored -> task.run());
     }
 
-    final void post(Event event) {
+    /** Reports an event to the core. */
+    protected final void post(Event event) {
         shared.control().post(event);
     }
 
     /** Starts the timer that closes the connection of a caller that does not read its answer. */
-    final void startWriteTimer() {
+    protected final void startWriteTimer() {
         if (writeTimer == NO_TIMER) {
             writeTimer = shared.vertx().setTimer(shared.writeTimeoutMs(), ignored -> {
                 withdraw(Optional.of(
@@ -134,7 +147,8 @@
         }
     }
 
-    final void cancelWriteTimer() {
+    /** Stops the timer that {@link #startWriteTimer} started. */
+    protected final void cancelWriteTimer() {
         if (writeTimer != NO_TIMER) {
             shared.vertx().cancelTimer(writeTimer);
             writeTimer = NO_TIMER;
--- a/server/src/main/java/io/radishwinch/server/http/BodyCollector.java
+++ b/server/src/main/java/io/radishwinch/server/http/BodyCollector.java
@@ -10,7 +10,7 @@
 import java.util.function.Consumer;
 
 /** Reads a request body into memory, bounded in size and time. */
-final class BodyCollector {
+public final class BodyCollector {
     private final HttpServerRequest request;
     private final Vertx vertx;
     private final int maxBytes;
@@ -40,7 +40,7 @@
      * @param budget memory that all bodies share; the receiver of a body gives its size back
      * @param receiver called once, on the context of the request
      */
-    static void collect(
+    public static void collect(
             Vertx vertx,
             HttpServerRequest request,
             int maxBytes,
--- a/server/src/main/java/io/radishwinch/server/http/CallerApi.java
+++ b/server/src/main/java/io/radishwinch/server/http/CallerApi.java
@@ -134,7 +134,7 @@
                     PromptHashes.fingerprint(caller.contract().caller(), model.name(), prompt),
                     PromptHashes.prefixHashes(prompt),
                     true);
-            new ModelExchange(shared, caller, spec, completion, ctx.request(), body.length()).arrive();
+            new ModelExchange(shared, spec, completion, ctx.request(), body.length()).arrive();
         }
     }
 
@@ -184,7 +184,7 @@
                     repeatable);
             ServiceExchange.Call call =
                     new ServiceExchange.Call(http.method(), uri, http.headers(), body, key, KeyHash.sha256(content));
-            new ServiceExchange(shared, caller, spec, call, http).arrive();
+            new ServiceExchange(shared, spec, call, http).arrive();
         }
     }
 
--- a/server/src/main/java/io/radishwinch/server/http/Delivery.java
+++ b/server/src/main/java/io/radishwinch/server/http/Delivery.java
@@ -24,7 +24,8 @@
         replayed = true;
     }
 
-    void token(long nowMs) {
+    /** Records a token of the answer. */
+    public void token(long nowMs) {
         answerTokens++;
         if (firstTokenAtMs == NONE) {
             firstTokenAtMs = nowMs;
--- a/server/src/main/java/io/radishwinch/server/http/ErrorAnswer.java
+++ b/server/src/main/java/io/radishwinch/server/http/ErrorAnswer.java
@@ -71,7 +71,7 @@
             case RATE_LIMITED, CONCURRENCY_LIMITED, QUEUE_FULL -> 429;
             case HEADER_TOO_LARGE -> 431;
             case CALLER_DISCONNECTED -> 499;
-            case STAGE_DIED, ENDPOINT_REFUSED -> 502;
+            case STAGE_DIED, ENDPOINT_REFUSED, ENDPOINT_CHANGED, ENDPOINT_ERROR -> 502;
             case DEADLINE_UNREACHABLE,
                     NO_CAPACITY,
                     PREEMPTED,
--- a/server/src/main/java/io/radishwinch/server/http/ExchangeContext.java
+++ b/server/src/main/java/io/radishwinch/server/http/ExchangeContext.java
@@ -30,4 +30,5 @@
         JournalAccess journal,
         MemoryBudget bodies,
         ExchangeListener listener,
-        long writeTimeoutMs) {}
+        long writeTimeoutMs)
+        implements ExchangeScope {}
--- a/server/src/main/java/io/radishwinch/server/http/MemoryBudget.java
+++ b/server/src/main/java/io/radishwinch/server/http/MemoryBudget.java
@@ -13,7 +13,7 @@
     }
 
     /** Reserves bytes; returns false, without effect, if they exceed the budget. */
-    boolean tryReserve(long bytes) {
+    public boolean tryReserve(long bytes) {
         if (usedBytes.addAndGet(bytes) > maxBytes) {
             usedBytes.addAndGet(-bytes);
             return false;
@@ -22,7 +22,7 @@
     }
 
     /** Gives reserved bytes back. */
-    void release(long bytes) {
+    public void release(long bytes) {
         usedBytes.addAndGet(-bytes);
     }
 
--- a/server/src/main/java/io/radishwinch/server/http/Messages.java
+++ b/server/src/main/java/io/radishwinch/server/http/Messages.java
@@ -3,11 +3,11 @@
 import io.radishwinch.core.model.Reason;
 
 /** Texts of error answers for people. */
-final class Messages {
+public final class Messages {
     private Messages() {}
 
     /** Returns the text for a reason that the decision core or the journal gave. */
-    static String of(Reason reason) {
+    public static String of(Reason reason) {
         return switch (reason) {
             case UNKNOWN_CALLER -> "the bearer key is missing or belongs to no contract";
             case FORBIDDEN -> "the contract does not allow this rank, model or service";
@@ -28,7 +28,9 @@
             case QUARANTINED -> "requests with this content crashed endpoints and are blocked for now";
             case STAGE_DIED -> "an endpoint died while it ran the request";
             case ENDPOINT_REFUSED -> "the endpoints refused the request";
+            case ENDPOINT_CHANGED -> "an endpoint no longer serves this part of the model";
             case ENDPOINT_TIMEOUT -> "an endpoint did not answer in time";
+            case ENDPOINT_ERROR -> "an endpoint answered with an error";
             case PREEMPTED -> "the request yielded to more urgent work";
             case RETRY_BUDGET_EXHAUSTED -> "the request failed and the retry budget is used up";
             case ATTEMPTS_EXHAUSTED -> "the request failed on every attempt";
--- a/server/src/main/java/io/radishwinch/server/http/ModelExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ModelExchange.java
@@ -19,7 +19,7 @@
 import java.util.Optional;
 
 /** One completion request: proxies the token stream of its attempts to the caller. */
-final class ModelExchange extends AbstractExchange {
+final class ModelExchange extends AbstractExchange<ExchangeContext> {
     private static final long PROGRESS_INTERVAL_MS = 1000;
 
     private final CompletionRequest completion;
@@ -36,12 +36,11 @@
 
     ModelExchange(
             ExchangeContext shared,
-            CallerRequest caller,
             RequestSpec request,
             CompletionRequest completion,
             HttpServerRequest httpRequest,
             long reservedBytes) {
-        super(shared, caller, request, httpRequest, reservedBytes);
+        super(shared, request, httpRequest, reservedBytes);
         this.completion = completion;
         this.format = new AnswerFormat(completion, request.requestId(), request.arrivedAtMs() / 1000);
     }
@@ -49,7 +48,7 @@
     // Attempts
 
     @Override
-    void startAttempt(Action.StartAttempt attempt) {
+    protected void startAttempt(Action.StartAttempt attempt) {
         release();
         epoch = attempt.epoch();
         chain = attempt.chain();
@@ -165,7 +164,7 @@
     }
 
     @Override
-    void cancelAttempt(int cancelledEpoch, Reason reason) {
+    protected void cancelAttempt(int cancelledEpoch, Reason reason) {
         if (cancelledEpoch != epoch || stream == null) {
             return;
         }
@@ -174,7 +173,7 @@
     }
 
     @Override
-    void release() {
+    protected void release() {
         if (stream != null) {
             stream.cancel();
             stream = null;
@@ -213,7 +212,7 @@
     }
 
     @Override
-    void completeAnswer() {
+    protected void completeAnswer() {
         finish(Optional.empty());
         if (!completion.stream()) {
             String text = String.join("", delivered);
@@ -235,7 +234,7 @@
 
     /** After the head was sent the error becomes the last event; a stream without {@code [DONE]} is incomplete. */
     @Override
-    void refuseRequest(Refusal refusal) {
+    protected void refuseRequest(Refusal refusal) {
         if (!response.headWritten()) {
             super.refuseRequest(refusal);
             return;
--- a/server/src/main/java/io/radishwinch/server/http/Refusal.java
+++ b/server/src/main/java/io/radishwinch/server/http/Refusal.java
@@ -14,7 +14,7 @@
 public record Refusal(Reason reason, Verdict verdict, String message, long retryAfterMs) {
 
     /** Returns a refusal of a request that did not run. */
-    static Refusal notRun(Reason reason, String message) {
+    public static Refusal notRun(Reason reason, String message) {
         return new Refusal(reason, Verdict.NOT_RUN, message, 0);
     }
 }
--- a/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
@@ -21,7 +21,7 @@
  * be retried; a large one is streamed. The outcome of a non-repeatable call is recorded before the caller sees any of
  * it.
  */
-final class ServiceExchange extends AbstractExchange {
+final class ServiceExchange extends AbstractExchange<ExchangeContext> {
     private static final String REPLAYED_HEADER = "X-Radishwinch-Replayed";
 
     private final Call call;
@@ -33,13 +33,8 @@
     private ServiceAnswer answer;
     private ServiceAnswer streamed;
 
-    ServiceExchange(
-            ExchangeContext shared,
-            CallerRequest caller,
-            RequestSpec request,
-            Call call,
-            HttpServerRequest httpRequest) {
-        super(shared, caller, request, httpRequest, call.body().length());
+    ServiceExchange(ExchangeContext shared, RequestSpec request, Call call, HttpServerRequest httpRequest) {
+        super(shared, request, httpRequest, call.body().length());
         this.call = call;
     }
 
@@ -57,7 +52,7 @@
             HttpMethod method, String uri, MultiMap headers, Buffer body, String idempotencyKey, byte[] fingerprint) {}
 
     @Override
-    void startAttempt(Action.StartAttempt attempt) {
+    protected void startAttempt(Action.StartAttempt attempt) {
         epoch = attempt.epoch();
         endpointId = attempt.chain().head().endpointId();
         EndpointAddress address = shared.endpoints().address(endpointId);
@@ -236,7 +231,7 @@
     }
 
     @Override
-    void cancelAttempt(int cancelledEpoch, Reason reason) {
+    protected void cancelAttempt(int cancelledEpoch, Reason reason) {
         if (cancelledEpoch != epoch) {
             return;
         }
@@ -250,7 +245,7 @@
 
     /** A non-repeatable call that was sent goes on without its caller, so that its outcome is recorded. */
     @Override
-    void release() {
+    protected void release() {
         releaseGrant();
         if (inFlight != null && grant == null) {
             inFlight.cancel();
@@ -265,7 +260,7 @@
     }
 
     @Override
-    void completeAnswer() {
+    protected void completeAnswer() {
         finish(Optional.empty());
         if (streamed != null) {
             response.end();
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/proxy/OwnAnswer.java
@@ -0,0 +1,52 @@
+package io.radishwinch.server.proxy;
+
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.Verdict;
+import io.radishwinch.server.http.Refusal;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.Locale;
+
+/** Error answers of the router itself. */
+final class OwnAnswer {
+    private static final int BAD_REQUEST = 400;
+    private static final int UNAUTHORIZED = 401;
+    private static final int NOT_FOUND = 404;
+    private static final int REQUEST_TIMEOUT = 408;
+    private static final int CONTENT_TOO_LARGE = 413;
+    private static final int HEADERS_TOO_LARGE = 431;
+    private static final int BAD_GATEWAY = 502;
+    private static final int UNAVAILABLE = 503;
+    private static final int GATEWAY_TIMEOUT = 504;
+    private static final double MS_PER_S = 1_000;
+
+    private OwnAnswer() {}
+
+    static void send(HttpServerResponse response, Refusal refusal, ProxyDialect dialect, String requestId) {
+        response.setStatusCode(status(refusal)).putHeader(HttpHeaders.CONTENT_TYPE, "text/plain");
+        if (refusal.retryAfterMs() > 0) {
+            response.putHeader("Retry-After", String.format(Locale.ROOT, "%.2f", refusal.retryAfterMs() / MS_PER_S));
+        }
+        dialect.markOwnAnswer(response.headers(), requestId);
+        response.end(
+                refusal.reason().wireName() + ", " + refusal.verdict().wireName() + ": " + refusal.message() + "\n");
+    }
+
+    /** A status that promises that the request has not run is used only if that is known. */
+    static int status(Refusal refusal) {
+        if (refusal.verdict() != Verdict.NOT_RUN) {
+            boolean isTimeout =
+                    refusal.reason() == Reason.DEADLINE_EXCEEDED || refusal.reason() == Reason.ENDPOINT_TIMEOUT;
+            return isTimeout ? GATEWAY_TIMEOUT : BAD_GATEWAY;
+        }
+        return switch (refusal.reason()) {
+            case UNKNOWN_CALLER -> UNAUTHORIZED;
+            case UNKNOWN_PATH -> NOT_FOUND;
+            case MALFORMED_REQUEST -> BAD_REQUEST;
+            case BODY_TOO_LARGE -> CONTENT_TOO_LARGE;
+            case HEADER_TOO_LARGE -> HEADERS_TOO_LARGE;
+            case SLOW_SENDER -> REQUEST_TIMEOUT;
+            default -> UNAVAILABLE;
+        };
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -0,0 +1,361 @@
+package io.radishwinch.server.proxy;
+
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.Chain;
+import io.radishwinch.core.model.ModelSpec;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Stage;
+import io.radishwinch.core.model.Verdict;
+import io.radishwinch.server.http.AbstractExchange;
+import io.radishwinch.server.http.Messages;
+import io.radishwinch.server.http.Refusal;
+import io.radishwinch.server.route.Route;
+import io.radishwinch.server.route.RouteKind;
+import io.radishwinch.server.route.RoutingConfig;
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * One request of a caller: forwards it to the endpoints that the core chooses, and one answer back.
+ *
+ * <p>Nothing of an answer is sent before its first event, or for a short one before its end, so that another endpoint
+ * can take over unnoticed. A stream that has begun keeps its head and goes on behind its last whole event.
+ */
+final class ProxyExchange extends AbstractExchange<ProxyScope> {
+
+    /** Answers up to this size are held back until they are whole, in bytes. */
+    private static final int MAX_HELD_BYTES = 64 << 10;
+
+    private static final long PROGRESS_INTERVAL_MS = 1_000;
+
+    private static final String CLOSE = "close";
+
+    private final HttpServerRequest incoming;
+    private final Route route;
+    private final RequestHead head;
+    private final Buffer body;
+    private final int maxConnections;
+    private final int tokensPerEvent;
+    private final EventScanner scanner;
+
+    private Attempt attempt;
+    private HeldAnswer failure;
+    private boolean headSent;
+    private boolean ending;
+    private boolean firstTokenReported;
+    private long nextProgressMs;
+    private long lastActivityMs;
+
+    /** An endpoint's answer that is not sent yet. */
+    private record HeldAnswer(int status, MultiMap headers, Buffer body) {}
+
+    ProxyExchange(
+            ProxyScope scope,
+            RequestSpec request,
+            HttpServerRequest incoming,
+            Route route,
+            RequestHead head,
+            Buffer body,
+            int maxConnections,
+            int tokensPerEvent) {
+        super(scope, request, incoming, body.length());
+        this.incoming = incoming;
+        this.route = route;
+        this.head = head;
+        this.body = body;
+        this.maxConnections = maxConnections;
+        this.tokensPerEvent = tokensPerEvent;
+        this.scanner = new EventScanner(head.resumeAfterEventId());
+    }
+
+    // Attempts
+
+    @Override
+    protected void startAttempt(Action.StartAttempt start) {
+        Chain chain = start.chain();
+        List<Forwarding.Hop> hops = new ArrayList<>();
+        for (Stage stage : chain.stages()) {
+            Optional<EndpointContact> contact = shared.contacts().contact(stage.endpointId());
+            if (contact.isEmpty()) {
+                fail(start.epoch(), stage.endpointId(), Reason.ENDPOINT_REFUSED, Verdict.NOT_RUN);
+                return;
+            }
+            hops.add(new Forwarding.Hop(
+                    contact.get(), stage.layers().first(), stage.layers().end()));
+        }
+        lastActivityMs = shared.control().nowMs();
+        attempt = new Attempt(start.epoch(), hops.get(0).contact());
+        boolean isService = request.pool().startsWith(ModelSpec.SERVICE_PREFIX);
+        String caller = request.caller().equals(RoutingConfig.PUBLIC_CALLER) ? "" : request.caller();
+        Forwarding forwarding = new Forwarding(
+                caller,
+                attempt.contact,
+                isService ? List.of() : hops,
+                Math.max(1, start.deadlineMs() - lastActivityMs),
+                start.priority(),
+                scanner.lastEventId());
+        MultiMap headers = shared.dialect().towardsEndpoint(incoming.headers(), forwarding);
+        attempt.call.start(
+                new UpstreamCall.Message(
+                        incoming.method(),
+                        incoming.uri(),
+                        incoming.getHeader("Host"),
+                        headers,
+                        body,
+                        request.repeatable()),
+                maxConnections);
+    }
+
+    @Override
+    protected void cancelAttempt(int epoch, Reason reason) {
+        if (attempt == null || attempt.epoch != epoch || ending) {
+            return;
+        }
+        boolean sent = attempt.call.isSent();
+        if (sent && !request.repeatable()) {
+            return;
+        }
+        EndpointContact contact = attempt.contact;
+        release();
+        fail(epoch, contact.endpointId(), reason, sent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN);
+    }
+
+    @Override
+    protected void release() {
+        if (attempt != null) {
+            attempt.call.cancel();
+            attempt = null;
+        }
+    }
+
+    private void fail(int epoch, String endpointId, Reason reason, Verdict verdict) {
+        post(new Event.AttemptFailed(request.requestId(), epoch, endpointId, reason, verdict, deliveredTokens()));
+    }
+
+    private int deliveredTokens() {
+        return scanner.events() * tokensPerEvent;
+    }
+
+    /**
+     * Returns the endpoint that an attempt waits for, if it has been silent for too long.
+     *
+     * @param firstEventMs silence allowed before the first event, in ms
+     * @param nextEventMs silence allowed between events, in ms
+     */
+    Optional<String> stalledAt(long nowMs, long firstEventMs, long nextEventMs) {
+        boolean isWaiting = attempt != null && attempt.call.isSent() && !ending && route.kind() == RouteKind.STREAM;
+        long allowedMs = firstTokenReported ? nextEventMs : firstEventMs;
+        return isWaiting && nowMs - lastActivityMs > allowedMs && !response.writeQueueFull()
+                ? Optional.of(attempt.contact.endpointId())
+                : Optional.empty();
+    }
+
+    // Answers
+
+    @Override
+    protected void completeAnswer() {
+        finish(Optional.empty());
+        if (headSent) {
+            response.end();
+        } else {
+            sendHeld(failure);
+        }
+    }
+
+    @Override
+    protected void refuseRequest(Refusal refusal) {
+        HeldAnswer held = failure;
+        boolean isCut = headSent;
+        finish(Optional.of(refusal));
+        if (isCut) {
+            // The head promised a whole answer, so that only a broken connection tells that this one is not.
+            response.reset();
+        } else if (held != null && refusal.verdict() != Verdict.NOT_RUN) {
+            sendHeld(held);
+        } else {
+            if (shared.isDraining().getAsBoolean()) {
+                response.putHeader(HttpHeaders.CONNECTION, CLOSE);
+            }
+            OwnAnswer.send(response, refusal, shared.dialect(), head.requestId());
+        }
+    }
+
+    private void sendHeld(HeldAnswer held) {
+        writeHead(held.status, held.headers);
+        response.end(held.body);
+    }
+
+    private void writeHead(int status, MultiMap headers) {
+        response.setStatusCode(status);
+        response.headers().addAll(shared.dialect().towardsCaller(headers));
+        if (shared.isDraining().getAsBoolean()) {
+            response.putHeader(HttpHeaders.CONNECTION, CLOSE);
+        }
+    }
+
+    /** Breaks the answer off because the endpoint's bytes cannot be trusted and cannot be replaced. */
+    private void abort(Reason reason) {
+        withdraw(Optional.of(new Refusal(reason, Verdict.MAY_HAVE_RUN, Messages.of(reason), 0)));
+        response.reset();
+    }
+
+    /** One attempt at one chain. */
+    private final class Attempt implements UpstreamCall.Listener {
+        private final int epoch;
+        private final EndpointContact contact;
+        private final UpstreamCall call;
+        private int status;
+        private MultiMap headers;
+        private Buffer held = Buffer.buffer();
+
+        Attempt(int epoch, EndpointContact contact) {
+            this.epoch = epoch;
+            this.contact = contact;
+            this.call = new UpstreamCall(shared, contact, this);
+        }
+
+        @Override
+        public void sent() {
+            post(new Event.AttemptStarted(request.requestId(), epoch));
+        }
+
+        @Override
+        public void refused(ReplyHead reply) {
+            String culprit =
+                    reply.faultAddress().flatMap(shared.contacts()::endpointAt).orElse(contact.endpointId());
+            attempt = null;
+            Reason reason = reply.isMisdirected() ? Reason.ENDPOINT_CHANGED : Reason.ENDPOINT_REFUSED;
+            fail(epoch, culprit, reason, Verdict.NOT_RUN);
+        }
+
+        @Override
+        public void answered(ReplyHead reply, HttpClientResponse answer) {
+            status = reply.status();
+            headers = answer.headers();
+            if (!reply.isSealed()) {
+                // Without the endpoint's mark, it is not known whose answer this is.
+                call.cancel();
+                failed(Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN, "answer " + status + " without the endpoint's mark");
+                return;
+            }
+            lastActivityMs = shared.control().nowMs();
+            call.resume();
+        }
+
+        @Override
+        public void received(Buffer chunk) {
+            lastActivityMs = shared.control().nowMs();
+            if (isStream()) {
+                Buffer events = scanner.feed(chunk);
+                if (events.length() > 0) {
+                    pass(events);
+                } else if (scanner.isOversized()) {
+                    call.cancel();
+                    failed(Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN, "event too large");
+                }
+            } else if (headSent) {
+                write(chunk);
+            } else {
+                held.appendBuffer(chunk);
+                if (held.length() > MAX_HELD_BYTES) {
+                    Buffer first = held;
+                    held = Buffer.buffer();
+                    begin();
+                    write(first);
+                }
+            }
+        }
+
+        @Override
+        public void ended() {
+            if (isStream()) {
+                endStream();
+            } else if (headSent) {
+                finished();
+            } else if (request.repeatable() && status >= 500) {
+                failure = new HeldAnswer(status, headers, held);
+                attempt = null;
+                fail(epoch, contact.endpointId(), Reason.ENDPOINT_ERROR, Verdict.RAN);
+            } else {
+                failure = new HeldAnswer(status, headers, held);
+                finished();
+            }
+        }
+
+        @Override
+        public void failed(Reason reason, Verdict verdict, String message) {
+            attempt = null;
+            boolean canGoOn = !headSent || isStream() && request.repeatable();
+            if (canGoOn) {
+                fail(epoch, contact.endpointId(), reason, verdict);
+            } else {
+                abort(reason);
+            }
+        }
+
+        private boolean isStream() {
+            return route.kind() == RouteKind.STREAM && status == 200;
+        }
+
+        private void endStream() {
+            if (scanner.hasPartialEvent() || scanner.events() == 0 && !headSent) {
+                failed(Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN, "stream ended inside an event");
+            } else {
+                finished();
+            }
+        }
+
+        private void finished() {
+            ending = true;
+            post(new Event.AttemptFinished(request.requestId(), epoch, deliveredTokens()));
+        }
+
+        private void pass(Buffer events) {
+            long nowMs = lastActivityMs;
+            delivery.token(nowMs);
+            if (!headSent) {
+                begin();
+            }
+            if (!firstTokenReported) {
+                firstTokenReported = true;
+                post(new Event.FirstToken(request.requestId(), epoch));
+            } else if (nowMs >= nextProgressMs) {
+                nextProgressMs = nowMs + PROGRESS_INTERVAL_MS;
+                post(new Event.Progress(request.requestId(), epoch, deliveredTokens()));
+            }
+            write(events);
+        }
+
+        private void begin() {
+            headSent = true;
+            writeHead(status, headers);
+            if (isStream() || !response.headers().contains(HttpHeaders.CONTENT_LENGTH)) {
+                response.headers().remove(HttpHeaders.CONTENT_LENGTH);
+                response.setChunked(true);
+            }
+        }
+
+        private void write(Buffer bytes) {
+            response.write(bytes);
+            if (response.writeQueueFull()) {
+                call.pause();
+                startWriteTimer();
+                response.drainHandler(ignored -> {
+                    cancelWriteTimer();
+                    lastActivityMs = shared.control().nowMs();
+                    if (attempt == this && !ending) {
+                        call.resume();
+                    }
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -0,0 +1,322 @@
+package io.radishwinch.server.proxy;
+
+import io.radishwinch.core.model.Contract;
+import io.radishwinch.core.model.EnginePoolSpec;
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.server.ControlLoop;
+import io.radishwinch.server.http.Authenticator;
+import io.radishwinch.server.http.BodyCollector;
+import io.radishwinch.server.http.Delivery;
+import io.radishwinch.server.http.ExchangeListener;
+import io.radishwinch.server.http.MemoryBudget;
+import io.radishwinch.server.http.Messages;
+import io.radishwinch.server.http.Refusal;
+import io.radishwinch.server.route.Route;
+import io.radishwinch.server.route.RouteKind;
+import io.radishwinch.server.route.RoutingConfig;
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** HTTP server for callers; used by one traffic thread. */
+public final class ProxyServer implements ExchangeListener {
+
+    /** Part of the heap that request bodies may take together; the rest is for connections and tables. */
+    private static final double BODY_MEMORY_SHARE = 0.25;
+
+    /** Longest time that a caller may leave its answer unread, in ms; the longest timeout of a route. */
+    private static final long WRITE_TIMEOUT_MS = 30_000;
+
+    /** Wait suggested to callers before the first configuration, in ms; a start takes about a second. */
+    private static final long NOT_CONFIGURED_RETRY_MS = 500;
+
+    /** Interval at which silent streams are looked for, in ms; a part of the shortest pause that is looked for. */
+    private static final long STALL_CHECK_MS = 50;
+
+    private static final long IDLE_CHECK_MS = 500;
+
+    /** Silence before the first event after which the endpoint is asked for dead parts of its chains, in ms. */
+    private static final long STALLED_FIRST_EVENT_MS = 400;
+
+    /** Silence between events after which the endpoint is asked for dead parts of its chains, in ms. */
+    private static final long STALLED_NEXT_EVENT_MS = 200;
+
+    private static final int MAX_INITIAL_LINE_BYTES = 16 << 10;
+    private static final int MAX_HEADER_BYTES = 64 << 10;
+    private static final int MS_PER_S = 1_000;
+
+    /** Connections that are not used stay open for this many times the idle limit, so that the caller closes first. */
+    private static final int IDLE_FACTOR = 3;
+
+    private final Parts parts;
+    private final Vertx vertx;
+    private final Set<ProxyExchange> exchanges = new HashSet<>();
+    private final Map<String, ProxyExchange> byRequest = new HashMap<>();
+    private final Set<HttpConnection> connections = new HashSet<>();
+    private ProxyScope scope;
+    private HttpServer server;
+    private long duplicates;
+    private volatile boolean draining;
+
+    /**
+     * What the server needs of the router.
+     *
+     * @param control control loop
+     * @param dialect names of the deployment
+     * @param contacts contacts of endpoints
+     * @param authenticator contracts by key
+     * @param config configuration in force; safe for use by any thread
+     * @param liveRouters routers that share the endpoints; safe for use by any thread
+     * @param listener is told of the end of every request
+     * @param stalled is told of endpoints whose streams are silent
+     */
+    public record Parts(
+            ControlLoop control,
+            ProxyDialect dialect,
+            ContactLookup contacts,
+            Authenticator authenticator,
+            Supplier<RoutingConfig> config,
+            Supplier<Integer> liveRouters,
+            ExchangeListener listener,
+            Consumer<String> stalled) {}
+
+    /** Creates a server on the traffic thread of a Vert.x instance with one event loop. */
+    public ProxyServer(Vertx vertx, Parts parts) {
+        this.vertx = vertx;
+        this.parts = parts;
+    }
+
+    // Life cycle
+
+    /** Starts to listen; fails if the address is in use. */
+    public Future<Integer> start(String host, int port) {
+        MemoryBudget bodies = new MemoryBudget((long) (Runtime.getRuntime().maxMemory() * BODY_MEMORY_SHARE));
+        scope = new ProxyScope(
+                vertx,
+                vertx.getOrCreateContext(),
+                parts.control(),
+                parts.dialect(),
+                parts.contacts(),
+                new EndpointConnections(vertx, parts.control()::nowMs),
+                bodies,
+                this,
+                () -> draining,
+                WRITE_TIMEOUT_MS);
+        vertx.setPeriodic(STALL_CHECK_MS, ignored -> findStalled());
+        vertx.setPeriodic(IDLE_CHECK_MS, ignored -> scope.connections().closeIdle());
+        long idleMs = IDLE_FACTOR * parts.config().get().limits().idleTimeoutMs();
+        HttpServerOptions options = new HttpServerOptions()
+                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+                .setIdleTimeout((int) (idleMs / MS_PER_S))
+                .setHandle100ContinueAutomatically(true)
+                .setTcpNoDelay(true)
+                .setCompressionSupported(false);
+        server = vertx.createHttpServer(options)
+                .requestHandler(this::handle)
+                .invalidRequestHandler(this::refuseInvalid)
+                .connectionHandler(this::connected);
+        return server.listen(port, host).map(HttpServer::actualPort);
+    }
+
+    /** Asks callers to use other routers: each connection is closed after its next answer. */
+    public void startDrain() {
+        draining = true;
+    }
+
+    /** Returns the number of requests that are being answered. */
+    public int openRequests() {
+        return exchanges.size();
+    }
+
+    /** Returns the number of open connections. */
+    public int connections() {
+        return connections.size();
+    }
+
+    private void connected(HttpConnection connection) {
+        connections.add(connection);
+        connection.closeHandler(ignored -> connections.remove(connection));
+    }
+
+    private void findStalled() {
+        long nowMs = parts.control().nowMs();
+        Set<String> stalled = new HashSet<>();
+        for (ProxyExchange exchange : exchanges) {
+            exchange.stalledAt(nowMs, STALLED_FIRST_EVENT_MS, STALLED_NEXT_EVENT_MS)
+                    .ifPresent(stalled::add);
+        }
+        stalled.forEach(parts.stalled());
+    }
+
+    // Requests
+
+    private void handle(HttpServerRequest request) {
+        RoutingConfig config = parts.config().get();
+        if (config.version() == 0) {
+            Refusal refusal = Refusal.notRun(Reason.NO_CAPACITY, "no configuration yet");
+            reject(
+                    request,
+                    "",
+                    null,
+                    new Refusal(refusal.reason(), refusal.verdict(), refusal.message(), NOT_CONFIGURED_RETRY_MS));
+            return;
+        }
+        String host = request.getHeader(HttpHeaders.HOST);
+        Optional<Route> route =
+                host == null ? Optional.empty() : config.routes().find(host, request.path());
+        if (route.isEmpty()) {
+            reject(request, "", null, refusal(Reason.UNKNOWN_PATH));
+            return;
+        }
+        Optional<Contract> contract = contract(request, route.get(), config);
+        if (contract.isEmpty()) {
+            reject(request, "", route.get().rank(), refusal(Reason.UNKNOWN_CALLER));
+            return;
+        }
+        Either<String, RequestHead> head = parts.dialect().readRequest(request.headers());
+        String caller = contract.get().caller();
+        if (head.isLeft()) {
+            reject(request, caller, route.get().rank(), Refusal.notRun(Reason.MALFORMED_REQUEST, head.getLeft()));
+            return;
+        }
+        int maxHeaderBytes = config.limits().maxHeaderBytes();
+        if (headerBytes(request) > maxHeaderBytes) {
+            reject(request, caller, route.get().rank(), refusal(Reason.HEADER_TOO_LARGE));
+            return;
+        }
+        long arrivedAtMs = parts.control().nowMs();
+        BodyCollector.collect(
+                vertx, request, config.limits().maxBodyBytes(), route.get().timeoutMs(), scope.bodies(), body -> {
+                    if (body.isLeft()) {
+                        reject(request, caller, route.get().rank(), body.getLeft());
+                    } else {
+                        admit(new Arrival(request, config, route.get(), caller, head.get(), body.get(), arrivedAtMs));
+                    }
+                });
+    }
+
+    /** A request that was read and may be passed to the core. */
+    private record Arrival(
+            HttpServerRequest request,
+            RoutingConfig config,
+            Route route,
+            String caller,
+            RequestHead head,
+            Buffer body,
+            long arrivedAtMs) {}
+
+    private void admit(Arrival arrival) {
+        Route route = arrival.route;
+        RequestHead head = arrival.head;
+        long timeoutMs = head.timeoutMs() == RequestHead.NONE
+                ? route.timeoutMs()
+                : Math.min(route.timeoutMs(), head.timeoutMs());
+        String pool = route.poolFor(head.requestId().hashCode());
+        Rank rank = arrival.config.callerRanks().getOrDefault(arrival.caller, route.rank());
+        RequestSpec spec = new RequestSpec(
+                uniqueId(head.requestId()),
+                arrival.caller,
+                rank,
+                pool,
+                head.promptTokens(),
+                head.maxNewTokens(),
+                arrival.arrivedAtMs,
+                arrival.arrivedAtMs + timeoutMs,
+                Fingerprints.of(arrival.caller, arrival.request.path(), arrival.body),
+                List.of(),
+                route.isRepeatable(),
+                route.kind() == RouteKind.AT_MOST_ONCE ? 1 : Math.max(1, route.maxRuns()));
+        EnginePoolSpec engines = arrival.config.fleet().enginePools().get(pool);
+        ProxyExchange exchange = new ProxyExchange(
+                scope,
+                spec,
+                arrival.request,
+                route,
+                head,
+                arrival.body,
+                maxConnections(arrival.config, pool),
+                engines == null ? 1 : engines.tokensPerEvent());
+        exchanges.add(exchange);
+        byRequest.put(spec.requestId(), exchange);
+        exchange.arrive();
+    }
+
+    private Optional<Contract> contract(HttpServerRequest request, Route route, RoutingConfig config) {
+        Optional<Contract> known =
+                parts.authenticator().authenticate(parts.dialect().credentials(request.headers()));
+        return route.isPublic() && known.isEmpty()
+                ? Optional.ofNullable(config.fleet().contracts().get(RoutingConfig.PUBLIC_CALLER))
+                : known;
+    }
+
+    /** A caller that repeats an identifier while its request runs must not get the answer of the first one. */
+    private String uniqueId(String requestId) {
+        return byRequest.containsKey(requestId) ? requestId + "~" + ++duplicates : requestId;
+    }
+
+    /** The endpoint's limit holds for all routers together, so each takes its part. */
+    private int maxConnections(RoutingConfig config, String pool) {
+        int limit = config.connectionLimits().getOrDefault(pool, Integer.MAX_VALUE);
+        return Math.max(2, limit / Math.max(1, parts.liveRouters().get()));
+    }
+
+    private static int headerBytes(HttpServerRequest request) {
+        int bytes = request.uri().length();
+        for (Map.Entry<String, String> header : request.headers()) {
+            bytes += header.getKey().length() + header.getValue().length();
+        }
+        return bytes;
+    }
+
+    // Refusals
+
+    private void refuseInvalid(HttpServerRequest request) {
+        Throwable cause = request.decoderResult().cause();
+        boolean isTooLarge = cause instanceof io.netty.handler.codec.TooLongFrameException;
+        reject(request, "", null, refusal(isTooLarge ? Reason.HEADER_TOO_LARGE : Reason.MALFORMED_REQUEST));
+        request.connection().close();
+    }
+
+    private static Refusal refusal(Reason reason) {
+        return Refusal.notRun(reason, Messages.of(reason));
+    }
+
+    private void reject(HttpServerRequest request, String caller, Rank rank, Refusal refusal) {
+        parts.listener().rejected(caller, Optional.ofNullable(rank), refusal);
+        if (draining) {
+            request.response().putHeader(HttpHeaders.CONNECTION, "close");
+        }
+        OwnAnswer.send(
+                request.response(), refusal, parts.dialect(), parts.dialect().requestId(request.headers()));
+    }
+
+    // End of requests
+
+    @Override
+    public void finished(RequestSpec request, Delivery delivery, Optional<Refusal> refusal) {
+        exchanges.remove(byRequest.remove(request.requestId()));
+        parts.listener().finished(request, delivery, refusal);
+    }
+
+    @Override
+    public void rejected(String caller, Optional<Rank> rank, Refusal refusal) {
+        parts.listener().rejected(caller, rank, refusal);
+    }
+}
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/proxy/RequestHead.java
@@ -0,0 +1,30 @@
+package io.radishwinch.server.proxy;
+
+import java.util.List;
+
+/**
+ * What a caller says in the head of its request.
+ *
+ * @param requestId identifier that the caller gave this attempt
+ * @param timeoutMs time that the caller waits for its answer in ms, or {@link #NONE}
+ * @param promptTokens tokens of the prompt, 0 for a request without one
+ * @param maxNewTokens largest number of answer tokens, 0 for a request without a prompt
+ * @param prefixHashes hashes of the parts of the prompt that other requests may share, shortest prefix first
+ * @param resumeAfterEventId event behind which a stream goes on, or {@link #NONE} for one from its start
+ */
+public record RequestHead(
+        String requestId,
+        long timeoutMs,
+        int promptTokens,
+        int maxNewTokens,
+        List<Long> prefixHashes,
+        long resumeAfterEventId) {
+
+    /** Value of fields that the request does not have. */
+    public static final long NONE = -1;
+
+    /** Copies the list. */
+    public RequestHead {
+        prefixHashes = List.copyOf(prefixHashes);
+    }
+}
