--- a/core/src/main/java/io/radishwinch/core/chain/LinkSettings.java
+++ b/core/src/main/java/io/radishwinch/core/chain/LinkSettings.java
@@ -8,8 +8,7 @@
  * @param remoteDelayUs delay of one token between data centres, in us
  * @param infersDelays whether the token interval of finished answers corrects the delay of links
  */
-public record LinkSettings(
-        String homeDataCentre, double localDelayUs, double remoteDelayUs, boolean infersDelays) {
+public record LinkSettings(String homeDataCentre, double localDelayUs, double remoteDelayUs, boolean infersDelays) {
 
     /** Returns the defaults; the delays are those of section 1.6 of the design page. */
     public static LinkSettings defaults() {
--- a/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
@@ -30,7 +30,7 @@
             reason = stateReason(spec, nowMs);
         }
         if (reason != null) {
-            state.refuseEarly(spec, reason, isTransient(reason) ? RETRY_AFTER_MS : 0);
+            state.refuseEarly(spec, reason, isTransient(reason) ? state.returns.waitMs(spec, nowMs) : 0);
             return;
         }
         CallerRow caller = state.caller(state.config.contracts().get(spec.caller()), nowMs);
@@ -45,18 +45,18 @@
         }
         int copies = state.activeByFingerprint.getOrDefault(spec.fingerprint(), 0);
         if (copies >= MAX_WAITING_COPIES && !state.quarantine.mayStart(spec.fingerprint(), nowMs)) {
-            state.refuseEarly(spec, Reason.QUEUE_FULL, RETRY_AFTER_MS);
+            state.refuseEarly(spec, Reason.QUEUE_FULL, state.returns.waitMs(spec, nowMs));
             return;
         }
         if (!state.queue.offer(spec, nowMs, other -> displaced(other, nowMs))) {
-            state.refuseEarly(spec, Reason.QUEUE_FULL, RETRY_AFTER_MS);
+            state.refuseEarly(spec, Reason.QUEUE_FULL, state.returns.waitMs(spec, nowMs));
             return;
         }
         if (state.requests.size() - state.running.size()
                 >= state.settings.queue().capacity()) {
             // Requests that wait outside the queue use its capacity too.
             state.queue.remove(spec.requestId());
-            state.refuseEarly(spec, Reason.QUEUE_FULL, RETRY_AFTER_MS);
+            state.refuseEarly(spec, Reason.QUEUE_FULL, state.returns.waitMs(spec, nowMs));
             return;
         }
         caller.requests.take(1);
@@ -87,6 +87,6 @@
     }
 
     private static boolean isTransient(Reason reason) {
-        return reason == Reason.DRAINING || reason == Reason.NO_CAPACITY;
+        return reason == Reason.DRAINING || reason == Reason.NO_CAPACITY || reason == Reason.DEADLINE_UNREACHABLE;
     }
 }
--- a/core/src/main/java/io/radishwinch/core/impl/CoreSettings.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreSettings.java
@@ -19,6 +19,8 @@
  * @param preemptAfterMs wait of urgent work after which batch work yields, in ms
  * @param maxPreemptions preemptions of one request
  * @param maxHistory decisions kept for one request
+ * @param minReturnMs shortest wait suggested to a caller that was refused for want of capacity, in ms
+ * @param maxReturnMs longest such wait, in ms
  */
 public record CoreSettings(
         long seed,
@@ -32,7 +34,9 @@
         long exclusionMs,
         long preemptAfterMs,
         int maxPreemptions,
-        int maxHistory) {
+        int maxHistory,
+        long minReturnMs,
+        long maxReturnMs) {
 
     /** Returns the defaults. */
     public static CoreSettings defaults() {
@@ -104,6 +108,11 @@
         return toBuilder().maxHistory(value).build();
     }
 
+    /** Returns a copy with other waits suggested to callers that were refused for want of capacity, in ms. */
+    public CoreSettings withReturns(long minMs, long maxMs) {
+        return toBuilder().returns(minMs, maxMs).build();
+    }
+
     /** Returns a builder that starts from these settings. */
     public Builder toBuilder() {
         Builder builder = new Builder();
@@ -119,6 +128,8 @@
         builder.preemptAfterMs = preemptAfterMs;
         builder.maxPreemptions = maxPreemptions;
         builder.maxHistory = maxHistory;
+        builder.minReturnMs = minReturnMs;
+        builder.maxReturnMs = maxReturnMs;
         return builder;
     }
 
@@ -137,6 +148,8 @@
         private long preemptAfterMs = 200;
         private int maxPreemptions = 4;
         private int maxHistory = 32;
+        private long minReturnMs = 1_000;
+        private long maxReturnMs = 1_000;
 
         private Builder() {}
 
@@ -212,6 +225,13 @@
             return this;
         }
 
+        /** Sets the waits suggested to callers that were refused for want of capacity, in ms. */
+        public Builder returns(long minMs, long maxMs) {
+            this.minReturnMs = minMs;
+            this.maxReturnMs = maxMs;
+            return this;
+        }
+
         /** Returns the settings. */
         public CoreSettings build() {
             return new CoreSettings(
@@ -226,7 +246,9 @@
                     exclusionMs,
                     preemptAfterMs,
                     maxPreemptions,
-                    maxHistory);
+                    maxHistory,
+                    minReturnMs,
+                    maxReturnMs);
         }
     }
 }
--- a/core/src/main/java/io/radishwinch/core/impl/CoreState.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreState.java
@@ -50,6 +50,7 @@
     final RequestQueue queue;
     final RetryPolicy retries;
     final CrashQuarantine quarantine;
+    final ReturnTimes returns;
     /** Attempts of this router by endpoint; endpoints without any are absent. */
     final Map<String, Integer> attemptsByEndpoint = new HashMap<>();
 
@@ -94,6 +95,7 @@
                 new RetryBudget(retry),
                 new Backoff(retry.backoffBaseMs(), retry.backoffMaxMs(), new SplittableRandom(settings.seed())));
         this.quarantine = new CrashQuarantine(settings.quarantine());
+        this.returns = new ReturnTimes(settings.minReturnMs(), settings.maxReturnMs(), settings.seed());
     }
 
     @Override
@@ -179,7 +181,8 @@
     /** Ends a request with an error that carries the verdict over all its attempts. */
     void refuse(RequestRow row, Reason reason, long nowMs) {
         Verdict verdict = row.verdictNow();
-        Action action = new Action.Refuse(row.id(), reason, verdict, 0);
+        long retryAfterMs = verdict == Verdict.NOT_RUN && isShortage(reason) ? returns.waitMs(row.spec, nowMs) : 0;
+        Action action = new Action.Refuse(row.id(), reason, verdict, retryAfterMs);
         note(row, nowMs, "refused: " + reason.wireName());
         finished.add(row.view(FINISHED, Optional.of(verdict), Optional.of(reason)));
         if (row.state == RequestRow.State.RUNNING) {
@@ -189,6 +192,21 @@
         out.add(action);
     }
 
+    private static boolean isShortage(Reason reason) {
+        return switch (reason) {
+            case NO_CAPACITY,
+                    QUEUE_FULL,
+                    DEADLINE_UNREACHABLE,
+                    ATTEMPTS_EXHAUSTED,
+                    RETRY_BUDGET_EXHAUSTED,
+                    ENDPOINT_REFUSED,
+                    ENDPOINT_CHANGED,
+                    STAGE_DIED,
+                    DRAINING -> true;
+            default -> false;
+        };
+    }
+
     void complete(RequestRow row, long nowMs) {
         note(row, nowMs, "answered");
         finished.add(row.view(FINISHED, Optional.of(Verdict.RAN), Optional.empty()));
--- a/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
@@ -5,6 +5,7 @@
 import io.radishwinch.core.model.ModelSpec;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Verdict;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -133,10 +134,20 @@
     }
 
     private void drop(RequestRow row, long nowMs) {
-        state.refuse(row, state.deadlineReason(row, Reason.DEADLINE_UNREACHABLE), nowMs);
+        boolean hasWaitedTooLong = hasWaitedTooLong(row, nowMs);
+        Reason reason = hasWaitedTooLong ? Reason.NO_CAPACITY : Reason.DEADLINE_UNREACHABLE;
+        state.refuse(row, state.deadlineReason(row, reason), nowMs);
+    }
+
+    /** A request that never ran is worth less the longer it waits, so that its caller is told in time. */
+    private static boolean hasWaitedTooLong(RequestRow row, long nowMs) {
+        return nowMs >= row.spec.startByMs() && (row.verdict == null || row.verdict == Verdict.NOT_RUN);
     }
 
     private boolean isTooLate(RequestRow row, long nowMs) {
+        if (hasWaitedTooLong(row, nowMs)) {
+            return true;
+        }
         PoolRow pool = state.pool(row.spec.pool());
         return nowMs + pool.neededMs(row.spec, row.deliveredTokens, pool.isContended(nowMs), nowMs)
                 >= state.deadlineMs(row);
--- a/core/src/main/java/io/radishwinch/core/model/EnginePoolSpec.java
+++ b/core/src/main/java/io/radishwinch/core/model/EnginePoolSpec.java
@@ -13,7 +13,10 @@
  * @param accelerators accelerators by kind
  */
 public record EnginePoolSpec(
-        int usualTokens, int tokensPerEvent, long loadMs, double stepUs,
+        int usualTokens,
+        int tokensPerEvent,
+        long loadMs,
+        double stepUs,
         double crossingUs,
         Map<String, AcceleratorSpec> accelerators) {
 
--- a/core/src/main/java/io/radishwinch/core/model/RequestSpec.java
+++ b/core/src/main/java/io/radishwinch/core/model/RequestSpec.java
@@ -17,6 +17,7 @@
  * @param prefixHashes cumulative hashes of the prompt's blocks, shortest prefix first
  * @param repeatable whether the request may be sent to an endpoint more than once
  * @param maxRuns attempts that may run, those on endpoints that died not counted
+ * @param startByMs time after which a request that no endpoint has accepted is refused, in ms of the router's clock
  */
 public record RequestSpec(
         String requestId,
@@ -30,14 +31,15 @@
         String fingerprint,
         List<Long> prefixHashes,
         boolean repeatable,
-        int maxRuns) {
+        int maxRuns,
+        long startByMs) {
 
     /** Copies the prefix hashes. */
     public RequestSpec {
         prefixHashes = List.copyOf(prefixHashes);
     }
 
-    /** Creates a request without a limit on its runs beyond that of the retry policy. */
+    /** Creates a request without a limit on its runs and on its wait beyond those of the policies. */
     public RequestSpec(
             String requestId,
             String caller,
@@ -62,7 +64,8 @@
                 fingerprint,
                 prefixHashes,
                 repeatable,
-                Integer.MAX_VALUE);
+                Integer.MAX_VALUE,
+                Long.MAX_VALUE);
     }
 
     /** Returns the cost in tokens, the unit of fair queueing and of token limits. */
--- a/core/src/main/java/io/radishwinch/core/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/io/radishwinch/core/quarantine/CrashQuarantine.java
@@ -6,20 +6,17 @@
 /**
  * Finds the requests that crash the endpoints that run them, by fingerprint.
  *
- * <p>A fingerprint that was running on one endpoint that crashed is a suspect, on two it is quarantined. Until a
- * request with the fingerprint has finished, its crashes and running attempts together stay at two at most: at this
- * router it costs no third endpoint, even if its caller sends many copies at once. A finished request clears its
- * fingerprint.
+ * <p>A fingerprint that was running on one endpoint that crashed is a suspect, on as many as the settings allow it is
+ * quarantined. Until a request with the fingerprint has finished, its crashes and running attempts together stay at
+ * that number at most: at this router it costs no further endpoint, even if its caller sends many copies at once. A
+ * finished request clears its fingerprint.
  */
 public final class CrashQuarantine {
 
-    /** Crashed endpoints after which a fingerprint is quarantined. */
-    private static final int MAX_CRASHES = 2;
-
     /** Reports of a crash of the same endpoint within this time are about the same crash, in ms. */
     private static final long SAME_CRASH_MS = 5_000;
 
-    private record Crash(String endpointId, long atMs, long startableAtMs) {}
+    private record Crash(String endpointId, long atMs, long startableAtMs, int count) {}
 
     private final QuarantineSettings settings;
     private final ExpiringMap<Long> quarantined;
@@ -65,7 +62,7 @@
         if (crash == null && trusted.get(fingerprint, nowMs) != null) {
             return true;
         }
-        return (crash == null ? 0 : 1) + running.getOrDefault(fingerprint, 0) < MAX_CRASHES;
+        return (crash == null ? 0 : crash.count()) + running.getOrDefault(fingerprint, 0) < settings.maxCrashes();
     }
 
     /** Returns the endpoint that crashed under a suspect, or an empty string if the fingerprint is no suspect. */
@@ -112,8 +109,9 @@
         }
         trusted.remove(fingerprint);
         long holdMs = byPeer ? settings.peerHoldMs() : settings.holdMs();
-        Crash crash = new Crash(endpointId, nowMs, nowMs + holdMs);
-        if (earlier == null) {
+        int count = earlier == null ? 1 : earlier.count() + 1;
+        Crash crash = new Crash(endpointId, nowMs, nowMs + holdMs, count);
+        if (count < settings.maxCrashes()) {
             suspects.put(fingerprint, crash, nowMs + settings.suspectMs());
             return true;
         }
--- a/core/src/main/java/io/radishwinch/core/quarantine/QuarantineSettings.java
+++ b/core/src/main/java/io/radishwinch/core/quarantine/QuarantineSettings.java
@@ -15,6 +15,7 @@
  * @param patienceMs time after which a suspect may also run on endpoints with more other attempts, in ms
  * @param observationMs time from the first token of a suspect's attempt to the end of its observation, in ms; the
  *     attempt is then past the token at which the endpoint crashed
+ * @param maxCrashes crashes after which a fingerprint is quarantined
  */
 public record QuarantineSettings(
         long quarantineMs,
@@ -25,11 +26,12 @@
         int maxEntries,
         int maxNeighbours,
         long patienceMs,
-        long observationMs) {
+        long observationMs,
+        int maxCrashes) {
 
     /** Returns the defaults. */
     public static QuarantineSettings defaults() {
-        return new QuarantineSettings(15 * 60_000, 5 * 60_000, 10 * 60_000, 200, 1_200, 10_000, 2, 200, 200);
+        return new QuarantineSettings(15 * 60_000, 5 * 60_000, 10 * 60_000, 200, 1_200, 10_000, 2, 200, 200, 2);
     }
 
     /** Returns a copy with other times, in ms. */
@@ -43,7 +45,8 @@
                 maxEntries,
                 maxNeighbours,
                 patienceMs,
-                observationMs);
+                observationMs,
+                maxCrashes);
     }
 
     /** Returns a copy with another bound of the tables. */
@@ -57,7 +60,8 @@
                 newMaxEntries,
                 maxNeighbours,
                 patienceMs,
-                observationMs);
+                observationMs,
+                maxCrashes);
     }
 
     /** Returns a copy with other times between a crash and the next attempt, in ms. */
@@ -71,6 +75,28 @@
                 maxEntries,
                 maxNeighbours,
                 patienceMs,
-                observationMs);
+                observationMs,
+                maxCrashes);
+    }
+
+    /** Returns a copy without observation: a suspect may run beside any number of other attempts. */
+    public QuarantineSettings withoutObservation() {
+        return new QuarantineSettings(
+                quarantineMs, suspectMs, trustMs, holdMs, peerHoldMs, maxEntries, Integer.MAX_VALUE, 0, 0, maxCrashes);
+    }
+
+    /** Returns a copy with another number of crashes after which a fingerprint is quarantined. */
+    public QuarantineSettings withMaxCrashes(int newMaxCrashes) {
+        return new QuarantineSettings(
+                quarantineMs,
+                suspectMs,
+                trustMs,
+                holdMs,
+                peerHoldMs,
+                maxEntries,
+                maxNeighbours,
+                patienceMs,
+                observationMs,
+                newMaxCrashes);
     }
 }
--- a/core/src/main/java/io/radishwinch/core/retry/BudgetedRetryPolicy.java
+++ b/core/src/main/java/io/radishwinch/core/retry/BudgetedRetryPolicy.java
@@ -50,7 +50,11 @@
         }
         if (budget.tryWithdraw(request.caller(), request.pool(), nowMs)) {
             // The reader of a broken stream waits for its next token, and other endpoints take over its first retry.
-            boolean immediate = failure.deliveredTokens() > 0 && failure.attempts() == 1 && failure.budgetWaits() == 0;
+            // An endpoint that has changed or answered with an error says nothing of the others.
+            boolean isIsolated = failure.deliveredTokens() > 0
+                    || failure.reason() == Reason.ENDPOINT_CHANGED
+                    || failure.reason() == Reason.ENDPOINT_ERROR;
+            boolean immediate = isIsolated && failure.attempts() == 1 && failure.budgetWaits() == 0;
             return new Retry(immediate ? 0 : backoff.waitMs(failure.attempts() - 1));
         }
         return failure.deliveredTokens() > 0 || failure.budgetWaits() < settings.maxBudgetWaits()
--- /dev/null
+++ b/core/src/test/java/io/radishwinch/core/impl/ReturnTimesTest.java
@@ -0,0 +1,38 @@
+package io.radishwinch.core.impl;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.RequestSpec;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Load pattern: a surge is refused for want of capacity, and its callers return. */
+class ReturnTimesTest {
+    private final ReturnTimes returns = new ReturnTimes(2_000, 5_000, 1);
+
+    private static RequestSpec request(long deadlineMs) {
+        return new RequestSpec("r", "a", Rank.BATCH, "m", 1, 1, 0, deadlineMs, "f", List.of(), true);
+    }
+
+    @Test
+    void callersThatAreRefusedTogetherAreAskedToReturnAtDifferentTimes() {
+        Set<Long> waits = new HashSet<>();
+        for (int i = 0; i < 200; i++) {
+            long waitMs = returns.waitMs(request(20_000), 0);
+            assertThat(waitMs).isBetween(2_000L, 5_000L);
+            waits.add(waitMs);
+        }
+        assertThat(waits).hasSizeGreaterThan(100);
+    }
+
+    @Test
+    void noCallerIsAskedToReturnLaterThanAThirdOfItsTime() {
+        for (int i = 0; i < 200; i++) {
+            assertThat(returns.waitMs(request(1_500), 0)).isBetween(1L, 500L);
+        }
+        assertThat(returns.waitMs(request(1_000), 1_000)).isZero();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/radishwinch/core/placement/LayoutPlannerTest.java
@@ -0,0 +1,151 @@
+package io.radishwinch.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.model.EngineOrder;
+import io.radishwinch.core.model.LayerRange;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class LayoutPlannerTest {
+    private static final long SETTLED_MS = 5_000;
+
+    private final Map<String, PlacementEndpoint> engines = new TreeMap<>();
+    private LayoutPlanner planner =
+            new LayoutPlanner(LayoutSettings.defaults(), new RoomLayout(), new AlwaysGrantedLease());
+
+    private List<Action.OrderEngine> tick(long nowMs) {
+        return planner.tick(engines.values(), MixedEngines.CONFIG, nowMs).stream()
+                .filter(Action.OrderEngine.class::isInstance)
+                .map(Action.OrderEngine.class::cast)
+                .toList();
+    }
+
+    private static LayerRange layers(Action.OrderEngine order) {
+        return ((EngineOrder.LoadLayers) order.order()).layers();
+    }
+
+    private void carryOut(List<Action.OrderEngine> orders) {
+        orders.forEach(order -> engines.computeIfPresent(
+                order.endpointId(), (id, engine) -> MixedEngines.holding(engine, layers(order))));
+    }
+
+    private void layOut() {
+        MixedEngines.empty("dc").forEach(engine -> engines.put(engine.id(), engine));
+        tick(0);
+        carryOut(tick(SETTLED_MS));
+    }
+
+    private LayerCapacity capacity() {
+        LayerCapacity capacity = new LayerCapacity(MixedEngines.MODEL.layerCount());
+        engines.values().forEach(engine -> engine.holdings().forEach(holding -> capacity.add(holding.layers(), 1)));
+        return capacity;
+    }
+
+    @Test
+    void enginesThatStillJoinAreNotLaidOutYet() {
+        MixedEngines.empty("dc").forEach(engine -> engines.put(engine.id(), engine));
+        assertThat(tick(0)).isEmpty();
+        assertThat(tick(SETTLED_MS)).hasSize(engines.size());
+    }
+
+    @Test
+    void aRouterWithoutTheLeaseGivesNoOrders() {
+        planner = new LayoutPlanner(LayoutSettings.defaults(), new RoomLayout(), new NeverGrantedLease(1));
+        MixedEngines.empty("dc").forEach(engine -> engines.put(engine.id(), engine));
+        tick(0);
+        assertThat(tick(SETTLED_MS)).isEmpty();
+    }
+
+    @Test
+    void whenAnEngineDiesOthersTakeOverTheLayersThatOnlyItHeld() {
+        layOut();
+        for (String lost : List.copyOf(engines.keySet())) {
+            PlacementEndpoint engine = engines.remove(lost);
+            long nowMs = SETTLED_MS + 10_000;
+            for (int i = 0; i < 10; i++) {
+                carryOut(tick(nowMs + i * 250L));
+            }
+            assertThat(capacity().gaps()).as("after the loss of " + lost).isEmpty();
+            engines.put(lost, engine);
+        }
+    }
+
+    @Test
+    void anEngineThatComesBackEmptyIsGivenLayersAtOnce() {
+        layOut();
+        PlacementEndpoint empty = MixedEngines.empty("dc").get(3);
+        engines.put(empty.id(), empty);
+        List<Action.OrderEngine> orders = tick(SETTLED_MS + 10_000);
+        assertThat(orders).extracting(Action.OrderEngine::endpointId).contains(empty.id());
+    }
+
+    @Test
+    void anEngineThatRefusedAnOrderIsLeftAloneForAWhile() {
+        layOut();
+        PlacementEndpoint empty = MixedEngines.empty("dc").get(3);
+        engines.put(empty.id(), empty);
+        long nowMs = SETTLED_MS + 10_000;
+        Action.OrderEngine order = tick(nowMs).stream()
+                .filter(each -> each.endpointId().equals(empty.id()))
+                .findFirst()
+                .orElseThrow();
+        planner.acknowledged(order.endpointId(), order.fencingNumber(), false);
+        assertThat(tick(nowMs + 250)).extracting(Action.OrderEngine::endpointId).doesNotContain(empty.id());
+        assertThat(tick(nowMs + 2_000))
+                .extracting(Action.OrderEngine::endpointId)
+                .contains(empty.id());
+    }
+
+    @Test
+    void aDataCentreThatCannotHoldTheModelIsLaidOutTogetherWithOthers() {
+        MixedEngines.empty("big").forEach(engine -> engines.put(engine.id(), engine));
+        for (String dataCentre : List.of("one", "two")) {
+            PlacementEndpoint engine =
+                    MixedEngines.engine(dataCentre + "-huge", dataCentre, "huge", java.util.Optional.empty());
+            engines.put(engine.id(), engine);
+        }
+        tick(0);
+        carryOut(tick(SETTLED_MS));
+        LayerRange one = engines.get("one-huge").holdings().get(0).layers();
+        LayerRange two = engines.get("two-huge").holdings().get(0).layers();
+        assertThat(one).isNotEqualTo(two);
+    }
+
+    @Property(tries = 100, seed = "7")
+    void noOrderExceedsTheMemoryOfItsEngineWhileEnginesComeAndGo(@ForAll int seed) {
+        engines.clear();
+        planner = new LayoutPlanner(LayoutSettings.defaults(), new RoomLayout(), new AlwaysGrantedLease());
+        layOut();
+        Random random = new Random(seed);
+        Map<String, PlacementEndpoint> all = new HashMap<>();
+        MixedEngines.empty("dc").forEach(engine -> all.put(engine.id(), engine));
+        for (int step = 0; step < 60; step++) {
+            List<String> ids = new ArrayList<>(all.keySet());
+            String id = ids.get(random.nextInt(ids.size()));
+            if (random.nextInt(4) == 0 && engines.size() > 9) {
+                engines.remove(id);
+            } else if (random.nextInt(3) == 0) {
+                engines.putIfAbsent(id, all.get(id));
+            }
+            List<Action.OrderEngine> orders = tick(2 * SETTLED_MS + step * 250L);
+            for (Action.OrderEngine order : orders) {
+                String kind = engines.get(order.endpointId()).spec().acceleratorKind();
+                long weightBytes = layers(order).size() * MixedEngines.MODEL.layerBytes();
+                assertThat(weightBytes).isLessThan(MixedEngines.POOL.memoryBytes(kind));
+                assertThat(layers(order).end()).isLessThanOrEqualTo(MixedEngines.MODEL.layerCount());
+            }
+            if (random.nextBoolean()) {
+                carryOut(orders);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/radishwinch/core/placement/RoomLayoutTest.java
@@ -0,0 +1,55 @@
+package io.radishwinch.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.core.model.LayerRange;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class RoomLayoutTest {
+    private static final List<String> KINDS = List.of("huge", "large", "medium", "small");
+
+    @Test
+    void everyLayerOfAMixedPoolIsHeld() {
+        List<PlacementEndpoint> engines = MixedEngines.empty("dc");
+        Map<String, LayerRange> ranges = new RoomLayout().plan(engines, MixedEngines.MODEL, MixedEngines.POOL);
+        assertThat(MixedEngines.weakestRoom(engines, ranges)).isPositive();
+    }
+
+    @Test
+    void theWeakestLayerOfAMixedPoolHasMoreRoomThanInAGreedyLayout() {
+        List<PlacementEndpoint> engines = MixedEngines.empty("dc");
+        Map<String, LayerRange> ours = new RoomLayout().plan(engines, MixedEngines.MODEL, MixedEngines.POOL);
+        Map<String, LayerRange> greedy = new GreedyLayout().plan(engines, MixedEngines.MODEL, MixedEngines.POOL);
+        assertThat(MixedEngines.weakestRoom(engines, ours)).isGreaterThan(MixedEngines.weakestRoom(engines, greedy));
+    }
+
+    @Property(tries = 200, seed = "11")
+    void noEngineIsPlannedAboveItsMemoryAndAPoolThatCanHoldTheModelDoes(
+            @ForAll @IntRange(min = 1, max = 100) int count, @ForAll int seed) {
+        Random random = new Random(seed);
+        List<PlacementEndpoint> engines = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            String kind = KINDS.get(random.nextInt(KINDS.size()));
+            engines.add(MixedEngines.engine("e" + i, "dc", kind, Optional.empty()));
+        }
+        Map<String, LayerRange> ranges = new RoomLayout().plan(engines, MixedEngines.MODEL, MixedEngines.POOL);
+        for (PlacementEndpoint engine : engines) {
+            LayerRange range = ranges.get(engine.id());
+            long weightBytes = range == null ? 0 : range.size() * MixedEngines.MODEL.layerBytes();
+            assertThat(weightBytes)
+                    .isLessThanOrEqualTo(
+                            MixedEngines.POOL.memoryBytes(engine.spec().acceleratorKind()));
+        }
+        if (RoomLayout.canHoldCopy(engines, MixedEngines.MODEL, MixedEngines.POOL)) {
+            assertThat(MixedEngines.weakestRoom(engines, ranges)).isPositive();
+        }
+    }
+}
--- a/server/src/main/java/io/radishwinch/server/StdoutHandler.java
+++ b/server/src/main/java/io/radishwinch/server/StdoutHandler.java
@@ -20,7 +20,7 @@
  */
 final class StdoutHandler extends Handler {
     private static final int MAX_WAITING_LINES = 4_096;
-    private static final long BATCH_INTERVAL_MS = 200;
+    private static final long BATCH_INTERVAL_MS = 500;
 
     private final BlockingQueue<LogRecord> waiting = new ArrayBlockingQueue<>(MAX_WAITING_LINES);
     private final AtomicLong dropped = new AtomicLong();
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -40,6 +40,7 @@
     private static final long UNBOUNDED_BYTES = Long.MAX_VALUE / 4;
 
     private final Consumer<Event> core;
+    private final Consumer<String> leavingPublisher;
     private final FleetLog log;
     private final long readmissionMs;
     private final Map<String, Tracked> byInstance = new TreeMap<>();
@@ -72,10 +73,12 @@
      * Creates a registry without endpoints.
      *
      * @param core takes events
+     * @param leavingPublisher tells the other routers of an endpoint that is leaving
      * @param readmissionMs time within which endpoints are listed again after the platform was away, in ms
      */
-    EndpointRegistry(Consumer<Event> core, FleetLog log, long readmissionMs) {
+    EndpointRegistry(Consumer<Event> core, Consumer<String> leavingPublisher, FleetLog log, long readmissionMs) {
         this.core = core;
+        this.leavingPublisher = leavingPublisher;
         this.log = log;
         this.readmissionMs = readmissionMs;
     }
@@ -169,6 +172,14 @@
         }
     }
 
+    /** Applies that another router saw an endpoint leave. */
+    void leavingAtPeer(String endpointId, long nowMs) {
+        Tracked tracked = byId.get(endpointId);
+        if (tracked != null && !tracked.leaving) {
+            leave(tracked, "leaving by another router", nowMs);
+        }
+    }
+
     /** Notes whether the platform answers. */
     void platformReachable(boolean reachable, long nowMs) {
         if (platformAway && reachable) {
@@ -307,6 +318,7 @@
         tracked.forgetAtMs = nowMs + REMOVED_KEEP_MS;
         log.belief("endpoint-leaving", tracked.endpointId, cause);
         core.accept(new Event.EndpointLeaving(tracked.endpointId));
+        leavingPublisher.accept(tracked.endpointId);
     }
 
     /** Ends a lifetime whose endpoint has started again. */
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -45,9 +45,11 @@
 /** Everything that the control thread of a fleet's router owns. All methods run on that thread unless they say so. */
 final class FleetControl {
 
-    private static final long TICK_INTERVAL_MS = 50;
-    private static final long SHARE_INTERVAL_MS = 250;
-    private static final long LEASE_INTERVAL_MS = 250;
+    /** Interval of all periodic work, in ms; each wake-up of the thread costs processor time. */
+    private static final long TICK_INTERVAL_MS = PeerNode.TICK_INTERVAL_MS;
+
+    /** Ticks between two messages on load to the other routers. */
+    private static final int TICKS_PER_SHARE = 3;
 
     /** Longest wait between two tries while the platform is away, in ms; a regained platform is noticed within it. */
     private static final long MAX_PLATFORM_BACKOFF_MS = 1_000;
@@ -81,6 +83,7 @@
     private volatile int liveRouters = 1;
     private volatile boolean endpointsListed;
     private boolean platformAvailable = true;
+    private long ticks;
 
     /** What the control plane uses of the deployment. */
     record Ports(FleetDialect dialect, PlatformClient platform, EndpointControl endpoints) {}
@@ -123,11 +126,12 @@
                 this::nonce,
                 log);
         control = new ControlLoop(context, clock, decisionCore(), this::perform);
-        registry = new EndpointRegistry(control::post, log, settings.readmissionMs());
+        registry = new EndpointRegistry(control::post, this::publishLeaving, log, settings.readmissionMs());
         prober = new EndpointProber(ports.endpoints(), registry, log, clock);
         orders = new LayerOrders(ports.endpoints(), registry, scheduler, control::post, lease::doubt, log, clock);
         config = new ConfigSource(dialect, log);
-        shared = new SharedState(node, control, this::leavingAtPeer, () -> {}, (sender, message) -> {});
+        shared =
+                new SharedState(node, control, this::leavingAtPeer, this::configChangedAtPeer, (sender, message) -> {});
         node.addListener(shared);
         control.observe(this::observe);
         control.observeActions(decisions::action);
@@ -156,10 +160,7 @@
     // Life cycle
 
     void start() {
-        every(TICK_INTERVAL_MS, this::tick);
-        every(PeerNode.TICK_INTERVAL_MS, () -> peers.send(node.tick(clock.getAsLong())));
-        every(SHARE_INTERVAL_MS, this::share);
-        every(LEASE_INTERVAL_MS, () -> lease.tick(clock.getAsLong()));
+        vertx.setPeriodic(TICK_INTERVAL_MS, ignored -> tick());
         endpointFollower.start();
         configFollower.start();
         routers.start(this::join);
@@ -223,6 +224,11 @@
         registry.tick(nowMs);
         prober.tick(nowMs);
         orders.tick();
+        lease.tick(nowMs);
+        if (++ticks % TICKS_PER_SHARE == 0) {
+            share();
+        }
+        peers.send(node.tick(nowMs));
         control.post(new Event.Tick());
     }
 
@@ -264,7 +270,17 @@
         if (change.value().isEmpty() || !change.key().equals(dialect.configKey())) {
             return;
         }
-        if (config.offer(change.value().get(), change.version())) {
+        // Peers that the platform turns away learn of the change from this router.
+        node.offerConfiguration(change.key(), change.version(), change.value().get(), clock.getAsLong());
+        offer(change.value().get(), change.version());
+    }
+
+    private void configChangedAtPeer() {
+        node.configuration().object(dialect.configKey()).ifPresent(object -> offer(object.value(), object.version()));
+    }
+
+    private void offer(byte[] value, long version) {
+        if (config.offer(value, version)) {
             RoutingConfig inForce = config.inForce();
             authenticator.configure(inForce.fleet());
             control.post(new Event.ConfigInForce(inForce.fleet()));
@@ -294,8 +310,12 @@
         }
     }
 
+    private void publishLeaving(String endpointId) {
+        shared.leaving(endpointId);
+    }
+
     private void leavingAtPeer(String endpointId) {
-        log.belief("endpoint-leaving-at-peer", endpointId, "");
+        registry.leavingAtPeer(endpointId, clock.getAsLong());
     }
 
     // Events and actions
@@ -329,8 +349,4 @@
     private String nonce() {
         return HexFormat.of().toHexDigits(random.nextLong());
     }
-
-    private void every(long intervalMs, Runnable task) {
-        vertx.setPeriodic(intervalMs, ignored -> task.run());
-    }
 }
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
@@ -161,6 +161,11 @@
                 .onComplete(ignored -> log.lifecycle(LogFields.of("stopped").with("router", settings.routerId())));
     }
 
+    /** Closes all connections and stops all threads without waiting for requests. */
+    public Future<Void> close() {
+        return trafficVertx.close().eventually(() -> controlVertx.close());
+    }
+
     private void awaitIdle(long deadlineMs, Promise<Void> stopped) {
         trafficVertx.setPeriodic(IDLE_CHECK_MS, timer -> {
             boolean isIdle = proxy.openRequests() == 0;
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetTuning.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetTuning.java
@@ -3,6 +3,7 @@
 import io.radishwinch.core.chain.LinkSettings;
 import io.radishwinch.core.health.HealthSettings;
 import io.radishwinch.core.impl.CoreSettings;
+import io.radishwinch.core.quarantine.QuarantineSettings;
 import io.radishwinch.core.queue.QueueSettings;
 import io.radishwinch.core.retry.RetrySettings;
 
@@ -27,6 +28,23 @@
     /** Time in which a new endpoint reaches its full share, in ms; weights are loaded before it is listed. */
     private static final long SLOW_START_MS = 0;
 
+    /**
+     * Crashes after which a request is taken for their cause. An engine that dies takes the streams of many innocent
+     * requests with it, so that one or two say little.
+     */
+    private static final int MAX_CRASHES = 3;
+
+    /** Times of the quarantine, in ms: engines start again within seconds, and callers return within their deadline. */
+    private static final long QUARANTINE_MS = 60_000;
+
+    private static final long SUSPECT_MS = 60_000;
+    private static final long TRUST_MS = 60_000;
+
+    /** Waits suggested to refused callers, in ms: a lost part of a chain is loaded again in two to four seconds. */
+    private static final long MIN_RETURN_MS = 2_000;
+
+    private static final long MAX_RETURN_MS = 5_000;
+
     /** Requests that wait at one router; beyond it, they would miss their targets. */
     private static final int QUEUE_CAPACITY = 256;
 
@@ -50,6 +68,12 @@
                         .withMaxAttempts(MAX_ATTEMPTS)
                         .withBudget(RETRY_RATIO, RETRY_RATIO, RETRY_RESERVE, OUTAGE_FAILURES)
                         .withBackoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS))
+                .withReturns(MIN_RETURN_MS, MAX_RETURN_MS)
+                .withQuarantine(QuarantineSettings.defaults()
+                        .withTimes(QUARANTINE_MS, SUSPECT_MS, TRUST_MS)
+                        .withHold(0, 0)
+                        .withoutObservation()
+                        .withMaxCrashes(MAX_CRASHES))
                 .withInitialAllotmentShare(1)
                 .withUncoveredGraceMs(UNCOVERED_GRACE_MS);
     }
--- a/server/src/main/java/io/radishwinch/server/fleet/LeaseKeeper.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/LeaseKeeper.java
@@ -117,7 +117,7 @@
         leases.values().forEach(lease -> lease.inDoubt |= isOwn(lease));
     }
 
-    /** Takes over leases whose holder is gone; to be called every 50 to 500 ms. */
+    /** Takes over leases whose holder is gone; to be called several times a second. */
     void tick(long nowMs) {
         boolean wasPaused = lastTickMs != Long.MIN_VALUE && nowMs - lastTickMs > PAUSE_MS;
         lastTickMs = nowMs;
--- a/server/src/main/java/io/radishwinch/server/proxy/EventScanner.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EventScanner.java
@@ -70,6 +70,14 @@
         return whole;
     }
 
+    /** Drops the bytes of an event that has not ended, before the stream goes on at another endpoint. */
+    void dropPartialEvent() {
+        pending = Buffer.buffer();
+        scannedTo = 0;
+        lineStart = 0;
+        eventId = RequestHead.NONE;
+    }
+
     /** Returns whether bytes of an event that has not ended are kept back. */
     boolean hasPartialEvent() {
         return pending.length() > 0;
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -92,6 +92,7 @@
                     contact.get(), stage.layers().first(), stage.layers().end()));
         }
         lastActivityMs = shared.control().nowMs();
+        scanner.dropPartialEvent();
         attempt = new Attempt(start.epoch(), hops.get(0).contact());
         boolean isService = request.pool().startsWith(ModelSpec.SERVICE_PREFIX);
         String caller = request.caller().equals(RoutingConfig.PUBLIC_CALLER) ? "" : request.caller();
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -46,10 +46,8 @@
     /** Wait suggested to callers before the first configuration, in ms; a start takes about a second. */
     private static final long NOT_CONFIGURED_RETRY_MS = 500;
 
-    /** Interval at which silent streams are looked for, in ms; a part of the shortest pause that is looked for. */
-    private static final long STALL_CHECK_MS = 50;
-
-    private static final long IDLE_CHECK_MS = 500;
+    /** Interval at which silent streams and unused connections are looked for, in ms. */
+    private static final long CHECK_INTERVAL_MS = 100;
 
     /** Silence before the first event after which the endpoint is asked for dead parts of its chains, in ms. */
     private static final long STALLED_FIRST_EVENT_MS = 400;
@@ -118,8 +116,10 @@
                 this,
                 () -> draining,
                 WRITE_TIMEOUT_MS);
-        vertx.setPeriodic(STALL_CHECK_MS, ignored -> findStalled());
-        vertx.setPeriodic(IDLE_CHECK_MS, ignored -> scope.connections().closeIdle());
+        vertx.setPeriodic(CHECK_INTERVAL_MS, ignored -> {
+            findStalled();
+            scope.connections().closeIdle();
+        });
         long idleMs = IDLE_FACTOR * parts.config().get().limits().idleTimeoutMs();
         HttpServerOptions options = new HttpServerOptions()
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
@@ -242,7 +242,8 @@
                 Fingerprints.of(arrival.caller, arrival.request.path(), arrival.body),
                 List.of(),
                 route.isRepeatable(),
-                route.kind() == RouteKind.AT_MOST_ONCE ? 1 : Math.max(1, route.maxRuns()));
+                route.kind() == RouteKind.AT_MOST_ONCE ? 1 : Math.max(1, route.maxRuns()),
+                arrival.arrivedAtMs + Math.min(timeoutMs, route.targetMs() > 0 ? route.targetMs() : timeoutMs));
         EnginePoolSpec engines = arrival.config.fleet().enginePools().get(pool);
         ProxyExchange exchange = new ProxyExchange(
                 scope,
