Plan the layers of a data centre from inside it, and tell its routers of endpoints that do not answer

Cause: any router took the lease on any data centre. When the zone came back, two planners moved engines that were only just listed again.

Change: a router competes for the leases of its own data centre, and for another one's only after it has had no router for 6 s; an endpoint that does not answer one router is checked by the others; a group whose engines come back together with their layers is left to settle.

--- a/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
@@ -23,7 +23,7 @@
 public final class LayoutPlanner implements Placement {
 
     /** Group of the engines whose data centre cannot hold the model by itself. */
-    private static final String SHARED_GROUP = "";
+    public static final String SHARED_GROUP = "";
 
     private final LayoutSettings settings;
     private final Layout layout;
@@ -157,6 +157,9 @@
         }
 
         void plan() {
+            if (isReturning()) {
+                return;
+            }
             List<PlacementEndpoint> empty = members.values().stream()
                     .filter(endpoint -> !ranges.containsKey(endpoint.id()) && mayOrder(endpoint))
                     .toList();
@@ -180,6 +183,18 @@
             }
         }
 
+        /**
+         * When several engines come back at once with what they held, as after a partition, the rest is about to
+         * follow, and what looks like a gap needs no repair.
+         */
+        private boolean isReturning() {
+            long fresh = members.values().stream()
+                    .filter(endpoint -> rangeOf(endpoint) != null
+                            && nowMs - knownSinceMs.getOrDefault(endpoint.id(), nowMs) < settings.settleMs())
+                    .count();
+            return fresh >= settings.returningEngines();
+        }
+
         /** While engines still join, a layout of those known so far would have to be changed at once. */
         private boolean isSettled() {
             long newestMs = members.keySet().stream()
--- a/core/src/main/java/io/radishwinch/core/placement/LayoutSettings.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayoutSettings.java
@@ -5,6 +5,8 @@
  *
  * @param settleMs time without a new engine before the first layout, in ms; engines register within a heartbeat of each
  *     other
+ * @param returningEngines engines that join with layers within the settling time from which a group counts as coming
+ *     back as a whole
  * @param maxOrdersPerTick orders given at once to repair a layout; the weight store slows down beyond a few loads
  * @param minRoomRequests requests of usual size for which an engine that takes over layers must keep memory
  * @param refusedHoldOffMs time for which an engine that refused an order is left alone, in ms; one report
@@ -15,6 +17,7 @@
  */
 public record LayoutSettings(
         long settleMs,
+        int returningEngines,
         int maxOrdersPerTick,
         double minRoomRequests,
         long refusedHoldOffMs,
@@ -25,6 +28,6 @@
 
     /** Returns the defaults. */
     public static LayoutSettings defaults() {
-        return new LayoutSettings(1_000, 6, 10, 1_000, 2, 3_000, 0.2, 0.5);
+        return new LayoutSettings(1_000, 3, 6, 10, 1_000, 2, 3_000, 0.2, 0.5);
     }
 }
--- a/server/src/main/java/io/radishwinch/server/AdminControl.java
+++ b/server/src/main/java/io/radishwinch/server/AdminControl.java
@@ -247,7 +247,7 @@
             if (endpoints.vm(vmId) == null) {
                 return Optional.empty();
             }
-            endpoints.markLeaving(vmId);
+            endpoints.leaving(vmId);
             int running = control.core().view().endpoints().stream()
                     .filter(endpoint -> endpoint.endpointId().equals(vmId))
                     .mapToInt(EndpointView::running)
--- a/server/src/main/java/io/radishwinch/server/ControlPlane.java
+++ b/server/src/main/java/io/radishwinch/server/ControlPlane.java
@@ -151,7 +151,7 @@
         shared = new SharedState(
                 node,
                 control,
-                endpoints::markLeaving,
+                endpoints,
                 configuration::objectChanged,
                 (sender, message) -> journalPeers.receive(sender, message, journal));
         node.addListener(shared);
--- a/server/src/main/java/io/radishwinch/server/EndpointTracker.java
+++ b/server/src/main/java/io/radishwinch/server/EndpointTracker.java
@@ -22,7 +22,7 @@
  * Follows the endpoints: which exist, by the VM list, and how they are, by their load reports. Runs on the control
  * thread; addresses may be read by any thread.
  */
-public final class EndpointTracker implements EndpointLookup {
+public final class EndpointTracker implements EndpointLookup, SharedState.EndpointNews {
     /** Failed load readings in a row after which an endpoint counts as dead. */
     private static final int MAX_FAILED_READINGS = 3;
 
@@ -122,13 +122,19 @@
     }
 
     /** Marks an endpoint as leaving, by an operator or a peer. */
-    public void markLeaving(String endpointId) {
+    @Override
+    public void leaving(String endpointId) {
         Tracked endpoint = tracked.get(endpointId);
         if (endpoint != null) {
             leaving(endpoint);
         }
     }
 
+    @Override
+    public void unreachable(String endpointId) {
+        suspect(endpointId);
+    }
+
     private boolean isForgotten(Tracked endpoint) {
         if (endpoint.missedReadings < MAX_MISSED_READINGS || endpoint.joined) {
             return false;
--- a/server/src/main/java/io/radishwinch/server/SharedState.java
+++ b/server/src/main/java/io/radishwinch/server/SharedState.java
@@ -23,7 +23,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 
 /** Translates between the decision core and the state that routers share; used on the control thread. */
 public final class SharedState implements PeerListener {
@@ -31,11 +30,12 @@
     private static final long LOAD_LIFETIME_MS = 5_000;
     private static final long CRASH_LIFETIME_MS = 600_000;
     private static final long LEAVING_LIFETIME_MS = 3_600_000;
+    private static final long UNREACHABLE_LIFETIME_MS = 10_000;
     private static final String CRASH_SEPARATOR = "|";
 
     private final PeerNode node;
     private final ControlLoop control;
-    private final Consumer<String> leavingReceiver;
+    private final EndpointNews endpointNews;
     private final Runnable configurationChanged;
     private final BiConsumer<MemberInfo, Message> journalReceiver;
     private final Map<String, Map<String, EndpointLoads.Load>> peerLoads = new HashMap<>();
@@ -45,23 +45,33 @@
     /**
      * Creates the translation.
      *
-     * @param leavingReceiver takes endpoints that a peer saw leaving
+     * @param endpointNews takes what peers found out about endpoints
      * @param configurationChanged runs after a peer has sent a configuration object
      * @param journalReceiver takes journal messages of peers
      */
     public SharedState(
             PeerNode node,
             ControlLoop control,
-            Consumer<String> leavingReceiver,
+            EndpointNews endpointNews,
             Runnable configurationChanged,
             BiConsumer<MemberInfo, Message> journalReceiver) {
         this.node = node;
         this.control = control;
-        this.leavingReceiver = leavingReceiver;
+        this.endpointNews = endpointNews;
         this.configurationChanged = configurationChanged;
         this.journalReceiver = journalReceiver;
     }
 
+    /** Takes what another router found out about an endpoint. */
+    public interface EndpointNews {
+
+        /** The endpoint is leaving. */
+        void leaving(String endpointId);
+
+        /** The endpoint does not answer the other router. */
+        void unreachable(String endpointId);
+    }
+
     // From the decision core to the peers
 
     /** Takes the limits of a configuration over. */
@@ -99,6 +109,16 @@
         }
     }
 
+    /** Tells peers that an endpoint does not answer this router. */
+    public void unreachable(String endpointId) {
+        node.publish(
+                EntryKind.EJECTION,
+                endpointId,
+                new byte[0],
+                control.nowMs() + UNREACHABLE_LIFETIME_MS,
+                control.nowMs());
+    }
+
     /** Publishes the attempts that this router runs on each endpoint. */
     public void publishLoad(CoreView view) {
         Map<String, EndpointLoads.Load> loads = new HashMap<>();
@@ -163,7 +183,12 @@
             case CRASH -> crashEntry(entry);
             case LEAVING -> {
                 if (!entry.isTombstone()) {
-                    leavingReceiver.accept(entry.key());
+                    endpointNews.leaving(entry.key());
+                }
+            }
+            case EJECTION -> {
+                if (!entry.isTombstone()) {
+                    endpointNews.unreachable(entry.key());
                 }
             }
             case ENDPOINT_LOAD -> loadEntry(entry);
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -40,7 +40,7 @@
     private static final long UNBOUNDED_BYTES = Long.MAX_VALUE / 4;
 
     private final Consumer<Event> core;
-    private final Consumer<String> leavingPublisher;
+    private final News news;
     private final FleetLog log;
     private final long readmissionMs;
     private final Map<String, Tracked> byInstance = new TreeMap<>();
@@ -52,6 +52,16 @@
     private long readmissionUntilMs = Long.MIN_VALUE;
     private boolean platformAway;
 
+    /** What other routers should know of an endpoint. */
+    interface News {
+
+        /** The endpoint receives no new work any more. */
+        void leaving(String endpointId);
+
+        /** The endpoint does not answer this router. */
+        void unreachable(String endpointId);
+    }
+
     /** One lifetime of an endpoint. */
     private static final class Tracked {
         private final String endpointId;
@@ -73,12 +83,12 @@
      * Creates a registry without endpoints.
      *
      * @param core takes events
-     * @param leavingPublisher tells the other routers of an endpoint that is leaving
+     * @param news is told what the other routers should know
      * @param readmissionMs time within which endpoints are listed again after the platform was away, in ms
      */
-    EndpointRegistry(Consumer<Event> core, Consumer<String> leavingPublisher, FleetLog log, long readmissionMs) {
+    EndpointRegistry(Consumer<Event> core, News news, FleetLog log, long readmissionMs) {
         this.core = core;
-        this.leavingPublisher = leavingPublisher;
+        this.news = news;
         this.log = log;
         this.readmissionMs = readmissionMs;
     }
@@ -200,6 +210,7 @@
         tracked.retryAtMs = nowMs + Math.min(MAX_RETRY_MS, FIRST_RETRY_MS << Math.min(tracked.failures, 10));
         tracked.failures++;
         log.belief("endpoint-unreachable", endpointId, cause);
+        news.unreachable(endpointId);
         core.accept(new Event.EndpointGone(endpointId, true));
     }
 
@@ -318,7 +329,7 @@
         tracked.forgetAtMs = nowMs + REMOVED_KEEP_MS;
         log.belief("endpoint-leaving", tracked.endpointId, cause);
         core.accept(new Event.EndpointLeaving(tracked.endpointId));
-        leavingPublisher.accept(tracked.endpointId);
+        news.leaving(tracked.endpointId);
     }
 
     /** Ends a lifetime whose endpoint has started again. */
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -120,18 +120,18 @@
         lease = new LeaseKeeper(
                 settings.routerId(),
                 node.self().incarnation(),
+                settings.dataCentre(),
                 platform,
                 dialect.ownPrefix() + "lease-",
-                this::incarnationOf,
+                new LiveRouters(),
                 this::nonce,
                 log);
         control = new ControlLoop(context, clock, decisionCore(), this::perform);
-        registry = new EndpointRegistry(control::post, this::publishLeaving, log, settings.readmissionMs());
+        registry = new EndpointRegistry(control::post, new PeerNews(), log, settings.readmissionMs());
         prober = new EndpointProber(ports.endpoints(), registry, log, clock);
         orders = new LayerOrders(ports.endpoints(), registry, scheduler, control::post, lease::doubt, log, clock);
         config = new ConfigSource(dialect, log);
-        shared =
-                new SharedState(node, control, this::leavingAtPeer, this::configChangedAtPeer, (sender, message) -> {});
+        shared = new SharedState(node, control, new NewsReceiver(), this::configChangedAtPeer, (sender, message) -> {});
         node.addListener(shared);
         control.observe(this::observe);
         control.observeActions(decisions::action);
@@ -255,13 +255,24 @@
         peers.send(node.join(seeds, clock.getAsLong()));
     }
 
-    private Optional<Long> incarnationOf(String routerId) {
-        List<MemberInfo> live = new ArrayList<>(node.members());
-        node.remoteDataCentres().forEach(name -> live.addAll(node.remoteMembers(name)));
-        return live.stream()
-                .filter(member -> member.id().equals(routerId))
-                .map(MemberInfo::incarnation)
-                .findFirst();
+    /** The membership as the leases see it. */
+    private final class LiveRouters implements LeaseKeeper.Presence {
+
+        @Override
+        public Optional<Long> incarnation(String routerId) {
+            List<MemberInfo> live = new ArrayList<>(node.members());
+            node.remoteDataCentres().forEach(name -> live.addAll(node.remoteMembers(name)));
+            return live.stream()
+                    .filter(member -> member.id().equals(routerId))
+                    .map(MemberInfo::incarnation)
+                    .findFirst();
+        }
+
+        @Override
+        public boolean hasRouters(String dataCentre) {
+            return dataCentre.equals(settings.dataCentre())
+                    || !node.remoteMembers(dataCentre).isEmpty();
+        }
     }
 
     // The platform
@@ -310,12 +321,32 @@
         }
     }
 
-    private void publishLeaving(String endpointId) {
-        shared.leaving(endpointId);
+    /** Tells the other routers of the data centre what this one found out about an endpoint. */
+    private final class PeerNews implements EndpointRegistry.News {
+
+        @Override
+        public void leaving(String endpointId) {
+            shared.leaving(endpointId);
+        }
+
+        @Override
+        public void unreachable(String endpointId) {
+            shared.unreachable(endpointId);
+        }
     }
 
-    private void leavingAtPeer(String endpointId) {
-        registry.leavingAtPeer(endpointId, clock.getAsLong());
+    /** Applies what another router of the data centre found out about an endpoint. */
+    private final class NewsReceiver implements SharedState.EndpointNews {
+
+        @Override
+        public void leaving(String endpointId) {
+            registry.leavingAtPeer(endpointId, clock.getAsLong());
+        }
+
+        @Override
+        public void unreachable(String endpointId) {
+            prober.check(endpointId);
+        }
     }
 
     // Events and actions
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetTuning.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetTuning.java
@@ -17,7 +17,7 @@
     private static final double RETRY_RATIO = 0.15;
 
     /** Repeats that a pool may save up at one router; all routers of today's size stay below 200 together. */
-    private static final double RETRY_RESERVE = 20;
+    private static final double RETRY_RESERVE = 25;
 
     /** Failures in a row after which a pool counts as down; the streams of one lost endpoint fail together. */
     private static final int OUTAGE_FAILURES = 60;
--- a/server/src/main/java/io/radishwinch/server/fleet/LeaseKeeper.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/LeaseKeeper.java
@@ -3,6 +3,7 @@
 import io.radishwinch.cluster.platform.PlatformClient;
 import io.radishwinch.cluster.platform.PlatformClient.PutResult;
 import io.radishwinch.cluster.platform.PlatformClient.StoredObject;
+import io.radishwinch.core.placement.LayoutPlanner;
 import io.radishwinch.core.placement.PlacementLease;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
@@ -26,11 +27,15 @@
     /** Time for which a holder that this router has never seen is given the benefit of the doubt, in ms. */
     private static final long UNSEEN_HOLDER_MS = 4_000;
 
+    /** Time without a router in a data centre after which another one plans for it, in ms; a start takes less. */
+    private static final long ABSENT_ROUTERS_MS = 6_000;
+
     /** Time without a tick after which the process was paused, in ms; several times the interval of ticks. */
     private static final long PAUSE_MS = 1_500;
 
     private final String routerId;
     private final long incarnation;
+    private final String dataCentre;
     private final PlatformClient platform;
     private final String prefix;
     private final Presence presence;
@@ -44,6 +49,9 @@
 
         /** Returns the incarnation of a live router, or empty if it is not known to live. */
         Optional<Long> incarnation(String routerId);
+
+        /** Returns whether any router is alive in a data centre. */
+        boolean hasRouters(String dataCentre);
     }
 
     /** A lease on one group. */
@@ -53,6 +61,9 @@
         private long learnedAtMs;
         private long heldSinceMs;
         private long nextTryMs;
+        /** Time since which no router of the data centre is known, or the largest number while one is. */
+        private long absentSinceMs = Long.MAX_VALUE;
+
         private boolean inDoubt;
         private boolean calling;
     }
@@ -78,6 +89,7 @@
     LeaseKeeper(
             String routerId,
             long incarnation,
+            String dataCentre,
             PlatformClient platform,
             String prefix,
             Presence presence,
@@ -85,6 +97,7 @@
             FleetLog log) {
         this.routerId = routerId;
         this.incarnation = incarnation;
+        this.dataCentre = dataCentre;
         this.platform = platform;
         this.prefix = prefix;
         this.presence = presence;
@@ -97,7 +110,7 @@
     @Override
     public boolean holds(String key, long nowMs) {
         Lease lease = leases.computeIfAbsent(key, ignored -> new Lease());
-        return isOwn(lease) && !lease.inDoubt;
+        return isOwn(lease) && !lease.inDoubt && mayHold(key, lease, nowMs);
     }
 
     @Override
@@ -133,7 +146,7 @@
                 platform.get(prefix + key)
                         .subscribe()
                         .with(found -> read(key, lease, found, nowMs), error -> lease.calling = false);
-            } else if (!isOwn(lease) && isFree(lease, nowMs)) {
+            } else if (!isOwn(lease) && mayHold(key, lease, nowMs) && isFree(lease, nowMs)) {
                 call(lease, nowMs);
                 platform.put(prefix + key, lease.version, new Holder(routerId, incarnation).encode(), nonces.get())
                         .subscribe()
@@ -153,6 +166,18 @@
                 && lease.holder.incarnation == incarnation;
     }
 
+    /** Engines are ordered by a router beside them, which sees their failures and reaches them when others do not. */
+    private boolean mayHold(String key, Lease lease, long nowMs) {
+        if (key.equals(dataCentre) || key.equals(LayoutPlanner.SHARED_GROUP)) {
+            return true;
+        }
+        if (presence.hasRouters(key) || lease.absentSinceMs == Long.MAX_VALUE) {
+            lease.absentSinceMs = presence.hasRouters(key) ? Long.MAX_VALUE : nowMs;
+            return false;
+        }
+        return nowMs - lease.absentSinceMs >= ABSENT_ROUTERS_MS;
+    }
+
     private boolean isFree(Lease lease, long nowMs) {
         if (lease.holder == null || lease.holder.routerId.isEmpty() || lease.holder.routerId.equals(routerId)) {
             return true;
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
@@ -27,9 +27,17 @@
                     "m",
                     new EnginePoolSpec(900, 2, 14_000, 850, 0, Map.of("k", new AcceleratorSpec("k", 50_000, 1, 1)))));
 
+    private static final EndpointRegistry.News NO_NEWS = new EndpointRegistry.News() {
+        @Override
+        public void leaving(String endpointId) {}
+
+        @Override
+        public void unreachable(String endpointId) {}
+    };
+
     private final List<Event> events = new ArrayList<>();
     private final EndpointRegistry registry =
-            new EndpointRegistry(events::add, id -> {}, new FleetLog(() -> 0), READMISSION_MS);
+            new EndpointRegistry(events::add, NO_NEWS, new FleetLog(() -> 0), READMISSION_MS);
 
     @BeforeEach
     void configure() {
@@ -128,7 +136,7 @@
 
     @Test
     void anEndpointOfAnUnknownServiceJoinsOnceTheConfigurationNamesIt() {
-        EndpointRegistry early = new EndpointRegistry(events::add, id -> {}, new FleetLog(() -> 0), READMISSION_MS);
+        EndpointRegistry early = new EndpointRegistry(events::add, NO_NEWS, new FleetLog(() -> 0), READMISSION_MS);
         early.listed("e", entry("e", 7, false, null), 0);
         assertThat(kinds()).isEmpty();
         early.configure(CONFIG, 10);
--- a/server/src/test/java/io/radishwinch/server/fleet/LeaseKeeperTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/LeaseKeeperTest.java
@@ -5,9 +5,11 @@
 import io.radishwinch.cluster.platform.InMemoryPlatform;
 import io.radishwinch.cluster.platform.VirtualScheduler;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class LeaseKeeperTest {
@@ -16,16 +18,35 @@
     private final VirtualScheduler scheduler = new VirtualScheduler(0);
     private final InMemoryPlatform platform = new InMemoryPlatform(scheduler, new Random(1));
     private final Map<String, Long> live = new HashMap<>();
+    private final Set<String> populated = new HashSet<>(Set.of(GROUP));
     private int nonces;
 
+    /** Presence by the maps of this test. */
+    private final class Routers implements LeaseKeeper.Presence {
+        @Override
+        public Optional<Long> incarnation(String routerId) {
+            return Optional.ofNullable(live.get(routerId));
+        }
+
+        @Override
+        public boolean hasRouters(String dataCentre) {
+            return populated.contains(dataCentre);
+        }
+    }
+
     private LeaseKeeper keeper(String routerId, long incarnation) {
+        return keeper(routerId, incarnation, GROUP);
+    }
+
+    private LeaseKeeper keeper(String routerId, long incarnation, String dataCentre) {
         live.put(routerId, incarnation);
         LeaseKeeper keeper = new LeaseKeeper(
                 routerId,
                 incarnation,
+                dataCentre,
                 platform,
                 "own/lease-",
-                id -> Optional.ofNullable(live.get(id)),
+                new Routers(),
                 () -> "nonce-" + ++nonces,
                 new FleetLog(() -> 0));
         keeper.holds(GROUP, 0);
@@ -100,4 +121,17 @@
         scheduler.advance(100);
         assertThat(paused.holds(GROUP, 9_100)).isFalse();
     }
+
+    @Test
+    void enginesAreOrderedFromTheirOwnDataCentreWhileItHasRouters() {
+        LeaseKeeper elsewhere = keeper("z", 1, "other");
+        tick(elsewhere, 0);
+        tick(elsewhere, 1_000);
+        assertThat(elsewhere.holds(GROUP, 1_000)).isFalse();
+        populated.clear();
+        for (long nowMs = 2_000; nowMs < 12_000; nowMs += 500) {
+            tick(elsewhere, nowMs);
+        }
+        assertThat(elsewhere.holds(GROUP, 12_000)).isTrue();
+    }
 }
