Set memory aside for what answers are expected to use; suspect no request of a crash that may be a partition

Cause: memory was reserved for the largest answer, 430 tokens where 172 are usual, so that a burst was refused in the busiest zone while its engines had memory; and the streams of an endpoint that was only cut off counted as having crashed it, so that some were refused as quarantined.

--- a/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
@@ -357,7 +357,7 @@
 
     /** Returns the KV cache memory of a request for a number of layers, in bytes. */
     static long kvBytes(ModelSpec pool, RequestSpec request, int layers) {
-        return request.costTokens() * pool.kvBytesPerToken() / pool.layerCount() * layers;
+        return request.reservedTokens() * pool.kvBytesPerToken() / pool.layerCount() * layers;
     }
 
     /** Tries endpoints that refused work again after a while. */
--- a/core/src/main/java/io/radishwinch/core/model/RequestSpec.java
+++ b/core/src/main/java/io/radishwinch/core/model/RequestSpec.java
@@ -17,6 +17,7 @@
  * @param prefixHashes cumulative hashes of the prompt's blocks, shortest prefix first
  * @param repeatable whether the request may be sent to an endpoint more than once
  * @param maxRuns attempts that may run, those on endpoints that died not counted
+ * @param reservedNewTokens answer tokens for which KV cache memory is set aside, at most {@code maxNewTokens}
  * @param startByMs time after which a request that no endpoint has accepted is refused, in ms of the router's clock
  */
 public record RequestSpec(
@@ -32,6 +33,7 @@
         List<Long> prefixHashes,
         boolean repeatable,
         int maxRuns,
+        int reservedNewTokens,
         long startByMs) {
 
     /** Copies the prefix hashes. */
@@ -65,9 +67,15 @@
                 prefixHashes,
                 repeatable,
                 Integer.MAX_VALUE,
+                maxNewTokens,
                 Long.MAX_VALUE);
     }
 
+    /** Returns the tokens for which KV cache memory is set aside. */
+    public long reservedTokens() {
+        return (long) promptTokens + reservedNewTokens;
+    }
+
     /** Returns the cost in tokens, the unit of fair queueing and of token limits. */
     public long costTokens() {
         return (long) promptTokens + maxNewTokens;
--- a/server/src/main/java/io/radishwinch/server/fleet/DecisionLogger.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/DecisionLogger.java
@@ -1,5 +1,6 @@
 package io.radishwinch.server.fleet;
 
+import io.radishwinch.core.DecisionCore.RequestView;
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.event.Event;
 import io.radishwinch.core.model.Chain;
@@ -7,15 +8,24 @@
 import io.radishwinch.core.model.Stage;
 import io.radishwinch.server.LogFields;
 import java.util.Locale;
+import java.util.Optional;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 /** Logs what the core decides on requests, with the inputs that decided it. Used on the control thread. */
 final class DecisionLogger {
 
     private final FleetLog log;
+    private final Function<String, Optional<RequestView>> requests;
 
-    DecisionLogger(FleetLog log) {
+    /**
+     * Creates a logger.
+     *
+     * @param requests returns what the core knows of a request
+     */
+    DecisionLogger(FleetLog log, Function<String, Optional<RequestView>> requests) {
         this.log = log;
+        this.requests = requests;
     }
 
     void event(Event event, long configVersion) {
@@ -60,7 +70,8 @@
                     .with("id", refuse.requestId())
                     .with("reason", refuse.reason().wireName())
                     .with("verdict", refuse.verdict().wireName())
-                    .with("retryAfterMs", refuse.retryAfterMs()));
+                    .with("retryAfterMs", refuse.retryAfterMs())
+                    .with("history", history(refuse.requestId())));
         } else if (action instanceof Action.Complete complete) {
             log.request(LogFields.of("answered").with("id", complete.requestId()));
         } else if (action instanceof Action.CountRetry retry) {
@@ -70,6 +81,12 @@
         }
     }
 
+    private String history(String requestId) {
+        return requests.apply(requestId)
+                .map(view -> String.join("; ", view.history()))
+                .orElse("");
+    }
+
     private static String describe(Chain chain) {
         return chain.stages().stream().map(DecisionLogger::describe).collect(Collectors.joining(" "));
     }
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -211,7 +211,8 @@
         tracked.failures++;
         log.belief("endpoint-unreachable", endpointId, cause);
         news.unreachable(endpointId);
-        core.accept(new Event.EndpointGone(endpointId, true));
+        // It may be cut off as well as dead, so that its requests are not suspected of having crashed it.
+        core.accept(new Event.EndpointGone(endpointId, false));
     }
 
     /** Applies what an endpoint says of itself. */
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -11,6 +11,7 @@
 import io.radishwinch.cluster.platform.PlatformClient.StoredObject;
 import io.radishwinch.cluster.platform.ResilientPlatformClient;
 import io.radishwinch.cluster.platform.WatchFollower;
+import io.radishwinch.core.DecisionCore.RequestView;
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.chain.CostChainPlanner;
 import io.radishwinch.core.chain.EndpointTable;
@@ -105,7 +106,7 @@
         this.peers = peers;
         this.log = log;
         this.dialect = ports.dialect();
-        decisions = new DecisionLogger(log);
+        decisions = new DecisionLogger(log, this::requestView);
         Context context = vertx.getOrCreateContext();
         node = new PeerNode(
                 settings.routerId(),
@@ -377,6 +378,10 @@
         }
     }
 
+    private Optional<RequestView> requestView(String requestId) {
+        return control.core().request(requestId);
+    }
+
     private String nonce() {
         return HexFormat.of().toHexDigits(random.nextLong());
     }
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -40,6 +40,12 @@
     /** Part of the heap that request bodies may take together; the rest is for connections and tables. */
     private static final double BODY_MEMORY_SHARE = 0.25;
 
+    /**
+     * Part of an answer's tokens for which KV cache memory is set aside. Answers grow while they run: half is in use on
+     * average, the rest is a margin.
+     */
+    private static final double RESERVED_SHARE_OF_ANSWER = 0.75;
+
     /** Longest time that a caller may leave its answer unread, in ms; the longest timeout of a route. */
     private static final long WRITE_TIMEOUT_MS = 30_000;
 
@@ -243,6 +249,7 @@
                 List.of(),
                 route.isRepeatable(),
                 route.kind() == RouteKind.AT_MOST_ONCE ? 1 : Math.max(1, route.maxRuns()),
+                (int) (RESERVED_SHARE_OF_ANSWER * head.expectedNewTokens()),
                 arrival.arrivedAtMs + Math.min(timeoutMs, route.targetMs() > 0 ? route.targetMs() : timeoutMs));
         EnginePoolSpec engines = arrival.config.fleet().enginePools().get(pool);
         ProxyExchange exchange = new ProxyExchange(
--- a/server/src/main/java/io/radishwinch/server/proxy/RequestHead.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/RequestHead.java
@@ -9,6 +9,7 @@
  * @param timeoutMs time that the caller waits for its answer in ms, or {@link #NONE}
  * @param promptTokens tokens of the prompt, 0 for a request without one
  * @param maxNewTokens largest number of answer tokens, 0 for a request without a prompt
+ * @param expectedNewTokens answer tokens that the caller expects, at most {@code maxNewTokens}
  * @param prefixHashes hashes of the parts of the prompt that other requests may share, shortest prefix first
  * @param resumeAfterEventId event behind which a stream goes on, or {@link #NONE} for one from its start
  */
@@ -17,6 +18,7 @@
         long timeoutMs,
         int promptTokens,
         int maxNewTokens,
+        int expectedNewTokens,
         List<Long> prefixHashes,
         long resumeAfterEventId) {
 
