--- a/core/src/main/java/io/radishwinch/core/placement/Coverage.java
+++ b/core/src/main/java/io/radishwinch/core/placement/Coverage.java
@@ -4,7 +4,6 @@
 import io.radishwinch.core.model.Holding;
 import io.radishwinch.core.model.LayerRange;
 import io.radishwinch.core.model.ModelSpec;
-import java.util.ArrayList;
 import java.util.List;
 
 /** Holders and load of each layer of one model, with pending loads counted as done. */
@@ -42,18 +41,7 @@
 
     /** Returns the maximal ranges without a usable holder. */
     List<LayerRange> gaps() {
-        List<LayerRange> gaps = new ArrayList<>();
-        int first = -1;
-        for (int layer = 0; layer <= model.layerCount(); layer++) {
-            boolean missing = layer < model.layerCount() && usable[layer] == 0;
-            if (missing && first < 0) {
-                first = layer;
-            } else if (!missing && first >= 0) {
-                gaps.add(new LayerRange(first, layer));
-                first = -1;
-            }
-        }
-        return gaps;
+        return LayerGaps.of(model.layerCount(), layer -> usable[layer] == 0);
     }
 
     /** Returns whether some layer of the range has no holder at all, not even an ejected one. */
--- a/core/src/main/java/io/radishwinch/core/placement/LayerCapacity.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayerCapacity.java
@@ -1,7 +1,6 @@
 package io.radishwinch.core.placement;
 
 import io.radishwinch.core.model.LayerRange;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 
@@ -16,10 +15,6 @@
         holders = new int[layerCount];
     }
 
-    int layerCount() {
-        return room.length;
-    }
-
     /** Adds an engine with room for some requests on each of its layers. */
     void add(LayerRange layers, double roomRequests) {
         for (int layer = layers.first(); layer < Math.min(layers.end(), room.length); layer++) {
@@ -55,27 +50,9 @@
         return Arrays.stream(room).min().orElse(0);
     }
 
-    /** Returns the room at the layer of the range that has least, in requests. */
-    double weakest(LayerRange layers) {
-        return Arrays.stream(room, layers.first(), Math.min(layers.end(), room.length))
-                .min()
-                .orElse(0);
-    }
-
     /** Returns the longest ranges that no engine holds, in order. */
     List<LayerRange> gaps() {
-        List<LayerRange> gaps = new ArrayList<>();
-        int first = -1;
-        for (int layer = 0; layer <= room.length; layer++) {
-            boolean missing = layer < room.length && holders[layer] == 0;
-            if (missing && first < 0) {
-                first = layer;
-            } else if (!missing && first >= 0) {
-                gaps.add(new LayerRange(first, layer));
-                first = -1;
-            }
-        }
-        return gaps;
+        return LayerGaps.of(room.length, layer -> holders[layer] == 0);
     }
 
     /**
--- a/server/src/main/java/io/radishwinch/server/Main.java
+++ b/server/src/main/java/io/radishwinch/server/Main.java
@@ -20,18 +20,6 @@
 public final class Main {
     private static final System.Logger LOG = System.getLogger(Main.class.getName());
 
-    /** The program ended as it should. */
-    static final int EXIT_OK = 0;
-
-    /** The router could not start or run. */
-    static final int EXIT_FAILED = 1;
-
-    /** The arguments are wrong. */
-    static final int EXIT_USAGE = 2;
-
-    /** The settings are wrong. */
-    static final int EXIT_INVALID_SETTINGS = 3;
-
     private Main() {}
 
     /** Arguments of the program. */
@@ -57,7 +45,7 @@
 
     /** Runs the program and ends the process with its exit code. */
     public static void main(String[] args) {
-        int exitCode = EXIT_FAILED;
+        int exitCode = ExitCode.FAILED;
         try {
             exitCode = run(args);
         } catch (Exception e) {
@@ -77,11 +65,11 @@
             commander.parse(args);
         } catch (ParameterException e) {
             System.err.println("radishwinchd: " + e.getMessage() + "; see radishwinchd --help");
-            return EXIT_USAGE;
+            return ExitCode.USAGE;
         }
         if (arguments.help) {
             commander.usage();
-            return EXIT_OK;
+            return ExitCode.OK;
         }
         if (arguments.embedded) {
             arguments.rest.addAll(commander.getUnknownOptions());
@@ -90,11 +78,11 @@
         Either<List<ConfigError>, RouterSettings> settings = readSettings(arguments.settingsFile);
         if (settings.isLeft()) {
             settings.getLeft().forEach(error -> System.err.println(error));
-            return EXIT_INVALID_SETTINGS;
+            return ExitCode.INVALID_SETTINGS;
         }
         if (arguments.check) {
             System.out.println("the settings are valid");
-            return EXIT_OK;
+            return ExitCode.OK;
         }
         return serve(settings.get());
     }
@@ -114,7 +102,7 @@
         Optional<EmbeddedMode> mode = ServiceLoader.load(EmbeddedMode.class).findFirst();
         if (mode.isEmpty()) {
             System.err.println("radishwinchd: the embedded mode is not installed");
-            return EXIT_FAILED;
+            return ExitCode.FAILED;
         }
         return mode.get().run(arguments);
     }
@@ -126,7 +114,7 @@
             router.start().toCompletionStage().toCompletableFuture().get();
         } catch (ExecutionException e) {
             LOG.log(System.Logger.Level.ERROR, "cannot start: {0}", e.getCause().getMessage());
-            return EXIT_FAILED;
+            return ExitCode.FAILED;
         }
         LOG.log(
                 System.Logger.Level.INFO,
@@ -137,7 +125,7 @@
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(router), "drain"));
         stopped.await();
-        return EXIT_OK;
+        return ExitCode.OK;
     }
 
     /** Runs in the shutdown hook, so that SIGTERM ends the process only after running requests have finished. */
@@ -146,9 +134,9 @@
             router.drain().toCompletionStage().toCompletableFuture().get();
             router.close().toCompletionStage().toCompletableFuture().get();
             LOG.log(System.Logger.Level.INFO, "stopped");
-            Runtime.getRuntime().halt(EXIT_OK);
+            Runtime.getRuntime().halt(ExitCode.OK);
         } catch (InterruptedException | ExecutionException e) {
-            Runtime.getRuntime().halt(EXIT_FAILED);
+            Runtime.getRuntime().halt(ExitCode.FAILED);
         }
     }
 }
--- a/server/src/main/java/io/radishwinch/server/engine/HttpServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpServiceExchange.java
@@ -16,7 +16,7 @@
 import io.vertx.core.http.HttpConnectOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.streams.ReadStream;
-import java.util.List;
+import java.util.Set;
 import java.util.function.LongSupplier;
 
 /** One exchange with a plain service; all state is owned by one Vert.x context. */
@@ -24,18 +24,8 @@
     private static final int HTTP_UNAVAILABLE = 503;
     private static final long RELEASE_TIMEOUT_MS = 1_000;
 
-    /** Headers that concern one connection only, RFC 9110 section 7.6.1; Host and lengths are set by the client. */
-    private static final List<String> HOP_BY_HOP = List.of(
-            "Connection",
-            "Keep-Alive",
-            "Proxy-Authenticate",
-            "Proxy-Authorization",
-            "Proxy-Connection",
-            "TE",
-            "Trailer",
-            "Transfer-Encoding",
-            "Upgrade",
-            "Host");
+    /** Set by the client for the endpoint. */
+    private static final Set<String> SET_BY_CLIENT = Set.of("host");
 
     private final Vertx vertx;
     private final Context context;
@@ -59,16 +49,7 @@
 
     /** Returns a copy without the headers that concern one connection only. */
     static MultiMap endToEnd(MultiMap headers) {
-        MultiMap copy = MultiMap.caseInsensitiveMultiMap().addAll(headers);
-        for (String listed : headers.getAll("Connection")) {
-            for (String name : listed.split(",", -1)) {
-                if (!name.isBlank()) {
-                    copy.remove(name.trim());
-                }
-            }
-        }
-        HOP_BY_HOP.forEach(copy::remove);
-        return copy;
+        return EndToEndHeaders.copy(headers, SET_BY_CLIENT);
     }
 
     @Override
