Take a plain service that answers without a report for alive; let calls that must not run twice keep their answer

Cause: after any broken connection the router asked the endpoint for its report, which plain services refuse with 400, and took the service out of use for half a second to four; its running calls were cancelled and answered 502 a second later. Ruled out: dead services, which do not answer at all.

Change: any answer shows that an endpoint is alive; a question that was left unanswered while the process itself stood still is asked again; a call that was sent and must not run twice is not cancelled when its endpoint seems gone.

--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -86,7 +86,9 @@
                 .filter(row -> row.chain.uses(gone.endpointId()))
                 .toList();
         for (RequestRow row : rows) {
-            if (row.state == RequestRow.State.RUNNING) {
+            // What was sent and must not run twice cannot be replaced, and its answer may still come.
+            boolean mayBeReplaced = row.spec.repeatable() || !row.accepted;
+            if (row.state == RequestRow.State.RUNNING && mayBeReplaced) {
                 row.cancelledByCrash = gone.crashed();
                 cancel(row, Reason.STAGE_DIED, gone.endpointId(), nowMs);
             }
--- a/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
@@ -72,6 +72,17 @@
                 .isEqualTo(new Action.Refuse("r", Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN, 0));
     }
 
+    @Test
+    void aNonRepeatableRequestKeepsItsAnswerWhenItsEndpointSeemsGone() {
+        CoreBench bench = bench(1, 2, 4);
+        bench.arrive(nonRepeatable("refund", 0));
+        bench.at(1, new Event.AttemptStarted("refund", 1));
+        bench.at(2, new Event.EndpointGone("0-0", false));
+        bench.run(6_000);
+        assertThat(bench.trace("refund").starts).hasSize(1);
+        assertThat(bench.trace("refund").end).isInstanceOf(Action.Complete.class);
+    }
+
     @Test
     void aNonRepeatableRequestThatMayHaveRunIsNotStartedAgain() {
         CoreBench bench = bench(1, 4, 4);
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointControl.java
@@ -3,12 +3,17 @@
 import io.radishwinch.core.model.LayerRange;
 import io.radishwinch.server.proxy.EndpointContact;
 import io.smallrye.mutiny.Uni;
+import java.util.Optional;
 
 /** Questions and orders to endpoints, beside their requests. Failures are those of the connection. */
 public interface EndpointControl {
 
-    /** Asks an endpoint for its state. */
-    Uni<EndpointReport> report(EndpointContact contact);
+    /**
+     * Asks an endpoint for its state.
+     *
+     * @return the state, or empty if the endpoint answers but has no report, as plain services do
+     */
+    Uni<Optional<EndpointReport>> report(EndpointContact contact);
 
     /**
      * Orders an engine to hold exactly a range of layers.
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointProber.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointProber.java
@@ -1,8 +1,10 @@
 package io.radishwinch.server.fleet;
 
+import io.radishwinch.server.proxy.EndpointContact;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 
@@ -15,6 +17,9 @@
     /** Shortest time between two questions to one endpoint because of its requests, in ms; the lag of its reports. */
     private static final long QUESTION_INTERVAL_MS = 300;
 
+    /** Time after which a question has an answer or has failed unless the process stood still, in ms. */
+    private static final long MAX_ANSWER_MS = 1_000;
+
     private final EndpointControl endpoints;
     private final EndpointRegistry registry;
     private final FleetLog log;
@@ -64,18 +69,38 @@
     }
 
     private void ask(String endpointId, boolean isForStreams) {
-        registry.contact(endpointId).filter(contact -> asking.add(endpointId)).ifPresent(contact -> endpoints
-                .report(contact)
+        Optional<EndpointContact> contact = registry.contact(endpointId);
+        if (contact.isEmpty() || !asking.add(endpointId)) {
+            return;
+        }
+        long askedAtMs = clockMs.getAsLong();
+        endpoints
+                .report(contact.get())
                 .subscribe()
-                .with(report -> answered(endpointId, report, isForStreams), error -> {
-                    asking.remove(endpointId);
-                    registry.unreachable(endpointId, "no report: " + error.getMessage(), clockMs.getAsLong());
-                }));
+                .with(
+                        answer -> answered(endpointId, answer, isForStreams),
+                        error -> failed(endpointId, isForStreams, askedAtMs, error.getMessage()));
+    }
+
+    private void failed(String endpointId, boolean isForStreams, long askedAtMs, String cause) {
+        asking.remove(endpointId);
+        long nowMs = clockMs.getAsLong();
+        if (nowMs - askedAtMs > MAX_ANSWER_MS) {
+            // This process stood still meanwhile, so that the missing answer says nothing of the endpoint.
+            ask(endpointId, isForStreams);
+        } else {
+            registry.unreachable(endpointId, "no report: " + cause, nowMs);
+        }
     }
 
-    private void answered(String endpointId, EndpointReport report, boolean isForStreams) {
+    private void answered(String endpointId, Optional<EndpointReport> answer, boolean isForStreams) {
         asking.remove(endpointId);
         long nowMs = clockMs.getAsLong();
+        if (answer.isEmpty()) {
+            registry.answered(endpointId, nowMs);
+            return;
+        }
+        EndpointReport report = answer.get();
         registry.reported(endpointId, report, nowMs);
         if (!isForStreams) {
             return;
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -215,6 +215,15 @@
         core.accept(new Event.EndpointGone(endpointId, false));
     }
 
+    /** Notes that an endpoint answers, though it says nothing of itself. */
+    void answered(String endpointId, long nowMs) {
+        Tracked tracked = byId.get(endpointId);
+        if (tracked != null && !tracked.joined) {
+            log.belief("endpoint-reachable", endpointId, "answers again");
+            join(tracked, nowMs);
+        }
+    }
+
     /** Applies what an endpoint says of itself. */
     void reported(String endpointId, EndpointReport report, long nowMs) {
         Tracked tracked = byId.get(endpointId);
--- a/server/src/main/java/io/radishwinch/server/fleet/LayerOrders.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/LayerOrders.java
@@ -7,6 +7,7 @@
 import io.radishwinch.core.model.LayerRange;
 import io.radishwinch.server.fleet.EndpointControl.OrderResult;
 import io.radishwinch.server.proxy.EndpointContact;
+import io.smallrye.mutiny.groups.UniSubscribe;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -76,9 +77,7 @@
     }
 
     private void askFirst(Action.OrderEngine order, EndpointContact contact, LayerRange layers) {
-        endpoints
-                .report(contact)
-                .subscribe()
+        report(contact)
                 .with(
                         report -> {
                             registry.reported(order.endpointId(), report, clockMs.getAsLong());
@@ -111,9 +110,7 @@
         acknowledge(order, false, result.name());
         if (result == OrderResult.CONFLICT) {
             leaseDoubt.run();
-            endpoints
-                    .report(contact)
-                    .subscribe()
+            report(contact)
                     .with(
                             report -> {
                                 acceptedOrders.put(order.endpointId(), report.acceptedOrders());
@@ -135,9 +132,7 @@
             if (isDone || contact.isEmpty()) {
                 return;
             }
-            endpoints
-                    .report(contact.get())
-                    .subscribe()
+            report(contact.get())
                     .with(
                             report -> {
                                 registry.reported(endpointId, report, clockMs.getAsLong());
@@ -150,6 +145,13 @@
         });
     }
 
+    private UniSubscribe<EndpointReport> report(EndpointContact contact) {
+        return endpoints
+                .report(contact)
+                .map(report -> report.orElseThrow(() -> new IllegalStateException("the endpoint has no report")))
+                .subscribe();
+    }
+
     /** Forgets engines that are gone. */
     void tick() {
         acceptedOrders.keySet().removeIf(id -> registry.contact(id).isEmpty());
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
@@ -125,6 +125,15 @@
         assertThat(kinds()).containsExactly(Event.EndpointJoined.class, Event.LoadReported.class);
     }
 
+    @Test
+    void aPlainServiceThatAnswersWithoutAReportIsReachable() {
+        registry.listed("e", entry("e", 7, false, null), 0);
+        registry.unreachable("e@7", "no report", 100);
+        kinds();
+        registry.answered("e@7", 700);
+        assertThat(kinds()).containsExactly(Event.EndpointJoined.class, Event.LoadReported.class);
+    }
+
     @Test
     void aReportOfALaterLifetimeSaysNothingOfTheEarlierOne() {
         registry.listed("e", entry("e", 7, false, null), 0);
