--- /dev/null
+++ b/core/src/test/java/io/radishwinch/core/impl/SurgeRefusalTest.java
@@ -0,0 +1,62 @@
+package io.radishwinch.core.impl;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Verdict;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Load pattern: more requests than slots, and callers that give up when nothing comes for a while. */
+class SurgeRefusalTest {
+    private static final long TARGET_MS = 500;
+
+    private static RequestSpec request(String id, long atMs, int tokens) {
+        return new RequestSpec(
+                id,
+                "a",
+                Rank.INTERACTIVE,
+                CoreBench.MODEL,
+                10,
+                tokens,
+                atMs,
+                atMs + 20_000,
+                "f-" + id,
+                List.of(),
+                true,
+                2,
+                tokens,
+                atMs + TARGET_MS);
+    }
+
+    private static CoreBench bench() {
+        CoreSettings settings = CoreSettings.defaults().withReturns(2_000, 5_000);
+        return CoreBench.of(new FakeDirectory(1, 1, 1), settings).contract("a");
+    }
+
+    @Test
+    void aRequestThatFindsNoSlotWithinItsTargetIsRefusedAsNotRunWithATimeToReturn() {
+        CoreBench bench = bench();
+        bench.arrive(request("long", 0, 1_000));
+        bench.arrive(request("waiting", 10, 10));
+        bench.run(3_000);
+        assertThat(bench.trace("waiting").starts).isEmpty();
+        assertThat(bench.trace("waiting").refusal().reason()).isEqualTo(Reason.NO_CAPACITY);
+        assertThat(bench.trace("waiting").refusal().verdict()).isEqualTo(Verdict.NOT_RUN);
+        assertThat(bench.trace("waiting").refusal().retryAfterMs()).isBetween(2_000L, 5_000L);
+        assertThat(bench.trace("waiting").endedAtMs).isLessThanOrEqualTo(10 + TARGET_MS + 2 * CoreBench.TICK_MS);
+    }
+
+    @Test
+    void aRequestThatFindsASlotWithinItsTargetRuns() {
+        CoreBench bench = bench();
+        bench.arrive(request("short", 0, 30));
+        bench.arrive(request("waiting", 10, 10));
+        bench.run(3_000);
+        assertThat(bench.trace("waiting").end).isInstanceOf(Action.Complete.class);
+        assertThat(bench.trace("waiting").starts).hasSize(1);
+    }
+}
