Let marks of leaving endpoints expire before an endpoint may come back under its identifier

Cause (read, not seen): a mark lived for an hour and spread to routers that started later. After a lapse of entries in the store, such a router would have kept out endpoints that were listed again.

--- a/server/src/main/java/io/radishwinch/server/SharedState.java
+++ b/server/src/main/java/io/radishwinch/server/SharedState.java
@@ -101,11 +101,19 @@
         node.publish(EntryKind.CRASH, key, new byte[0], control.nowMs() + CRASH_LIFETIME_MS, control.nowMs());
     }
 
-    /** Tells peers that an endpoint is leaving. */
+    /** Tells peers that an endpoint is leaving for good. */
     public void leaving(String endpointId) {
+        leaving(endpointId, LEAVING_LIFETIME_MS);
+    }
+
+    /**
+     * Tells peers that an endpoint is leaving.
+     *
+     * @param lifetimeMs time after which the mark is forgotten, in ms; routers that start later do not see it
+     */
+    public void leaving(String endpointId, long lifetimeMs) {
         if (node.entry(EntryKind.LEAVING, endpointId).isEmpty()) {
-            node.publish(
-                    EntryKind.LEAVING, endpointId, new byte[0], control.nowMs() + LEAVING_LIFETIME_MS, control.nowMs());
+            node.publish(EntryKind.LEAVING, endpointId, new byte[0], control.nowMs() + lifetimeMs, control.nowMs());
         }
     }
 
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -55,6 +55,12 @@
     /** Longest wait between two tries while the platform is away, in ms; a regained platform is noticed within it. */
     private static final long MAX_PLATFORM_BACKOFF_MS = 1_000;
 
+    /**
+     * Lifetime of a mark that an endpoint leaves, in ms: the platform's list shows it to the others by then, and an
+     * endpoint that lapsed may come back under the same identifier.
+     */
+    private static final long LEAVING_MARK_MS = 4_000;
+
     /** Part of the platform's rates that the routers use together; the rest is for operators and endpoints. */
     private static final double PLATFORM_RATE_SHARE = 0.5;
 
@@ -327,7 +333,7 @@
 
         @Override
         public void leaving(String endpointId) {
-            shared.leaving(endpointId);
+            shared.leaving(endpointId, LEAVING_MARK_MS);
         }
 
         @Override
