--- a/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
@@ -33,7 +33,7 @@
     private final Map<String, Long> knownSinceMs = new HashMap<>();
     private long lastNumber;
 
-    /** An order on its way; the engine holds {@code kept} until it is done. */
+    /** An order on its way, which counts as carried out until {@code untilMs}. */
     private record Pending(LayerRange ordered, long number, long untilMs) {}
 
     /** Creates a planner. */
--- a/server/src/main/java/io/radishwinch/server/StdoutHandler.java
+++ b/server/src/main/java/io/radishwinch/server/StdoutHandler.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
+import java.util.logging.Level;
 import java.util.logging.LogRecord;
 
 /**
@@ -70,7 +71,7 @@
         }
         long lost = dropped.getAndSet(0);
         if (lost > 0) {
-            LogRecord note = new LogRecord(java.util.logging.Level.WARNING, "{0}");
+            LogRecord note = new LogRecord(Level.WARNING, "{0}");
             note.setParameters(new Object[] {LogFields.of("log-lines-dropped").with("lines", lost)});
             batch.append(lines.format(note));
         }
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
@@ -10,6 +10,7 @@
 import io.radishwinch.server.peer.PeerTransport;
 import io.radishwinch.server.proxy.ProxyServer;
 import io.vertx.core.Future;
+import io.vertx.core.Handler;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -124,7 +125,7 @@
         return started.future();
     }
 
-    private Future<Void> serve(Address address, io.vertx.core.Handler<HttpServerRequest> handler) {
+    private Future<Void> serve(Address address, Handler<HttpServerRequest> handler) {
         return trafficVertx
                 .createHttpServer()
                 .requestHandler(handler)
--- a/server/src/main/java/io/radishwinch/server/route/RoutingConfig.java
+++ b/server/src/main/java/io/radishwinch/server/route/RoutingConfig.java
@@ -34,11 +34,6 @@
     /** Returns the configuration before the first one has arrived. */
     public static RoutingConfig none() {
         return new RoutingConfig(
-                0,
-                new RouteTable(java.util.List.of()),
-                FleetConfig.empty(),
-                Map.of(),
-                ConnectionLimits.defaults(),
-                Map.of());
+                0, new RouteTable(List.of()), FleetConfig.empty(), Map.of(), ConnectionLimits.defaults(), Map.of());
     }
 }
