--- a/server/src/main/java/io/radishwinch/server/route/RoutingConfig.java
+++ b/server/src/main/java/io/radishwinch/server/route/RoutingConfig.java
@@ -2,6 +2,7 @@
 
 import io.radishwinch.core.model.FleetConfig;
 import io.radishwinch.core.model.Rank;
+import java.util.List;
 import java.util.Map;
 
 /**
