Repair gaps by engines that keep what they hold

After the restart of all routers the same workers served everything. Ruled out: lost leases (none changed) and lost workers (all were listed).

--- a/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
@@ -32,6 +32,7 @@
     private final Map<String, Long> heldOffUntilMs = new HashMap<>();
     private final Map<String, Long> knownSinceMs = new HashMap<>();
     private long lastNumber;
+    private long lastOrderMs;
 
     /** An order on its way, which counts as carried out until {@code untilMs}. */
     private record Pending(LayerRange ordered, long number, long untilMs) {}
@@ -178,7 +179,7 @@
                     order(endpoint, capacity.neediest(layers));
                 }
             }
-            if (capacity.gaps().isEmpty() && pending.isEmpty()) {
+            if (capacity.gaps().isEmpty() && pending.isEmpty() && isQuiet()) {
                 trim();
             }
         }
@@ -195,6 +196,17 @@
             return fresh >= settings.returningEngines();
         }
 
+        /**
+         * Engines that give up layers take no other order for a while, so that they do so only when nothing is amiss.
+         */
+        private boolean isQuiet() {
+            long lastChangeMs = members.keySet().stream()
+                    .mapToLong(id -> knownSinceMs.getOrDefault(id, nowMs))
+                    .max()
+                    .orElse(nowMs);
+            return nowMs - Math.max(lastChangeMs, lastOrderMs) >= settings.quietMs();
+        }
+
         /** While engines still join, a layout of those known so far would have to be changed at once. */
         private boolean isSettled() {
             long newestMs = members.keySet().stream()
@@ -233,7 +245,11 @@
             }
             boolean isRedundant = capacity.fewestHolders(held) > 1;
             int layers = comfortableLayers(endpoint);
-            return isRedundant && layers > 0 ? fixWith(endpoint, gap, around(gap, layers), layers) : null;
+            if (!isRedundant || layers == 0) {
+                return null;
+            }
+            Fix move = fixWith(endpoint, gap, around(gap, layers), layers);
+            return new Fix(endpoint, move.range, move.value - settings.lossPerMove());
         }
 
         private Fix extension(PlacementEndpoint endpoint, LayerRange held, LayerRange gap) {
@@ -304,6 +320,7 @@
             }
             capacity.add(range, room(endpoint, range));
             long number = ++lastNumber;
+            lastOrderMs = nowMs;
             int loaded = range.size() - (held == null ? 0 : overlap(held, range));
             long untilMs = nowMs + (long) (settings.loadTimeFactor() * loadMs(loaded)) + settings.confirmMs();
             pending.put(endpoint.id(), new Pending(range, number, untilMs));
