Revert the preference for engines that keep what they hold

A repair needs a second step that gives the extended engines their room back; until then, moves stay.

--- a/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
@@ -32,7 +32,6 @@
     private final Map<String, Long> heldOffUntilMs = new HashMap<>();
     private final Map<String, Long> knownSinceMs = new HashMap<>();
     private long lastNumber;
-    private long lastOrderMs;
 
     /** An order on its way, which counts as carried out until {@code untilMs}. */
     private record Pending(LayerRange ordered, long number, long untilMs) {}
@@ -179,7 +178,7 @@
                     order(endpoint, capacity.neediest(layers));
                 }
             }
-            if (capacity.gaps().isEmpty() && pending.isEmpty() && isQuiet()) {
+            if (capacity.gaps().isEmpty() && pending.isEmpty()) {
                 trim();
             }
         }
@@ -196,17 +195,6 @@
             return fresh >= settings.returningEngines();
         }
 
-        /**
-         * Engines that give up layers take no other order for a while, so that they do so only when nothing is amiss.
-         */
-        private boolean isQuiet() {
-            long lastChangeMs = members.keySet().stream()
-                    .mapToLong(id -> knownSinceMs.getOrDefault(id, nowMs))
-                    .max()
-                    .orElse(nowMs);
-            return nowMs - Math.max(lastChangeMs, lastOrderMs) >= settings.quietMs();
-        }
-
         /** While engines still join, a layout of those known so far would have to be changed at once. */
         private boolean isSettled() {
             long newestMs = members.keySet().stream()
@@ -245,11 +233,7 @@
             }
             boolean isRedundant = capacity.fewestHolders(held) > 1;
             int layers = comfortableLayers(endpoint);
-            if (!isRedundant || layers == 0) {
-                return null;
-            }
-            Fix move = fixWith(endpoint, gap, around(gap, layers), layers);
-            return new Fix(endpoint, move.range, move.value - settings.lossPerMove());
+            return isRedundant && layers > 0 ? fixWith(endpoint, gap, around(gap, layers), layers) : null;
         }
 
         private Fix extension(PlacementEndpoint endpoint, LayerRange held, LayerRange gap) {
@@ -320,7 +304,6 @@
             }
             capacity.add(range, room(endpoint, range));
             long number = ++lastNumber;
-            lastOrderMs = nowMs;
             int loaded = range.size() - (held == null ? 0 : overlap(held, range));
             long untilMs = nowMs + (long) (settings.loadTimeFactor() * loadMs(loaded)) + settings.confirmMs();
             pending.put(endpoint.id(), new Pending(range, number, untilMs));
--- a/core/src/main/java/io/radishwinch/core/placement/LayoutSettings.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayoutSettings.java
@@ -9,15 +9,11 @@
  *     back as a whole
  * @param maxOrdersPerTick orders given at once to repair a layout; the weight store slows down beyond a few loads
  * @param minRoomRequests requests of usual size for which an engine that takes over layers must keep memory
- * @param refusedHoldOffMs time for which an engine that refused an order is left alone, in ms; most that refuse still
- *     wait for streams to leave layers that they give up, which takes as long as an answer
+ * @param refusedHoldOffMs time for which an engine that refused an order is left alone, in ms; one report
  * @param loadTimeFactor longest loading time relative to the expected one, when loads compete
  * @param confirmMs time for the report of a finished load to arrive, in ms; about two heartbeats
  * @param lossPerLoadS value lost for each second of loading, relative to that of covering a gap
  * @param lossPerRoomShare value lost if an engine keeps no room at all, relative to that of covering a gap
- * @param lossPerMove value lost if an engine gives up the layers it holds, relative to that of covering a gap: it waits
- *     for the streams that pass through them
- * @param quietMs time without an order or a new engine before layers that others hold too are given up, in ms
  */
 public record LayoutSettings(
         long settleMs,
@@ -28,12 +24,10 @@
         double loadTimeFactor,
         long confirmMs,
         double lossPerLoadS,
-        double lossPerRoomShare,
-        double lossPerMove,
-        long quietMs) {
+        double lossPerRoomShare) {
 
     /** Returns the defaults. */
     public static LayoutSettings defaults() {
-        return new LayoutSettings(1_000, 3, 6, 10, 3_000, 2, 3_000, 0.2, 0.5, 0.6, 4_000);
+        return new LayoutSettings(1_000, 3, 6, 10, 1_000, 2, 3_000, 0.2, 0.5);
     }
 }
