Remove what the adapter's code repeats or does for nothing

- A configuration was decoded up to twice for each change, once from the watch and once from gossip.
- Fields of suppressed log lines, among them the history of refused requests in a surge, were built and thrown away.

--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/OutcomeCounter.java
@@ -0,0 +1,34 @@
+package io.radishwinch.server;
+
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.server.http.Delivery;
+import io.radishwinch.server.http.ExchangeListener;
+import io.radishwinch.server.http.Refusal;
+import io.radishwinch.server.metrics.RouterMetrics;
+import java.util.Optional;
+
+/** Counts the end of every request. */
+public final class OutcomeCounter implements ExchangeListener {
+    private final RouterMetrics metrics;
+
+    /** Creates a counter. */
+    public OutcomeCounter(RouterMetrics metrics) {
+        this.metrics = metrics;
+    }
+
+    @Override
+    public void finished(RequestSpec request, Delivery delivery, Optional<Refusal> refusal) {
+        if (refusal.isPresent()) {
+            metrics.refused(request.rank(), refusal.get().reason());
+        } else {
+            metrics.answered(
+                    request.rank(), delivery.answerTokens(), delivery.firstTokenMs(), delivery.meanIntervalMs());
+        }
+    }
+
+    @Override
+    public void rejected(String caller, Optional<Rank> rank, Refusal refusal) {
+        metrics.refused(rank.orElse(null), refusal.reason());
+    }
+}
--- a/server/src/main/java/io/radishwinch/server/OutcomeRecorder.java
+++ b/server/src/main/java/io/radishwinch/server/OutcomeRecorder.java
@@ -11,8 +11,8 @@
 import java.util.function.Consumer;
 
 /** Counts the end of every request and passes it to the records of the day. */
-public final class OutcomeRecorder implements ExchangeListener {
-    private final RouterMetrics metrics;
+final class OutcomeRecorder implements ExchangeListener {
+    private final OutcomeCounter counter;
     private final ControlLoop control;
     private final Consumer<RequestOutcome> day;
 
@@ -21,27 +21,22 @@
      *
      * @param day takes the outcomes, on the control thread
      */
-    public OutcomeRecorder(RouterMetrics metrics, ControlLoop control, Consumer<RequestOutcome> day) {
-        this.metrics = metrics;
+    OutcomeRecorder(RouterMetrics metrics, ControlLoop control, Consumer<RequestOutcome> day) {
+        this.counter = new OutcomeCounter(metrics);
         this.control = control;
         this.day = day;
     }
 
     @Override
     public void finished(RequestSpec request, Delivery delivery, Optional<Refusal> refusal) {
-        if (refusal.isPresent()) {
-            metrics.refused(request.rank(), refusal.get().reason());
-        } else {
-            metrics.answered(
-                    request.rank(), delivery.answerTokens(), delivery.firstTokenMs(), delivery.meanIntervalMs());
-        }
+        counter.finished(request, delivery, refusal);
         RequestOutcome outcome = outcome(request, delivery, refusal);
         control.execute(() -> day.accept(outcome));
     }
 
     @Override
     public void rejected(String caller, Optional<Rank> rank, Refusal refusal) {
-        metrics.refused(rank.orElse(null), refusal.reason());
+        counter.rejected(caller, rank, refusal);
         if (caller.isEmpty() || rank.isEmpty()) {
             return;
         }
--- a/server/src/main/java/io/radishwinch/server/fleet/ConfigSource.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/ConfigSource.java
@@ -10,6 +10,7 @@
     private final FleetLog log;
     private volatile RoutingConfig inForce = RoutingConfig.none();
     private String lastProblem = "";
+    private long offeredStoreVersion = Long.MIN_VALUE;
 
     ConfigSource(FleetDialect dialect, FleetLog log) {
         this.dialect = dialect;
@@ -23,6 +24,11 @@
 
     /** Takes a configuration that the platform showed; returns whether it is newer than the one in force. */
     boolean offer(byte[] value, long storeVersion) {
+        if (storeVersion <= offeredStoreVersion) {
+            // The store, its listings and the other routers show the same object again and again.
+            return false;
+        }
+        offeredStoreVersion = storeVersion;
         Either<String, RoutingConfig> read = dialect.readConfig(value);
         if (read.isLeft()) {
             if (!read.getLeft().equals(lastProblem)) {
--- a/server/src/main/java/io/radishwinch/server/fleet/DecisionLogger.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/DecisionLogger.java
@@ -7,7 +7,6 @@
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.model.Stage;
 import io.radishwinch.server.LogFields;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -31,7 +30,7 @@
     void event(Event event, long configVersion) {
         if (event instanceof Event.RequestArrived arrived) {
             RequestSpec request = arrived.request();
-            log.request(LogFields.of("request-arrived")
+            log.request(() -> LogFields.of("request-arrived")
                     .with("id", request.requestId())
                     .with("caller", request.caller())
                     .with("rank", request.rank().wireName())
@@ -41,7 +40,7 @@
                     .with("leftMs", request.deadlineMs() - request.arrivedAtMs())
                     .with("config", configVersion));
         } else if (event instanceof Event.AttemptFailed failed) {
-            log.request(LogFields.of("attempt-failed")
+            log.request(() -> LogFields.of("attempt-failed")
                     .with("id", failed.requestId())
                     .with("epoch", failed.epoch())
                     .with("endpoint", failed.failedEndpointId())
@@ -49,33 +48,33 @@
                     .with("verdict", failed.verdict().wireName())
                     .with("delivered", failed.deliveredTokens()));
         } else if (event instanceof Event.CallerGone gone) {
-            log.request(LogFields.of("caller-gone").with("id", gone.requestId()));
+            log.request(() -> LogFields.of("caller-gone").with("id", gone.requestId()));
         }
     }
 
     void action(Action action) {
         if (action instanceof Action.StartAttempt start) {
-            log.request(LogFields.of("attempt-started")
+            log.request(() -> LogFields.of("attempt-started")
                     .with("id", start.requestId())
                     .with("epoch", start.epoch())
                     .with("chain", describe(start.chain()))
                     .with("from", start.resumeFromToken()));
         } else if (action instanceof Action.CancelAttempt cancel) {
-            log.request(LogFields.of("attempt-cancelled")
+            log.request(() -> LogFields.of("attempt-cancelled")
                     .with("id", cancel.requestId())
                     .with("epoch", cancel.epoch())
                     .with("reason", cancel.reason().wireName()));
         } else if (action instanceof Action.Refuse refuse) {
-            log.request(LogFields.of("refused")
+            log.request(() -> LogFields.of("refused")
                     .with("id", refuse.requestId())
                     .with("reason", refuse.reason().wireName())
                     .with("verdict", refuse.verdict().wireName())
                     .with("retryAfterMs", refuse.retryAfterMs())
                     .with("history", history(refuse.requestId())));
         } else if (action instanceof Action.Complete complete) {
-            log.request(LogFields.of("answered").with("id", complete.requestId()));
+            log.request(() -> LogFields.of("answered").with("id", complete.requestId()));
         } else if (action instanceof Action.CountRetry retry) {
-            log.request(LogFields.of("retried")
+            log.request(() -> LogFields.of("retried")
                     .with("caller", retry.caller())
                     .with("reason", retry.reason().wireName()));
         }
@@ -92,11 +91,7 @@
     }
 
     private static String describe(Stage stage) {
-        return String.format(
-                Locale.ROOT,
-                "%s:%d-%d",
-                stage.endpointId(),
-                stage.layers().first(),
-                stage.layers().end());
+        return stage.endpointId() + ":" + stage.layers().first() + "-"
+                + stage.layers().end();
     }
 }
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointEntry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointEntry.java
@@ -33,4 +33,10 @@
     boolean isSameLifetime(EndpointEntry other) {
         return incarnation == other.incarnation && host.equals(other.host) && port == other.port;
     }
+
+    /** Returns a copy that holds other layers. */
+    EndpointEntry withLayers(Optional<LayerRange> newLayers) {
+        return new EndpointEntry(
+                instanceId, incarnation, service, host, port, dataCentre, acceleratorKind, slots, isLeaving, newLayers);
+    }
 }
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -35,6 +35,7 @@
     private static final long FIRST_RETRY_MS = 500;
 
     private static final long MAX_RETRY_MS = 4_000;
+    private static final int MAX_DOUBLINGS = 10;
 
     /** Memory that an endpoint without a KV cache reports, in bytes. */
     private static final long UNBOUNDED_BYTES = Long.MAX_VALUE / 4;
@@ -77,6 +78,11 @@
             this.endpointId = endpointId;
             this.entry = entry;
         }
+
+        void backOff(long nowMs) {
+            retryAtMs = nowMs + Math.min(MAX_RETRY_MS, FIRST_RETRY_MS << Math.min(failures, MAX_DOUBLINGS));
+            failures++;
+        }
     }
 
     /**
@@ -207,8 +213,7 @@
             return;
         }
         tracked.joined = false;
-        tracked.retryAtMs = nowMs + Math.min(MAX_RETRY_MS, FIRST_RETRY_MS << Math.min(tracked.failures, 10));
-        tracked.failures++;
+        tracked.backOff(nowMs);
         log.belief("endpoint-unreachable", endpointId, cause);
         news.unreachable(endpointId);
         // It may be cut off as well as dead, so that its requests are not suspected of having crashed it.
@@ -231,7 +236,7 @@
             return;
         }
         boolean holdsOther = !tracked.entry.layers().equals(report.layers());
-        tracked.entry = withLayers(tracked.entry, report.layers());
+        tracked.entry = tracked.entry.withLayers(report.layers());
         if (!tracked.joined) {
             log.belief("endpoint-reachable", endpointId, "answers again");
             join(tracked, nowMs);
@@ -245,7 +250,7 @@
         List<String> due = new ArrayList<>();
         for (Tracked tracked : byId.values()) {
             if (!tracked.joined && !tracked.leaving && nowMs >= tracked.retryAtMs) {
-                tracked.retryAtMs = nowMs + Math.min(MAX_RETRY_MS, FIRST_RETRY_MS << Math.min(tracked.failures++, 10));
+                tracked.backOff(nowMs);
                 due.add(tracked.endpointId);
             }
         }
@@ -359,18 +364,4 @@
         EndpointContact contact = contacts.remove(tracked.endpointId);
         idsByAddress.remove(contact.address(), tracked.endpointId);
     }
-
-    private static EndpointEntry withLayers(EndpointEntry entry, Optional<LayerRange> layers) {
-        return new EndpointEntry(
-                entry.instanceId(),
-                entry.incarnation(),
-                entry.service(),
-                entry.host(),
-                entry.port(),
-                entry.dataCentre(),
-                entry.acceleratorKind(),
-                entry.slots(),
-                entry.isLeaving(),
-                layers);
-    }
 }
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -6,7 +6,6 @@
 import io.radishwinch.cluster.membership.Seed;
 import io.radishwinch.cluster.platform.CallBudget;
 import io.radishwinch.cluster.platform.CallRates;
-import io.radishwinch.cluster.platform.PlatformClient;
 import io.radishwinch.cluster.platform.PlatformClient.Change;
 import io.radishwinch.cluster.platform.PlatformClient.StoredObject;
 import io.radishwinch.cluster.platform.ResilientPlatformClient;
@@ -92,9 +91,6 @@
     private boolean platformAvailable = true;
     private long ticks;
 
-    /** What the control plane uses of the deployment. */
-    record Ports(FleetDialect dialect, PlatformClient platform, EndpointControl endpoints) {}
-
     FleetControl(
             Vertx vertx,
             FleetSettings settings,
@@ -102,7 +98,8 @@
             RouterMetrics metrics,
             Authenticator authenticator,
             PeerTransport peers,
-            Ports ports,
+            FleetDialect dialect,
+            FleetRouter.Clients clients,
             FleetLog log) {
         this.vertx = vertx;
         this.settings = settings;
@@ -111,7 +108,7 @@
         this.authenticator = authenticator;
         this.peers = peers;
         this.log = log;
-        this.dialect = ports.dialect();
+        this.dialect = dialect;
         decisions = new DecisionLogger(log, this::requestView);
         Context context = vertx.getOrCreateContext();
         node = new PeerNode(
@@ -123,7 +120,7 @@
         ControlTimers scheduler = new ControlTimers(vertx, context, clock);
         budget = new CallBudget(scheduler, rates(1));
         platform = new ResilientPlatformClient(
-                ports.platform(), budget, scheduler, random, new PlatformCounters(metrics), MAX_PLATFORM_BACKOFF_MS);
+                clients.platform(), budget, scheduler, random, new PlatformCounters(metrics), MAX_PLATFORM_BACKOFF_MS);
         lease = new LeaseKeeper(
                 settings.routerId(),
                 node.self().incarnation(),
@@ -135,8 +132,8 @@
                 log);
         control = new ControlLoop(context, clock, decisionCore(), this::perform);
         registry = new EndpointRegistry(control::post, new PeerNews(), log, settings.readmissionMs());
-        prober = new EndpointProber(ports.endpoints(), registry, log, clock);
-        orders = new LayerOrders(ports.endpoints(), registry, scheduler, control::post, lease::doubt, log, clock);
+        prober = new EndpointProber(clients.endpoints(), registry, log, clock);
+        orders = new LayerOrders(clients.endpoints(), registry, scheduler, control::post, lease::doubt, log, clock);
         config = new ConfigSource(dialect, log);
         shared = new SharedState(node, control, new NewsReceiver(), this::configChangedAtPeer, (sender, message) -> {});
         node.addListener(shared);
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetLog.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetLog.java
@@ -2,6 +2,7 @@
 
 import io.radishwinch.server.LogFields;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * Log lines of a router's decisions, as structured fields.
@@ -39,7 +40,7 @@
     }
 
     /** Logs a decision on a request, unless too many were logged of late. */
-    void request(LogFields fields) {
+    void request(Supplier<LogFields> fields) {
         long nowMs = clockMs.getAsLong();
         tokens = Math.min(MAX_BURST_LINES, tokens + (nowMs - refilledAtMs) * MAX_LINES_PER_S / MS_PER_S);
         refilledAtMs = nowMs;
@@ -52,7 +53,7 @@
             write(LogFields.of("request-lines-suppressed").with("lines", suppressed));
             suppressed = 0;
         }
-        write(fields);
+        write(fields.get());
     }
 
     private void write(LogFields fields) {
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
@@ -3,7 +3,7 @@
 import io.radishwinch.cluster.membership.Address;
 import io.radishwinch.cluster.platform.PlatformClient;
 import io.radishwinch.server.LogFields;
-import io.radishwinch.server.OutcomeRecorder;
+import io.radishwinch.server.OutcomeCounter;
 import io.radishwinch.server.RouterClock;
 import io.radishwinch.server.http.Authenticator;
 import io.radishwinch.server.metrics.RouterMetrics;
@@ -86,7 +86,6 @@
     /** Runs on the control thread, so that every part of the control plane is created on the context that owns it. */
     private Future<Void> startControl() {
         peers = new PeerTransport(controlVertx, Optional.empty(), metrics, frame -> plane.receive(frame));
-        Clients made = clients.apply(controlVertx);
         plane = new FleetControl(
                 controlVertx,
                 settings,
@@ -94,7 +93,8 @@
                 metrics,
                 authenticator,
                 peers,
-                new FleetControl.Ports(dialect, made.platform(), made.endpoints()),
+                dialect,
+                clients.apply(controlVertx),
                 log);
         proxy = new ProxyServer(
                 trafficVertx,
@@ -105,7 +105,7 @@
                         authenticator,
                         plane::config,
                         plane::liveRouters,
-                        new OutcomeRecorder(metrics, plane.control(), outcome -> {}),
+                        new OutcomeCounter(metrics),
                         plane::stalled));
         metrics.gauge("radishwinch.config.version", "version of the configuration in effect", () -> plane.config()
                 .version());
--- a/server/src/main/java/io/radishwinch/server/fleet/LeaseKeeper.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/LeaseKeeper.java
@@ -171,10 +171,11 @@
         if (key.equals(dataCentre) || key.equals(LayoutPlanner.SHARED_GROUP)) {
             return true;
         }
-        if (presence.hasRouters(key) || lease.absentSinceMs == Long.MAX_VALUE) {
-            lease.absentSinceMs = presence.hasRouters(key) ? Long.MAX_VALUE : nowMs;
+        if (presence.hasRouters(key)) {
+            lease.absentSinceMs = Long.MAX_VALUE;
             return false;
         }
+        lease.absentSinceMs = Math.min(lease.absentSinceMs, nowMs);
         return nowMs - lease.absentSinceMs >= ABSENT_ROUTERS_MS;
     }
 
--- a/server/src/main/java/io/radishwinch/server/http/PromptHashes.java
+++ b/server/src/main/java/io/radishwinch/server/http/PromptHashes.java
@@ -9,7 +9,7 @@
 import java.util.List;
 
 /** Hashes of prompts: a fingerprint of the whole request, and hashes of prefixes for cache affinity. */
-final class PromptHashes {
+public final class PromptHashes {
     /** Bytes of prompt that one prefix hash adds, about 64 tokens. */
     static final int BLOCK_BYTES = 256;
 
@@ -24,12 +24,16 @@
         return Math.max(1, utf8Bytes / BYTES_PER_TOKEN);
     }
 
-    /** Returns a hash that is equal for requests of one caller with the same pool and content. */
-    static String fingerprint(String caller, String pool, byte[] content) {
+    /**
+     * Returns a hash that is equal for requests of one caller with the same target and content.
+     *
+     * @param target pool or path
+     */
+    public static String fingerprint(String caller, String target, byte[] content) {
         ByteArrayOutputStream all = new ByteArrayOutputStream(content.length + 64);
         all.writeBytes(caller.getBytes(StandardCharsets.UTF_8));
         all.write(0);
-        all.writeBytes(pool.getBytes(StandardCharsets.UTF_8));
+        all.writeBytes(target.getBytes(StandardCharsets.UTF_8));
         all.write(0);
         all.writeBytes(content);
         return HexFormat.of().formatHex(KeyHash.sha256(all.toByteArray()), 0, FINGERPRINT_BYTES);
--- a/server/src/main/java/io/radishwinch/server/proxy/EndpointConnections.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EndpointConnections.java
@@ -83,11 +83,6 @@
         targets.values().removeIf(target -> target.open == 0);
     }
 
-    /** Closes all connections. */
-    Future<Void> close() {
-        return client.close();
-    }
-
     private static EndpointException notSent(EndpointContact contact, Reason reason, String message, Throwable cause) {
         return new EndpointException(contact.endpointId(), reason, Verdict.NOT_RUN, message, cause);
     }
--- a/server/src/main/java/io/radishwinch/server/proxy/OwnAnswer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/OwnAnswer.java
@@ -22,12 +22,13 @@
 
     private OwnAnswer() {}
 
-    static void send(HttpServerResponse response, Refusal refusal, ProxyDialect dialect, String requestId) {
+    static void send(HttpServerResponse response, Refusal refusal, ProxyScope scope, String requestId) {
         response.setStatusCode(status(refusal)).putHeader(HttpHeaders.CONTENT_TYPE, "text/plain");
         if (refusal.retryAfterMs() > 0) {
             response.putHeader("Retry-After", String.format(Locale.ROOT, "%.2f", refusal.retryAfterMs() / MS_PER_S));
         }
-        dialect.markOwnAnswer(response.headers(), requestId);
+        scope.announceClose(response);
+        scope.dialect().markOwnAnswer(response.headers(), requestId);
         response.end(
                 refusal.reason().wireName() + ", " + refusal.verdict().wireName() + ": " + refusal.message() + "\n");
     }
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -36,8 +36,6 @@
 
     private static final long PROGRESS_INTERVAL_MS = 1_000;
 
-    private static final String CLOSE = "close";
-
     private final HttpServerRequest incoming;
     private final Route route;
     private final RequestHead head;
@@ -105,13 +103,7 @@
                 scanner.lastEventId());
         MultiMap headers = shared.dialect().towardsEndpoint(incoming.headers(), forwarding);
         attempt.call.start(
-                new UpstreamCall.Message(
-                        incoming.method(),
-                        incoming.uri(),
-                        incoming.getHeader("Host"),
-                        headers,
-                        body,
-                        request.repeatable()),
+                new UpstreamCall.Message(incoming.method(), incoming.uri(), headers, body, request.repeatable()),
                 maxConnections);
     }
 
@@ -182,10 +174,7 @@
         } else if (held != null && refusal.verdict() != Verdict.NOT_RUN) {
             sendHeld(held);
         } else {
-            if (shared.isDraining().getAsBoolean()) {
-                response.putHeader(HttpHeaders.CONNECTION, CLOSE);
-            }
-            OwnAnswer.send(response, refusal, shared.dialect(), head.requestId());
+            OwnAnswer.send(response, refusal, shared, head.requestId());
         }
     }
 
@@ -197,9 +186,7 @@
     private void writeHead(int status, MultiMap headers) {
         response.setStatusCode(status);
         response.headers().addAll(shared.dialect().towardsCaller(headers));
-        if (shared.isDraining().getAsBoolean()) {
-            response.putHeader(HttpHeaders.CONNECTION, CLOSE);
-        }
+        shared.announceClose(response);
     }
 
     /** Breaks the answer off because the endpoint's bytes cannot be trusted and cannot be replaced. */
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyScope.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyScope.java
@@ -6,6 +6,8 @@
 import io.radishwinch.server.http.MemoryBudget;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServerResponse;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -33,4 +35,12 @@
         ExchangeListener listener,
         BooleanSupplier isDraining,
         long writeTimeoutMs)
-        implements ExchangeScope {}
+        implements ExchangeScope {
+
+    /** Tells the caller to use another connection for its next request if this router is shutting down. */
+    void announceClose(HttpServerResponse response) {
+        if (isDraining.getAsBoolean()) {
+            response.putHeader(HttpHeaders.CONNECTION, "close");
+        }
+    }
+}
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -5,6 +5,7 @@
 import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Verdict;
 import io.radishwinch.server.ControlLoop;
 import io.radishwinch.server.http.Authenticator;
 import io.radishwinch.server.http.BodyCollector;
@@ -12,6 +13,7 @@
 import io.radishwinch.server.http.ExchangeListener;
 import io.radishwinch.server.http.MemoryBudget;
 import io.radishwinch.server.http.Messages;
+import io.radishwinch.server.http.PromptHashes;
 import io.radishwinch.server.http.Refusal;
 import io.radishwinch.server.route.Route;
 import io.radishwinch.server.route.RouteKind;
@@ -20,7 +22,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
@@ -70,11 +71,8 @@
 
     private final Parts parts;
     private final Vertx vertx;
-    private final Set<ProxyExchange> exchanges = new HashSet<>();
     private final Map<String, ProxyExchange> byRequest = new HashMap<>();
-    private final Set<HttpConnection> connections = new HashSet<>();
     private ProxyScope scope;
-    private HttpServer server;
     private long duplicates;
     private volatile boolean draining;
 
@@ -134,11 +132,11 @@
                 .setHandle100ContinueAutomatically(true)
                 .setTcpNoDelay(true)
                 .setCompressionSupported(false);
-        server = vertx.createHttpServer(options)
+        return vertx.createHttpServer(options)
                 .requestHandler(this::handle)
                 .invalidRequestHandler(this::refuseInvalid)
-                .connectionHandler(this::connected);
-        return server.listen(port, host).map(HttpServer::actualPort);
+                .listen(port, host)
+                .map(HttpServer::actualPort);
     }
 
     /** Asks callers to use other routers: each connection is closed after its next answer. */
@@ -148,23 +146,13 @@
 
     /** Returns the number of requests that are being answered. */
     public int openRequests() {
-        return exchanges.size();
-    }
-
-    /** Returns the number of open connections. */
-    public int connections() {
-        return connections.size();
-    }
-
-    private void connected(HttpConnection connection) {
-        connections.add(connection);
-        connection.closeHandler(ignored -> connections.remove(connection));
+        return byRequest.size();
     }
 
     private void findStalled() {
         long nowMs = parts.control().nowMs();
         Set<String> stalled = new HashSet<>();
-        for (ProxyExchange exchange : exchanges) {
+        for (ProxyExchange exchange : byRequest.values()) {
             exchange.stalledAt(nowMs, STALLED_FIRST_EVENT_MS, STALLED_NEXT_EVENT_MS)
                     .ifPresent(stalled::add);
         }
@@ -176,12 +164,11 @@
     private void handle(HttpServerRequest request) {
         RoutingConfig config = parts.config().get();
         if (config.version() == 0) {
-            Refusal refusal = Refusal.notRun(Reason.NO_CAPACITY, "no configuration yet");
             reject(
                     request,
                     "",
                     null,
-                    new Refusal(refusal.reason(), refusal.verdict(), refusal.message(), NOT_CONFIGURED_RETRY_MS));
+                    new Refusal(Reason.NO_CAPACITY, Verdict.NOT_RUN, "no configuration yet", NOT_CONFIGURED_RETRY_MS));
             return;
         }
         String host = request.getHeader(HttpHeaders.HOST);
@@ -245,7 +232,7 @@
                 head.maxNewTokens(),
                 arrival.arrivedAtMs,
                 arrival.arrivedAtMs + timeoutMs,
-                Fingerprints.of(arrival.caller, arrival.request.path(), arrival.body),
+                PromptHashes.fingerprint(arrival.caller, arrival.request.path(), arrival.body.getBytes()),
                 List.of(),
                 route.isRepeatable(),
                 route.kind() == RouteKind.AT_MOST_ONCE ? 1 : Math.max(1, route.maxRuns()),
@@ -261,7 +248,6 @@
                 arrival.body,
                 maxConnections(arrival.config, pool),
                 engines == null ? 1 : engines.tokensPerEvent());
-        exchanges.add(exchange);
         byRequest.put(spec.requestId(), exchange);
         exchange.arrive();
     }
@@ -308,18 +294,14 @@
 
     private void reject(HttpServerRequest request, String caller, Rank rank, Refusal refusal) {
         parts.listener().rejected(caller, Optional.ofNullable(rank), refusal);
-        if (draining) {
-            request.response().putHeader(HttpHeaders.CONNECTION, "close");
-        }
-        OwnAnswer.send(
-                request.response(), refusal, parts.dialect(), parts.dialect().requestId(request.headers()));
+        OwnAnswer.send(request.response(), refusal, scope, parts.dialect().requestId(request.headers()));
     }
 
     // End of requests
 
     @Override
     public void finished(RequestSpec request, Delivery delivery, Optional<Refusal> refusal) {
-        exchanges.remove(byRequest.remove(request.requestId()));
+        byRequest.remove(request.requestId());
         parts.listener().finished(request, delivery, refusal);
     }
 
--- a/server/src/main/java/io/radishwinch/server/proxy/RequestHead.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/RequestHead.java
@@ -1,7 +1,5 @@
 package io.radishwinch.server.proxy;
 
-import java.util.List;
-
 /**
  * What a caller says in the head of its request.
  *
@@ -10,7 +8,6 @@
  * @param promptTokens tokens of the prompt, 0 for a request without one
  * @param maxNewTokens largest number of answer tokens, 0 for a request without a prompt
  * @param expectedNewTokens answer tokens that the caller expects, at most {@code maxNewTokens}
- * @param prefixHashes hashes of the parts of the prompt that other requests may share, shortest prefix first
  * @param resumeAfterEventId event behind which a stream goes on, or {@link #NONE} for one from its start
  */
 public record RequestHead(
@@ -19,14 +16,8 @@
         int promptTokens,
         int maxNewTokens,
         int expectedNewTokens,
-        List<Long> prefixHashes,
         long resumeAfterEventId) {
 
     /** Value of fields that the request does not have. */
     public static final long NONE = -1;
-
-    /** Copies the list. */
-    public RequestHead {
-        prefixHashes = List.copyOf(prefixHashes);
-    }
 }
--- a/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
@@ -49,7 +49,7 @@
     }
 
     /** What to send. */
-    record Message(HttpMethod method, String uri, String host, MultiMap headers, Buffer body, boolean repeatable) {}
+    record Message(HttpMethod method, String uri, MultiMap headers, Buffer body, boolean repeatable) {}
 
     UpstreamCall(ProxyScope scope, EndpointContact contact, Listener listener) {
         this.scope = scope;
--- a/server/src/main/java/io/radishwinch/server/route/Route.java
+++ b/server/src/main/java/io/radishwinch/server/route/Route.java
@@ -62,4 +62,21 @@
         }
         return backends.get(0).pool();
     }
+
+    /** Returns a copy whose requests need no key. */
+    public Route asPublic() {
+        return new Route(
+                name,
+                host,
+                pathPrefix,
+                kind,
+                timeoutMs,
+                targetMs,
+                maxPauseMs,
+                rank,
+                backends,
+                maxRuns,
+                true,
+                isResumable);
+    }
 }
--- /dev/null
+++ b/server/src/test/java/io/radishwinch/server/fleet/ConfigSourceTest.java
@@ -0,0 +1,100 @@
+package io.radishwinch.server.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.core.model.FleetConfig;
+import io.radishwinch.server.proxy.ProxyDialect;
+import io.radishwinch.server.route.ConnectionLimits;
+import io.radishwinch.server.route.RouteTable;
+import io.radishwinch.server.route.RoutingConfig;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class ConfigSourceTest {
+    private final NumberDialect dialect = new NumberDialect();
+    private final ConfigSource source = new ConfigSource(dialect, new FleetLog(() -> 0));
+
+    private boolean offer(String version, long storeVersion) {
+        return source.offer(version.getBytes(StandardCharsets.UTF_8), storeVersion);
+    }
+
+    @Test
+    void aVersionNeverGoesBack() {
+        assertThat(offer("3", 10)).isTrue();
+        assertThat(offer("7", 12)).isTrue();
+        assertThat(offer("3", 10)).isFalse();
+        assertThat(offer("5", 14)).isFalse();
+        assertThat(source.inForce().version()).isEqualTo(7);
+    }
+
+    @Test
+    void anObjectThatIsShownAgainIsReadOnce() {
+        offer("3", 10);
+        offer("3", 10);
+        offer("3", 10);
+        assertThat(dialect.reads).isEqualTo(1);
+    }
+
+    @Test
+    void aConfigurationThatCannotBeReadLeavesTheLastGoodOneInForce() {
+        offer("3", 10);
+        assertThat(offer("odd", 11)).isFalse();
+        assertThat(source.inForce().version()).isEqualTo(3);
+        assertThat(offer("4", 12)).isTrue();
+    }
+
+    /** A dialect whose configurations are the number of their version. */
+    private static final class NumberDialect implements FleetDialect {
+        private int reads;
+
+        @Override
+        public ProxyDialect proxy() {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public String endpointPrefix() {
+            return "endpoints/";
+        }
+
+        @Override
+        public String configPrefix() {
+            return "config/";
+        }
+
+        @Override
+        public String configKey() {
+            return "config/all";
+        }
+
+        @Override
+        public String ownPrefix() {
+            return "own/";
+        }
+
+        @Override
+        public Either<String, EndpointEntry> readEndpoint(String instanceId, byte[] value) {
+            return Either.left("no endpoints here");
+        }
+
+        @Override
+        public Either<String, RoutingConfig> readConfig(byte[] value) {
+            reads++;
+            try {
+                long version = Long.parseLong(new String(value, StandardCharsets.UTF_8));
+                return Either.right(new RoutingConfig(
+                        version,
+                        new RouteTable(List.of()),
+                        FleetConfig.empty(),
+                        Map.of(),
+                        ConnectionLimits.defaults(),
+                        Map.of()));
+            } catch (NumberFormatException e) {
+                return Either.left("not a number");
+            }
+        }
+    }
+}
