--- a/cli/src/main/java/io/radishwinch/cli/CommandTree.java
+++ b/cli/src/main/java/io/radishwinch/cli/CommandTree.java
@@ -26,9 +26,11 @@
                 "explain",
                 Map.of("request", new FleetCommands.ExplainRequest(), "caller", new FleetCommands.ExplainCaller()));
         groups.put("settings", Map.of("check", new LocalCommands.CheckSettings()));
+        groups.put("logs", Map.of("summary", new LogCommands.Summary()));
         groups.put("key", Map.of("new", new LocalCommands.NewKey()));
         single.put("status", new FleetCommands.Status());
         single.put("drain", new FleetCommands.Drain());
+        single.put("trace", new LogCommands.Trace());
         single.put("report", new ReportCommand());
         root = JCommander.newBuilder().programName(NAME).addObject(rootOptions).build();
         // By default JCommander replaces an argument @FILE by the content of the file.
--- /dev/null
+++ b/cli/src/main/java/io/radishwinch/cli/log/LogLine.java
@@ -0,0 +1,62 @@
+package io.radishwinch.cli.log;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * One structured line of a router's log.
+ *
+ * @param file file that it stands in; each router writes one of its own
+ * @param atMs time of the router's clock, in ms
+ * @param event what happened
+ * @param fields all members of the line
+ */
+public record LogLine(String file, long atMs, String event, JsonNode fields) {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final Set<String> HEADER_FIELDS = Set.of("time", "level", "event", "atMs", "id");
+
+    /** Reads a line; returns empty if it is not a structured one. */
+    static Optional<LogLine> read(String file, String text) {
+        int start = text.indexOf('{');
+        if (start < 0) {
+            return Optional.empty();
+        }
+        try {
+            // Collectors of logs often put a time or a host in front.
+            JsonNode fields = JSON.readTree(text.substring(start));
+            boolean isEvent =
+                    fields.path("event").isTextual() && fields.path("atMs").isIntegralNumber();
+            return isEvent
+                    ? Optional.of(new LogLine(
+                            file,
+                            fields.path("atMs").longValue(),
+                            fields.path("event").textValue(),
+                            fields))
+                    : Optional.empty();
+        } catch (JsonProcessingException e) {
+            return Optional.empty();
+        }
+    }
+
+    /** Returns a text member, or an empty string. */
+    String text(String name) {
+        return fields.path(name).asText("");
+    }
+
+    /** Returns the members that say more than the time and the event, as {@code name=value}. */
+    public String details() {
+        List<String> details = new ArrayList<>();
+        fields.fields().forEachRemaining(field -> {
+            if (!HEADER_FIELDS.contains(field.getKey())) {
+                details.add(field.getKey() + "=" + field.getValue().asText());
+            }
+        });
+        return String.join(" ", details);
+    }
+}
