--- a/cluster/src/main/java/io/radishwinch/cluster/PeerNode.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/PeerNode.java
@@ -209,6 +209,16 @@
         configuration.offerListing(prefix, listing, storeVersion);
     }
 
+    /** Sets whether data centres tell each other of work on endpoints and of endpoints that do not answer. */
+    public void setSharesReadings(boolean shares) {
+        gossip.setSharesReadings(shares);
+    }
+
+    /** Sets the rate at which this router may send readings that change all the time, in bytes/s. */
+    public void setVolatileRate(long bytesPerS) {
+        gossip.setVolatileRate(bytesPerS);
+    }
+
     /** Replaces the limits of all callers that the routers share. */
     public void limits(Map<String, CallerLimits> limits) {
         allotment.limits(limits);
--- a/cluster/src/main/java/io/radishwinch/cluster/gossip/ByteBudget.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/gossip/ByteBudget.java
@@ -1,23 +1,31 @@
 package io.radishwinch.cluster.gossip;
 
-/** Token bucket for the bytes of changes that are not urgent. */
+/** Token bucket for the bytes of one class of changes. */
 final class ByteBudget {
 
-    /** Sustained rate, in bytes/s: what 3 KB/s per router leaves after probes, digests and shared limits. */
-    static final long RATE_BYTES_PER_S = 1_500;
-
-    /** Largest burst, in bytes: one value of the largest kind that is not urgent, to three receivers. */
-    static final long BURST_BYTES = 256 * 1024;
-
     private static final long MS_PER_S = 1_000;
 
-    private long milliTokens = BURST_BYTES * MS_PER_S;
+    private final long bytesPerS;
+    private final long burstBytes;
+    private long milliTokens;
     private long lastMs = Long.MIN_VALUE;
 
+    /**
+     * Creates a full bucket.
+     *
+     * @param bytesPerS sustained rate, in bytes/s
+     * @param burstBytes largest burst, in bytes
+     */
+    ByteBudget(long bytesPerS, long burstBytes) {
+        this.bytesPerS = bytesPerS;
+        this.burstBytes = burstBytes;
+        this.milliTokens = burstBytes * MS_PER_S;
+    }
+
     void refill(long nowMs) {
         if (lastMs != Long.MIN_VALUE && nowMs > lastMs) {
             long elapsedMs = Math.min(nowMs - lastMs, 1_000_000);
-            milliTokens = Math.min(BURST_BYTES * MS_PER_S, milliTokens + elapsedMs * RATE_BYTES_PER_S);
+            milliTokens = Math.min(burstBytes * MS_PER_S, milliTokens + elapsedMs * bytesPerS);
         }
         lastMs = nowMs;
     }
@@ -28,7 +36,7 @@
         if (cost > milliTokens && !mustSend) {
             return false;
         }
-        milliTokens = Math.max(-BURST_BYTES * MS_PER_S, milliTokens - cost);
+        milliTokens = Math.max(-burstBytes * MS_PER_S, milliTokens - cost);
         return true;
     }
 }
--- a/cluster/src/main/java/io/radishwinch/cluster/gossip/Gossip.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/gossip/Gossip.java
@@ -41,8 +41,20 @@
     /** Time between two pushes of changes that are not urgent, in ms. */
     static final long PUSH_INTERVAL_MS = 500;
 
+    /** Sustained rate of durable changes, in bytes/s: a third of what 3 KB/s leave after probes and digests. */
+    static final long DURABLE_BYTES_PER_S = 500;
+
+    /** Largest burst of durable changes, in bytes: one value of the largest kind, to three receivers. */
+    static final long DURABLE_BURST_BYTES = 256 * 1024;
+
+    /** Sustained rate of volatile changes, in bytes/s: the other two thirds, which a large change cannot use up. */
+    static final long VOLATILE_BYTES_PER_S = 1_000;
+
+    /** Largest burst of volatile changes, in bytes; the readings of ten seconds. */
+    static final long VOLATILE_BURST_BYTES = 10_000;
+
     /** Time between two pushes of volatile changes, in ms; batches share the header of a frame. */
-    static final long VOLATILE_INTERVAL_MS = 2_000;
+    static final long VOLATILE_INTERVAL_MS = 500;
 
     /** Time between two digests, in ms. */
     static final long DIGEST_INTERVAL_MS = 2_000;
@@ -69,7 +81,9 @@
     private final Predicate<GossipEntry> admission;
     private final Consumer<GossipEntry> listener;
     private final Map<PendingKey, Pending> pending = new LinkedHashMap<>();
-    private final ByteBudget budget = new ByteBudget();
+    private final ByteBudget durableBudget = new ByteBudget(DURABLE_BYTES_PER_S, DURABLE_BURST_BYTES);
+    private boolean sharesReadings;
+    private ByteBudget volatileBudget = new ByteBudget(VOLATILE_BYTES_PER_S, VOLATILE_BURST_BYTES);
     private long nextPushMs = Long.MIN_VALUE;
     private long nextVolatileMs = Long.MIN_VALUE;
     private long nextDigestMs = Long.MIN_VALUE;
@@ -118,6 +132,24 @@
         }
     }
 
+    /**
+     * Sets whether data centres tell each other of work on endpoints and of endpoints that do not answer. Small
+     * deployments need it, since their data centres serve each other's requests; large ones could not afford it.
+     */
+    public void setSharesReadings(boolean shares) {
+        sharesReadings = shares;
+    }
+
+    private boolean isFleetWide(EntryKind kind) {
+        boolean isReading = kind == EntryKind.EJECTION || kind == EntryKind.ENDPOINT_LOAD;
+        return KindPolicy.of(kind).fleetWide() || sharesReadings && isReading;
+    }
+
+    /** Sets the sustained rate of volatile changes, in bytes/s. */
+    public void setVolatileRate(long bytesPerS) {
+        volatileBudget = new ByteBudget(bytesPerS, VOLATILE_BURST_BYTES);
+    }
+
     /** Advances time: pushes changes, starts digests, removes expired entries. */
     public void tick(long nowMs, List<Envelope> out) {
         if (nowMs >= nextExpiryMs) {
@@ -157,7 +189,7 @@
         List<GossipEntry> newerHere = new ArrayList<>();
         for (Entry wire : delta.getEntries()) {
             GossipEntry entry = GossipEntry.from(wire, nowMs);
-            if (!local && !KindPolicy.of(entry.kind()).fleetWide()) {
+            if (!local && !isFleetWide(entry.kind())) {
                 continue;
             }
             GossipTable.Merge merge = accept(entry, from, nowMs);
@@ -259,7 +291,8 @@
     }
 
     private void push(long nowMs, boolean durables, boolean refreshed, List<Envelope> out) {
-        budget.refill(nowMs);
+        durableBudget.refill(nowMs);
+        volatileBudget.refill(nowMs);
         if (pending.isEmpty()) {
             return;
         }
@@ -271,11 +304,16 @@
             Pending next = iterator.next();
             GossipEntry entry = next.entry();
             KindPolicy policy = KindPolicy.of(entry.kind());
-            if (!policy.urgent() && !(policy.durable() ? durables : refreshed)) {
+            boolean isUrgent = policy.urgent() || sharesReadings && entry.kind() == EntryKind.EJECTION;
+            if (!isUrgent && !(policy.durable() ? durables : refreshed)) {
                 continue;
             }
-            int fanout = policy.durable() ? PUSH_FANOUT : VOLATILE_FANOUT;
-            if (!budget.spend(entry.sizeBytes() * fanout, policy.urgent())) {
+            boolean isForRemotes =
+                    isFleetWide(entry.kind()) && !entry.origin().isEmpty() && peers.isLocal(entry.origin());
+            int fanout = (policy.durable() ? PUSH_FANOUT : VOLATILE_FANOUT)
+                    + (isForRemotes ? peers.remoteTargets().size() : 0);
+            ByteBudget budget = policy.durable() ? durableBudget : volatileBudget;
+            if (!budget.spend((long) entry.sizeBytes() * fanout, isUrgent)) {
                 continue;
             }
             iterator.remove();
@@ -283,7 +321,7 @@
                 continue;
             }
             (policy.durable() ? durable : volatiles).add(entry);
-            if (policy.fleetWide() && !entry.origin().isEmpty() && peers.isLocal(entry.origin())) {
+            if (isForRemotes) {
                 remote.add(entry);
             }
             source = next.source();
--- a/cluster/src/test/java/io/radishwinch/cluster/GossipTest.java
+++ b/cluster/src/test/java/io/radishwinch/cluster/GossipTest.java
@@ -37,6 +37,37 @@
         }
     }
 
+    @Test
+    void an_endpoint_that_does_not_answer_is_known_in_all_data_centres_of_a_small_deployment_within_a_second() {
+        for (int seed = 0; seed < 5; seed++) {
+            TestBus bus = fleet(seed, 3, 3);
+            bus.routers.values().forEach(router -> router.node.setSharesReadings(true));
+            bus.node("dc1", 2).publish(EntryKind.EJECTION, "engine-1", VALUE, bus.nowMs + 10_000, bus.nowMs);
+            bus.runFor(1_000);
+            assertThat(holders(bus, EntryKind.EJECTION, "engine-1")).isEqualTo(9);
+        }
+    }
+
+    @Test
+    void the_work_of_a_router_on_endpoints_is_known_in_all_data_centres_of_a_small_deployment() {
+        TestBus bus = fleet(3, 3, 3);
+        bus.routers.values().forEach(router -> router.node.setSharesReadings(true));
+        bus.node("dc1", 2).publish(EntryKind.ENDPOINT_LOAD, "dc1-r2", VALUE, bus.nowMs + 5_000, bus.nowMs);
+        bus.runFor(2_000);
+        assertThat(holders(bus, EntryKind.ENDPOINT_LOAD, "dc1-r2")).isEqualTo(9);
+    }
+
+    /** Load pattern: a large configuration is replaced while requests arrive. */
+    @Test
+    void a_large_configuration_does_not_keep_routers_from_telling_their_work_on_endpoints() {
+        TestBus bus = fleet(3, 1, 4);
+        bus.node("dc0", 1).offerConfiguration("config/main", 7, new byte[300_000], bus.nowMs);
+        bus.runFor(3_000);
+        bus.node("dc0", 2).publish(EntryKind.ENDPOINT_LOAD, "dc0-r2", VALUE, bus.nowMs + 5_000, bus.nowMs);
+        bus.runFor(1_000);
+        assertThat(holders(bus, EntryKind.ENDPOINT_LOAD, "dc0-r2")).isEqualTo(4);
+    }
+
     @Test
     void quarantine_crosses_data_centres_and_heals_after_a_partition() {
         TestBus bus = fleet(1, 3, 4);
--- a/core/src/main/java/io/radishwinch/core/action/Action.java
+++ b/core/src/main/java/io/radishwinch/core/action/Action.java
@@ -10,6 +10,16 @@
 /** Something that an adapter must do; output of the decision core. */
 public sealed interface Action {
 
+    /**
+     * Let a running stream go on over another chain with the same first stage; the adapter answers with
+     * {@link io.radishwinch.core.event.Event.AttemptMoved}.
+     *
+     * @param requestId request
+     * @param epoch epoch of the running attempt
+     * @param chain stages to run from now on
+     */
+    record MoveAttempt(String requestId, int epoch, Chain chain) implements Action {}
+
     /**
      * Open a stream to the head of the chain; the adapter answers with attempt events.
      *
--- a/core/src/main/java/io/radishwinch/core/chain/ChainLabels.java
+++ b/core/src/main/java/io/radishwinch/core/chain/ChainLabels.java
@@ -18,7 +18,7 @@
     int[] previous = new int[0];
     int[] counts = new int[0];
 
-    void reset(int layerCount) {
+    void reset(int firstLayer, int layerCount) {
         int size = (layerCount + 1) * WIDTH;
         if (costUs.length < size) {
             costUs = new double[size];
@@ -27,10 +27,11 @@
             counts = new int[layerCount + 1];
         }
         Arrays.fill(counts, 0);
-        costUs[0] = 0;
-        entries[0] = null;
-        previous[0] = -1;
-        counts[0] = 1;
+        int start = firstLayer * WIDTH;
+        costUs[start] = 0;
+        entries[start] = null;
+        previous[start] = -1;
+        counts[firstLayer] = 1;
     }
 
     /** Returns the lowest cost of a partial chain that ends at the layer, in us; infinite if there is none. */
--- a/core/src/main/java/io/radishwinch/core/chain/CostChainPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/chain/CostChainPlanner.java
@@ -6,6 +6,7 @@
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.model.Stage;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -67,16 +68,16 @@
         }
         List<PrefixIndex.Match> matches = table.prefixes().matches(request.prefixHashes());
         costs.startRequest(request, matches, nowMs);
-        Search search = new Search(pool, excludedEndpointIds, index, matches, EndpointTable.kvBytes(pool, request, 1));
-        labels.reset(pool.layerCount());
-        for (int layer = 0; layer < pool.layerCount(); layer++) {
-            // Costs never decrease along a chain, so that a partial chain above the best whole one is of no use.
-            if (labels.counts[layer] > 0 && labels.bestUs(layer) < labels.bestUs(pool.layerCount())) {
-                collectCandidates(search, layer);
-                extend(search, layer);
-            }
-        }
-        if (labels.counts[pool.layerCount()] == 0) {
+        Search search = new Search(
+                pool,
+                excludedEndpointIds,
+                index,
+                matches,
+                EndpointTable.kvBytes(pool, request, 1),
+                0,
+                pool.layerCount(),
+                table.crossings().isAvailable(nowMs));
+        if (!findCheapest(search)) {
             return Optional.empty();
         }
         List<PlannedStage> stages = trace(pool.layerCount());
@@ -87,13 +88,63 @@
         return Optional.of(toChain(stages));
     }
 
-    /** What stays the same during one decision. */
+    @Override
+    public Optional<Chain> replaceStage(
+            RequestSpec request, ModelSpec pool, Chain chain, String lostEndpointId, long nowMs) {
+        PoolIndex index = table.pool(pool.name());
+        int position = 0;
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < chain.stages().size(); i++) {
+            used.add(chain.stages().get(i).endpointId());
+            position = chain.stages().get(i).endpointId().equals(lostEndpointId) ? i : position;
+        }
+        if (index == null || position == 0) {
+            return Optional.empty();
+        }
+        LayerRange lost = chain.stages().get(position).layers();
+        costs.startRequest(request, List.of(), nowMs);
+        Search search = new Search(
+                pool, used, index, List.of(), EndpointTable.kvBytes(pool, request, 1), lost.first(), lost.end(), false);
+        if (!findCheapest(search)) {
+            return Optional.empty();
+        }
+        List<PlannedStage> replacement = trace(lost.end());
+        String dataCentre = table.row(lostEndpointId).spec().dataCentre();
+        // Engines elsewhere would need the activations of the whole prompt over the path between the data centres.
+        boolean isLocal = replacement.stream()
+                .allMatch(stage -> stage.entry.row.spec().dataCentre().equals(dataCentre));
+        if (!isLocal || !mergeRepeated(replacement, search)) {
+            return Optional.empty();
+        }
+        List<Stage> stages = new ArrayList<>(chain.stages().subList(0, position));
+        stages.addAll(toStages(replacement));
+        stages.addAll(chain.stages().subList(position + 1, chain.stages().size()));
+        return Optional.of(new Chain(stages));
+    }
+
+    /** Finds the cheapest stages over the layers of a search; returns false if there are none. */
+    private boolean findCheapest(Search search) {
+        labels.reset(search.firstLayer, search.pool.layerCount());
+        for (int layer = search.firstLayer; layer < search.endLayer; layer++) {
+            // Costs never decrease along a chain, so that a partial chain above the best whole one is of no use.
+            if (labels.counts[layer] > 0 && labels.bestUs(layer) < labels.bestUs(search.endLayer)) {
+                collectCandidates(search, layer);
+                extend(search, layer);
+            }
+        }
+        return labels.counts[search.endLayer] > 0;
+    }
+
+    /** What stays the same during one decision; the layers from the first to the end, exclusive, are planned. */
     private record Search(
             ModelSpec pool,
             Set<String> excluded,
             PoolIndex index,
             List<PrefixIndex.Match> matches,
-            long kvBytesPerLayer) {
+            long kvBytesPerLayer,
+            int firstLayer,
+            int endLayer,
+            boolean mayCross) {
 
         int layersWithMemory(HeldRange entry) {
             boolean isExcluded = !excluded.isEmpty() && excluded.contains(entry.row.id());
@@ -158,7 +209,8 @@
             // Labels are sorted by cost and a link costs at least zero, so that the loop can end early.
             for (int label = base; label < base + labels.counts[layer] && labels.costUs[label] < startUs; label++) {
                 HeldRange last = labels.entries[label];
-                if (last == null || last.row != entry.row) {
+                boolean crosses = last != null && last.row.zone() != entry.row.zone();
+                if ((last == null || last.row != entry.row) && (search.mayCross || !crosses)) {
                     double us = labels.costUs[label] + costs.linkUs(last == null ? null : last.row, entry.row);
                     if (us < startUs) {
                         startUs = us;
@@ -176,7 +228,7 @@
     private void offerStops(Search search, int layer, int candidate, double startUs, int from) {
         HeldRange entry = candidates[candidate];
         double layerUs = costs.layerUs(entry.row);
-        int end = Math.min(entry.end, search.pool.layerCount());
+        int end = Math.min(entry.end, search.endLayer);
         int furthest = (int) Math.min(end, (long) layer + candidateLayers[candidate]);
         for (int stop = layer + 1; stop <= furthest; stop++) {
             if (stop == end || search.index.isStart(stop)) {
@@ -276,10 +328,14 @@
     }
 
     private static Chain toChain(List<PlannedStage> planned) {
+        return new Chain(toStages(planned));
+    }
+
+    private static List<Stage> toStages(List<PlannedStage> planned) {
         List<Stage> stages = new ArrayList<>(planned.size());
         for (PlannedStage stage : planned) {
             stages.add(new Stage(stage.entry.row.id(), new LayerRange(stage.first, stage.end)));
         }
-        return new Chain(stages);
+        return stages;
     }
 }
--- a/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
@@ -47,6 +47,7 @@
     private final Map<String, Integer> zones = new HashMap<>();
     private final LinkTable links;
     private final PrefixIndex prefixes = new PrefixIndex();
+    private final CrossingBudget crossings = new CrossingBudget();
     private final Set<String> earlyMarks = new LinkedHashSet<>();
     private FleetConfig config = FleetConfig.empty();
     private int nextIndex;
@@ -135,12 +136,18 @@
         return prefixes;
     }
 
+    CrossingBudget crossings() {
+        return crossings;
+    }
+
     void setConfig(FleetConfig newConfig) {
         config = newConfig;
-        links.setCrossing(newConfig.enginePools().values().stream()
+        double crossingUs = newConfig.enginePools().values().stream()
                 .mapToDouble(EnginePoolSpec::crossingUs)
                 .max()
-                .orElse(0));
+                .orElse(0);
+        links.setCrossing(crossingUs);
+        crossings.configure(crossingUs);
         structureVersion++;
     }
 
@@ -335,6 +342,9 @@
         if (index != null && sign > 0) {
             index.measureRequest(request.costTokens(), request.maxNewTokens());
         }
+        if (sign > 0) {
+            crossings.take(chain, rows::get, nowMs);
+        }
         EndpointRow previous = null;
         for (Stage stage : chain.stages()) {
             EndpointRow row = rows.get(stage.endpointId());
--- a/core/src/main/java/io/radishwinch/core/chain/LinkTable.java
+++ b/core/src/main/java/io/radishwinch/core/chain/LinkTable.java
@@ -50,7 +50,7 @@
     double entryUs(EndpointRow to) {
         return settings.homeDataCentre().isEmpty() || to.spec().dataCentre().equals(settings.homeDataCentre())
                 ? 0
-                : remoteDelayUs;
+                : settings.entryUs();
     }
 
     boolean infersDelays() {
--- a/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
+++ b/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
@@ -84,6 +84,8 @@
             }
         } else if (event instanceof Event.LoadReported e) {
             table.report(e.report(), nowMs);
+        } else if (event instanceof Event.RoutersCounted e) {
+            table.crossings().setRouters(e.routers());
         } else if (event instanceof Event.PeerLoad e) {
             table.peerLoad(e.endpointId(), e.running(), e.kvBytes(), nowMs);
         } else if (event instanceof Event.StageMeasured e) {
--- a/core/src/main/java/io/radishwinch/core/event/Event.java
+++ b/core/src/main/java/io/radishwinch/core/event/Event.java
@@ -200,4 +200,20 @@
      * @param deadlineMs time by which running requests must have finished, in ms of the router's clock
      */
     record DrainStarted(long deadlineMs) implements Event {}
+
+    /**
+     * The number of routers that share the endpoints is known or has changed.
+     *
+     * @param routers routers believed alive, this one included
+     */
+    record RoutersCounted(int routers) implements Event {}
+
+    /**
+     * The first endpoint of a running attempt has answered the order to go on over another chain.
+     *
+     * @param requestId request
+     * @param epoch epoch of the attempt
+     * @param accepted whether the stream goes on over the new chain
+     */
+    record AttemptMoved(String requestId, int epoch, boolean accepted) implements Event {}
 }
--- a/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
@@ -11,6 +11,9 @@
     /** Longest wait suggested to callers, in ms; limits and allotments change meanwhile. */
     private static final long MAX_RETRY_AFTER_MS = 60_000;
 
+    /** Wait suggested to callers that any other router can serve at once, in ms; the shortest that a header tells. */
+    private static final long OTHER_ROUTER_MS = 10;
+
     /** Requests of one content that may wait while the crash quarantine lets no further one start. */
     private static final int MAX_WAITING_COPIES = 100;
 
@@ -30,7 +33,7 @@
             reason = stateReason(spec, nowMs);
         }
         if (reason != null) {
-            state.refuseEarly(spec, reason, isTransient(reason) ? state.returns.waitMs(spec, nowMs) : 0);
+            state.refuseEarly(spec, reason, returnMs(reason, spec, nowMs));
             return;
         }
         CallerRow caller = state.caller(state.config.contracts().get(spec.caller()), nowMs);
@@ -69,7 +72,7 @@
     }
 
     private Reason stateReason(RequestSpec spec, long nowMs) {
-        if (state.draining) {
+        if (state.draining && spec.deadlineMs() > state.drainDeadlineMs) {
             return Reason.DRAINING;
         }
         if (state.quarantine.isQuarantined(spec.fingerprint(), nowMs)) {
@@ -86,7 +89,11 @@
         state.refuse(state.requests.get(spec.requestId()), Reason.QUEUE_FULL, nowMs);
     }
 
-    private static boolean isTransient(Reason reason) {
-        return reason == Reason.DRAINING || reason == Reason.NO_CAPACITY || reason == Reason.DEADLINE_UNREACHABLE;
+    private long returnMs(Reason reason, RequestSpec spec, long nowMs) {
+        return switch (reason) {
+            case DRAINING -> OTHER_ROUTER_MS;
+            case NO_CAPACITY, DEADLINE_UNREACHABLE -> state.returns.waitMs(spec, nowMs);
+            default -> 0;
+        };
     }
 }
--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -3,12 +3,14 @@
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.event.Event;
 import io.radishwinch.core.model.Chain;
+import io.radishwinch.core.model.ModelSpec;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.Stage;
 import io.radishwinch.core.model.Verdict;
 import io.radishwinch.core.retry.RetryPolicy;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /** Follows running attempts: their progress, their end and what comes after it. */
 final class AttemptSystem {
@@ -90,7 +92,9 @@
             boolean mayBeReplaced = row.spec.repeatable() || !row.accepted;
             if (row.state == RequestRow.State.RUNNING && mayBeReplaced) {
                 row.cancelledByCrash = gone.crashed();
-                cancel(row, Reason.STAGE_DIED, gone.endpointId(), nowMs);
+                if (!move(row, gone.endpointId(), nowMs)) {
+                    cancel(row, Reason.STAGE_DIED, gone.endpointId(), nowMs);
+                }
             }
         }
         for (RequestRow row : rows) {
@@ -100,6 +104,50 @@
         }
     }
 
+    /** Lets a stream go on over other endpoints without a new run, if its first stage can order that. */
+    private boolean move(RequestRow row, String lostEndpointId, long nowMs) {
+        ModelSpec pool = state.config.pool(row.spec.pool());
+        boolean isMovable = state.settings.movesStreams()
+                && row.accepted
+                && row.moveChain == null
+                && pool != null
+                && !row.chain.head().endpointId().equals(lostEndpointId);
+        if (!isMovable) {
+            return false;
+        }
+        Optional<Chain> moved = state.planner.replaceStage(row.spec, pool, row.chain, lostEndpointId, nowMs);
+        if (moved.isEmpty()) {
+            return false;
+        }
+        row.moveChain = moved.get();
+        row.moveLostEndpointId = lostEndpointId;
+        row.moveDueAtMs = nowMs + state.settings.cancelTimeoutMs();
+        state.out.add(new Action.MoveAttempt(row.id(), row.epoch, row.moveChain));
+        state.note(row, nowMs, "attempt " + row.epoch + " moved off " + lostEndpointId);
+        return true;
+    }
+
+    /** Takes over the chain on which a stream goes on, or ends the attempt if it could not be moved. */
+    void moved(Event.AttemptMoved event, long nowMs) {
+        RequestRow row = current(event.requestId(), event.epoch());
+        if (row == null || row.moveChain == null) {
+            return;
+        }
+        Chain chain = row.moveChain;
+        row.moveChain = null;
+        if (row.state != RequestRow.State.RUNNING) {
+            return;
+        }
+        boolean isUsable = chain.stages().stream()
+                .allMatch(stage ->
+                        state.directory.isUsable(stage.endpointId(), nowMs) || row.chain.uses(stage.endpointId()));
+        if (!event.accepted() || !isUsable) {
+            cancel(row, Reason.STAGE_DIED, row.moveLostEndpointId, nowMs);
+            return;
+        }
+        state.replaceChain(row, chain, nowMs);
+    }
+
     /** Cancels a running attempt and waits for its end. */
     void cancel(RequestRow row, Reason reason, String endpointId, long nowMs) {
         row.state = RequestRow.State.CANCELLING;
@@ -116,6 +164,9 @@
             if (!row.isRunning()) {
                 continue;
             }
+            if (row.moveChain != null && row.moveDueAtMs <= nowMs) {
+                moved(new Event.AttemptMoved(row.id(), row.epoch, false), nowMs);
+            }
             if (state.deadlineMs(row) <= nowMs) {
                 state.pool(row.spec.pool()).sampleUnfinished(row.spec, nowMs - row.attemptStartedAtMs, nowMs);
                 state.refuse(row, state.deadlineReason(row, Reason.DEADLINE_EXCEEDED), nowMs);
@@ -139,11 +190,14 @@
                 && verdict != Verdict.NOT_RUN
                 && (row.state != RequestRow.State.CANCELLING || row.cancelledByCrash);
         state.release(row, nowMs);
+        row.moveChain = null;
         row.state = RequestRow.State.BACKING_OFF;
         row.verdict = row.verdict == null ? verdict : row.verdict.combine(verdict);
         row.lastReason = reason;
-        boolean endpointIsGone = !state.directory.isUsable(endpointId, nowMs);
-        row.runs += verdict == Verdict.NOT_RUN || endpointIsGone ? 0 : 1;
+        // A run is one of the first endpoint, whichever stage ended it, unless the first endpoint itself is gone.
+        boolean headIsGone =
+                endpointId.equals(chain.head().endpointId()) && !state.directory.isUsable(endpointId, nowMs);
+        row.runs += verdict == Verdict.NOT_RUN || headIsGone ? 0 : 1;
         row.budgetWaits = 0;
         row.cancelledByCrash = false;
         row.kvSourceEndpointIds = new ArrayList<>();
--- a/core/src/main/java/io/radishwinch/core/impl/CoreSettings.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreSettings.java
@@ -21,6 +21,7 @@
  * @param maxHistory decisions kept for one request
  * @param minReturnMs shortest wait suggested to a caller that was refused for want of capacity, in ms
  * @param maxReturnMs longest such wait, in ms
+ * @param movesStreams whether endpoints can let a running stream go on over another chain
  */
 public record CoreSettings(
         long seed,
@@ -36,7 +37,8 @@
         int maxPreemptions,
         int maxHistory,
         long minReturnMs,
-        long maxReturnMs) {
+        long maxReturnMs,
+        boolean movesStreams) {
 
     /** Returns the defaults. */
     public static CoreSettings defaults() {
@@ -113,6 +115,11 @@
         return toBuilder().returns(minMs, maxMs).build();
     }
 
+    /** Returns a copy whose running streams go on over another chain when a stage is lost. */
+    public CoreSettings withMovedStreams() {
+        return toBuilder().movesStreams(true).build();
+    }
+
     /** Returns a builder that starts from these settings. */
     public Builder toBuilder() {
         Builder builder = new Builder();
@@ -130,6 +137,7 @@
         builder.maxHistory = maxHistory;
         builder.minReturnMs = minReturnMs;
         builder.maxReturnMs = maxReturnMs;
+        builder.movesStreams = movesStreams;
         return builder;
     }
 
@@ -150,6 +158,7 @@
         private int maxHistory = 32;
         private long minReturnMs = 1_000;
         private long maxReturnMs = 1_000;
+        private boolean movesStreams;
 
         private Builder() {}
 
@@ -232,6 +241,12 @@
             return this;
         }
 
+        /** Sets whether endpoints can let a running stream go on over another chain. */
+        public Builder movesStreams(boolean value) {
+            this.movesStreams = value;
+            return this;
+        }
+
         /** Returns the settings. */
         public CoreSettings build() {
             return new CoreSettings(
@@ -248,7 +263,8 @@
                     maxPreemptions,
                     maxHistory,
                     minReturnMs,
-                    maxReturnMs);
+                    maxReturnMs,
+                    movesStreams);
         }
     }
 }
--- a/core/src/main/java/io/radishwinch/core/impl/CoreState.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreState.java
@@ -20,7 +20,6 @@
 import io.radishwinch.core.queue.RequestQueue;
 import io.radishwinch.core.retry.Backoff;
 import io.radishwinch.core.retry.BudgetedRetryPolicy;
-import io.radishwinch.core.retry.RetryBudget;
 import io.radishwinch.core.retry.RetryPolicy;
 import io.radishwinch.core.retry.RetrySettings;
 import java.util.ArrayList;
@@ -92,7 +91,7 @@
         RetrySettings retry = settings.retry();
         this.retries = new BudgetedRetryPolicy(
                 retry,
-                new RetryBudget(retry),
+                retry.newBudget(),
                 new Backoff(retry.backoffBaseMs(), retry.backoffMaxMs(), new SplittableRandom(settings.seed())));
         this.quarantine = new CrashQuarantine(settings.quarantine());
         this.returns = new ReturnTimes(settings.minReturnMs(), settings.maxReturnMs(), settings.seed());
@@ -252,6 +251,12 @@
         }
     }
 
+    /** Takes the slots of another chain for a running attempt in place of those that it has. */
+    void replaceChain(RequestRow row, Chain chain, long nowMs) {
+        release(row, nowMs);
+        acquire(row, chain, nowMs);
+    }
+
     /** Frees the slots of the running attempt. */
     void release(RequestRow row, long nowMs) {
         endObservation(row);
--- a/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
+++ b/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
@@ -36,7 +36,7 @@
     int epoch;
     int attempts;
     int preemptions;
-    /** Attempts that may have run on endpoints that are still alive. */
+    /** Attempts that may have run and whose first endpoint was not lost. */
     int runs;
 
     int budgetWaits;
@@ -55,6 +55,12 @@
     /** Time of the next change of state: end of the backoff, of parking or of the wait for a cancelled attempt. */
     long dueAtMs;
 
+    /** Chain on which the running attempt is to go on, null unless the first endpoint was asked to move it. */
+    Chain moveChain;
+
+    String moveLostEndpointId;
+    long moveDueAtMs;
+
     Reason cancelReason;
     String cancelEndpointId;
     /** Whether a cancelled attempt ended because an endpoint crashed rather than left. */
--- a/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -86,6 +86,9 @@
         } else if (event instanceof Event.AttemptFailed failed) {
             attempts.failed(failed, nowMs);
             dispatch.dispatch(nowMs);
+        } else if (event instanceof Event.AttemptMoved moved) {
+            attempts.moved(moved, nowMs);
+            dispatch.dispatch(nowMs);
         } else if (event instanceof Event.CallerGone gone) {
             callerGone(gone.requestId(), nowMs);
         } else {
@@ -106,6 +109,8 @@
             suspects.crashShared(crash, nowMs);
         } else if (event instanceof Event.QuarantineShared shared) {
             suspects.quarantineShared(shared, nowMs);
+        } else if (event instanceof Event.RoutersCounted counted) {
+            state.retries.setRouters(counted.routers(), nowMs);
         } else if (event instanceof Event.DrainStarted drain) {
             state.draining = true;
             state.drainDeadlineMs = drain.deadlineMs();
--- a/core/src/main/java/io/radishwinch/core/model/EngineOrder.java
+++ b/core/src/main/java/io/radishwinch/core/model/EngineOrder.java
@@ -8,8 +8,23 @@
      *
      * @param model model name
      * @param layers layers to load
+     * @param handover what becomes of the streams that pass through layers given up
      */
-    record LoadLayers(String model, LayerRange layers) implements EngineOrder {}
+    record LoadLayers(String model, LayerRange layers, Handover handover) implements EngineOrder {
+
+        /** Creates an order that lets running streams end first. */
+        public LoadLayers(String model, LayerRange layers) {
+            this(model, layers, Handover.WAIT);
+        }
+    }
+
+    /** What becomes of the streams that pass through layers that an engine gives up. */
+    enum Handover {
+        /** They end first, which may take as long as the longest of them. */
+        WAIT,
+        /** They are cut at once, so that the new layers serve as soon as they are loaded. */
+        CUT
+    }
 
     /**
      * Load an adapter next to the model.
--- a/core/src/main/java/io/radishwinch/core/placement/LayerCapacity.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayerCapacity.java
@@ -7,12 +7,18 @@
 /** Engines and room for requests at each layer of a model. */
 final class LayerCapacity {
 
+    /** Difference in protected engines that is due to rounding. */
+    private static final double EQUAL_ENGINES = 1e-6;
+
     private final double[] room;
     private final int[] holders;
+    /** Sum of the sizes of the ranges that cover a layer; the size of its holder's range if it has but one. */
+    private final int[] rangeSizes;
 
     LayerCapacity(int layerCount) {
         room = new double[layerCount];
         holders = new int[layerCount];
+        rangeSizes = new int[layerCount];
     }
 
     /** Adds an engine with room for some requests on each of its layers. */
@@ -20,6 +26,7 @@
         for (int layer = layers.first(); layer < Math.min(layers.end(), room.length); layer++) {
             room[layer] += roomRequests;
             holders[layer]++;
+            rangeSizes[layer] += layers.size();
         }
     }
 
@@ -28,6 +35,7 @@
         for (int layer = layers.first(); layer < Math.min(layers.end(), room.length); layer++) {
             room[layer] -= roomRequests;
             holders[layer]--;
+            rangeSizes[layer] -= layers.size();
         }
     }
 
@@ -56,18 +64,24 @@
     }
 
     /**
-     * Returns the range of the given size that is needed most: the one that covers most layers without a holder, and
-     * among these the one with least room in sum.
+     * Returns the range of the given size that is needed most: the one that covers most layers without a holder, among
+     * these the one that gives most engines a second holder of their layers, and then the one with least room in sum.
+     *
+     * <p>Any engine may be lost, so that a range protects more if it stands behind several small ranges than behind a
+     * part of a large one.
      */
     LayerRange neediest(int size) {
         int best = 0;
         int bestMissing = -1;
+        double bestProtected = 0;
         double bestRoom = Double.MAX_VALUE;
         for (int first = 0; first + size <= room.length; first++) {
             int missing = 0;
+            double engines = 0;
             double sum = 0;
             for (int layer = first; layer < first + size; layer++) {
                 missing += holders[layer] == 0 ? 1 : 0;
+                engines += holders[layer] == 1 ? 1.0 / rangeSizes[layer] : 0;
                 sum += room[layer];
             }
             // A range that starts in the middle of a gap would leave a remainder that no engine fits into.
@@ -76,9 +90,12 @@
             if (splitsGap && !isAtEnd) {
                 continue;
             }
-            if (missing > bestMissing || missing == bestMissing && sum < bestRoom) {
+            boolean isEqual = missing == bestMissing && Math.abs(engines - bestProtected) < EQUAL_ENGINES;
+            boolean isBetter = missing == bestMissing && engines > bestProtected;
+            if (missing > bestMissing || (isEqual ? sum < bestRoom : isBetter)) {
                 best = first;
                 bestMissing = missing;
+                bestProtected = engines;
                 bestRoom = sum;
             }
         }
--- a/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
@@ -2,6 +2,7 @@
 
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.model.EngineOrder;
+import io.radishwinch.core.model.EngineOrder.Handover;
 import io.radishwinch.core.model.EnginePoolSpec;
 import io.radishwinch.core.model.FleetConfig;
 import io.radishwinch.core.model.Holding;
@@ -25,11 +26,15 @@
     /** Group of the engines whose data centre cannot hold the model by itself. */
     public static final String SHARED_GROUP = "";
 
+    /** Longest hold-off relative to the first one, as a power of two. */
+    private static final int MAX_DOUBLINGS = 2;
+
     private final LayoutSettings settings;
     private final Layout layout;
     private final PlacementLease lease;
     private final Map<String, Pending> pending = new TreeMap<>();
     private final Map<String, Long> heldOffUntilMs = new HashMap<>();
+    private final Map<String, Integer> refusalsInRow = new HashMap<>();
     private final Map<String, Long> knownSinceMs = new HashMap<>();
     private long lastNumber;
 
@@ -46,8 +51,11 @@
     @Override
     public void acknowledged(String endpointId, long fencingNumber, boolean accepted) {
         Pending order = pending.get(endpointId);
-        if (order != null && order.number == fencingNumber && !accepted) {
+        if (accepted) {
+            refusalsInRow.remove(endpointId);
+        } else if (order != null && order.number == fencingNumber) {
             pending.remove(endpointId);
+            refusalsInRow.merge(endpointId, 1, Integer::sum);
             // The engine's state is not what was believed; its next report tells.
             heldOffUntilMs.put(endpointId, Long.MAX_VALUE);
         }
@@ -87,11 +95,17 @@
         });
         knownSinceMs.keySet().retainAll(byId.keySet());
         byId.keySet().forEach(id -> knownSinceMs.putIfAbsent(id, nowMs));
-        heldOffUntilMs.replaceAll(
-                (id, untilMs) -> untilMs == Long.MAX_VALUE ? nowMs + settings.refusedHoldOffMs() : untilMs);
+        refusalsInRow.keySet().retainAll(byId.keySet());
+        heldOffUntilMs.replaceAll((id, untilMs) -> untilMs == Long.MAX_VALUE ? nowMs + holdOffMs(id) : untilMs);
         heldOffUntilMs.entrySet().removeIf(entry -> nowMs >= entry.getValue() || !byId.containsKey(entry.getKey()));
     }
 
+    /** An engine that goes on refusing carries out something that takes long, so that others are tried meanwhile. */
+    private long holdOffMs(String endpointId) {
+        int refusals = Math.min(MAX_DOUBLINGS, refusalsInRow.getOrDefault(endpointId, 1) - 1);
+        return settings.refusedHoldOffMs() << Math.max(0, refusals);
+    }
+
     private static Map<String, List<PlacementEndpoint>> groups(
             Collection<PlacementEndpoint> endpoints, ModelSpec model, EnginePoolSpec pool) {
         Map<String, List<PlacementEndpoint>> byDataCentre = new TreeMap<>();
@@ -167,7 +181,8 @@
             if (isFirstLayout) {
                 if (isSettled()) {
                     ordersLeft = members.size();
-                    layout.plan(empty, model, pool).forEach((id, range) -> order(members.get(id), range));
+                    layout.plan(empty, model, pool)
+                            .forEach((id, range) -> order(members.get(id), range, Handover.WAIT));
                 }
                 return;
             }
@@ -175,7 +190,7 @@
             for (PlacementEndpoint endpoint : empty) {
                 int layers = comfortableLayers(endpoint);
                 if (layers > 0 && !ranges.containsKey(endpoint.id())) {
-                    order(endpoint, capacity.neediest(layers));
+                    order(endpoint, capacity.neediest(layers), Handover.WAIT);
                 }
             }
             if (capacity.gaps().isEmpty() && pending.isEmpty()) {
@@ -216,7 +231,8 @@
                 if (best == null) {
                     return;
                 }
-                order(best.endpoint, best.range);
+                // A gap stops all streams of the group, the handover only those that pass through one engine.
+                order(best.endpoint, best.range, Handover.CUT);
             }
         }
 
@@ -233,7 +249,11 @@
             }
             boolean isRedundant = capacity.fewestHolders(held) > 1;
             int layers = comfortableLayers(endpoint);
-            return isRedundant && layers > 0 ? fixWith(endpoint, gap, around(gap, layers), layers) : null;
+            if (!isRedundant || layers == 0) {
+                return null;
+            }
+            Fix move = fixWith(endpoint, gap, around(gap, layers), layers);
+            return new Fix(endpoint, move.range, move.value - settings.lossPerCutStream() * endpoint.occupied());
         }
 
         private Fix extension(PlacementEndpoint endpoint, LayerRange held, LayerRange gap) {
@@ -287,13 +307,13 @@
                     excess--;
                 }
                 if (end - first < held.size()) {
-                    order(endpoint, new LayerRange(first, end));
+                    order(endpoint, new LayerRange(first, end), Handover.WAIT);
                     return;
                 }
             }
         }
 
-        private void order(PlacementEndpoint endpoint, LayerRange range) {
+        private void order(PlacementEndpoint endpoint, LayerRange range, Handover handover) {
             if (ordersLeft == 0) {
                 return;
             }
@@ -307,7 +327,8 @@
             int loaded = range.size() - (held == null ? 0 : overlap(held, range));
             long untilMs = nowMs + (long) (settings.loadTimeFactor() * loadMs(loaded)) + settings.confirmMs();
             pending.put(endpoint.id(), new Pending(range, number, untilMs));
-            actions.add(new Action.OrderEngine(endpoint.id(), number, new EngineOrder.LoadLayers(model.name(), range)));
+            EngineOrder load = new EngineOrder.LoadLayers(model.name(), range, handover);
+            actions.add(new Action.OrderEngine(endpoint.id(), number, load));
             actions.add(new Action.StateChanged(
                     endpoint.id(), "ordered to hold " + range + (held == null ? "" : " instead of " + held)));
         }
--- a/core/src/main/java/io/radishwinch/core/placement/LayoutSettings.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayoutSettings.java
@@ -14,6 +14,7 @@
  * @param confirmMs time for the report of a finished load to arrive, in ms; about two heartbeats
  * @param lossPerLoadS value lost for each second of loading, relative to that of covering a gap
  * @param lossPerRoomShare value lost if an engine keeps no room at all, relative to that of covering a gap
+ * @param lossPerCutStream value lost for each stream that a move cuts, relative to that of covering a gap
  */
 public record LayoutSettings(
         long settleMs,
@@ -24,10 +25,11 @@
         double loadTimeFactor,
         long confirmMs,
         double lossPerLoadS,
-        double lossPerRoomShare) {
+        double lossPerRoomShare,
+        double lossPerCutStream) {
 
     /** Returns the defaults. */
     public static LayoutSettings defaults() {
-        return new LayoutSettings(1_000, 3, 6, 10, 1_000, 2, 3_000, 0.2, 0.5);
+        return new LayoutSettings(1_000, 3, 6, 10, 1_000, 2, 3_000, 0.2, 0.5, 0.005);
     }
 }
--- a/core/src/main/java/io/radishwinch/core/retry/BudgetedRetryPolicy.java
+++ b/core/src/main/java/io/radishwinch/core/retry/BudgetedRetryPolicy.java
@@ -33,6 +33,11 @@
         budget.completed(request.caller(), request.pool(), nowMs);
     }
 
+    @Override
+    public void setRouters(int routers, long nowMs) {
+        budget.setRouters(routers, nowMs);
+    }
+
     @Override
     public Decision decide(Failure failure, long nowMs) {
         RequestSpec request = failure.request();
@@ -48,7 +53,7 @@
         if (failure.attempts() >= settings.maxAttempts()) {
             return new GiveUp(Reason.ATTEMPTS_EXHAUSTED);
         }
-        if (budget.tryWithdraw(request.caller(), request.pool(), nowMs)) {
+        if (budget.tryWithdraw(request.caller(), request.pool(), failure.deliveredTokens() > 0, nowMs)) {
             // The reader of a broken stream waits for its next token, and other endpoints take over its first retry.
             // An endpoint that has changed or answered with an error says nothing of the others.
             boolean isIsolated = failure.deliveredTokens() > 0
--- a/core/src/main/java/io/radishwinch/core/retry/EarnedRetryBudget.java
+++ b/core/src/main/java/io/radishwinch/core/retry/EarnedRetryBudget.java
@@ -10,7 +10,7 @@
  * which nothing completes, adds little. The balance is limited to what the load of a short window adds, so that retries
  * follow the load and a quiet period saves up no burst of retries.
  */
-public final class RetryBudget {
+final class EarnedRetryBudget implements RetryBudget {
 
     private static final double MS_PER_S = 1_000.0;
 
@@ -19,19 +19,21 @@
     private final Map<String, Account> pools;
 
     /** Creates budgets that start at the smallest balance. */
-    public RetryBudget(RetrySettings settings) {
+    EarnedRetryBudget(RetrySettings settings) {
         this.settings = settings;
         this.callers = boundedMap(settings.maxEntries());
         this.pools = boundedMap(settings.maxEntries());
     }
 
     /** Adds the share of a first attempt that starts. */
+    @Override
     public void firstAttempt(String caller, String pool, long nowMs) {
         caller(caller, nowMs).attempted(settings, nowMs);
         pool(pool, nowMs).attempted(settings, nowMs);
     }
 
     /** Adds the share of a request that completed. */
+    @Override
     public void completed(String caller, String pool, long nowMs) {
         double amount = settings.ratio() - settings.attemptRatio();
         caller(caller, nowMs).deposit(settings, amount);
@@ -41,6 +43,7 @@
     }
 
     /** Notes a failed attempt; after many without a completed request the pool is down and its savings are void. */
+    @Override
     public void failed(String pool, long nowMs) {
         Account account = pool(pool, nowMs);
         account.failuresInRow++;
@@ -49,8 +52,8 @@
         }
     }
 
-    /** Takes one retry; returns false and takes nothing if the caller or the pool has none left. */
-    public boolean tryWithdraw(String caller, String pool, long nowMs) {
+    @Override
+    public boolean tryWithdraw(String caller, String pool, boolean hasStarted, long nowMs) {
         Account callerAccount = caller(caller, nowMs);
         Account poolAccount = pool(pool, nowMs);
         callerAccount.refill(settings, nowMs);
@@ -62,11 +65,6 @@
         return true;
     }
 
-    /** Returns the number of callers and pools with a budget. */
-    public int size() {
-        return callers.size() + pools.size();
-    }
-
     private Account caller(String caller, long nowMs) {
         return callers.computeIfAbsent(caller, key -> new Account(settings.minBalance(), nowMs));
     }
--- a/core/src/main/java/io/radishwinch/core/retry/RetryPolicy.java
+++ b/core/src/main/java/io/radishwinch/core/retry/RetryPolicy.java
@@ -13,6 +13,9 @@
     /** Notes that a request completed. */
     void completed(RequestSpec request, long nowMs);
 
+    /** Notes how many routers share the endpoints. */
+    void setRouters(int routers, long nowMs);
+
     /** Returns what to do after a failed attempt; a granted retry is charged at once. */
     Decision decide(Failure failure, long nowMs);
 
--- a/core/src/main/java/io/radishwinch/core/retry/RetrySettings.java
+++ b/core/src/main/java/io/radishwinch/core/retry/RetrySettings.java
@@ -1,5 +1,7 @@
 package io.radishwinch.core.retry;
 
+import java.util.Optional;
+
 /**
  * Limits on retries.
  *
@@ -16,6 +18,7 @@
  * @param maxBudgetWaits waits for an empty budget before a request is refused; a started stream waits until its
  *     deadline
  * @param maxEntries callers and pools with a budget of their own
+ * @param deploymentLimit limit that all routers keep together, which takes the place of the budget above
  */
 public record RetrySettings(
         int maxAttempts,
@@ -28,14 +31,15 @@
         long backoffBaseMs,
         long backoffMaxMs,
         int maxBudgetWaits,
-        int maxEntries) {
+        int maxEntries,
+        Optional<DeploymentRetryLimit> deploymentLimit) {
 
     /**
      * Returns the defaults. Most of the budget is granted on completion, because in a total outage retries help nobody;
      * the smallest balance and the failures in a row let the streams of one lost endpoint resume.
      */
     public static RetrySettings defaults() {
-        return new RetrySettings(4, 0.1, 0.02, 5_000, 16, 16, 0.1, 50, 2_000, 4, 10_000);
+        return new RetrySettings(4, 0.1, 0.02, 5_000, 16, 16, 0.1, 50, 2_000, 4, 10_000, Optional.empty());
     }
 
     /** Returns a copy with another number of attempts. */
@@ -51,7 +55,8 @@
                 backoffBaseMs,
                 backoffMaxMs,
                 maxBudgetWaits,
-                maxEntries);
+                maxEntries,
+                deploymentLimit);
     }
 
     /** Returns a copy with another budget. */
@@ -68,7 +73,13 @@
                 backoffBaseMs,
                 backoffMaxMs,
                 maxBudgetWaits,
-                maxEntries);
+                maxEntries,
+                deploymentLimit);
+    }
+
+    /** Returns a copy with another number of failures in a row after which a pool counts as down. */
+    public RetrySettings withOutageFailures(int failures) {
+        return withBudget(ratio, attemptRatio, minBalance, failures);
     }
 
     /** Returns a copy with another backoff, in ms. */
@@ -84,6 +95,31 @@
                 baseMs,
                 maxMs,
                 maxBudgetWaits,
-                maxEntries);
+                maxEntries,
+                deploymentLimit);
+    }
+
+    /** Returns a copy whose budget is this router's part of a limit that all routers keep together. */
+    public RetrySettings withDeploymentLimit(DeploymentRetryLimit limit) {
+        return new RetrySettings(
+                maxAttempts,
+                ratio,
+                attemptRatio,
+                windowMs,
+                minBalance,
+                outageFailures,
+                callerRefillPerS,
+                backoffBaseMs,
+                backoffMaxMs,
+                maxBudgetWaits,
+                maxEntries,
+                Optional.of(limit));
+    }
+
+    /** Creates the budget that these settings describe. */
+    public RetryBudget newBudget() {
+        return deploymentLimit
+                .<RetryBudget>map(limit -> new SharedRetryBudget(limit, this))
+                .orElseGet(() -> new EarnedRetryBudget(this));
     }
 }
--- /dev/null
+++ b/core/src/main/java/io/radishwinch/core/retry/WindowCounter.java
@@ -0,0 +1,46 @@
+package io.radishwinch.core.retry;
+
+/** Counts events of a sliding window, in slices; an event is forgotten at most one slice after it left the window. */
+final class WindowCounter {
+
+    private static final int SLICES = 20;
+
+    private final long sliceMs;
+    private final int[] counts = new int[SLICES + 1];
+    private long currentSlice = Long.MIN_VALUE;
+    private int total;
+
+    WindowCounter(long windowMs) {
+        this.sliceMs = Math.max(1, windowMs / SLICES);
+    }
+
+    void add(long nowMs) {
+        advance(nowMs);
+        counts[index(currentSlice)]++;
+        total++;
+    }
+
+    int count(long nowMs) {
+        advance(nowMs);
+        return total;
+    }
+
+    private void advance(long nowMs) {
+        long slice = Math.floorDiv(nowMs, sliceMs);
+        if (currentSlice == Long.MIN_VALUE) {
+            currentSlice = slice;
+            return;
+        }
+        long steps = Math.min(counts.length, slice - currentSlice);
+        for (long step = 1; step <= steps; step++) {
+            int index = index(currentSlice + step);
+            total -= counts[index];
+            counts[index] = 0;
+        }
+        currentSlice = Math.max(currentSlice, slice);
+    }
+
+    private int index(long slice) {
+        return (int) Math.floorMod(slice, (long) counts.length);
+    }
+}
--- a/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
@@ -304,6 +304,47 @@
         assertThat(bench.trace("new").refusal().verdict()).isEqualTo(Verdict.NOT_RUN);
     }
 
+    /** Load pattern: engines in the middle of chains die again and again while their streams run. */
+    @Test
+    void aStreamWhoseMiddleStagesDieRunsNoMoreOftenThanItsRouteAllows() {
+        FakeDirectory directory = new FakeDirectory(3, 4, 10);
+        CoreBench bench = CoreBench.of(directory, CoreSettings.defaults()).contract("a");
+        bench.arrive(new RequestSpec(
+                "s",
+                "a",
+                Rank.INTERACTIVE,
+                CoreBench.MODEL,
+                10,
+                2_000,
+                0,
+                60_000,
+                "f-s",
+                List.of(),
+                true,
+                2,
+                2_000,
+                Long.MAX_VALUE));
+        for (int i = 0; i < 4; i++) {
+            bench.at(500 + i * 1_000L, new Event.EndpointGone("1-" + i, false));
+        }
+        bench.run(30_000);
+        assertThat(bench.trace("s").starts).hasSize(2);
+        assertThat(bench.trace("s").refusal().reason()).isEqualTo(Reason.ATTEMPTS_EXHAUSTED);
+    }
+
+    /** Load pattern: routers are restarted one after the other, and callers go on using their open connections. */
+    @Test
+    void aDrainingRouterServesWhatEndsBeforeItAndSendsTheRestToOthersAtOnce() {
+        CoreBench bench = bench(1, 1, 4);
+        bench.at(100, new Event.DrainStarted(5_000));
+        bench.arrive(bench.request("short", "a", Rank.INTERACTIVE, 200, 20, 800));
+        bench.arrive(bench.request("long", "a", Rank.INTERACTIVE, 200, 20, 20_000));
+        bench.run(10_000);
+        assertThat(bench.trace("short").isServed()).isTrue();
+        assertThat(bench.trace("long").refusal().verdict()).isEqualTo(Verdict.NOT_RUN);
+        assertThat(bench.trace("long").refusal().retryAfterMs()).isBetween(1L, 50L);
+    }
+
     @Test
     void aRequestWhoseDeadlinePassesInTheQueueIsRefusedWithoutRunning() {
         CoreBench bench = bench(1, 1, 1);
--- a/core/src/test/java/io/radishwinch/core/impl/FakeDirectory.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FakeDirectory.java
@@ -61,6 +61,15 @@
         return Optional.of(new Chain(stages));
     }
 
+    @Override
+    public Optional<Chain> replaceStage(
+            RequestSpec request, ModelSpec pool, Chain chain, String lostEndpointId, long nowMs) {
+        Set<String> others = new HashSet<>(runningByEndpoint.keySet());
+        chain.stages().forEach(stage -> others.remove(stage.endpointId()));
+        others.removeIf(id -> id.startsWith(lostEndpointId.substring(0, lostEndpointId.indexOf('-') + 1)));
+        return plan(request, pool, others, nowMs);
+    }
+
     @Override
     public List<Action> handle(Event event, long nowMs) {
         if (event instanceof Event.EndpointGone gone) {
--- a/core/src/test/java/io/radishwinch/core/placement/RoomLayoutTest.java
+++ b/core/src/test/java/io/radishwinch/core/placement/RoomLayoutTest.java
@@ -31,6 +31,26 @@
         assertThat(MixedEngines.weakestRoom(engines, ours)).isGreaterThan(MixedEngines.weakestRoom(engines, greedy));
     }
 
+    /** Load pattern: one engine of a data centre after the other dies. */
+    @Test
+    void theLossOfMostEnginesLeavesEveryLayerHeld() {
+        List<PlacementEndpoint> engines = MixedEngines.empty("dc");
+        Map<String, LayerRange> ranges = new RoomLayout().plan(engines, MixedEngines.MODEL, MixedEngines.POOL);
+        long harmless =
+                ranges.keySet().stream().filter(lost -> hasNoGap(ranges, lost)).count();
+        assertThat(harmless).isGreaterThan(ranges.size() / 2);
+    }
+
+    private static boolean hasNoGap(Map<String, LayerRange> ranges, String lost) {
+        LayerCapacity capacity = new LayerCapacity(MixedEngines.MODEL.layerCount());
+        ranges.forEach((id, range) -> {
+            if (!id.equals(lost)) {
+                capacity.add(range, 1);
+            }
+        });
+        return capacity.gaps().isEmpty();
+    }
+
     @Property(tries = 200, seed = "11")
     void noEngineIsPlannedAboveItsMemoryAndAPoolThatCanHoldTheModelDoes(
             @ForAll @IntRange(min = 1, max = 100) int count, @ForAll int seed) {
--- a/server/src/main/java/io/radishwinch/server/ControlPlane.java
+++ b/server/src/main/java/io/radishwinch/server/ControlPlane.java
@@ -152,7 +152,7 @@
                 node,
                 control,
                 endpoints,
-                configuration::objectChanged,
+                object -> configuration.objectChanged(),
                 (sender, message) -> journalPeers.receive(sender, message, journal));
         node.addListener(shared);
         control.observe(this::observe);
--- a/server/src/main/java/io/radishwinch/server/EndpointLoads.java
+++ b/server/src/main/java/io/radishwinch/server/EndpointLoads.java
@@ -1,24 +1,27 @@
 package io.radishwinch.server;
 
-import java.io.ByteArrayInputStream;
-import java.io.ByteArrayOutputStream;
-import java.io.DataInputStream;
-import java.io.DataOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
+import io.radishwinch.cluster.membership.RendezvousHash;
+import java.nio.ByteBuffer;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
-/** Encoding of the work of one router on each endpoint. */
+/**
+ * Encoding of the work of one router on each endpoint.
+ *
+ * <p>Endpoints are named by a hash of their identifier, since all routers know the identifiers and these entries are
+ * most of what routers send each other.
+ */
 final class EndpointLoads {
-    private static final int COUNT_BYTES = 2;
-    private static final int KV_BYTES = 4;
-    private static final int LENGTH_BYTES = 2;
 
-    /** Unit of KV cache memory in an entry, in bytes; a finer one would not fit into four bytes. */
-    private static final long KV_UNIT_BYTES = 1 << 10;
+    /** Size of the hash, the attempts and the memory. */
+    private static final int ENTRY_BYTES = Integer.BYTES + 2 * Short.BYTES;
+
+    private static final int MAX_SHORT = (1 << Short.SIZE) - 1;
+
+    /** Unit of KV cache memory in an entry, in bytes; two bytes count up to 256 GiB. */
+    private static final long KV_UNIT_BYTES = 1 << 22;
 
     /**
      * Work of one router on one endpoint.
@@ -37,39 +40,38 @@
 
     private EndpointLoads() {}
 
+    /** Returns the hash that names an endpoint. */
+    static int hash(String endpointId) {
+        return (int) RendezvousHash.hash(endpointId);
+    }
+
     /** Encodes the busiest endpoints, as many as fit into the given number of bytes. */
     static byte[] encode(Map<String, Load> loads, int maxBytes) {
         List<Map.Entry<String, Load>> busiest = loads.entrySet().stream()
                 .sorted(Comparator.comparing((Map.Entry<String, Load> entry) ->
                                 -entry.getValue().running())
                         .thenComparing(Map.Entry.comparingByKey()))
+                .limit(maxBytes / ENTRY_BYTES)
                 .toList();
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        try (DataOutputStream out = new DataOutputStream(bytes)) {
-            for (Map.Entry<String, Load> entry : busiest) {
-                int entryBytes = LENGTH_BYTES + entry.getKey().length() + COUNT_BYTES + KV_BYTES;
-                if (out.size() + entryBytes > maxBytes) {
-                    break;
-                }
-                out.writeUTF(entry.getKey());
-                out.writeShort(Math.min(entry.getValue().running(), Short.MAX_VALUE));
-                out.writeInt((int) Math.min(entry.getValue().kvBytes() / KV_UNIT_BYTES, Integer.MAX_VALUE));
-            }
-        } catch (IOException e) {
-            throw new UncheckedIOException("writing to memory does not fail", e);
+        ByteBuffer bytes = ByteBuffer.allocate(busiest.size() * ENTRY_BYTES);
+        for (Map.Entry<String, Load> entry : busiest) {
+            Load load = entry.getValue();
+            long kvUnits = (load.kvBytes() + KV_UNIT_BYTES / 2) / KV_UNIT_BYTES;
+            bytes.putInt(hash(entry.getKey()))
+                    .putShort((short) Math.min(load.running(), MAX_SHORT))
+                    .putShort((short) Math.min(kvUnits, MAX_SHORT));
         }
-        return bytes.toByteArray();
+        return bytes.array();
     }
 
-    /** Decodes an entry of another router; a malformed rest is ignored. */
-    static Map<String, Load> decode(byte[] value) {
-        Map<String, Load> loads = new HashMap<>();
-        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(value))) {
-            while (in.available() > 0) {
-                loads.put(in.readUTF(), new Load(in.readShort(), in.readInt() * KV_UNIT_BYTES));
-            }
-        } catch (IOException e) {
-            return loads;
+    /** Decodes an entry of another router, by the hashes of the endpoints; a malformed rest is ignored. */
+    static Map<Integer, Load> decode(byte[] value) {
+        Map<Integer, Load> loads = new HashMap<>();
+        ByteBuffer bytes = ByteBuffer.wrap(value);
+        while (bytes.remaining() >= ENTRY_BYTES) {
+            int hash = bytes.getInt();
+            int running = Short.toUnsignedInt(bytes.getShort());
+            loads.put(hash, new Load(running, Short.toUnsignedInt(bytes.getShort()) * KV_UNIT_BYTES));
         }
         return loads;
     }
--- a/server/src/main/java/io/radishwinch/server/OutcomeCounter.java
+++ b/server/src/main/java/io/radishwinch/server/OutcomeCounter.java
@@ -28,7 +28,7 @@
     }
 
     @Override
-    public void rejected(String caller, Optional<Rank> rank, Refusal refusal) {
+    public void rejected(String requestId, String caller, Optional<Rank> rank, Refusal refusal) {
         metrics.refused(rank.orElse(null), refusal.reason());
     }
 }
--- a/server/src/main/java/io/radishwinch/server/OutcomeRecorder.java
+++ b/server/src/main/java/io/radishwinch/server/OutcomeRecorder.java
@@ -35,8 +35,8 @@
     }
 
     @Override
-    public void rejected(String caller, Optional<Rank> rank, Refusal refusal) {
-        counter.rejected(caller, rank, refusal);
+    public void rejected(String requestId, String caller, Optional<Rank> rank, Refusal refusal) {
+        counter.rejected(requestId, caller, rank, refusal);
         if (caller.isEmpty() || rank.isEmpty()) {
             return;
         }
--- a/server/src/main/java/io/radishwinch/server/SharedState.java
+++ b/server/src/main/java/io/radishwinch/server/SharedState.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /** Translates between the decision core and the state that routers share; used on the control thread. */
 public final class SharedState implements PeerListener {
@@ -36,9 +37,10 @@
     private final PeerNode node;
     private final ControlLoop control;
     private final EndpointNews endpointNews;
-    private final Runnable configurationChanged;
+    private final Consumer<ConfigurationObject> configurationChanged;
     private final BiConsumer<MemberInfo, Message> journalReceiver;
-    private final Map<String, Map<String, EndpointLoads.Load>> peerLoads = new HashMap<>();
+    private final Map<String, Map<Integer, EndpointLoads.Load>> peerLoads = new HashMap<>();
+    private final Map<Integer, String> endpointsByHash = new HashMap<>();
     private final Set<String> reportedEndpoints = new HashSet<>();
     private byte[] publishedLoad = {};
 
@@ -46,14 +48,14 @@
      * Creates the translation.
      *
      * @param endpointNews takes what peers found out about endpoints
-     * @param configurationChanged runs after a peer has sent a configuration object
+     * @param configurationChanged takes each object of the platform that took effect, whoever offered it
      * @param journalReceiver takes journal messages of peers
      */
     public SharedState(
             PeerNode node,
             ControlLoop control,
             EndpointNews endpointNews,
-            Runnable configurationChanged,
+            Consumer<ConfigurationObject> configurationChanged,
             BiConsumer<MemberInfo, Message> journalReceiver) {
         this.node = node;
         this.control = control;
@@ -158,7 +160,7 @@
 
     @Override
     public void configurationChanged(ConfigurationObject object) {
-        configurationChanged.run();
+        configurationChanged.accept(object);
     }
 
     @Override
@@ -215,13 +217,24 @@
     }
 
     private void loadEntry(GossipEntry entry) {
-        Map<String, EndpointLoads.Load> loads = entry.isTombstone() ? Map.of() : EndpointLoads.decode(entry.value());
+        Map<Integer, EndpointLoads.Load> loads = entry.isTombstone() ? Map.of() : EndpointLoads.decode(entry.value());
         peerLoads.put(entry.key(), loads);
         if (loads.isEmpty()) {
             peerLoads.remove(entry.key());
         }
+        if (!endpointsByHash.keySet().containsAll(loads.keySet())) {
+            nameEndpoints();
+        }
         Map<String, EndpointLoads.Load> sums = new HashMap<>();
-        peerLoads.values().forEach(each -> each.forEach((id, load) -> sums.merge(id, load, EndpointLoads.Load::plus)));
+        peerLoads
+                .values()
+                .forEach(each -> each.forEach((hash, load) -> {
+                    String endpointId = endpointsByHash.get(hash);
+                    // An endpoint that this router does not know yet is counted from its next load on.
+                    if (endpointId != null) {
+                        sums.merge(endpointId, load, EndpointLoads.Load::plus);
+                    }
+                }));
         Set<String> changed = new HashSet<>(reportedEndpoints);
         changed.addAll(sums.keySet());
         changed.forEach(id -> {
@@ -231,4 +244,11 @@
         reportedEndpoints.clear();
         reportedEndpoints.addAll(sums.keySet());
     }
+
+    private void nameEndpoints() {
+        endpointsByHash.clear();
+        for (EndpointView endpoint : control.core().view().endpoints()) {
+            endpointsByHash.put(EndpointLoads.hash(endpoint.endpointId()), endpoint.endpointId());
+        }
+    }
 }
--- a/server/src/main/java/io/radishwinch/server/fleet/DecisionLogger.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/DecisionLogger.java
@@ -71,8 +71,6 @@
                     .with("verdict", refuse.verdict().wireName())
                     .with("retryAfterMs", refuse.retryAfterMs())
                     .with("history", history(refuse.requestId())));
-        } else if (action instanceof Action.Complete complete) {
-            log.request(() -> LogFields.of("answered").with("id", complete.requestId()));
         } else if (action instanceof Action.CountRetry retry) {
             log.request(() -> LogFields.of("retried")
                     .with("caller", retry.caller())
@@ -80,6 +78,15 @@
         }
     }
 
+    /** Returns a line on a stream whose first endpoint was asked to go on over other endpoints. */
+    static LogFields moved(Action.MoveAttempt move, boolean accepted, String detail) {
+        return LogFields.of(accepted ? "attempt-moved" : "move-failed")
+                .with("id", move.requestId())
+                .with("epoch", move.epoch())
+                .with("chain", describe(move.chain()))
+                .with("detail", detail);
+    }
+
     private String history(String requestId) {
         return requests.apply(requestId)
                 .map(view -> String.join("; ", view.history()))
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -1,6 +1,7 @@
 package io.radishwinch.server.fleet;
 
 import io.radishwinch.cluster.PeerNode;
+import io.radishwinch.cluster.configuration.ConfigurationObject;
 import io.radishwinch.cluster.membership.Address;
 import io.radishwinch.cluster.membership.MemberInfo;
 import io.radishwinch.cluster.membership.Seed;
@@ -79,6 +80,7 @@
     private final EndpointRegistry registry;
     private final EndpointProber prober;
     private final LayerOrders orders;
+    private final StreamMover mover;
     private final LeaseKeeper lease;
     private final ConfigSource config;
     private final FleetDialect dialect;
@@ -87,8 +89,10 @@
     private final WatchFollower configFollower;
     private final RouterDirectory routers;
     private volatile int liveRouters = 1;
-    private volatile boolean endpointsListed;
+    private volatile boolean endpointsKnown;
     private boolean platformAvailable = true;
+    private boolean routersListed;
+    private long unlistedRoutersUntilMs;
     private long ticks;
 
     FleetControl(
@@ -117,6 +121,8 @@
                 settings.peers(),
                 System.currentTimeMillis(),
                 random.nextLong());
+        node.setVolatileRate(FleetTuning.LOAD_BYTES_PER_S);
+        node.setSharesReadings(true);
         ControlTimers scheduler = new ControlTimers(vertx, context, clock);
         budget = new CallBudget(scheduler, rates(1));
         platform = new ResilientPlatformClient(
@@ -134,15 +140,16 @@
         registry = new EndpointRegistry(control::post, new PeerNews(), log, settings.readmissionMs());
         prober = new EndpointProber(clients.endpoints(), registry, log, clock);
         orders = new LayerOrders(clients.endpoints(), registry, scheduler, control::post, lease::doubt, log, clock);
+        mover = new StreamMover(clients.endpoints(), registry, control::post, log);
         config = new ConfigSource(dialect, log);
-        shared = new SharedState(node, control, new NewsReceiver(), this::configChangedAtPeer, (sender, message) -> {});
+        shared = new SharedState(node, control, new NewsReceiver(), this::objectChanged, (sender, message) -> {});
         node.addListener(shared);
         control.observe(this::observe);
         control.observeActions(decisions::action);
         endpointFollower = new WatchFollower(
                 platform, scheduler, random, dialect.endpointPrefix(), new EndpointReceiver(), MAX_PLATFORM_BACKOFF_MS);
         configFollower = new WatchFollower(
-                platform, scheduler, random, dialect.configPrefix(), this::configChanged, MAX_PLATFORM_BACKOFF_MS);
+                platform, scheduler, random, dialect.configPrefix(), this::platformChanged, MAX_PLATFORM_BACKOFF_MS);
         routers = new RouterDirectory(platform, dialect.ownPrefix() + "router-", node.self(), this::nonce);
     }
 
@@ -151,7 +158,7 @@
         EndpointTable table = new EndpointTable(FleetTuning.links(settings.dataCentre()));
         LayoutPlanner placement = new LayoutPlanner(LayoutSettings.defaults(), new RoomLayout(), lease);
         TableEndpointDirectory directory = new TableEndpointDirectory(table, FleetTuning.health(), placement);
-        CoreSettings core = FleetTuning.core().withSeed(seed);
+        CoreSettings core = FleetTuning.core(settings.retryLimit()).withSeed(seed);
         return TableDecisionCore.create(core, directory, new CostChainPlanner(table, seed));
     }
 
@@ -167,7 +174,8 @@
         vertx.setPeriodic(TICK_INTERVAL_MS, ignored -> tick());
         endpointFollower.start();
         configFollower.start();
-        routers.start(this::join);
+        unlistedRoutersUntilMs = clock.getAsLong() + settings.retryLimit().windowMs();
+        routers.start(this::routersListed);
         join(List.of());
     }
 
@@ -207,7 +215,7 @@
 
     /** Returns whether the configuration and the endpoints are known. */
     boolean isReady() {
-        return endpointsListed && config.inForce().version() > 0;
+        return endpointsKnown && config.inForce().version() > 0;
     }
 
     /** Looks for the cause of silence at an endpoint. */
@@ -245,7 +253,17 @@
         if (live != liveRouters) {
             liveRouters = live;
             budget.setRates(rates(live));
+            node.setSharesReadings(live <= FleetTuning.MAX_ROUTERS_SHARING);
         }
+        if (routersListed || clock.getAsLong() >= unlistedRoutersUntilMs) {
+            control.post(new Event.RoutersCounted(live));
+        }
+    }
+
+    private void routersListed(Collection<Seed> known) {
+        routersListed = true;
+        control.post(new Event.RoutersCounted(known.size() + 1));
+        join(known);
     }
 
     private void join(Collection<Seed> known) {
@@ -281,17 +299,31 @@
 
     // The platform
 
-    private void configChanged(Change change) {
-        if (change.value().isEmpty() || !change.key().equals(dialect.configKey())) {
-            return;
+    /** Offers a change that the platform showed; routers that the platform turns away learn of it from this one. */
+    private void platformChanged(Change change) {
+        node.offerConfiguration(change.key(), change.version(), change.value().orElse(null), clock.getAsLong());
+    }
+
+    /** Applies an object that is newer than the one known before, from the platform or from another router. */
+    private void objectChanged(ConfigurationObject object) {
+        if (object.key().startsWith(dialect.endpointPrefix())) {
+            endpointChanged(object);
+        } else if (object.key().equals(dialect.configKey()) && !object.isDeleted()) {
+            offer(object.value(), object.version());
         }
-        // Peers that the platform turns away learn of the change from this router.
-        node.offerConfiguration(change.key(), change.version(), change.value().get(), clock.getAsLong());
-        offer(change.value().get(), change.version());
     }
 
-    private void configChangedAtPeer() {
-        node.configuration().object(dialect.configKey()).ifPresent(object -> offer(object.value(), object.version()));
+    private void endpointChanged(ConfigurationObject object) {
+        String instanceId = object.key().substring(dialect.endpointPrefix().length());
+        long nowMs = clock.getAsLong();
+        if (object.isDeleted()) {
+            registry.unlisted(instanceId, nowMs);
+            return;
+        }
+        endpointsKnown = true;
+        dialect.readEndpoint(instanceId, object.value())
+                .peek(entry -> registry.listed(instanceId, entry, nowMs))
+                .peekLeft(problem -> registry.unreadable(instanceId, problem));
     }
 
     private void offer(byte[] value, long version) {
@@ -308,20 +340,16 @@
 
         @Override
         public void listed(Collection<StoredObject> objects, long storeVersion) {
-            endpointsListed = true;
+            endpointsKnown = true;
+            List<ConfigurationObject> listing = objects.stream()
+                    .map(object -> new ConfigurationObject(object.key(), object.version(), object.value()))
+                    .toList();
+            node.offerConfigurationListing(dialect.endpointPrefix(), listing, storeVersion, clock.getAsLong());
         }
 
         @Override
         public void changed(Change change) {
-            String instanceId = change.key().substring(dialect.endpointPrefix().length());
-            long nowMs = clock.getAsLong();
-            if (change.value().isEmpty()) {
-                registry.unlisted(instanceId, nowMs);
-                return;
-            }
-            dialect.readEndpoint(instanceId, change.value().get())
-                    .peek(entry -> registry.listed(instanceId, entry, nowMs))
-                    .peekLeft(problem -> registry.unreadable(instanceId, problem));
+            platformChanged(change);
         }
     }
 
@@ -374,6 +402,8 @@
             log.belief("state-changed", change.subject(), change.change());
         } else if (action instanceof Action.OrderEngine order) {
             orders.send(order);
+        } else if (action instanceof Action.MoveAttempt move) {
+            mover.move(move);
         } else if (action instanceof Action.ShareQuarantine quarantine) {
             shared.quarantined(quarantine);
         } else if (action instanceof Action.ShareCrash crash) {
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetLog.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetLog.java
@@ -39,8 +39,8 @@
         write(fields);
     }
 
-    /** Logs a decision on a request, unless too many were logged of late. */
-    void request(Supplier<LogFields> fields) {
+    /** Logs a decision on a request, unless too many were logged of late; safe for use by any thread. */
+    synchronized void request(Supplier<LogFields> fields) {
         long nowMs = clockMs.getAsLong();
         tokens = Math.min(MAX_BURST_LINES, tokens + (nowMs - refilledAtMs) * MAX_LINES_PER_S / MS_PER_S);
         refilledAtMs = nowMs;
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
@@ -28,6 +28,9 @@
     /** Time after the request to stop during which new requests are still served, in ms; the balancer needs two. */
     private static final long SERVE_ON_MS = 2_800;
 
+    /** Time after the request to stop by which the balancer sends no new connections, in ms; two questions. */
+    private static final long OUT_OF_ROTATION_MS = 2_000;
+
     /** Part of the grace that is kept for closing, in ms. */
     private static final long CLOSE_MARGIN_MS = 500;
 
@@ -105,7 +108,7 @@
                         authenticator,
                         plane::config,
                         plane::liveRouters,
-                        new OutcomeCounter(metrics),
+                        new OutcomeLogger(log, new OutcomeCounter(metrics)),
                         plane::stalled));
         metrics.gauge("radishwinch.config.version", "version of the configuration in effect", () -> plane.config()
                 .version());
@@ -151,7 +154,7 @@
         long deadlineMs = startedAtMs + settings.stopGraceMs() - CLOSE_MARGIN_MS;
         log.lifecycle(LogFields.of("stopping").with("router", settings.routerId()));
         trafficVertx.getOrCreateContext().runOnContext(ignored -> {
-            proxy.startDrain();
+            proxy.startDrain(OUT_OF_ROTATION_MS);
             trafficVertx.setTimer(SERVE_ON_MS, timer -> awaitIdle(deadlineMs, stopped));
         });
         controlVertx
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetSettings.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetSettings.java
@@ -1,6 +1,7 @@
 package io.radishwinch.server.fleet;
 
 import io.radishwinch.cluster.membership.Address;
+import io.radishwinch.core.retry.DeploymentRetryLimit;
 import java.util.List;
 
 /**
@@ -18,6 +19,7 @@
  * @param platformWritesPerS writes that all routers together may make, in calls/s
  * @param readmissionMs time within which endpoints are listed again after the platform was away, in ms
  * @param stopGraceMs time between the request to stop and the end of the process, in ms
+ * @param retryLimit limit on the retries of all routers together
  */
 public record FleetSettings(
         String routerId,
@@ -31,7 +33,8 @@
         double platformReadsPerS,
         double platformWritesPerS,
         long readmissionMs,
-        long stopGraceMs) {
+        long stopGraceMs,
+        DeploymentRetryLimit retryLimit) {
 
     /** Copies the list. */
     public FleetSettings {
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetTuning.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetTuning.java
@@ -5,6 +5,7 @@
 import io.radishwinch.core.impl.CoreSettings;
 import io.radishwinch.core.quarantine.QuarantineSettings;
 import io.radishwinch.core.queue.QueueSettings;
+import io.radishwinch.core.retry.DeploymentRetryLimit;
 import io.radishwinch.core.retry.RetrySettings;
 
 /** Settings of the decision core for routers whose endpoints report little and whose callers send again themselves. */
@@ -13,12 +14,6 @@
     /** Attempts of one request; refusals by endpoints with outdated layers count too. */
     private static final int MAX_ATTEMPTS = 6;
 
-    /** Repeats for each first attempt; the routers of a deployment keep to 0.2 together. */
-    private static final double RETRY_RATIO = 0.15;
-
-    /** Repeats that a pool may save up at one router; all routers of today's size stay below 200 together. */
-    private static final double RETRY_RESERVE = 25;
-
     /** Failures in a row after which a pool counts as down; the streams of one lost endpoint fail together. */
     private static final int OUTAGE_FAILURES = 60;
 
@@ -54,19 +49,32 @@
     /** Price of one more stage, in us; a token waits for about half a pass of an accelerator at each. */
     private static final double STAGE_DELAY_US = 500;
 
+    /** Price of entering a chain in another data centre, in us; that of a slot on endpoints half as busy. */
+    private static final double ENTRY_US = 4_000;
+
+    /** Routers up to which data centres tell each other of endpoints; more would exceed 3 KB/s each. */
+    static final int MAX_ROUTERS_SHARING = 100;
+
+    /**
+     * Rate at which a router may tell the others of its work on endpoints, in bytes/s: twice a second for eight routers
+     * of forty engines; larger deployments tell it less often.
+     */
+    static final long LOAD_BYTES_PER_S = 8_000;
+
     private FleetTuning() {}
 
     /** Batches make token intervals vary by more than links do, so that links are not corrected by them. */
     static LinkSettings links(String homeDataCentre) {
-        return new LinkSettings(homeDataCentre, STAGE_DELAY_US, STAGE_DELAY_US, false);
+        return new LinkSettings(homeDataCentre, STAGE_DELAY_US, STAGE_DELAY_US, ENTRY_US, false);
     }
 
-    static CoreSettings core() {
+    static CoreSettings core(DeploymentRetryLimit retryLimit) {
         return CoreSettings.defaults()
                 .withQueue(QueueSettings.defaults().withCapacity(QUEUE_CAPACITY))
                 .withRetry(RetrySettings.defaults()
                         .withMaxAttempts(MAX_ATTEMPTS)
-                        .withBudget(RETRY_RATIO, RETRY_RATIO, RETRY_RESERVE, OUTAGE_FAILURES)
+                        .withOutageFailures(OUTAGE_FAILURES)
+                        .withDeploymentLimit(retryLimit)
                         .withBackoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS))
                 .withReturns(MIN_RETURN_MS, MAX_RETURN_MS)
                 .withQuarantine(QuarantineSettings.defaults()
@@ -75,6 +83,7 @@
                         .withoutObservation()
                         .withMaxCrashes(MAX_CRASHES))
                 .withInitialAllotmentShare(1)
+                .withMovedStreams()
                 .withUncoveredGraceMs(UNCOVERED_GRACE_MS);
     }
 
--- a/server/src/main/java/io/radishwinch/server/fleet/LayerOrders.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/LayerOrders.java
@@ -67,28 +67,29 @@
                 .map(entry -> entry.layers().isEmpty())
                 .orElse(false);
         if (acceptedOrders.containsKey(order.endpointId())) {
-            place(order, contact.get(), load.layers(), acceptedOrders.get(order.endpointId()));
+            place(order, contact.get(), load, acceptedOrders.get(order.endpointId()));
         } else if (isEmpty) {
             // An engine without layers has most likely not been ordered since its start.
-            place(order, contact.get(), load.layers(), 0);
+            place(order, contact.get(), load, 0);
         } else {
-            askFirst(order, contact.get(), load.layers());
+            askFirst(order, contact.get(), load);
         }
     }
 
-    private void askFirst(Action.OrderEngine order, EndpointContact contact, LayerRange layers) {
+    private void askFirst(Action.OrderEngine order, EndpointContact contact, EngineOrder.LoadLayers load) {
         report(contact)
                 .with(
                         report -> {
                             registry.reported(order.endpointId(), report, clockMs.getAsLong());
-                            place(order, contact, layers, report.acceptedOrders());
+                            place(order, contact, load, report.acceptedOrders());
                         },
                         error -> acknowledge(order, false, "no report: " + error.getMessage()));
     }
 
-    private void place(Action.OrderEngine order, EndpointContact contact, LayerRange layers, long accepted) {
+    private void place(Action.OrderEngine order, EndpointContact contact, EngineOrder.LoadLayers load, long accepted) {
+        LayerRange layers = load.layers();
         endpoints
-                .place(contact, layers, accepted)
+                .place(contact, layers, load.handover(), accepted)
                 .subscribe()
                 .with(result -> ordered(order, contact, layers, accepted, result), error -> {
                     // The order may still be carried out; the next one asks for the engine's state first.
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/fleet/StreamMover.java
@@ -0,0 +1,52 @@
+package io.radishwinch.server.fleet;
+
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.Stage;
+import io.radishwinch.server.proxy.EndpointContact;
+import io.radishwinch.server.proxy.Forwarding;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** Orders the first engine of a chain to let a stream go on over other engines. Used on the control thread. */
+final class StreamMover {
+
+    private final EndpointControl endpoints;
+    private final EndpointRegistry registry;
+    private final Consumer<Event> core;
+    private final FleetLog log;
+
+    StreamMover(EndpointControl endpoints, EndpointRegistry registry, Consumer<Event> core, FleetLog log) {
+        this.endpoints = endpoints;
+        this.registry = registry;
+        this.core = core;
+        this.log = log;
+    }
+
+    /** Sends the order; the core is told whether the stream goes on. */
+    void move(Action.MoveAttempt move) {
+        List<Forwarding.Hop> hops = new ArrayList<>();
+        for (Stage stage : move.chain().stages()) {
+            Optional<EndpointContact> contact = registry.contact(stage.endpointId());
+            if (contact.isEmpty()) {
+                answered(move, false, "endpoint " + stage.endpointId() + " is unknown");
+                return;
+            }
+            hops.add(new Forwarding.Hop(
+                    contact.get(), stage.layers().first(), stage.layers().end()));
+        }
+        endpoints
+                .move(hops.get(0).contact(), move.requestId(), hops)
+                .subscribe()
+                .with(
+                        result -> answered(move, result == EndpointControl.OrderResult.ACCEPTED, result.name()),
+                        error -> answered(move, false, "no answer: " + error.getMessage()));
+    }
+
+    private void answered(Action.MoveAttempt move, boolean accepted, String detail) {
+        log.request(() -> DecisionLogger.moved(move, accepted, detail));
+        core.accept(new Event.AttemptMoved(move.requestId(), move.epoch(), accepted));
+    }
+}
--- a/server/src/main/java/io/radishwinch/server/http/CallerApi.java
+++ b/server/src/main/java/io/radishwinch/server/http/CallerApi.java
@@ -248,14 +248,15 @@
     }
 
     private void reject(RoutingContext ctx, String caller, Optional<Rank> rank, Refusal refusal) {
-        shared.listener().rejected(caller, rank, refusal);
+        String requestId = requestIds.get();
+        shared.listener().rejected(requestId, caller, rank, refusal);
         if (ctx.request().isEnded()) {
-            ErrorAnswer.send(ctx.response(), requestIds.get(), refusal);
+            ErrorAnswer.send(ctx.response(), requestId, refusal);
             return;
         }
         // A connection whose request body is not read to its end cannot be used again, and a slow sender would keep it.
         ctx.response().putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
-        ErrorAnswer.send(ctx.response(), requestIds.get(), refusal)
+        ErrorAnswer.send(ctx.response(), requestId, refusal)
                 .onComplete(ignored -> ctx.request().connection().close());
     }
 
--- a/server/src/main/java/io/radishwinch/server/http/CallerServer.java
+++ b/server/src/main/java/io/radishwinch/server/http/CallerServer.java
@@ -164,7 +164,7 @@
             connection.closeHandler(ignored -> connections.decrementAndGet());
             if (open > settings.integer(SettingKey.CALLER_MAX_CONNECTIONS)) {
                 parts.listener()
-                        .rejected("", Optional.empty(), Refusal.notRun(Reason.QUEUE_FULL, "too many connections"));
+                        .rejected("", "", Optional.empty(), Refusal.notRun(Reason.QUEUE_FULL, "too many connections"));
                 connection.close();
             }
         }
@@ -174,7 +174,7 @@
             boolean tooLarge = cause instanceof io.netty.handler.codec.TooLongFrameException;
             Reason reason = tooLarge ? Reason.HEADER_TOO_LARGE : Reason.MALFORMED_REQUEST;
             Refusal refusal = Refusal.notRun(reason, Messages.of(reason));
-            parts.listener().rejected("", Optional.empty(), refusal);
+            parts.listener().rejected("", "", Optional.empty(), refusal);
             ErrorAnswer.send(request.response(), parts.requestIds().get(), refusal);
             request.connection().close();
         }
--- a/server/src/main/java/io/radishwinch/server/http/ExchangeListener.java
+++ b/server/src/main/java/io/radishwinch/server/http/ExchangeListener.java
@@ -17,8 +17,9 @@
     /**
      * A request was refused before it reached the decision core.
      *
+     * @param requestId identifier of the request, or an empty string if it has none
      * @param caller caller, or an empty string if unknown
      * @param rank rank, or empty if unknown
      */
-    void rejected(String caller, Optional<Rank> rank, Refusal refusal);
+    void rejected(String requestId, String caller, Optional<Rank> rank, Refusal refusal);
 }
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/proxy/CallerConnections.java
@@ -0,0 +1,49 @@
+package io.radishwinch.server.proxy;
+
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Connections of callers and the requests that are answered on them. Used on one traffic thread. */
+final class CallerConnections {
+
+    private final Map<HttpConnection, Integer> requests = new HashMap<>();
+    private final Set<HttpConnection> unused = new HashSet<>();
+
+    void opened(HttpConnection connection) {
+        requests.put(connection, 0);
+        connection.closeHandler(ignored -> {
+            requests.remove(connection);
+            unused.remove(connection);
+        });
+    }
+
+    void begins(HttpServerRequest request) {
+        HttpConnection connection = request.connection();
+        unused.remove(connection);
+        requests.computeIfPresent(connection, (key, count) -> count + 1);
+        request.response()
+                .endHandler(ignored -> requests.computeIfPresent(connection, (key, count) -> Math.max(0, count - 1)));
+    }
+
+    /** Notes the connections on which no request is being answered. */
+    void startDrain() {
+        requests.forEach((connection, count) -> {
+            if (count == 0) {
+                unused.add(connection);
+            }
+        });
+    }
+
+    /**
+     * Closes the connections that have been idle since {@link #startDrain}; their callers open new ones elsewhere. All
+     * others close behind their next answer, whose bytes an earlier close could cut.
+     */
+    void closeUnused() {
+        List.copyOf(unused).forEach(HttpConnection::close);
+    }
+}
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -74,6 +74,8 @@
     private final Map<String, ProxyExchange> byRequest = new HashMap<>();
     private ProxyScope scope;
     private long duplicates;
+    private final CallerConnections callers = new CallerConnections();
+    private long closeIdleFromMs = Long.MAX_VALUE;
     private volatile boolean draining;
 
     /**
@@ -123,6 +125,9 @@
         vertx.setPeriodic(CHECK_INTERVAL_MS, ignored -> {
             findStalled();
             scope.connections().closeIdle();
+            if (parts.control().nowMs() >= closeIdleFromMs) {
+                callers.closeUnused();
+            }
         });
         long idleMs = IDLE_FACTOR * parts.config().get().limits().idleTimeoutMs();
         HttpServerOptions options = new HttpServerOptions()
@@ -133,15 +138,25 @@
                 .setTcpNoDelay(true)
                 .setCompressionSupported(false);
         return vertx.createHttpServer(options)
-                .requestHandler(this::handle)
+                .connectionHandler(callers::opened)
+                .requestHandler(request -> {
+                    callers.begins(request);
+                    handle(request);
+                })
                 .invalidRequestHandler(this::refuseInvalid)
                 .listen(port, host)
                 .map(HttpServer::actualPort);
     }
 
-    /** Asks callers to use other routers: each connection is closed after its next answer. */
-    public void startDrain() {
+    /**
+     * Asks callers to use other routers: each connection is closed after its next answer, and idle ones after a while.
+     *
+     * @param closeIdleAfterMs time after which new connections go to other routers, in ms
+     */
+    public void startDrain(long closeIdleAfterMs) {
         draining = true;
+        callers.startDrain();
+        closeIdleFromMs = parts.control().nowMs() + closeIdleAfterMs;
     }
 
     /** Returns the number of requests that are being answered. */
@@ -293,8 +308,9 @@
     }
 
     private void reject(HttpServerRequest request, String caller, Rank rank, Refusal refusal) {
-        parts.listener().rejected(caller, Optional.ofNullable(rank), refusal);
-        OwnAnswer.send(request.response(), refusal, scope, parts.dialect().requestId(request.headers()));
+        String requestId = parts.dialect().requestId(request.headers());
+        parts.listener().rejected(requestId, caller, Optional.ofNullable(rank), refusal);
+        OwnAnswer.send(request.response(), refusal, scope, requestId);
     }
 
     // End of requests
@@ -306,7 +322,7 @@
     }
 
     @Override
-    public void rejected(String caller, Optional<Rank> rank, Refusal refusal) {
-        parts.listener().rejected(caller, rank, refusal);
+    public void rejected(String requestId, String caller, Optional<Rank> rank, Refusal refusal) {
+        parts.listener().rejected(requestId, caller, rank, refusal);
     }
 }
