--- a/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
@@ -72,7 +72,8 @@
     }
 
     private Reason stateReason(RequestSpec spec, long nowMs) {
-        if (state.draining && spec.deadlineMs() > state.drainDeadlineMs) {
+        boolean endsInTime = state.settings.servesWhileDraining() && spec.deadlineMs() <= state.drainDeadlineMs;
+        if (state.draining && !endsInTime) {
             return Reason.DRAINING;
         }
         if (state.quarantine.isQuarantined(spec.fingerprint(), nowMs)) {
--- a/core/src/main/java/io/radishwinch/core/impl/CoreSettings.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreSettings.java
@@ -21,6 +21,7 @@
  * @param maxHistory decisions kept for one request
  * @param minReturnMs shortest wait suggested to a caller that was refused for want of capacity, in ms
  * @param maxReturnMs longest such wait, in ms
+ * @param servesWhileDraining whether a router that shuts down still serves requests whose deadline lies before its end
  * @param movesStreams whether endpoints can let a running stream go on over another chain
  */
 public record CoreSettings(
@@ -38,6 +39,7 @@
         int maxHistory,
         long minReturnMs,
         long maxReturnMs,
+        boolean servesWhileDraining,
         boolean movesStreams) {
 
     /** Returns the defaults. */
@@ -115,6 +117,11 @@
         return toBuilder().returns(minMs, maxMs).build();
     }
 
+    /** Returns a copy that serves requests while draining if their deadline lies before the end of the drain. */
+    public CoreSettings withServiceWhileDraining() {
+        return toBuilder().servesWhileDraining(true).build();
+    }
+
     /** Returns a copy whose running streams go on over another chain when a stage is lost. */
     public CoreSettings withMovedStreams() {
         return toBuilder().movesStreams(true).build();
@@ -137,6 +144,7 @@
         builder.maxHistory = maxHistory;
         builder.minReturnMs = minReturnMs;
         builder.maxReturnMs = maxReturnMs;
+        builder.servesWhileDraining = servesWhileDraining;
         builder.movesStreams = movesStreams;
         return builder;
     }
@@ -158,6 +166,7 @@
         private int maxHistory = 32;
         private long minReturnMs = 1_000;
         private long maxReturnMs = 1_000;
+        private boolean servesWhileDraining;
         private boolean movesStreams;
 
         private Builder() {}
@@ -241,6 +250,12 @@
             return this;
         }
 
+        /** Sets whether requests whose deadline lies before the end of a drain are still served. */
+        public Builder servesWhileDraining(boolean value) {
+            this.servesWhileDraining = value;
+            return this;
+        }
+
         /** Sets whether endpoints can let a running stream go on over another chain. */
         public Builder movesStreams(boolean value) {
             this.movesStreams = value;
@@ -264,6 +279,7 @@
                     maxHistory,
                     minReturnMs,
                     maxReturnMs,
+                    servesWhileDraining,
                     movesStreams);
         }
     }
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetTuning.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetTuning.java
@@ -83,6 +83,7 @@
                         .withoutObservation()
                         .withMaxCrashes(MAX_CRASHES))
                 .withInitialAllotmentShare(1)
+                .withServiceWhileDraining()
                 .withMovedStreams()
                 .withUncoveredGraceMs(UNCOVERED_GRACE_MS);
     }
