Cut no streams around planned work, and keep an engine that is out of sight while it takes layers over

Ruled out: the release itself (engines that leave serve on), the store, the change of configuration. Change: an engine with an order on its way counts as holding the ordered layers for 1.5 s while it is out of sight, and repairs within 10 s of a planned leave wait for running streams. Proof: LayoutPlannerTest, four tests, of which the one on engines out of sight and the one on planned leaves fail without the change.

--- a/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
@@ -36,10 +36,12 @@
     private final Map<String, Long> heldOffUntilMs = new HashMap<>();
     private final Map<String, Integer> refusalsInRow = new HashMap<>();
     private final Map<String, Long> knownSinceMs = new HashMap<>();
+    private final Map<String, Long> absentSinceMs = new HashMap<>();
+    private long lastLeaveMs = Long.MIN_VALUE / 2;
     private long lastNumber;
 
     /** An order on its way, which counts as carried out until {@code untilMs}. */
-    private record Pending(LayerRange ordered, long number, long untilMs) {}
+    private record Pending(String group, LayerRange ordered, double room, long number, long untilMs) {}
 
     /** Creates a planner. */
     public LayoutPlanner(LayoutSettings settings, Layout layout, PlacementLease lease) {
@@ -61,6 +63,11 @@
         }
     }
 
+    @Override
+    public void left(String endpointId, long nowMs) {
+        lastLeaveMs = nowMs;
+    }
+
     /** Layers that an engine keeps serve on while it loads others. */
     @Override
     public boolean isReloading(String endpointId) {
@@ -76,7 +83,7 @@
             if (model != null) {
                 groups(endpoints, model, entry.getValue()).forEach((key, members) -> {
                     if (lease.holds(key, nowMs)) {
-                        new Group(members, model, entry.getValue(), nowMs, actions).plan();
+                        new Group(key, members, model, entry.getValue(), nowMs, actions).plan();
                     }
                 });
             }
@@ -89,10 +96,11 @@
         endpoints.forEach(endpoint -> byId.put(endpoint.id(), endpoint));
         pending.entrySet().removeIf(entry -> {
             PlacementEndpoint endpoint = byId.get(entry.getKey());
-            return endpoint == null
+            return isAbsentForLong(entry.getKey(), endpoint != null, nowMs)
                     || nowMs >= entry.getValue().untilMs
-                    || entry.getValue().ordered.equals(rangeOf(endpoint));
+                    || endpoint != null && entry.getValue().ordered.equals(rangeOf(endpoint));
         });
+        absentSinceMs.keySet().retainAll(pending.keySet());
         knownSinceMs.keySet().retainAll(byId.keySet());
         byId.keySet().forEach(id -> knownSinceMs.putIfAbsent(id, nowMs));
         refusalsInRow.keySet().retainAll(byId.keySet());
@@ -100,6 +108,14 @@
         heldOffUntilMs.entrySet().removeIf(entry -> nowMs >= entry.getValue() || !byId.containsKey(entry.getKey()));
     }
 
+    private boolean isAbsentForLong(String endpointId, boolean isPresent, long nowMs) {
+        if (isPresent) {
+            absentSinceMs.remove(endpointId);
+            return false;
+        }
+        return nowMs - absentSinceMs.computeIfAbsent(endpointId, id -> nowMs) >= settings.absentMs();
+    }
+
     /** An engine that goes on refusing carries out something that takes long, so that others are tried meanwhile. */
     private long holdOffMs(String endpointId) {
         int refusals = Math.min(MAX_DOUBLINGS, refusalsInRow.getOrDefault(endpointId, 1) - 1);
@@ -136,6 +152,7 @@
     /** One round for one group. */
     private final class Group {
 
+        private final String key;
         private final Map<String, PlacementEndpoint> members = new TreeMap<>();
         private final Map<String, LayerRange> ranges = new TreeMap<>();
         private final ModelSpec model;
@@ -147,11 +164,13 @@
         private int ordersLeft;
 
         Group(
+                String key,
                 List<PlacementEndpoint> endpoints,
                 ModelSpec model,
                 EnginePoolSpec pool,
                 long nowMs,
                 List<Action> actions) {
+            this.key = key;
             this.model = model;
             this.pool = pool;
             this.nowMs = nowMs;
@@ -168,6 +187,11 @@
                     capacity.add(range, room(endpoint, range));
                 }
             }
+            pending.forEach((id, order) -> {
+                if (order.group.equals(key) && !members.containsKey(id)) {
+                    capacity.add(order.ordered, order.room);
+                }
+            });
         }
 
         void plan() {
@@ -231,11 +255,18 @@
                 if (best == null) {
                     return;
                 }
-                // A gap stops all streams of the group, the handover only those that pass through one engine.
-                order(best.endpoint, best.range, Handover.CUT);
+                order(best.endpoint, best.range, handover());
             }
         }
 
+        /**
+         * A gap stops all streams of the group, a handover that cuts only those that pass through one engine. Planned
+         * work must not cut streams, and the engine that leaves serves on for a while.
+         */
+        private Handover handover() {
+            return nowMs - lastLeaveMs < settings.plannedWorkMs() ? Handover.WAIT : Handover.CUT;
+        }
+
         /** Returns the best way in which an engine can help with a gap, or null. */
         private Fix fix(PlacementEndpoint endpoint, LayerRange gap) {
             LayerRange held = ranges.get(endpoint.id());
@@ -326,7 +357,7 @@
             long number = ++lastNumber;
             int loaded = range.size() - (held == null ? 0 : overlap(held, range));
             long untilMs = nowMs + (long) (settings.loadTimeFactor() * loadMs(loaded)) + settings.confirmMs();
-            pending.put(endpoint.id(), new Pending(range, number, untilMs));
+            pending.put(endpoint.id(), new Pending(key, range, room(endpoint, range), number, untilMs));
             EngineOrder load = new EngineOrder.LoadLayers(model.name(), range, handover);
             actions.add(new Action.OrderEngine(endpoint.id(), number, load));
             actions.add(new Action.StateChanged(
--- a/core/src/test/java/io/radishwinch/core/placement/LayoutPlannerTest.java
+++ b/core/src/test/java/io/radishwinch/core/placement/LayoutPlannerTest.java
@@ -79,6 +79,71 @@
         }
     }
 
+    private static EngineOrder.Handover handover(Action.OrderEngine order) {
+        return ((EngineOrder.LoadLayers) order.order()).handover();
+    }
+
+    /** Returns the orders that follow the loss of an engine whose layers nobody else holds. */
+    private List<Action.OrderEngine> ordersAfterLoss(long nowMs) {
+        String lost = List.copyOf(engines.keySet()).stream()
+                .filter(id -> {
+                    PlacementEndpoint engine = engines.remove(id);
+                    boolean hasGap = !capacity().gaps().isEmpty();
+                    engines.put(id, engine);
+                    return hasGap;
+                })
+                .findFirst()
+                .orElseThrow();
+        // The planner sees the layout carried out before the loss.
+        tick(nowMs - 250);
+        engines.remove(lost);
+        return tick(nowMs);
+    }
+
+    /** Load pattern: an engine dies, and the streams of those that take its layers over stall. */
+    @Test
+    void anEngineThatIsOutOfSightWhileItTakesOverLayersIsNotReplacedAtOnce() {
+        layOut();
+        long nowMs = SETTLED_MS + 10_000;
+        List<Action.OrderEngine> orders = ordersAfterLoss(nowMs);
+        assertThat(orders).isNotEmpty();
+        Map<String, PlacementEndpoint> hidden = new HashMap<>();
+        orders.forEach(order -> hidden.put(order.endpointId(), engines.remove(order.endpointId())));
+        assertThat(tick(nowMs + 250)).isEmpty();
+        assertThat(tick(nowMs + 1_000)).isEmpty();
+        engines.putAll(hidden);
+        carryOut(orders);
+        assertThat(capacity().gaps()).isEmpty();
+        assertThat(tick(nowMs + 1_250)).isEmpty();
+    }
+
+    @Test
+    void anEngineThatStaysOutOfSightIsReplaced() {
+        layOut();
+        long nowMs = SETTLED_MS + 10_000;
+        List<Action.OrderEngine> orders = ordersAfterLoss(nowMs);
+        orders.forEach(order -> engines.remove(order.endpointId()));
+        tick(nowMs + 250);
+        assertThat(tick(nowMs + 3_000)).isNotEmpty();
+    }
+
+    /** Load pattern: the engines of a data centre are replaced one after the other. */
+    @Test
+    void repairsAfterPlannedLeavesCutNoStreams() {
+        layOut();
+        long nowMs = SETTLED_MS + 10_000;
+        planner.left("some-engine", nowMs - 1_000);
+        assertThat(ordersAfterLoss(nowMs)).isNotEmpty().allSatisfy(order -> assertThat(handover(order))
+                .isEqualTo(EngineOrder.Handover.WAIT));
+    }
+
+    @Test
+    void repairsAfterACrashCutTheStreamsOfLayersThatAreGivenUp() {
+        layOut();
+        assertThat(ordersAfterLoss(SETTLED_MS + 10_000)).isNotEmpty().allSatisfy(order -> assertThat(handover(order))
+                .isEqualTo(EngineOrder.Handover.CUT));
+    }
+
     @Test
     void anEngineThatComesBackEmptyIsGivenLayersAtOnce() {
         layOut();
