Let endpoints that refuse much of their work cost more; cut streams again when a gap is closed

A refusal counted for 300 ms or until the next own answer ended, which on a busy engine was at once, so that every request of the data centre went on trying it and used up the retries. Change: the share of refused attempts of late raises an endpoint's price, up to that of five full endpoints, and fades in seconds without work. Reverted: repairs that wait for running streams within 10 s of a planned leave.

--- a/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
@@ -29,6 +29,20 @@
     /** Time after which an endpoint that refused work is tried again without a new report, in ms; one report lag. */
     private static final long REFUSING_MS = 300;
 
+    /** Weight of one attempt in the share of refused ones; about the last ten count. */
+    private static final double REFUSAL_GAIN = 0.1;
+
+    /**
+     * Part of that share which is kept from tick to tick, so that an endpoint without work is tried again in seconds.
+     */
+    private static final double REFUSAL_KEPT = 0.98;
+
+    /** Share below which refusals are forgotten. */
+    private static final double MIN_REFUSAL_SHARE = 0.02;
+
+    /** Price of an endpoint that refuses everything, in us: that of five full endpoints elsewhere. */
+    private static final double REFUSAL_PRICE_US = 5 * CostModel.FULL_SLOT_PRICE_US;
+
     /** Fast neighbours that the planner tries in addition to the cheapest candidates. */
     private static final int NEAREST = 4;
 
@@ -57,6 +71,7 @@
     private long peersKvBytes;
     private long refusingUntilMs = Long.MIN_VALUE;
     private boolean refusing;
+    private double refusalShare;
     private int runningAtReport;
     private long kvBytesAtReport;
     private double slotPriceUs = -1;
@@ -203,6 +218,7 @@
 
     void changeOwn(int slots, long kvBytes, long nowMs) {
         refusing &= slots > 0;
+        refusalShare *= slots > 0 ? 1 - REFUSAL_GAIN : 1;
         own = Math.max(0, own + slots);
         ownKvBytes = Math.max(0, ownKvBytes + kvBytes);
         history.record(nowMs, own, ownKvBytes);
@@ -235,20 +251,23 @@
     void refreshPrice() {
         double slotShare = (double) occupied() / usableSlots();
         double kvShare = kvCapacityBytes == 0 ? 0 : 1 - (double) kvFreeBytes() / kvCapacityBytes;
-        slotPriceUs = CostModel.slotPriceUs(Math.max(slotShare, kvShare));
+        slotPriceUs = CostModel.slotPriceUs(Math.max(slotShare, kvShare)) + refusalShare * REFUSAL_PRICE_US;
     }
 
     /** Notes that the endpoint refused work: it counts as full until its next load report or own finished attempt. */
     void setRefusing(long nowMs) {
         refusing = true;
         refusingUntilMs = nowMs + REFUSING_MS;
+        refusalShare += REFUSAL_GAIN;
     }
 
-    /** Ends the refusal once its time is over; returns whether that changed anything. */
+    /** Ends the refusal once its time is over and lets earlier ones fade; returns whether that changed anything. */
     boolean endRefusal(long nowMs) {
         boolean ends = refusing && nowMs >= refusingUntilMs;
         refusing &= !ends;
-        return ends;
+        boolean fades = refusalShare > 0;
+        refusalShare = refusalShare < MIN_REFUSAL_SHARE ? 0 : refusalShare * REFUSAL_KEPT;
+        return ends || fades;
     }
 
     void forgetKvCapacity() {
--- a/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
+++ b/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
@@ -74,9 +74,6 @@
                 actions.add(new Action.StateChanged(e.endpoint().id(), "joined"));
             }
         } else if (event instanceof Event.EndpointLeaving e) {
-            if (placement != null) {
-                placement.left(e.endpointId(), nowMs);
-            }
             if (table.leave(e.endpointId())) {
                 actions.add(new Action.StateChanged(e.endpointId(), "leaving, no new work"));
             }
--- a/core/src/test/java/io/radishwinch/core/chain/CrossingTest.java
+++ b/core/src/test/java/io/radishwinch/core/chain/CrossingTest.java
@@ -14,6 +14,7 @@
 import io.radishwinch.core.model.LoadReport;
 import io.radishwinch.core.model.ModelSpec;
 import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.model.Stage;
 import java.util.List;
@@ -87,6 +88,35 @@
         assertThat(crossings * 1.0).isLessThanOrEqualTo(pathPerRouter / 2);
     }
 
+    /** Load pattern: an engine refuses half of what it receives, though its slots are free. */
+    @Test
+    void anEngineThatRefusesHalfOfItsWorkLosesItToAnotherDataCentreAndGetsItBackLater() {
+        engine("b-1", "b", 0, 10, MUCH_BYTES);
+        engine("a-1", "a", 0, 10, MUCH_BYTES);
+        long nowMs = 10_000;
+        int atGrey = 0;
+        for (int i = 0; i < 200; i++) {
+            RequestSpec request = request();
+            Chain chain = planner.plan(request, MODEL, Set.of(), nowMs).orElseThrow();
+            directory.acquire(chain, request, nowMs);
+            if (endpoints(chain).contains("b-1")) {
+                atGrey++;
+                if (atGrey % 2 == 0) {
+                    directory.failed("b-1", Reason.ENDPOINT_REFUSED, nowMs);
+                }
+            }
+            directory.release(chain, request, nowMs);
+            nowMs += 50;
+            directory.handle(new Event.Tick(), nowMs);
+        }
+        assertThat(atGrey).isBetween(2, 100);
+        for (int i = 0; i < 300; i++) {
+            nowMs += 50;
+            directory.handle(new Event.Tick(), nowMs);
+        }
+        assertThat(endpoints(start(nowMs).orElseThrow())).containsExactly("b-1");
+    }
+
     @Test
     void aLostStageIsReplacedByEnginesOfTheSameDataCentreAndTheOthersStay() {
         engine("b-1", "b", 0, 4, MUCH_BYTES);
