Try an endpoint that goes on refusing seldom, also while its older streams end

Change: a refusal after the wait for an earlier one doubles the wait, up to 1.2 s, and only time ends it then. Proof: CrossingTest, a test of that pattern.

--- a/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
@@ -29,6 +29,12 @@
     /** Time after which an endpoint that refused work is tried again without a new report, in ms; one report lag. */
     private static final long REFUSING_MS = 300;
 
+    /** Doublings of that time while the endpoint goes on refusing; one second is the patience of most requests. */
+    private static final int MAX_REFUSAL_DOUBLINGS = 2;
+
+    /** Time without a refusal after which the next one counts as the first again, in ms; some tries at full load. */
+    private static final long REFUSALS_FORGOTTEN_MS = 2_000;
+
     /** Weight of one attempt in the share of refused ones; about the last ten count. */
     private static final double REFUSAL_GAIN = 0.1;
 
@@ -71,6 +77,9 @@
     private long peersKvBytes;
     private long refusingUntilMs = Long.MIN_VALUE;
     private boolean refusing;
+    /** Tries in a row that the endpoint refused, each after the wait for the one before. */
+    private int refusedTries;
+
     private double refusalShare;
     private int runningAtReport;
     private long kvBytesAtReport;
@@ -217,7 +226,7 @@
     }
 
     void changeOwn(int slots, long kvBytes, long nowMs) {
-        refusing &= slots > 0;
+        refusing &= slots > 0 || isRefusingAll();
         refusalShare *= slots > 0 ? 1 - REFUSAL_GAIN : 1;
         own = Math.max(0, own + slots);
         ownKvBytes = Math.max(0, ownKvBytes + kvBytes);
@@ -233,7 +242,7 @@
 
     void setReport(LoadReport newReport) {
         report = newReport;
-        refusing = false;
+        refusing &= isRefusingAll();
         runningAtReport = history.runningAt(report.measuredAtMs());
         kvBytesAtReport = history.kvBytesAt(report.measuredAtMs());
         kvCapacityBytes = Math.max(kvCapacityBytes, newReport.kvFreeBytes());
@@ -257,8 +266,17 @@
     /** Notes that the endpoint refused work: it counts as full until its next load report or own finished attempt. */
     void setRefusing(long nowMs) {
         refusing = true;
-        refusingUntilMs = nowMs + REFUSING_MS;
         refusalShare += REFUSAL_GAIN;
+        if (nowMs >= refusingUntilMs) {
+            boolean isContinued = refusedTries > 0 && nowMs - refusingUntilMs < REFUSALS_FORGOTTEN_MS;
+            refusedTries = isContinued ? refusedTries + 1 : 1;
+            refusingUntilMs = nowMs + (REFUSING_MS << Math.min(refusedTries - 1, MAX_REFUSAL_DOUBLINGS));
+        }
+    }
+
+    /** An endpoint that leaves refuses new work while what it runs still ends, so that an end says nothing of it. */
+    private boolean isRefusingAll() {
+        return refusedTries > 1;
     }
 
     /** Ends the refusal once its time is over and lets earlier ones fade; returns whether that changed anything. */
--- a/core/src/test/java/io/radishwinch/core/chain/CrossingTest.java
+++ b/core/src/test/java/io/radishwinch/core/chain/CrossingTest.java
@@ -117,6 +117,32 @@
         assertThat(endpoints(start(nowMs).orElseThrow())).containsExactly("b-1");
     }
 
+    /** Load pattern: an engine leaves while the platform's list is away, and its older streams still end. */
+    @Test
+    void anEngineThatRefusesEverythingIsTriedSeldomAlthoughItsOlderStreamsEnd() {
+        engine("b-1", "b", 0, 10, MUCH_BYTES);
+        engine("a-1", "a", 0, 10, MUCH_BYTES);
+        RequestSpec older = request();
+        Chain olderChain = planner.plan(older, MODEL, Set.of(), 10_000).orElseThrow();
+        int tries = 0;
+        for (long nowMs = 10_000; nowMs < 15_000; nowMs += 50) {
+            directory.acquire(olderChain, older, nowMs);
+            RequestSpec request = request();
+            Chain chain = planner.plan(request, MODEL, Set.of(), nowMs).orElseThrow();
+            directory.acquire(chain, request, nowMs);
+            if (endpoints(chain).contains("b-1")) {
+                tries++;
+                directory.release(chain, request, nowMs);
+                directory.failed("b-1", Reason.ENDPOINT_REFUSED, nowMs);
+            } else {
+                directory.release(chain, request, nowMs);
+            }
+            directory.release(olderChain, older, nowMs);
+            directory.handle(new Event.Tick(), nowMs);
+        }
+        assertThat(tries).isBetween(2, 10);
+    }
+
     @Test
     void aLostStageIsReplacedByEnginesOfTheSameDataCentreAndTheOthersStay() {
         engine("b-1", "b", 0, 4, MUCH_BYTES);
