--- a/embedded/src/test/java/io/radishwinch/embedded/SeparateProcessesTest.java
+++ b/embedded/src/test/java/io/radishwinch/embedded/SeparateProcessesTest.java
@@ -108,11 +108,24 @@
         }
     }
 
-    private static void waitUntil(BooleanSupplier condition) throws InterruptedException {
+    private void waitUntil(BooleanSupplier condition) throws InterruptedException {
         for (int i = 0; i < MAX_POLLS && !condition.getAsBoolean(); i++) {
             Thread.sleep(50);
         }
-        assertThat(condition.getAsBoolean()).isTrue();
+        assertThat(condition.getAsBoolean()).as(this::routerLogs).isTrue();
+    }
+
+    /** Returns what the routers wrote, which tells why one of them does not answer. */
+    private String routerLogs() {
+        StringBuilder logs = new StringBuilder();
+        for (String id : List.of("router-1", "router-2")) {
+            try {
+                logs.append(id).append(":\n").append(Files.readString(directory.resolve(id + ".log")));
+            } catch (IOException e) {
+                logs.append("no log: ").append(e.getMessage()).append('\n');
+            }
+        }
+        return logs.toString();
     }
 
     @Test
