--- a/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
@@ -37,6 +37,7 @@
     private final Map<String, Integer> refusalsInRow = new HashMap<>();
     private final Map<String, Long> knownSinceMs = new HashMap<>();
     private final Map<String, Long> absentSinceMs = new HashMap<>();
+    private long lastLeaveMs = Long.MIN_VALUE / 2;
     private long lastNumber;
 
     /** An order on its way, which counts as carried out until {@code untilMs}. */
@@ -62,6 +63,11 @@
         }
     }
 
+    @Override
+    public void left(String endpointId, long nowMs) {
+        lastLeaveMs = nowMs;
+    }
+
     /** Layers that an engine keeps serve on while it loads others. */
     @Override
     public boolean isReloading(String endpointId) {
@@ -249,11 +255,18 @@
                 if (best == null) {
                     return;
                 }
-                // A gap stops all streams of the group, the handover only those that pass through one engine.
-                order(best.endpoint, best.range, Handover.CUT);
+                order(best.endpoint, best.range, handover());
             }
         }
 
+        /**
+         * A gap stops all streams of the group, a handover that cuts only those that pass through one engine. Planned
+         * work must not cut streams, and the engine that leaves serves on for a while.
+         */
+        private Handover handover() {
+            return nowMs - lastLeaveMs < settings.plannedWorkMs() ? Handover.WAIT : Handover.CUT;
+        }
+
         /** Returns the best way in which an engine can help with a gap, or null. */
         private Fix fix(PlacementEndpoint endpoint, LayerRange gap) {
             LayerRange held = ranges.get(endpoint.id());
--- a/core/src/main/java/io/radishwinch/core/placement/LayoutSettings.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayoutSettings.java
@@ -16,6 +16,8 @@
  * @param lossPerRoomShare value lost if an engine keeps no room at all, relative to that of covering a gap
  * @param absentMs time for which an engine that was just ordered may be out of sight, in ms; its streams stall while it
  *     gives up layers, which looks like its death
+ * @param plannedWorkMs time after a planned leave in which repairs cut no streams, in ms; releases replace an engine a
+ *     second
  * @param lossPerCutStream value lost for each stream that a move cuts, relative to that of covering a gap
  */
 public record LayoutSettings(
@@ -29,10 +31,11 @@
         double lossPerLoadS,
         double lossPerRoomShare,
         long absentMs,
+        long plannedWorkMs,
         double lossPerCutStream) {
 
     /** Returns the defaults. */
     public static LayoutSettings defaults() {
-        return new LayoutSettings(1_000, 3, 6, 10, 1_000, 2, 3_000, 0.2, 0.5, 1_500, 0.005);
+        return new LayoutSettings(1_000, 3, 6, 10, 1_000, 2, 3_000, 0.2, 0.5, 1_500, 10_000, 0.005);
     }
 }
--- a/core/src/test/java/io/radishwinch/core/placement/LayoutPlannerTest.java
+++ b/core/src/test/java/io/radishwinch/core/placement/LayoutPlannerTest.java
@@ -127,8 +127,18 @@
         assertThat(tick(nowMs + 3_000)).isNotEmpty();
     }
 
+    /** Load pattern: the engines of a data centre are replaced one after the other. */
     @Test
-    void repairsCutTheStreamsOfLayersThatAreGivenUp() {
+    void repairsAfterPlannedLeavesCutNoStreams() {
+        layOut();
+        long nowMs = SETTLED_MS + 10_000;
+        planner.left("some-engine", nowMs - 1_000);
+        assertThat(ordersAfterLoss(nowMs)).isNotEmpty().allSatisfy(order -> assertThat(handover(order))
+                .isEqualTo(EngineOrder.Handover.WAIT));
+    }
+
+    @Test
+    void repairsAfterACrashCutTheStreamsOfLayersThatAreGivenUp() {
         layOut();
         assertThat(ordersAfterLoss(SETTLED_MS + 10_000)).isNotEmpty().allSatisfy(order -> assertThat(handover(order))
                 .isEqualTo(EngineOrder.Handover.CUT));
