Let few routers of each data centre watch the platform and tell the others

Change: the first router of each data centre in rendezvous order watches (two where fewer than three data centres back each other up). It sends objects to all members directly and heartbeats twice a second, with the hash of its entries, so that a member repairs what it missed. A member that hears no watcher for a second watches as well, whether the watcher died, froze, was cut off or is rejected by the platform. Only three routers try to take a lease.

--- a/cluster/src/main/java/io/radishwinch/cluster/PeerListener.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/PeerListener.java
@@ -23,6 +23,13 @@
     /** Called when the share of a caller at this router changes. */
     default void shareChanged(String caller, Share share) {}
 
+    /**
+     * Called when another member receives the platform's changes.
+     *
+     * @param relistGraceMs remaining time in which the platform may list removed endpoints again, in ms
+     */
+    default void platformHeartbeat(long relistGraceMs) {}
+
     /** Called when a journal request or reply arrives. */
     default void journalMessage(MemberInfo sender, Message message) {}
 }
--- a/cluster/src/main/java/io/radishwinch/cluster/PeerNode.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/PeerNode.java
@@ -19,11 +19,13 @@
 import io.radishwinch.cluster.membership.RemoteDataCentres;
 import io.radishwinch.cluster.membership.RendezvousHash;
 import io.radishwinch.cluster.membership.Seed;
+import io.radishwinch.cluster.watch.WatcherElection;
 import io.radishwinch.protocol.FrameCodec;
 import io.radishwinch.protocol.generated.EntryKind;
 import io.radishwinch.protocol.generated.Frame;
 import io.radishwinch.protocol.generated.MemberState;
 import io.radishwinch.protocol.generated.Message;
+import io.radishwinch.protocol.generated.PlatformHeartbeat;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -57,7 +59,12 @@
     private final DirectoryPublisher directoryPublisher = new DirectoryPublisher();
     private final ConfigurationStore configuration;
     private final Allotment allotment;
+    private final WatcherElection election;
+    private boolean hasElectedWatchers;
+    private boolean isPlatformCurrent;
+    private long relistGraceMs;
     private boolean isAdmittingEntry;
+    private boolean isFirstListing;
     private boolean hasLeft;
     private long startMs = Long.MIN_VALUE;
     private long nowMs;
@@ -89,6 +96,7 @@
         MemberInfo self = new MemberInfo(id, dataCentre, address, incarnation, MemberState.ALIVE);
         membership = new Membership(self, random, this::onMemberChanged);
         remoteDataCentres = new RemoteDataCentres(id, dataCentre, random);
+        election = new WatcherElection(id);
         Peers peers = new Peers();
         configuration = new ConfigurationStore(
                 validator, this::onConfigurationChanged, key -> table.remove(EntryKind.CONFIGURATION, key));
@@ -128,6 +136,11 @@
         List<String> ids = membership.ids();
         remoteDataCentres.tick(ids, nowMs, out);
         publishDirectory(nowMs);
+        if (hasElectedWatchers) {
+            election.tick(ids, hasJoined(), remoteDataCentres.names().size() + 1, nowMs);
+            // Before the entries, because a heartbeat tells how receivers should treat removals among them.
+            sendPlatformHeartbeats(nowMs, out);
+        }
         gossip.tick(nowMs, out);
         allotment.tick(nowMs, out);
         return toFrames(out);
@@ -206,7 +219,35 @@
     public void offerConfigurationListing(
             String prefix, List<ConfigurationObject> listing, long storeVersion, long nowMs) {
         this.nowMs = nowMs;
+        isFirstListing = configuration.objects().stream()
+                .noneMatch(object -> object.key().startsWith(prefix));
         configuration.offerListing(prefix, listing, storeVersion);
+        isFirstListing = false;
+    }
+
+    /**
+     * Lets the routers of each data centre elect those that watch the platform. The others receive its changes from
+     * them.
+     */
+    public void electWatchers() {
+        hasElectedWatchers = true;
+        gossip.setHasElectedWatchers(true);
+    }
+
+    /** Returns whether this router was elected to watch the platform. */
+    public boolean isElectedWatcher() {
+        return !hasLeft && election.isWatching();
+    }
+
+    /**
+     * Records the state of this router's watch, which its heartbeats announce.
+     *
+     * @param isCurrent whether all changes of the platform arrive
+     * @param newRelistGraceMs remaining time in which the platform may list removed endpoints again, in ms
+     */
+    public void setPlatformWatchState(boolean isCurrent, long newRelistGraceMs) {
+        isPlatformCurrent = isCurrent;
+        relistGraceMs = newRelistGraceMs;
     }
 
     /** Sets whether endpoint load and ejections are shared between data centres. */
@@ -339,15 +380,15 @@
 
     private void onConfigurationChanged(ConfigurationObject object) {
         if (!isAdmittingEntry) {
-            gossip.publish(
-                    new GossipEntry(
-                            EntryKind.CONFIGURATION,
-                            object.key(),
-                            object.version(),
-                            "",
-                            object.value(),
-                            GossipEntry.NEVER),
-                    nowMs);
+            GossipEntry entry = new GossipEntry(
+                    EntryKind.CONFIGURATION, object.key(), object.version(), "", object.value(), GossipEntry.NEVER);
+            // At the start all routers list the same objects.
+            boolean isKnownToPeers = hasElectedWatchers && (isFirstListing || !election.isWatching());
+            if (isKnownToPeers) {
+                gossip.store(entry, nowMs);
+            } else {
+                gossip.publish(entry, nowMs);
+            }
         }
         listeners.forEach(listener -> listener.configurationChanged(object));
     }
@@ -379,6 +420,11 @@
             case DIGEST -> gossip.onDigest(from, isLocal, message.getDigest(), out);
             case BUCKET_REQUEST -> gossip.onBucketRequest(from, isLocal, message.getBucketRequest(), nowMs, out);
             case ENTRY_REQUEST -> gossip.onEntryRequest(from, isLocal, message.getEntryRequest(), nowMs, out);
+            case PLATFORM_HEARTBEAT -> {
+                if (isLocal) {
+                    onPlatformHeartbeat(sender, message.getPlatformHeartbeat(), out);
+                }
+            }
             case JOURNAL_REQUEST, JOURNAL_REPLY ->
                 listeners.forEach(listener -> listener.journalMessage(sender, message));
             case DEMAND_REPORT -> allotment.onDemandReport(sender.id(), isLocal, message.getDemandReport(), nowMs, out);
@@ -390,6 +436,26 @@
         }
     }
 
+    private boolean hasJoined() {
+        return gossip.isSynchronised() && !membership.isAlone();
+    }
+
+    private void sendPlatformHeartbeats(long nowMs, List<Envelope> out) {
+        if (!election.isWatching() || !isPlatformCurrent || !election.takeDueHeartbeat(nowMs)) {
+            return;
+        }
+        Message heartbeat = Message.platformHeartbeat(new PlatformHeartbeat(gossip.fleetHash(), relistGraceMs));
+        for (MemberInfo member : membership.others()) {
+            out.add(new Envelope(member.address(), heartbeat));
+        }
+    }
+
+    private void onPlatformHeartbeat(MemberInfo sender, PlatformHeartbeat heartbeat, List<Envelope> out) {
+        election.onHeartbeat(sender.id(), nowMs);
+        gossip.onFleetHash(sender.address(), sender.id(), heartbeat.getFleetHash(), out);
+        listeners.forEach(listener -> listener.platformHeartbeat(heartbeat.getRelistGraceMs()));
+    }
+
     private void publishDirectory(long nowMs) {
         MemberInfo self = membership.self();
         GossipEntry published = table.get(EntryKind.DIRECTORY, self.dataCentre());
@@ -427,6 +493,11 @@
             return membership.randomMembers(count, excluded);
         }
 
+        @Override
+        public List<Address> members() {
+            return membership.others().stream().map(MemberInfo::address).toList();
+        }
+
         @Override
         public List<Address> relayTargets() {
             return remoteDataCentres.relayTargets();
--- a/cluster/src/main/java/io/radishwinch/cluster/gossip/Gossip.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/gossip/Gossip.java
@@ -87,6 +87,12 @@
     /** Maximum number of versions in one bucket request. The next digest requests the rest. */
     static final int MAX_VERSIONS_PER_REQUEST = 4_096;
 
+    /**
+     * Maximum size of an entry that its first receiver in a data centre sends to all members, in bytes. It arrives
+     * after one hop and is not forwarded; larger entries spread by rumor mongering, which divides the bytes evenly.
+     */
+    static final int MAX_DIRECT_BYTES = 8 * 1024;
+
     private static final long EXPIRY_INTERVAL_MS = 1_000;
 
     private final GossipTable table;
@@ -95,7 +101,9 @@
     private final Consumer<GossipEntry> listener;
     private final Map<EntryKey, PendingEntry> pending = new LinkedHashMap<>();
     private final ByteBudget durableBudget = new ByteBudget(DURABLE_BYTES_PER_S, DURABLE_BURST_BYTES);
+    private final Set<String> differingWatchers = new HashSet<>();
     private boolean sharesEndpointState;
+    private boolean hasElectedWatchers;
     private ByteBudget volatileBudget = new ByteBudget(VOLATILE_BYTES_PER_S, VOLATILE_BURST_BYTES);
     private long nextPushMs = Long.MIN_VALUE;
     private long nextVolatileMs = Long.MIN_VALUE;
@@ -106,7 +114,14 @@
 
     private record EntryKey(EntryKind kind, String key) {}
 
-    private record PendingEntry(GossipEntry entry, Address senderAddress) {}
+    /** Source of an entry that awaits its push. */
+    private enum Source {
+        SELF,
+        LOCAL_PEER,
+        REMOTE_PEER
+    }
+
+    private record PendingEntry(GossipEntry entry, Address senderAddress, Source source) {}
 
     /**
      * Creates the dissemination of a table.
@@ -133,7 +148,14 @@
      * @return false if the entry exceeds a bound or is not newer than the known one
      */
     public boolean publish(GossipEntry entry, long nowMs) {
-        return accept(entry, null, nowMs) == GossipTable.MergeResult.NEWER;
+        return accept(entry, null, Source.SELF, nowMs) == GossipTable.MergeResult.NEWER;
+    }
+
+    /** Stores an entry that the other routers receive by themselves, without pushing it. */
+    public void store(GossipEntry entry, long nowMs) {
+        if (table.merge(entry, nowMs) == GossipTable.MergeResult.NEWER) {
+            listener.accept(entry);
+        }
     }
 
     /** Replaces an entry with a tombstone that outlives it. Does nothing if the entry is unknown or already deleted. */
@@ -141,7 +163,7 @@
         GossipEntry known = table.get(kind, key);
         if (known != null && !known.isTombstone()) {
             long deadlineMs = GossipTable.tombstoneDeadlineMs(known);
-            accept(new GossipEntry(kind, key, known.version() + 1, origin, null, deadlineMs), null, nowMs);
+            accept(new GossipEntry(kind, key, known.version() + 1, origin, null, deadlineMs), null, Source.SELF, nowMs);
         }
     }
 
@@ -153,6 +175,35 @@
         sharesEndpointState = shares;
     }
 
+    /**
+     * Sets whether configuration objects come from a few elected watchers, which send them to all members directly and
+     * whose heartbeats reveal a missed object. Otherwise every router spreads them by rumor mongering.
+     */
+    public void setHasElectedWatchers(boolean isElected) {
+        hasElectedWatchers = isElected;
+    }
+
+    /** Returns the hash of all fleet-wide durable entries, which is equal at routers with the same entries. */
+    public long fleetHash() {
+        return table.hashes(true).combinedHash();
+    }
+
+    /**
+     * Compares the hash in a watcher's heartbeat with that of this router. A difference that lasts from one heartbeat
+     * to the next is repaired by a digest, because entries may be on their way.
+     */
+    public void onFleetHash(Address from, String senderId, long remoteHash, List<Envelope> out) {
+        boolean differed = differingWatchers.remove(senderId);
+        if (remoteHash == fleetHash()) {
+            return;
+        }
+        if (differed) {
+            out.add(new Envelope(from, summaryDigest(false, true)));
+        } else {
+            differingWatchers.add(senderId);
+        }
+    }
+
     private boolean isFleetWide(EntryKind kind) {
         boolean isEndpointState = kind == EntryKind.EJECTION || kind == EntryKind.ENDPOINT_LOAD;
         return KindPolicy.of(kind).isFleetWide() || sharesEndpointState && isEndpointState;
@@ -211,7 +262,8 @@
             if (!isLocal && !isFleetWide(entry.kind())) {
                 continue;
             }
-            GossipTable.MergeResult merge = accept(entry, from, nowMs);
+            Source source = isLocal ? Source.LOCAL_PEER : Source.REMOTE_PEER;
+            GossipTable.MergeResult merge = accept(entry, from, source, nowMs);
             // A restarted router whose versions are too low learns the version that it must exceed.
             if (merge == GossipTable.MergeResult.OLDER && entry.origin().equals(senderId)) {
                 newerHere.add(table.get(entry.kind(), entry.key()));
@@ -296,7 +348,7 @@
         repair(found, from, nowMs, out);
     }
 
-    private GossipTable.MergeResult accept(GossipEntry entry, Address source, long nowMs) {
+    private GossipTable.MergeResult accept(GossipEntry entry, Address sender, Source source, long nowMs) {
         GossipEntry known = table.get(entry.kind(), entry.key());
         boolean isNewer = known == null || entry.supersedes(known);
         if (isNewer && !admission.test(entry)) {
@@ -306,7 +358,7 @@
         if (merge == GossipTable.MergeResult.NEWER) {
             EntryKey key = new EntryKey(entry.kind(), entry.key());
             pending.remove(key);
-            pending.put(key, new PendingEntry(entry, source));
+            pending.put(key, new PendingEntry(entry, sender, source));
             listener.accept(entry);
         }
         return merge;
@@ -321,6 +373,7 @@
         List<GossipEntry> durableEntries = new ArrayList<>();
         List<GossipEntry> remoteEntries = new ArrayList<>();
         List<GossipEntry> volatileEntries = new ArrayList<>();
+        List<GossipEntry> directEntries = new ArrayList<>();
         Address source = null;
         for (var iterator = pending.values().iterator(); iterator.hasNext(); ) {
             PendingEntry next = iterator.next();
@@ -330,9 +383,9 @@
             if (!isUrgent && !(policy.isDurable() ? isDurableDue : isVolatileDue)) {
                 continue;
             }
-            boolean isForRemotes =
-                    isFleetWide(entry.kind()) && !entry.origin().isEmpty() && peers.isLocal(entry.origin());
-            int fanout = (policy.isDurable() ? PUSH_FANOUT : VOLATILE_FANOUT)
+            boolean isDirect = isDirect(entry);
+            boolean isForRemotes = isForRemotes(next);
+            int fanout = localReceivers(next, isDirect)
                     + (isForRemotes ? peers.relayTargets().size() : 0);
             ByteBudget budget = policy.isDurable() ? durableBudget : volatileBudget;
             if (!budget.trySpend((long) entry.sizeBytes() * fanout, isUrgent)) {
@@ -342,12 +395,19 @@
             if (entry.deadlineMs() <= nowMs) {
                 continue;
             }
-            (policy.isDurable() ? durableEntries : volatileEntries).add(entry);
+            if (!isDirect) {
+                (policy.isDurable() ? durableEntries : volatileEntries).add(entry);
+            } else if (next.source() != Source.LOCAL_PEER) {
+                directEntries.add(entry);
+            }
             if (isForRemotes) {
                 remoteEntries.add(entry);
             }
             source = next.senderAddress();
         }
+        for (Address to : directEntries.isEmpty() ? List.<Address>of() : peers.members()) {
+            sendDeltas(directEntries, to, nowMs, out);
+        }
         // Excludes the sender of the last entry, which saves a redundant copy in the usual case of one sender.
         for (Address to : durableEntries.isEmpty() ? List.<Address>of() : peers.randomMembers(PUSH_FANOUT, source)) {
             sendDeltas(durableEntries, to, nowMs, out);
@@ -361,6 +421,28 @@
         }
     }
 
+    private boolean isDirect(GossipEntry entry) {
+        return hasElectedWatchers && entry.kind() == EntryKind.CONFIGURATION && entry.sizeBytes() <= MAX_DIRECT_BYTES;
+    }
+
+    /** Returns whether relays send the entry to other data centres: it was published or first received in this one. */
+    private boolean isForRemotes(PendingEntry pendingEntry) {
+        GossipEntry entry = pendingEntry.entry();
+        if (entry.origin().isEmpty()) {
+            return hasElectedWatchers && pendingEntry.source() != Source.REMOTE_PEER;
+        }
+        return isFleetWide(entry.kind()) && peers.isLocal(entry.origin());
+    }
+
+    private int localReceivers(PendingEntry pendingEntry, boolean isDirect) {
+        if (isDirect) {
+            return pendingEntry.source() == Source.LOCAL_PEER
+                    ? 0
+                    : peers.members().size();
+        }
+        return KindPolicy.of(pendingEntry.entry().kind()).isDurable() ? PUSH_FANOUT : VOLATILE_FANOUT;
+    }
+
     /** Sends entries that a peer lacks, except durable ones close to their deadline. */
     private void repair(List<GossipEntry> entries, Address to, long nowMs, List<Envelope> out) {
         List<GossipEntry> repairable = new ArrayList<>(entries);
--- a/cluster/src/main/java/io/radishwinch/cluster/gossip/GossipPeers.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/gossip/GossipPeers.java
@@ -11,6 +11,9 @@
      */
     List<Address> randomMembers(int count, Address excluded);
 
+    /** Returns the addresses of all alive members of the local data centre. */
+    List<Address> members();
+
     /** Returns the addresses in other data centres for which this router is currently a relay. */
     List<Address> relayTargets();
 
--- a/cluster/src/main/java/io/radishwinch/cluster/membership/RendezvousHash.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/membership/RendezvousHash.java
@@ -75,20 +75,20 @@
 
     /** Returns whether the member is among the {@code count} members with the highest weights for the key. */
     public static boolean isAmongTop(String id, String key, Collection<String> memberIds, int count) {
+        return memberIds.contains(id) && rank(id, key, memberIds) < count;
+    }
+
+    /** Returns the number of members that precede a router in the order of weights for the key. */
+    public static int rank(String id, String key, Collection<String> memberIds) {
         long weightOfId = weight(key, id);
-        int higher = 0;
-        boolean isMember = false;
+        int preceding = 0;
         for (String other : memberIds) {
-            if (other.equals(id)) {
-                isMember = true;
-                continue;
-            }
             int order = Long.compareUnsigned(weight(key, other), weightOfId);
             if (order > 0 || (order == 0 && other.compareTo(id) < 0)) {
-                higher++;
+                preceding++;
             }
         }
-        return isMember && higher < count;
+        return preceding;
     }
 
     /** Returns a 64-bit hash of the text (FNV-1a with the finalizer of SplitMix64). */
--- a/cluster/src/main/java/io/radishwinch/cluster/platform/WatchFollower.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/WatchFollower.java
@@ -3,7 +3,6 @@
 import io.radishwinch.cluster.platform.PlatformClient.Change;
 import io.radishwinch.cluster.platform.PlatformClient.Page;
 import io.radishwinch.cluster.platform.PlatformClient.StoredObject;
-import io.radishwinch.cluster.platform.PlatformException.Kind;
 import io.smallrye.mutiny.subscription.Cancellable;
 import java.time.Duration;
 import java.util.Collection;
@@ -17,7 +16,7 @@
 
 /**
  * Follows the objects under a prefix: lists them, watches from the version of the listing, and lists them again when
- * the history has expired, and at intervals in case the watch missed a change.
+ * the watch breaks, and at intervals in case the watch missed a change.
  *
  * <p>The receiver gets the versions of each key in increasing order only. A listing older than any version seen before
  * is discarded, so a stale read never lowers a version and never restores a deleted object.
@@ -38,11 +37,10 @@
     private final Map<String, Long> versions = new HashMap<>();
     private final Set<String> presentKeys = new HashSet<>();
     private long seenVersion;
-    /** Version up to which all changes were received, unlike {@link #seenVersion}, which a single page may raise. */
-    private long completeVersion;
-
     private long backoffMs = INITIAL_BACKOFF_MS;
     private boolean isRunning;
+    private boolean isWatchWanted;
+    private boolean isCurrent;
     private Cancellable watch;
     private Scheduler.Timer timer;
 
@@ -96,6 +94,16 @@
 
     /** Starts listing and watching. */
     public void start() {
+        isWatchWanted = true;
+        run();
+    }
+
+    /** Lists the objects once, as often as needed until a listing succeeds, without watching them afterwards. */
+    public void listOnce() {
+        run();
+    }
+
+    private void run() {
         if (!isRunning) {
             isRunning = true;
             list();
@@ -105,12 +113,19 @@
     /** Stops listing and watching. The versions seen so far are kept for a later start. */
     public void stop() {
         isRunning = false;
+        isWatchWanted = false;
+        isCurrent = false;
         endWatch();
         if (timer != null) {
             timer.cancel();
         }
     }
 
+    /** Returns whether the objects are watched and the platform has not failed since they were last listed. */
+    public boolean isCurrent() {
+        return isCurrent;
+    }
+
     /** Returns the highest store version seen. */
     public long seenVersion() {
         return seenVersion;
@@ -157,22 +172,18 @@
         // Listings older than this one are discarded, so versions of objects deleted before it are no longer needed.
         versions.keySet().removeIf(key -> !presentKeys.contains(key) && versions.get(key) <= listedVersion);
         backoffMs = INITIAL_BACKOFF_MS;
+        if (!isWatchWanted) {
+            isRunning = false;
+            return;
+        }
+        isCurrent = true;
         watchFrom(listedVersion);
         schedule(RELIST_INTERVAL_MS / 2 + random.nextLong(RELIST_INTERVAL_MS), this::list);
     }
 
     private void watchFrom(long version) {
         endWatch();
-        completeVersion = version;
-        watch = platform.watch(prefix, version)
-                .subscribe()
-                .with(
-                        change -> {
-                            completeVersion = Math.max(completeVersion, change.version());
-                            applyChange(change);
-                        },
-                        this::onWatchFailed,
-                        () -> onWatchFailed(null));
+        watch = platform.watch(prefix, version).subscribe().with(this::applyChange, failure -> retry(), this::retry);
     }
 
     private void endWatch() {
@@ -182,24 +193,6 @@
         }
     }
 
-    private void onWatchFailed(Throwable failure) {
-        if (!isRunning) {
-            return;
-        }
-        boolean isHistoryExpired =
-                failure instanceof PlatformException exception && exception.kind() == Kind.HISTORY_EXPIRED;
-        // A broken watch continues after its last change without a listing.
-        long fromVersion = completeVersion;
-        schedule(
-                nextBackoffMs(),
-                isHistoryExpired
-                        ? this::list
-                        : () -> {
-                            watchFrom(fromVersion);
-                            schedule(RELIST_INTERVAL_MS / 2 + random.nextLong(RELIST_INTERVAL_MS), this::list);
-                        });
-    }
-
     private void applyChange(Change change) {
         seenVersion = Math.max(seenVersion, change.version());
         if (change.version() <= versions.getOrDefault(change.key(), 0L)) {
@@ -215,7 +208,9 @@
         receiver.onChange(change);
     }
 
+    /** Lists again, because only a listing shows that no change was missed. */
     private void retry() {
+        isCurrent = false;
         if (isRunning) {
             schedule(nextBackoffMs(), this::list);
         }
--- a/protocol/src/main/thrift/radishwinch.thrift
+++ b/protocol/src/main/thrift/radishwinch.thrift
@@ -127,6 +127,13 @@
   4: optional binary outcome
 }
 
+/**
+ * Sent by a router that receives the platform's changes to the members of its data centre. fleetHash is the hash of its
+ * fleet-wide durable entries; relistGraceMs is the remaining time in which the platform may list endpoints again that it
+ * removed during an outage.
+ */
+struct PlatformHeartbeat { 1: required i64 fleetHash, 2: required i64 relistGraceMs }
+
 union Message {
   1: Ping ping
   2: PingRequest pingRequest
@@ -139,6 +146,7 @@
   9: EntryRequest entryRequest
   10: DemandReport demandReport
   11: ShareGrant shareGrant
+  12: PlatformHeartbeat platformHeartbeat
 }
 
 struct Frame {
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -50,7 +50,7 @@
     private final Map<String, String> idsByAddress = new ConcurrentHashMap<>();
     private final Set<String> unreadableInstances = new HashSet<>();
     private FleetConfig config = FleetConfig.empty();
-    private long relistGraceUntilMs = Long.MIN_VALUE;
+    private long relistGraceUntilMs;
     private boolean isPlatformUnreachable;
 
     /** Receives endpoint states that this router detected and should share with other routers. */
@@ -200,6 +200,16 @@
         isPlatformUnreachable = !isReachable;
     }
 
+    /** Returns the remaining time in which removed endpoints may be listed again, in ms. */
+    long relistGraceMs(long nowMs) {
+        return Math.max(0, relistGraceUntilMs - nowMs);
+    }
+
+    /** Extends the time in which removed endpoints may be listed again, as another router that saw an outage asks. */
+    void extendRelistGrace(long untilMs) {
+        relistGraceUntilMs = Math.max(relistGraceUntilMs, untilMs);
+    }
+
     /** Takes an unresponsive endpoint out of use until a health check succeeds. */
     void markUnreachable(String endpointId, String cause, long nowMs) {
         EndpointLifetime endpoint = byId.get(endpointId);
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -1,9 +1,11 @@
 package io.radishwinch.server.fleet;
 
+import io.radishwinch.cluster.PeerListener;
 import io.radishwinch.cluster.PeerNode;
 import io.radishwinch.cluster.configuration.ConfigurationObject;
 import io.radishwinch.cluster.membership.Address;
 import io.radishwinch.cluster.membership.MemberInfo;
+import io.radishwinch.cluster.membership.RendezvousHash;
 import io.radishwinch.cluster.membership.Seed;
 import io.radishwinch.cluster.platform.CallBudget;
 import io.radishwinch.cluster.platform.CallRates;
@@ -61,6 +63,9 @@
      */
     private static final long LEAVING_ENTRY_TTL_MS = 4_000;
 
+    /** Number of live routers that try to take a lease; with more, most attempts would be conflicts. */
+    private static final int LEASE_CANDIDATES = 3;
+
     /**
      * Fraction of the platform's rate limits that all routers use together; the rest is for operators and endpoints.
      */
@@ -94,6 +99,7 @@
     private volatile boolean hasEndpointList;
     private boolean wasPlatformAvailable = true;
     private boolean hasRouterList;
+    private boolean isWatching;
     private long routerListDeadlineMs;
     private long tickCount;
 
@@ -125,6 +131,7 @@
                 random.nextLong());
         node.setVolatileBytesPerS(FleetCoreSettings.LOAD_BYTES_PER_S);
         node.setSharesEndpointState(true);
+        node.electWatchers();
         VertxScheduler scheduler = new VertxScheduler(vertx, context, clock);
         budget = new CallBudget(scheduler, rates(1));
         platform = new ResilientPlatformClient(
@@ -148,6 +155,7 @@
         peerState =
                 new PeerStateBridge(node, control, new PeerStateReceiver(), this::applyObject, (sender, message) -> {});
         node.addListener(peerState);
+        node.addListener(new HeartbeatReceiver());
         control.setEventObserver(this::observeEvent);
         control.setActionObserver(decisionLogger::logAction);
         endpointFollower = new WatchFollower(
@@ -175,8 +183,8 @@
 
     void start() {
         vertx.setPeriodic(TICK_INTERVAL_MS, ignored -> tick());
-        endpointFollower.start();
-        configFollower.start();
+        endpointFollower.listOnce();
+        configFollower.listOnce();
         routerListDeadlineMs = clock.getAsLong() + settings.retryLimit().windowMs();
         routerDirectory.registerAndList(this::applyRouterList);
         join(List.of());
@@ -236,6 +244,7 @@
             registry.setPlatformReachable(isAvailable, nowMs);
             log.stateChanged(isAvailable ? "dependency-regained" : "dependency-lost", "platform", "");
         }
+        followPlatform(nowMs);
         registry.tick(nowMs);
         healthChecker.tick(nowMs);
         orderSender.tick();
@@ -247,6 +256,25 @@
         control.post(new Event.Tick());
     }
 
+    /** Watches the platform if this router was elected, and tells the others whether its changes arrive. */
+    private void followPlatform(long nowMs) {
+        boolean isWatcher = node.isElectedWatcher();
+        if (isWatcher != isWatching) {
+            isWatching = isWatcher;
+            log.stateChanged(isWatcher ? "platform-watch-started" : "platform-watch-stopped", settings.routerId(), "");
+            if (!isWatcher) {
+                endpointFollower.stop();
+                configFollower.stop();
+            }
+        }
+        if (isWatcher) {
+            endpointFollower.start();
+            configFollower.start();
+        }
+        node.setPlatformWatchState(
+                endpointFollower.isCurrent() && configFollower.isCurrent(), registry.relistGraceMs(nowMs));
+    }
+
     private void publishLoad() {
         peerState.publishLoad(control.core().view());
         int remote = node.remoteDataCentres().stream()
@@ -269,6 +297,17 @@
         join(known);
     }
 
+    /** Adopts what the watchers know of an outage of the platform that this router may not have noticed. */
+    private final class HeartbeatReceiver implements PeerListener {
+
+        @Override
+        public void platformHeartbeat(long relistGraceMs) {
+            if (relistGraceMs > 0) {
+                registry.extendRelistGrace(clock.getAsLong() + relistGraceMs);
+            }
+        }
+    }
+
     private void join(Collection<Seed> known) {
         List<Seed> seeds = new ArrayList<>(known);
         for (Address address : settings.seeds()) {
@@ -293,6 +332,17 @@
                     .findFirst();
         }
 
+        @Override
+        public boolean isCandidate(String key) {
+            List<String> ids = new ArrayList<>(List.of(settings.routerId()));
+            node.members().forEach(member -> ids.add(member.id()));
+            if (!key.equals(settings.dataCentre())) {
+                node.remoteDataCentres()
+                        .forEach(name -> node.remoteMembers(name).forEach(member -> ids.add(member.id())));
+            }
+            return RendezvousHash.isAmongTop(settings.routerId(), "lease/" + key, ids, LEASE_CANDIDATES);
+        }
+
         @Override
         public boolean hasRouters(String dataCentre) {
             return dataCentre.equals(settings.dataCentre())
--- a/server/src/main/java/io/radishwinch/server/fleet/LeaseManager.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/LeaseManager.java
@@ -51,6 +51,9 @@
         /** Returns the incarnation of a live router, or empty if the router is not known to be alive. */
         Optional<Long> incarnation(String routerId);
 
+        /** Returns whether this router is among the few that may take over a lease. */
+        boolean isCandidate(String key);
+
         /** Returns whether any router is alive in a data centre. */
         boolean hasRouters(String dataCentre);
     }
@@ -145,7 +148,10 @@
                 platform.get(prefix + key)
                         .subscribe()
                         .with(found -> onRead(key, lease, found, nowMs), error -> lease.isCallPending = false);
-            } else if (!isHeldByThisRouter(lease) && mayHold(key, lease, nowMs) && isAvailable(lease, nowMs)) {
+            } else if (!isHeldByThisRouter(lease)
+                    && mayHold(key, lease, nowMs)
+                    && isAvailable(lease, nowMs)
+                    && liveMembers.isCandidate(key)) {
                 markCallPending(lease, nowMs);
                 platform.put(prefix + key, lease.version, new Holder(routerId, incarnation).encode(), nonces.get())
                         .subscribe()
--- a/server/src/test/java/io/radishwinch/server/fleet/LeaseManagerTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/LeaseManagerTest.java
@@ -28,6 +28,11 @@
             return Optional.ofNullable(liveIncarnations.get(routerId));
         }
 
+        @Override
+        public boolean isCandidate(String key) {
+            return true;
+        }
+
         @Override
         public boolean hasRouters(String dataCentre) {
             return dataCentresWithRouters.contains(dataCentre);
