Exchange endpoint loads through collectors, refuse at once what a gap cannot serve, bound repeated health checks

Cause: each router's loads were gossiped to all others as an entry of its own, so that 95 routers needed 152 KB/s each for two updates a second (allowed: 8 KB/s) and every received entry made its receiver add up all entries again. The routers of a large fleet did not know each other's work. Change: members send their loads to two collectors of their data centre, which add them up, exchange the sums and send one total to each member.

Coverage gaps. Cause: a request that waited when the last holder of a layer vanished stayed until its own start deadline, although new ones were refused. Change: it is refused when the gap outlasts the grace period.

Health checks. Cause: a check that failed after more than a second was repeated at once without limit, so that an endpoint checked by a slow router was never taken out. Change: one repeat.

--- a/cluster/src/main/java/io/radishwinch/cluster/PeerListener.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/PeerListener.java
@@ -3,8 +3,10 @@
 import io.radishwinch.cluster.allotment.Share;
 import io.radishwinch.cluster.configuration.ConfigurationObject;
 import io.radishwinch.cluster.gossip.GossipEntry;
+import io.radishwinch.cluster.load.EndpointLoad;
 import io.radishwinch.cluster.membership.MemberInfo;
 import io.radishwinch.protocol.generated.Message;
+import java.util.Map;
 
 /**
  * Receives changes of the shared state. Methods run on the thread that calls the {@link PeerNode}, during that call.
@@ -23,6 +25,9 @@
     /** Called when the share of a caller at this router changes. */
     default void shareChanged(String caller, Share share) {}
 
+    /** Called with the sums of the loads that all other routers put on the endpoints, by endpoint hash. */
+    default void endpointLoadsChanged(Map<Integer, EndpointLoad> loads) {}
+
     /**
      * Called when another member receives the platform's changes.
      *
--- a/cluster/src/main/java/io/radishwinch/cluster/PeerNode.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/PeerNode.java
@@ -12,6 +12,9 @@
 import io.radishwinch.cluster.gossip.GossipEntry;
 import io.radishwinch.cluster.gossip.GossipPeers;
 import io.radishwinch.cluster.gossip.GossipTable;
+import io.radishwinch.cluster.load.EndpointLoad;
+import io.radishwinch.cluster.load.LoadExchange;
+import io.radishwinch.cluster.load.LoadPeers;
 import io.radishwinch.cluster.membership.Address;
 import io.radishwinch.cluster.membership.Envelope;
 import io.radishwinch.cluster.membership.MemberInfo;
@@ -48,6 +51,9 @@
     /** Number of routers of a data centre that watch the platform. With two, changes still arrive when one fails. */
     public static final int PLATFORM_WATCHERS = 2;
 
+    /** Rate of the load totals that a collector sends to one member, in bytes/s: a third of the limit of 3 KB/s. */
+    public static final long LOAD_BYTES_PER_S = 1_000;
+
     /** Time after which a router without peers stops waiting for the first synchronisation, in ms. */
     public static final long INITIAL_SYNC_TIMEOUT_MS = 5_000;
 
@@ -59,6 +65,7 @@
     private final DirectoryPublisher directoryPublisher = new DirectoryPublisher();
     private final ConfigurationStore configuration;
     private final Allotment allotment;
+    private final LoadExchange loads;
     private final WatcherElection election;
     private boolean hasElectedWatchers;
     private boolean isPlatformCurrent;
@@ -101,6 +108,10 @@
         configuration = new ConfigurationStore(
                 validator, this::onConfigurationChanged, key -> table.remove(EntryKind.CONFIGURATION, key));
         gossip = new Gossip(table, peers, this::admitEntry, this::onEntryChanged);
+        loads = new LoadExchange(
+                peers,
+                LOAD_BYTES_PER_S,
+                totals -> listeners.forEach(listener -> listener.endpointLoadsChanged(totals)));
         allotment = new Allotment(
                 peers, (caller, share) -> listeners.forEach(listener -> listener.shareChanged(caller, share)));
     }
@@ -142,6 +153,7 @@
             sendPlatformHeartbeats(nowMs, out);
         }
         gossip.tick(nowMs, out);
+        loads.tick(nowMs, out);
         allotment.tick(nowMs, out);
         return toFrames(out);
     }
@@ -250,14 +262,19 @@
         relistGraceMs = newRelistGraceMs;
     }
 
-    /** Sets whether endpoint load and ejections are shared between data centres. */
-    public void setSharesEndpointState(boolean shares) {
-        gossip.setSharesEndpointState(shares);
+    /** Publishes the load of this router, by endpoint hash; it is sent with the next exchange. */
+    public void publishLoads(Map<Integer, EndpointLoad> endpointLoads) {
+        loads.setOwnLoads(endpointLoads);
     }
 
-    /** Sets the rate at which this router may send volatile entries, in bytes/s. */
-    public void setVolatileBytesPerS(long bytesPerS) {
-        gossip.setVolatileBytesPerS(bytesPerS);
+    /**
+     * Sets whether endpoint load and ejections are shared between data centres.
+     *
+     * @param loadBytesPerS rate of load totals to one member, in bytes/s
+     */
+    public void setSharesEndpointState(boolean shares, long loadBytesPerS) {
+        gossip.setSharesEndpointState(shares);
+        loads.configure(shares, loadBytesPerS);
     }
 
     /** Replaces the fleet-wide limits of all callers. */
@@ -425,6 +442,7 @@
                     onPlatformHeartbeat(sender, message.getPlatformHeartbeat(), out);
                 }
             }
+            case ENDPOINT_LOADS -> loads.onLoads(sender, isLocal, message.getEndpointLoads(), nowMs);
             case JOURNAL_REQUEST, JOURNAL_REPLY ->
                 listeners.forEach(listener -> listener.journalMessage(sender, message));
             case DEMAND_REPORT -> allotment.onDemandReport(sender.id(), isLocal, message.getDemandReport(), nowMs, out);
@@ -487,7 +505,7 @@
                 new Frame(FrameCodec.PROTOCOL_VERSION, membership.self().toThrift(), envelope.message()));
     }
 
-    private final class Peers implements GossipPeers, AllotmentPeers {
+    private final class Peers implements GossipPeers, AllotmentPeers, LoadPeers {
         @Override
         public List<Address> randomMembers(int count, Address excluded) {
             return membership.randomMembers(count, excluded);
@@ -539,6 +557,11 @@
             return remoteDataCentres.names();
         }
 
+        @Override
+        public List<MemberInfo> remoteMembers(String dataCentre) {
+            return remoteDataCentres.members(dataCentre);
+        }
+
         @Override
         public Address remoteOwner(String dataCentre, int bucket) {
             List<MemberInfo> members = remoteDataCentres.members(dataCentre);
--- a/cluster/src/main/java/io/radishwinch/cluster/gossip/Gossip.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/gossip/Gossip.java
@@ -104,7 +104,7 @@
     private final Set<String> differingWatchers = new HashSet<>();
     private boolean sharesEndpointState;
     private boolean hasElectedWatchers;
-    private ByteBudget volatileBudget = new ByteBudget(VOLATILE_BYTES_PER_S, VOLATILE_BURST_BYTES);
+    private final ByteBudget volatileBudget = new ByteBudget(VOLATILE_BYTES_PER_S, VOLATILE_BURST_BYTES);
     private long nextPushMs = Long.MIN_VALUE;
     private long nextVolatileMs = Long.MIN_VALUE;
     private long nextDigestMs = Long.MIN_VALUE;
@@ -209,11 +209,6 @@
         return KindPolicy.of(kind).isFleetWide() || sharesEndpointState && isEndpointState;
     }
 
-    /** Sets the sustained rate of volatile entries, in bytes/s. */
-    public void setVolatileBytesPerS(long bytesPerS) {
-        volatileBudget = new ByteBudget(bytesPerS, VOLATILE_BURST_BYTES);
-    }
-
     /** Advances the time: pushes entries, sends digests and removes expired entries. */
     public void tick(long nowMs, List<Envelope> out) {
         if (nowMs >= nextExpiryMs) {
--- a/server/src/main/java/io/radishwinch/server/EndpointLoadCodec.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/load/EndpointLoadCodec.java
@@ -1,4 +1,4 @@
-package io.radishwinch.server;
+package io.radishwinch.cluster.load;
 
 import io.radishwinch.cluster.membership.RendezvousHash;
 import java.nio.ByteBuffer;
@@ -13,7 +13,7 @@
  * <p>Entries contain a hash of the endpoint identifier instead of the identifier, because all routers know the
  * identifiers and these entries make up most of the traffic between routers.
  */
-final class EndpointLoadCodec {
+public final class EndpointLoadCodec {
 
     /** Size of an entry: hash, attempts and memory. */
     private static final int ENTRY_BYTES = Integer.BYTES + 2 * Short.BYTES;
@@ -23,41 +23,29 @@
     /** Unit of KV cache memory in an entry, in bytes; a two-byte count covers 256 GiB. */
     private static final long KV_UNIT_BYTES = 1 << 22;
 
-    /**
-     * Load that one router puts on one endpoint.
-     *
-     * @param running number of running attempts
-     * @param kvBytes KV cache memory reserved for them, in bytes
-     */
-    record Load(int running, long kvBytes) {
-
-        static final Load NONE = new Load(0, 0);
-
-        Load plus(Load other) {
-            return new Load(running + other.running, kvBytes + other.kvBytes);
-        }
-    }
-
     private EndpointLoadCodec() {}
 
     /** Returns the hash that identifies an endpoint in an entry. */
-    static int hash(String endpointId) {
+    public static int hash(String endpointId) {
         return (int) RendezvousHash.hash(endpointId);
     }
 
-    /** Encodes as many entries as fit into the given number of bytes, busiest endpoints first. */
-    static byte[] encode(Map<String, Load> loads, int maxBytes) {
-        List<Map.Entry<String, Load>> busiest = loads.entrySet().stream()
-                .sorted(Comparator.comparing((Map.Entry<String, Load> entry) ->
+    /**
+     * Encodes the loads by endpoint hash: as many entries as fit into the given number of bytes, busiest endpoints
+     * first.
+     */
+    static byte[] encode(Map<Integer, EndpointLoad> loads, int maxBytes) {
+        List<Map.Entry<Integer, EndpointLoad>> busiest = loads.entrySet().stream()
+                .sorted(Comparator.comparing((Map.Entry<Integer, EndpointLoad> entry) ->
                                 -entry.getValue().running())
                         .thenComparing(Map.Entry.comparingByKey()))
                 .limit(maxBytes / ENTRY_BYTES)
                 .toList();
         ByteBuffer bytes = ByteBuffer.allocate(busiest.size() * ENTRY_BYTES);
-        for (Map.Entry<String, Load> entry : busiest) {
-            Load load = entry.getValue();
+        for (Map.Entry<Integer, EndpointLoad> entry : busiest) {
+            EndpointLoad load = entry.getValue();
             long kvUnits = (load.kvBytes() + KV_UNIT_BYTES / 2) / KV_UNIT_BYTES;
-            bytes.putInt(hash(entry.getKey()))
+            bytes.putInt(entry.getKey())
                     .putShort((short) Math.min(load.running(), MAX_SHORT))
                     .putShort((short) Math.min(kvUnits, MAX_SHORT));
         }
@@ -65,13 +53,13 @@
     }
 
     /** Returns the loads by endpoint hash; an incomplete entry at the end is ignored. */
-    static Map<Integer, Load> decode(byte[] value) {
-        Map<Integer, Load> loads = new HashMap<>();
+    static Map<Integer, EndpointLoad> decode(byte[] value) {
+        Map<Integer, EndpointLoad> loads = new HashMap<>();
         ByteBuffer bytes = ByteBuffer.wrap(value);
         while (bytes.remaining() >= ENTRY_BYTES) {
             int hash = bytes.getInt();
             int running = Short.toUnsignedInt(bytes.getShort());
-            loads.put(hash, new Load(running, Short.toUnsignedInt(bytes.getShort()) * KV_UNIT_BYTES));
+            loads.put(hash, new EndpointLoad(running, Short.toUnsignedInt(bytes.getShort()) * KV_UNIT_BYTES));
         }
         return loads;
     }
--- a/cluster/src/test/java/io/radishwinch/cluster/GossipTest.java
+++ b/cluster/src/test/java/io/radishwinch/cluster/GossipTest.java
@@ -45,7 +45,7 @@
     void anEjectionReachesAllDataCentresOfASmallDeploymentWithinASecond() {
         for (int seed = 0; seed < 5; seed++) {
             TestBus bus = fleet(seed, 3, 3);
-            bus.routers.values().forEach(router -> router.node.setSharesEndpointState(true));
+            bus.routers.values().forEach(router -> router.node.setSharesEndpointState(true, 1_000));
             bus.node("dc1", 2).publish(EntryKind.EJECTION, "engine-1", VALUE, bus.nowMs + 10_000, bus.nowMs);
             bus.runFor(1_000);
             assertThat(countRoutersWithEntry(bus, EntryKind.EJECTION, "engine-1"))
@@ -56,7 +56,7 @@
     @Test
     void endpointLoadReachesAllDataCentresOfASmallDeployment() {
         TestBus bus = fleet(3, 3, 3);
-        bus.routers.values().forEach(router -> router.node.setSharesEndpointState(true));
+        bus.routers.values().forEach(router -> router.node.setSharesEndpointState(true, 1_000));
         bus.node("dc1", 2).publish(EntryKind.ENDPOINT_LOAD, "dc1-r2", VALUE, bus.nowMs + 5_000, bus.nowMs);
         bus.runFor(2_000);
         assertThat(countRoutersWithEntry(bus, EntryKind.ENDPOINT_LOAD, "dc1-r2"))
--- a/server/src/test/java/io/radishwinch/server/EndpointLoadCodecTest.java
+++ b/cluster/src/test/java/io/radishwinch/cluster/load/EndpointLoadCodecTest.java
@@ -1,4 +1,4 @@
-package io.radishwinch.server;
+package io.radishwinch.cluster.load;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -11,15 +11,17 @@
 
     @Test
     void loadsOfFortyEnginesTakeLessThan400Bytes() {
-        Map<String, EndpointLoadCodec.Load> loads = new HashMap<>();
+        Map<Integer, EndpointLoad> loads = new HashMap<>();
         for (int i = 0; i < 40; i++) {
-            loads.put("i-0123456789@178007519200" + i, new EndpointLoadCodec.Load(i + 1, 3_000_000_000L * i));
+            loads.put(
+                    EndpointLoadCodec.hash("i-0123456789@178007519200" + i),
+                    new EndpointLoad(i + 1, 3_000_000_000L * i));
         }
         byte[] bytes = EndpointLoadCodec.encode(loads, MANY_BYTES);
         assertThat(bytes.length).isLessThan(400);
-        Map<Integer, EndpointLoadCodec.Load> decoded = EndpointLoadCodec.decode(bytes);
+        Map<Integer, EndpointLoad> decoded = EndpointLoadCodec.decode(bytes);
         loads.forEach((id, load) -> {
-            EndpointLoadCodec.Load read = decoded.get(EndpointLoadCodec.hash(id));
+            EndpointLoad read = decoded.get(id);
             assertThat(read.running()).isEqualTo(load.running());
             assertThat(Math.abs(read.kvBytes() - load.kvBytes())).isLessThanOrEqualTo(1 << 22);
         });
@@ -27,10 +29,9 @@
 
     @Test
     void busiestEndpointsAreKeptIfNotAllFit() {
-        Map<String, EndpointLoadCodec.Load> loads =
-                Map.of("idle", new EndpointLoadCodec.Load(1, 0), "busy", new EndpointLoadCodec.Load(9, 0));
+        Map<Integer, EndpointLoad> loads = Map.of(1, new EndpointLoad(1, 0), 2, new EndpointLoad(9, 0));
         assertThat(EndpointLoadCodec.decode(EndpointLoadCodec.encode(loads, 15)))
-                .containsOnlyKeys(EndpointLoadCodec.hash("busy"));
+                .containsOnlyKeys(2);
     }
 
     @Test
--- a/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -9,14 +9,17 @@
 import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Verdict;
 import io.radishwinch.core.queue.DeadlineIndex;
 import io.radishwinch.core.queue.Entitlements;
 import io.radishwinch.core.queue.QueueSettings;
 import io.radishwinch.core.queue.RankedFairQueue;
 import io.radishwinch.core.queue.RequestQueue;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Decision core over tables of callers, pools and requests.
@@ -122,11 +125,30 @@
         }
         state.quarantine.tick(nowMs);
         quarantineSystem.tick(nowMs);
-        state.pools.keySet().forEach(pool -> state.isUncoveredBeyondGracePeriod(pool, nowMs));
+        refuseUnservable(nowMs);
         dispatch.tick(nowMs);
         preemption.tick(nowMs);
     }
 
+    /** Refuses requests that never ran and wait for a pool whose coverage gap outlasts the grace period. */
+    private void refuseUnservable(long nowMs) {
+        Set<String> uncovered = new HashSet<>();
+        for (String pool : state.pools.keySet()) {
+            if (state.isUncoveredBeyondGracePeriod(pool, nowMs)) {
+                uncovered.add(pool);
+            }
+        }
+        if (uncovered.isEmpty()) {
+            return;
+        }
+        for (RequestRow row : List.copyOf(state.requests.values())) {
+            boolean hasNotRun = !row.isRunning() && row.currentVerdict() == Verdict.NOT_RUN;
+            if (hasNotRun && uncovered.contains(row.spec.pool())) {
+                state.refuse(row, Reason.NO_CAPACITY, nowMs);
+            }
+        }
+    }
+
     private void callerDisconnected(String requestId, long nowMs) {
         RequestRow row = state.requests.get(requestId);
         if (row == null) {
--- a/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
@@ -57,6 +57,24 @@
                 .isEqualTo(1_000 + QuarantineSettings.defaults().restartDelayMs());
     }
 
+    /** Load pattern: layers vanish while requests wait, and no repair is in sight. */
+    @Test
+    void waitingRequestsAreRefusedAsSoonAsACoverageGapOutlastsItsGracePeriod() {
+        CoreSettings settings = CoreSettings.defaults().withUncoveredGraceMs(400);
+        CoreSimulation simulation = simulation(1, 1, 1, settings);
+        simulation.arrive(simulation.request("running", "a", Rank.INTERACTIVE, 0, 1_000, 60_000));
+        simulation.arrive(simulation.request("waiting", "a", Rank.INTERACTIVE, 100, 100, 60_000));
+        simulation.at(1_000, new Event.EndpointRemoved("0-0", false));
+        simulation.run(5_000);
+        Trace waiting = simulation.trace("waiting");
+        assertThat(waiting.starts).isEmpty();
+        assertThat(waiting.refusal().reason()).isEqualTo(Reason.NO_CAPACITY);
+        assertThat(waiting.refusal().verdict()).isEqualTo(Verdict.NOT_RUN);
+        assertThat(waiting.refusal().retryAfterMs()).isPositive();
+        // The grace period and the tick in which it ends.
+        assertThat(waiting.endedAtMs).isBetween(1_400L, 1_600L);
+    }
+
     @Test
     void aStreamWhoseDeliveredTokensStayUnknownIsRefusedRatherThanResumed() {
         CoreSimulation simulation = simulation(1, 2, 4);
--- a/protocol/src/main/thrift/radishwinch.thrift
+++ b/protocol/src/main/thrift/radishwinch.thrift
@@ -134,6 +134,11 @@
  */
 struct PlatformHeartbeat { 1: required i64 fleetHash, 2: required i64 relistGraceMs }
 
+enum LoadScope { ROUTER = 1, DATA_CENTRE = 2, FLEET = 3 }
+
+/** Load on endpoints: of the sender, the sum over its data centre, or the sum over all data centres. */
+struct EndpointLoads { 1: required LoadScope scope, 2: required binary loads }
+
 union Message {
   1: Ping ping
   2: PingRequest pingRequest
@@ -147,6 +152,7 @@
   10: DemandReport demandReport
   11: ShareGrant shareGrant
   12: PlatformHeartbeat platformHeartbeat
+  13: EndpointLoads endpointLoads
 }
 
 struct Frame {
--- a/server/src/main/java/io/radishwinch/server/ControlLoop.java
+++ b/server/src/main/java/io/radishwinch/server/ControlLoop.java
@@ -60,6 +60,13 @@
         execute(() -> apply(event));
     }
 
+    /** Handles events in one task of the control thread; may be called from any thread. */
+    public void postAll(List<Event> events) {
+        if (!events.isEmpty()) {
+            execute(() -> events.forEach(this::apply));
+        }
+    }
+
     /** Registers the exchange and submits its request to the core; may be called from any thread. */
     public void submit(RequestSpec request, Exchange exchange) {
         execute(() -> {
--- a/server/src/main/java/io/radishwinch/server/PeerStateBridge.java
+++ b/server/src/main/java/io/radishwinch/server/PeerStateBridge.java
@@ -7,7 +7,8 @@
 import io.radishwinch.cluster.allotment.Share;
 import io.radishwinch.cluster.configuration.ConfigurationObject;
 import io.radishwinch.cluster.gossip.GossipEntry;
-import io.radishwinch.cluster.gossip.KindPolicy;
+import io.radishwinch.cluster.load.EndpointLoad;
+import io.radishwinch.cluster.load.EndpointLoadCodec;
 import io.radishwinch.cluster.membership.MemberInfo;
 import io.radishwinch.core.DecisionCore.CoreView;
 import io.radishwinch.core.DecisionCore.EndpointView;
@@ -18,17 +19,19 @@
 import io.radishwinch.core.model.RankTerms;
 import io.radishwinch.protocol.generated.EntryKind;
 import io.radishwinch.protocol.generated.Message;
+import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /** Translates between the decision core and the gossip state of the routers; must be used on the control thread. */
 public final class PeerStateBridge implements PeerListener {
     private static final System.Logger LOG = System.getLogger(PeerStateBridge.class.getName());
-    private static final long LOAD_TTL_MS = 5_000;
+    /** Time after which unchanged loads are passed to the core again, in ms; it discards loads after five seconds. */
+    private static final long LOAD_REFRESH_INTERVAL_MS = 2_000;
+
     private static final long CRASH_TTL_MS = 600_000;
     private static final long LEAVING_TTL_MS = 3_600_000;
     private static final long UNREACHABLE_TTL_MS = 10_000;
@@ -39,10 +42,9 @@
     private final PeerEndpointListener endpointListener;
     private final Consumer<ConfigurationObject> configurationReceiver;
     private final BiConsumer<MemberInfo, Message> journalReceiver;
-    private final Map<String, Map<Integer, EndpointLoadCodec.Load>> loadsByPeer = new HashMap<>();
     private final Map<Integer, String> endpointsByHash = new HashMap<>();
-    private final Set<String> endpointsWithPeerLoad = new HashSet<>();
-    private byte[] publishedLoad = {};
+    private Map<String, EndpointLoad> loadsOfPeers = Map.of();
+    private long nextLoadRefreshMs = Long.MIN_VALUE;
 
     /**
      * Creates a bridge.
@@ -123,22 +125,17 @@
                 EntryKind.EJECTION, endpointId, new byte[0], control.nowMs() + UNREACHABLE_TTL_MS, control.nowMs());
     }
 
-    /** Publishes the load of this router on each endpoint, unless it was and still is empty. */
+    /** Publishes the load of this router on each endpoint. */
     public void publishLoad(CoreView view) {
-        Map<String, EndpointLoadCodec.Load> loads = new HashMap<>();
+        Map<Integer, EndpointLoad> loads = new HashMap<>();
         for (EndpointView endpoint : view.endpoints()) {
             if (endpoint.running() > 0) {
-                loads.put(endpoint.endpointId(), new EndpointLoadCodec.Load(endpoint.running(), endpoint.kvBytes()));
+                loads.put(
+                        EndpointLoadCodec.hash(endpoint.endpointId()),
+                        new EndpointLoad(endpoint.running(), endpoint.kvBytes()));
             }
         }
-        byte[] value = EndpointLoadCodec.encode(
-                loads, KindPolicy.of(EntryKind.ENDPOINT_LOAD).maxValueBytes());
-        boolean isUnchangedEmpty = loads.isEmpty() && publishedLoad.length == value.length;
-        if (!isUnchangedEmpty) {
-            node.publish(
-                    EntryKind.ENDPOINT_LOAD, node.self().id(), value, control.nowMs() + LOAD_TTL_MS, control.nowMs());
-            publishedLoad = value;
-        }
+        node.publishLoads(loads);
     }
 
     @Override
@@ -189,7 +186,6 @@
                     endpointListener.endpointUnreachable(entry.key());
                 }
             }
-            case ENDPOINT_LOAD -> applyLoadEntry(entry);
             default -> {
                 // PeerNode handles the other kinds.
             }
@@ -204,34 +200,35 @@
         }
     }
 
-    private void applyLoadEntry(GossipEntry entry) {
-        Map<Integer, EndpointLoadCodec.Load> loads =
-                entry.isTombstone() ? Map.of() : EndpointLoadCodec.decode(entry.value());
-        loadsByPeer.put(entry.key(), loads);
-        if (loads.isEmpty()) {
-            loadsByPeer.remove(entry.key());
-        }
+    @Override
+    public void endpointLoadsChanged(Map<Integer, EndpointLoad> loads) {
         if (!endpointsByHash.keySet().containsAll(loads.keySet())) {
             rebuildEndpointHashes();
         }
-        Map<String, EndpointLoadCodec.Load> sums = new HashMap<>();
-        loadsByPeer
-                .values()
-                .forEach(each -> each.forEach((hash, load) -> {
-                    String endpointId = endpointsByHash.get(hash);
-                    // The load on an unknown endpoint is counted with the next entry after the endpoint joins.
-                    if (endpointId != null) {
-                        sums.merge(endpointId, load, EndpointLoadCodec.Load::plus);
-                    }
-                }));
-        Set<String> changed = new HashSet<>(endpointsWithPeerLoad);
-        changed.addAll(sums.keySet());
-        changed.forEach(id -> {
-            EndpointLoadCodec.Load load = sums.getOrDefault(id, EndpointLoadCodec.Load.NONE);
-            control.post(new Event.PeerLoad(id, load.running(), load.kvBytes()));
+        long nowMs = control.nowMs();
+        boolean isRefreshDue = nowMs >= nextLoadRefreshMs;
+        if (isRefreshDue) {
+            nextLoadRefreshMs = nowMs + LOAD_REFRESH_INTERVAL_MS;
+        }
+        Map<String, EndpointLoad> current = new HashMap<>();
+        loads.forEach((hash, load) -> {
+            // The load on an unknown endpoint is counted with the next total after the endpoint joins.
+            String endpointId = endpointsByHash.get(hash);
+            if (endpointId != null) {
+                current.put(endpointId, load);
+            }
+        });
+        List<Event> events = new ArrayList<>();
+        current.forEach((id, load) -> {
+            if (isRefreshDue || !load.equals(loadsOfPeers.get(id))) {
+                events.add(new Event.PeerLoad(id, load.running(), load.kvBytes()));
+            }
         });
-        endpointsWithPeerLoad.clear();
-        endpointsWithPeerLoad.addAll(sums.keySet());
+        loadsOfPeers.keySet().stream()
+                .filter(id -> !current.containsKey(id))
+                .forEach(id -> events.add(new Event.PeerLoad(id, 0, 0)));
+        loadsOfPeers = current;
+        control.postAll(events);
     }
 
     private void rebuildEndpointHashes() {
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointHealthChecker.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointHealthChecker.java
@@ -39,25 +39,25 @@
     /** Checks an endpoint with unresponsive streams and the endpoints that those streams wait for. */
     void checkStalledStreams(String endpointId) {
         if (tryAcquireCheck(endpointId)) {
-            sendCheck(endpointId, true);
+            sendCheck(endpointId, true, false);
         }
     }
 
     /** Refreshes the holdings of an endpoint that refused an attempt because they have changed. */
     void checkHoldings(String endpointId) {
         if (tryAcquireCheck(endpointId)) {
-            sendCheck(endpointId, false);
+            sendCheck(endpointId, false, false);
         }
     }
 
     /** Checks whether an endpoint responds. */
     void check(String endpointId) {
-        sendCheck(endpointId, false);
+        sendCheck(endpointId, false, false);
     }
 
     /** Checks the unreachable endpoints whose backoff has passed. */
     void tick(long nowMs) {
-        registry.takeDueHealthChecks(nowMs).forEach(id -> sendCheck(id, false));
+        registry.takeDueHealthChecks(nowMs).forEach(id -> sendCheck(id, false, false));
         nextCheckAtMs.keySet().removeIf(id -> registry.contact(id).isEmpty());
     }
 
@@ -70,7 +70,12 @@
         return isDue;
     }
 
-    private void sendCheck(String endpointId, boolean checksStreams) {
+    /**
+     * Sends a check unless one is pending.
+     *
+     * @param isRepeat whether this check repeats one during which this process was paused
+     */
+    private void sendCheck(String endpointId, boolean checksStreams, boolean isRepeat) {
         Optional<EndpointContact> contact = registry.contact(endpointId);
         if (contact.isEmpty() || !pendingChecks.add(endpointId)) {
             return;
@@ -81,15 +86,17 @@
                 .subscribe()
                 .with(
                         response -> onCheckResponse(endpointId, response, checksStreams),
-                        error -> onCheckFailure(endpointId, checksStreams, startedAtMs, error.getMessage()));
+                        error -> onCheckFailure(endpointId, checksStreams, isRepeat, startedAtMs, error.getMessage()));
     }
 
-    private void onCheckFailure(String endpointId, boolean checksStreams, long startedAtMs, String cause) {
+    private void onCheckFailure(
+            String endpointId, boolean checksStreams, boolean isRepeat, long startedAtMs, String cause) {
         pendingChecks.remove(endpointId);
         long nowMs = clockMs.getAsLong();
-        if (nowMs - startedAtMs > MAX_CHECK_DURATION_MS) {
-            // This process was paused during the check, so a missing response says nothing about the endpoint.
-            sendCheck(endpointId, checksStreams);
+        if (nowMs - startedAtMs > MAX_CHECK_DURATION_MS && !isRepeat) {
+            // This process was paused during the check, so a missing response says nothing about the endpoint. A second
+            // late failure counts: a process that is merely slow would otherwise repeat the check forever.
+            sendCheck(endpointId, checksStreams, true);
         } else {
             registry.markUnreachable(endpointId, "no report: " + cause, nowMs);
         }
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -129,8 +129,7 @@
                 settings.peers(),
                 System.currentTimeMillis(),
                 random.nextLong());
-        node.setVolatileBytesPerS(FleetCoreSettings.LOAD_BYTES_PER_S);
-        node.setSharesEndpointState(true);
+        node.setSharesEndpointState(true, FleetCoreSettings.LOAD_BYTES_PER_S);
         node.electWatchers();
         VertxScheduler scheduler = new VertxScheduler(vertx, context, clock);
         budget = new CallBudget(scheduler, rates(1));
@@ -284,7 +283,9 @@
         if (live != liveRouters) {
             liveRouters = live;
             budget.setRates(rates(live));
-            node.setSharesEndpointState(live <= FleetCoreSettings.MAX_ROUTERS_SHARING_LOAD);
+            boolean isSmallFleet = live <= FleetCoreSettings.MAX_ROUTERS_SHARING_LOAD;
+            node.setSharesEndpointState(
+                    isSmallFleet, isSmallFleet ? FleetCoreSettings.LOAD_BYTES_PER_S : PeerNode.LOAD_BYTES_PER_S);
         }
         if (hasRouterList || clock.getAsLong() >= routerListDeadlineMs) {
             control.post(new Event.RouterCountChanged(live));
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetCoreSettings.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetCoreSettings.java
@@ -60,11 +60,8 @@
     /** Maximum number of routers that share endpoint load across data centres; more would exceed 3 KB/s per router. */
     static final int MAX_ROUTERS_SHARING_LOAD = 100;
 
-    /**
-     * Limit on the endpoint load that a router publishes, in bytes/s; allows two publications per second with eight
-     * routers and forty engines. Larger deployments publish less often.
-     */
-    static final long LOAD_BYTES_PER_S = 8_000;
+    /** Rate of the load totals that a collector sends to one member of a small fleet, in bytes/s. */
+    static final long LOAD_BYTES_PER_S = 4_000;
 
     private FleetCoreSettings() {}
 
--- /dev/null
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointHealthCheckerTest.java
@@ -0,0 +1,95 @@
+package io.radishwinch.server.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.EngineOrder.Handover;
+import io.radishwinch.core.model.FleetConfig;
+import io.radishwinch.core.model.LayerRange;
+import io.radishwinch.core.model.ServiceSpec;
+import io.radishwinch.server.proxy.EndpointContact;
+import io.radishwinch.server.proxy.ForwardingContext;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Guards against health checks that never reach a verdict on an endpoint. */
+class EndpointHealthCheckerTest {
+
+    private static final EndpointRegistry.EndpointStateListener NO_LISTENER =
+            new EndpointRegistry.EndpointStateListener() {
+                @Override
+                public void endpointLeaving(String endpointId) {}
+
+                @Override
+                public void endpointUnreachable(String endpointId) {}
+            };
+
+    private final List<Event> events = new ArrayList<>();
+    private final List<UniEmitter<? super Optional<StatusReport>>> pendingChecks = new ArrayList<>();
+    private final FleetLog log = new FleetLog(() -> 0);
+    private final EndpointRegistry registry = new EndpointRegistry(events::add, NO_LISTENER, log, 2_500);
+    private final EndpointHealthChecker checker =
+            new EndpointHealthChecker(new SilentEndpoints(), registry, log, () -> nowMs);
+    private long nowMs;
+
+    /** Endpoints whose checks end when the test ends them. */
+    private final class SilentEndpoints implements EndpointControl {
+        @Override
+        public Uni<Optional<StatusReport>> requestStatus(EndpointContact contact) {
+            return Uni.createFrom().emitter(pendingChecks::add);
+        }
+
+        @Override
+        public Uni<OrderResult> orderLayers(
+                EndpointContact contact, LayerRange layers, Handover handover, long acceptedOrders) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Uni<OrderResult> reroute(
+                EndpointContact firstStage, String requestId, List<ForwardingContext.Hop> chain) {
+            throw new UnsupportedOperationException();
+        }
+    }
+
+    private void failCheckAfter(long durationMs) {
+        nowMs += durationMs;
+        pendingChecks.remove(0).fail(new IllegalStateException("no response"));
+    }
+
+    private boolean isRemoved() {
+        return events.stream().anyMatch(Event.EndpointRemoved.class::isInstance);
+    }
+
+    private void join() {
+        registry.configure(
+                new FleetConfig(1, Map.of(), Map.of(), Map.of("s", new ServiceSpec("s", 1_000, List.of())), Map.of()),
+                0);
+        registry.applyEntry(
+                "e", new EndpointEntry("e", 7, "s", "10.0.0.1", 80, "dc", "", 8, false, Optional.empty()), 0);
+    }
+
+    @Test
+    void anEndpointIsUnreachableAfterASecondLateFailure() {
+        join();
+        checker.check("e@7");
+        failCheckAfter(1_500);
+        assertThat(isRemoved()).isFalse();
+        failCheckAfter(1_500);
+        assertThat(isRemoved()).isTrue();
+        assertThat(pendingChecks).isEmpty();
+    }
+
+    @Test
+    void aFailureInTimeCountsAtOnce() {
+        join();
+        checker.check("e@7");
+        failCheckAfter(300);
+        assertThat(isRemoved()).isTrue();
+    }
+}
