--- a/cluster/src/main/java/io/radishwinch/cluster/PeerNode.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/PeerNode.java
@@ -51,8 +51,8 @@
     /** Number of routers of a data centre that watch the platform. With two, changes still arrive when one fails. */
     public static final int PLATFORM_WATCHERS = 2;
 
-    /** Rate of the load totals that a collector sends to one member, in bytes/s: a third of the limit of 3 KB/s. */
-    public static final long LOAD_BYTES_PER_S = 1_000;
+    /** Rate at which a router forwards the load totals of one collector, in bytes/s; there are two collectors. */
+    public static final long LOAD_BYTES_PER_S = 300;
 
     /** Time after which a router without peers stops waiting for the first synchronisation, in ms. */
     public static final long INITIAL_SYNC_TIMEOUT_MS = 5_000;
@@ -442,7 +442,7 @@
                     onPlatformHeartbeat(sender, message.getPlatformHeartbeat(), out);
                 }
             }
-            case ENDPOINT_LOADS -> loads.onLoads(sender, isLocal, message.getEndpointLoads(), nowMs);
+            case ENDPOINT_LOADS -> loads.onLoads(sender, isLocal, message.getEndpointLoads(), nowMs, out);
             case JOURNAL_REQUEST, JOURNAL_REPLY ->
                 listeners.forEach(listener -> listener.journalMessage(sender, message));
             case DEMAND_REPORT -> allotment.onDemandReport(sender.id(), isLocal, message.getDemandReport(), nowMs, out);
--- a/cluster/src/main/java/io/radishwinch/cluster/load/LoadExchange.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/load/LoadExchange.java
@@ -7,6 +7,8 @@
 import io.radishwinch.protocol.generated.EndpointLoads;
 import io.radishwinch.protocol.generated.LoadScope;
 import io.radishwinch.protocol.generated.Message;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,9 +18,10 @@
  * Tells every router the load that all others put on the endpoints.
  *
  * <p>The members of a data centre send their loads to {@link #COLLECTORS} of them, chosen by rendezvous hash. A
- * collector adds them up, exchanges the sum with the collectors of the other data centres and sends the total to all
- * members, which subtract their own part. A router therefore handles a few messages per interval, however many routers
- * there are; two collectors keep the totals flowing while one fails.
+ * collector adds them up, exchanges the sum with the collectors of the other data centres and sends the total along a
+ * tree of all members, which subtract their own part. A router therefore handles a few messages per interval, however
+ * many routers there are. Two collectors, whose trees have other inner members, keep the totals flowing while one
+ * router fails.
  *
  * <p>Endpoints are identified by a hash, see {@link EndpointLoadCodec}. Times are in ms of this router's monotonic
  * clock. Not thread-safe.
@@ -28,12 +31,18 @@
     /** Collectors of each data centre. */
     static final int COLLECTORS = 2;
 
-    /** Time between two messages to the same receiver, in ms; totals that exceed the byte rate are sent less often. */
+    /** Time between two sums, in ms; totals that exceed the byte rate are sent less often. */
     static final long INTERVAL_MS = 500;
 
     /** Time for which a received load is valid, in ms; a router that is silent for longer has failed. */
     static final long LOAD_TTL_MS = 3_000;
 
+    /** Members to which a member forwards a total. */
+    static final int CHILDREN = 2;
+
+    /** Maximum number of senders of a total, in case that routers disagree on the members. */
+    static final int MAX_HOPS = 10;
+
     /** Maximum size of the encoded loads in a message, in bytes. */
     static final int MAX_LOAD_BYTES = 64 * 1024;
 
@@ -48,6 +57,7 @@
     private Map<Integer, EndpointLoad> sentLoads = Map.of();
     private long bytesPerS;
     private boolean isFleetWide;
+    private boolean wasTotalEmpty = true;
     private long nextSendMs = Long.MIN_VALUE;
     private long nextTotalMs = Long.MIN_VALUE;
 
@@ -56,7 +66,7 @@
     /**
      * Creates an exchange without loads.
      *
-     * @param bytesPerS rate of totals to one member, in bytes/s
+     * @param bytesPerS rate at which a member forwards the totals of one collector, in bytes/s
      * @param listener receives the sums of the loads that the other routers put on the endpoints
      */
     public LoadExchange(LoadPeers peers, long bytesPerS, Consumer<Map<Integer, EndpointLoad>> listener) {
@@ -70,7 +80,7 @@
         ownLoads = Map.copyOf(loads);
     }
 
-    /** Sets whether data centres exchange their sums, and the rate of totals to one member, in bytes/s. */
+    /** Sets whether data centres exchange their sums, and the rate of the totals of one collector, in bytes/s. */
     public void configure(boolean newIsFleetWide, long newBytesPerS) {
         isFleetWide = newIsFleetWide;
         bytesPerS = newBytesPerS;
@@ -90,7 +100,7 @@
     }
 
     /** Handles the loads that another router sent. */
-    public void onLoads(MemberInfo sender, boolean isLocal, EndpointLoads message, long nowMs) {
+    public void onLoads(MemberInfo sender, boolean isLocal, EndpointLoads message, long nowMs, List<Envelope> out) {
         Map<Integer, EndpointLoad> loads = EndpointLoadCodec.decode(message.getLoads());
         TimedLoads timed = new TimedLoads(loads, nowMs + LOAD_TTL_MS);
         switch (message.getScope()) {
@@ -105,15 +115,24 @@
                 }
             }
             case FLEET -> {
-                boolean isCollector =
-                        RendezvousHash.top(KEY, peers.localIds(), COLLECTORS).contains(peers.selfId());
-                if (isLocal && !isCollector) {
-                    listener.accept(subtract(loads, sentLoads));
+                if (isLocal) {
+                    onTotal(message, loads, out);
                 }
             }
         }
     }
 
+    private void onTotal(EndpointLoads message, Map<Integer, EndpointLoad> total, List<Envelope> out) {
+        if (message.getHops() < MAX_HOPS) {
+            sendToChildren(message.getCollector(), message.getHops(), message.bufferForLoads(), out);
+        }
+        boolean isCollector =
+                RendezvousHash.top(KEY, peers.localIds(), COLLECTORS).contains(peers.selfId());
+        if (!isCollector) {
+            listener.accept(subtract(total, sentLoads));
+        }
+    }
+
     private void sendOwnLoads(List<String> collectors, List<Envelope> out) {
         boolean isStillIdle = ownLoads.isEmpty() && sentLoads.isEmpty();
         sentLoads = ownLoads;
@@ -136,21 +155,51 @@
         loadsByMember.keySet().retainAll(ids);
         Map<Integer, EndpointLoad> local = new HashMap<>(ownLoads);
         loadsByMember.values().forEach(timed -> addTo(local, timed.loads));
-        if (isFleetWide) {
+        if (isFleetWide && !local.isEmpty()) {
             sendToDataCentres(local, out);
         }
         Map<Integer, EndpointLoad> total = new HashMap<>(local);
         loadsByDataCentre.values().forEach(timed -> addTo(total, timed.loads));
         byte[] encoded = EndpointLoadCodec.encode(total, MAX_LOAD_BYTES);
-        Message message = Message.endpointLoads(new EndpointLoads(LoadScope.FLEET, java.nio.ByteBuffer.wrap(encoded)));
-        for (String id : ids) {
-            Address address = id.equals(peers.selfId()) ? null : peers.localAddress(id);
+        if (!total.isEmpty() || !wasTotalEmpty) {
+            sendToChildren(peers.selfId(), 0, ByteBuffer.wrap(encoded), out);
+        }
+        wasTotalEmpty = total.isEmpty();
+        nextTotalMs = nowMs + Math.max(INTERVAL_MS, CHILDREN * encoded.length * MS_PER_S / bytesPerS);
+        listener.accept(subtract(total, ownLoads));
+    }
+
+    /**
+     * Returns the members in the order in which the tree of a collector is filled. The other collectors come last,
+     * because the tree of a collector matters most when another one fails.
+     */
+    private List<String> treeOrder(String collector) {
+        List<String> ids = peers.localIds();
+        List<String> order = new ArrayList<>(List.of(collector));
+        List<String> collectors = RendezvousHash.top(KEY, ids, COLLECTORS);
+        for (String id : RendezvousHash.top(KEY + "/" + collector, ids, ids.size())) {
+            if (!id.equals(collector) && !collectors.contains(id)) {
+                order.add(id);
+            }
+        }
+        collectors.stream().filter(id -> !id.equals(collector)).forEach(order::add);
+        return order;
+    }
+
+    /** Sends a total to the members below this one in the tree of its collector, which is a binary heap. */
+    private void sendToChildren(String collector, int hops, ByteBuffer loads, List<Envelope> out) {
+        List<String> order = treeOrder(collector);
+        int position = order.indexOf(peers.selfId());
+        EndpointLoads total = new EndpointLoads(LoadScope.FLEET, loads);
+        total.setCollector(collector);
+        total.setHops(hops + 1);
+        Message message = Message.endpointLoads(total);
+        for (int child = CHILDREN * position + 1; child <= CHILDREN * (position + 1); child++) {
+            Address address = child < order.size() ? peers.localAddress(order.get(child)) : null;
             if (address != null) {
                 out.add(new Envelope(address, message));
             }
         }
-        nextTotalMs = nowMs + Math.max(INTERVAL_MS, encoded.length * MS_PER_S / bytesPerS);
-        listener.accept(subtract(total, ownLoads));
     }
 
     private void sendToDataCentres(Map<Integer, EndpointLoad> local, List<Envelope> out) {
@@ -169,7 +218,7 @@
 
     private static Message message(LoadScope scope, Map<Integer, EndpointLoad> loads) {
         byte[] encoded = EndpointLoadCodec.encode(loads, MAX_LOAD_BYTES);
-        return Message.endpointLoads(new EndpointLoads(scope, java.nio.ByteBuffer.wrap(encoded)));
+        return Message.endpointLoads(new EndpointLoads(scope, ByteBuffer.wrap(encoded)));
     }
 
     private static void addTo(Map<Integer, EndpointLoad> sums, Map<Integer, EndpointLoad> loads) {
--- a/core/src/main/java/io/radishwinch/core/chain/ThroughputBoundCache.java
+++ b/core/src/main/java/io/radishwinch/core/chain/ThroughputBoundCache.java
@@ -18,9 +18,15 @@
      */
     private static final long MAX_AGE_MS = 30_000;
 
-    /** Chains added to one estimate on each tick; takes about 1 ms. */
+    /** Chains added on each tick to the estimate of a pool of the reference size; takes about 1 ms. */
     private static final int CHAINS_PER_TICK = 20;
 
+    /**
+     * Held ranges of a pool up to which it is estimated at full pace. The work on a larger pool is spread over more
+     * time, so that it takes the same share of the processor.
+     */
+    private static final int REFERENCE_RANGES = 40;
+
     private final EndpointTable table;
     private final Map<String, Estimate> estimates = new TreeMap<>();
 
@@ -45,7 +51,8 @@
         Estimate estimate = estimates.get(pool.name());
         long ageMs = estimate == null ? Long.MAX_VALUE : nowMs - estimate.computedAtMs;
         boolean isChanged = estimate == null || estimate.structureVersion != table.structureVersion();
-        if (ageMs >= MIN_RECOMPUTE_INTERVAL_MS && (isChanged || ageMs >= MAX_AGE_MS)) {
+        long minIntervalMs = (long) (MIN_RECOMPUTE_INTERVAL_MS * sizeFactor(pool.name()));
+        if (ageMs >= minIntervalMs && (isChanged || ageMs >= MAX_AGE_MS)) {
             estimate = compute(pool, nowMs);
             estimates.put(pool.name(), estimate);
         }
@@ -55,9 +62,10 @@
 
     /** Adds a few chains to one unfinished estimate, so that no single event takes long. */
     void refineEstimates() {
-        for (Estimate estimate : estimates.values()) {
+        for (Map.Entry<String, Estimate> entry : estimates.entrySet()) {
+            Estimate estimate = entry.getValue();
             if (estimate.packing != null && !estimate.packing.hasConverged()) {
-                estimate.packing.addChains(CHAINS_PER_TICK);
+                estimate.packing.addChains(chainsPerStep(entry.getKey()));
                 if (estimate.packing.hasConverged()) {
                     estimate.capacity.applyPrices(estimate.packing);
                 }
@@ -72,7 +80,18 @@
         }
         PoolCapacity capacity = new PoolCapacity(table, pool, nowMs);
         ChainPacking packing = capacity.createPacking();
-        packing.addChains(CHAINS_PER_TICK);
+        packing.addChains(chainsPerStep(pool.name()));
         return new Estimate(capacity.tokensPerS(), capacity, packing, table.structureVersion(), nowMs);
     }
+
+    /** Returns the size of a pool relative to the reference size, at least 1. */
+    private double sizeFactor(String pool) {
+        PoolIndex index = table.pool(pool);
+        int ranges = index == null ? 0 : index.heldRanges().size();
+        return Math.max(1, (double) ranges / REFERENCE_RANGES);
+    }
+
+    private int chainsPerStep(String pool) {
+        return Math.max(1, (int) (CHAINS_PER_TICK / sizeFactor(pool)));
+    }
 }
--- a/protocol/src/main/thrift/radishwinch.thrift
+++ b/protocol/src/main/thrift/radishwinch.thrift
@@ -136,8 +136,16 @@
 
 enum LoadScope { ROUTER = 1, DATA_CENTRE = 2, FLEET = 3 }
 
-/** Load on endpoints: of the sender, the sum over its data centre, or the sum over all data centres. */
-struct EndpointLoads { 1: required LoadScope scope, 2: required binary loads }
+/**
+ * Load on endpoints: of the sender, the sum over its data centre, or the sum over all data centres. A sum over all data
+ * centres is forwarded along the tree of the collector that computed it; hops counts the senders so far.
+ */
+struct EndpointLoads {
+  1: required LoadScope scope
+  2: required binary loads
+  3: optional string collector
+  4: optional i32 hops
+}
 
 union Message {
   1: Ping ping
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -52,7 +52,7 @@
     private static final long TICK_INTERVAL_MS = PeerNode.TICK_INTERVAL_MS;
 
     /** Ticks between two publications of this router's load. */
-    private static final int TICKS_PER_LOAD_PUBLICATION = 3;
+    private static final int TICKS_PER_LOAD_PUBLICATION = 5;
 
     /** Longest backoff while the platform is unreachable, in ms; also the longest time until its return is detected. */
     private static final long MAX_PLATFORM_BACKOFF_MS = 1_000;
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetCoreSettings.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetCoreSettings.java
@@ -60,8 +60,8 @@
     /** Maximum number of routers that share endpoint load across data centres; more would exceed 3 KB/s per router. */
     static final int MAX_ROUTERS_SHARING_LOAD = 100;
 
-    /** Rate of the load totals that a collector sends to one member of a small fleet, in bytes/s. */
-    static final long LOAD_BYTES_PER_S = 4_000;
+    /** Rate at which a router of a small fleet forwards the load totals of one collector, in bytes/s. */
+    static final long LOAD_BYTES_PER_S = 8_000;
 
     private FleetCoreSettings() {}
 
