Keep the byte rate for a router's own loads too, and measure the control bytes with the exchange in use

ControlCostTest published loads by gossip, which the routers no longer do; it now publishes 30 loads a second for each router through the exchange, under the same bound of 3,000 bytes/s.

--- a/cluster/src/main/java/io/radishwinch/cluster/load/LoadExchange.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/load/LoadExchange.java
@@ -34,9 +34,15 @@
     /** Time between two sums, in ms; totals that exceed the byte rate are sent less often. */
     static final long INTERVAL_MS = 500;
 
-    /** Time for which a received load is valid, in ms; a router that is silent for longer has failed. */
+    /**
+     * Shortest time for which a received load is valid, in ms; a router that is silent for longer has failed. Loads
+     * that are sent less often are valid for {@link #TTL_INTERVALS} intervals.
+     */
     static final long LOAD_TTL_MS = 3_000;
 
+    /** Intervals for which a load is valid. */
+    static final long TTL_INTERVALS = 3;
+
     /** Members to which a member forwards a total. */
     static final int CHILDREN = 2;
 
@@ -88,21 +94,30 @@
 
     /** Advances the time and sends what is due. */
     public void tick(long nowMs, List<Envelope> out) {
-        if (nowMs < nextSendMs) {
+        if (nowMs < nextSendMs && nowMs < nextTotalMs) {
             return;
         }
-        nextSendMs = nowMs + INTERVAL_MS;
         List<String> collectors = RendezvousHash.top(KEY, peers.localIds(), COLLECTORS);
-        sendOwnLoads(collectors, out);
-        if (collectors.contains(peers.selfId()) && nowMs >= nextTotalMs) {
-            sendTotals(nowMs, out);
+        if (nowMs >= nextSendMs) {
+            nextSendMs = nowMs + sendOwnLoads(collectors, out);
+        }
+        if (nowMs >= nextTotalMs) {
+            nextTotalMs = nowMs + (collectors.contains(peers.selfId()) ? sendTotals(nowMs, out) : INTERVAL_MS);
         }
     }
 
+    /** Returns the time between two messages of a size to a number of receivers that keeps the byte rate, in ms. */
+    private long intervalMs(int receivers, int bytes) {
+        return Math.max(INTERVAL_MS, receivers * bytes * MS_PER_S / bytesPerS);
+    }
+
     /** Handles the loads that another router sent. */
     public void onLoads(MemberInfo sender, boolean isLocal, EndpointLoads message, long nowMs, List<Envelope> out) {
         Map<Integer, EndpointLoad> loads = EndpointLoadCodec.decode(message.getLoads());
-        TimedLoads timed = new TimedLoads(loads, nowMs + LOAD_TTL_MS);
+        long ttlMs = Math.max(
+                LOAD_TTL_MS,
+                TTL_INTERVALS * intervalMs(COLLECTORS, message.bufferForLoads().remaining()));
+        TimedLoads timed = new TimedLoads(loads, nowMs + ttlMs);
         switch (message.getScope()) {
             case ROUTER -> {
                 if (isLocal) {
@@ -133,11 +148,12 @@
         }
     }
 
-    private void sendOwnLoads(List<String> collectors, List<Envelope> out) {
+    /** Sends the loads of this router and returns the time until they are sent again, in ms. */
+    private long sendOwnLoads(List<String> collectors, List<Envelope> out) {
         boolean isStillIdle = ownLoads.isEmpty() && sentLoads.isEmpty();
         sentLoads = ownLoads;
         if (isStillIdle) {
-            return;
+            return INTERVAL_MS;
         }
         Message message = message(LoadScope.ROUTER, ownLoads);
         for (String collector : collectors) {
@@ -146,9 +162,12 @@
                 out.add(new Envelope(address, message));
             }
         }
+        return intervalMs(
+                COLLECTORS, message.getEndpointLoads().bufferForLoads().remaining());
     }
 
-    private void sendTotals(long nowMs, List<Envelope> out) {
+    /** Adds up and sends the loads of all routers, and returns the time until that is due again, in ms. */
+    private long sendTotals(long nowMs, List<Envelope> out) {
         loadsByMember.values().removeIf(timed -> timed.deadlineMs <= nowMs);
         loadsByDataCentre.values().removeIf(timed -> timed.deadlineMs <= nowMs);
         List<String> ids = peers.localIds();
@@ -165,8 +184,8 @@
             sendToChildren(peers.selfId(), 0, ByteBuffer.wrap(encoded), out);
         }
         wasTotalEmpty = total.isEmpty();
-        nextTotalMs = nowMs + Math.max(INTERVAL_MS, CHILDREN * encoded.length * MS_PER_S / bytesPerS);
         listener.accept(subtract(total, ownLoads));
+        return intervalMs(CHILDREN, encoded.length);
     }
 
     /**
--- a/cluster/src/test/java/io/radishwinch/cluster/ControlCostTest.java
+++ b/cluster/src/test/java/io/radishwinch/cluster/ControlCostTest.java
@@ -4,6 +4,7 @@
 
 import io.radishwinch.cluster.allotment.CallerLimits;
 import io.radishwinch.cluster.allotment.LoadVector;
+import io.radishwinch.cluster.load.EndpointLoad;
 import io.radishwinch.cluster.membership.Seed;
 import io.radishwinch.protocol.generated.EntryKind;
 import java.util.HashMap;
@@ -112,13 +113,13 @@
             }
             bus.runFor(500);
         }
-        int index = 0;
         for (TestBus.Router router : bus.routers.values()) {
-            // Every router publishes its running attempts on about 30 endpoints every 10 s.
-            if ((index++ + second) % 10 == 0) {
-                String key = router.node.self().id();
-                router.node.publish(EntryKind.ENDPOINT_LOAD, key, new byte[120], bus.nowMs + 30_000, bus.nowMs);
+            // Every router publishes its running attempts on 30 endpoints, which change every second.
+            Map<Integer, EndpointLoad> loads = new HashMap<>();
+            for (int endpoint = 0; endpoint < 30; endpoint++) {
+                loads.put(bus.random.nextInt(480), new EndpointLoad(1 + second % 7, second));
             }
+            router.node.publishLoads(loads);
         }
         List<TestBus.Router> all = List.copyOf(bus.routers.values());
         PeerNode any = all.get(bus.random.nextInt(all.size())).node;
