--- a/cluster/src/main/java/io/radishwinch/cluster/load/LoadExchange.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/load/LoadExchange.java
@@ -130,7 +130,7 @@
                 }
             }
             case FLEET -> {
-                if (isLocal) {
+                if (isLocal && message.isSetCollector()) {
                     onTotal(message, loads, out);
                 }
             }
