Log the prompt parts of requests and the crash reports of peers

The logs could not tell whether requests that crash engines share content, nor whether reports of crashes arrive. No decision changes.

--- a/core/src/main/java/io/radishwinch/core/model/RequestSpec.java
+++ b/core/src/main/java/io/radishwinch/core/model/RequestSpec.java
@@ -15,6 +15,7 @@
  * @param deadlineMs time by which the response must be complete, in ms of the router's clock
  * @param fingerprint hash of caller, pool and content; equal for a repeated request
  * @param prefixHashes cumulative hashes of the prompt's blocks, shortest prefix first
+ * @param sharedParts hashes of the parts of the prompt that other requests may contain too, in the order of the prompt
  * @param isRepeatable whether the request may be sent to an endpoint more than once
  * @param maxRuns maximum number of attempts that may run; attempts on endpoints that failed do not count
  * @param reservedNewTokens generated tokens for which KV cache memory is reserved, at most {@code maxNewTokens}
@@ -32,19 +33,21 @@
         long deadlineMs,
         String fingerprint,
         List<Long> prefixHashes,
+        List<Long> sharedParts,
         boolean isRepeatable,
         int maxRuns,
         int reservedNewTokens,
         long startDeadlineMs) {
 
-    /** Copies the prefix hashes. */
+    /** Copies the lists. */
     public RequestSpec {
         prefixHashes = List.copyOf(prefixHashes);
+        sharedParts = List.copyOf(sharedParts);
     }
 
     /**
-     * Creates a request that reserves memory for all its new tokens and has no limits on its runs and its wait other
-     * than those of the policies.
+     * Creates a request whose prefixes are the parts that others may contain, that reserves memory for all its new
+     * tokens, and has no limits on its runs and its wait other than those of the policies.
      */
     public RequestSpec(
             String requestId,
@@ -69,6 +72,7 @@
                 deadlineMs,
                 fingerprint,
                 prefixHashes,
+                prefixHashes,
                 isRepeatable,
                 Integer.MAX_VALUE,
                 maxNewTokens,
--- a/core/src/test/java/io/radishwinch/core/chain/KvCacheReservationTest.java
+++ b/core/src/test/java/io/radishwinch/core/chain/KvCacheReservationTest.java
@@ -48,6 +48,7 @@
                 60_000,
                 "f" + id,
                 List.of(),
+                List.of(),
                 true,
                 2,
                 reservedNewTokens,
--- a/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
@@ -343,6 +343,7 @@
                 60_000,
                 "f-s",
                 List.of(),
+                List.of(),
                 true,
                 2,
                 2_000,
--- a/core/src/test/java/io/radishwinch/core/impl/SurgeRefusalTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/SurgeRefusalTest.java
@@ -29,6 +29,7 @@
                 atMs + 20_000,
                 "f-" + id,
                 List.of(),
+                List.of(),
                 true,
                 2,
                 tokens,
--- a/server/src/main/java/io/radishwinch/server/fleet/DecisionLogger.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/DecisionLogger.java
@@ -7,6 +7,7 @@
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.model.Stage;
 import io.radishwinch.server.LogFields;
+import java.util.HexFormat;
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -14,6 +15,8 @@
 /** Logs the decisions of the core on requests together with their inputs. Used on the control thread. */
 final class DecisionLogger {
 
+    private static final HexFormat HEX = HexFormat.of();
+
     private final FleetLog log;
     private final Function<String, Optional<RequestView>> requests;
 
@@ -38,6 +41,9 @@
                     .with("promptTokens", request.promptTokens())
                     .with("maxNewTokens", request.maxNewTokens())
                     .with("leftMs", request.deadlineMs() - request.arrivedAtMs())
+                    .with(
+                            "parts",
+                            request.sharedParts().stream().map(HEX::toHexDigits).collect(Collectors.joining(" ")))
                     .with("config", configVersion));
         } else if (event instanceof Event.AttemptFailed failed) {
             log.request(() -> LogFields.of("attempt-failed")
@@ -47,6 +53,8 @@
                     .with("reason", failed.reason().wireName())
                     .with("verdict", failed.verdict().wireName())
                     .with("delivered", failed.deliveredTokens()));
+        } else if (event instanceof Event.CrashShared crash) {
+            log.stateChanged("crash-reported", crash.fingerprint(), "crashed " + crash.endpointId());
         } else if (event instanceof Event.CallerDisconnected disconnected) {
             log.request(() -> LogFields.of("caller-gone").with("id", disconnected.requestId()));
         }
--- a/server/src/main/java/io/radishwinch/server/http/PromptHashes.java
+++ b/server/src/main/java/io/radishwinch/server/http/PromptHashes.java
@@ -39,6 +39,12 @@
         return HexFormat.of().formatHex(KeyHash.sha256(all.toByteArray()), 0, FINGERPRINT_BYTES);
     }
 
+    /** Returns a hash of the identifier of a part of a prompt. */
+    public static long partHash(String partId) {
+        return ByteBuffer.wrap(KeyHash.sha256(partId.getBytes(StandardCharsets.UTF_8)))
+                .getLong();
+    }
+
     /**
      * Returns hashes of the prefixes of the prompt, shortest first. Each prefix is one block longer than the previous
      * one.
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -255,6 +255,7 @@
                 received.arrivedAtMs + timeoutMs,
                 PromptHashes.fingerprint(received.caller, received.request.path(), received.body.getBytes()),
                 List.of(),
+                head.sharedParts(),
                 route.isRepeatable(),
                 route.kind() == RouteKind.AT_MOST_ONCE ? 1 : Math.max(1, route.maxRuns()),
                 (int) (KV_RESERVATION_RATIO * head.expectedNewTokens()),
