Quarantine prompt parts that crash engines, whatever else their requests contain

Callers saw a quarter of all requests refused while one engine ended after the other: requests that share one prompt part, and are otherwise all different, each crashed up to three engines.

A crash now counts against the shared parts of the requests that failed there before their answers began; an answer that begins clears its parts. Routers exchange crashes and proofs as two kinds of gossip entries. A refused request is answered at once with the rest of the quarantine as Retry-After; nothing of it reaches an engine.

--- a/cluster/src/main/java/io/radishwinch/cluster/gossip/KindPolicy.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/gossip/KindPolicy.java
@@ -30,6 +30,8 @@
     private static final KindPolicy CONFIGURATION = new KindPolicy(true, true, true, 20_000, CONFIGURATION_BYTES, 0);
     private static final KindPolicy QUARANTINE = new KindPolicy(true, true, true, 10_000, 512, 24 * HOUR_MS);
     private static final KindPolicy CRASH = new KindPolicy(true, true, true, 10_000, 1_024, HOUR_MS);
+    private static final KindPolicy PROMPT_CRASH = new KindPolicy(true, true, true, 1_000, 512, HOUR_MS);
+    private static final KindPolicy PROVEN_PART = new KindPolicy(true, true, true, 1_000, 512, HOUR_MS);
     private static final KindPolicy EJECTION = new KindPolicy(false, true, false, 8_192, 512, HOUR_MS);
     private static final KindPolicy LEAVING = new KindPolicy(false, true, true, 8_192, 512, 24 * HOUR_MS);
     private static final KindPolicy ENDPOINT_LOAD = new KindPolicy(false, false, false, 8_192, 8_192, MINUTE_MS);
@@ -44,6 +46,8 @@
             case CONFIGURATION -> CONFIGURATION;
             case QUARANTINE -> QUARANTINE;
             case CRASH -> CRASH;
+            case PROMPT_CRASH -> PROMPT_CRASH;
+            case PROVEN_PART -> PROVEN_PART;
             case EJECTION -> EJECTION;
             case LEAVING -> LEAVING;
             case ENDPOINT_LOAD -> ENDPOINT_LOAD;
--- a/core/src/main/java/io/radishwinch/core/action/Action.java
+++ b/core/src/main/java/io/radishwinch/core/action/Action.java
@@ -5,6 +5,7 @@
 import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.Verdict;
+import io.radishwinch.core.quarantine.PromptCrash;
 import java.util.List;
 
 /** Instruction to an adapter; output of the decision core. */
@@ -97,6 +98,20 @@
      */
     record ShareCrash(String fingerprint, String endpointId) implements Action {}
 
+    /**
+     * Announces to peers a request that failed before its answer began because its endpoint crashed.
+     *
+     * @param crash crash of the endpoint
+     */
+    record SharePromptCrash(PromptCrash crash) implements Action {}
+
+    /**
+     * Announces to peers that an answer to a prompt with these parts has begun after crashes that count against them.
+     *
+     * @param parts hashes of the parts
+     */
+    record ShareProvenParts(List<Long> parts) implements Action {}
+
     /**
      * Counts a retry.
      *
--- a/core/src/main/java/io/radishwinch/core/event/Event.java
+++ b/core/src/main/java/io/radishwinch/core/event/Event.java
@@ -6,6 +6,7 @@
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.model.Verdict;
+import io.radishwinch.core.quarantine.PromptCrash;
 import java.util.List;
 
 /** Input of the decision core: something that happened. */
@@ -186,6 +187,21 @@
      */
     record CrashShared(String fingerprint, String endpointId) implements Event {}
 
+    /**
+     * A peer reported a request that failed before its answer began because its endpoint crashed.
+     *
+     * @param crash crash of the endpoint
+     */
+    record PromptCrashShared(PromptCrash crash) implements Event {}
+
+    /**
+     * A peer reported that an answer to a prompt with these parts has begun.
+     *
+     * @param parts hashes of the parts
+     * @param atMs time of the report, in ms of the router's clock
+     */
+    record PartsProven(List<Long> parts, long atMs) implements Event {}
+
     /**
      * An engine accepted or refused an order, or the order could not be sent.
      *
--- a/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
@@ -78,7 +78,7 @@
         if (state.isDraining && !canEndBeforeDrain) {
             return Reason.DRAINING;
         }
-        if (state.quarantine.isQuarantined(spec.fingerprint(), nowMs)) {
+        if (state.quarantine.isQuarantined(spec.fingerprint(), nowMs) || state.partQuarantineMs(spec, nowMs) > 0) {
             return Reason.QUARANTINED;
         }
         PoolRow pool = state.pool(spec.pool());
@@ -95,6 +95,7 @@
     private long retryAfterMs(Reason reason, RequestSpec spec, long nowMs) {
         return switch (reason) {
             case DRAINING -> OTHER_ROUTER_RETRY_AFTER_MS;
+            case QUARANTINED -> state.partQuarantineMs(spec, nowMs);
             case NO_CAPACITY, DEADLINE_UNREACHABLE -> state.retryAfter.waitMs(spec, nowMs);
             default -> 0;
         };
--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -57,6 +57,7 @@
         double intervalMs = newTokens > 1 ? (double) (nowMs - row.attemptStartedAtMs - firstMs) / (newTokens - 1) : 0;
         state.actions.addAll(state.directory.recordSuccess(row.chain, firstMs, intervalMs, nowMs));
         state.quarantine.recordRequestFinished(row.spec.fingerprint(), nowMs);
+        quarantineSystem.recordProof(row, nowMs);
         if (row.epoch == 1) {
             state.pool(row.spec.pool()).recordFinished(row.spec, firstMs, intervalMs, newTokens, nowMs);
         }
@@ -93,6 +94,7 @@
                 }
             }
         }
+        quarantineSystem.confirmCrash(removed.endpointId(), nowMs);
         for (RequestRow row : rows) {
             if (removed.hasCrashed() && row.isAccepted && state.requests.containsKey(row.id())) {
                 quarantineSystem.recordCrash(row, removed.endpointId(), nowMs);
@@ -233,7 +235,9 @@
                 nowMs);
         Reason contractReason = state.contractRefusalReason(row.spec);
         row.isWaitingForRetryBudget = false;
-        if (decision instanceof RetryPolicy.DoNotRetry stop) {
+        if (state.partQuarantineMs(row.spec, nowMs) > 0) {
+            state.refuse(row, Reason.QUARANTINED, nowMs);
+        } else if (decision instanceof RetryPolicy.DoNotRetry stop) {
             state.refuse(row, stop.reason(), nowMs);
         } else if (row.runs >= row.spec.maxRuns()) {
             state.refuse(row, Reason.ATTEMPTS_EXHAUSTED, nowMs);
--- a/core/src/main/java/io/radishwinch/core/impl/CoreState.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreState.java
@@ -15,6 +15,8 @@
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.model.Verdict;
 import io.radishwinch.core.quarantine.CrashQuarantine;
+import io.radishwinch.core.quarantine.PartQuarantine;
+import io.radishwinch.core.quarantine.PartQuarantineSettings;
 import io.radishwinch.core.queue.DeadlineIndex;
 import io.radishwinch.core.queue.Entitlements;
 import io.radishwinch.core.queue.RequestQueue;
@@ -49,6 +51,7 @@
     final RequestQueue queue;
     final RetryPolicy retries;
     final CrashQuarantine quarantine;
+    final PartQuarantine partQuarantine;
     final RetryAfterPolicy retryAfter;
     /** Running attempts of this router by endpoint; endpoints without attempts are absent. */
     final Map<String, Integer> attemptsByEndpoint = new HashMap<>();
@@ -94,6 +97,7 @@
                 retry.newBudget(),
                 new Backoff(retry.backoffBaseMs(), retry.backoffMaxMs(), new SplittableRandom(settings.seed())));
         this.quarantine = new CrashQuarantine(settings.quarantine());
+        this.partQuarantine = new PartQuarantine(PartQuarantineSettings.defaults());
         this.retryAfter = new RetryAfterPolicy(settings.minRetryAfterMs(), settings.maxRetryAfterMs(), settings.seed());
     }
 
@@ -180,8 +184,7 @@
     /** Ends a request with an error that carries the combined verdict of its attempts. */
     void refuse(RequestRow row, Reason reason, long nowMs) {
         Verdict verdict = row.currentVerdict();
-        long retryAfterMs =
-                verdict == Verdict.NOT_RUN && isCapacityShortage(reason) ? retryAfter.waitMs(row.spec, nowMs) : 0;
+        long retryAfterMs = verdict == Verdict.NOT_RUN ? retryAfterMs(row.spec, reason, nowMs) : 0;
         Action action = new Action.Refuse(row.id(), reason, verdict, retryAfterMs);
         recordDecision(row, nowMs, "refused: " + reason.wireName());
         finished.add(row.view(FINISHED, Optional.of(verdict), Optional.of(reason)));
@@ -192,6 +195,17 @@
         actions.add(action);
     }
 
+    private long retryAfterMs(RequestSpec spec, Reason reason, long nowMs) {
+        return reason == Reason.QUARANTINED
+                ? partQuarantineMs(spec, nowMs)
+                : isCapacityShortage(reason) ? retryAfter.waitMs(spec, nowMs) : 0;
+    }
+
+    /** Returns the rest of the quarantine of the parts of a prompt in ms, or 0 if they are not quarantined. */
+    long partQuarantineMs(RequestSpec spec, long nowMs) {
+        return Math.max(0, partQuarantine.quarantinedUntilMs(spec.sharedParts(), nowMs) - nowMs);
+    }
+
     private static boolean isCapacityShortage(Reason reason) {
         return switch (reason) {
             case NO_CAPACITY,
--- a/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
@@ -181,6 +181,7 @@
         row.attempts++;
         row.attemptStartedAtMs = nowMs;
         row.firstTokenAtMs = -1;
+        row.hasProvenParts = false;
         row.tokensBeforeAttempt = row.deliveredTokens;
         row.isAccepted = false;
         row.canUseBusyEndpoint = false;
--- a/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
+++ b/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
@@ -52,6 +52,8 @@
     long attemptStartedAtMs;
     long firstTokenAtMs = -1;
     int tokensBeforeAttempt;
+    /** Whether the running attempt has shown that the parts of the prompt do not crash endpoints. */
+    boolean hasProvenParts;
     /** Time of the next state change: end of the backoff, of the wait for an endpoint or of the cancel timeout. */
     long nextTransitionAtMs;
 
--- a/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -110,6 +110,10 @@
             quarantineSystem.recordPeerCrash(crash, nowMs);
         } else if (event instanceof Event.QuarantineShared shared) {
             quarantineSystem.recordPeerQuarantine(shared, nowMs);
+        } else if (event instanceof Event.PromptCrashShared shared) {
+            quarantineSystem.recordPeerPromptCrash(shared, nowMs);
+        } else if (event instanceof Event.PartsProven proven) {
+            quarantineSystem.recordPeerProof(proven, nowMs);
         } else if (event instanceof Event.RouterCountChanged counted) {
             state.retries.setRouterCount(counted.routerCount(), nowMs);
         } else if (event instanceof Event.DrainStarted drain) {
--- a/core/src/main/java/io/radishwinch/core/quarantine/ExpiringMap.java
+++ b/core/src/main/java/io/radishwinch/core/quarantine/ExpiringMap.java
@@ -1,6 +1,7 @@
 package io.radishwinch.core.quarantine;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /** Bounded map whose entries expire; evicts the oldest entry when it is full. */
@@ -49,6 +50,11 @@
         }
     }
 
+    /** Returns the values in insertion order, including expired ones that have not been removed. */
+    List<V> values() {
+        return entries.values().stream().map(ExpiringValue::value).toList();
+    }
+
     int size() {
         return entries.size();
     }
--- a/server/src/main/java/io/radishwinch/server/PeerStateBridge.java
+++ b/server/src/main/java/io/radishwinch/server/PeerStateBridge.java
@@ -17,6 +17,8 @@
 import io.radishwinch.core.model.Contract;
 import io.radishwinch.core.model.FleetConfig;
 import io.radishwinch.core.model.RankTerms;
+import io.radishwinch.core.quarantine.PartQuarantineSettings;
+import io.radishwinch.core.quarantine.PromptCrash;
 import io.radishwinch.protocol.generated.EntryKind;
 import io.radishwinch.protocol.generated.Message;
 import java.util.ArrayList;
@@ -33,6 +35,10 @@
     private static final long LOAD_REFRESH_INTERVAL_MS = 2_000;
 
     private static final long CRASH_TTL_MS = 600_000;
+    /** Time-to-live of the crashes and proofs of prompt parts, in ms; as long as they count. */
+    private static final long PROMPT_CRASH_TTL_MS =
+            PartQuarantineSettings.defaults().quarantineMs();
+
     private static final long LEAVING_TTL_MS = 3_600_000;
     private static final long UNREACHABLE_TTL_MS = 10_000;
     private static final String CRASH_SEPARATOR = "|";
@@ -103,6 +109,30 @@
         node.publish(EntryKind.CRASH, key, new byte[0], control.nowMs() + CRASH_TTL_MS, control.nowMs());
     }
 
+    /** Publishes a request that failed before its answer began because its endpoint crashed. */
+    public void publishPromptCrash(Action.SharePromptCrash action) {
+        PromptCrash crash = action.crash();
+        String key = crash.fingerprint() + CRASH_SEPARATOR + crash.endpointId();
+        node.publish(
+                EntryKind.PROMPT_CRASH,
+                key,
+                PromptCrashCodec.encode(crash),
+                crash.crashedAtMs() + PROMPT_CRASH_TTL_MS,
+                control.nowMs());
+    }
+
+    /** Publishes that an answer to a prompt with these parts has begun. */
+    public void publishProvenParts(Action.ShareProvenParts action) {
+        for (long part : action.parts()) {
+            node.publish(
+                    EntryKind.PROVEN_PART,
+                    PromptCrashCodec.partKey(part),
+                    new byte[0],
+                    control.nowMs() + PROMPT_CRASH_TTL_MS,
+                    control.nowMs());
+        }
+    }
+
     /** Publishes that an endpoint is leaving, with the default time-to-live. */
     public void publishLeaving(String endpointId) {
         publishLeaving(endpointId, LEAVING_TTL_MS);
@@ -176,6 +206,8 @@
                 }
             }
             case CRASH -> applyCrashEntry(entry);
+            case PROMPT_CRASH -> applyPromptCrashEntry(entry);
+            case PROVEN_PART -> applyProvenPartEntry(entry);
             case LEAVING -> {
                 if (!entry.isTombstone()) {
                     endpointListener.endpointLeaving(entry.key());
@@ -200,6 +232,32 @@
         }
     }
 
+    private void applyPromptCrashEntry(GossipEntry entry) {
+        int separator = entry.key().indexOf(CRASH_SEPARATOR);
+        if (entry.isTombstone() || separator <= 0) {
+            return;
+        }
+        PromptCrashCodec.decode(
+                        entry.key().substring(0, separator),
+                        entry.key().substring(separator + 1),
+                        entry.value(),
+                        entry.deadlineMs() - PROMPT_CRASH_TTL_MS)
+                .peek(crash -> control.post(new Event.PromptCrashShared(crash)))
+                .peekLeft(
+                        problem -> LOG.log(System.Logger.Level.WARNING, "prompt crash {0}: {1}", entry.key(), problem));
+    }
+
+    private void applyProvenPartEntry(GossipEntry entry) {
+        if (entry.isTombstone()) {
+            return;
+        }
+        PromptCrashCodec.parsePartKey(entry.key())
+                .peek(part ->
+                        control.post(new Event.PartsProven(List.of(part), entry.deadlineMs() - PROMPT_CRASH_TTL_MS)))
+                .peekLeft(
+                        problem -> LOG.log(System.Logger.Level.WARNING, "proven part {0}: {1}", entry.key(), problem));
+    }
+
     @Override
     public void endpointLoadsChanged(Map<Integer, EndpointLoad> loads) {
         if (!endpointsByHash.keySet().containsAll(loads.keySet())) {
--- a/server/src/main/java/io/radishwinch/server/fleet/DecisionLogger.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/DecisionLogger.java
@@ -6,8 +6,10 @@
 import io.radishwinch.core.model.Chain;
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.model.Stage;
+import io.radishwinch.core.quarantine.PromptCrash;
 import io.radishwinch.server.LogFields;
 import java.util.HexFormat;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -41,9 +43,7 @@
                     .with("promptTokens", request.promptTokens())
                     .with("maxNewTokens", request.maxNewTokens())
                     .with("leftMs", request.deadlineMs() - request.arrivedAtMs())
-                    .with(
-                            "parts",
-                            request.sharedParts().stream().map(HEX::toHexDigits).collect(Collectors.joining(" ")))
+                    .with("parts", hex(request.sharedParts()))
                     .with("config", configVersion));
         } else if (event instanceof Event.AttemptFailed failed) {
             log.request(() -> LogFields.of("attempt-failed")
@@ -55,6 +55,14 @@
                     .with("delivered", failed.deliveredTokens()));
         } else if (event instanceof Event.CrashShared crash) {
             log.stateChanged("crash-reported", crash.fingerprint(), "crashed " + crash.endpointId());
+        } else if (event instanceof Event.PromptCrashShared shared) {
+            PromptCrash crash = shared.crash();
+            log.stateChanged(
+                    "prompt-crash-reported",
+                    crash.fingerprint(),
+                    "crashed " + crash.endpointId() + " with parts " + hex(crash.parts()));
+        } else if (event instanceof Event.PartsProven proven) {
+            log.stateChanged("parts-proven", hex(proven.parts()), "an answer has begun at another router");
         } else if (event instanceof Event.CallerDisconnected disconnected) {
             log.request(() -> LogFields.of("caller-gone").with("id", disconnected.requestId()));
         }
@@ -95,6 +103,10 @@
                 .with("detail", detail);
     }
 
+    private static String hex(List<Long> parts) {
+        return parts.stream().map(HEX::toHexDigits).collect(Collectors.joining(" "));
+    }
+
     private String history(String requestId) {
         return requests.apply(requestId)
                 .map(view -> String.join("; ", view.history()))
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -458,6 +458,10 @@
             peerState.publishQuarantine(quarantine);
         } else if (action instanceof Action.ShareCrash crash) {
             peerState.publishCrash(crash);
+        } else if (action instanceof Action.SharePromptCrash crash) {
+            peerState.publishPromptCrash(crash);
+        } else if (action instanceof Action.ShareProvenParts proven) {
+            peerState.publishProvenParts(proven);
         }
     }
 
