Log the request limits that endpoints name in their responses

Nothing showed whether routers see a limit. Server-Limit is read into the response head, and endpoint-limit tells when an endpoint names one, changes it or names none any more. No decision changes.

--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -34,6 +34,7 @@
 import io.radishwinch.server.metrics.RouterMetrics;
 import io.radishwinch.server.peer.PeerTransport;
 import io.radishwinch.server.proxy.ContactLookup;
+import io.radishwinch.server.proxy.RequestLimitListener;
 import io.radishwinch.server.route.RoutingConfig;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
@@ -92,6 +93,7 @@
     private final ConfigHolder config;
     private final FleetDialect dialect;
     private final PeerStateBridge peerState;
+    private final RequestLimits requestLimits;
     private final WatchFollower endpointFollower;
     private final WatchFollower configFollower;
     private final RouterDirectory routerDirectory;
@@ -151,6 +153,7 @@
                 clients.endpoints(), registry, scheduler, control::post, leaseManager::recheckHeldLeases, log, clock);
         rerouter = new StreamRerouter(clients.endpoints(), registry, control::post, log);
         config = new ConfigHolder(dialect, log);
+        requestLimits = new RequestLimits(log);
         peerState =
                 new PeerStateBridge(node, control, new PeerStateReceiver(), this::applyObject, (sender, message) -> {});
         node.addListener(peerState);
@@ -215,6 +218,11 @@
         return registry;
     }
 
+    /** Returns the receiver of the request limits that endpoints name; safe for use by any thread. */
+    RequestLimitListener requestLimits() {
+        return requestLimits;
+    }
+
     /** Returns the configuration in effect; safe for use by any thread. */
     RoutingConfig config() {
         return config.inEffect();
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
@@ -111,6 +111,7 @@
                         plane::config,
                         plane::liveRouters,
                         new OutcomeLogger(log, new OutcomeCounter(metrics)),
+                        plane.requestLimits(),
                         plane::checkStalledStreams));
         metrics.gauge("radishwinch.config.version", "version of the configuration in effect", () -> plane.config()
                 .version());
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyScope.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyScope.java
@@ -19,6 +19,7 @@
  * @param dialect translates the headers of the deployment
  * @param contacts lookup of endpoints
  * @param connections pooled connections to endpoints
+ * @param limits receives the request limits that endpoints name
  * @param bodyMemory memory budget of all request bodies
  * @param listener receives the outcome of every request
  * @param isDraining whether the router is draining
@@ -31,6 +32,7 @@
         ProxyDialect dialect,
         ContactLookup contacts,
         EndpointConnectionPool connections,
+        RequestLimitListener limits,
         MemoryBudget bodyMemory,
         ExchangeListener listener,
         BooleanSupplier isDraining,
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -93,6 +93,7 @@
      * @param config supplies the configuration in effect; thread-safe
      * @param liveRouterCount supplies the number of live routers that share the endpoints; thread-safe
      * @param listener receives the outcome of every request
+     * @param limits receives the request limits that endpoints name
      * @param onStalledEndpoint receives the identifiers of endpoints with unresponsive streams
      */
     public record Dependencies(
@@ -103,6 +104,7 @@
             Supplier<RoutingConfig> config,
             Supplier<Integer> liveRouterCount,
             ExchangeListener listener,
+            RequestLimitListener limits,
             Consumer<String> onStalledEndpoint) {}
 
     /** Creates a server on the traffic thread of a Vert.x instance with one event loop. */
@@ -121,6 +123,7 @@
                 dependencies.dialect(),
                 dependencies.contacts(),
                 new EndpointConnectionPool(vertx, dependencies.control()::nowMs),
+                dependencies.limits(),
                 bodyMemory,
                 this,
                 () -> isDraining,
--- a/server/src/main/java/io/radishwinch/server/proxy/ResponseHead.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ResponseHead.java
@@ -1,6 +1,7 @@
 package io.radishwinch.server.proxy;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * Parsed status and headers of an endpoint's response.
@@ -12,6 +13,7 @@
  * @param faultAddress address of the failed endpoint if it is another endpoint of the chain
  * @param keepAliveMs keep-alive time that the endpoint announces in ms, or 0 if it announces none
  * @param isClosing whether the endpoint closes the connection after the response
+ * @param requestLimitPerS requests/s that the endpoint takes from all routers together, or empty if it names no limit
  */
 public record ResponseHead(
         int status,
@@ -20,7 +22,8 @@
         Optional<String> requestId,
         Optional<String> faultAddress,
         long keepAliveMs,
-        boolean isClosing) {
+        boolean isClosing,
+        OptionalDouble requestLimitPerS) {
 
     private static final int MISDIRECTED = 421;
     private static final int FIRST_SUCCESS = 200;
--- a/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
@@ -137,6 +137,7 @@
             onConnectionFailure("response belongs to another request");
             return;
         }
+        scope.limits().responded(contact.endpointId(), head.requestLimitPerS());
         if (head.isNotRun()) {
             received.endHandler(ignored -> releaseConnection());
             received.handler(ignored -> {});
--- a/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
@@ -17,6 +17,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -114,7 +115,8 @@
                     Optional.ofNullable(response.getHeader("Attempt-Id")),
                     Optional.empty(),
                     0,
-                    false);
+                    false,
+                    OptionalDouble.empty());
         }
 
         @Override
@@ -134,7 +136,17 @@
         Context context = vertx.getOrCreateContext();
         EndpointConnectionPool connections = new EndpointConnectionPool(vertx, System::currentTimeMillis);
         ProxyScope scope = new ProxyScope(
-                vertx, context, null, new PlainDialect(), null, connections, null, null, () -> false, 1_000);
+                vertx,
+                context,
+                null,
+                new PlainDialect(),
+                null,
+                connections,
+                (endpointId, limit) -> {},
+                null,
+                null,
+                () -> false,
+                1_000);
         Recorder recorder = new Recorder();
         EndpointContact contact = new EndpointContact("e@1", "e", "127.0.0.1", server.getLocalPort());
         MultiMap headers = MultiMap.caseInsensitiveMultiMap().add("Attempt-Id", "a");
