Keep the request limits that endpoints name, over all routers together

Routers tell each other the limits that they see (gossip entry REQUEST_LIMIT), and each divides them among the routers that may use the endpoint: those of its data centre for an engine, all for a plain service. The share is a token bucket that the planner checks for the first stage of a chain; requests that exceed it go to other endpoints or wait. The first response without a limit ends it everywhere. TokenBucket moves from core.impl to core.limit, where the planner can use it.

--- a/cluster/src/main/java/io/radishwinch/cluster/gossip/KindPolicy.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/gossip/KindPolicy.java
@@ -32,6 +32,7 @@
     private static final KindPolicy CRASH = new KindPolicy(true, true, true, 10_000, 1_024, HOUR_MS);
     private static final KindPolicy PROMPT_CRASH = new KindPolicy(true, true, true, 1_000, 512, HOUR_MS);
     private static final KindPolicy PROVEN_PART = new KindPolicy(true, true, true, 1_000, 512, HOUR_MS);
+    private static final KindPolicy REQUEST_LIMIT = new KindPolicy(true, true, true, 8_192, 16, HOUR_MS);
     private static final KindPolicy EJECTION = new KindPolicy(false, true, false, 8_192, 512, HOUR_MS);
     private static final KindPolicy LEAVING = new KindPolicy(false, true, true, 8_192, 512, 24 * HOUR_MS);
     private static final KindPolicy ENDPOINT_LOAD = new KindPolicy(false, false, false, 8_192, 8_192, MINUTE_MS);
@@ -48,6 +49,7 @@
             case CRASH -> CRASH;
             case PROMPT_CRASH -> PROMPT_CRASH;
             case PROVEN_PART -> PROVEN_PART;
+            case REQUEST_LIMIT -> REQUEST_LIMIT;
             case EJECTION -> EJECTION;
             case LEAVING -> LEAVING;
             case ENDPOINT_LOAD -> ENDPOINT_LOAD;
--- a/core/src/main/java/io/radishwinch/core/chain/CostChainPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/chain/CostChainPlanner.java
@@ -79,13 +79,14 @@
                 EndpointTable.kvBytes(pool, request, 1),
                 0,
                 pool.layerCount(),
-                table.crossDataCentreBudget().isAvailable(nowMs));
+                table.crossDataCentreBudget().isAvailable(nowMs),
+                nowMs);
         if (!findCheapest(search)) {
             return Optional.empty();
         }
         List<PlannedStage> stages = traceStages(pool.layerCount());
         if (!mergeRepeatedEndpoints(stages, search)) {
-            return fallback.build(request, pool, excludedEndpointIds, FewestStagesChainPlanner::furthest);
+            return fallback.build(request, pool, excludedEndpointIds, FewestStagesChainPlanner::furthest, nowMs);
         }
         chooseAmongNearEqual(stages, search);
         return Optional.of(toChain(stages));
@@ -107,7 +108,15 @@
         LayerRange lost = chain.stages().get(position).layers();
         costs.setRequest(request, List.of(), nowMs);
         Search search = new Search(
-                pool, used, index, List.of(), EndpointTable.kvBytes(pool, request, 1), lost.first(), lost.end(), false);
+                pool,
+                used,
+                index,
+                List.of(),
+                EndpointTable.kvBytes(pool, request, 1),
+                lost.first(),
+                lost.end(),
+                false,
+                nowMs);
         if (!findCheapest(search)) {
             return Optional.empty();
         }
@@ -149,7 +158,13 @@
             long kvBytesPerLayer,
             int firstLayer,
             int endLayer,
-            boolean canCrossDataCentres) {
+            boolean canCrossDataCentres,
+            long nowMs) {
+
+        /** Returns whether the endpoint may serve a stage that starts at the layer; limits hold for the first one. */
+        boolean canStartAt(int layer, HeldRange entry) {
+            return layer > 0 || entry.row.canEnter(nowMs);
+        }
 
         int layersWithMemory(HeldRange entry) {
             boolean isExcluded = !excludedEndpointIds.isEmpty() && excludedEndpointIds.contains(entry.row.id());
@@ -169,7 +184,7 @@
                     ? candidateCount + CANDIDATES_PER_DATA_CENTRE
                     : candidateCount;
             for (int i = 0; list != null && i < list.size() && candidateCount < maxCount; i++) {
-                addCandidate(search, list.get(i));
+                addCandidate(search, list.get(i), layer);
             }
         }
         for (PrefixIndex.Match match : search.matches) {
@@ -188,14 +203,14 @@
         for (int i = 0; i < row.heldRanges.size(); i++) {
             HeldRange entry = row.heldRanges.get(i);
             if (entry.isListed && entry.first <= layer && layer < entry.end && entry.pool.equals(search.pool.name())) {
-                addCandidate(search, entry);
+                addCandidate(search, entry, layer);
             }
         }
     }
 
-    private void addCandidate(Search search, HeldRange entry) {
+    private void addCandidate(Search search, HeldRange entry, int layer) {
         int layers = search.layersWithMemory(entry);
-        if (layers == 0 || candidateCount == MAX_CANDIDATES) {
+        if (layers == 0 || !search.canStartAt(layer, entry) || candidateCount == MAX_CANDIDATES) {
             return;
         }
         for (int i = 0; i < candidateCount; i++) {
@@ -328,7 +343,9 @@
         if (entry == stage.entry) {
             return true;
         }
-        if (entry.end < stage.end || search.layersWithMemory(entry) < stage.end - stage.first) {
+        if (entry.end < stage.end
+                || !search.canStartAt(stage.first, entry)
+                || search.layersWithMemory(entry) < stage.end - stage.first) {
             return false;
         }
         for (PlannedStage other : stages) {
--- a/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
@@ -1,5 +1,6 @@
 package io.radishwinch.core.chain;
 
+import io.radishwinch.core.limit.TokenBucket;
 import io.radishwinch.core.model.EndpointSpec;
 import io.radishwinch.core.model.Holding;
 import io.radishwinch.core.model.LoadReport;
@@ -56,6 +57,9 @@
     /** Price in us of an endpoint that refuses every attempt; equals the price of five full endpoints. */
     private static final double FULL_REFUSAL_PRICE_US = 5 * CostModel.FULL_SLOT_PRICE_US;
 
+    /** Time in ms whose unused requests may be sent at once to an endpoint that limits its requests. */
+    private static final long REQUEST_BURST_MS = 400;
+
     /** Maximum number of low-delay links that the planner considers in addition to the cheapest candidates. */
     private static final int MAX_NEAREST_LINKS = 4;
 
@@ -96,6 +100,8 @@
     private double layerTimeUs = DEFAULT_LAYER_TIME_US;
     private boolean hasLayerTime;
     private long stageMeasuredAtMs = Long.MIN_VALUE;
+    /** Requests for which this router may use the endpoint as the first stage; null without a limit. */
+    private TokenBucket requestAllowance;
 
     EndpointRow(int index, int dataCentreIndex, EndpointSpec spec) {
         this.index = index;
@@ -148,6 +154,11 @@
         return isUsable() && !isRefusing && occupiedSlots() < usableSlots();
     }
 
+    /** Returns whether the request limit of the endpoint allows this router another request now. */
+    public boolean canEnter(long nowMs) {
+        return requestAllowance == null || requestAllowance.waitMs(1, nowMs) == 0;
+    }
+
     /** Returns the number of attempts that this router runs on the endpoint. */
     public int localAttempts() {
         return localAttempts;
@@ -243,6 +254,23 @@
         history.record(nowMs, localAttempts, localKvBytes);
     }
 
+    void setRequestShare(double requestsPerS, long nowMs) {
+        if (requestsPerS == Double.POSITIVE_INFINITY) {
+            requestAllowance = null;
+        } else if (requestAllowance == null) {
+            requestAllowance = new TokenBucket(requestsPerS, REQUEST_BURST_MS, nowMs);
+        } else {
+            requestAllowance.setRate(requestsPerS, REQUEST_BURST_MS, nowMs);
+        }
+    }
+
+    /** Counts a request that is sent to the endpoint as the first stage. */
+    void recordEntry() {
+        if (requestAllowance != null) {
+            requestAllowance.take(1);
+        }
+    }
+
     void setPeerLoad(int running, long kvBytes, long nowMs) {
         peerAttempts = running;
         peerKvBytes = kvBytes;
--- a/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
@@ -270,6 +270,14 @@
         }
     }
 
+    /** Limits the requests/s for which this router uses the endpoint as the first stage. */
+    void setRequestShare(String endpointId, double requestsPerS, long nowMs) {
+        EndpointRow row = rows.get(endpointId);
+        if (row != null) {
+            row.setRequestShare(requestsPerS, nowMs);
+        }
+    }
+
     void recordLayerTime(String endpointId, double layerTimeUs, long nowMs) {
         EndpointRow row = rows.get(endpointId);
         if (row != null && layerTimeUs > 0) {
@@ -367,6 +375,9 @@
         for (Stage stage : chain.stages()) {
             EndpointRow row = rows.get(stage.endpointId());
             if (row != null) {
+                if (previous == null && sign > 0) {
+                    row.recordEntry();
+                }
                 long kvBytes =
                         pool == null ? 0 : kvBytes(pool, request, stage.layers().size());
                 row.changeLocalLoad(sign, sign * kvBytes, nowMs);
--- a/core/src/main/java/io/radishwinch/core/chain/FewestStagesChainPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/chain/FewestStagesChainPlanner.java
@@ -26,7 +26,7 @@
 
     @Override
     public Optional<Chain> plan(RequestSpec request, ModelSpec pool, Set<String> excludedEndpointIds, long nowMs) {
-        return chainBuilder.build(request, pool, excludedEndpointIds, FewestStagesChainPlanner::furthest);
+        return chainBuilder.build(request, pool, excludedEndpointIds, FewestStagesChainPlanner::furthest, nowMs);
     }
 
     static HeldRange furthest(List<HeldRange> options) {
--- a/core/src/main/java/io/radishwinch/core/chain/GreedyChainBuilder.java
+++ b/core/src/main/java/io/radishwinch/core/chain/GreedyChainBuilder.java
@@ -27,7 +27,11 @@
      *     never empty
      */
     Optional<Chain> build(
-            RequestSpec request, ModelSpec pool, Set<String> excluded, Function<List<HeldRange>, HeldRange> choose) {
+            RequestSpec request,
+            ModelSpec pool,
+            Set<String> excluded,
+            Function<List<HeldRange>, HeldRange> choose,
+            long nowMs) {
         PoolIndex index = table.pool(pool.name());
         if (index == null) {
             return Optional.empty();
@@ -36,6 +40,8 @@
         int layer = 0;
         while (layer < pool.layerCount()) {
             List<HeldRange> options = candidates(index, request, pool, excluded, layer);
+            boolean isFirst = layer == 0;
+            options.removeIf(entry -> isFirst && !entry.row.canEnter(nowMs));
             options.removeIf(entry ->
                     stages.stream().anyMatch(stage -> stage.endpointId().equals(entry.row.id())));
             if (options.isEmpty()) {
--- a/core/src/main/java/io/radishwinch/core/chain/LeastReportedChainPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/chain/LeastReportedChainPlanner.java
@@ -28,6 +28,6 @@
     @Override
     public Optional<Chain> plan(RequestSpec request, ModelSpec pool, Set<String> excludedEndpointIds, long nowMs) {
         return chainBuilder.build(
-                request, pool, excludedEndpointIds, options -> Collections.min(options, BY_REPORTED_LOAD));
+                request, pool, excludedEndpointIds, options -> Collections.min(options, BY_REPORTED_LOAD), nowMs);
     }
 }
--- a/core/src/main/java/io/radishwinch/core/chain/RoundRobinChainPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/chain/RoundRobinChainPlanner.java
@@ -20,9 +20,14 @@
 
     @Override
     public Optional<Chain> plan(RequestSpec request, ModelSpec pool, Set<String> excludedEndpointIds, long nowMs) {
-        return chainBuilder.build(request, pool, excludedEndpointIds, options -> {
-            options.sort(Comparator.comparingInt(entry -> entry.row.index()));
-            return options.get(Math.floorMod(next++, options.size()));
-        });
+        return chainBuilder.build(
+                request,
+                pool,
+                excludedEndpointIds,
+                options -> {
+                    options.sort(Comparator.comparingInt(entry -> entry.row.index()));
+                    return options.get(Math.floorMod(next++, options.size()));
+                },
+                nowMs);
     }
 }
--- a/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
+++ b/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
@@ -93,6 +93,8 @@
             table.crossDataCentreBudget().setRouterCount(e.routerCount());
         } else if (event instanceof Event.PeerLoad e) {
             table.setPeerLoad(e.endpointId(), e.running(), e.kvBytes(), nowMs);
+        } else if (event instanceof Event.RequestShareChanged e) {
+            table.setRequestShare(e.endpointId(), e.requestsPerS(), nowMs);
         } else if (event instanceof Event.StageMeasured e) {
             table.recordLayerTime(e.endpointId(), e.layerTimeUs(), nowMs);
         } else if (event instanceof Event.CacheReported e) {
--- a/core/src/main/java/io/radishwinch/core/event/Event.java
+++ b/core/src/main/java/io/radishwinch/core/event/Event.java
@@ -211,6 +211,15 @@
      */
     record OrderAcknowledged(String endpointId, long fencingToken, boolean isAccepted) implements Event {}
 
+    /**
+     * This router's share of the requests that an endpoint takes has changed.
+     *
+     * @param endpointId endpoint
+     * @param requestsPerS requests/s that this router may send to it as the first stage of a chain, or
+     *     {@link Double#POSITIVE_INFINITY} without a limit
+     */
+    record RequestShareChanged(String endpointId, double requestsPerS) implements Event {}
+
     /**
      * The router started to drain: running requests finish and new ones are refused.
      *
--- a/core/src/main/java/io/radishwinch/core/impl/CallerRow.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CallerRow.java
@@ -3,6 +3,7 @@
 import io.radishwinch.core.DecisionCore.CallerView;
 import io.radishwinch.core.DecisionCore.RankView;
 import io.radishwinch.core.event.Event;
+import io.radishwinch.core.limit.TokenBucket;
 import io.radishwinch.core.model.Limits;
 import java.util.List;
 
--- a/core/src/main/java/io/radishwinch/core/impl/TokenBucket.java
+++ b/core/src/main/java/io/radishwinch/core/limit/TokenBucket.java
@@ -1,7 +1,7 @@
-package io.radishwinch.core.impl;
+package io.radishwinch.core.limit;
 
 /** Token bucket with an adjustable rate; the balance may become negative. */
-final class TokenBucket {
+public final class TokenBucket {
 
     private static final double MS_PER_S = 1_000.0;
 
@@ -10,7 +10,12 @@
     private double balance;
     private long refilledAtMs;
 
-    TokenBucket(double ratePerS, long burstMs, long nowMs) {
+    /**
+     * Creates a full bucket.
+     *
+     * @param burstMs time in which the rate fills the bucket, in ms; it holds at least 1
+     */
+    public TokenBucket(double ratePerS, long burstMs, long nowMs) {
         this.ratePerS = ratePerS;
         this.capacity = capacityOf(ratePerS, burstMs);
         this.balance = capacity;
@@ -20,7 +25,7 @@
     /**
      * Changes the rate; a positive balance keeps its ratio to the capacity, so that the change grants no extra burst.
      */
-    void setRate(double newRatePerS, long burstMs, long nowMs) {
+    public void setRate(double newRatePerS, long burstMs, long nowMs) {
         refill(nowMs);
         double newCapacity = capacityOf(newRatePerS, burstMs);
         balance = balance > 0 ? balance * newCapacity / capacity : balance;
@@ -32,7 +37,7 @@
      * Returns the time in ms until the amount can be taken, 0 if it can be taken now, or {@link Long#MAX_VALUE} if the
      * rate is 0. An amount above the capacity can be taken from a full bucket and leaves a negative balance.
      */
-    long waitMs(double amount, long nowMs) {
+    public long waitMs(double amount, long nowMs) {
         refill(nowMs);
         if (ratePerS <= 0) {
             return Long.MAX_VALUE;
@@ -41,19 +46,23 @@
         return missing <= 0 ? 0 : (long) Math.ceil(missing / ratePerS * MS_PER_S);
     }
 
-    double ratePerS() {
+    /** Returns the rate, in units/s. */
+    public double ratePerS() {
         return ratePerS;
     }
 
-    void take(double amount) {
+    /** Takes an amount, also if the bucket does not hold it. */
+    public void take(double amount) {
         balance -= amount;
     }
 
-    void refund(double amount) {
+    /** Returns an amount that was not used. */
+    public void refund(double amount) {
         balance = Math.min(capacity, balance + amount);
     }
 
-    double balance() {
+    /** Returns the balance without the refill since the last call. */
+    public double balance() {
         return balance;
     }
 
--- a/protocol/src/main/thrift/radishwinch.thrift
+++ b/protocol/src/main/thrift/radishwinch.thrift
@@ -18,7 +18,7 @@
 
 enum EntryKind {
   CONFIGURATION = 1, QUARANTINE = 2, CRASH = 3, EJECTION = 4, LEAVING = 5, ENDPOINT_LOAD = 6, PLACEMENT = 7, DEMAND = 8,
-  DAY_COUNTERS = 9, DIRECTORY = 10, PROMPT_CRASH = 11, PROVEN_PART = 12
+  DAY_COUNTERS = 9, DIRECTORY = 10, PROMPT_CRASH = 11, PROVEN_PART = 12, REQUEST_LIMIT = 13
 }
 
 /** A last-writer-wins entry. With remainingMs 0 it does not expire; without a value it is a tombstone. */
--- a/server/src/main/java/io/radishwinch/server/PeerStateBridge.java
+++ b/server/src/main/java/io/radishwinch/server/PeerStateBridge.java
@@ -21,10 +21,12 @@
 import io.radishwinch.core.quarantine.PromptCrash;
 import io.radishwinch.protocol.generated.EntryKind;
 import io.radishwinch.protocol.generated.Message;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
@@ -80,6 +82,9 @@
 
         /** Called when an endpoint does not respond to another router. */
         void endpointUnreachable(String endpointId);
+
+        /** Called when an endpoint named another request limit to a peer, in requests/s, or none any more. */
+        default void requestLimitChanged(String endpointId, OptionalDouble limitPerS) {}
     }
 
     /** Applies the caller limits of a configuration. */
@@ -133,6 +138,20 @@
         }
     }
 
+    /**
+     * Publishes the requests/s that an endpoint takes from all routers together, or that it names no limit any more.
+     *
+     * @param ttlMs time-to-live of the entry, in ms
+     */
+    public void publishRequestLimit(String endpointId, OptionalDouble limitPerS, long ttlMs) {
+        byte[] value = limitPerS.isEmpty()
+                ? new byte[0]
+                : ByteBuffer.allocate(Double.BYTES)
+                        .putDouble(limitPerS.getAsDouble())
+                        .array();
+        node.publish(EntryKind.REQUEST_LIMIT, endpointId, value, control.nowMs() + ttlMs, control.nowMs());
+    }
+
     /** Publishes that an endpoint is leaving, with the default time-to-live. */
     public void publishLeaving(String endpointId) {
         publishLeaving(endpointId, LEAVING_TTL_MS);
@@ -213,6 +232,7 @@
                     endpointListener.endpointLeaving(entry.key());
                 }
             }
+            case REQUEST_LIMIT -> applyRequestLimitEntry(entry);
             case EJECTION -> {
                 if (!entry.isTombstone()) {
                     endpointListener.endpointUnreachable(entry.key());
@@ -247,6 +267,21 @@
                         problem -> LOG.log(System.Logger.Level.WARNING, "prompt crash {0}: {1}", entry.key(), problem));
     }
 
+    private void applyRequestLimitEntry(GossipEntry entry) {
+        if (entry.isTombstone() || entry.value().length == 0) {
+            endpointListener.requestLimitChanged(entry.key(), OptionalDouble.empty());
+        } else if (entry.value().length == Double.BYTES) {
+            double perS = ByteBuffer.wrap(entry.value()).getDouble();
+            endpointListener.requestLimitChanged(entry.key(), OptionalDouble.of(Math.max(0, perS)));
+        } else {
+            LOG.log(
+                    System.Logger.Level.WARNING,
+                    "request limit of {0}: value has {1} bytes, expected 8 or none",
+                    entry.key(),
+                    entry.value().length);
+        }
+    }
+
     private void applyProvenPartEntry(GossipEntry entry) {
         if (entry.isTombstone()) {
             return;
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -43,6 +43,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.function.LongSupplier;
 
@@ -153,7 +154,14 @@
                 clients.endpoints(), registry, scheduler, control::post, leaseManager::recheckHeldLeases, log, clock);
         rerouter = new StreamRerouter(clients.endpoints(), registry, control::post, log);
         config = new ConfigHolder(dialect, log);
-        requestLimits = new RequestLimits(log);
+        requestLimits = new RequestLimits(
+                settings.routerId(),
+                this::routersThatUse,
+                control::execute,
+                control::post,
+                this::publishRequestLimit,
+                clock,
+                log);
         peerState =
                 new PeerStateBridge(node, control, new PeerStateReceiver(), this::applyObject, (sender, message) -> {});
         node.addListener(peerState);
@@ -256,6 +264,7 @@
         healthChecker.tick(nowMs);
         orderSender.tick();
         leaseManager.tick(nowMs);
+        requestLimits.tick(nowMs);
         if (++tickCount % TICKS_PER_LOAD_PUBLICATION == 0) {
             publishLoad();
         }
@@ -282,6 +291,35 @@
                 endpointFollower.isCurrent() && configFollower.isCurrent(), registry.relistGraceMs(nowMs));
     }
 
+    private void publishRequestLimit(String endpointId, OptionalDouble limitPerS) {
+        peerState.publishRequestLimit(endpointId, limitPerS, RequestLimits.TTL_MS);
+    }
+
+    /**
+     * Returns the routers that may send requests to an endpoint: those of its data centre if it is an engine, because
+     * others use it only while their own engines do not hold all layers, and all routers otherwise.
+     */
+    private List<String> routersThatUse(String endpointId) {
+        List<String> local = new ArrayList<>(List.of(settings.routerId()));
+        node.members().forEach(member -> local.add(member.id()));
+        Optional<EndpointEntry> entry = registry.entry(endpointId);
+        boolean isEngine = entry.isPresent()
+                && config.inEffect()
+                        .fleet()
+                        .enginePools()
+                        .containsKey(entry.get().service());
+        if (isEngine && entry.get().dataCentre().equals(settings.dataCentre())) {
+            return local;
+        }
+        if (isEngine && !node.remoteMembers(entry.get().dataCentre()).isEmpty()) {
+            return node.remoteMembers(entry.get().dataCentre()).stream()
+                    .map(MemberInfo::id)
+                    .toList();
+        }
+        node.remoteDataCentres().forEach(name -> node.remoteMembers(name).forEach(member -> local.add(member.id())));
+        return local;
+    }
+
     private void publishLoad() {
         peerState.publishLoad(control.core().view());
         int remote = node.remoteDataCentres().stream()
@@ -439,6 +477,11 @@
         public void endpointUnreachable(String endpointId) {
             healthChecker.check(endpointId);
         }
+
+        @Override
+        public void requestLimitChanged(String endpointId, OptionalDouble limitPerS) {
+            requestLimits.apply(endpointId, limitPerS);
+        }
     }
 
     private void observeEvent(Event event) {
--- a/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
@@ -47,7 +47,7 @@
     }
 
     /** Outcome of a call: the end of the response, or the failure. */
-    private final class Recorder implements UpstreamCall.Listener {
+    private static final class Recorder implements UpstreamCall.Listener {
         private final CompletableFuture<String> outcome = new CompletableFuture<>();
         private final CompletableFuture<Void> hasBody = new CompletableFuture<>();
         private final Buffer body = Buffer.buffer();
