Refuse at once what no limited endpoint takes from this router, and check limits once a second

A router without a share of any endpoint that holds the first layers let requests wait for their whole target latency before it refused them. Such a pool counts as not covered, so that they are refused after the usual grace period and can go to another router. Shares are recomputed once a second, as rendezvous hashing for each endpoint in each tick would cost a large fleet processor time. RequestLimitsTest covers the first.

--- a/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
@@ -159,6 +159,11 @@
         return requestAllowance == null || requestAllowance.waitMs(1, nowMs) == 0;
     }
 
+    /** Returns whether the request limit of the endpoint leaves this router no requests at all. */
+    public boolean isEntryClosed() {
+        return requestAllowance != null && requestAllowance.ratePerS() <= 0;
+    }
+
     /** Returns the number of attempts that this router runs on the endpoint. */
     public int localAttempts() {
         return localAttempts;
--- a/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
@@ -100,9 +100,14 @@
         return List.copyOf(members);
     }
 
-    /** Returns whether usable endpoints hold every layer of a pool. */
+    /**
+     * Returns whether usable endpoints hold every layer of a pool, and this router may send requests to one that holds
+     * the first.
+     */
     public boolean isCovered(ModelSpec pool) {
-        return firstUncoveredLayer(pool, null) == pool.layerCount();
+        return firstUncoveredLayer(pool, null) == pool.layerCount()
+                && pools.get(pool.name()).heldRanges().stream()
+                        .anyMatch(entry -> entry.first == 0 && entry.row.isUsable() && !entry.row.isEntryClosed());
     }
 
     /**
--- a/server/src/main/java/io/radishwinch/server/fleet/RequestLimits.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/RequestLimits.java
@@ -26,6 +26,9 @@
     /** Time after which an unchanged limit is shared again, in ms. */
     private static final long REFRESH_MS = 20_000;
 
+    /** Time between two checks of all limits, in ms. */
+    private static final long CHECK_INTERVAL_MS = 1_000;
+
     /** Relative change of a limit below which it is not shared again. */
     private static final double MIN_CHANGE = 0.1;
 
@@ -38,6 +41,7 @@
     private final FleetLog log;
     private final Map<String, Limit> limits = new ConcurrentHashMap<>();
     private final Map<String, Double> sharesPerS = new HashMap<>();
+    private long nextCheckAtMs = Long.MIN_VALUE;
 
     private record Limit(double perS, long refreshAtMs, long expiresAtMs) {}
 
@@ -103,6 +107,10 @@
 
     /** Drops limits that no response has named for a while, and adapts the shares to the routers that are left. */
     void tick(long nowMs) {
+        if (nowMs < nextCheckAtMs) {
+            return;
+        }
+        nextCheckAtMs = nowMs + CHECK_INTERVAL_MS;
         limits.forEach((endpointId, limit) -> {
             if (nowMs >= limit.expiresAtMs) {
                 apply(endpointId, OptionalDouble.empty());
--- a/server/src/test/java/io/radishwinch/server/fleet/RequestLimitsTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/RequestLimitsTest.java
@@ -205,6 +205,18 @@
         assertThat(routers.get(0).send(OptionalDouble.of(0))).contains(LIMITED);
     }
 
+    /** Guards against requests that wait for an endpoint which the router must not use. */
+    @Test
+    void aRouterWithoutAShareOfAnyEndpointKnowsThatItCannotServe() {
+        createRouters(20);
+        routers.forEach(router -> router.addEndpoint(LIMITED, 1_000));
+        play(0, 2_000, 5, OptionalDouble.of(1), 1);
+        assertThat(routers.stream().filter(router -> router.directory.isCovered("m", nowMs)))
+                .hasSize(5);
+        routers.forEach(router -> router.addEndpoint(OTHER, 1_000));
+        assertThat(routers).allMatch(router -> router.directory.isCovered("m", nowMs));
+    }
+
     @Test
     void anUnchangedLimitIsSharedRarely() {
         createRouters(8);
