Apply what an earlier process of this router published when it returns after a restart

A restarted router ignored the gossip entries whose origin is its own name.

Entries are skipped only while this process publishes them.

--- a/cluster/src/test/java/io/radishwinch/cluster/GossipTest.java
+++ b/cluster/src/test/java/io/radishwinch/cluster/GossipTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.radishwinch.cluster.gossip.GossipEntry;
+import io.radishwinch.cluster.membership.Seed;
 import io.radishwinch.protocol.generated.EntryKind;
 import java.util.ArrayList;
 import java.util.List;
@@ -94,6 +95,31 @@
         assertThat(countRoutersWithEntry(bus, EntryKind.QUARANTINE, "f3")).isEqualTo(12);
     }
 
+    /** Guards against a restarted router that uses what the others learned to avoid. */
+    @Test
+    void aRestartedRouterReceivesTheCrashesThatWerePublishedBefore() {
+        for (int seed = 0; seed < 20; seed++) {
+            TestBus bus = fleet(seed, 3, 3);
+            List<Seed> all = TestBus.seeds(3, 3);
+            for (int i = 0; i < 12; i++) {
+                bus.node("dc" + i % 3, i % 2)
+                        .publish(EntryKind.PROMPT_CRASH, "f" + i, VALUE, bus.nowMs + 600_000, bus.nowMs);
+                bus.runFor(200);
+            }
+            bus.routers.remove(TestBus.address("dc1", 0));
+            bus.routers.remove(TestBus.address("dc1", 1));
+            bus.runFor(1_500);
+            bus.start(TestBus.seed("dc1", 0), all, 0);
+            bus.start(TestBus.seed("dc1", 1), all, 0);
+            bus.runFor(1_500);
+            for (int i = 0; i < 12; i++) {
+                assertThat(countRoutersWithEntry(bus, EntryKind.PROMPT_CRASH, "f" + i))
+                        .as("seed %d, entry f%d", seed, i)
+                        .isEqualTo(9);
+            }
+        }
+    }
+
     @Test
     void bothSidesOfAPartitionInsideADataCentreRejoin() {
         TestBus bus = fleet(2, 1, 8);
--- a/server/src/main/java/io/radishwinch/server/PeerStateBridge.java
+++ b/server/src/main/java/io/radishwinch/server/PeerStateBridge.java
@@ -53,6 +53,7 @@
     private final Map<Integer, String> endpointsByHash = new HashMap<>();
     private Map<String, EndpointLoad> loadsOfPeers = Map.of();
     private long nextLoadRefreshMs = Long.MIN_VALUE;
+    private boolean isPublishing;
 
     /**
      * Creates a bridge.
@@ -103,38 +104,41 @@
         node.setLimits(limits);
     }
 
+    private void publish(EntryKind kind, String key, byte[] value, long deadlineMs) {
+        isPublishing = true;
+        try {
+            node.publish(kind, key, value, deadlineMs, control.nowMs());
+        } finally {
+            isPublishing = false;
+        }
+    }
+
     /** Publishes a quarantined fingerprint. */
     public void publishQuarantine(Action.ShareQuarantine action) {
-        node.publish(EntryKind.QUARANTINE, action.fingerprint(), new byte[0], action.untilMs(), control.nowMs());
+        publish(EntryKind.QUARANTINE, action.fingerprint(), new byte[0], action.untilMs());
     }
 
     /** Publishes a fingerprint that ran on an endpoint when the endpoint crashed. */
     public void publishCrash(Action.ShareCrash action) {
         String key = action.fingerprint() + CRASH_SEPARATOR + action.endpointId();
-        node.publish(EntryKind.CRASH, key, new byte[0], control.nowMs() + CRASH_TTL_MS, control.nowMs());
+        publish(EntryKind.CRASH, key, new byte[0], control.nowMs() + CRASH_TTL_MS);
     }
 
     /** Publishes a request that failed before its answer began because its endpoint crashed. */
     public void publishPromptCrash(Action.SharePromptCrash action) {
         PromptCrash crash = action.crash();
         String key = crash.fingerprint() + CRASH_SEPARATOR + crash.endpointId();
-        node.publish(
-                EntryKind.PROMPT_CRASH,
-                key,
-                PromptCrashCodec.encode(crash),
-                crash.crashedAtMs() + PROMPT_CRASH_TTL_MS,
-                control.nowMs());
+        publish(EntryKind.PROMPT_CRASH, key, PromptCrashCodec.encode(crash), crash.crashedAtMs() + PROMPT_CRASH_TTL_MS);
     }
 
     /** Publishes that an answer to a prompt with these parts has begun. */
     public void publishProvenParts(Action.ShareProvenParts action) {
         for (long part : action.parts()) {
-            node.publish(
+            publish(
                     EntryKind.PROVEN_PART,
                     PromptCrashCodec.partKey(part),
                     new byte[0],
-                    control.nowMs() + PROMPT_CRASH_TTL_MS,
-                    control.nowMs());
+                    control.nowMs() + PROMPT_CRASH_TTL_MS);
         }
     }
 
@@ -149,7 +153,7 @@
                 : ByteBuffer.allocate(Double.BYTES)
                         .putDouble(limitPerS.getAsDouble())
                         .array();
-        node.publish(EntryKind.REQUEST_LIMIT, endpointId, value, control.nowMs() + ttlMs, control.nowMs());
+        publish(EntryKind.REQUEST_LIMIT, endpointId, value, control.nowMs() + ttlMs);
     }
 
     /** Publishes that an endpoint is leaving, with the default time-to-live. */
@@ -164,14 +168,13 @@
      */
     public void publishLeaving(String endpointId, long ttlMs) {
         if (node.entry(EntryKind.LEAVING, endpointId).isEmpty()) {
-            node.publish(EntryKind.LEAVING, endpointId, new byte[0], control.nowMs() + ttlMs, control.nowMs());
+            publish(EntryKind.LEAVING, endpointId, new byte[0], control.nowMs() + ttlMs);
         }
     }
 
     /** Publishes that an endpoint does not respond to this router. */
     public void publishUnreachable(String endpointId) {
-        node.publish(
-                EntryKind.EJECTION, endpointId, new byte[0], control.nowMs() + UNREACHABLE_TTL_MS, control.nowMs());
+        publish(EntryKind.EJECTION, endpointId, new byte[0], control.nowMs() + UNREACHABLE_TTL_MS);
     }
 
     /** Publishes the load of this router on each endpoint. */
@@ -214,8 +217,8 @@
 
     @Override
     public void entryChanged(GossipEntry entry) {
-        boolean isLocal = entry.origin().equals(node.self().id());
-        if (isLocal) {
+        // The origin does not tell: entries of an earlier process of this router return from its peers after a restart.
+        if (isPublishing) {
             return;
         }
         switch (entry.kind()) {
