Count crashes as successive although reports of peers are dated some ms too late

Each hop of a crash report adds its delay to the time of the crash. A retry starts 10 ms after the crash before it, so that it seemed to have overlapped that crash at other routers, and both counted as one. PartQuarantineTest.reportsThatWereDelayedDifferently… fails before.

--- a/core/src/main/java/io/radishwinch/core/quarantine/PartQuarantine.java
+++ b/core/src/main/java/io/radishwinch/core/quarantine/PartQuarantine.java
@@ -172,11 +172,14 @@
     private boolean isConclusive(List<PromptCrash> group) {
         Set<String> fingerprints = new HashSet<>();
         Set<String> endpointIds = new HashSet<>();
-        long lastCrashMs = Long.MIN_VALUE;
+        long lastCrashMs = 0;
         int successive = 0;
         for (PromptCrash crash : group) {
             fingerprints.add(crash.fingerprint());
-            if (crash.startedAtMs() >= lastCrashMs && endpointIds.add(crash.endpointId())) {
+            boolean isSuccessive = endpointIds.isEmpty()
+                    || crash.startedAtMs() >= lastCrashMs - settings.clockToleranceMs()
+                            && crash.crashedAtMs() >= lastCrashMs + settings.minCrashIntervalMs();
+            if (isSuccessive && endpointIds.add(crash.endpointId())) {
                 lastCrashMs = crash.crashedAtMs();
                 successive++;
             }
--- a/core/src/test/java/io/radishwinch/core/quarantine/PartQuarantineTest.java
+++ b/core/src/test/java/io/radishwinch/core/quarantine/PartQuarantineTest.java
@@ -58,6 +58,15 @@
         assertThat(quarantine.quarantinedParts()).isEmpty();
     }
 
+    /** Guards against crashes that are not counted because reports of other routers are dated some ms too late. */
+    @Test
+    void reportsThatWereDelayedDifferentlyAreStillSuccessive() {
+        crash("f1", "e1", 20, 140, 1L);
+        crash("f1", "e2", 120, 220, 1L);
+        crash("f2", "e3", 170, 290, 1L);
+        assertThat(quarantine.quarantinedParts()).containsExactly(Set.of(1L));
+    }
+
     @Test
     void aProofAfterTheCrashesLiftsTheQuarantine() {
         crash("f1", "e1", 0, 100, 1L);
