Refuse a common prompt part only together with the part that crashes beside it

Parts that count for each crashed endpoint, also in different requests, are refused together now. PartQuarantineTest.aSoundRequestBesideOneThatIsRetried… fails before.

--- a/core/src/main/java/io/radishwinch/core/quarantine/PartQuarantine.java
+++ b/core/src/main/java/io/radishwinch/core/quarantine/PartQuarantine.java
@@ -134,8 +134,8 @@
             }
             List<PromptCrash> explained = suspect.get().crashes;
             long lastCrashMs = explained.get(explained.size() - 1).crashedAtMs();
-            updated.add(new Signature(commonParts(explained), lastCrashMs + settings.quarantineMs()));
             Set<String> endpointIds = endpointIds(explained);
+            updated.add(new Signature(commonParts(unexplained, endpointIds), lastCrashMs + settings.quarantineMs()));
             unexplained.removeIf(crash -> endpointIds.contains(crash.endpointId()));
         }
         boolean hasChanged = !updated.equals(signatures);
@@ -187,12 +187,19 @@
         return successive >= settings.minCrashes() && fingerprints.size() >= settings.minRequests();
     }
 
-    /** Returns the parts that occur in all of these crashes and have no proof since the first one. */
-    private Set<Long> commonParts(List<PromptCrash> group) {
-        Set<Long> common = new LinkedHashSet<>(group.get(0).parts());
-        for (PromptCrash crash : group) {
-            common.removeIf(part -> !countsAgainst(crash, part));
+    /** Returns the parts that count for each of the endpoints, possibly in different requests. */
+    private Set<Long> commonParts(List<PromptCrash> unexplained, Set<String> endpointIds) {
+        Map<Long, Set<String>> endpointsByPart = new LinkedHashMap<>();
+        for (PromptCrash crash : unexplained) {
+            for (Long part : crash.parts()) {
+                if (endpointIds.contains(crash.endpointId()) && countsAgainst(crash, part)) {
+                    endpointsByPart
+                            .computeIfAbsent(part, key -> new HashSet<>())
+                            .add(crash.endpointId());
+                }
+            }
         }
-        return common;
+        endpointsByPart.values().removeIf(ids -> ids.size() < endpointIds.size());
+        return Set.copyOf(endpointsByPart.keySet());
     }
 }
--- a/core/src/test/java/io/radishwinch/core/quarantine/PartQuarantineTest.java
+++ b/core/src/test/java/io/radishwinch/core/quarantine/PartQuarantineTest.java
@@ -42,6 +42,17 @@
         assertThat(quarantine.quarantinedParts()).containsExactly(Set.of(2L));
     }
 
+    /** Guards against blame of a common part while only one request with the poison part is known. */
+    @Test
+    void aSoundRequestBesideOneThatIsRetriedDoesNotMakeTheCommonPartAlonePoison() {
+        for (int n = 0; n < 3; n++) {
+            crash("f", "e" + n, n * 200, n * 200 + 100, 1L, 2L);
+        }
+        crash("g", "e2", 400, 500, 1L);
+        assertThat(quarantine.quarantinedUntilMs(List.of(1L, 3L), 500)).isZero();
+        assertThat(quarantine.quarantinedUntilMs(List.of(1L, 2L), 500)).isPositive();
+    }
+
     @Test
     void crashesOfARequestThatIsRetriedAreNoEvidenceAgainstItsParts() {
         crash("f1", "e1", 0, 100, 1L);
