Keep the share of a request limit that arrives before its endpoint is listed

After a restart, the limit of an endpoint may arrive before its entry in the list. The core dropped it, and as the share did not change afterwards, it was never set. RequestLimitsTest.aLimitOfAnEndpointThatJoinsLater… fails on the code before.

--- a/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
@@ -42,6 +42,8 @@
     /** Maximum number of leaving marks for endpoints that have not joined yet; the oldest is evicted first. */
     private static final int MAX_EARLY_LEAVING_IDS = 10_000;
 
+    private static final int MAX_REQUEST_SHARES = 10_000;
+
     private final Map<String, EndpointRow> rows = new TreeMap<>();
     private final Map<String, PoolIndex> pools = new TreeMap<>();
     private final Map<String, Integer> dataCentreIndexes = new HashMap<>();
@@ -49,6 +51,9 @@
     private final PrefixIndex prefixes = new PrefixIndex();
     private final CrossDataCentreBudget crossDataCentreBudget = new CrossDataCentreBudget();
     private final Set<String> earlyLeavingIds = new LinkedHashSet<>();
+    /** Shares of the request limits of endpoints, also of those that have not joined. */
+    private final Map<String, Double> requestSharesPerS = new HashMap<>();
+
     private FleetConfig config = FleetConfig.empty();
     private int nextIndex;
     private long structureVersion;
@@ -174,6 +179,10 @@
                     dataCentreIndexes.computeIfAbsent(spec.dataCentre(), key -> dataCentreIndexes.size());
             EndpointRow added = new EndpointRow(nextIndex++, dataCentreIndex, spec);
             added.isLeaving = earlyLeavingIds.remove(spec.id());
+            Double shareOfRequestsPerS = requestSharesPerS.get(spec.id());
+            if (shareOfRequestsPerS != null) {
+                added.setRequestShare(shareOfRequestsPerS, 0);
+            }
             rows.put(spec.id(), added);
             structureVersion++;
             return true;
@@ -275,8 +284,13 @@
         }
     }
 
-    /** Limits the requests/s for which this router uses the endpoint as the first stage. */
+    /** Limits the requests/s for which this router uses the endpoint as the first stage, also if it has not joined. */
     void setRequestShare(String endpointId, double requestsPerS, long nowMs) {
+        if (requestsPerS == Double.POSITIVE_INFINITY) {
+            requestSharesPerS.remove(endpointId);
+        } else if (requestSharesPerS.containsKey(endpointId) || requestSharesPerS.size() < MAX_REQUEST_SHARES) {
+            requestSharesPerS.put(endpointId, requestsPerS);
+        }
         EndpointRow row = rows.get(endpointId);
         if (row != null) {
             row.setRequestShare(requestsPerS, nowMs);
--- a/server/src/test/java/io/radishwinch/server/fleet/RequestLimitsTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/RequestLimitsTest.java
@@ -217,6 +217,16 @@
         assertThat(routers).allMatch(router -> router.directory.isCovered("m", nowMs));
     }
 
+    /** Guards against a limit that is lost because it arrives before the endpoint is listed, as after a restart. */
+    @Test
+    void aLimitOfAnEndpointThatJoinsLaterIsKept() {
+        createRouters(1);
+        routers.get(0).limits.apply(LIMITED, OptionalDouble.of(0.1));
+        routers.get(0).addEndpoint(LIMITED, 1_000);
+        assertThat(play(0, 8_000, 50, OptionalDouble.of(0.1), 1)).isLessThan(0.1);
+        assertThat(sentToLimitedMs).hasSize(1);
+    }
+
     @Test
     void anUnchangedLimitIsSharedRarely() {
         createRouters(8);
