Let the crash report of a peer confirm the failed requests of this router

A failed request counts as a crash once its endpoint is known to have ended. PoisonPromptPartTest.theReportOfAPeer… fails on the code before.

--- a/core/src/main/java/io/radishwinch/core/impl/QuarantineSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/QuarantineSystem.java
@@ -52,6 +52,7 @@
         if (state.partQuarantine.recordCrash(event.crash(), nowMs)) {
             applyPartQuarantine(nowMs);
         }
+        confirmCrash(event.crash().endpointId(), nowMs);
     }
 
     void recordPeerProof(Event.PartsProven event, long nowMs) {
--- a/core/src/test/java/io/radishwinch/core/impl/PoisonPromptPartTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/PoisonPromptPartTest.java
@@ -186,6 +186,22 @@
         assertThat(reasons).isEmpty();
     }
 
+    /** Guards against late evidence while a router still waits for its own check of an endpoint that a peer saw end. */
+    @Test
+    void theReportOfAPeerConfirmsThatAnEndpointCrashed() {
+        CoreSimulation router = routers.get(0);
+        router.endpointBehaviour = start -> CoreSimulation.fails(start, 10, Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN, 0);
+        arrive(0, COMMON_PART, POISON_PART);
+        router.run(15);
+        String endpointId =
+                router.trace("r0").starts.get(0).chain().firstStage().endpointId();
+        assertThat(router.actions).noneMatch(action -> action instanceof Action.SharePromptCrash);
+        router.at(16, new Event.PromptCrashShared(new PromptCrash("peer", endpointId, List.of(9L), 0, 10)));
+        router.run(20);
+        assertThat(router.actions.stream().filter(action -> action instanceof Action.SharePromptCrash))
+                .hasSize(1);
+    }
+
     @Test
     void aRouterThatRestartsLearnsTheQuarantineFromTheReportsOfItsPeers() {
         CoreSimulation restarted = routers.get(0);
