--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -17,10 +17,12 @@
 
     private final CoreState state;
     private final QuarantineSystem quarantineSystem;
+    private final PartQuarantineSystem partQuarantineSystem;
 
-    AttemptSystem(CoreState state, QuarantineSystem quarantineSystem) {
+    AttemptSystem(CoreState state, QuarantineSystem quarantineSystem, PartQuarantineSystem partQuarantineSystem) {
         this.state = state;
         this.quarantineSystem = quarantineSystem;
+        this.partQuarantineSystem = partQuarantineSystem;
     }
 
     void started(Event.AttemptStarted event) {
@@ -57,7 +59,7 @@
         double intervalMs = newTokens > 1 ? (double) (nowMs - row.attemptStartedAtMs - firstMs) / (newTokens - 1) : 0;
         state.actions.addAll(state.directory.recordSuccess(row.chain, firstMs, intervalMs, nowMs));
         state.quarantine.recordRequestFinished(row.spec.fingerprint(), nowMs);
-        quarantineSystem.recordProof(row, nowMs);
+        partQuarantineSystem.recordProof(row, nowMs);
         if (row.epoch == 1) {
             state.pool(row.spec.pool()).recordFinished(row.spec, firstMs, intervalMs, newTokens, nowMs);
         }
@@ -94,10 +96,11 @@
                 }
             }
         }
-        quarantineSystem.confirmCrash(removed.endpointId(), nowMs);
+        partQuarantineSystem.endpointEnded(removed.endpointId(), nowMs);
         for (RequestRow row : rows) {
             if (removed.hasCrashed() && row.isAccepted && state.requests.containsKey(row.id())) {
                 quarantineSystem.recordCrash(row, removed.endpointId(), nowMs);
+                partQuarantineSystem.recordFailure(row, removed.endpointId(), nowMs);
             }
         }
     }
@@ -222,6 +225,7 @@
                         + verdict.wireName());
         if (isCrash && chain.uses(endpointId)) {
             quarantineSystem.recordCrash(row, endpointId, nowMs);
+            partQuarantineSystem.recordFailure(row, endpointId, nowMs);
         }
         if (state.requests.containsKey(row.id())) {
             retryOrRefuse(row, nowMs);
--- a/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -35,6 +35,7 @@
     private final AdmissionSystem admission;
     private final DispatchSystem dispatch;
     private final QuarantineSystem quarantineSystem;
+    private final PartQuarantineSystem partQuarantineSystem;
     private final AttemptSystem attempts;
     private final PreemptionSystem preemption;
 
@@ -43,7 +44,8 @@
         this.admission = new AdmissionSystem(state);
         this.dispatch = new DispatchSystem(state);
         this.quarantineSystem = new QuarantineSystem(state);
-        this.attempts = new AttemptSystem(state, quarantineSystem);
+        this.partQuarantineSystem = new PartQuarantineSystem(state);
+        this.attempts = new AttemptSystem(state, quarantineSystem, partQuarantineSystem);
         this.preemption = new PreemptionSystem(state, attempts);
     }
 
@@ -111,9 +113,9 @@
         } else if (event instanceof Event.QuarantineShared shared) {
             quarantineSystem.recordPeerQuarantine(shared, nowMs);
         } else if (event instanceof Event.PromptCrashShared shared) {
-            quarantineSystem.recordPeerPromptCrash(shared, nowMs);
+            partQuarantineSystem.applyCrash(shared.crash(), nowMs);
         } else if (event instanceof Event.PartsProven proven) {
-            quarantineSystem.recordPeerProof(proven, nowMs);
+            partQuarantineSystem.applyProof(proven.parts(), proven.atMs(), nowMs);
         } else if (event instanceof Event.RouterCountChanged counted) {
             state.retries.setRouterCount(counted.routerCount(), nowMs);
         } else if (event instanceof Event.DrainStarted drain) {
@@ -129,6 +131,7 @@
         }
         state.quarantine.tick(nowMs);
         quarantineSystem.tick(nowMs);
+        partQuarantineSystem.tick(nowMs);
         refuseUnservable(nowMs);
         dispatch.tick(nowMs);
         preemption.tick(nowMs);
--- a/core/src/main/java/io/radishwinch/core/quarantine/PartQuarantine.java
+++ b/core/src/main/java/io/radishwinch/core/quarantine/PartQuarantine.java
@@ -15,13 +15,15 @@
 /**
  * Finds parts of prompts that crash endpoints, whatever else the requests contain, and quarantines them.
  *
- * <p>Every crash counts against all parts of the requests that failed with it. An answer that has begun clears the
- * parts of its request from earlier crashes. Crashes explained by the part with the most of them do not count against
- * other parts. Parts that occur in all of these crashes cannot be told apart, and only requests with all of them are
+ * <p>A crash counts against all parts of the requests that failed with it before their answers began. An answer that
+ * begins is a proof: it clears the parts of its prompt of earlier crashes. A part is suspected after enough crashes,
+ * one after the other, of different requests. Crashes that the likeliest suspect explains do not count against other
+ * parts. Parts that count for each of its endpoints cannot be told apart, and only requests with all of them are
  * refused.
  */
 public final class PartQuarantine {
 
+    /** Parts that are refused together until a time in ms. */
     private record Signature(Set<Long> parts, long untilMs) {}
 
     /**
