Refuse every request that is submitted after drain() returned

The event is queued by drain() itself now, ahead of all later requests. Cause read from the code; the failure was not forced.

--- a/server/src/main/java/io/radishwinch/server/ControlPlane.java
+++ b/server/src/main/java/io/radishwinch/server/ControlPlane.java
@@ -202,10 +202,14 @@
         pollVms();
     }
 
-    /** Refuses new requests; the future completes when no request is running or the timeout has passed. */
-    Future<Void> drain(long timeoutMs) {
+    /** Refuses every request that is submitted after this call; may be called from any thread. */
+    void startDrain(long deadlineMs) {
+        control.post(new Event.DrainStarted(deadlineMs));
+    }
+
+    /** Returns a future that completes when no request is running or the timeout has passed. */
+    Future<Void> awaitIdle(long timeoutMs) {
         Promise<Void> idle = Promise.promise();
-        control.post(new Event.DrainStarted(clock.getAsLong() + timeoutMs));
         control.setIdleListener(idle::tryComplete);
         vertx.setTimer(Math.max(1, timeoutMs), ignored -> idle.tryComplete());
         return idle.future();
--- a/server/src/main/java/io/radishwinch/server/RouterProcess.java
+++ b/server/src/main/java/io/radishwinch/server/RouterProcess.java
@@ -124,7 +124,9 @@
         isDraining = true;
         LOG.log(System.Logger.Level.INFO, "draining");
         Promise<Void> drained = Promise.promise();
-        plane.control().execute(() -> plane.drain(settings.integer(SettingKey.DRAIN_TIMEOUT_MS))
+        long timeoutMs = settings.integer(SettingKey.DRAIN_TIMEOUT_MS);
+        plane.startDrain(plane.control().nowMs() + timeoutMs);
+        plane.control().execute(() -> plane.awaitIdle(timeoutMs)
                 .compose(ignored -> plane.leave())
                 .onComplete(drained));
         return drained.future();
