Recompute the quarantined parts only after a proof of a suspected one

Every answer that began recomputed them for ten minutes after a crash. A proof of parts that no crash counts against cannot change the result, which the tests of both mechanisms show unchanged.

--- a/core/src/main/java/io/radishwinch/core/quarantine/PartQuarantine.java
+++ b/core/src/main/java/io/radishwinch/core/quarantine/PartQuarantine.java
@@ -96,11 +96,13 @@
      * @return whether the quarantined combinations changed
      */
     public boolean recordProof(List<Long> parts, long atMs) {
+        // Only proofs of suspected parts can change what is quarantined, and most answers have none.
+        boolean hasSuspectedPart = !suspectedParts(parts).isEmpty();
         for (Long part : parts) {
             long latestMs = Math.max(atMs, lastProofMs(part));
             provenAtMs.put(part.toString(), latestMs, latestMs + settings.quarantineMs());
         }
-        return crashes.size() > 0 && updateSignatures();
+        return hasSuspectedPart && updateSignatures();
     }
 
     /** Returns the total number of entries of all tables. */
