Log how the response of an endpoint to each failed or later attempt ended

The log could not tell why a stream was completed: an answered request named neither the status of the response that completed it nor what marked its end, and the description of a failed attempt was dropped. response-ended has status, framing, events and cause; a counter counts the causes. No decision changes.

--- a/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
@@ -101,6 +101,7 @@
                 dialect,
                 clientFactory.apply(controlVertx),
                 log);
+        OutcomeLogger outcomes = new OutcomeLogger(log, new OutcomeCounter(metrics), metrics);
         proxy = new ProxyServer(
                 trafficVertx,
                 new ProxyServer.Dependencies(
@@ -110,7 +111,8 @@
                         authenticator,
                         plane::config,
                         plane::liveRouters,
-                        new OutcomeLogger(log, new OutcomeCounter(metrics)),
+                        outcomes,
+                        outcomes,
                         plane.requestLimits(),
                         plane::checkStalledStreams));
         metrics.gauge("radishwinch.config.version", "version of the configuration in effect", () -> plane.config()
--- a/server/src/main/java/io/radishwinch/server/fleet/OutcomeLogger.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/OutcomeLogger.java
@@ -1,27 +1,63 @@
 package io.radishwinch.server.fleet;
 
+import io.micrometer.core.instrument.Counter;
 import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.server.LogFields;
 import io.radishwinch.server.http.DeliveryStats;
 import io.radishwinch.server.http.ExchangeListener;
 import io.radishwinch.server.http.Refusal;
+import io.radishwinch.server.metrics.RouterMetrics;
+import io.radishwinch.server.proxy.ResponseEnd;
+import io.radishwinch.server.proxy.ResponseEndListener;
+import java.util.EnumMap;
+import java.util.Map;
 import java.util.Optional;
 
-/** Logs complete responses with their timings, and requests that were refused before they reached the core. */
-final class OutcomeLogger implements ExchangeListener {
+/**
+ * Logs complete responses with their timings, responses of endpoints that failed or that answered a retry, and requests
+ * that were refused before they reached the core.
+ */
+final class OutcomeLogger implements ExchangeListener, ResponseEndListener {
 
     private final FleetLog log;
     private final ExchangeListener next;
+    private final Map<ResponseEnd.Cause, Counter> endsByCause = new EnumMap<>(ResponseEnd.Cause.class);
 
     /**
      * Creates a logger.
      *
      * @param next listener that receives every call too
      */
-    OutcomeLogger(FleetLog log, ExchangeListener next) {
+    OutcomeLogger(FleetLog log, ExchangeListener next, RouterMetrics metrics) {
         this.log = log;
         this.next = next;
+        for (ResponseEnd.Cause cause : ResponseEnd.Cause.values()) {
+            endsByCause.put(
+                    cause,
+                    metrics.counter(
+                            "radishwinch.endpoint.responses",
+                            "responses of endpoints by the cause of their end",
+                            "cause",
+                            cause.wireName()));
+        }
+    }
+
+    @Override
+    public void responseEnded(String requestId, ResponseEnd end) {
+        endsByCause.get(end.cause()).increment();
+        if (end.isComplete() && end.epoch() == 1) {
+            return;
+        }
+        log.request(() -> LogFields.of("response-ended")
+                .with("id", requestId)
+                .with("epoch", end.epoch())
+                .with("endpoint", end.endpointId())
+                .with("status", end.status())
+                .with("framing", end.framing().wireName())
+                .with("events", end.eventCount())
+                .with("cause", end.cause().wireName())
+                .with("detail", end.detail()));
     }
 
     @Override
--- a/server/src/main/java/io/radishwinch/server/metrics/RouterMetrics.java
+++ b/server/src/main/java/io/radishwinch/server/metrics/RouterMetrics.java
@@ -36,8 +36,8 @@
             String name = rank.wireName();
             refusals.put(rank, reasonCounters("radishwinch.refusals", "requests refused or failed", name));
             retries.put(rank, reasonCounters("radishwinch.retries", "attempts after the first", name));
-            responses.put(rank, counter("radishwinch.answers", "whole answers", name));
-            deliveredTokens.put(rank, counter("radishwinch.answer.tokens", "tokens delivered", name));
+            responses.put(rank, counter("radishwinch.answers", "whole answers", RANK, name));
+            deliveredTokens.put(rank, counter("radishwinch.answer.tokens", "tokens delivered", RANK, name));
             timeToFirstToken.put(
                     rank,
                     Timer.builder("radishwinch.first.token")
@@ -94,6 +94,11 @@
         return Counter.builder(name).description(description).register(registry);
     }
 
+    /** Registers a counter with one label from a fixed set of values, with the initial value 0, and returns it. */
+    public Counter counter(String name, String description, String label, String value) {
+        return Counter.builder(name).description(description).tag(label, value).register(registry);
+    }
+
     /** Registers a gauge whose value is read on each scrape. */
     public void gauge(String name, String description, Supplier<Number> value) {
         Gauge.builder(name, value).description(description).register(registry);
@@ -117,8 +122,4 @@
         }
         return counters;
     }
-
-    private Counter counter(String name, String description, String rank) {
-        return Counter.builder(name).description(description).tag(RANK, rank).register(registry);
-    }
 }
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -188,6 +188,15 @@
         shared.announceClose(response);
     }
 
+    private static ResponseEnd.Framing framingOf(MultiMap headers) {
+        if (headers.contains(HttpHeaders.TRANSFER_ENCODING)) {
+            return ResponseEnd.Framing.CHUNKED;
+        }
+        return headers.contains(HttpHeaders.CONTENT_LENGTH)
+                ? ResponseEnd.Framing.LENGTH
+                : ResponseEnd.Framing.CONNECTION;
+    }
+
     /**
      * Ends the exchange and resets the caller's connection, because the rest of the response cannot be obtained from
      * another endpoint.
@@ -204,6 +213,8 @@
         private final UpstreamCall call;
         private int status;
         private MultiMap headers;
+        private ResponseEnd.Framing framing = ResponseEnd.Framing.NONE;
+        private int eventCount;
         private Buffer bufferedBody = Buffer.buffer();
 
         Attempt(int epoch, EndpointContact contact) {
@@ -232,13 +243,11 @@
         public void onResponseHead(ResponseHead responseHead, HttpClientResponse upstreamResponse) {
             status = responseHead.status();
             headers = upstreamResponse.headers();
+            framing = framingOf(headers);
             if (!responseHead.isSealed()) {
                 // Without the seal, the response cannot be attributed to the endpoint.
                 call.cancel();
-                onFailure(
-                        Reason.STAGE_DIED,
-                        Verdict.MAY_HAVE_RUN,
-                        "response with status " + status + " lacks the endpoint's seal");
+                fail(ResponseEnd.Cause.UNSEALED, "response with status " + status + " lacks the endpoint's seal");
                 return;
             }
             lastActivityAtMs = shared.control().nowMs();
@@ -249,12 +258,14 @@
         public void onBodyChunk(Buffer chunk) {
             lastActivityAtMs = shared.control().nowMs();
             if (isStream()) {
+                int eventsBefore = scanner.eventCount();
                 Buffer events = scanner.feed(chunk);
+                eventCount += scanner.eventCount() - eventsBefore;
                 if (events.length() > 0) {
                     forwardEvents(events);
                 } else if (scanner.isOversized()) {
                     call.cancel();
-                    onFailure(Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN, "event exceeds the maximum size");
+                    fail(ResponseEnd.Cause.OVERSIZED, "event exceeds the maximum size");
                 }
             } else if (isHeadSent) {
                 write(chunk);
@@ -278,6 +289,7 @@
             } else if (request.isRepeatable() && status >= 500) {
                 bufferedResponse = new BufferedResponse(status, headers, bufferedBody);
                 attempt = null;
+                reportEnd(ResponseEnd.Cause.COMPLETE, "");
                 postAttemptFailed(epoch, contact.endpointId(), Reason.ENDPOINT_ERROR, Verdict.RAN);
             } else {
                 bufferedResponse = new BufferedResponse(status, headers, bufferedBody);
@@ -287,6 +299,24 @@
 
         @Override
         public void onFailure(Reason reason, Verdict verdict, String message) {
+            reportEnd(ResponseEnd.Cause.CONNECTION_FAILED, message);
+            endAttempt(reason, verdict);
+        }
+
+        private void fail(ResponseEnd.Cause cause, String detail) {
+            reportEnd(cause, detail);
+            endAttempt(Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN);
+        }
+
+        private void reportEnd(ResponseEnd.Cause cause, String detail) {
+            shared.responseEnds()
+                    .responseEnded(
+                            request.requestId(),
+                            new ResponseEnd(epoch, contact.endpointId(), status, framing, eventCount, cause, detail));
+        }
+
+        /** Lets the core retry the request, or resets the caller's connection if no other response can follow. */
+        private void endAttempt(Reason reason, Verdict verdict) {
             attempt = null;
             boolean canRetry = !isHeadSent || isStream() && request.isRepeatable();
             if (canRetry) {
@@ -302,7 +332,7 @@
 
         private void onStreamEnd() {
             if (scanner.hasPartialEvent() || scanner.eventCount() == 0 && !isHeadSent) {
-                onFailure(Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN, "stream ended before the end of an event");
+                fail(ResponseEnd.Cause.PARTIAL, "stream ended before the end of an event");
             } else {
                 finishAttempt();
             }
@@ -310,6 +340,7 @@
 
         private void finishAttempt() {
             isAttemptFinished = true;
+            reportEnd(ResponseEnd.Cause.COMPLETE, "");
             post(new Event.AttemptFinished(request.requestId(), epoch, deliveredTokens()));
         }
 
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyScope.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyScope.java
@@ -22,6 +22,7 @@
  * @param limits receives the request limits that endpoints name
  * @param bodyMemory memory budget of all request bodies
  * @param listener receives the outcome of every request
+ * @param responseEnds receives how the response to each attempt ended
  * @param isDraining whether the router is draining
  * @param writeTimeoutMs maximum time for which a caller may leave its response unread, in ms
  */
@@ -35,6 +36,7 @@
         RequestLimitListener limits,
         MemoryBudget bodyMemory,
         ExchangeListener listener,
+        ResponseEndListener responseEnds,
         BooleanSupplier isDraining,
         long writeTimeoutMs)
         implements ExchangeScope {
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -93,6 +93,7 @@
      * @param config supplies the configuration in effect; thread-safe
      * @param liveRouterCount supplies the number of live routers that share the endpoints; thread-safe
      * @param listener receives the outcome of every request
+     * @param responseEnds receives how the response to each attempt ended
      * @param limits receives the request limits that endpoints name
      * @param onStalledEndpoint receives the identifiers of endpoints with unresponsive streams
      */
@@ -104,6 +105,7 @@
             Supplier<RoutingConfig> config,
             Supplier<Integer> liveRouterCount,
             ExchangeListener listener,
+            ResponseEndListener responseEnds,
             RequestLimitListener limits,
             Consumer<String> onStalledEndpoint) {}
 
@@ -126,6 +128,7 @@
                 dependencies.limits(),
                 bodyMemory,
                 this,
+                dependencies.responseEnds(),
                 () -> isDraining,
                 WRITE_TIMEOUT_MS);
         vertx.setPeriodic(CHECK_INTERVAL_MS, ignored -> {
--- /dev/null
+++ b/server/src/main/java/io/radishwinch/server/proxy/ResponseEnd.java
@@ -0,0 +1,69 @@
+package io.radishwinch.server.proxy;
+
+/**
+ * How the response of an endpoint to one attempt ended.
+ *
+ * @param epoch number of the attempt
+ * @param endpointId endpoint that received the request
+ * @param status HTTP status, or 0 if no response head arrived
+ * @param framing what marks the end of the response
+ * @param eventCount complete events of the response that were forwarded
+ * @param cause why the response ended
+ * @param detail description of the failure, or an empty string
+ */
+public record ResponseEnd(
+        int epoch, String endpointId, int status, Framing framing, int eventCount, Cause cause, String detail) {
+
+    /** What marks the end of a response (RFC 9112, section 6.3). */
+    public enum Framing {
+        /** No response head arrived. */
+        NONE("none"),
+        /** The response declares its length. */
+        LENGTH("length"),
+        /** The response ends with its last chunk. */
+        CHUNKED("chunked"),
+        /** The response ends when its connection is closed. */
+        CONNECTION("connection");
+
+        private final String wireName;
+
+        Framing(String wireName) {
+            this.wireName = wireName;
+        }
+
+        /** Returns the name in logs. */
+        public String wireName() {
+            return wireName;
+        }
+    }
+
+    /** Why a response ended. */
+    public enum Cause {
+        /** The response ended as its framing says. */
+        COMPLETE("complete"),
+        /** The connection failed, or the request did not reach the endpoint. */
+        CONNECTION_FAILED("connection-failed"),
+        /** The response cannot be attributed to the endpoint. */
+        UNSEALED("unsealed"),
+        /** The response ended inside an event or before its first one. */
+        PARTIAL("partial"),
+        /** An event exceeded the maximum size. */
+        OVERSIZED("oversized");
+
+        private final String wireName;
+
+        Cause(String wireName) {
+            this.wireName = wireName;
+        }
+
+        /** Returns the name in logs and metrics. */
+        public String wireName() {
+            return wireName;
+        }
+    }
+
+    /** Returns whether the response ended as its framing says. */
+    public boolean isComplete() {
+        return cause == Cause.COMPLETE;
+    }
+}
--- a/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
@@ -145,6 +145,7 @@
                 (endpointId, limit) -> {},
                 null,
                 null,
+                (requestId, end) -> {},
                 () -> false,
                 1_000);
         Recorder recorder = new Recorder();
