Treat a response that does not continue the caller's stream as a failed attempt

Callers got a stream that ended as complete although its last events were missing: status 200, mark of the first endpoint, all chunks and the last one.

Cause: after a stream had broken off, the response to the resumed request was judged by its own status. An error response with a seal was not treated as a stream, so its body went to the caller as it came and its end completed the response. What had been started was not remembered.

The exchange now remembers the format of the stream that it started. Only a 200 in that format continues it; any other response fails the attempt, which the core retries or refuses, and a refused stream is reset. Whether a failed attempt may be retried follows from what was started, too, and no longer from the status of that attempt, so that a resumed request whose connection fails before its response is also resumed elsewhere.

--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -21,6 +21,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 
 /**
@@ -28,7 +29,8 @@
  *
  * <p>Nothing is sent to the caller before the first event of a stream, or before the end of a short response, so that a
  * retry at another endpoint stays invisible to the caller. A started stream keeps its response head and resumes after
- * its last complete event.
+ * its last complete event. Once the head is sent, only a stream in the same format can continue the response: any other
+ * response to a later attempt is a failure of that attempt.
  */
 final class ProxyExchange extends AbstractExchange<ProxyScope> {
 
@@ -36,6 +38,7 @@
     private static final int MAX_BUFFERED_BYTES = 64 << 10;
 
     private static final long PROGRESS_INTERVAL_MS = 1_000;
+    private static final int OK = 200;
 
     private final HttpServerRequest incoming;
     private final Route route;
@@ -48,6 +51,10 @@
     private Attempt attempt;
     private BufferedResponse bufferedResponse;
     private boolean isHeadSent;
+
+    /** Format of the stream that the caller is reading, or null if the caller has no response or not a stream. */
+    private StreamFormat startedStream;
+
     private boolean isAttemptFinished;
     private boolean isFirstTokenReported;
     private long nextProgressAtMs;
@@ -56,6 +63,23 @@
     /** A response of an endpoint that has not been sent to the caller. */
     private record BufferedResponse(int status, MultiMap headers, Buffer body) {}
 
+    /**
+     * Format that all parts of a stream must have in common.
+     *
+     * @param mediaType media type without parameters, in lower case, or an empty string
+     * @param contentEncoding content coding in lower case, or an empty string
+     */
+    private record StreamFormat(String mediaType, String contentEncoding) {
+
+        static StreamFormat of(MultiMap headers) {
+            String mediaType = headers.get(HttpHeaders.CONTENT_TYPE);
+            String contentEncoding = headers.get(HttpHeaders.CONTENT_ENCODING);
+            return new StreamFormat(
+                    mediaType == null ? "" : mediaType.split(";", 2)[0].trim().toLowerCase(Locale.ROOT),
+                    contentEncoding == null ? "" : contentEncoding.trim().toLowerCase(Locale.ROOT));
+        }
+    }
+
     ProxyExchange(
             ProxyScope scope,
             RequestSpec request,
@@ -250,6 +274,14 @@
                 fail(ResponseEnd.Cause.UNSEALED, "response with status " + status + " lacks the endpoint's seal");
                 return;
             }
+            if (isHeadSent && !continuesStream()) {
+                call.cancel();
+                reportEnd(
+                        ResponseEnd.Cause.UNEXPECTED,
+                        "response with status " + status + " does not continue the stream");
+                endAttempt(Reason.ENDPOINT_ERROR, Verdict.RAN);
+                return;
+            }
             lastActivityAtMs = shared.control().nowMs();
             call.resume();
         }
@@ -318,8 +350,8 @@
         /** Lets the core retry the request, or resets the caller's connection if no other response can follow. */
         private void endAttempt(Reason reason, Verdict verdict) {
             attempt = null;
-            boolean canRetry = !isHeadSent || isStream() && request.isRepeatable();
-            if (canRetry) {
+            boolean canContinue = !isHeadSent || startedStream != null && request.isRepeatable();
+            if (canContinue) {
                 postAttemptFailed(epoch, contact.endpointId(), reason, verdict);
             } else {
                 abort(reason);
@@ -327,7 +359,12 @@
         }
 
         private boolean isStream() {
-            return route.kind() == RouteKind.STREAM && status == 200;
+            return route.kind() == RouteKind.STREAM && status == OK;
+        }
+
+        /** Returns whether this response is a stream in the format of the one that the caller is reading. */
+        private boolean continuesStream() {
+            return isStream() && StreamFormat.of(headers).equals(startedStream);
         }
 
         private void onStreamEnd() {
@@ -362,6 +399,7 @@
 
         private void startResponse() {
             isHeadSent = true;
+            startedStream = isStream() ? StreamFormat.of(headers) : null;
             writeHead(status, headers);
             if (isStream() || !response.headers().contains(HttpHeaders.CONTENT_LENGTH)) {
                 response.headers().remove(HttpHeaders.CONTENT_LENGTH);
--- a/server/src/main/java/io/radishwinch/server/proxy/ResponseEnd.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ResponseEnd.java
@@ -45,6 +45,8 @@
         CONNECTION_FAILED("connection-failed"),
         /** The response cannot be attributed to the endpoint. */
         UNSEALED("unsealed"),
+        /** The response does not continue the stream that the caller is reading. */
+        UNEXPECTED("unexpected"),
         /** The response ended inside an event or before its first one. */
         PARTIAL("partial"),
         /** An event exceeded the maximum size. */
--- /dev/null
+++ b/server/src/test/java/io/radishwinch/server/proxy/PlainDialect.java
@@ -0,0 +1,58 @@
+package io.radishwinch.server.proxy;
+
+import io.vavr.control.Either;
+import io.vertx.core.MultiMap;
+import io.vertx.core.http.HttpClientResponse;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Set;
+
+/** Dialect of tests: reads the request identifier and the connection header; all responses count as sealed. */
+final class PlainDialect implements ProxyDialect {
+    private static final String REQUEST_ID = "X-Request-Id";
+
+    @Override
+    public Either<String, RequestHead> readRequest(MultiMap headers) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public String requestId(MultiMap headers) {
+        return headers.get(REQUEST_ID);
+    }
+
+    @Override
+    public String credentials(MultiMap headers) {
+        return null;
+    }
+
+    @Override
+    public MultiMap toEndpointHeaders(MultiMap callerHeaders, ForwardingContext forwarding) {
+        MultiMap headers = MultiMap.caseInsensitiveMultiMap().add(REQUEST_ID, requestId(callerHeaders));
+        if (forwarding.resumeAfterEventId() != RequestHead.NONE) {
+            headers.add("Last-Event-Id", Long.toString(forwarding.resumeAfterEventId()));
+        }
+        return headers;
+    }
+
+    @Override
+    public ResponseHead readResponseHead(HttpClientResponse response) {
+        return new ResponseHead(
+                response.statusCode(),
+                false,
+                true,
+                Optional.ofNullable(response.getHeader(REQUEST_ID)),
+                Optional.empty(),
+                0,
+                "close".equalsIgnoreCase(response.getHeader("Connection")),
+                OptionalDouble.empty());
+    }
+
+    @Override
+    public MultiMap toCallerHeaders(MultiMap endpointHeaders) {
+        return io.radishwinch.server.engine.EndToEndHeaders.copy(endpointHeaders, Set.of());
+    }
+
+    @Override
+    public void markRouterResponse(MultiMap headers, String requestId) {}
+}
--- /dev/null
+++ b/server/src/test/java/io/radishwinch/server/proxy/ScriptedEndpoint.java
@@ -0,0 +1,103 @@
+package io.radishwinch.server.proxy;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** Endpoint on loopback that answers each request, each on a connection of its own, with the next of some scripts. */
+final class ScriptedEndpoint implements AutoCloseable {
+
+    /** How a response ends. */
+    enum End {
+        /** The connection stays open. */
+        NONE,
+        /** The connection is closed. */
+        CLOSE,
+        /** The connection is reset. */
+        RESET
+    }
+
+    /**
+     * Response to one request.
+     *
+     * @param bytes bytes to send
+     * @param beforeEnd runs after the bytes were sent and before the end
+     */
+    record Script(String bytes, End end, BlockingStep beforeEnd) {
+        Script(String bytes, End end) {
+            this(bytes, end, () -> {});
+        }
+    }
+
+    /** A step that may wait for a condition. */
+    interface BlockingStep {
+        void run() throws Exception;
+    }
+
+    private final ServerSocket server;
+    private final Thread thread;
+    private final List<Socket> openSockets = new CopyOnWriteArrayList<>();
+
+    /** Heads of the requests that arrived, in order. */
+    final List<String> requestHeads = new CopyOnWriteArrayList<>();
+
+    ScriptedEndpoint(List<Script> scripts) {
+        try {
+            server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        thread = new Thread(() -> scripts.forEach(this::play), "scripted-endpoint");
+        thread.start();
+    }
+
+    int port() {
+        return server.getLocalPort();
+    }
+
+    private void play(Script script) {
+        try {
+            Socket socket = server.accept();
+            openSockets.add(socket);
+            requestHeads.add(readHead(socket));
+            socket.getOutputStream().write(script.bytes().getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().flush();
+            script.beforeEnd().run();
+            if (script.end() == End.RESET) {
+                socket.setSoLinger(true, 0);
+            }
+            if (script.end() != End.NONE) {
+                socket.close();
+            }
+        } catch (Exception e) {
+            // The test ended before this response was needed.
+            System.getLogger(ScriptedEndpoint.class.getName()).log(System.Logger.Level.DEBUG, "script ended", e);
+        }
+    }
+
+    private static String readHead(Socket socket) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = socket.getInputStream().read();
+            if (next < 0) {
+                throw new IOException("connection closed inside the request head");
+            }
+            head.append((char) next);
+        }
+        return head.toString();
+    }
+
+    @Override
+    public void close() throws Exception {
+        server.close();
+        for (Socket socket : openSockets) {
+            socket.close();
+        }
+        thread.join();
+    }
+}
--- a/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
@@ -4,7 +4,6 @@
 
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.Verdict;
-import io.vavr.control.Either;
 import io.vertx.core.Context;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
@@ -16,8 +15,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -83,51 +80,6 @@
         }
     }
 
-    /** Reads the identifier; all responses count as sealed. */
-    private static final class PlainDialect implements ProxyDialect {
-
-        @Override
-        public Either<String, RequestHead> readRequest(MultiMap headers) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public String requestId(MultiMap headers) {
-            return headers.get("X-Request-Id");
-        }
-
-        @Override
-        public String credentials(MultiMap headers) {
-            return null;
-        }
-
-        @Override
-        public MultiMap toEndpointHeaders(MultiMap callerHeaders, ForwardingContext forwarding) {
-            return callerHeaders;
-        }
-
-        @Override
-        public ResponseHead readResponseHead(HttpClientResponse response) {
-            return new ResponseHead(
-                    response.statusCode(),
-                    false,
-                    true,
-                    Optional.ofNullable(response.getHeader("X-Request-Id")),
-                    Optional.empty(),
-                    0,
-                    false,
-                    OptionalDouble.empty());
-        }
-
-        @Override
-        public MultiMap toCallerHeaders(MultiMap endpointHeaders) {
-            return endpointHeaders;
-        }
-
-        @Override
-        public void markRouterResponse(MultiMap headers, String requestId) {}
-    }
-
     /**
      * Calls an endpoint that sends these bytes, waits until the caller has read some of the body, and then closes or
      * resets the connection.
