Resume a stream whose resumed response ended with its connection before an event

Callers could get a stream without its last events that ended as complete: an endpoint that resumes it sends a head without length or chunks and its connection closes before any new event.

Cause: only a first response without events was taken for broken off. For a later one, the closed connection counted as the end of the stream, although nothing states then that no event is left.

An empty resumed stream with a length or a last chunk still completes the response. Also covered, and passing before: streams that break off between events, large responses that break off, and connections that end while a slow caller does not read.

--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -368,8 +368,11 @@
         }
 
         private void onStreamEnd() {
-            if (scanner.hasPartialEvent() || scanner.eventCount() == 0 && !isHeadSent) {
-                fail(ResponseEnd.Cause.PARTIAL, "stream ended before the end of an event");
+            if (scanner.hasPartialEvent()) {
+                fail(ResponseEnd.Cause.PARTIAL, "stream ended inside an event");
+            } else if (eventCount == 0 && (!isHeadSent || framing == ResponseEnd.Framing.CONNECTION)) {
+                // Only a length or a last chunk states that no event is left to resume with.
+                fail(ResponseEnd.Cause.PARTIAL, "stream ended before its first event");
             } else {
                 finishAttempt();
             }
--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
@@ -32,12 +32,14 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Guards against responses that break off and reach the caller as complete ones, over loopback sockets. */
@@ -49,7 +51,12 @@
     private static final String STREAM = "Content-Type: text/event-stream\r\n";
     private static final String STREAM_HEAD = "HTTP/1.1 200 OK\r\n" + SEALED + STREAM + CHUNKED + "\r\n";
     private static final String LAST_CHUNK = "0\r\n\r\n";
+    private static final String LARGE_BODY = "x".repeat(100_000);
     private static final int MAX_ATTEMPTS = 3;
+
+    /** Time for which a slow caller does not read, in ms; long enough for the buffers of all sockets to fill up. */
+    private static final long PAUSE_MS = 500;
+
     private static final long WAIT_S = 20;
 
     private final Vertx vertx = Vertx.vertx();
@@ -66,6 +73,7 @@
 
     /** Retries each failed attempt until the maximum number of attempts, and cancels attempts when a test asks. */
     private static final class RetryingCore implements DecisionCore {
+        private volatile boolean refusesFinishedAttempts;
         private int epoch;
 
         @Override
@@ -75,7 +83,7 @@
             } else if (event instanceof Event.AttemptFailed failed && failed.epoch() == epoch) {
                 return List.of(epoch < MAX_ATTEMPTS ? start() : refusal(failed.reason()));
             } else if (event instanceof Event.AttemptFinished finished && finished.epoch() == epoch) {
-                return List.of(new Action.Complete(ID));
+                return List.of(refusesFinishedAttempts ? refusal(Reason.DEADLINE_EXCEEDED) : new Action.Complete(ID));
             } else if (event instanceof Event.EndpointRemoved) {
                 return List.of(new Action.CancelAttempt(ID, epoch, Reason.STAGE_DIED));
             }
@@ -248,4 +256,144 @@
         assertThat(response).endsWith("\r\n" + LAST_CHUNK);
         assertThat(outcome.get(WAIT_S, TimeUnit.SECONDS)).isEmpty();
     }
+
+    static Stream<Script> responsesThatBreakOffBeforeAnEvent() {
+        String connectionHead = "HTTP/1.1 200 OK\r\n" + SEALED + STREAM + "\r\n";
+        return Stream.of(
+                new Script("", End.CLOSE),
+                new Script("", End.RESET),
+                new Script("HTTP/1.1 200 O", End.CLOSE),
+                new Script(STREAM_HEAD, End.CLOSE),
+                new Script(STREAM_HEAD, End.RESET),
+                new Script(connectionHead, End.CLOSE),
+                new Script(connectionHead, End.RESET),
+                new Script(connectionHead + events(1, 2), End.CLOSE));
+    }
+
+    /** Guards against a resumed request without any new event, whose closed connection ends the stream as complete. */
+    @ParameterizedTest
+    @MethodSource("responsesThatBreakOffBeforeAnEvent")
+    void aResumedRequestThatFailsBeforeItsFirstEventIsResumedElsewhere(Script second) throws Exception {
+        String response = call(start(RouteKind.STREAM, List.of(brokenStream(), second, restOfStream())));
+        assertThat(bodyOf(response)).isEqualTo(events(1, 4));
+        assertThat(response).endsWith("\r\n" + LAST_CHUNK);
+    }
+
+    @Test
+    void aResumedStreamThatIsEmptyAndFramedIsComplete() throws Exception {
+        Script empty = new Script(STREAM_HEAD + LAST_CHUNK, End.NONE);
+        String response = call(start(RouteKind.STREAM, List.of(brokenStream(), empty)));
+        assertThat(bodyOf(response)).isEqualTo(events(1, 2));
+        assertThat(response).endsWith("\r\n" + LAST_CHUNK);
+    }
+
+    static Stream<Script> streamsThatBreakOffBetweenEvents() {
+        String connectionHead = "HTTP/1.1 200 OK\r\n" + SEALED + STREAM + "\r\n";
+        String lengthHead = "HTTP/1.1 200 OK\r\n" + SEALED + STREAM + "Content-Length: 4000\r\n\r\n";
+        return Stream.of(
+                new Script(STREAM_HEAD + chunk(events(1, 2)), End.CLOSE),
+                new Script(STREAM_HEAD + chunk(events(1, 2)), End.RESET),
+                new Script(lengthHead + events(1, 2), End.CLOSE),
+                new Script(lengthHead + events(1, 2), End.RESET),
+                new Script(connectionHead + events(1, 2), End.RESET));
+    }
+
+    @ParameterizedTest
+    @MethodSource("streamsThatBreakOffBetweenEvents")
+    void aStreamThatBreaksOffBetweenTwoEventsIsContinued(Script first) throws Exception {
+        CompletableFuture<Void> isDelivered = new CompletableFuture<>();
+        Script delivered = new Script(first.bytes(), first.end(), () -> isDelivered.get(WAIT_S, TimeUnit.SECONDS));
+        try (Socket caller = send(start(RouteKind.STREAM, List.of(delivered, restOfStream())))) {
+            String begin = readUntil(caller, "t2\n\n");
+            isDelivered.complete(null);
+            String response = begin + new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertThat(bodyOf(response)).isEqualTo(events(1, 4));
+            assertThat(response).endsWith("\r\n" + LAST_CHUNK);
+        }
+    }
+
+    /** Guards against the end of a connection that overtakes events which wait for a slow caller. */
+    @ParameterizedTest
+    @EnumSource(
+            value = End.class,
+            names = {"CLOSE", "RESET"})
+    void aStreamThatEndsWhileItsCallerDoesNotReadHasAllItsEvents(End end) throws Exception {
+        CompletableFuture<Void> isSent = new CompletableFuture<>();
+        int eventCount = 300;
+        Script first = new Script(
+                head -> "HTTP/1.1 200 OK\r\n" + SEALED + STREAM + "\r\n" + largeEvents(1, eventCount),
+                end,
+                () -> isSent.complete(null));
+        Script rest = new Script(
+                head -> STREAM_HEAD + chunk(largeEvents(lastEventId(head) + 1, eventCount)) + LAST_CHUNK,
+                End.NONE,
+                () -> {});
+        try (Socket caller = send(start(RouteKind.STREAM, List.of(first, rest)))) {
+            String begin = readUntil(caller, "id: 1\n");
+            Thread.sleep(PAUSE_MS);
+            String response = begin + new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            isSent.get(WAIT_S, TimeUnit.SECONDS);
+            assertThat(Pattern.compile("(?m)^id: (\\d+)$")
+                            .matcher(response)
+                            .results()
+                            .map(id -> id.group(1)))
+                    .containsExactlyElementsOf(IntStream.rangeClosed(1, eventCount)
+                            .mapToObj(Integer::toString)
+                            .toList());
+            assertThat(response).endsWith("\r\n" + LAST_CHUNK);
+        }
+    }
+
+    static Stream<Script> largeResponsesThatBreakOff() {
+        String chunked = "HTTP/1.1 200 OK\r\n" + SEALED + CHUNKED + "\r\n" + chunk(LARGE_BODY);
+        String length = "HTTP/1.1 200 OK\r\n" + SEALED + "Content-Length: 200000\r\n\r\n" + LARGE_BODY;
+        String connection = "HTTP/1.1 200 OK\r\n" + SEALED + "\r\n" + LARGE_BODY;
+        return Stream.of(
+                new Script(chunked, End.CLOSE),
+                new Script(chunked, End.RESET),
+                new Script(length, End.CLOSE),
+                new Script(length, End.RESET),
+                new Script(connection, End.RESET));
+    }
+
+    @ParameterizedTest
+    @MethodSource("largeResponsesThatBreakOff")
+    void aLargeResponseThatBreaksOffIsNeitherRepeatedNorEndedAsComplete(Script first) throws Exception {
+        Script second = new Script("HTTP/1.1 200 OK\r\n" + SEALED + "Content-Length: 2\r\n\r\nok", End.NONE);
+        CompletableFuture<Void> isDelivered = new CompletableFuture<>();
+        Script delivered = new Script(first.bytes(), first.end(), () -> isDelivered.get(WAIT_S, TimeUnit.SECONDS));
+        try (Socket caller = send(start(RouteKind.REPEATABLE, List.of(delivered, second)))) {
+            readUntil(caller, "xxxx");
+            isDelivered.complete(null);
+            assertIsCut(new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII));
+        }
+        assertThat(endpoint.requestHeads).hasSize(1);
+    }
+
+    private void assertIsCut(String rest) throws Exception {
+        assertThat(rest).doesNotEndWith(LAST_CHUNK).doesNotContain("ok");
+        assertThat(outcome.get(WAIT_S, TimeUnit.SECONDS)).isPresent();
+    }
+
+    private static String largeEvents(int first, int last) {
+        return IntStream.rangeClosed(first, last)
+                .mapToObj(id -> "id: " + id + "\ndata: " + LARGE_BODY + "\n\n")
+                .collect(Collectors.joining());
+    }
+
+    private static int lastEventId(String requestHead) {
+        return Integer.parseInt(requestHead.replaceAll("(?s).*Last-Event-Id: (\\d+).*", "$1"));
+    }
+
+    private static String readUntil(Socket socket, String text) throws IOException {
+        StringBuilder read = new StringBuilder();
+        while (read.indexOf(text) < 0) {
+            int next = socket.getInputStream().read();
+            if (next < 0) {
+                throw new IOException("connection closed after: " + read);
+            }
+            read.append((char) next);
+        }
+        return read.toString();
+    }
 }
--- a/server/src/test/java/io/radishwinch/server/proxy/ScriptedEndpoint.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ScriptedEndpoint.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.UnaryOperator;
 
 /** Endpoint on loopback that answers each request, each on a connection of its own, with the next of some scripts. */
 final class ScriptedEndpoint implements AutoCloseable {
@@ -25,12 +26,12 @@
     /**
      * Response to one request.
      *
-     * @param bytes bytes to send
+     * @param bytes returns the bytes to send, given the head of the request
      * @param beforeEnd runs after the bytes were sent and before the end
      */
-    record Script(String bytes, End end, BlockingStep beforeEnd) {
+    record Script(UnaryOperator<String> bytes, End end, BlockingStep beforeEnd) {
         Script(String bytes, End end) {
-            this(bytes, end, () -> {});
+            this(head -> bytes, end, () -> {});
         }
     }
 
@@ -64,8 +65,9 @@
         try {
             Socket socket = server.accept();
             openSockets.add(socket);
-            requestHeads.add(readHead(socket));
-            socket.getOutputStream().write(script.bytes().getBytes(StandardCharsets.US_ASCII));
+            String head = readHead(socket);
+            requestHeads.add(head);
+            socket.getOutputStream().write(script.bytes().apply(head).getBytes(StandardCharsets.US_ASCII));
             socket.getOutputStream().flush();
             script.beforeEnd().run();
             if (script.end() == End.RESET) {
