Reset a started response whose attempt is cancelled and cannot be resumed

Callers of a repeatable request with a large response (above 64 KiB, whose head is sent early) could get the bytes of two runs in one response: the core cancels an attempt when its endpoint leaves the list, and sent the request again, although the caller had part of the first response.

Cause: the cancellation reported a failed attempt without regard to what had been started; failures of the endpoint itself did check that.

ProxyExchangeTest.aLargeResponseWhoseAttemptIsCancelled... fails before: the endpoint got a second request. The cancellation now applies the same condition as a failure, and resets the caller's connection.

--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -142,7 +142,16 @@
         }
         EndpointContact contact = attempt.contact;
         releaseEndpoint();
-        postAttemptFailed(epoch, contact.endpointId(), reason, isSent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN);
+        if (canContinue()) {
+            postAttemptFailed(epoch, contact.endpointId(), reason, isSent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN);
+        } else {
+            abort(reason);
+        }
+    }
+
+    /** Returns whether the response of another attempt can follow what the caller has received. */
+    private boolean canContinue() {
+        return !isHeadSent || startedStream != null && request.isRepeatable();
     }
 
     @Override
@@ -350,8 +359,7 @@
         /** Lets the core retry the request, or resets the caller's connection if no other response can follow. */
         private void endAttempt(Reason reason, Verdict verdict) {
             attempt = null;
-            boolean canContinue = !isHeadSent || startedStream != null && request.isRepeatable();
-            if (canContinue) {
+            if (canContinue()) {
                 postAttemptFailed(epoch, contact.endpointId(), reason, verdict);
             } else {
                 abort(reason);
--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
@@ -370,6 +370,20 @@
         assertThat(endpoint.requestHeads).hasSize(1);
     }
 
+    /** Guards against a second response that is appended to a started one whose attempt was cancelled. */
+    @Test
+    void aLargeResponseWhoseAttemptIsCancelledIsNeitherRepeatedNorEndedAsComplete() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\n" + SEALED + CHUNKED + "\r\n";
+        Script second = new Script("HTTP/1.1 200 OK\r\n" + SEALED + "Content-Length: 2\r\n\r\nok", End.NONE);
+        try (Socket caller = send(
+                start(RouteKind.REPEATABLE, List.of(new Script(head + chunk(LARGE_BODY), End.NONE), second, second)))) {
+            readUntil(caller, "xxxx");
+            control.post(new Event.EndpointRemoved(ENDPOINT, true));
+            assertIsCut(new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII));
+        }
+        assertThat(endpoint.requestHeads).hasSize(1);
+    }
+
     private void assertIsCut(String rest) throws Exception {
         assertThat(rest).doesNotEndWith(LAST_CHUNK).doesNotContain("ok");
         assertThat(outcome.get(WAIT_S, TimeUnit.SECONDS)).isPresent();
