Deliver a complete response although the core refuses it at its deadline

Callers could get a reset connection in place of the end of a response that was complete: the core refuses at the deadline before it has handled the event that reports the end.

ProxyExchangeTest.aCompleteResponseThatIsRefusedAtItsDeadlineIsDelivered fails before, for a stream and for a large plain response: no last chunk. All bytes had been sent, so the response now ends.

--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -197,6 +197,11 @@
 
     @Override
     protected void refuseRequest(Refusal refusal) {
+        if (isAttemptFinished) {
+            // The core decided before it learned that the response is complete.
+            completeResponse();
+            return;
+        }
         BufferedResponse buffered = bufferedResponse;
         boolean isPartlySent = isHeadSent;
         finish(Optional.of(refusal));
--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
@@ -384,6 +384,21 @@
         assertThat(endpoint.requestHeads).hasSize(1);
     }
 
+    /**
+     * Guards against a complete response that is reset because its deadline passes while the core is told of its end.
+     */
+    @ParameterizedTest
+    @EnumSource(
+            value = RouteKind.class,
+            names = {"STREAM", "REPEATABLE"})
+    void aCompleteResponseThatIsRefusedAtItsDeadlineIsDelivered(RouteKind kind) throws Exception {
+        core.refusesFinishedAttempts = true;
+        String body = kind == RouteKind.STREAM ? events(1, 4) : LARGE_BODY;
+        String response = call(start(kind, List.of(new Script(STREAM_HEAD + chunk(body) + LAST_CHUNK, End.NONE))));
+        assertThat(response).endsWith("\r\n" + LAST_CHUNK);
+        assertThat(outcome.get(WAIT_S, TimeUnit.SECONDS)).isEmpty();
+    }
+
     private void assertIsCut(String rest) throws Exception {
         assertThat(rest).doesNotEndWith(LAST_CHUNK).doesNotContain("ok");
         assertThat(outcome.get(WAIT_S, TimeUnit.SECONDS)).isPresent();
