Ask endpoints that refused a request again when their backoff ends

Callers of a request that all endpoints of a service had refused once got 503 no-capacity, although the endpoints took work again in time.

A refused request waited for other endpoints for exclusionMs (1 s) since its refusals, which is longer than it may wait for its start (500 ms in the test). The endpoint directory backs off from a refusing endpoint by itself, for 300 ms at first. The default order of the tests passed only because an earlier test had made the same charge a suspect of the crash quarantine, whose wait ended at once; the endpoints were not ejected.

Exclusions now end per endpoint: at once after a refusal, after exclusionMs after other failures. An exclusion that has ended is dropped only if there is no chain without its endpoint.

RetryEndpointTest.aRequestThatAllEndpointsRefusedOnceIsStartedBeforeItsStartDeadline failed before: 2 attempts (e1, e0) instead of 3.

--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -215,7 +215,9 @@
             row.attempts--;
             row.preemptions++;
         } else if (isEndpointFault(reason) && chain.uses(endpointId)) {
-            row.excludedEndpointIds.add(endpointId);
+            // The directory itself backs off from an endpoint that refuses, also for other requests.
+            long waitMs = reason == Reason.ENDPOINT_REFUSED ? 0 : state.settings.exclusionMs();
+            row.exclusionEndsMs.put(endpointId, nowMs + waitMs);
             state.actions.addAll(state.directory.recordFailure(endpointId, reason, nowMs));
         }
         state.recordDecision(
--- a/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
@@ -67,20 +67,26 @@
             row.canUseBusyEndpoint = row.nextTransitionAtMs <= nowMs;
             state.requeue(row, nowMs);
         } else if (row.nextTransitionAtMs <= nowMs) {
-            row.excludedEndpointIds.clear();
+            row.exclusionEndsMs.clear();
             row.canUseBusyEndpoint = true;
             state.requeue(row, nowMs);
         } else {
-            ModelSpec model = state.config.pool(row.spec.pool());
-            state.planner
-                    .plan(row.spec, model, excludedEndpointIds(row, nowMs), nowMs)
-                    .ifPresent(chain -> {
-                        state.stopWaiting(row);
-                        start(row, chain, nowMs);
-                    });
+            plan(row, nowMs).ifPresent(chain -> {
+                state.stopWaiting(row);
+                start(row, chain, nowMs);
+            });
         }
     }
 
+    /** Plans a chain; the exclusions that have ended are dropped only if there is no chain without these endpoints. */
+    private Optional<Chain> plan(RequestRow row, long nowMs) {
+        ModelSpec model = state.config.pool(row.spec.pool());
+        Optional<Chain> chain = state.planner.plan(row.spec, model, excludedEndpointIds(row, nowMs), nowMs);
+        boolean hasEndedExclusions =
+                chain.isEmpty() && row.exclusionEndsMs.values().removeIf(endMs -> endMs <= nowMs);
+        return hasEndedExclusions ? state.planner.plan(row.spec, model, excludedEndpointIds(row, nowMs), nowMs) : chain;
+    }
+
     private boolean isDispatchable(RequestSpec spec, long nowMs) {
         plannedChain = null;
         RequestRow row = state.requests.get(spec.requestId());
@@ -92,16 +98,13 @@
         if (pool.isBlocked()) {
             return false;
         }
-        ModelSpec model = state.config.pool(spec.pool());
-        plannedChain = state.planner
-                .plan(spec, model, excludedEndpointIds(row, nowMs), nowMs)
-                .orElse(null);
+        plannedChain = plan(row, nowMs).orElse(null);
         if (plannedChain != null) {
             return true;
         }
         // If only the exclusions of this request prevent a plan, it waits outside the queue and does not block others.
-        boolean hasExclusions =
-                !row.excludedEndpointIds.isEmpty() || state.quarantine.isSuspect(spec.fingerprint(), nowMs);
+        boolean hasExclusions = !row.exclusionEndsMs.isEmpty() || state.quarantine.isSuspect(spec.fingerprint(), nowMs);
+        ModelSpec model = state.config.pool(spec.pool());
         if (hasExclusions && state.planner.plan(spec, model, Set.of(), nowMs).isPresent()) {
             return true;
         }
@@ -116,10 +119,10 @@
     private Set<String> excludedEndpointIds(RequestRow row, long nowMs) {
         boolean isSuspect = state.quarantine.isSuspect(row.spec.fingerprint(), nowMs);
         if (!isSuspect && state.observedEndpointIds.isEmpty()) {
-            return row.excludedEndpointIds;
+            return row.exclusionEndsMs.keySet();
         }
         int maxOtherAttempts = state.settings.quarantine().maxOtherAttempts();
-        Set<String> excluded = new LinkedHashSet<>(row.excludedEndpointIds);
+        Set<String> excluded = new LinkedHashSet<>(row.exclusionEndsMs.keySet());
         if (!isSuspect) {
             state.observedEndpointIds.stream()
                     .filter(id -> state.attemptsByEndpoint.getOrDefault(id, 0) > maxOtherAttempts)
--- a/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
+++ b/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
@@ -7,10 +7,10 @@
 import io.radishwinch.core.model.Verdict;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 /** Row of the request table: an admitted request until its last action is issued. */
 final class RequestRow {
@@ -31,7 +31,11 @@
 
     final RequestSpec spec;
     final ArrayDeque<String> history = new ArrayDeque<>();
-    final Set<String> excludedEndpointIds = new LinkedHashSet<>();
+    /**
+     * Endpoints on which the request failed, each with the time in ms until which the request waits for others instead.
+     */
+    final Map<String, Long> exclusionEndsMs = new LinkedHashMap<>();
+
     State state = State.QUEUED;
     int epoch;
     int attempts;
--- /dev/null
+++ b/core/src/test/java/io/radishwinch/core/impl/RetryEndpointTest.java
@@ -0,0 +1,78 @@
+package io.radishwinch.core.impl;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.core.chain.CostChainPlanner;
+import io.radishwinch.core.chain.EndpointTable;
+import io.radishwinch.core.chain.TableEndpointDirectory;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.health.HealthSettings;
+import io.radishwinch.core.model.EndpointSpec;
+import io.radishwinch.core.model.Holding;
+import io.radishwinch.core.model.LayerRange;
+import io.radishwinch.core.model.LoadReport;
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Verdict;
+import io.radishwinch.core.quarantine.QuarantineSettings;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against retries that start too late. */
+class RetryEndpointTest {
+    private final CoreSimulation simulation = simulation();
+
+    private static CoreSimulation simulation() {
+        EndpointTable table = new EndpointTable();
+        TableEndpointDirectory directory = new TableEndpointDirectory(table, HealthSettings.defaults(), null);
+        CoreSettings settings = CoreSettings.defaults()
+                .withQuarantine(QuarantineSettings.defaults()
+                        .withRestartDelays(0, 0)
+                        .withoutObservation()
+                        .withMaxCrashes(4));
+        TableDecisionCore core = TableDecisionCore.create(settings, directory, new CostChainPlanner(table, 1));
+        return new CoreSimulation(new FakeDirectory(1, 0, 0), core).contract("a");
+    }
+
+    private void addEndpoints(int count) {
+        for (int n = 0; n < count; n++) {
+            String id = "e" + n;
+            simulation.handle(new Event.EndpointJoined(new EndpointSpec(id, "dc", "", 0, "k", 100, true, true)));
+            List<Holding> holdings = List.of(new Holding(CoreSimulation.MODEL, new LayerRange(0, 8)));
+            simulation.handle(new Event.LoadReported(new LoadReport(id, holdings, 0, 0, 1L << 40, 500, 0)));
+        }
+    }
+
+    private void arrive(String id, int maxRuns, long startDeadlineMs) {
+        simulation.arrive(new RequestSpec(
+                id,
+                "a",
+                Rank.INTERACTIVE,
+                CoreSimulation.MODEL,
+                10,
+                100,
+                0,
+                30_000,
+                "f-" + id,
+                List.of(),
+                List.of(),
+                true,
+                maxRuns,
+                100,
+                startDeadlineMs));
+    }
+
+    /** Guards against no-capacity responses while endpoints that have refused a request accept work again. */
+    @Test
+    void aRequestThatAllEndpointsRefusedOnceIsStartedBeforeItsStartDeadline() {
+        addEndpoints(2);
+        simulation.endpointBehaviour = start -> start.epoch() <= 2
+                ? CoreSimulation.fails(start, 5, Reason.ENDPOINT_REFUSED, Verdict.NOT_RUN, 0)
+                : simulation.finishes(start);
+        arrive("r", 1, 500);
+        simulation.run(10_000);
+        assertThat(simulation.trace("r").starts).hasSize(3);
+        assertThat(simulation.trace("r").isServed()).isTrue();
+    }
+}
