Do not end the exclusions of suspected requests early

Callers saw an interrupted stream resume at the endpoint that had just broken it off, at the next tick, and a second failure there used up the runs of the request.

A request that failed with stage-died is a suspect of the crash quarantine. If no other endpoint had room for it, it was parked for busyEndpointDelayMs instead of exclusionMs, and the end of that wait cleared its exclusions. The routers of a fleet run without observation, where busyEndpointDelayMs is 0, so the exclusion had no effect.

The end of the wait for an idle endpoint no longer clears the exclusions, which end by themselves. Another chain is still used as soon as there is one.

RetryEndpointTest.aStreamIsNotSentBackAtOnceToTheOnlyEndpointThatHasBrokenItOff failed before: 2 starts within exclusionMs after the failure, expected 0.

--- a/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
@@ -67,7 +67,6 @@
             row.canUseBusyEndpoint = row.nextTransitionAtMs <= nowMs;
             state.requeue(row, nowMs);
         } else if (row.nextTransitionAtMs <= nowMs) {
-            row.exclusionEndsMs.clear();
             row.canUseBusyEndpoint = true;
             state.requeue(row, nowMs);
         } else {
@@ -165,8 +164,10 @@
     }
 
     private void waitForEndpoint(RequestRow row, long nowMs) {
-        boolean isSuspect = state.quarantine.isSuspect(row.spec.fingerprint(), nowMs);
-        long waitMs = isSuspect ? state.settings.quarantine().busyEndpointDelayMs() : state.settings.exclusionMs();
+        boolean waitsForIdleEndpoint =
+                state.quarantine.isSuspect(row.spec.fingerprint(), nowMs) && !row.canUseBusyEndpoint;
+        long waitMs =
+                waitsForIdleEndpoint ? state.settings.quarantine().busyEndpointDelayMs() : state.settings.exclusionMs();
         row.nextTransitionAtMs = nowMs + waitMs;
         state.waitOutsideQueue(row, RequestRow.State.WAITING_FOR_ENDPOINT, nowMs);
         state.recordDecision(
--- a/core/src/test/java/io/radishwinch/core/impl/RetryEndpointTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/RetryEndpointTest.java
@@ -2,11 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.radishwinch.core.action.Action;
 import io.radishwinch.core.chain.CostChainPlanner;
 import io.radishwinch.core.chain.EndpointTable;
 import io.radishwinch.core.chain.TableEndpointDirectory;
 import io.radishwinch.core.event.Event;
 import io.radishwinch.core.health.HealthSettings;
+import io.radishwinch.core.impl.CoreSimulation.Trace;
 import io.radishwinch.core.model.EndpointSpec;
 import io.radishwinch.core.model.Holding;
 import io.radishwinch.core.model.LayerRange;
@@ -19,8 +21,10 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** Guards against retries that start too late. */
+/** Guards against retries at endpoints that have just failed and retries that start too late. */
 class RetryEndpointTest {
+    private static final int DELIVERED = 20;
+
     private final CoreSimulation simulation = simulation();
 
     private static CoreSimulation simulation() {
@@ -44,6 +48,10 @@
         }
     }
 
+    private void arrive(String id, int maxRuns) {
+        arrive(id, maxRuns, Long.MAX_VALUE);
+    }
+
     private void arrive(String id, int maxRuns, long startDeadlineMs) {
         simulation.arrive(new RequestSpec(
                 id,
@@ -63,6 +71,49 @@
                 startDeadlineMs));
     }
 
+    /** Breaks off the first attempts at an endpoint after some tokens; all further attempts get an error status. */
+    private CoreSimulation.Outcome breaksOffThenAnswersWithErrors(Action.StartAttempt start, String brokenEndpointId) {
+        if (start.epoch() > 1) {
+            return CoreSimulation.fails(start, 5, Reason.ENDPOINT_ERROR, Verdict.RAN, start.resumeFromToken());
+        }
+        return firstEndpointId(start).equals(brokenEndpointId)
+                ? CoreSimulation.fails(start, 200, Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN, DELIVERED)
+                : simulation.finishes(start);
+    }
+
+    private static String firstEndpointId(Action.StartAttempt start) {
+        return start.chain().firstStage().endpointId();
+    }
+
+    /** Guards against the use of all attempts of a stream at one endpoint within milliseconds. */
+    @Test
+    void aStreamIsNotSentBackAtOnceToTheOnlyEndpointThatHasBrokenItOff() {
+        addEndpoints(1);
+        simulation.endpointBehaviour = start -> breaksOffThenAnswersWithErrors(start, "e0");
+        arrive("s", 3);
+        simulation.run(10_000);
+        assertThat(simulation.trace("s").starts).hasSize(3);
+        assertThat(simulation.starts(200, 200 + CoreSettings.defaults().exclusionMs(), start -> true))
+                .isZero();
+        assertThat(simulation.trace("s").refusal().verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+    }
+
+    @Test
+    void aStreamAnsweredWithErrorsIsTriedAtDifferentEndpointsWithinItsRuns() {
+        addEndpoints(6);
+        simulation.endpointBehaviour = start -> breaksOffThenAnswersWithErrors(start, firstEndpointId(start));
+        arrive("s", 3);
+        simulation.run(10_000);
+        Trace trace = simulation.trace("s");
+        assertThat(trace.starts)
+                .extracting(RetryEndpointTest::firstEndpointId)
+                .hasSize(3)
+                .doesNotHaveDuplicates();
+        assertThat(trace.starts.get(2).resumeFromToken()).isEqualTo(DELIVERED);
+        assertThat(trace.refusal().reason()).isEqualTo(Reason.ATTEMPTS_EXHAUSTED);
+        assertThat(trace.refusal().verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+    }
+
     /** Guards against no-capacity responses while endpoints that have refused a request accept work again. */
     @Test
     void aRequestThatAllEndpointsRefusedOnceIsStartedBeforeItsStartDeadline() {
