Count the runs of ejected and leaving endpoints

Callers' requests could run at more endpoints than their route allows. An endpoint that broke off several streams was ejected after the third, and the runs of its other streams were no longer counted.

A run was left out if its first endpoint was not usable when the attempt ended. Ejected, leaving and reloading endpoints are not usable either, but they have run the attempt. The documented limit leaves out only the runs at removed endpoints.

Runs are now recorded by endpoint, and those at endpoints that have been removed by the time of the decision are left out. This also covers an endpoint whose removal becomes known after its connection breaks.

RetryEndpointTest.runsOfAnEjectedEndpointCountLikeThoseOfOthers failed before: "Expected size: 2 but was: 3" attempts with maxRuns 2.

--- a/core/src/main/java/io/radishwinch/core/chain/EndpointDirectory.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointDirectory.java
@@ -49,6 +49,9 @@
     /** Returns whether the endpoint may receive new work: it is listed and is not leaving, reloading or ejected. */
     boolean isUsable(String endpointId, long nowMs);
 
+    /** Returns whether the endpoint failed or was removed from the list; unlike one that only receives no new work. */
+    boolean isRemoved(String endpointId);
+
     /** Returns whether usable endpoints cover every layer of the pool, regardless of free slots. */
     boolean isCovered(String pool, long nowMs);
 
--- a/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
+++ b/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
@@ -154,6 +154,12 @@
         return row != null && row.isUsable();
     }
 
+    @Override
+    public boolean isRemoved(String endpointId) {
+        EndpointRow row = table.row(endpointId);
+        return row == null || row.isRemoved();
+    }
+
     @Override
     public boolean isCovered(String pool, long nowMs) {
         ModelSpec spec = table.config().pool(pool);
--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -199,10 +199,9 @@
         row.state = RequestRow.State.BACKING_OFF;
         row.verdict = row.verdict == null ? verdict : row.verdict.combine(verdict);
         row.lastReason = reason;
-        // Only runs of the first endpoint count, whichever stage failed; a lost first endpoint does not count.
-        boolean isFirstStageLost =
-                endpointId.equals(chain.firstStage().endpointId()) && !state.directory.isUsable(endpointId, nowMs);
-        row.runs += verdict == Verdict.NOT_RUN || isFirstStageLost ? 0 : 1;
+        if (verdict != Verdict.NOT_RUN) {
+            row.ranAtEndpointIds.add(chain.firstStage().endpointId());
+        }
         row.budgetWaits = 0;
         row.isCancelledByCrash = false;
         row.kvSourceEndpointIds = new ArrayList<>();
@@ -245,7 +244,7 @@
             state.refuse(row, Reason.QUARANTINED, nowMs);
         } else if (decision instanceof RetryPolicy.DoNotRetry stop) {
             state.refuse(row, stop.reason(), nowMs);
-        } else if (row.runs >= row.spec.maxRuns()) {
+        } else if (countRuns(row) >= row.spec.maxRuns()) {
             state.refuse(row, Reason.ATTEMPTS_EXHAUSTED, nowMs);
         } else if (row.isCallerDisconnected || contractReason != null) {
             state.refuse(row, row.isCallerDisconnected ? row.lastReason : contractReason, nowMs);
@@ -262,6 +261,16 @@
         }
     }
 
+    /**
+     * Counts the attempts that may have run, without those whose first endpoint has been removed. An ejected or leaving
+     * endpoint has run its attempts.
+     */
+    private long countRuns(RequestRow row) {
+        return row.ranAtEndpointIds.stream()
+                .filter(id -> !state.directory.isRemoved(id))
+                .count();
+    }
+
     private RequestRow runningAttempt(String requestId, int epoch) {
         RequestRow row = state.requests.get(requestId);
         return row != null && row.isRunning() && row.epoch == epoch ? row : null;
--- a/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
+++ b/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
@@ -40,8 +40,8 @@
     int epoch;
     int attempts;
     int preemptions;
-    /** Attempts that may have run, without those whose first endpoint was lost. */
-    int runs;
+    /** First endpoints of the attempts that may have run. */
+    final List<String> ranAtEndpointIds = new ArrayList<>();
 
     int budgetWaits;
     int deliveredTokens;
--- a/core/src/test/java/io/radishwinch/core/impl/FakeDirectory.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FakeDirectory.java
@@ -103,6 +103,11 @@
         return !down.contains(endpointId);
     }
 
+    @Override
+    public boolean isRemoved(String endpointId) {
+        return down.contains(endpointId);
+    }
+
     @Override
     public boolean isCovered(String pool, long nowMs) {
         return runningByEndpoint.keySet().stream().anyMatch(id -> id.startsWith("0-") && !down.contains(id));
--- a/core/src/test/java/io/radishwinch/core/impl/RetryEndpointTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/RetryEndpointTest.java
@@ -21,7 +21,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** Guards against retries at endpoints that have just failed and retries that start too late. */
+/** Guards against retries at endpoints that have just failed, retries that start too late and too many runs. */
 class RetryEndpointTest {
     private static final int DELIVERED = 20;
 
@@ -114,6 +114,21 @@
         assertThat(trace.refusal().verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
     }
 
+    /** Guards against streams that run at more endpoints than their route allows after one of them is ejected. */
+    @Test
+    void runsOfAnEjectedEndpointCountLikeThoseOfOthers() {
+        addEndpoints(6);
+        simulation.endpointBehaviour = start -> breaksOffThenAnswersWithErrors(start, "e0");
+        for (int n = 0; n < 40; n++) {
+            arrive("s" + n, 2);
+        }
+        simulation.run(10_000);
+        assertThat(simulation.traces.values())
+                .filteredOn(trace -> firstEndpointId(trace.starts.get(0)).equals("e0"))
+                .hasSizeGreaterThan(HealthSettings.defaults().consecutiveFailures())
+                .allSatisfy(trace -> assertThat(trace.starts).hasSize(2));
+    }
+
     /** Guards against no-capacity responses while endpoints that have refused a request accept work again. */
     @Test
     void aRequestThatAllEndpointsRefusedOnceIsStartedBeforeItsStartDeadline() {
