Reject a stored value whose end is not delimited

The platform's value is the raw response body. HttpPlatformClient.get requires a delimited body now, as Vert.x reports a shorter one as a failure. The other readers of short calls parse JSON with required fields, which shows its own end; the doc comment of HttpExchange says what each reader must check. HttpPlatformClientTest.aValueWithoutLengthThatMayHaveBrokenOffIsAFailure failed before: "expected: NO_EFFECT but was: null". The protocol's platform sends a length.

--- a/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
@@ -12,6 +12,7 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -20,6 +21,10 @@
  * A short HTTP call with a size limit for the response and a verdict for each failure.
  *
  * <p>Failures before the request is passed to a connection are {@code NOT_RUN}, later ones {@code MAY_HAVE_RUN}.
+ *
+ * <p>A response with neither a length nor chunks ends with its connection, and one that broke off looks the same (RFC
+ * 9112, section 8). It is returned as it came: a reader either parses a document that shows its own end, such as a JSON
+ * object with required fields, or requires {@link Response#isDelimited()}.
  */
 public final class HttpExchange {
     /** Response header with which an endpoint states that it did not run the call. */
@@ -153,5 +158,11 @@
         public boolean isNotRun() {
             return "true".equalsIgnoreCase(headers.get(NOT_RUN_HEADER));
         }
+
+        /** Returns whether a length or chunks delimit the body, so that it arrived completely. */
+        public boolean isDelimited() {
+            return headers.contains(HttpHeaders.CONTENT_LENGTH)
+                    || headers.contains(HttpHeaders.TRANSFER_ENCODING, HttpHeaders.CHUNKED, true);
+        }
     }
 }
--- a/server/src/main/java/io/radishwinch/server/platform/HttpPlatformClient.java
+++ b/server/src/main/java/io/radishwinch/server/platform/HttpPlatformClient.java
@@ -73,6 +73,9 @@
                 return Optional.empty();
             }
             requireOk(response, false);
+            if (!response.isDelimited()) {
+                throw new IOException("the end of a value without length cannot be told from a broken connection");
+            }
             String nonce = response.headers().get("X-Nonce");
             return Optional.of(new StoredObject(
                     key,
--- a/server/src/test/java/io/radishwinch/server/platform/HttpPlatformClientTest.java
+++ b/server/src/test/java/io/radishwinch/server/platform/HttpPlatformClientTest.java
@@ -10,6 +10,8 @@
 import io.radishwinch.standins.PlatformStandIn;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetServer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -166,6 +168,39 @@
                 .containsExactly(new PlatformClient.Vm("s-1", "dc2", "127.0.0.1", 81, "service", "billing", true));
     }
 
+    /**
+     * Guards against half a value that is taken for a whole one, as it ends with its connection and not with a length.
+     */
+    @Test
+    void aValueWithoutLengthThatMayHaveBrokenOffIsAFailure() {
+        assertThat(kind(responding("ETag: \"4\"\r\n\r\nhalf a va").get("config/a")))
+                .isEqualTo(PlatformException.Kind.NO_EFFECT);
+        assertThat(kind(responding("ETag: \"4\"\r\nContent-Length: 12\r\n\r\nhalf a va")
+                        .get("config/a")))
+                .isEqualTo(PlatformException.Kind.NO_EFFECT);
+        PlatformClient.StoredObject whole = await(
+                        responding("ETag: \"4\"\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
+                                .get("config/a"))
+                .orElseThrow();
+        assertThat(text(whole.value())).isEqualTo("whole");
+    }
+
+    /** Returns a client of a platform that responds with status 200 and these bytes and closes the connection. */
+    private HttpPlatformClient responding(String headersAndBody) {
+        NetServer server = vertx.createNetServer()
+                .connectHandler(socket ->
+                        socket.handler(request -> socket.end(Buffer.buffer("HTTP/1.1 200 OK\r\n" + headersAndBody))))
+                .listen(0, "127.0.0.1")
+                .toCompletionStage()
+                .toCompletableFuture()
+                .join();
+        return new HttpPlatformClient(
+                vertx,
+                "127.0.0.1",
+                server.actualPort(),
+                ClientOptions.defaults().withCallTimeoutMs(LONG_TIMEOUT_MS));
+    }
+
     private PutResult put(String key, long expectedVersion, String value, String nonce) {
         return await(client.put(key, expectedVersion, bytes(value), nonce));
     }
