Take a page of the platform without "more" for a failure

A page that did not say whether others follow was taken for the last one, and a follower would have deleted every object after it. The field is required now, as the protocol states. HttpPlatformClientTest.aListingThatDoesNotSayWhetherMoreFollowsIsAFailure failed before: "expected: NO_EFFECT but was: null".

--- a/server/src/main/java/io/radishwinch/server/platform/HttpPlatformClient.java
+++ b/server/src/main/java/io/radishwinch/server/platform/HttpPlatformClient.java
@@ -97,7 +97,7 @@
             }
             return new Page(
                     objects,
-                    node.path("more").asBoolean(),
+                    required(node, "more").asBoolean(),
                     required(node, "storeVersion").asLong());
         });
     }
--- a/server/src/test/java/io/radishwinch/server/platform/HttpPlatformClientTest.java
+++ b/server/src/test/java/io/radishwinch/server/platform/HttpPlatformClientTest.java
@@ -185,6 +185,17 @@
         assertThat(text(whole.value())).isEqualTo("whole");
     }
 
+    /** Guards against a page that is taken for the last one, so that all objects after it would be deleted. */
+    @Test
+    void aListingThatDoesNotSayWhetherMoreFollowsIsAFailure() {
+        assertThat(kind(responding("\r\n{\"objects\":[],\"storeVersion\":3}").list("config/", "", 10)))
+                .isEqualTo(PlatformException.Kind.NO_EFFECT);
+        assertThat(await(responding("\r\n{\"objects\":[],\"more\":false,\"storeVersion\":3}")
+                                .list("config/", "", 10))
+                        .storeVersion())
+                .isEqualTo(3);
+    }
+
     /** Returns a client of a platform that responds with status 200 and these bytes and closes the connection. */
     private HttpPlatformClient responding(String headersAndBody) {
         NetServer server = vertx.createNetServer()
