Skip a router whose response contains no document

The tool printed a response with status 200 and no body as a status without routers and pools, with exit code 0. A response to a read must be a JSON object now, as all resources are; otherwise the next router is asked, and the tool ends as unreachable after the last one. A truncated document failed already. Changes are not affected: one without a document in its response still took effect. MainTest.aRouterWhoseResponseBreaksOffIsSkipped failed before: "expected: UNREACHABLE but was: OK".

--- a/cli/src/main/java/io/radishwinch/cli/AdminClient.java
+++ b/cli/src/main/java/io/radishwinch/cli/AdminClient.java
@@ -191,9 +191,14 @@
                     .toCompletableFuture()
                     .get(2 * CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS);
             Buffer responseBody = response.body();
-            return new AdminResponse(
+            AdminResponse result = new AdminResponse(
                     response.statusCode(),
                     responseBody == null ? JSON.nullNode() : JSON.readTree(responseBody.getBytes()));
+            // A change without a document in its response still took effect, but a resource that was read has one.
+            if (method == HttpMethod.GET && result.isOk() && !result.body().isObject()) {
+                throw new IOException("the response contains no document");
+            }
+            return result;
         } catch (ExecutionException e) {
             throw new IOException(reason(e.getCause()), e);
         } catch (TimeoutException e) {
--- a/cli/src/test/java/io/radishwinch/cli/MainTest.java
+++ b/cli/src/test/java/io/radishwinch/cli/MainTest.java
@@ -9,6 +9,8 @@
 import io.radishwinch.report.DayRecorder;
 import io.radishwinch.report.RequestOutcome;
 import io.radishwinch.server.admin.FakeRouterControl;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.net.PemKeyCertOptions;
 import java.nio.file.Files;
@@ -162,6 +164,27 @@
         Approvals.verify(session.text());
     }
 
+    /** Guards against a response that broke off and that is printed as the status of a router without pools. */
+    @Test
+    void aRouterWhoseResponseBreaksOffIsSkipped() {
+        Vertx vertx = Vertx.vertx();
+        for (String body : new String[] {"", "{\"routerId\":"}) {
+            int port = vertx.createNetServer()
+                    .connectHandler(socket ->
+                            socket.handler(request -> socket.end(Buffer.buffer("HTTP/1.1 200 OK\r\n\r\n" + body))))
+                    .listen(0, "127.0.0.1")
+                    .toCompletionStage()
+                    .toCompletableFuture()
+                    .join()
+                    .actualPort();
+            String router = " --router 127.0.0.1:" + port;
+            assertThat(session.run("status" + router)).isEqualTo(ExitCode.UNREACHABLE);
+            assertThat(session.run("status" + router + " --router 127.0.0.1:" + session.port))
+                    .isEqualTo(ExitCode.OK);
+        }
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
     @Test
     void routerWithUntrustedCertificateDoesNotReceiveTheKey() throws Exception {
         Path tls = Path.of("src/test/resources/tls").toAbsolutePath();
