Do not take a conflict without its object for an absent one

A conflict response that broke off before its document was read as one without a current object. After a lost response, the resilient client takes an absent object for proof that its deletion took effect, so the deletion could have been reported as done while the object was stored. The field is required now, with null for an absent object, as the protocol states; without it the effect is unknown. HttpPlatformClientTest.aConflictThatBrokeOffDoesNotMeanThatTheObjectIsAbsent failed before: "expected: EFFECT_UNKNOWN but was: null".

--- a/server/src/main/java/io/radishwinch/server/platform/HttpPlatformClient.java
+++ b/server/src/main/java/io/radishwinch/server/platform/HttpPlatformClient.java
@@ -136,7 +136,10 @@
                 noHeaders().set("If-Match", "\"" + expectedVersion + "\"").set("X-Nonce", nonce);
         return call(method, path(key), headers, body, true, response -> {
             if (response.status() == HTTP_CONFLICT) {
-                JsonNode current = JSON.readTree(response.body().getBytes()).path("current");
+                JsonNode current = JSON.readTree(response.body().getBytes()).get("current");
+                if (current == null) {
+                    throw new IOException("required field current is missing");
+                }
                 return new PutResult.Conflict(
                         current.isObject() ? Optional.of(PlatformJson.parseObject(current)) : Optional.empty());
             }
--- a/server/src/test/java/io/radishwinch/server/platform/HttpPlatformClientTest.java
+++ b/server/src/test/java/io/radishwinch/server/platform/HttpPlatformClientTest.java
@@ -173,13 +173,13 @@
      */
     @Test
     void aValueWithoutLengthThatMayHaveBrokenOffIsAFailure() {
-        assertThat(kind(responding("ETag: \"4\"\r\n\r\nhalf a va").get("config/a")))
+        assertThat(kind(responding("200 OK\r\nETag: \"4\"\r\n\r\nhalf a va").get("config/a")))
                 .isEqualTo(PlatformException.Kind.NO_EFFECT);
-        assertThat(kind(responding("ETag: \"4\"\r\nContent-Length: 12\r\n\r\nhalf a va")
+        assertThat(kind(responding("200 OK\r\nETag: \"4\"\r\nContent-Length: 12\r\n\r\nhalf a va")
                         .get("config/a")))
                 .isEqualTo(PlatformException.Kind.NO_EFFECT);
         PlatformClient.StoredObject whole = await(
-                        responding("ETag: \"4\"\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
+                        responding("200 OK\r\nETag: \"4\"\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
                                 .get("config/a"))
                 .orElseThrow();
         assertThat(text(whole.value())).isEqualTo("whole");
@@ -188,19 +188,30 @@
     /** Guards against a page that is taken for the last one, so that all objects after it would be deleted. */
     @Test
     void aListingThatDoesNotSayWhetherMoreFollowsIsAFailure() {
-        assertThat(kind(responding("\r\n{\"objects\":[],\"storeVersion\":3}").list("config/", "", 10)))
+        assertThat(kind(responding("200 OK\r\n\r\n{\"objects\":[],\"storeVersion\":3}")
+                        .list("config/", "", 10)))
                 .isEqualTo(PlatformException.Kind.NO_EFFECT);
-        assertThat(await(responding("\r\n{\"objects\":[],\"more\":false,\"storeVersion\":3}")
+        assertThat(await(responding("200 OK\r\n\r\n{\"objects\":[],\"more\":false,\"storeVersion\":3}")
                                 .list("config/", "", 10))
                         .storeVersion())
                 .isEqualTo(3);
     }
 
-    /** Returns a client of a platform that responds with status 200 and these bytes and closes the connection. */
-    private HttpPlatformClient responding(String headersAndBody) {
+    /** Guards against a deletion that counts as done because its conflict broke off before the current object. */
+    @Test
+    void aConflictThatBrokeOffDoesNotMeanThatTheObjectIsAbsent() {
+        for (String body : List.of("", "{}", "{\"current\":{")) {
+            assertThat(kind(responding("412 Conflict\r\n\r\n" + body).delete("config/a", 4, "n")))
+                    .isEqualTo(PlatformException.Kind.EFFECT_UNKNOWN);
+        }
+        assertThat(await(responding("412 Conflict\r\n\r\n{\"current\":null}").delete("config/a", 4, "n")))
+                .isEqualTo(new PutResult.Conflict(Optional.empty()));
+    }
+
+    /** Returns a client of a platform that responds with this status, headers and body, and closes the connection. */
+    private HttpPlatformClient responding(String response) {
         NetServer server = vertx.createNetServer()
-                .connectHandler(socket ->
-                        socket.handler(request -> socket.end(Buffer.buffer("HTTP/1.1 200 OK\r\n" + headersAndBody))))
+                .connectHandler(socket -> socket.handler(request -> socket.end(Buffer.buffer("HTTP/1.1 " + response))))
                 .listen(0, "127.0.0.1")
                 .toCompletionStage()
                 .toCompletableFuture()
