--- a/cli/src/test/java/io/radishwinch/cli/LogCommandsTest.java
+++ b/cli/src/test/java/io/radishwinch/cli/LogCommandsTest.java
@@ -1,5 +1,7 @@
 package io.radishwinch.cli;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import java.nio.file.Path;
 import org.approvaltests.Approvals;
 import org.junit.jupiter.api.AfterEach;
@@ -71,4 +73,13 @@
         session.run("logs summary a.log b.log");
         Approvals.verify(session.text());
     }
+
+    /** Guards against an outcome that is read from a line that broke off at the end of a log file. */
+    @Test
+    void aLineThatBrokeOffIsSkippedAndNoted() throws Exception {
+        String whole = SECOND_ROUTER.strip();
+        session.write("c.log", whole.substring(0, whole.length() - 1));
+        session.run("logs summary c.log");
+        assertThat(session.text()).contains("1 unstructured lines were skipped").doesNotContain("answered");
+    }
 }
--- a/server/src/test/java/io/radishwinch/server/platform/HttpPlatformClientTest.java
+++ b/server/src/test/java/io/radishwinch/server/platform/HttpPlatformClientTest.java
@@ -16,6 +16,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -208,6 +209,20 @@
                 .isEqualTo(new PutResult.Conflict(Optional.empty()));
     }
 
+    /** Guards against a change that broke off and that is reported as a deletion, because it lacks its value. */
+    @Test
+    void aWatchReportsOnlyLinesThatEnd() {
+        String change = "{\"key\":\"config/a\",\"version\":5,\"nonce\":\"n\",\"value\":null}";
+        List<Long> versions = new CopyOnWriteArrayList<>();
+        PlatformClient broken = responding("200 OK\r\n\r\n" + change + "\n" + change.replace("5", "6"));
+        assertThat(kind(broken.watch("config/", 4)
+                        .invoke(reported -> versions.add(reported.version()))
+                        .collect()
+                        .last()))
+                .isEqualTo(PlatformException.Kind.NO_EFFECT);
+        assertThat(versions).containsExactly(5L);
+    }
+
     /** Returns a client of a platform that responds with this status, headers and body, and closes the connection. */
     private HttpPlatformClient responding(String response) {
         NetServer server = vertx.createNetServer()
