--- a/server/src/main/java/io/radishwinch/server/platform/HttpPlatformClient.java
+++ b/server/src/main/java/io/radishwinch/server/platform/HttpPlatformClient.java
@@ -73,6 +73,9 @@
                 return Optional.empty();
             }
             requireOk(response, false);
+            if (!response.isDelimited()) {
+                throw new IOException("the end of a value without length cannot be told from a broken connection");
+            }
             String nonce = response.headers().get("X-Nonce");
             return Optional.of(new StoredObject(
                     key,
@@ -94,7 +97,7 @@
             }
             return new Page(
                     objects,
-                    node.path("more").asBoolean(),
+                    required(node, "more").asBoolean(),
                     required(node, "storeVersion").asLong());
         });
     }
@@ -133,7 +136,10 @@
                 noHeaders().set("If-Match", "\"" + expectedVersion + "\"").set("X-Nonce", nonce);
         return call(method, path(key), headers, body, true, response -> {
             if (response.status() == HTTP_CONFLICT) {
-                JsonNode current = JSON.readTree(response.body().getBytes()).path("current");
+                JsonNode current = JSON.readTree(response.body().getBytes()).get("current");
+                if (current == null) {
+                    throw new IOException("required field current is missing");
+                }
                 return new PutResult.Conflict(
                         current.isObject() ? Optional.of(PlatformJson.parseObject(current)) : Optional.empty());
             }
--- a/server/src/test/java/io/radishwinch/server/platform/HttpPlatformClientTest.java
+++ b/server/src/test/java/io/radishwinch/server/platform/HttpPlatformClientTest.java
@@ -10,10 +10,13 @@
 import io.radishwinch.standins.PlatformStandIn;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetServer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -166,6 +169,75 @@
                 .containsExactly(new PlatformClient.Vm("s-1", "dc2", "127.0.0.1", 81, "service", "billing", true));
     }
 
+    /**
+     * Guards against half a value that is taken for a whole one, as it ends with its connection and not with a length.
+     */
+    @Test
+    void aValueWithoutLengthThatMayHaveBrokenOffIsAFailure() {
+        assertThat(kind(responding("200 OK\r\nETag: \"4\"\r\n\r\nhalf a va").get("config/a")))
+                .isEqualTo(PlatformException.Kind.NO_EFFECT);
+        assertThat(kind(responding("200 OK\r\nETag: \"4\"\r\nContent-Length: 12\r\n\r\nhalf a va")
+                        .get("config/a")))
+                .isEqualTo(PlatformException.Kind.NO_EFFECT);
+        PlatformClient.StoredObject whole = await(
+                        responding("200 OK\r\nETag: \"4\"\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
+                                .get("config/a"))
+                .orElseThrow();
+        assertThat(text(whole.value())).isEqualTo("whole");
+    }
+
+    /** Guards against a page that is taken for the last one, so that all objects after it would be deleted. */
+    @Test
+    void aListingThatDoesNotSayWhetherMoreFollowsIsAFailure() {
+        assertThat(kind(responding("200 OK\r\n\r\n{\"objects\":[],\"storeVersion\":3}")
+                        .list("config/", "", 10)))
+                .isEqualTo(PlatformException.Kind.NO_EFFECT);
+        assertThat(await(responding("200 OK\r\n\r\n{\"objects\":[],\"more\":false,\"storeVersion\":3}")
+                                .list("config/", "", 10))
+                        .storeVersion())
+                .isEqualTo(3);
+    }
+
+    /** Guards against a deletion that counts as done because its conflict broke off before the current object. */
+    @Test
+    void aConflictThatBrokeOffDoesNotMeanThatTheObjectIsAbsent() {
+        for (String body : List.of("", "{}", "{\"current\":{")) {
+            assertThat(kind(responding("412 Conflict\r\n\r\n" + body).delete("config/a", 4, "n")))
+                    .isEqualTo(PlatformException.Kind.EFFECT_UNKNOWN);
+        }
+        assertThat(await(responding("412 Conflict\r\n\r\n{\"current\":null}").delete("config/a", 4, "n")))
+                .isEqualTo(new PutResult.Conflict(Optional.empty()));
+    }
+
+    /** Guards against a change that broke off and that is reported as a deletion, because it lacks its value. */
+    @Test
+    void aWatchReportsOnlyLinesThatEnd() {
+        String change = "{\"key\":\"config/a\",\"version\":5,\"nonce\":\"n\",\"value\":null}";
+        List<Long> versions = new CopyOnWriteArrayList<>();
+        PlatformClient broken = responding("200 OK\r\n\r\n" + change + "\n" + change.replace("5", "6"));
+        assertThat(kind(broken.watch("config/", 4)
+                        .invoke(reported -> versions.add(reported.version()))
+                        .collect()
+                        .last()))
+                .isEqualTo(PlatformException.Kind.NO_EFFECT);
+        assertThat(versions).containsExactly(5L);
+    }
+
+    /** Returns a client of a platform that responds with this status, headers and body, and closes the connection. */
+    private HttpPlatformClient responding(String response) {
+        NetServer server = vertx.createNetServer()
+                .connectHandler(socket -> socket.handler(request -> socket.end(Buffer.buffer("HTTP/1.1 " + response))))
+                .listen(0, "127.0.0.1")
+                .toCompletionStage()
+                .toCompletableFuture()
+                .join();
+        return new HttpPlatformClient(
+                vertx,
+                "127.0.0.1",
+                server.actualPort(),
+                ClientOptions.defaults().withCallTimeoutMs(LONG_TIMEOUT_MS));
+    }
+
     private PutResult put(String key, long expectedVersion, String value, String nonce) {
         return await(client.put(key, expectedVersion, bytes(value), nonce));
     }
