Break off a started response when its request is refused

Callers of a plain service whose large response was being sent waited for an end that never came: a refusal by the core (deadline, planned stop, timeout of a cancellation) sent no error response because the head was already written, and did not close the connection either. This affected non-repeatable calls, which continue after a refusal, and refusals that came after the last byte of the service.

A refusal after the head now resets the response. AbstractExchange .abortResponse() is the one place for that.

Before: refusalDuringALargeResponseResetsTheCaller(false) and refusalAfterTheLastByteOfALargeResponseResetsTheCaller failed with SocketTimeoutException: Read timed out.

--- a/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
@@ -99,10 +99,19 @@
     /** Sends the rest of the response and ends it. */
     protected abstract void completeResponse();
 
-    /** Ends the exchange with an error response. */
+    /** Ends the exchange with an error response, or breaks off the response if its head was already sent. */
     protected void refuseRequest(Refusal refusal) {
         finish(Optional.of(refusal));
-        ErrorResponse.send(response, request.requestId(), refusal);
+        if (response.headWritten()) {
+            abortResponse();
+        } else {
+            ErrorResponse.send(response, request.requestId(), refusal);
+        }
+    }
+
+    /** Breaks off a response whose head was already sent, so that the caller does not take it for complete. */
+    protected final void abortResponse() {
+        response.reset();
     }
 
     /** Ends the exchange without a decision of the core and withdraws the request from the core. */
@@ -145,7 +154,7 @@
             writeTimerId = shared.vertx().setTimer(shared.writeTimeoutMs(), ignored -> {
                 withdraw(Optional.of(new Refusal(
                         Reason.SLOW_READER, Verdict.MAY_HAVE_RUN, ErrorMessages.of(Reason.SLOW_READER), 0)));
-                response.reset();
+                abortResponse();
             });
         }
     }
--- a/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
@@ -212,7 +212,7 @@
     private void abort(Throwable error) {
         Reason reason = error instanceof EndpointException known ? known.reason() : Reason.STAGE_DIED;
         withdraw(Optional.of(new Refusal(reason, Verdict.MAY_HAVE_RUN, ErrorMessages.of(reason), 0)));
-        response.reset();
+        abortResponse();
     }
 
     private void writeHead(ServiceResponse serviceResponse) {
--- /dev/null
+++ b/server/src/test/java/io/radishwinch/server/http/ServiceExchangeTest.java
@@ -0,0 +1,79 @@
+package io.radishwinch.server.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.Verdict;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.net.Socket;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against responses of plain services that break off and reach the caller as complete ones. */
+class ServiceExchangeTest {
+    private static final String LARGE = "x".repeat(StoredResponse.MAX_BODY_BYTES + 1);
+    private static final String LARGE_HEAD = "HTTP/1.1 200 OK\r\nContent-Length: " + (LARGE.length() + 4) + "\r\n\r\n";
+
+    private static ExchangeFixture fixture(boolean isRepeatable) throws Exception {
+        return new ExchangeFixture((shared, request) -> new ServiceExchange(
+                shared,
+                ExchangeFixture.request("service:s", isRepeatable),
+                new ServiceExchange.Call(
+                        HttpMethod.GET, "/", request.headers(), Buffer.buffer(), "key", new byte[] {1}),
+                request));
+    }
+
+    private static Socket startAttempt(ExchangeFixture fixture, boolean isRepeatable) throws Exception {
+        fixture.decideStart(1);
+        if (!isRepeatable) {
+            ExchangeFixture.next(fixture.grants).complete(true);
+        }
+        return fixture.acceptAttempt();
+    }
+
+    /** Sends the head and the first part of a large response, and waits until the caller has the head. */
+    private static Socket startLargeResponse(ExchangeFixture fixture, Socket caller, boolean isRepeatable)
+            throws Exception {
+        Socket service = startAttempt(fixture, isRepeatable);
+        ExchangeFixture.write(service, LARGE_HEAD + LARGE);
+        if (!isRepeatable) {
+            ExchangeFixture.next(fixture.recordings).complete(true);
+        }
+        assertThat(ExchangeFixture.readHead(caller)).startsWith("HTTP/1.1 200");
+        return service;
+    }
+
+    private static Action.Refuse refusal(Reason reason) {
+        return new Action.Refuse(ExchangeFixture.REQUEST_ID, reason, Verdict.MAY_HAVE_RUN, 0);
+    }
+
+    /** Guards against a started response whose caller waits for an end that never comes after the core's refusal. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void refusalDuringALargeResponseResetsTheCaller(boolean isRepeatable) throws Exception {
+        try (ExchangeFixture fixture = fixture(isRepeatable)) {
+            Socket caller = fixture.call("HTTP/1.1");
+            Socket service = startLargeResponse(fixture, caller, isRepeatable);
+            fixture.decide(refusal(Reason.DEADLINE_EXCEEDED));
+            assertThat(fixture.readAll()).doesNotEndWith(ExchangeFixture.LAST_CHUNK);
+            service.close();
+        }
+    }
+
+    /** Guards against a caller that waits for the end of a response when the refusal comes after the last byte. */
+    @Test
+    void refusalAfterTheLastByteOfALargeResponseResetsTheCaller() throws Exception {
+        try (ExchangeFixture fixture = fixture(true)) {
+            Socket caller = fixture.call("HTTP/1.1");
+            Socket service = startLargeResponse(fixture, caller, true);
+            ExchangeFixture.write(service, "last");
+            fixture.await(Event.AttemptFinished.class);
+            fixture.decide(refusal(Reason.DEADLINE_EXCEEDED));
+            assertThat(fixture.readAll()).doesNotEndWith(ExchangeFixture.LAST_CHUNK);
+        }
+    }
+}
