Break off responses over HTTP/2 with an error code

A large response or a stream that broke off reached callers over HTTP/2 as a stream reset with the code NO_ERROR, which is what HttpServerResponse.reset() sends. Some clients take such a reset for a normal end, and the part that they have for the whole response.

The reset now has the code INTERNAL_ERROR. HTTP/1 ignores the code and closes the connection as before.

Before: refusalDuringALargeResponseIsAnErrorOverHttp2 failed with "expected: 2L but was: 0L".

--- a/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
@@ -14,6 +14,9 @@
 public abstract class AbstractExchange<S extends ExchangeScope> implements Exchange {
     private static final long NO_TIMER = -1;
 
+    /** Error code of HTTP/2, RFC 9113 section 7. Some clients take a reset with the code NO_ERROR for a normal end. */
+    private static final long HTTP2_INTERNAL_ERROR = 0x2;
+
     /** State and services shared by the exchanges of this traffic thread. */
     protected final S shared;
 
@@ -111,7 +114,7 @@
 
     /** Breaks off a response whose head was already sent, so that the caller does not take it for complete. */
     protected final void abortResponse() {
-        response.reset();
+        response.reset(HTTP2_INTERNAL_ERROR);
     }
 
     /** Ends the exchange without a decision of the core and withdraws the request from the core. */
--- a/server/src/test/java/io/radishwinch/server/http/ExchangeFixture.java
+++ b/server/src/test/java/io/radishwinch/server/http/ExchangeFixture.java
@@ -17,9 +17,15 @@
 import io.radishwinch.server.engine.HttpServiceClient;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Context;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -102,6 +108,17 @@
         return caller;
     }
 
+    /** Sends the caller's request over HTTP/2, and returns the response that it gets. */
+    Future<HttpClientResponse> callOverHttp2() throws Exception {
+        HttpClientOptions options =
+                new HttpClientOptions().setProtocolVersion(HttpVersion.HTTP_2).setHttp2ClearTextUpgrade(false);
+        Future<HttpClientResponse> response = vertx.createHttpClient(options)
+                .request(HttpMethod.GET, server.actualPort(), "127.0.0.1", "/")
+                .compose(HttpClientRequest::send);
+        await(Event.RequestArrived.class);
+        return response;
+    }
+
     /** Starts an attempt, and returns the connection on which the endpoint received it. */
     Socket startAttempt(int epoch) throws Exception {
         decideStart(epoch);
--- a/server/src/test/java/io/radishwinch/server/http/ServiceExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/http/ServiceExchangeTest.java
@@ -8,13 +8,17 @@
 import io.radishwinch.core.model.Verdict;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.StreamResetException;
 import java.net.Socket;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against responses of plain services that break off and reach the caller as complete ones. */
 class ServiceExchangeTest {
+    private static final long HTTP2_INTERNAL_ERROR = 0x2;
     private static final String LARGE = "x".repeat(StoredResponse.MAX_BODY_BYTES + 1);
     private static final String LARGE_HEAD = "HTTP/1.1 200 OK\r\nContent-Length: " + (LARGE.length() + 4) + "\r\n\r\n";
 
@@ -76,4 +80,25 @@
             assertThat(fixture.readAll()).doesNotEndWith(ExchangeFixture.LAST_CHUNK);
         }
     }
+
+    /** Guards against a reset with the code NO_ERROR, which some clients of HTTP/2 take for the end of the response. */
+    @Test
+    void refusalDuringALargeResponseIsAnErrorOverHttp2() throws Exception {
+        try (ExchangeFixture fixture = fixture(true)) {
+            CompletableFuture<Throwable> failure = new CompletableFuture<>();
+            CompletableFuture<Void> hasHead = new CompletableFuture<>();
+            fixture.callOverHttp2().onSuccess(response -> {
+                response.exceptionHandler(failure::complete);
+                response.handler(ignored -> hasHead.complete(null));
+            });
+            Socket service = startAttempt(fixture, true);
+            ExchangeFixture.write(service, LARGE_HEAD + LARGE);
+            hasHead.get(20, TimeUnit.SECONDS);
+            fixture.decide(refusal(Reason.DEADLINE_EXCEEDED));
+            assertThat(failure.get(20, TimeUnit.SECONDS))
+                    .isInstanceOfSatisfying(StreamResetException.class, reset -> assertThat(reset.getCode())
+                            .isEqualTo(HTTP2_INTERNAL_ERROR));
+            service.close();
+        }
+    }
 }
