Do not run a non-repeatable call whose attempt was cancelled

The next attempt then sent it a second time, so that it could run twice.

A cancelled attempt is now marked as ended. Its grant is kept for the next attempt, and released if the request ends without one.

Before: grantThatArrivesAfterTheAttemptWasCancelledIsUsedByTheNextAttemptOnly failed with "expected: 2 but was: 1", the epoch of the attempt that was sent.

--- a/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
@@ -27,6 +27,7 @@
     private final Call call;
     private Decision.Granted grant;
     private boolean isSent;
+    private boolean isAttemptEnded;
     private int epoch;
     private String endpointId = "";
     private ServiceClient.Exchange inFlight;
@@ -54,6 +55,7 @@
     @Override
     protected void startAttempt(Action.StartAttempt attempt) {
         epoch = attempt.epoch();
+        isAttemptEnded = false;
         endpointId = attempt.chain().firstStage().endpointId();
         EndpointAddress address = shared.endpoints().address(endpointId);
         if (address == null) {
@@ -76,18 +78,25 @@
             grant = granted;
             if (isFinished() || attempt.epoch() != epoch) {
                 releaseGrant();
-            } else if (shared.control().nowMs() >= attempt.deadlineMs()) {
-                // A paused process can resume with a grant long after the deadline of the request.
-                releaseGrant();
-                postAttemptFailed(attempt.epoch(), endpointId, Reason.DEADLINE_EXCEEDED, Verdict.NOT_RUN);
-            } else {
-                send(attempt, address);
+            } else if (!isAttemptEnded) {
+                sendGranted(attempt, address);
             }
+            // The grant of a cancelled attempt is kept for the next attempt.
         } else if (!isFinished()) {
             respondWithoutRunning(decision);
         }
     }
 
+    private void sendGranted(Action.StartAttempt attempt, EndpointAddress address) {
+        if (shared.control().nowMs() >= attempt.deadlineMs()) {
+            // A paused process can resume with a grant long after the deadline of the request.
+            releaseGrant();
+            postAttemptFailed(attempt.epoch(), endpointId, Reason.DEADLINE_EXCEEDED, Verdict.NOT_RUN);
+        } else {
+            send(attempt, address);
+        }
+    }
+
     private void respondWithoutRunning(Decision decision) {
         if (decision instanceof Decision.Replay replay) {
             replay(StoredResponse.decode(replay.outcome()));
@@ -238,6 +247,7 @@
     }
 
     private void postAttemptFailed(int attemptEpoch, String endpointId, Reason reason, Verdict verdict) {
+        isAttemptEnded = true;
         post(new Event.AttemptFailed(request.requestId(), attemptEpoch, endpointId, reason, verdict, 0));
     }
 
--- a/server/src/test/java/io/radishwinch/server/http/ServiceExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/http/ServiceExchangeTest.java
@@ -101,4 +101,21 @@
             service.close();
         }
     }
+
+    /**
+     * Guards against a non-repeatable call that runs twice because its grant arrives after its attempt was cancelled.
+     */
+    @Test
+    void grantThatArrivesAfterTheAttemptWasCancelledIsUsedByTheNextAttemptOnly() throws Exception {
+        try (ExchangeFixture fixture = fixture(false)) {
+            fixture.call("HTTP/1.1");
+            fixture.decideStart(1);
+            CompletableFuture<Boolean> grant = ExchangeFixture.next(fixture.grants);
+            fixture.decide(new Action.CancelAttempt(ExchangeFixture.REQUEST_ID, 1, Reason.STAGE_DIED));
+            assertThat(fixture.await(Event.AttemptFailed.class).verdict()).isEqualTo(Verdict.NOT_RUN);
+            grant.complete(true);
+            fixture.decideStart(2);
+            assertThat(fixture.await(Event.AttemptStarted.class).epoch()).isEqualTo(2);
+        }
+    }
 }
