Do not start a response that has already broken off

A large response of a non-repeatable call is sent after its outcome is recorded. If the service's connection failed in between, the head and the first part were still sent, and the error of the core could not be: the caller waited for the rest. A caller now gets the error response with its verdict.

Callbacks of a response are bound to their own attempt, and have no effect after it has ended.

--- a/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
@@ -172,12 +172,13 @@
                 onFailure(attemptEpoch, address, error);
             }
         });
-        serviceResponse.onLarge(() -> recordOutcome(serviceResponse, () -> startStreaming(serviceResponse)));
+        serviceResponse.onLarge(
+                () -> recordOutcome(serviceResponse, () -> startStreaming(attemptEpoch, serviceResponse)));
         serviceResponse.onEnd(() -> {
             if (serviceResponse == streamedResponse) {
-                post(new Event.AttemptFinished(request.requestId(), epoch, 0));
+                postAttemptFinished(attemptEpoch);
             } else {
-                recordOutcome(serviceResponse, () -> finishAttempt(serviceResponse));
+                recordOutcome(serviceResponse, () -> finishAttempt(attemptEpoch, serviceResponse));
             }
         });
         serviceResponse.read();
@@ -198,13 +199,24 @@
      * Reports the end of the attempt to the core, even if the caller has disconnected: a non-repeatable call continues
      * without its caller.
      */
-    private void finishAttempt(ServiceResponse serviceResponse) {
-        bufferedResponse = serviceResponse;
-        post(new Event.AttemptFinished(request.requestId(), epoch, 0));
+    private void finishAttempt(int attemptEpoch, ServiceResponse serviceResponse) {
+        if (isRunning(attemptEpoch)) {
+            bufferedResponse = serviceResponse;
+            postAttemptFinished(attemptEpoch);
+        }
+    }
+
+    private void postAttemptFinished(int attemptEpoch) {
+        isAttemptEnded = true;
+        post(new Event.AttemptFinished(request.requestId(), attemptEpoch, 0));
     }
 
-    private void startStreaming(ServiceResponse serviceResponse) {
-        if (isFinished()) {
+    private boolean isRunning(int attemptEpoch) {
+        return attemptEpoch == epoch && !isAttemptEnded;
+    }
+
+    private void startStreaming(int attemptEpoch, ServiceResponse serviceResponse) {
+        if (isFinished() || !isRunning(attemptEpoch)) {
             serviceResponse.discard();
             return;
         }
@@ -231,7 +243,7 @@
     }
 
     private void onFailure(int attemptEpoch, EndpointAddress address, Throwable error) {
-        if (attemptEpoch != epoch) {
+        if (!isRunning(attemptEpoch)) {
             return;
         }
         Reason reason = error instanceof EndpointException known ? known.reason() : Reason.STAGE_DIED;
--- a/server/src/test/java/io/radishwinch/server/http/ServiceExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/http/ServiceExchangeTest.java
@@ -118,4 +118,20 @@
             assertThat(fixture.await(Event.AttemptStarted.class).epoch()).isEqualTo(2);
         }
     }
+
+    /** Guards against the head of a response that broke off before it could be sent, in place of an error response. */
+    @Test
+    void responseThatBreaksOffWhileItsOutcomeIsRecordedEndsInAnError() throws Exception {
+        try (ExchangeFixture fixture = fixture(false)) {
+            fixture.call("HTTP/1.0");
+            Socket service = startAttempt(fixture, false);
+            ExchangeFixture.write(service, LARGE_HEAD + LARGE);
+            CompletableFuture<Boolean> recording = ExchangeFixture.next(fixture.recordings);
+            service.close();
+            fixture.await(Event.AttemptFailed.class);
+            recording.complete(true);
+            fixture.decide(refusal(Reason.STAGE_DIED));
+            assertThat(fixture.readAll()).contains(" 502 ").contains("\"verdict\":\"may-have-run\"");
+        }
+    }
 }
