Break off a response whose attempt is cancelled

A cancelled attempt of a large response was reported to the core as failed, which let it start another attempt, although nothing can be joined to the response that was started. The response was reset only as a side effect of the cancelled call, and was recorded as caller-disconnected.

The exchange now ends with the reason of the cancellation and withdraws the request. A response that is complete when the cancellation arrives stays complete.

Before: cancelDuringALargeResponseResetsTheCaller failed with "expected: PREEMPTED but was: CALLER_DISCONNECTED".

--- a/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
@@ -167,7 +167,7 @@
         ServiceResponse serviceResponse = new ServiceResponse(head);
         serviceResponse.onFailure(error -> {
             if (serviceResponse == streamedResponse) {
-                abort(error);
+                abort(error instanceof EndpointException known ? known.reason() : Reason.STAGE_DIED);
             } else {
                 onFailure(attemptEpoch, address, error);
             }
@@ -230,8 +230,7 @@
      * Resets the caller's connection. The head has been sent, so a reset is the only way to tell the caller that the
      * response is incomplete.
      */
-    private void abort(Throwable error) {
-        Reason reason = error instanceof EndpointException known ? known.reason() : Reason.STAGE_DIED;
+    private void abort(Reason reason) {
         withdraw(Optional.of(new Refusal(reason, Verdict.MAY_HAVE_RUN, ErrorMessages.of(reason), 0)));
         abortResponse();
     }
@@ -265,11 +264,13 @@
 
     @Override
     protected void cancelAttempt(int cancelledEpoch, Reason reason) {
-        if (cancelledEpoch != epoch) {
+        if (!isRunning(cancelledEpoch)) {
             return;
         }
         if (!isSent) {
             postAttemptFailed(cancelledEpoch, endpointId, reason, Verdict.NOT_RUN);
+        } else if (streamedResponse != null && grant == null) {
+            abort(reason);
         } else if (grant == null) {
             releaseEndpoint();
             postAttemptFailed(cancelledEpoch, endpointId, reason, Verdict.MAY_HAVE_RUN);
--- a/server/src/test/java/io/radishwinch/server/http/ServiceExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/http/ServiceExchangeTest.java
@@ -134,4 +134,18 @@
             assertThat(fixture.readAll()).contains(" 502 ").contains("\"verdict\":\"may-have-run\"");
         }
     }
+
+    /** Guards against joining the response of a second attempt to the cut response of the first. */
+    @Test
+    void cancelDuringALargeResponseResetsTheCaller() throws Exception {
+        try (ExchangeFixture fixture = fixture(true)) {
+            Socket caller = fixture.call("HTTP/1.1");
+            Socket service = startLargeResponse(fixture, caller, true);
+            fixture.decide(new Action.CancelAttempt(ExchangeFixture.REQUEST_ID, 1, Reason.PREEMPTED));
+            assertThat(fixture.readAll()).doesNotEndWith(ExchangeFixture.LAST_CHUNK);
+            assertThat(ExchangeFixture.next(fixture.outcomes).orElseThrow().reason())
+                    .isEqualTo(Reason.PREEMPTED);
+            service.close();
+        }
+    }
 }
