Give large responses to callers of HTTP/1.0 a length

A caller of HTTP/1.0 got a large response of a service without a length, so that the end of the connection was the end of the response. Vert.x resets a response of HTTP/1 by closing the connection: a response that broke off looked complete. There is no public way to send a TCP reset instead.

The length given by the service is passed on to such callers. Without one, they get 400 with the verdict "ran" before any of the response is sent. AbstractExchange.isDelimitedByClose() tells other exchanges about the case.

Before: largeResponseToACallerOfHttp10HasALength failed with "HTTP/1.0 200 OK X-Request-Id: r to contain: content-length: 45005", and largeResponseOfUnknownLengthToACallerOfHttp10IsRefused with SocketTimeoutException: Read timed out after the start of the response.

--- a/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
@@ -8,6 +8,7 @@
 import io.radishwinch.server.Exchange;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.HttpVersion;
 import java.util.Optional;
 
 /** Base class of the exchanges between a caller and endpoints. Confined to one traffic thread. */
@@ -29,6 +30,7 @@
     /** Statistics of what was delivered so far. */
     protected final DeliveryStats delivery;
 
+    private final HttpVersion httpVersion;
     private final long reservedBytes;
     private boolean isFinished;
     private long writeTimerId = NO_TIMER;
@@ -42,6 +44,7 @@
         this.shared = shared;
         this.request = request;
         this.response = httpRequest.response();
+        this.httpVersion = httpRequest.version();
         this.delivery = new DeliveryStats(request.arrivedAtMs());
         this.reservedBytes = reservedBytes;
         response.closeHandler(ignored -> onCallerDisconnected());
@@ -112,11 +115,22 @@
         }
     }
 
-    /** Breaks off a response whose head was already sent, so that the caller does not take it for complete. */
+    /**
+     * Breaks off a response whose head was already sent, so that the caller does not take it for complete. A response
+     * that is {@linkplain #isDelimitedByClose delimited by close} must have a length.
+     */
     protected final void abortResponse() {
         response.reset(HTTP2_INTERNAL_ERROR);
     }
 
+    /**
+     * Returns whether a response without a length ends with its connection, as in HTTP/1.0. Vert.x resets a response of
+     * HTTP/1 by closing the connection, so a caller cannot tell that such a response broke off.
+     */
+    protected final boolean isDelimitedByClose() {
+        return httpVersion == HttpVersion.HTTP_1_0;
+    }
+
     /** Ends the exchange without a decision of the core and withdraws the request from the core. */
     protected final void withdraw(Optional<Refusal> refusal) {
         if (!isFinished) {
--- a/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
@@ -220,9 +220,23 @@
             serviceResponse.discard();
             return;
         }
+        String length = serviceResponse.headers().get(HttpHeaders.CONTENT_LENGTH);
+        if (isDelimitedByClose() && length == null) {
+            serviceResponse.discard();
+            endWithError(new Refusal(
+                    Reason.MALFORMED_REQUEST,
+                    Verdict.RAN,
+                    "a response of this size and unknown length needs HTTP/1.1",
+                    0));
+            return;
+        }
         streamedResponse = serviceResponse;
         writeHead(serviceResponse);
-        response.setChunked(true);
+        if (isDelimitedByClose()) {
+            response.putHeader(HttpHeaders.CONTENT_LENGTH, length);
+        } else {
+            response.setChunked(true);
+        }
         serviceResponse.streamTo(response, this::startWriteTimer, this::cancelWriteTimer);
     }
 
--- a/server/src/test/java/io/radishwinch/server/http/ServiceExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/http/ServiceExchangeTest.java
@@ -148,4 +148,35 @@
             service.close();
         }
     }
+
+    /**
+     * Guards against a response to a caller of HTTP/1.0 whose end is the end of its connection, also if it broke off.
+     */
+    @Test
+    void largeResponseToACallerOfHttp10HasALength() throws Exception {
+        try (ExchangeFixture fixture = fixture(true)) {
+            Socket caller = fixture.call("HTTP/1.0");
+            Socket service = fixture.startAttempt(1);
+            ExchangeFixture.write(service, LARGE_HEAD + LARGE);
+            assertThat(ExchangeFixture.readHead(caller))
+                    .containsIgnoringCase("content-length: " + (LARGE.length() + 4));
+            service.close();
+            assertThat(fixture.readAll()).hasSizeLessThan(LARGE.length() + 4);
+        }
+    }
+
+    /** Guards against a response of unknown length that a caller of HTTP/1.0 takes for whole when it breaks off. */
+    @Test
+    void largeResponseOfUnknownLengthToACallerOfHttp10IsRefused() throws Exception {
+        try (ExchangeFixture fixture = fixture(true)) {
+            fixture.call("HTTP/1.0");
+            Socket service = fixture.startAttempt(1);
+            ExchangeFixture.write(
+                    service,
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(LARGE.length())
+                            + "\r\n" + LARGE + "\r\n");
+            assertThat(fixture.readAll()).contains(" 400 ").contains("HTTP/1.1").contains("\"verdict\":\"ran\"");
+            service.close();
+        }
+    }
 }
