Refuse streamed completions for callers of HTTP/1.0

A stream to a caller of HTTP/1.0 ends with its connection, so one that broke off was framed as complete. Such a request is refused with 400 malformed-request before it runs. Buffering the stream would hide the tokens until the end, which is what stream: false is for.

Before: streamToACallerOfHttp10IsRefused got "HTTP/1.0 200 OK content-type: text/event-stream" without a length.

--- a/server/src/main/java/io/radishwinch/server/http/CallerApi.java
+++ b/server/src/main/java/io/radishwinch/server/http/CallerApi.java
@@ -17,6 +17,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpVersion;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import java.nio.charset.StandardCharsets;
@@ -121,6 +122,10 @@
             String message =
                     "prompt and completion exceed the context limit of " + model.maxContextTokens() + " tokens";
             releaseBodyAndReject(ctx, caller, body, Refusal.notRun(Reason.MALFORMED_REQUEST, message));
+        } else if (completion.isStreaming() && ctx.request().version() == HttpVersion.HTTP_1_0) {
+            // The end of the connection would end the stream, also if the stream broke off.
+            String message = "a streamed response needs HTTP/1.1";
+            releaseBodyAndReject(ctx, caller, body, Refusal.notRun(Reason.MALFORMED_REQUEST, message));
         } else {
             RequestSpec spec = new RequestSpec(
                     caller.requestId(),
--- a/server/src/test/java/io/radishwinch/server/CallerSessionTest.java
+++ b/server/src/test/java/io/radishwinch/server/CallerSessionTest.java
@@ -127,6 +127,18 @@
                 + TestDeployment.KEY + "\r\n" + header + "\r\n" + new String(body, StandardCharsets.ISO_8859_1));
     }
 
+    /**
+     * Guards against a stream to a caller of HTTP/1.0, whose end is the end of its connection, also if it broke off.
+     */
+    @Test
+    void streamToACallerOfHttp10IsRefused() throws Exception {
+        byte[] body = bytes(RecordedSession.completion("good evening", 4, true));
+        String request =
+                new String(rawPost("Content-Length: " + body.length + "\r\n", body), StandardCharsets.ISO_8859_1);
+        String response = session.raw(bytes(request.replace("HTTP/1.1", "HTTP/1.0")), n -> {});
+        assertThat(response).contains(" 400 ").contains("HTTP/1.1").contains("\"verdict\":\"not-run\"");
+    }
+
     @Test
     void nonRepeatableCallRunsOnceAndItsResponseIsReplayed() throws Exception {
         session.post(CHARGES, "{\"cents\":1900}", "Idempotency-Key: renewal-1");
