Break off the response after the error event of a stream

A completion that failed after its first token ended with an error event and the last chunk of a complete response. Clients that look only at the framing of HTTP took the stream for whole. The error event is still sent, for clients that read it, and the response is then broken off in place of being ended.

Before: refusalDuringAStreamSendsTheErrorAndBreaksOffTheResponse found the last chunk after the error event.

--- a/server/src/main/java/io/radishwinch/server/http/ModelExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ModelExchange.java
@@ -230,8 +230,8 @@
     }
 
     /**
-     * Sends the error as the last event if the response head was already sent. A stream without {@code [DONE]} is
-     * incomplete.
+     * Sends the error as the last event if the response head was already sent, and breaks off the response. A caller
+     * that does not look for {@code [DONE]} would take a response that ends normally for complete.
      */
     @Override
     protected void refuseRequest(Refusal refusal) {
@@ -240,6 +240,11 @@
             return;
         }
         finish(Optional.of(refusal));
-        response.end("data: " + ErrorResponse.body(refusal, request.requestId()) + "\n\n");
+        startWriteTimer();
+        response.write("data: " + ErrorResponse.body(refusal, request.requestId()) + "\n\n")
+                .onComplete(ignored -> {
+                    cancelWriteTimer();
+                    abortResponse();
+                });
     }
 }
