Treat a damaged stored response as an unknown outcome

A recorded response without its body could be taken for a stored one: the replay then failed with a null body, after the request had been withdrawn, and the caller got no response. Malformed JSON failed in the same place.

Before: outcomeOfADamagedRecordIsUnknown failed in five of its six cases, with IllegalArgumentException: malformed stored response or "Expecting value to be false but was true".

--- a/server/src/main/java/io/radishwinch/server/http/StoredResponse.java
+++ b/server/src/main/java/io/radishwinch/server/http/StoredResponse.java
@@ -21,6 +21,7 @@
      */
     static final int MAX_BODY_BYTES = 45_000;
 
+    private static final System.Logger LOG = System.getLogger(StoredResponse.class.getName());
     private static final int UNKNOWN_STATUS = 0;
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -53,21 +54,24 @@
         }
     }
 
-    /**
-     * Decodes an outcome of the journal.
-     *
-     * @throws IllegalArgumentException if the bytes cannot be decoded
-     */
+    /** Decodes an outcome of the journal. The outcome is unknown if a field is missing or malformed. */
     static StoredResponse decode(byte[] bytes) {
         try {
             JsonNode node = MAPPER.readTree(bytes);
-            return new StoredResponse(
-                    node.path("status").asInt(UNKNOWN_STATUS),
-                    node.path("contentType").asText(""),
-                    node.path("body").binaryValue(),
-                    node.path("stored").asBoolean());
+            byte[] body = node.path("body").binaryValue();
+            if (body != null
+                    && node.path("status").isInt()
+                    && node.path("stored").isBoolean()) {
+                return new StoredResponse(
+                        node.path("status").intValue(),
+                        node.path("contentType").asText(""),
+                        body,
+                        node.path("stored").booleanValue());
+            }
+            LOG.log(System.Logger.Level.WARNING, "stored response lacks its status, its body or the field stored");
         } catch (IOException e) {
-            throw new IllegalArgumentException("malformed stored response", e);
+            LOG.log(System.Logger.Level.WARNING, "malformed stored response", e);
         }
+        return unknown();
     }
 }
