Require that an engine accepts an attempt before it ends it

A line of type done without an accepted line before it was taken for a complete response: an empty one, or on a resumed attempt the tokens that had been delivered so far. The first object of a stream is accepted, as docs/protocols.md says, so such a stream now fails and is retried.

Before: doneOfAnAttemptThatWasNotAcceptedEndsTheStream got Done[tokens=0, finishReason=length].

--- a/server/src/main/java/io/radishwinch/server/engine/HttpEngineStream.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpEngineStream.java
@@ -206,6 +206,9 @@
     }
 
     private void onDone(EngineLineParser.Line line) throws MalformedLineException {
+        if (!isAccepted) {
+            throw new MalformedLineException("attempt ended before it was accepted");
+        }
         if (line.tokens != nextSequence) {
             throw new MalformedLineException("engine reported " + line.tokens + " tokens but sent " + nextSequence);
         }
--- a/server/src/test/java/io/radishwinch/server/engine/HttpEngineStreamTest.java
+++ b/server/src/test/java/io/radishwinch/server/engine/HttpEngineStreamTest.java
@@ -75,6 +75,15 @@
                 Verdict.MAY_HAVE_RUN);
     }
 
+    /** Guards against an empty or shortened response from an attempt that never ran. */
+    @Test
+    void doneOfAnAttemptThatWasNotAcceptedEndsTheStream() {
+        assertFailed(
+                respondWith("{\"type\":\"done\",\"request\":\"r\",\"epoch\":3,\"tokens\":0}\n"),
+                Reason.STAGE_DIED,
+                Verdict.MAY_HAVE_RUN);
+    }
+
     /** Guards against a token whose layers did not all run, or did not run as planned. */
     @Test
     void tokenWithLayersOutsideTheChainEndsTheStream() {
