--- a/server/src/test/java/io/radishwinch/server/engine/ServiceResponseEndTest.java
+++ b/server/src/test/java/io/radishwinch/server/engine/ServiceResponseEndTest.java
@@ -93,8 +93,8 @@
                 connection.setSoLinger(true, 0);
             }
         }
-        vertx.runOnContext(
-                ignored -> head.thenAccept(response -> response.body().resume()));
+        ServiceClient.Response ended = head.get(WAIT_S, TimeUnit.SECONDS);
+        vertx.runOnContext(ignored -> ended.body().resume());
         assertThat(outcome.get(WAIT_S, TimeUnit.SECONDS)).isEqualTo(expected);
     }
 
