--- a/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
@@ -8,12 +8,16 @@
 import io.radishwinch.server.Exchange;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.HttpVersion;
 import java.util.Optional;
 
 /** Base class of the exchanges between a caller and endpoints. Confined to one traffic thread. */
 public abstract class AbstractExchange<S extends ExchangeScope> implements Exchange {
     private static final long NO_TIMER = -1;
 
+    /** Error code of HTTP/2, RFC 9113 section 7. Some clients take a reset with the code NO_ERROR for a normal end. */
+    private static final long HTTP2_INTERNAL_ERROR = 0x2;
+
     /** State and services shared by the exchanges of this traffic thread. */
     protected final S shared;
 
@@ -26,6 +30,7 @@
     /** Statistics of what was delivered so far. */
     protected final DeliveryStats delivery;
 
+    private final HttpVersion httpVersion;
     private final long reservedBytes;
     private boolean isFinished;
     private long writeTimerId = NO_TIMER;
@@ -39,6 +44,7 @@
         this.shared = shared;
         this.request = request;
         this.response = httpRequest.response();
+        this.httpVersion = httpRequest.version();
         this.delivery = new DeliveryStats(request.arrivedAtMs());
         this.reservedBytes = reservedBytes;
         response.closeHandler(ignored -> onCallerDisconnected());
@@ -99,10 +105,30 @@
     /** Sends the rest of the response and ends it. */
     protected abstract void completeResponse();
 
-    /** Ends the exchange with an error response. */
+    /** Ends the exchange with an error response, or breaks off the response if its head was already sent. */
     protected void refuseRequest(Refusal refusal) {
         finish(Optional.of(refusal));
-        ErrorResponse.send(response, request.requestId(), refusal);
+        if (response.headWritten()) {
+            abortResponse();
+        } else {
+            ErrorResponse.send(response, request.requestId(), refusal);
+        }
+    }
+
+    /**
+     * Breaks off a response whose head was already sent, so that the caller does not take it for complete. A response
+     * that is {@linkplain #isDelimitedByClose delimited by close} must have a length.
+     */
+    protected final void abortResponse() {
+        response.reset(HTTP2_INTERNAL_ERROR);
+    }
+
+    /**
+     * Returns whether a response without a length ends with its connection, as in HTTP/1.0. Vert.x resets a response of
+     * HTTP/1 by closing the connection, so a caller cannot tell that such a response broke off.
+     */
+    protected final boolean isDelimitedByClose() {
+        return httpVersion == HttpVersion.HTTP_1_0;
     }
 
     /** Ends the exchange without a decision of the core and withdraws the request from the core. */
@@ -145,7 +171,7 @@
             writeTimerId = shared.vertx().setTimer(shared.writeTimeoutMs(), ignored -> {
                 withdraw(Optional.of(new Refusal(
                         Reason.SLOW_READER, Verdict.MAY_HAVE_RUN, ErrorMessages.of(Reason.SLOW_READER), 0)));
-                response.reset();
+                abortResponse();
             });
         }
     }
--- a/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
@@ -27,6 +27,7 @@
     private final Call call;
     private Decision.Granted grant;
     private boolean isSent;
+    private boolean isAttemptEnded;
     private int epoch;
     private String endpointId = "";
     private ServiceClient.Exchange inFlight;
@@ -54,6 +55,7 @@
     @Override
     protected void startAttempt(Action.StartAttempt attempt) {
         epoch = attempt.epoch();
+        isAttemptEnded = false;
         endpointId = attempt.chain().firstStage().endpointId();
         EndpointAddress address = shared.endpoints().address(endpointId);
         if (address == null) {
@@ -76,18 +78,25 @@
             grant = granted;
             if (isFinished() || attempt.epoch() != epoch) {
                 releaseGrant();
-            } else if (shared.control().nowMs() >= attempt.deadlineMs()) {
-                // A paused process can resume with a grant long after the deadline of the request.
-                releaseGrant();
-                postAttemptFailed(attempt.epoch(), endpointId, Reason.DEADLINE_EXCEEDED, Verdict.NOT_RUN);
-            } else {
-                send(attempt, address);
+            } else if (!isAttemptEnded) {
+                sendGranted(attempt, address);
             }
+            // The grant of a cancelled attempt is kept for the next attempt.
         } else if (!isFinished()) {
             respondWithoutRunning(decision);
         }
     }
 
+    private void sendGranted(Action.StartAttempt attempt, EndpointAddress address) {
+        if (shared.control().nowMs() >= attempt.deadlineMs()) {
+            // A paused process can resume with a grant long after the deadline of the request.
+            releaseGrant();
+            postAttemptFailed(attempt.epoch(), endpointId, Reason.DEADLINE_EXCEEDED, Verdict.NOT_RUN);
+        } else {
+            send(attempt, address);
+        }
+    }
+
     private void respondWithoutRunning(Decision decision) {
         if (decision instanceof Decision.Replay replay) {
             replay(StoredResponse.decode(replay.outcome()));
@@ -158,17 +167,18 @@
         ServiceResponse serviceResponse = new ServiceResponse(head);
         serviceResponse.onFailure(error -> {
             if (serviceResponse == streamedResponse) {
-                abort(error);
+                abort(error instanceof EndpointException known ? known.reason() : Reason.STAGE_DIED);
             } else {
                 onFailure(attemptEpoch, address, error);
             }
         });
-        serviceResponse.onLarge(() -> recordOutcome(serviceResponse, () -> startStreaming(serviceResponse)));
+        serviceResponse.onLarge(
+                () -> recordOutcome(serviceResponse, () -> startStreaming(attemptEpoch, serviceResponse)));
         serviceResponse.onEnd(() -> {
             if (serviceResponse == streamedResponse) {
-                post(new Event.AttemptFinished(request.requestId(), epoch, 0));
+                postAttemptFinished(attemptEpoch);
             } else {
-                recordOutcome(serviceResponse, () -> finishAttempt(serviceResponse));
+                recordOutcome(serviceResponse, () -> finishAttempt(attemptEpoch, serviceResponse));
             }
         });
         serviceResponse.read();
@@ -189,19 +199,44 @@
      * Reports the end of the attempt to the core, even if the caller has disconnected: a non-repeatable call continues
      * without its caller.
      */
-    private void finishAttempt(ServiceResponse serviceResponse) {
-        bufferedResponse = serviceResponse;
-        post(new Event.AttemptFinished(request.requestId(), epoch, 0));
+    private void finishAttempt(int attemptEpoch, ServiceResponse serviceResponse) {
+        if (isRunning(attemptEpoch)) {
+            bufferedResponse = serviceResponse;
+            postAttemptFinished(attemptEpoch);
+        }
+    }
+
+    private void postAttemptFinished(int attemptEpoch) {
+        isAttemptEnded = true;
+        post(new Event.AttemptFinished(request.requestId(), attemptEpoch, 0));
     }
 
-    private void startStreaming(ServiceResponse serviceResponse) {
-        if (isFinished()) {
+    private boolean isRunning(int attemptEpoch) {
+        return attemptEpoch == epoch && !isAttemptEnded;
+    }
+
+    private void startStreaming(int attemptEpoch, ServiceResponse serviceResponse) {
+        if (isFinished() || !isRunning(attemptEpoch)) {
+            serviceResponse.discard();
+            return;
+        }
+        String length = serviceResponse.headers().get(HttpHeaders.CONTENT_LENGTH);
+        if (isDelimitedByClose() && length == null) {
             serviceResponse.discard();
+            endWithError(new Refusal(
+                    Reason.MALFORMED_REQUEST,
+                    Verdict.RAN,
+                    "a response of this size and unknown length needs HTTP/1.1",
+                    0));
             return;
         }
         streamedResponse = serviceResponse;
         writeHead(serviceResponse);
-        response.setChunked(true);
+        if (isDelimitedByClose()) {
+            response.putHeader(HttpHeaders.CONTENT_LENGTH, length);
+        } else {
+            response.setChunked(true);
+        }
         serviceResponse.streamTo(response, this::startWriteTimer, this::cancelWriteTimer);
     }
 
@@ -209,10 +244,9 @@
      * Resets the caller's connection. The head has been sent, so a reset is the only way to tell the caller that the
      * response is incomplete.
      */
-    private void abort(Throwable error) {
-        Reason reason = error instanceof EndpointException known ? known.reason() : Reason.STAGE_DIED;
+    private void abort(Reason reason) {
         withdraw(Optional.of(new Refusal(reason, Verdict.MAY_HAVE_RUN, ErrorMessages.of(reason), 0)));
-        response.reset();
+        abortResponse();
     }
 
     private void writeHead(ServiceResponse serviceResponse) {
@@ -222,7 +256,7 @@
     }
 
     private void onFailure(int attemptEpoch, EndpointAddress address, Throwable error) {
-        if (attemptEpoch != epoch) {
+        if (!isRunning(attemptEpoch)) {
             return;
         }
         Reason reason = error instanceof EndpointException known ? known.reason() : Reason.STAGE_DIED;
@@ -238,16 +272,19 @@
     }
 
     private void postAttemptFailed(int attemptEpoch, String endpointId, Reason reason, Verdict verdict) {
+        isAttemptEnded = true;
         post(new Event.AttemptFailed(request.requestId(), attemptEpoch, endpointId, reason, verdict, 0));
     }
 
     @Override
     protected void cancelAttempt(int cancelledEpoch, Reason reason) {
-        if (cancelledEpoch != epoch) {
+        if (!isRunning(cancelledEpoch)) {
             return;
         }
         if (!isSent) {
             postAttemptFailed(cancelledEpoch, endpointId, reason, Verdict.NOT_RUN);
+        } else if (streamedResponse != null && grant == null) {
+            abort(reason);
         } else if (grant == null) {
             releaseEndpoint();
             postAttemptFailed(cancelledEpoch, endpointId, reason, Verdict.MAY_HAVE_RUN);
