Deliver a complete response of a service although the core refuses it at its deadline

Callers of a plain service got a reset, or an error in place of a small response, when the core refused the request between the end of the response and the event that reports it.

ServiceExchangeTest.refusalAfterTheLastByte... and refusalAfterTheEnd... fail without the change (no last chunk; an error status). The first one expected a reset until now, which withheld a response that was complete; it now requires the end of the whole response.

--- a/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
@@ -28,6 +28,7 @@
     private Decision.Granted grant;
     private boolean isSent;
     private boolean isAttemptEnded;
+    private boolean isResponseComplete;
     private int epoch;
     private String endpointId = "";
     private ServiceClient.Exchange inFlight;
@@ -208,6 +209,7 @@
 
     private void postAttemptFinished(int attemptEpoch) {
         isAttemptEnded = true;
+        isResponseComplete = true;
         post(new Event.AttemptFinished(request.requestId(), attemptEpoch, 0));
     }
 
@@ -310,6 +312,16 @@
         }
     }
 
+    /** Delivers a complete response although the core refused the request before it learned of the end. */
+    @Override
+    protected void refuseRequest(Refusal refusal) {
+        if (isResponseComplete) {
+            completeResponse();
+        } else {
+            super.refuseRequest(refusal);
+        }
+    }
+
     @Override
     protected void completeResponse() {
         finish(Optional.empty());
--- a/server/src/test/java/io/radishwinch/server/http/ServiceExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/http/ServiceExchangeTest.java
@@ -68,16 +68,31 @@
         }
     }
 
-    /** Guards against a caller that waits for the end of a response when the refusal comes after the last byte. */
+    /** Guards against a complete response without its end when the core refuses the request after the last byte. */
     @Test
-    void refusalAfterTheLastByteOfALargeResponseResetsTheCaller() throws Exception {
+    void refusalAfterTheLastByteOfALargeResponseEndsItAsComplete() throws Exception {
         try (ExchangeFixture fixture = fixture(true)) {
             Socket caller = fixture.call("HTTP/1.1");
             Socket service = startLargeResponse(fixture, caller, true);
             ExchangeFixture.write(service, "last");
             fixture.await(Event.AttemptFinished.class);
             fixture.decide(refusal(Reason.DEADLINE_EXCEEDED));
-            assertThat(fixture.readAll()).doesNotEndWith(ExchangeFixture.LAST_CHUNK);
+            assertThat(fixture.readAll()).endsWith("last" + ExchangeFixture.LAST_CHUNK);
+        }
+    }
+
+    /** Guards against an error in place of a complete response when the core refuses the request after its end. */
+    @Test
+    void refusalAfterTheEndOfASmallResponseDeliversIt() throws Exception {
+        try (ExchangeFixture fixture = fixture(true)) {
+            Socket caller = fixture.call("HTTP/1.1");
+            Socket service = startAttempt(fixture, true);
+            ExchangeFixture.write(service, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsmall");
+            fixture.await(Event.AttemptFinished.class);
+            fixture.decide(refusal(Reason.DEADLINE_EXCEEDED));
+            assertThat(ExchangeFixture.readHead(caller)).startsWith("HTTP/1.1 200");
+            assertThat(caller.getInputStream().readNBytes(5)).asString().isEqualTo("small");
+            service.close();
         }
     }
 
