Refuse responses that a caller of HTTP/1.0 cannot check for their end

HTTP/1.0 has no chunks: a stream, or a large response without a length, ends with its connection, so a response that broke off looked complete to such a caller. Streams are refused at once, and large responses without a length with an error that says what is needed.

--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -207,7 +207,7 @@
         finish(Optional.of(refusal));
         if (isPartlySent) {
             // The head has been sent, so only a connection reset tells the caller that the response is incomplete.
-            response.reset();
+            abortResponse();
         } else if (buffered != null && refusal.verdict() != Verdict.NOT_RUN) {
             sendBuffered(buffered);
         } else {
@@ -241,7 +241,7 @@
      */
     private void abort(Reason reason) {
         withdraw(Optional.of(new Refusal(reason, Verdict.MAY_HAVE_RUN, ErrorMessages.of(reason), 0)));
-        response.reset();
+        abortResponse();
     }
 
     /** One attempt of the request on one chain. */
@@ -320,8 +320,9 @@
                 if (bufferedBody.length() > MAX_BUFFERED_BYTES) {
                     Buffer prefix = bufferedBody;
                     bufferedBody = Buffer.buffer();
-                    startResponse();
-                    write(prefix);
+                    if (startResponse()) {
+                        write(prefix);
+                    }
                 }
             }
         }
@@ -400,8 +401,8 @@
         private void forwardEvents(Buffer events) {
             long nowMs = lastActivityAtMs;
             delivery.recordToken(nowMs);
-            if (!isHeadSent) {
-                startResponse();
+            if (!isHeadSent && !startResponse()) {
+                return;
             }
             if (!isFirstTokenReported) {
                 isFirstTokenReported = true;
@@ -413,14 +414,30 @@
             write(events);
         }
 
-        private void startResponse() {
+        /**
+         * Sends the head to the caller. Ends the exchange and returns false if the caller could not tell a response
+         * that breaks off from a complete one.
+         */
+        private boolean startResponse() {
+            boolean hasLength = !isStream() && headers.contains(HttpHeaders.CONTENT_LENGTH);
+            if (isDelimitedByClose() && !hasLength) {
+                Refusal refusal = new Refusal(
+                        Reason.MALFORMED_REQUEST,
+                        Verdict.RAN,
+                        "a response of this size and unknown length needs HTTP/1.1",
+                        0);
+                withdraw(Optional.of(refusal));
+                ProxyErrorResponse.send(response, refusal, shared, head.requestId());
+                return false;
+            }
             isHeadSent = true;
             startedStream = isStream() ? StreamFormat.of(headers) : null;
             writeHead(status, headers);
-            if (isStream() || !response.headers().contains(HttpHeaders.CONTENT_LENGTH)) {
+            if (!hasLength) {
                 response.headers().remove(HttpHeaders.CONTENT_LENGTH);
                 response.setChunked(true);
             }
+            return true;
         }
 
         private void write(Buffer bytes) {
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -26,6 +26,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpVersion;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -209,8 +210,13 @@
             reject(request, "", route.get().rank(), refusal(Reason.UNKNOWN_CALLER));
             return;
         }
-        Either<String, RequestHead> head = dependencies.dialect().readRequest(request.headers());
         String caller = contract.get().caller();
+        if (route.get().kind() == RouteKind.STREAM && request.version() == HttpVersion.HTTP_1_0) {
+            String message = "a streamed response needs HTTP/1.1";
+            reject(request, caller, route.get().rank(), Refusal.notRun(Reason.MALFORMED_REQUEST, message));
+            return;
+        }
+        Either<String, RequestHead> head = dependencies.dialect().readRequest(request.headers());
         if (head.isLeft()) {
             reject(request, caller, route.get().rank(), Refusal.notRun(Reason.MALFORMED_REQUEST, head.getLeft()));
             return;
--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
@@ -170,15 +170,24 @@
 
     /** Sends a request and returns everything that the caller receives until its connection is closed. */
     private static String call(int port) throws IOException {
-        try (Socket socket = send(port)) {
+        return call(port, "HTTP/1.1");
+    }
+
+    private static String call(int port, String version) throws IOException {
+        try (Socket socket = send(port, version)) {
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
         }
     }
 
     private static Socket send(int port) throws IOException {
+        return send(port, "HTTP/1.1");
+    }
+
+    private static Socket send(int port, String version) throws IOException {
         Socket socket = new Socket("127.0.0.1", port);
         socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_S));
-        String head = "POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+        String head =
+                "POST / " + version + "\r\nHost: h\r\nX-Request-Id: a\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
         socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
         return socket;
     }
@@ -399,6 +408,14 @@
         assertThat(outcome.get(WAIT_S, TimeUnit.SECONDS)).isEmpty();
     }
 
+    /** Guards against a response of unknown length that a caller of HTTP/1.0 takes for whole when it breaks off. */
+    @Test
+    void aLargeResponseOfUnknownLengthIsNotSentToACallerOfHttp10() throws Exception {
+        Script large = new Script("HTTP/1.1 200 OK\r\n" + SEALED + CHUNKED + "\r\n" + chunk(LARGE_BODY), End.CLOSE);
+        String response = call(start(RouteKind.REPEATABLE, List.of(large)), "HTTP/1.0");
+        assertThat(response).contains(" 502 ").contains("HTTP/1.1").doesNotContain("xxxx");
+    }
+
     private void assertIsCut(String rest) throws Exception {
         assertThat(rest).doesNotEndWith(LAST_CHUNK).doesNotContain("ok");
         assertThat(outcome.get(WAIT_S, TimeUnit.SECONDS)).isPresent();
