Do not resume a stream after an event without identifier

A caller could get events twice in a stream that ended as complete: when a stream broke off after events without identifiers, the request was sent again from the start, or after an earlier event, and the second run was joined to the first.

Cause: whether a stream can be resumed followed from its route alone, not from what had been delivered. The scanner now knows whether the last event had an identifier; comments and blank lines do not count as events.

ProxyExchangeTest.aStreamThatBreaksOffAfterAnEventWithoutIdentifier... fails before in its three cases, with the events of two runs and a last chunk.

--- a/server/src/main/java/io/radishwinch/server/proxy/EventScanner.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EventScanner.java
@@ -17,6 +17,7 @@
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
+    private static final byte COMMENT = ':';
     private static final int MAX_ID_DIGITS = 18;
 
     private Buffer pending = Buffer.buffer();
@@ -25,6 +26,8 @@
     private long eventId = RequestHead.NONE;
     private long lastEventId;
     private int eventCount;
+    private boolean hasContent;
+    private boolean isLastEventIdentified = true;
 
     /**
      * Creates a scanner.
@@ -58,6 +61,7 @@
                 endEvent(completed, eventStart);
                 eventStart = scannedTo;
             } else {
+                hasContent |= pending.getByte(lineStart) != COMMENT;
                 parseIdLine(lineEnd);
             }
             lineStart = scannedTo;
@@ -76,6 +80,15 @@
         scannedTo = 0;
         lineStart = 0;
         eventId = RequestHead.NONE;
+        hasContent = false;
+    }
+
+    /**
+     * Returns whether the stream can resume after the events that were returned. The position of an event without
+     * identifier is unknown to the endpoint that resumes the stream, which would send it again.
+     */
+    boolean canResume() {
+        return isLastEventIdentified;
     }
 
     /** Returns whether bytes of an incomplete event are buffered. */
@@ -93,7 +106,7 @@
         return lastEventId;
     }
 
-    /** Returns the number of events returned by {@link #feed}. */
+    /** Returns the number of events returned by {@link #feed}, without comments and blank lines. */
     int eventCount() {
         return eventCount;
     }
@@ -102,10 +115,14 @@
         boolean isDuplicate = eventId != RequestHead.NONE && eventId <= lastEventId;
         if (!isDuplicate) {
             completed.appendBuffer(pending.getBuffer(eventStart, scannedTo));
-            eventCount++;
+            if (hasContent) {
+                eventCount++;
+                isLastEventIdentified = eventId != RequestHead.NONE;
+            }
         }
         lastEventId = Math.max(lastEventId, eventId);
         eventId = RequestHead.NONE;
+        hasContent = false;
     }
 
     private void parseIdLine(int lineEnd) {
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -151,7 +151,7 @@
 
     /** Returns whether the response of another attempt can follow what the caller has received. */
     private boolean canContinue() {
-        return !isHeadSent || startedStream != null && request.isRepeatable();
+        return !isHeadSent || startedStream != null && request.isRepeatable() && scanner.canResume();
     }
 
     @Override
@@ -306,9 +306,12 @@
             if (isStream()) {
                 int eventsBefore = scanner.eventCount();
                 Buffer events = scanner.feed(chunk);
-                eventCount += scanner.eventCount() - eventsBefore;
-                if (events.length() > 0) {
+                int newEvents = scanner.eventCount() - eventsBefore;
+                eventCount += newEvents;
+                if (newEvents > 0) {
                     forwardEvents(events);
+                } else if (isHeadSent && events.length() > 0) {
+                    write(events);
                 } else if (scanner.isOversized()) {
                     call.cancel();
                     fail(ResponseEnd.Cause.OVERSIZED, "event exceeds the maximum size");
--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
@@ -39,6 +39,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -393,6 +394,26 @@
         assertThat(endpoint.requestHeads).hasSize(1);
     }
 
+    static Stream<Arguments> streamsWhosePositionIsUnknown() {
+        return Stream.of(
+                Arguments.of(STREAM, "data: a\n\ndata: b\n\nda"),
+                Arguments.of(STREAM, events(1, 2) + "data: c\n\nda"),
+                Arguments.of("Content-Type: text/plain\r\n", "one\n\ntwo\n\nthr"));
+    }
+
+    /** Guards against events that the caller gets twice because a run without their identifiers is resumed. */
+    @ParameterizedTest
+    @MethodSource("streamsWhosePositionIsUnknown")
+    void aStreamThatBreaksOffAfterAnEventWithoutIdentifierIsNotResumed(String type, String body) throws Exception {
+        String responseHead = "HTTP/1.1 200 OK\r\n" + SEALED + type + CHUNKED + "\r\n";
+        Script first = new Script(responseHead + chunk(body), End.CLOSE);
+        Script second = new Script(responseHead + chunk(body + "ta: d\n\n") + LAST_CHUNK, End.NONE);
+        String response = call(start(RouteKind.STREAM, List.of(first, second)));
+        assertThat(bodyOf(response)).isEqualTo(body.substring(0, body.lastIndexOf("\n\n") + 2));
+        assertThat(response).doesNotEndWith(LAST_CHUNK);
+        assertThat(endpoint.requestHeads).hasSize(1);
+    }
+
     /**
      * Guards against a complete response that is reset because its deadline passes while the core is told of its end.
      */
