Complete a resumed stream without new events only if its response is empty

Callers could get a stream that ended as complete without its last events when the endpoint that resumed it sent only events that the caller had, a comment, or a blank line, or declared the transfer coding identity.

Cause: the check for a resumed response without events looked at the events forwarded and at the presence of a transfer coding. Now only an empty response that a length or a last chunk delimits says that no event is left.

ProxyExchangeTest.aResumedRequestThatFailsBeforeItsFirstEvent... fails before in the four cases added.

--- a/server/src/main/java/io/radishwinch/server/proxy/EventScanner.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EventScanner.java
@@ -26,6 +26,7 @@
     private long eventId = RequestHead.NONE;
     private long lastEventId;
     private int eventCount;
+    private int duplicateCount;
     private boolean hasContent;
     private boolean isLastEventIdentified = true;
 
@@ -111,9 +112,16 @@
         return eventCount;
     }
 
+    /** Returns the number of events that were dropped because the caller has them. */
+    int duplicateCount() {
+        return duplicateCount;
+    }
+
     private void endEvent(Buffer completed, int eventStart) {
         boolean isDuplicate = eventId != RequestHead.NONE && eventId <= lastEventId;
-        if (!isDuplicate) {
+        if (isDuplicate) {
+            duplicateCount++;
+        } else {
             completed.appendBuffer(pending.getBuffer(eventStart, scannedTo));
             if (hasContent) {
                 eventCount++;
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -227,7 +227,7 @@
     }
 
     private static ResponseEnd.Framing framingOf(MultiMap headers) {
-        if (headers.contains(HttpHeaders.TRANSFER_ENCODING)) {
+        if (headers.contains(HttpHeaders.TRANSFER_ENCODING, HttpHeaders.CHUNKED, true)) {
             return ResponseEnd.Framing.CHUNKED;
         }
         return headers.contains(HttpHeaders.CONTENT_LENGTH)
@@ -252,6 +252,7 @@
         private int status;
         private MultiMap headers;
         private ResponseEnd.Framing framing = ResponseEnd.Framing.NONE;
+        private final int duplicatesBefore = scanner.duplicateCount();
         private int eventCount;
         private Buffer bufferedBody = Buffer.buffer();
 
@@ -387,14 +388,23 @@
         private void onStreamEnd() {
             if (scanner.hasPartialEvent()) {
                 fail(ResponseEnd.Cause.PARTIAL, "stream ended inside an event");
-            } else if (eventCount == 0 && (!isHeadSent || framing == ResponseEnd.Framing.CONNECTION)) {
-                // Only a length or a last chunk states that no event is left to resume with.
-                fail(ResponseEnd.Cause.PARTIAL, "stream ended before its first event");
+            } else if (eventCount == 0 && !statesThatNoEventIsLeft()) {
+                fail(ResponseEnd.Cause.PARTIAL, "stream ended without a new event");
             } else {
                 finishAttempt();
             }
         }
 
+        /**
+         * Returns whether a response without new events states that the caller has all of them: it is empty, and a
+         * length or a last chunk delimits it.
+         */
+        private boolean statesThatNoEventIsLeft() {
+            return isHeadSent
+                    && framing != ResponseEnd.Framing.CONNECTION
+                    && scanner.duplicateCount() == duplicatesBefore;
+        }
+
         private void finishAttempt() {
             isAttemptFinished = true;
             reportEnd(ResponseEnd.Cause.COMPLETE, "");
--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
@@ -277,10 +277,14 @@
                 new Script(STREAM_HEAD, End.RESET),
                 new Script(connectionHead, End.CLOSE),
                 new Script(connectionHead, End.RESET),
-                new Script(connectionHead + events(1, 2), End.CLOSE));
+                new Script(connectionHead + events(1, 2), End.CLOSE),
+                new Script(connectionHead + "\n", End.CLOSE),
+                new Script(connectionHead + ": comment\n\n", End.CLOSE),
+                new Script(STREAM_HEAD + chunk(events(1, 2)) + LAST_CHUNK, End.NONE),
+                new Script(STREAM_HEAD.replace("chunked", "identity"), End.CLOSE));
     }
 
-    /** Guards against a resumed request without any new event, whose closed connection ends the stream as complete. */
+    /** Guards against a resumed request without any new event whose end completes the stream. */
     @ParameterizedTest
     @MethodSource("responsesThatBreakOffBeforeAnEvent")
     void aResumedRequestThatFailsBeforeItsFirstEventIsResumedElsewhere(Script second) throws Exception {
