Forward comments before the first event of a response together with it

A comment of a run that then failed would have been written into the caller's stream, and one before the first event of a first run lost. The comments are kept until an event follows; they count towards the maximum size of an event.

--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -256,6 +256,9 @@
         private int eventCount;
         private Buffer bufferedBody = Buffer.buffer();
 
+        /** Comments before the first event, which are forwarded with it. */
+        private Buffer leadingComments = Buffer.buffer();
+
         Attempt(int epoch, EndpointContact contact) {
             this.epoch = epoch;
             this.contact = contact;
@@ -309,11 +312,15 @@
                 Buffer events = scanner.feed(chunk);
                 int newEvents = scanner.eventCount() - eventsBefore;
                 eventCount += newEvents;
-                if (newEvents > 0) {
-                    forwardEvents(events);
-                } else if (isHeadSent && events.length() > 0) {
+                if (eventCount == 0) {
+                    leadingComments.appendBuffer(events);
+                } else if (newEvents > 0) {
+                    forwardEvents(leadingComments.appendBuffer(events));
+                    leadingComments = Buffer.buffer();
+                } else if (events.length() > 0) {
                     write(events);
-                } else if (scanner.isOversized()) {
+                }
+                if (scanner.isOversized() || leadingComments.length() > EventScanner.MAX_EVENT_BYTES) {
                     call.cancel();
                     fail(ResponseEnd.Cause.OVERSIZED, "event exceeds the maximum size");
                 }
