Let a started response finish whose attempt is cancelled and cannot be repeated

A caller of a large repeatable response was reset as soon as its endpoint left the list, although the endpoint went on sending and no other attempt could follow. The cancellation is now ignored in this case, as for requests that must not be repeated: the response ends when the endpoint completes it, and is reset when the core refuses the request.

ProxyExchangeTest.aLargeResponseWhoseAttemptIsCancelledIsNotRepeated replaces the test that required the reset: it requires the whole response if the endpoint completes it, a cut one if the core refuses it, and one request in both cases. Its first case fails before.

--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -137,16 +137,13 @@
             return;
         }
         boolean isSent = attempt.call.isSent();
-        if (isSent && !request.isRepeatable()) {
+        if (isSent && !(request.isRepeatable() && canContinue())) {
+            // This attempt may still complete; otherwise the core refuses the request.
             return;
         }
         EndpointContact contact = attempt.contact;
         releaseEndpoint();
-        if (canContinue()) {
-            postAttemptFailed(epoch, contact.endpointId(), reason, isSent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN);
-        } else {
-            abort(reason);
-        }
+        postAttemptFailed(epoch, contact.endpointId(), reason, isSent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN);
     }
 
     /** Returns whether the response of another attempt can follow what the caller has received. */
