Return an empty stream to a caller that resumes after its last event

Such a caller got an error after all attempts: an empty response with a length or a last chunk completed a stream only if this router had delivered events of it, not if the caller had them from before.

--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -395,6 +395,7 @@
             } else if (eventCount == 0 && !statesThatNoEventIsLeft()) {
                 fail(ResponseEnd.Cause.PARTIAL, "stream ended without a new event");
             } else {
+                bufferedResponse = new BufferedResponse(status, headers, Buffer.buffer());
                 finishAttempt();
             }
         }
@@ -404,7 +405,8 @@
          * length or a last chunk delimits it.
          */
         private boolean statesThatNoEventIsLeft() {
-            return isHeadSent
+            boolean callerHasEvents = isHeadSent || head.resumeAfterEventId() != RequestHead.NONE;
+            return callerHasEvents
                     && framing != ResponseEnd.Framing.CONNECTION
                     && scanner.duplicateCount() == duplicatesBefore;
         }
--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
@@ -69,6 +69,7 @@
     private final CompletableFuture<Optional<Refusal>> outcome = new CompletableFuture<>();
     private ControlLoop control;
     private ScriptedEndpoint endpoint;
+    private long callersLastEventId = RequestHead.NONE;
 
     @AfterEach
     void close() throws Exception {
@@ -171,11 +172,11 @@
         return port.get(WAIT_S, TimeUnit.SECONDS);
     }
 
-    private static void submit(ProxyScope scope, RouteKind kind, HttpServerRequest incoming) {
+    private void submit(ProxyScope scope, RouteKind kind, HttpServerRequest incoming) {
         Route route = new Route("r", "h", "/", kind, 60_000, 500, 200, Rank.INTERACTIVE, List.of(), 3, true, true);
         RequestSpec request = new RequestSpec(
                 ID, "c", Rank.INTERACTIVE, "m", 1, 10, 0, Long.MAX_VALUE, "f", List.of(), route.isRepeatable());
-        RequestHead head = new RequestHead(ID, RequestHead.NONE, 1, 10, 10, List.of(), RequestHead.NONE);
+        RequestHead head = new RequestHead(ID, RequestHead.NONE, 1, 10, 10, List.of(), callersLastEventId);
         new ProxyExchange(scope, request, incoming, route, head, Buffer.buffer(), 8, 1).submit();
     }
 
@@ -313,6 +314,15 @@
         assertThat(response).endsWith("\r\n" + LAST_CHUNK);
     }
 
+    /** Guards against an error for a caller that resumes a stream after its last event. */
+    @Test
+    void aStreamThatItsCallerResumesAfterItsLastEventIsCompleteAndEmpty() throws Exception {
+        callersLastEventId = 4;
+        String response = call(start(RouteKind.STREAM, List.of(new Script(STREAM_HEAD + LAST_CHUNK, End.NONE))));
+        assertThat(response).startsWith("HTTP/1.1 200").containsIgnoringCase("content-length: 0");
+        assertThat(outcome.get(WAIT_S, TimeUnit.SECONDS)).isEmpty();
+    }
+
     static Stream<Script> streamsThatBreakOffBetweenEvents() {
         String connectionHead = "HTTP/1.1 200 OK\r\n" + SEALED + STREAM + "\r\n";
         String lengthHead = "HTTP/1.1 200 OK\r\n" + SEALED + STREAM + "Content-Length: 4000\r\n\r\n";
