Probe an unavailable platform with the read of an object

Cause: the probe of the circuit breaker read a key without a name. The store adapter sent a listing for it and read the page as an object, which it accepted only as long as objects needed no name and revision. Since the adapter requires them, no probe succeeded.

No earlier test opened the circuit with the store's adapter. The probe now reads an object, which need not exist.

--- a/cluster/src/main/java/io/radishwinch/cluster/platform/ResilientPlatformClient.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/ResilientPlatformClient.java
@@ -26,6 +26,9 @@
     private static final long MAX_BUDGET_WAIT_MS = 2_000;
     private static final long MAX_BACKGROUND_WAIT_MS = 60_000;
 
+    /** Key of the object that probes read; it need not exist. */
+    private static final String PROBE_KEY = "probe/availability";
+
     private final PlatformClient platform;
     private final CallBudget budget;
     private final Scheduler scheduler;
@@ -66,7 +69,7 @@
                 scheduler,
                 random,
                 listener,
-                () -> callWithTimeout(false, () -> platform.get("probe")),
+                () -> callWithTimeout(false, () -> platform.get(PROBE_KEY)),
                 maxProbeIntervalMs);
     }
 
