Log the ends of cancelled responses and of errors to first attempts

The trace tool takes the last decision for the outcome, since traffic threads log the end of a cancelled response after it; LogCommandsTest.traceFindsTheOutcomeBeforeTheEnd... guards that.

--- a/cli/src/main/java/io/radishwinch/cli/log/RequestTrace.java
+++ b/cli/src/main/java/io/radishwinch/cli/log/RequestTrace.java
@@ -77,7 +77,7 @@
         }
 
         RequestTrace findCause() {
-            LogLine last = lines.get(lines.size() - 1);
+            LogLine last = lastDecision();
             return switch (last.event()) {
                 case "answered" -> explainAnswered(last);
                 case "rejected" ->
@@ -88,6 +88,15 @@
             };
         }
 
+        /** Returns the last line but for the ends of responses, which traffic threads log after the control thread. */
+        private LogLine lastDecision() {
+            LogLine last = lines.get(0);
+            for (LogLine line : lines) {
+                last = line.event().equals("response-ended") ? last : line;
+            }
+            return last;
+        }
+
         private RequestTrace explainAnswered(LogLine last) {
             Optional<LogLine> failure = firstFailedAttempt();
             String times = "completed, first event after " + last.text("firstMs") + " ms, longest pause "
--- a/cli/src/test/java/io/radishwinch/cli/LogCommandsTest.java
+++ b/cli/src/test/java/io/radishwinch/cli/LogCommandsTest.java
@@ -82,4 +82,15 @@
         session.run("logs summary c.log");
         assertThat(session.text()).contains("1 unstructured lines were skipped").doesNotContain("answered");
     }
+
+    /** Guards against a trace that misses the outcome because the end of a cancelled response is logged after it. */
+    @Test
+    void traceFindsTheOutcomeBeforeTheEndOfACancelledResponse() throws Exception {
+        session.write(
+                "c.log",
+                SECOND_ROUTER
+                        + "{\"event\":\"response-ended\",\"id\":\"drained\",\"epoch\":1,\"cause\":\"cancelled\",\"atMs\":7002}\n");
+        session.run("trace c.log drained");
+        assertThat(session.text()).contains("refused as not-run because of draining");
+    }
 }
--- a/server/src/main/java/io/radishwinch/server/fleet/OutcomeLogger.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/OutcomeLogger.java
@@ -46,7 +46,7 @@
     @Override
     public void responseEnded(String requestId, ResponseEnd end) {
         endsByCause.get(end.cause()).increment();
-        if (end.isComplete() && end.epoch() == 1) {
+        if (end.isOrdinary()) {
             return;
         }
         log.request(() -> LogFields.of("response-ended")
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -142,6 +142,7 @@
             return;
         }
         EndpointContact contact = attempt.contact;
+        attempt.reportEnd(ResponseEnd.Cause.CANCELLED, reason.wireName());
         releaseEndpoint();
         postAttemptFailed(epoch, contact.endpointId(), reason, isSent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN);
     }
--- a/server/src/main/java/io/radishwinch/server/proxy/ResponseEnd.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ResponseEnd.java
@@ -14,6 +14,8 @@
 public record ResponseEnd(
         int epoch, String endpointId, int status, Framing framing, int eventCount, Cause cause, String detail) {
 
+    private static final int FIRST_ERROR = 400;
+
     /** What marks the end of a response (RFC 9112, section 6.3). */
     public enum Framing {
         /** No response head arrived. */
@@ -45,6 +47,8 @@
         CONNECTION_FAILED("connection-failed"),
         /** The response cannot be attributed to the endpoint. */
         UNSEALED("unsealed"),
+        /** The router cancelled the attempt. */
+        CANCELLED("cancelled"),
         /** The response does not continue the stream that the caller is reading. */
         UNEXPECTED("unexpected"),
         /** The response ended inside an event or before its first one. */
@@ -64,8 +68,8 @@
         }
     }
 
-    /** Returns whether the response ended as its framing says. */
-    public boolean isComplete() {
-        return cause == Cause.COMPLETE;
+    /** Returns whether this is a complete response to a first attempt without an error status. */
+    public boolean isOrdinary() {
+        return cause == Cause.COMPLETE && epoch == 1 && status < FIRST_ERROR;
     }
 }
