--- a/bench/src/main/java/io/radishwinch/bench/EngineSimulation.java
+++ b/bench/src/main/java/io/radishwinch/bench/EngineSimulation.java
@@ -16,7 +16,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -63,16 +62,7 @@
     private final int[] usedSlots;
     private final long[] usedKvBytes;
     private final Map<String, SimulatedAttempt> runningAttempts = new HashMap<>();
-    private final PriorityQueue<SimulationTask> tasks = new PriorityQueue<>();
-    private long nextSequence;
-
-    private record SimulationTask(long atMs, long sequence, Runnable task) implements Comparable<SimulationTask> {
-        @Override
-        public int compareTo(SimulationTask other) {
-            int byTime = Long.compare(atMs, other.atMs);
-            return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
-        }
-    }
+    private final SimulationClock clock = new SimulationClock();
 
     /** A running attempt with the arrival time of its first token and the interval between its tokens, in ms. */
     private record SimulatedAttempt(
@@ -98,7 +88,10 @@
 
     /** Schedules a task at the given virtual time. */
     void schedule(long atMs, Runnable task) {
-        tasks.add(new SimulationTask(atMs, nextSequence++, task));
+        clock.schedule(atMs * 1_000, () -> {
+            nowMs = atMs;
+            task.run();
+        });
     }
 
     void addArrival(RequestSpec spec) {
@@ -120,11 +113,7 @@
     }
 
     void runUntil(long untilMs) {
-        while (!tasks.isEmpty() && tasks.peek().atMs() <= untilMs) {
-            SimulationTask next = tasks.poll();
-            nowMs = next.atMs();
-            next.task().run();
-        }
+        clock.runUntil(untilMs * 1_000);
         nowMs = untilMs;
         runningAttempts.values().forEach(attempt -> updateDeliveredTokens(attempt, nowMs));
     }
