Measure layouts and chain planners on a pool of batching engines

The decisions are those of LayoutPlanner, the chain planners and TableDecisionCore. Clients repeat refused requests.

--- a/bench/src/main/java/io/radishwinch/bench/Measure.java
+++ b/bench/src/main/java/io/radishwinch/bench/Measure.java
@@ -5,6 +5,7 @@
 import com.beust.jcommander.ParameterException;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -24,9 +25,14 @@
     @Parameter(names = "--only", description = "Run the groups whose name starts with this prefix")
     private String only = "";
 
+    @Parameter(names = "--plot", description = "Write the plots of the pool groups to this file, as SVG")
+    private String plotFile = "";
+
     @Parameter(names = "--help", help = true, description = "Print the options")
     private boolean help;
 
+    private final PoolMeasurements pool = new PoolMeasurements();
+
     private Measure() {}
 
     /** A group of figures that one measurement returns. */
@@ -36,7 +42,7 @@
     }
 
     /** Returns all groups by name, in the order in which they run. */
-    static Map<String, Group> groups() {
+    static Map<String, Group> groups(PoolMeasurements pool) {
         Map<String, Group> groups = new LinkedHashMap<>();
         groups.put("core.throughput", CoreMeasurements::throughput);
         groups.put("core.latency", CoreMeasurements::latency);
@@ -55,6 +61,9 @@
         groups.put("speed.decision", SpeedMeasurements::decisionTime);
         groups.put("speed.tick", SpeedMeasurements::tickTime);
         groups.put("speed.memory", SpeedMeasurements::memoryUse);
+        for (PoolMeasurements.Setup setup : PoolMeasurements.SETUPS) {
+            groups.put("pool." + setup.name(), () -> pool.run(setup));
+        }
         groups.put(LOAD, LoadMeasurement::run);
         return groups;
     }
@@ -95,7 +104,7 @@
     private void run() throws Exception {
         List<Figure> figures = new ArrayList<>();
         FigureTable.printHeader(OUT);
-        for (Map.Entry<String, Group> group : groups().entrySet()) {
+        for (Map.Entry<String, Group> group : groups(pool).entrySet()) {
             if (isSelected(group.getKey())) {
                 List<Figure> groupFigures = group.getValue().run();
                 groupFigures.forEach(figure -> FigureTable.print(OUT, figure));
@@ -109,5 +118,8 @@
         if (!jsonFile.isEmpty()) {
             FigureTable.write(Path.of(jsonFile), figures);
         }
+        if (!plotFile.isEmpty()) {
+            Files.writeString(Path.of(plotFile), PoolPlot.svg(pool.results()));
+        }
     }
 }
