--- a/bench/src/main/java/io/radishwinch/bench/PoolMeasurements.java
+++ b/bench/src/main/java/io/radishwinch/bench/PoolMeasurements.java
@@ -95,13 +95,12 @@
         simulation.runUntil(fromMs + load.disturbanceAfterMs());
         pattern.apply(simulation, load.requestsPerS());
         simulation.runUntil(toMs);
-        double boundTokensPerS = simulation.throughputBoundTokensPerS();
         long maxTimeoutMs = simulation.pool.requestKinds().stream()
                 .mapToLong(BatchingPool.RequestKind::timeoutMs)
                 .max()
                 .orElse(0);
         simulation.runUntil(toMs + maxTimeoutMs + 1_000);
-        return PoolResult.of(simulation, pool, pattern, variant, boundTokensPerS, fromMs, toMs);
+        return PoolResult.of(simulation, pool, pattern, variant, fromMs, toMs);
     }
 
     private static void addFigures(List<Figure> figures, PoolResult product, PoolResult baseline) {
--- a/bench/src/main/java/io/radishwinch/bench/PoolResult.java
+++ b/bench/src/main/java/io/radishwinch/bench/PoolResult.java
@@ -19,7 +19,7 @@
  * @param busiestEntries chains of the engine that was most often first stage, relative to the mean of all engines
  * @param busiestPassTime pass time of the busiest engine, relative to the mean of all engines
  * @param pathLoad time for which transfers occupy the path between data centres, relative to the time of the arrivals
- * @param boundTokensPerS throughput bound that the core estimates when the arrivals end, in tokens/s
+ * @param boundTokensPerS throughput bound that the core estimates when all requests have ended, in tokens/s
  * @param scarcestSlots slots of the scarcest layer at its minimum
  * @param scarcestRequestsPerS requests/s of the scarcest layer at its minimum
  * @param localRequestsPerS requests/s without hops between data centres at their minimum: the sum of the scarcest
@@ -52,7 +52,6 @@
             String pool,
             LoadPattern pattern,
             String variant,
-            double boundTokensPerS,
             long fromMs,
             long toMs) {
         List<LayerCapacitySample> samples = simulation.samples.stream()
@@ -85,7 +84,7 @@
                 maxOverMean(simulation, engine -> engine.acceptedEntries),
                 maxOverMean(simulation, engine -> engine.busyUs),
                 simulation.pathUseUs / 1_000 / (toMs - fromMs),
-                boundTokensPerS,
+                simulation.throughputBoundTokensPerS(),
                 min(samples, LayerCapacitySample::minSlots),
                 min(samples, LayerCapacitySample::minRequestsPerS),
                 min(samples, LayerCapacitySample::localRequestsPerS),
