Reject an exported KV cache whose end is not delimited

The bytes of a KV cache have no end of their own. A response without a length or chunks that broke off was taken for the whole cache. The router does not call this yet; the client's contract is the same as for values of the platform.

HttpEngineClientTest.exportedKvCache... fails before: half of the bytes are returned.

--- a/server/src/main/java/io/radishwinch/server/engine/HttpEngineClient.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpEngineClient.java
@@ -135,6 +135,14 @@
         return call(
                 engine, HttpMethod.POST, "/v1/kv/export", EngineJson.encodeKvRange(range, null), (response, status) -> {
                     requireOk(engine, response);
+                    if (!response.isDelimited()) {
+                        throw new EndpointException(
+                                engine.endpointId(),
+                                Reason.STAGE_DIED,
+                                Verdict.MAY_HAVE_RUN,
+                                "KV cache without a length or chunks may have broken off",
+                                null);
+                    }
                     return response.body().getBytes();
                 });
     }
--- a/server/src/test/java/io/radishwinch/server/engine/HttpEngineClientTest.java
+++ b/server/src/test/java/io/radishwinch/server/engine/HttpEngineClientTest.java
@@ -1,6 +1,7 @@
 package io.radishwinch.server.engine;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.radishwinch.core.model.EngineOrder;
 import io.radishwinch.core.model.LayerRange;
@@ -13,6 +14,7 @@
 import io.radishwinch.standins.Vocabulary;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
+import io.vertx.core.net.NetServer;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -268,6 +270,23 @@
                 .isNotEmpty();
     }
 
+    /** Guards against a part of a KV cache that is taken for all of it because its connection was closed. */
+    @Test
+    void exportedKvCacheThatOnlyTheEndOfItsConnectionDelimitsIsAFailure() throws Exception {
+        NetServer engine = vertx.createNetServer()
+                .connectHandler(socket -> socket.handler(
+                        request -> socket.write("HTTP/1.1 200 OK\r\n\r\nhalf").onComplete(sent -> socket.close())))
+                .listen(0, "127.0.0.1")
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get();
+        EndpointAddress address = new EndpointAddress("engine", "127.0.0.1", engine.actualPort());
+        KvRange range = new KvRange("r", StandInFleet.MODEL, new LayerRange(0, 12));
+        assertThatThrownBy(() -> client.exportKv(address, range).await().atMost(Duration.ofSeconds(20)))
+                .isInstanceOfSatisfying(EndpointException.class, failure -> assertThat(failure.reason())
+                        .isEqualTo(Reason.STAGE_DIED));
+    }
+
     private CacheEvents cacheEvents(long from) {
         return client.fetchCacheEvents(Attempts.address(firstEngine), from)
                 .await()
