--- a/review/common/Case.java
+++ b/review/common/Case.java
@@ -4,7 +4,6 @@
 import java.io.PrintWriter;
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -29,7 +28,6 @@
     final boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
     private final long startNanos = System.nanoTime();
     private final List<Process> processes = new ArrayList<>();
-    private final List<Path> files = new ArrayList<>();
     private PrintWriter record;
     Path tmp;
 
@@ -169,7 +167,6 @@
                             + "\"require_fencing\":false},\"platform\":{\"address\":\"" + storeAddress
                             + "\",\"form\":\"objects\",\"writes_per_s\":400,\"reads_per_s\":2000,\"retention_s\":20,"
                             + "\"value_bytes\":1048576,\"ttl_min_ms\":1000}}");
-            files.add(router.settings);
         }
         if (!Files.exists(Path.of("target", "radishwinch-platform"))) {
             throw new CannotRun("the build of the deploy file has not run");
@@ -254,14 +251,4 @@
     static String newId() {
         return String.format("%016x", ThreadLocalRandom.current().nextLong());
     }
-
-    /** Resets a channel, as the end of a process with unread bytes does. */
-    static void reset(Socket socket) {
-        try {
-            socket.setSoLinger(true, 0);
-            socket.close();
-        } catch (IOException e) {
-            // Closed already.
-        }
-    }
 }
--- a/review/common/Json.java
+++ b/review/common/Json.java
@@ -1,8 +1,6 @@
 package review;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 
 /** Minimal JSON reader that can also return the raw text of a member. */
@@ -39,25 +37,6 @@
         }
     }
 
-    /** Returns the raw JSON texts of the elements of an array. */
-    static List<String> elements(String array) {
-        Json json = new Json(array);
-        json.skipSpace();
-        json.at++;
-        List<String> elements = new ArrayList<>();
-        while (true) {
-            json.skipSpace();
-            if (array.charAt(json.at) == ']') {
-                return elements;
-            }
-            if (array.charAt(json.at) == ',') {
-                json.at++;
-                continue;
-            }
-            elements.add(json.rawValue());
-        }
-    }
-
     static String unquote(String raw) {
         return raw.substring(1, raw.length() - 1).replace("\\\"", "\"").replace("\\\\", "\\");
     }
--- a/review/common/PlainWorker.java
+++ b/review/common/PlainWorker.java
@@ -7,7 +7,6 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 
 /** Stand-in for a worker of a plain service; a case overrides {@link #serve} to make it misbehave. */
 class PlainWorker {
@@ -58,9 +57,6 @@
                 if (!expected.isEmpty() && !expected.equals(id)) {
                     Http.write(channel.out, "HTTP/1.1 421 X\r\nInstance-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
                 } else if (head.header("Attempt-Id").isEmpty()) {
-                    if (control(channel, head, new String(body, StandardCharsets.UTF_8))) {
-                        continue;
-                    }
                     Http.write(channel.out, "HTTP/1.1 400 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
                 } else {
                     serve(channel, head, body);
@@ -69,11 +65,6 @@
         }
     }
 
-    /** Answers a call that is no request of a client; returns false if there is no such call. */
-    boolean control(Channel channel, Http.Head head, String body) throws Exception {
-        return false;
-    }
-
     /** Runs a request and answers it. */
     void serve(Channel channel, Http.Head head, byte[] body) throws Exception {
         Thread.sleep(20);
