Stop reading requests before a stopping router decides that it is idle

While routers were stopped in turn, charges that a router had read and passed on to an endpoint ended with a closed connection: the endpoint ran them and the caller got no response.

Cause: the stop looked once for open requests, 2.85 s or more after the SIGTERM, and then took 50 ms and more to leave and end. Connections were still accepted and requests passed on meanwhile. What was cut had been sent about 2.9 s after the SIGTERM and was at work, long before the deadline of the stop, so that neither that deadline nor an unwritten response explains it.

Now the listener closes 2.8 s after the stop request, connections without a request close unread, and the others after their response is written. The process ends when no connection is left, so that "idle" and "reads no more" are one state. The log line "closing" tells what was open then.

--- a/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
@@ -36,7 +36,13 @@
     /** Part of the stop grace period that is reserved for closing connections, in ms. */
     private static final long CLOSE_MARGIN_MS = 500;
 
-    private static final long IDLE_CHECK_MS = 50;
+    /**
+     * Part of the stop grace period, after the last request must have ended, in which its response is written, in ms.
+     */
+    private static final long FLUSH_MARGIN_MS = 200;
+
+    /** Time in which the message that this router leaves reaches the other routers, in ms. */
+    private static final long LEAVE_DELAY_MS = 50;
 
     private final FleetSettings settings;
     private final FleetDialect dialect;
@@ -147,7 +153,8 @@
     }
 
     /**
-     * Stops gracefully: readiness fails at once, new requests are served for a short time and running requests finish.
+     * Stops gracefully: readiness fails at once, new requests are served for a short time, then no more connections are
+     * accepted and running requests finish.
      *
      * @return future that completes when the process may exit
      */
@@ -159,7 +166,8 @@
         log.lifecycle(LogFields.of("stopping").with("router", settings.routerId()));
         trafficVertx.getOrCreateContext().runOnContext(ignored -> {
             proxy.startDrain(OUT_OF_ROTATION_MS);
-            trafficVertx.setTimer(DRAIN_DELAY_MS, timer -> awaitIdle(deadlineMs, stopped));
+            trafficVertx.setTimer(DRAIN_DELAY_MS, timer -> closeConnections(deadlineMs + FLUSH_MARGIN_MS)
+                    .onComplete(stopped));
         });
         controlVertx
                 .getOrCreateContext()
@@ -174,21 +182,19 @@
         return trafficVertx.close().eventually(() -> controlVertx.close());
     }
 
-    private void awaitIdle(long deadlineMs, Promise<Void> stopped) {
-        trafficVertx.setPeriodic(IDLE_CHECK_MS, timer -> {
-            boolean isIdle = proxy.openRequests() == 0;
-            if (isIdle || clock.getAsLong() >= deadlineMs) {
-                trafficVertx.cancelTimer(timer);
-                stopped.tryComplete();
-            }
-        });
+    private Future<Void> closeConnections(long deadlineMs) {
+        log.lifecycle(LogFields.of("closing")
+                .with("router", settings.routerId())
+                .with("openRequests", proxy.openRequests())
+                .with("openConnections", proxy.openConnections()));
+        return proxy.shutdown(Math.max(1, deadlineMs - clock.getAsLong()));
     }
 
     private Future<Void> leave() {
         Promise<Void> left = Promise.promise();
         controlVertx.getOrCreateContext().runOnContext(ignored -> {
             plane.leave();
-            controlVertx.setTimer(IDLE_CHECK_MS, timer -> left.complete());
+            controlVertx.setTimer(LEAVE_DELAY_MS, timer -> left.complete());
         });
         return left.future();
     }
--- a/server/src/main/java/io/radishwinch/server/proxy/CallerConnections.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/CallerConnections.java
@@ -13,8 +13,14 @@
 
     private final Map<HttpConnection, Integer> activeRequestCounts = new HashMap<>();
     private final Set<HttpConnection> idleSinceDrainStart = new HashSet<>();
+    private boolean isShuttingDown;
 
     void connectionOpened(HttpConnection connection) {
+        if (isShuttingDown) {
+            // Accepted before the listener was closed; none of its requests has been read.
+            connection.close();
+            return;
+        }
         activeRequestCounts.put(connection, 0);
         connection.closeHandler(ignored -> {
             activeRequestCounts.remove(connection);
@@ -31,6 +37,11 @@
                         activeRequestCounts.computeIfPresent(connection, (key, count) -> Math.max(0, count - 1)));
     }
 
+    /** Returns the number of open connections. */
+    int count() {
+        return activeRequestCounts.size();
+    }
+
     /** Records the connections that have no active request. */
     void startDrain() {
         activeRequestCounts.forEach((connection, count) -> {
@@ -47,4 +58,9 @@
     void closeIdle() {
         List.copyOf(idleSinceDrainStart).forEach(HttpConnection::close);
     }
+
+    /** Closes each connection that opens from now on, before a request is read from it. */
+    void startShutdown() {
+        isShuttingDown = true;
+    }
 }
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -33,6 +33,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -81,6 +82,7 @@
     private ProxyScope scope;
     private long duplicateIdCount;
     private final CallerConnections callerConnections = new CallerConnections();
+    private HttpServer server;
     private long closeIdleAtMs = Long.MAX_VALUE;
     private volatile boolean isDraining;
 
@@ -147,15 +149,14 @@
                 .setHandle100ContinueAutomatically(true)
                 .setTcpNoDelay(true)
                 .setCompressionSupported(false);
-        return vertx.createHttpServer(options)
+        server = vertx.createHttpServer(options)
                 .connectionHandler(callerConnections::connectionOpened)
                 .requestHandler(request -> {
                     callerConnections.requestStarted(request);
                     handle(request);
                 })
-                .invalidRequestHandler(this::refuseInvalid)
-                .listen(port, host)
-                .map(HttpServer::actualPort);
+                .invalidRequestHandler(this::refuseInvalid);
+        return server.listen(port, host).map(HttpServer::actualPort);
     }
 
     /**
@@ -169,11 +170,29 @@
         closeIdleAtMs = dependencies.control().nowMs() + closeIdleAfterMs;
     }
 
+    /**
+     * Stops accepting connections. Connections without a request close at once, all others after their next response.
+     * Must be called on the traffic thread.
+     *
+     * @param timeoutMs time after which the remaining connections are closed, in ms
+     * @return future that completes when no connection is left, so that no request can be read any more and all
+     *     responses are written
+     */
+    public Future<Void> shutdown(long timeoutMs) {
+        callerConnections.startShutdown();
+        return server.shutdown(timeoutMs, TimeUnit.MILLISECONDS);
+    }
+
     /** Returns the number of requests that have not ended. */
     public int openRequests() {
         return exchangesByRequestId.size();
     }
 
+    /** Returns the number of open connections of callers. */
+    public int openConnections() {
+        return callerConnections.count();
+    }
+
     private void reportStalledEndpoints() {
         long nowMs = dependencies.control().nowMs();
         Set<String> stalled = new HashSet<>();
