Know the connections of callers before their first request

A stop did not close a connection on which no request had arrived yet: it stayed open until the process ended, or, with the listener closed, until the deadline of the stop.

Cause: Vert.x waits for a possible upgrade to HTTP/2 before it reports a connection, which takes a complete first head. Callers of this server speak HTTP/1.1 only, so upgrades are off. The number of open connections is now a metric.

GracefulShutdownTest.aConnectionIsKnownBeforeItsFirstRequest fails before (the connection is never counted) and passes after.

--- a/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
@@ -124,6 +124,7 @@
         metrics.gauge("radishwinch.config.version", "version of the configuration in effect", () -> plane.config()
                 .version());
         metrics.gauge("radishwinch.routers.live", "routers that this one believes alive", plane::liveRouters);
+        metrics.gauge("radishwinch.caller.connections", "open connections of callers", proxy::openConnections);
         return peers.listen(settings.peers().host(), settings.peers().port())
                 .onSuccess(port -> plane.start())
                 .compose(port -> startTraffic());
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -148,6 +148,8 @@
                 .setIdleTimeout((int) (idleMs / MS_PER_S))
                 .setHandle100ContinueAutomatically(true)
                 .setTcpNoDelay(true)
+                // With upgrades to HTTP/2, Vert.x reports a connection only after its first request head.
+                .setHttp2ClearTextEnabled(false)
                 .setCompressionSupported(false);
         server = vertx.createHttpServer(options)
                 .connectionHandler(callerConnections::connectionOpened)
