Accept configuration objects of every size that the platform holds

A new version of the configuration between 1,000,000 bytes and the store's limit of 1,048,576 was never in effect: a key that it took away stayed in use and a route that it added was unknown, on all routers, without a line in their logs.

Cause: ConfigurationStore and the gossip entries took 1,000,000 bytes. With these raised alone, a frame of 1 MiB was too small for the entry and what surrounds it (the test said so at 1,048,576 bytes). Ruled out: the time to read it; with both raised it is in effect within 0.4 s.

Configuration objects may now have 2 MiB, from one constant, and frames hold them. A rejected object is logged with its size and limit and counted.

--- a/cluster/src/main/java/io/radishwinch/cluster/PeerListener.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/PeerListener.java
@@ -2,6 +2,7 @@
 
 import io.radishwinch.cluster.allotment.Share;
 import io.radishwinch.cluster.configuration.ConfigurationObject;
+import io.radishwinch.cluster.configuration.RejectedObject;
 import io.radishwinch.cluster.gossip.GossipEntry;
 import io.radishwinch.cluster.load.EndpointLoad;
 import io.radishwinch.cluster.membership.MemberInfo;
@@ -22,6 +23,9 @@
     /** Called when a configuration object or its deletion takes effect. */
     default void configurationChanged(ConfigurationObject object) {}
 
+    /** Called when a version of a configuration object is rejected; its last valid version stays in effect. */
+    default void configurationRejected(RejectedObject object) {}
+
     /** Called when the share of a caller at this router changes. */
     default void shareChanged(String caller, Share share) {}
 
--- a/cluster/src/main/java/io/radishwinch/cluster/PeerNode.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/PeerNode.java
@@ -106,7 +106,10 @@
         election = new WatcherElection(id);
         Peers peers = new Peers();
         configuration = new ConfigurationStore(
-                validator, this::onConfigurationChanged, key -> table.remove(EntryKind.CONFIGURATION, key));
+                validator,
+                this::onConfigurationChanged,
+                key -> table.remove(EntryKind.CONFIGURATION, key),
+                rejected -> listeners.forEach(listener -> listener.configurationRejected(rejected)));
         gossip = new Gossip(table, peers, this::admitEntry, this::onEntryChanged);
         loads = new LoadExchange(
                 peers,
--- a/cluster/src/main/java/io/radishwinch/cluster/configuration/ConfigurationStore.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/configuration/ConfigurationStore.java
@@ -1,6 +1,7 @@
 package io.radishwinch.cluster.configuration;
 
 import io.radishwinch.cluster.membership.RendezvousHash;
+import io.radishwinch.cluster.platform.PlatformClient;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -26,8 +27,11 @@
     /** Maximum number of tombstones. The oldest quarter is evicted above it. */
     public static final int MAX_TOMBSTONES = 10_000;
 
-    /** Maximum size of an object, in bytes. */
-    public static final int MAX_OBJECT_BYTES = 1_000_000;
+    /**
+     * Maximum size of an object, in bytes. It exceeds the largest value of a platform, so that an object that the
+     * platform accepted is not rejected for its size, also if its encoding here is longer.
+     */
+    public static final int MAX_OBJECT_BYTES = 2 * PlatformClient.MAX_VALUE_BYTES;
 
     /** Maximum total size of all objects, in bytes. */
     public static final long MAX_TOTAL_BYTES = 64L * 1024 * 1024;
@@ -37,6 +41,7 @@
     private final ConfigurationValidator validator;
     private final Consumer<ConfigurationObject> listener;
     private final Consumer<String> evictedTombstoneListener;
+    private final Consumer<RejectedObject> rejectionListener;
     private final Map<String, ConfigurationObject> objects = new TreeMap<>();
     private final Map<String, RejectedObject> rejected = new TreeMap<>();
     private long totalBytes;
@@ -63,14 +68,17 @@
      * @param validator validator of objects
      * @param listener called for each object or deletion that takes effect
      * @param evictedTombstoneListener called with the key of each evicted tombstone
+     * @param rejectionListener called once for each version of an object that is rejected
      */
     public ConfigurationStore(
             ConfigurationValidator validator,
             Consumer<ConfigurationObject> listener,
-            Consumer<String> evictedTombstoneListener) {
+            Consumer<String> evictedTombstoneListener,
+            Consumer<RejectedObject> rejectionListener) {
         this.validator = validator;
         this.listener = listener;
         this.evictedTombstoneListener = evictedTombstoneListener;
+        this.rejectionListener = rejectionListener;
     }
 
     /**
@@ -84,10 +92,10 @@
             return Outcome.STALE;
         }
         if (value != null) {
-            Outcome violation = checkBounds(known, value);
-            if (violation != null) {
-                reject(key, version, "object exceeds the limit on number or size");
-                return violation;
+            Optional<String> violation = exceededLimit(known, value);
+            if (violation.isPresent()) {
+                reject(key, version, violation.get());
+                return Outcome.LIMIT_EXCEEDED;
             }
             Optional<String> problem = validator.problem(key, value);
             if (problem.isPresent()) {
@@ -150,20 +158,27 @@
         return List.copyOf(rejected.values());
     }
 
-    private Outcome checkBounds(ConfigurationObject known, byte[] value) {
-        int knownBytes = known == null || known.isDeleted() ? 0 : known.value().length;
+    private Optional<String> exceededLimit(ConfigurationObject known, byte[] value) {
         boolean isAdded = known == null || known.isDeleted();
-        boolean isAboveLimit = value.length > MAX_OBJECT_BYTES
-                || totalBytes - knownBytes + value.length > MAX_TOTAL_BYTES
-                || (isAdded && objects.size() - tombstoneCount >= MAX_OBJECTS);
-        return isAboveLimit ? Outcome.LIMIT_EXCEEDED : null;
+        long othersBytes = totalBytes - (isAdded ? 0 : known.value().length);
+        if (value.length > MAX_OBJECT_BYTES) {
+            return Optional.of("object has " + value.length + " bytes, expected at most " + MAX_OBJECT_BYTES);
+        } else if (othersBytes + value.length > MAX_TOTAL_BYTES) {
+            return Optional.of(
+                    "all objects have " + (othersBytes + value.length) + " bytes, expected at most " + MAX_TOTAL_BYTES);
+        } else if (isAdded && objects.size() - tombstoneCount >= MAX_OBJECTS) {
+            return Optional.of("there are " + MAX_OBJECTS + " objects already, the maximum");
+        }
+        return Optional.empty();
     }
 
     private void reject(String key, long version, String problem) {
         RejectedObject before = rejected.get(key);
         boolean isNewer = before == null ? rejected.size() < MAX_REJECTED : before.version() < version;
         if (isNewer) {
-            rejected.put(key, new RejectedObject(key, version, problem));
+            RejectedObject object = new RejectedObject(key, version, problem);
+            rejected.put(key, object);
+            rejectionListener.accept(object);
         }
     }
 
--- a/cluster/src/main/java/io/radishwinch/cluster/gossip/KindPolicy.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/gossip/KindPolicy.java
@@ -1,5 +1,6 @@
 package io.radishwinch.cluster.gossip;
 
+import io.radishwinch.cluster.configuration.ConfigurationStore;
 import io.radishwinch.protocol.generated.EntryKind;
 
 /**
@@ -24,10 +25,8 @@
     private static final long MINUTE_MS = 60 * SECOND_MS;
     private static final long HOUR_MS = 60 * MINUTE_MS;
 
-    /** Maximum value size of the platform's object API, in bytes. */
-    private static final int CONFIGURATION_BYTES = 1_000_000;
-
-    private static final KindPolicy CONFIGURATION = new KindPolicy(true, true, true, 20_000, CONFIGURATION_BYTES, 0);
+    private static final KindPolicy CONFIGURATION =
+            new KindPolicy(true, true, true, 20_000, ConfigurationStore.MAX_OBJECT_BYTES, 0);
     private static final KindPolicy QUARANTINE = new KindPolicy(true, true, true, 10_000, 512, 24 * HOUR_MS);
     private static final KindPolicy CRASH = new KindPolicy(true, true, true, 10_000, 1_024, HOUR_MS);
     private static final KindPolicy PROMPT_CRASH = new KindPolicy(true, true, true, 1_000, 512, HOUR_MS);
--- a/cluster/src/main/java/io/radishwinch/cluster/platform/PlatformClient.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/PlatformClient.java
@@ -14,7 +14,7 @@
 public interface PlatformClient {
 
     /** Maximum size of a value, in bytes. */
-    int MAX_VALUE_BYTES = 1_000_000;
+    int MAX_VALUE_BYTES = 1 << 20;
 
     /** Version of a key without an object. A put that expects it creates the object. */
     long ABSENT = 0;
--- a/config/src/main/java/io/radishwinch/config/YamlDocument.java
+++ b/config/src/main/java/io/radishwinch/config/YamlDocument.java
@@ -21,7 +21,7 @@
 public final class YamlDocument {
 
     /** Maximum size of a document, in code points. */
-    public static final int MAX_CODE_POINTS = 1_000_000;
+    public static final int MAX_CODE_POINTS = 1 << 20;
 
     private static final int MAX_NESTING = 20;
     private static final int MAX_ERRORS = 100;
--- a/protocol/src/main/java/io/radishwinch/protocol/FrameCodec.java
+++ b/protocol/src/main/java/io/radishwinch/protocol/FrameCodec.java
@@ -21,8 +21,11 @@
     /** Protocol version of this router. */
     public static final int PROTOCOL_VERSION = 1;
 
-    /** Maximum size of the content of a frame, without its length prefix, in bytes. */
-    public static final int MAX_FRAME_BYTES = 1024 * 1024;
+    /**
+     * Maximum size of the content of a frame, without its length prefix, in bytes. A frame holds the largest
+     * configuration object, 2 MiB, and what surrounds it.
+     */
+    public static final int MAX_FRAME_BYTES = (2048 + 64) * 1024;
 
     /** Size of the length prefix, in bytes. */
     public static final int PREFIX_BYTES = 4;
--- a/server/src/main/java/io/radishwinch/server/ControlPlane.java
+++ b/server/src/main/java/io/radishwinch/server/ControlPlane.java
@@ -158,6 +158,10 @@
                 object -> configuration.markChanged(),
                 (sender, message) -> journalTransport.receive(sender, message, journal));
         node.addListener(peerState);
+        node.addListener(new ConfigurationRejections(
+                metrics,
+                (key, problem) -> LOG.log(
+                        System.Logger.Level.WARNING, "configuration object {0} is rejected, {1}", key, problem)));
         control.setEventObserver(this::observeEvent);
         control.setFinishListener(demandMeter::requestFinished);
     }
--- a/server/src/main/java/io/radishwinch/server/admin/AdminApi.java
+++ b/server/src/main/java/io/radishwinch/server/admin/AdminApi.java
@@ -39,7 +39,7 @@
     public static final String BASE_PATH = "/admin/v1";
 
     /** Maximum size of a request body, in bytes; equals the maximum size of a value of the platform. */
-    public static final int MAX_BODY_BYTES = 1_000_000;
+    public static final int MAX_BODY_BYTES = 1 << 20;
 
     static final ObjectMapper JSON = new ObjectMapper().enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS);
 
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -26,6 +26,7 @@
 import io.radishwinch.core.placement.LayoutPlanner;
 import io.radishwinch.core.placement.LayoutSettings;
 import io.radishwinch.protocol.generated.Frame;
+import io.radishwinch.server.ConfigurationRejections;
 import io.radishwinch.server.ControlLoop;
 import io.radishwinch.server.PeerStateBridge;
 import io.radishwinch.server.PlatformCounters;
@@ -166,6 +167,8 @@
                 new PeerStateBridge(node, control, new PeerStateReceiver(), this::applyObject, (sender, message) -> {});
         node.addListener(peerState);
         node.addListener(new HeartbeatReceiver());
+        node.addListener(new ConfigurationRejections(
+                metrics, (key, problem) -> log.stateChanged("config-rejected", key, problem)));
         control.setEventObserver(this::observeEvent);
         control.setActionObserver(decisionLogger::logAction);
         endpointFollower = new WatchFollower(
--- a/server/src/main/java/io/radishwinch/server/peer/PeerTransport.java
+++ b/server/src/main/java/io/radishwinch/server/peer/PeerTransport.java
@@ -29,7 +29,7 @@
     private static final System.Logger LOG = System.getLogger(PeerTransport.class.getName());
 
     /** Maximum number of bytes queued for one connection; further frames to it are dropped. */
-    private static final int MAX_QUEUED_BYTES = 4 * FrameCodec.MAX_FRAME_BYTES;
+    private static final int MAX_QUEUED_BYTES = 2 * FrameCodec.MAX_FRAME_BYTES;
 
     private static final int CONNECT_TIMEOUT_MS = 1000;
     private static final int IDLE_TIMEOUT_S = 60;
