Stop a router that gets its stop request before it has started

A router that got SIGTERM while it started ran on until it was killed at the end of the grace period.

Cause: the stop used parts that the start had not created yet, and the exception left its future open. The stop now waits for the start; the grace period counts from the request.

GracefulShutdownTest.aRouterThatIsStoppedBeforeItHasStartedEnds fails before (NullPointerException on the traffic thread, then a timeout) and passes after. Found by reading the paths beside the requests that a stop cut.

--- a/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
@@ -56,6 +56,7 @@
     private final Vertx trafficVertx = Vertx.vertx(
             new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1));
 
+    private final Promise<Void> started = Promise.promise();
     private PeerTransport peers;
     private FleetControl plane;
     private ProxyServer proxy;
@@ -82,7 +83,6 @@
 
     /** Starts all servers. The returned future fails if an address is in use. */
     public Future<Void> start() {
-        Promise<Void> started = Promise.promise();
         controlVertx.getOrCreateContext().runOnContext(ignored -> startControl().onComplete(started));
         return started.future()
                 .onSuccess(ignored -> log.lifecycle(LogFields.of("started")
@@ -131,13 +131,13 @@
     }
 
     private Future<Void> startTraffic() {
-        Promise<Void> started = Promise.promise();
+        Promise<Void> listening = Promise.promise();
         trafficVertx.getOrCreateContext().runOnContext(ignored -> proxy.start(
                         settings.callers().host(), settings.callers().port())
                 .compose(port -> serve(settings.readiness(), this::handleReadiness))
                 .compose(done -> serve(settings.metrics(), this::handleMetrics))
-                .onComplete(started));
-        return started.future();
+                .onComplete(listening));
+        return listening.future();
     }
 
     private Future<Void> serve(Address address, Handler<HttpServerRequest> handler) {
@@ -155,16 +155,19 @@
 
     /**
      * Stops gracefully: readiness fails at once, new requests are served for a short time, then no more connections are
-     * accepted and running requests finish.
+     * accepted and running requests finish. A router that is still starting stops when it has started.
      *
      * @return future that completes when the process may exit
      */
     public Future<Void> stop() {
-        Promise<Void> stopped = Promise.promise();
         isDraining = true;
-        long startedAtMs = clock.getAsLong();
-        long deadlineMs = startedAtMs + settings.stopGraceMs() - CLOSE_MARGIN_MS;
+        long deadlineMs = clock.getAsLong() + settings.stopGraceMs() - CLOSE_MARGIN_MS;
         log.lifecycle(LogFields.of("stopping").with("router", settings.routerId()));
+        return started.future().compose(ignored -> drain(deadlineMs));
+    }
+
+    private Future<Void> drain(long deadlineMs) {
+        Promise<Void> stopped = Promise.promise();
         trafficVertx.getOrCreateContext().runOnContext(ignored -> {
             proxy.startDrain(OUT_OF_ROTATION_MS);
             trafficVertx.setTimer(DRAIN_DELAY_MS, timer -> closeConnections(deadlineMs + FLUSH_MARGIN_MS)
