Test that a drain completes responses that their callers read slowly

The product's own daemon ends its process when its requests have ended, and a response may then still wait in the connection. The test passes on the present code: closing the connections writes what waits first.

--- /dev/null
+++ b/server/src/test/java/io/radishwinch/server/DrainTest.java
@@ -0,0 +1,63 @@
+package io.radishwinch.server;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.config.settings.SettingKey;
+import io.radishwinch.standins.StandInFleet;
+import io.vertx.core.Future;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a stop that ends the process before the responses to finished requests are written. */
+class DrainTest {
+    private static final String ECHO = "/services/" + StandInFleet.BILLING + "/echo";
+    private static final int BODY_BYTES = 8 << 20;
+    private static final int RECEIVE_BUFFER_BYTES = 16 << 10;
+    private static final int READ_TIMEOUT_MS = 30_000;
+
+    @Test
+    void aResponseThatItsCallerReadsSlowlyIsCompleteAfterADrain() throws Exception {
+        try (TestDeployment deployment = new TestDeployment(0)) {
+            deployment.put(
+                    "config/services/" + StandInFleet.BILLING,
+                    "schema: service/v1\nname: " + StandInFleet.BILLING
+                            + "\noperations: [{method: POST, pathPrefix: /echo, repeatable: true}]\n");
+            RouterProcess router = deployment.startRouter(
+                    "router-slow", settings -> settings.with(SettingKey.CALLER_MAX_BODY_BYTES, BODY_BYTES)
+                            .with(SettingKey.CALLER_BODY_TIMEOUT_MS, READ_TIMEOUT_MS));
+            RecordedSession session = new RecordedSession(router.callerPort());
+            TestDeployment.waitUntil(() -> session.statusOf(ECHO, "{}") == 200);
+            try (Socket caller = new Socket()) {
+                caller.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+                caller.setSoTimeout(READ_TIMEOUT_MS);
+                caller.connect(new InetSocketAddress("127.0.0.1", router.callerPort()));
+                String head = "POST " + ECHO + " HTTP/1.1\r\nHost: router\r\nAuthorization: Bearer "
+                        + TestDeployment.KEY + "\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n";
+                caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+                caller.getOutputStream().write("x".repeat(BODY_BYTES).getBytes(StandardCharsets.US_ASCII));
+                InputStream response = caller.getInputStream();
+                assertThat(response.read()).isEqualTo('H');
+                // Closing the router when the drain completes cuts what the end of the process would cut.
+                Future<Void> exited = router.drain().eventually(router::close);
+                assertThat(countBodyBytes(response)).isEqualTo(BODY_BYTES);
+                TestDeployment.await(exited);
+            }
+        }
+    }
+
+    /** Reads a response in small steps to the end of the connection, and returns the number of bytes of its body. */
+    private static int countBodyBytes(InputStream response) throws Exception {
+        byte[] buffer = new byte[RECEIVE_BUFFER_BYTES];
+        int bodyBytes = 0;
+        for (int read = response.read(buffer); read >= 0; read = response.read(buffer)) {
+            for (int i = 0; i < read; i++) {
+                bodyBytes += buffer[i] == 'x' ? 1 : 0;
+            }
+            Thread.sleep(1);
+        }
+        return bodyBytes;
+    }
+}
