Send nothing to an endpoint that announces in a response that it leaves

A leaving worker says so in all its responses. Nothing read it: while the store was away, or its list lagged, requests went on to the worker.

The endpoint gets no new request, retry or resumption from then on, peers are told as for other leaving endpoints, and no list brings it back before it restarts, even when its row has been evicted. A 421 comes from another endpoint at the address and is ignored.

--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointControl.java
@@ -7,6 +7,7 @@
 import io.smallrye.mutiny.Uni;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /**
  * Requests status reports from endpoints and sends them orders. A returned {@code Uni} fails only if the call fails.
@@ -38,6 +39,9 @@
      */
     Uni<OrderResult> reroute(EndpointContact firstStage, String requestId, List<ForwardingContext.Hop> chain);
 
+    /** Sets the receiver of the identifiers of endpoints that announce in a response that they leave. */
+    void setLeavingListener(Consumer<String> listener);
+
     /** Result of an order. */
     enum OrderResult {
         /** The engine has started to execute the order, or is already in the requested state. */
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -12,6 +12,7 @@
 import io.radishwinch.server.proxy.EndpointContact;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -37,6 +38,9 @@
     private static final long MAX_BACKOFF_MS = 4_000;
     private static final int MAX_DOUBLINGS = 10;
 
+    /** Maximum number of lifetimes whose announced leaving is remembered; the oldest are forgotten above it. */
+    private static final int MAX_ANNOUNCED_LEAVING = 4_096;
+
     /** KV cache memory reported for an endpoint without a KV cache, in bytes. */
     private static final long UNLIMITED_KV_BYTES = Long.MAX_VALUE / 4;
 
@@ -49,6 +53,18 @@
     private final Map<String, EndpointContact> contacts = new ConcurrentHashMap<>();
     private final Map<String, String> idsByAddress = new ConcurrentHashMap<>();
     private final Set<String> unreadableInstances = new HashSet<>();
+
+    /** Lifetimes that announced themselves that they leave, by instance; they outlive the endpoint and its entry. */
+    private final Map<String, EndpointEntry> announcedLeaving = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, EndpointEntry> eldest) {
+            return size() > MAX_ANNOUNCED_LEAVING;
+        }
+    };
+
+    private final Set<String> announcedLeavingIds = ConcurrentHashMap.newKeySet();
     private FleetConfig config = FleetConfig.empty();
     private long relistGraceUntilMs;
     private boolean isPlatformUnreachable;
@@ -142,6 +158,14 @@
     void applyEntry(String instanceId, EndpointEntry entry, long nowMs) {
         unreadableInstances.remove(instanceId);
         EndpointLifetime known = byInstance.get(instanceId);
+        EndpointEntry announced = announcedLeaving.get(instanceId);
+        if (announced != null && announced.isSameLifetime(entry)) {
+            // The list may lag behind what the endpoint itself has announced.
+            if (known != null) {
+                known.isMissing = false;
+            }
+            return;
+        }
         boolean isContinued =
                 known != null && known.entry.isSameLifetime(entry) && !(known.isLeaving && !entry.isLeaving());
         if (!isContinued) {
@@ -192,6 +216,23 @@
         }
     }
 
+    /** Returns whether an endpoint has announced that it leaves; safe for use by any thread. */
+    boolean hasAnnouncedLeaving(String endpointId) {
+        return announcedLeavingIds.contains(endpointId);
+    }
+
+    /**
+     * Marks an endpoint as leaving because it has announced so itself. Unlike other sources, no list revokes this: the
+     * endpoint receives new work again only after a restart.
+     */
+    void markLeavingByItself(String endpointId, long nowMs) {
+        EndpointLifetime endpoint = byId.get(endpointId);
+        if (endpoint != null && announcedLeavingIds.add(endpointId)) {
+            announcedLeaving.put(endpoint.entry.instanceId(), endpoint.entry);
+            startLeaving(endpoint, "announced by itself in a response", nowMs);
+        }
+    }
+
     /** Records whether the platform is reachable. */
     void setPlatformReachable(boolean isReachable, long nowMs) {
         if (isPlatformUnreachable && isReachable) {
@@ -364,6 +405,7 @@
     private void evict(EndpointLifetime endpoint) {
         events.accept(new Event.EndpointRemoved(endpoint.endpointId, false));
         byId.remove(endpoint.endpointId);
+        announcedLeavingIds.remove(endpoint.endpointId);
         byInstance.remove(endpoint.entry.instanceId(), endpoint);
         EndpointContact contact = contacts.remove(endpoint.endpointId);
         idsByAddress.remove(contact.address(), endpoint.endpointId);
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -35,6 +35,7 @@
 import io.radishwinch.server.metrics.RouterMetrics;
 import io.radishwinch.server.peer.PeerTransport;
 import io.radishwinch.server.proxy.ContactLookup;
+import io.radishwinch.server.proxy.EndpointNoticeListener;
 import io.radishwinch.server.proxy.RequestLimitListener;
 import io.radishwinch.server.route.RoutingConfig;
 import io.vertx.core.Context;
@@ -96,6 +97,7 @@
     private final FleetDialect dialect;
     private final PeerStateBridge peerState;
     private final RequestLimits requestLimits;
+    private final EndpointNotices endpointNotices;
     private final WatchFollower endpointFollower;
     private final WatchFollower configFollower;
     private final RouterDirectory routerDirectory;
@@ -163,6 +165,8 @@
                 this::publishRequestLimit,
                 clock,
                 log);
+        endpointNotices = new EndpointNotices(registry, control::execute, clock);
+        clients.endpoints().setLeavingListener(endpointNotices::leaving);
         peerState =
                 new PeerStateBridge(node, control, new PeerStateReceiver(), this::applyObject, (sender, message) -> {});
         node.addListener(peerState);
@@ -234,6 +238,11 @@
         return requestLimits;
     }
 
+    /** Returns the receiver of what endpoints announce about themselves; safe for use by any thread. */
+    EndpointNoticeListener endpointNotices() {
+        return endpointNotices;
+    }
+
     /** Returns the configuration in effect; safe for use by any thread. */
     RoutingConfig config() {
         return config.inEffect();
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
@@ -120,6 +120,7 @@
                         outcomes,
                         outcomes,
                         plane.requestLimits(),
+                        plane.endpointNotices(),
                         plane::checkStalledStreams));
         metrics.gauge("radishwinch.config.version", "version of the configuration in effect", () -> plane.config()
                 .version());
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyScope.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyScope.java
@@ -20,6 +20,7 @@
  * @param contacts lookup of endpoints
  * @param connections pooled connections to endpoints
  * @param limits receives the request limits that endpoints name
+ * @param notices receives what endpoints announce about themselves
  * @param bodyMemory memory budget of all request bodies
  * @param listener receives the outcome of every request
  * @param responseEnds receives how the response to each attempt ended
@@ -34,6 +35,7 @@
         ContactLookup contacts,
         EndpointConnectionPool connections,
         RequestLimitListener limits,
+        EndpointNoticeListener notices,
         MemoryBudget bodyMemory,
         ExchangeListener listener,
         ResponseEndListener responseEnds,
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -98,6 +98,7 @@
      * @param listener receives the outcome of every request
      * @param responseEnds receives how the response to each attempt ended
      * @param limits receives the request limits that endpoints name
+     * @param notices receives what endpoints announce about themselves
      * @param onStalledEndpoint receives the identifiers of endpoints with unresponsive streams
      */
     public record Dependencies(
@@ -110,6 +111,7 @@
             ExchangeListener listener,
             ResponseEndListener responseEnds,
             RequestLimitListener limits,
+            EndpointNoticeListener notices,
             Consumer<String> onStalledEndpoint) {}
 
     /** Creates a server on the traffic thread of a Vert.x instance with one event loop. */
@@ -129,6 +131,7 @@
                 dependencies.contacts(),
                 new EndpointConnectionPool(vertx, dependencies.control()::nowMs),
                 dependencies.limits(),
+                dependencies.notices(),
                 bodyMemory,
                 this,
                 dependencies.responseEnds(),
--- a/server/src/main/java/io/radishwinch/server/proxy/ResponseHead.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ResponseHead.java
@@ -14,6 +14,7 @@
  * @param keepAliveMs keep-alive time that the endpoint announces in ms, or 0 if it announces none
  * @param isClosing whether the endpoint closes the connection after the response
  * @param requestLimitPerS requests/s that the endpoint takes from all routers together, or empty if it names no limit
+ * @param isLeaving whether the endpoint announces that it leaves
  */
 public record ResponseHead(
         int status,
@@ -23,7 +24,8 @@
         Optional<String> faultAddress,
         long keepAliveMs,
         boolean isClosing,
-        OptionalDouble requestLimitPerS) {
+        OptionalDouble requestLimitPerS,
+        boolean isLeaving) {
 
     private static final int MISDIRECTED = 421;
     private static final int FIRST_SUCCESS = 200;
--- a/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
@@ -138,6 +138,10 @@
             return;
         }
         scope.limits().responded(contact.endpointId(), head.requestLimitPerS());
+        if (!head.isMisdirected()) {
+            // Otherwise another endpoint has taken over the address, and speaks for itself.
+            forwardNotices();
+        }
         if (head.isNotRun()) {
             received.endHandler(ignored -> releaseConnection());
             received.handler(ignored -> {});
@@ -161,6 +165,12 @@
         listener.onResponseHead(head, received);
     }
 
+    private void forwardNotices() {
+        if (head.isLeaving()) {
+            scope.notices().leaving(contact.endpointId());
+        }
+    }
+
     private String requestId() {
         return scope.dialect().requestId(request.headers());
     }
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointHealthCheckerTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointHealthCheckerTest.java
@@ -55,6 +55,9 @@
                 EndpointContact firstStage, String requestId, List<ForwardingContext.Hop> chain) {
             throw new UnsupportedOperationException();
         }
+
+        @Override
+        public void setLeavingListener(java.util.function.Consumer<String> listener) {}
     }
 
     private void failCheckAfter(long durationMs) {
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
@@ -103,6 +103,26 @@
         assertThat(events).containsExactly(new Event.EndpointLeaving("gone@7"));
     }
 
+    /** Guards against a list that lags and returns an endpoint to use that has announced that it leaves. */
+    @Test
+    void endpointThatAnnouncedItsLeavingStaysOutOfUseUntilItRestarts() {
+        registry.applyEntry("e", entry("e", 7, false, null), 0);
+        takeEventTypes();
+        registry.markLeavingByItself("e@7", 100);
+        registry.markLeavingByItself("e@7", 200);
+        assertThat(takeEventTypes()).containsExactly(Event.EndpointLeaving.class);
+        registry.applyEntry("e", entry("e", 7, false, new LayerRange(0, 10)), 300);
+        registry.applyRemoval("e", 400);
+        registry.applyEntry("e", entry("e", 7, false, null), 500);
+        assertThat(takeEventTypes()).isEmpty();
+        registry.tick(30_000);
+        assertThat(takeEventTypes()).containsExactly(Event.EndpointRemoved.class);
+        registry.applyEntry("e", entry("e", 7, false, null), 60_000);
+        assertThat(takeEventTypes()).isEmpty();
+        registry.applyEntry("e", entry("e", 9, false, null), 61_000);
+        assertThat(takeEventTypes()).containsExactly(Event.EndpointJoined.class, Event.LoadReported.class);
+    }
+
     @Test
     void unreadableEntryLeavesThePreviousOneInEffect() {
         registry.applyEntry("e", entry("e", 7, false, null), 0);
--- a/server/src/test/java/io/radishwinch/server/proxy/PlainDialect.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/PlainDialect.java
@@ -45,7 +45,8 @@
                 Optional.empty(),
                 0,
                 "close".equalsIgnoreCase(response.getHeader("Connection")),
-                OptionalDouble.empty());
+                OptionalDouble.empty(),
+                false);
     }
 
     @Override
--- a/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
@@ -95,6 +95,7 @@
                 null,
                 connections,
                 (endpointId, limit) -> {},
+                endpointId -> {},
                 null,
                 null,
                 (requestId, end) -> {},
