Keep the pause that an endpoint asks for when it refuses a request

A worker that refuses a request with 503 may name the seconds for which it wants nothing of that router.

Until then the endpoint is out of the choice for every stage of a chain, a request that has waited for a connection to it goes elsewhere unsent, and no status check is sent. Afterwards the rate grows from 4 requests/s. A request that only paused endpoints could serve in time is refused at once, or soon after the pause begins if it waits, with the end of the pause as Retry-After.

--- a/core/src/main/java/io/radishwinch/core/chain/EndpointDirectory.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointDirectory.java
@@ -55,6 +55,12 @@
     /** Returns whether usable endpoints cover every layer of the pool, regardless of free slots. */
     boolean isCovered(String pool, long nowMs);
 
+    /**
+     * Returns the time in ms until which requests for a pool wait for endpoints that have asked for a pause, or the
+     * given time if others hold every layer.
+     */
+    long pauseEndMs(String pool, long nowMs);
+
     /**
      * Returns the throughput bound of a pool in tokens/s, or 0 if the pool is not covered. The value is cached and
      * recomputed when the table changes.
--- a/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointRow.java
@@ -60,6 +60,18 @@
     /** Time in ms whose unused requests may be sent at once to an endpoint that limits its requests. */
     private static final long REQUEST_BURST_MS = 400;
 
+    /**
+     * First rate at which this router sends requests to an endpoint after a pause, in requests/s. The rate is limited
+     * so that not all that waited is sent at once.
+     */
+    private static final double FIRST_RESUME_REQUESTS_PER_S = 4;
+
+    /** Time in ms after which the rate after a pause doubles. */
+    private static final long RESUME_STEP_MS = 250;
+
+    /** Rate in requests/s from which on the rate after a pause is not limited any more. */
+    private static final double UNLIMITED_RESUME_REQUESTS_PER_S = 200;
+
     /** Maximum number of low-delay links that the planner considers in addition to the cheapest candidates. */
     private static final int MAX_NEAREST_LINKS = 4;
 
@@ -103,6 +115,14 @@
     /** Requests for which this router may use the endpoint as the first stage; null without a limit. */
     private TokenBucket requestAllowance;
 
+    private long pausedUntilMs = Long.MIN_VALUE;
+    private boolean isPaused;
+
+    /** Requests that may be sent after a pause; null if the last pause is long over. */
+    private TokenBucket resumeAllowance;
+
+    private long nextResumeStepMs;
+
     EndpointRow(int index, int dataCentreIndex, EndpointSpec spec) {
         this.index = index;
         this.dataCentreIndex = dataCentreIndex;
@@ -151,12 +171,26 @@
 
     /** Returns whether the endpoint is usable and has a free slot. */
     public boolean hasFreeSlot() {
-        return isUsable() && !isRefusing && occupiedSlots() < usableSlots();
+        return isUsable() && !isRefusing && !isPaused && occupiedSlots() < usableSlots();
     }
 
-    /** Returns whether the request limit of the endpoint allows this router another request now. */
+    /** Returns whether the request limit of the endpoint, and its last pause, allow this router another request now. */
     public boolean canEnter(long nowMs) {
-        return requestAllowance == null || requestAllowance.waitMs(1, nowMs) == 0;
+        return allows(requestAllowance, nowMs) && allows(resumeAllowance, nowMs);
+    }
+
+    private static boolean allows(TokenBucket allowance, long nowMs) {
+        return allowance == null || allowance.waitMs(1, nowMs) == 0;
+    }
+
+    /** Returns whether a pause that the endpoint asked for covers the given time. */
+    boolean isPaused(long atMs) {
+        return isPaused && atMs < pausedUntilMs;
+    }
+
+    /** Returns the end of the last pause, in ms of the router's clock. */
+    long pausedUntilMs() {
+        return pausedUntilMs;
     }
 
     /** Returns whether the request limit of the endpoint leaves this router no requests at all. */
@@ -274,6 +308,35 @@
         if (requestAllowance != null) {
             requestAllowance.take(1);
         }
+        if (resumeAllowance != null) {
+            resumeAllowance.take(1);
+        }
+    }
+
+    /** Starts a pause, or prolongs the running one. */
+    void pause(long untilMs) {
+        isPaused = true;
+        pausedUntilMs = Math.max(pausedUntilMs, untilMs);
+        resumeAllowance = null;
+    }
+
+    /** Ends an expired pause, and the limited rate after it; returns whether a pause ended. */
+    private boolean endPause(long nowMs) {
+        boolean isOver = isPaused && nowMs >= pausedUntilMs;
+        if (isOver) {
+            isPaused = false;
+            resumeAllowance = new TokenBucket(FIRST_RESUME_REQUESTS_PER_S, RESUME_STEP_MS, nowMs);
+            nextResumeStepMs = nowMs + RESUME_STEP_MS;
+        } else if (resumeAllowance != null && nowMs >= nextResumeStepMs) {
+            nextResumeStepMs = nowMs + RESUME_STEP_MS;
+            double requestsPerS = 2 * resumeAllowance.ratePerS();
+            if (requestsPerS < UNLIMITED_RESUME_REQUESTS_PER_S) {
+                resumeAllowance.setRate(requestsPerS, RESUME_STEP_MS, nowMs);
+            } else {
+                resumeAllowance = null;
+            }
+        }
+        return isOver;
     }
 
     void setPeerLoad(int running, long kvBytes, long nowMs) {
@@ -329,13 +392,14 @@
         return consecutiveRefusals > 1;
     }
 
-    /** Ends an expired backoff and decays the refused share; returns whether the row changed. */
+    /** Ends an expired backoff or pause and decays the refused share; returns whether the row changed. */
     boolean decayRefusals(long nowMs) {
+        boolean isPauseOver = endPause(nowMs);
         boolean isBackoffExpired = isRefusing && nowMs >= refusalBackoffEndMs;
         isRefusing &= !isBackoffExpired;
         boolean hasRefusalShare = refusalShare > 0;
         refusalShare = refusalShare < MIN_REFUSAL_SHARE ? 0 : refusalShare * REFUSAL_DECAY_PER_TICK;
-        return isBackoffExpired || hasRefusalShare;
+        return isBackoffExpired || isPauseOver || hasRefusalShare;
     }
 
     void resetKvCapacity() {
--- a/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 /**
  * Table of endpoints by identifier, with an index of their holdings by pool and layer boundary.
@@ -54,6 +55,8 @@
     /** Shares of the request limits of endpoints, also of those that have not joined. */
     private final Map<String, Double> requestSharesPerS = new HashMap<>();
 
+    private long latestPauseEndMs = Long.MIN_VALUE;
+
     private FleetConfig config = FleetConfig.empty();
     private int nextIndex;
     private long structureVersion;
@@ -121,16 +124,17 @@
      * @param ignored endpoint to leave out, or null
      */
     public int firstUncoveredLayer(ModelSpec pool, EndpointRow ignored) {
-        PoolIndex index = pools.get(pool.name());
+        return firstLayerWithout(pool, row -> row != ignored);
+    }
+
+    private int firstLayerWithout(ModelSpec pool, Predicate<EndpointRow> isConsidered) {
         int coveredEnd = 0;
-        boolean isExtended = index != null;
+        boolean isExtended = true;
         while (isExtended && coveredEnd < pool.layerCount()) {
             isExtended = false;
-            for (HeldRange entry : index.heldRanges()) {
-                if (entry.row != ignored
-                        && entry.row.isUsable()
-                        && entry.first <= coveredEnd
-                        && entry.end > coveredEnd) {
+            for (HeldRange entry : heldRanges(pool)) {
+                boolean extendsCover = entry.first <= coveredEnd && entry.end > coveredEnd;
+                if (extendsCover && entry.row.isUsable() && isConsidered.test(entry.row)) {
                     coveredEnd = entry.end;
                     isExtended = true;
                 }
@@ -297,6 +301,52 @@
         }
     }
 
+    /** Sends nothing to an endpoint until the given time. */
+    void pause(String endpointId, long untilMs) {
+        EndpointRow row = rows.get(endpointId);
+        if (row != null) {
+            latestPauseEndMs = Math.max(latestPauseEndMs, untilMs);
+            row.pause(untilMs);
+            refreshCandidates(row);
+        }
+    }
+
+    /**
+     * Returns the time in ms from which every layer of a pool is held by some endpoint that has asked for no pause, or
+     * the given time if that is so already, or if pauses are not what keeps a layer from being held.
+     */
+    long pauseEndMs(ModelSpec pool, long nowMs) {
+        if (nowMs >= latestPauseEndMs) {
+            return nowMs;
+        }
+        long endMs = nowMs;
+        int openLayer = firstPausedLayer(pool, endMs);
+        while (openLayer < pool.layerCount()) {
+            long nextEndMs = Long.MAX_VALUE;
+            for (HeldRange entry : heldRanges(pool)) {
+                boolean holdsLayer = entry.first <= openLayer && entry.end > openLayer;
+                if (holdsLayer && entry.row.isUsable() && entry.row.isPaused(endMs)) {
+                    nextEndMs = Math.min(nextEndMs, entry.row.pausedUntilMs());
+                }
+            }
+            if (nextEndMs == Long.MAX_VALUE) {
+                return nowMs;
+            }
+            endMs = nextEndMs;
+            openLayer = firstPausedLayer(pool, endMs);
+        }
+        return endMs;
+    }
+
+    private int firstPausedLayer(ModelSpec pool, long atMs) {
+        return firstLayerWithout(pool, row -> !row.isPaused(atMs));
+    }
+
+    private Collection<HeldRange> heldRanges(ModelSpec pool) {
+        PoolIndex index = pools.get(pool.name());
+        return index == null ? List.of() : index.heldRanges();
+    }
+
     void recordLayerTime(String endpointId, double layerTimeUs, long nowMs) {
         EndpointRow row = rows.get(endpointId);
         if (row != null && layerTimeUs > 0) {
--- a/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
+++ b/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
@@ -95,6 +95,10 @@
             table.setPeerLoad(e.endpointId(), e.running(), e.kvBytes(), nowMs);
         } else if (event instanceof Event.RequestShareChanged e) {
             table.setRequestShare(e.endpointId(), e.requestsPerS(), nowMs);
+        } else if (event instanceof Event.EndpointPaused e) {
+            table.pause(e.endpointId(), e.untilMs());
+            actions.add(
+                    new Action.StateChanged(e.endpointId(), "asked for a pause of " + (e.untilMs() - nowMs) + " ms"));
         } else if (event instanceof Event.StageMeasured e) {
             table.recordLayerTime(e.endpointId(), e.layerTimeUs(), nowMs);
         } else if (event instanceof Event.CacheReported e) {
@@ -166,6 +170,12 @@
         return spec != null && table.isCovered(spec);
     }
 
+    @Override
+    public long pauseEndMs(String pool, long nowMs) {
+        ModelSpec spec = table.config().pool(pool);
+        return spec == null ? nowMs : table.pauseEndMs(spec, nowMs);
+    }
+
     @Override
     public double throughputBoundTokensPerS(String pool, long nowMs) {
         ModelSpec spec = table.config().pool(pool);
--- a/core/src/main/java/io/radishwinch/core/event/Event.java
+++ b/core/src/main/java/io/radishwinch/core/event/Event.java
@@ -220,6 +220,14 @@
      */
     record RequestShareChanged(String endpointId, double requestsPerS) implements Event {}
 
+    /**
+     * An endpoint refused a request of this router and asked it for a pause.
+     *
+     * @param endpointId endpoint
+     * @param untilMs end of the pause, in ms of the router's clock
+     */
+    record EndpointPaused(String endpointId, long untilMs) implements Event {}
+
     /**
      * The router started to drain: running requests finish and new ones are refused.
      *
--- a/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
@@ -85,7 +85,9 @@
         if (nowMs + pool.neededMs(spec, 0, false, nowMs) >= spec.deadlineMs()) {
             return Reason.DEADLINE_UNREACHABLE;
         }
-        return state.isUncoveredBeyondGracePeriod(spec.pool(), nowMs) ? Reason.NO_CAPACITY : null;
+        boolean isUnservable =
+                state.isUncoveredBeyondGracePeriod(spec.pool(), nowMs) || state.isPausedTooLong(spec, nowMs);
+        return isUnservable ? Reason.NO_CAPACITY : null;
     }
 
     private void refuseDisplaced(RequestSpec spec, long nowMs) {
@@ -96,7 +98,7 @@
         return switch (reason) {
             case DRAINING -> OTHER_ROUTER_RETRY_AFTER_MS;
             case QUARANTINED -> state.partQuarantineMs(spec, nowMs);
-            case NO_CAPACITY, DEADLINE_UNREACHABLE -> state.retryAfter.waitMs(spec, nowMs);
+            case NO_CAPACITY, DEADLINE_UNREACHABLE -> state.capacityWaitMs(spec, nowMs);
             default -> 0;
         };
     }
--- a/core/src/main/java/io/radishwinch/core/impl/CoreState.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreState.java
@@ -151,6 +151,19 @@
         return nowMs - pool.uncoveredSinceMs >= settings.uncoveredGraceMs();
     }
 
+    /** Returns whether the pauses that endpoints asked for leave too little time to start the request. */
+    boolean isPausedTooLong(RequestSpec spec, long nowMs) {
+        long startMs = directory.pauseEndMs(spec.pool(), nowMs);
+        boolean startsTooLate = startMs >= spec.startDeadlineMs()
+                || startMs + pool(spec.pool()).neededMs(spec, 0, false, nowMs) >= spec.deadlineMs();
+        return startMs > nowMs && startsTooLate;
+    }
+
+    /** Returns the wait in ms to suggest to a caller whose request is refused for lack of capacity. */
+    long capacityWaitMs(RequestSpec spec, long nowMs) {
+        return Math.max(retryAfter.waitMs(spec, nowMs), directory.pauseEndMs(spec.pool(), nowMs) - nowMs);
+    }
+
     /** Returns why the configuration in effect does not allow the request, or null if it does. */
     Reason contractRefusalReason(RequestSpec spec) {
         Contract contract = config.contracts().get(spec.caller());
@@ -198,7 +211,7 @@
     private long retryAfterMs(RequestSpec spec, Reason reason, long nowMs) {
         return reason == Reason.QUARANTINED
                 ? partQuarantineMs(spec, nowMs)
-                : isCapacityShortage(reason) ? retryAfter.waitMs(spec, nowMs) : 0;
+                : isCapacityShortage(reason) ? capacityWaitMs(spec, nowMs) : 0;
     }
 
     /** Returns the rest of the quarantine of the parts of a prompt in ms, or 0 if they are not quarantined. */
--- a/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -137,7 +137,10 @@
         preemption.tick(nowMs);
     }
 
-    /** Refuses requests that never ran and wait for a pool whose coverage gap outlasts the grace period. */
+    /**
+     * Refuses requests that never ran and wait for a pool whose coverage gap outlasts the grace period, or whose
+     * endpoints pause for too long.
+     */
     private void refuseUnservable(long nowMs) {
         Set<String> uncovered = new HashSet<>();
         for (String pool : state.pools.keySet()) {
@@ -145,12 +148,14 @@
                 uncovered.add(pool);
             }
         }
-        if (uncovered.isEmpty()) {
+        boolean hasPauses =
+                state.pools.keySet().stream().anyMatch(pool -> state.directory.pauseEndMs(pool, nowMs) > nowMs);
+        if (uncovered.isEmpty() && !hasPauses) {
             return;
         }
         for (RequestRow row : List.copyOf(state.requests.values())) {
             boolean hasNotRun = !row.isRunning() && row.currentVerdict() == Verdict.NOT_RUN;
-            if (hasNotRun && uncovered.contains(row.spec.pool())) {
+            if (hasNotRun && (uncovered.contains(row.spec.pool()) || state.isPausedTooLong(row.spec, nowMs))) {
                 state.refuse(row, Reason.NO_CAPACITY, nowMs);
             }
         }
--- a/core/src/test/java/io/radishwinch/core/impl/FakeDirectory.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FakeDirectory.java
@@ -108,6 +108,11 @@
         return down.contains(endpointId);
     }
 
+    @Override
+    public long pauseEndMs(String pool, long nowMs) {
+        return nowMs;
+    }
+
     @Override
     public boolean isCovered(String pool, long nowMs) {
         return runningByEndpoint.keySet().stream().anyMatch(id -> id.startsWith("0-") && !down.contains(id));
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointHealthChecker.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointHealthChecker.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 
 /**
  * Runs health checks of endpoints on demand: for unresponsive streams, failed attempts and unreachable endpoints. Used
@@ -24,14 +25,26 @@
 
     private final EndpointControl endpoints;
     private final EndpointRegistry registry;
+    private final Predicate<String> isPaused;
     private final FleetLog log;
     private final LongSupplier clockMs;
     private final Map<String, Long> nextCheckAtMs = new HashMap<>();
     private final Set<String> pendingChecks = new HashSet<>();
 
-    EndpointHealthChecker(EndpointControl endpoints, EndpointRegistry registry, FleetLog log, LongSupplier clockMs) {
+    /**
+     * Creates a health checker.
+     *
+     * @param isPaused returns whether an endpoint has asked for a pause; it is not checked before the pause is over
+     */
+    EndpointHealthChecker(
+            EndpointControl endpoints,
+            EndpointRegistry registry,
+            Predicate<String> isPaused,
+            FleetLog log,
+            LongSupplier clockMs) {
         this.endpoints = endpoints;
         this.registry = registry;
+        this.isPaused = isPaused;
         this.log = log;
         this.clockMs = clockMs;
     }
@@ -77,7 +90,7 @@
      */
     private void sendCheck(String endpointId, boolean checksStreams, boolean isRepeat) {
         Optional<EndpointContact> contact = registry.contact(endpointId);
-        if (contact.isEmpty() || !pendingChecks.add(endpointId)) {
+        if (contact.isEmpty() || isPaused.test(endpointId) || !pendingChecks.add(endpointId)) {
             return;
         }
         long startedAtMs = clockMs.getAsLong();
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -152,7 +152,8 @@
                 log);
         control = new ControlLoop(context, clock, decisionCore(), this::performSharedAction);
         registry = new EndpointRegistry(control::post, new PeerPublisher(), log, settings.relistGraceMs());
-        healthChecker = new EndpointHealthChecker(clients.endpoints(), registry, log, clock);
+        endpointNotices = new EndpointNotices(registry, control::execute, control::post, clock);
+        healthChecker = new EndpointHealthChecker(clients.endpoints(), registry, endpointNotices::isPaused, log, clock);
         orderSender = new LayerOrderSender(
                 clients.endpoints(), registry, scheduler, control::post, leaseManager::recheckHeldLeases, log, clock);
         rerouter = new StreamRerouter(clients.endpoints(), registry, control::post, log);
@@ -165,7 +166,6 @@
                 this::publishRequestLimit,
                 clock,
                 log);
-        endpointNotices = new EndpointNotices(registry, control::execute, clock);
         clients.endpoints().setLeavingListener(endpointNotices::leaving);
         peerState =
                 new PeerStateBridge(node, control, new PeerStateReceiver(), this::applyObject, (sender, message) -> {});
--- a/server/src/main/java/io/radishwinch/server/proxy/EndpointNoticeListener.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EndpointNoticeListener.java
@@ -5,4 +5,14 @@
 
     /** Called for each response in which an endpoint announces that it leaves. */
     void leaving(String endpointId);
+
+    /**
+     * Called for each response in which an endpoint refuses a request and asks this router for a pause.
+     *
+     * @param pauseMs length of the pause, in ms
+     */
+    void paused(String endpointId, long pauseMs);
+
+    /** Returns whether a pause that an endpoint asked for is not over. */
+    boolean isPaused(String endpointId);
 }
--- a/server/src/main/java/io/radishwinch/server/proxy/ResponseHead.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ResponseHead.java
@@ -15,6 +15,7 @@
  * @param isClosing whether the endpoint closes the connection after the response
  * @param requestLimitPerS requests/s that the endpoint takes from all routers together, or empty if it names no limit
  * @param isLeaving whether the endpoint announces that it leaves
+ * @param pauseMs time for which the endpoint wants no requests of this router, in ms, or 0 if it asks for no pause
  */
 public record ResponseHead(
         int status,
@@ -25,7 +26,8 @@
         long keepAliveMs,
         boolean isClosing,
         OptionalDouble requestLimitPerS,
-        boolean isLeaving) {
+        boolean isLeaving,
+        long pauseMs) {
 
     private static final int MISDIRECTED = 421;
     private static final int FIRST_SUCCESS = 200;
--- a/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
@@ -64,6 +64,10 @@
                 fail(acquired.cause());
             } else if (isEnded) {
                 acquired.result().release(0);
+            } else if (scope.notices().isPaused(contact.endpointId())) {
+                // The endpoint asked for the pause while this request waited for a connection.
+                acquired.result().release(0);
+                fail(Reason.ENDPOINT_REFUSED, Verdict.NOT_RUN, "the endpoint has asked for a pause");
             } else {
                 connection = acquired.result();
                 open(outgoing);
@@ -169,6 +173,9 @@
         if (head.isLeaving()) {
             scope.notices().leaving(contact.endpointId());
         }
+        if (head.pauseMs() > 0) {
+            scope.notices().paused(contact.endpointId(), head.pauseMs());
+        }
     }
 
     private String requestId() {
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointHealthCheckerTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointHealthCheckerTest.java
@@ -34,7 +34,7 @@
     private final FleetLog log = new FleetLog(() -> 0);
     private final EndpointRegistry registry = new EndpointRegistry(events::add, NO_LISTENER, log, 2_500);
     private final EndpointHealthChecker checker =
-            new EndpointHealthChecker(new SilentEndpoints(), registry, log, () -> this.nowMs);
+            new EndpointHealthChecker(new SilentEndpoints(), registry, id -> false, log, () -> this.nowMs);
     private long nowMs;
 
     /** Endpoints whose checks end when the test ends them. */
--- a/server/src/test/java/io/radishwinch/server/proxy/PlainDialect.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/PlainDialect.java
@@ -46,7 +46,8 @@
                 0,
                 "close".equalsIgnoreCase(response.getHeader("Connection")),
                 OptionalDouble.empty(),
-                false);
+                false,
+                0);
     }
 
     @Override
--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
@@ -151,7 +151,7 @@
                 },
                 new EndpointConnectionPool(vertx, System::currentTimeMillis),
                 (endpointId, limit) -> {},
-                endpointId -> {},
+                new NoNotices(),
                 new MemoryBudget(1 << 20),
                 new ExchangeListener() {
                     @Override
--- a/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
@@ -85,6 +85,20 @@
      * resets the connection.
      */
     private String outcome(String response, boolean isReset) throws Exception {
+        Recorder recorder = call(new NoNotices());
+        try (Socket socket = server.accept()) {
+            readHead(socket);
+            socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().flush();
+            recorder.hasBody.get(WAIT_S, TimeUnit.SECONDS);
+            if (isReset) {
+                socket.setSoLinger(true, 0);
+            }
+        }
+        return recorder.outcome.get(WAIT_S, TimeUnit.SECONDS);
+    }
+
+    private Recorder call(EndpointNoticeListener notices) {
         Context context = vertx.getOrCreateContext();
         EndpointConnectionPool connections = new EndpointConnectionPool(vertx, System::currentTimeMillis);
         ProxyScope scope = new ProxyScope(
@@ -95,7 +109,7 @@
                 null,
                 connections,
                 (endpointId, limit) -> {},
-                endpointId -> {},
+                notices,
                 null,
                 null,
                 (requestId, end) -> {},
@@ -109,16 +123,7 @@
             recorder.call.start(
                     new UpstreamCall.OutgoingRequest(HttpMethod.GET, "/", headers, Buffer.buffer(), true), 4);
         });
-        try (Socket socket = server.accept()) {
-            readHead(socket);
-            socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
-            socket.getOutputStream().flush();
-            recorder.hasBody.get(WAIT_S, TimeUnit.SECONDS);
-            if (isReset) {
-                socket.setSoLinger(true, 0);
-            }
-        }
-        return recorder.outcome.get(WAIT_S, TimeUnit.SECONDS);
+        return recorder;
     }
 
     private static void readHead(Socket socket) throws IOException {
@@ -128,6 +133,18 @@
         }
     }
 
+    /** Guards against requests that reach a paused endpoint because they waited for a connection to it. */
+    @Test
+    void nothingIsSentToAnEndpointThatPausesWhenTheConnectionIsOpen() throws Exception {
+        Recorder recorder = call(new NoNotices() {
+            @Override
+            public boolean isPaused(String endpointId) {
+                return true;
+            }
+        });
+        assertThat(recorder.outcome.get(WAIT_S, TimeUnit.SECONDS)).isEqualTo("ENDPOINT_REFUSED NOT_RUN");
+    }
+
     @Test
     void aBodyWithoutLengthThatEndsWithItsConnectionIsComplete() throws Exception {
         assertThat(outcome(HEAD + "\r\nwhole body", false)).isEqualTo("complete: whole body");
