Log the connection of a response and whether it names its request

A response is matched to its request by its place on the connection and by the identifier that it may bear. The logs told neither, so that a response to an earlier run could not be told from the right one. response-ended now has the connection, the number of the request on it and whether the response names the request, and is written for refusals as not run too.

--- a/server/src/main/java/io/radishwinch/server/fleet/OutcomeLogger.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/OutcomeLogger.java
@@ -57,7 +57,10 @@
                 .with("framing", end.framing().wireName())
                 .with("events", end.eventCount())
                 .with("cause", end.cause().wireName())
-                .with("detail", end.detail()));
+                .with("detail", end.detail())
+                .with("connection", end.carrier().connectionId())
+                .with("requestNumber", end.carrier().requestNumber())
+                .with("identified", end.carrier().isIdentified()));
     }
 
     @Override
--- a/server/src/main/java/io/radishwinch/server/proxy/EndpointConnectionPool.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EndpointConnectionPool.java
@@ -40,6 +40,7 @@
     private final HttpClientAgent client;
     private final LongSupplier clockMs;
     private final Map<String, AddressPool> poolsByAddress = new HashMap<>();
+    private long openedConnections;
 
     EndpointConnectionPool(Vertx vertx, LongSupplier clockMs) {
         this.client = vertx.createHttpClient(new HttpClientOptions()
@@ -62,6 +63,7 @@
         AddressPool pool = poolsByAddress.computeIfAbsent(contact.address(), key -> new AddressPool());
         Connection pooled = pool.takeIdle(clockMs.getAsLong(), maxIdleMs);
         if (pooled != null) {
+            pooled.requestCount++;
             return Future.succeededFuture(pooled);
         }
         if (pool.openCount >= maxOpen) {
@@ -121,6 +123,8 @@
     final class Connection {
         private final AddressPool addressPool;
         private final HttpClientConnection http;
+        private final long id = ++openedConnections;
+        private int requestCount = 1;
         private boolean isClosed;
         private long idleSinceMs;
         private long usableUntilMs;
@@ -136,6 +140,16 @@
             return http;
         }
 
+        /** Returns the number of this connection among those that this pool has opened, from 1. */
+        long id() {
+            return id;
+        }
+
+        /** Returns the number of requests for which the connection was acquired. */
+        int requestCount() {
+            return requestCount;
+        }
+
         /**
          * Returns the connection to the pool.
          *
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -275,6 +275,8 @@
                     .flatMap(shared.contacts()::endpointAt)
                     .orElse(contact.endpointId());
             attempt = null;
+            status = responseHead.status();
+            reportEnd(ResponseEnd.Cause.REFUSED, "");
             Reason reason = responseHead.isMisdirected() ? Reason.ENDPOINT_CHANGED : Reason.ENDPOINT_REFUSED;
             postAttemptFailed(epoch, faultyEndpointId, reason, Verdict.NOT_RUN);
         }
@@ -368,7 +370,15 @@
             shared.responseEnds()
                     .responseEnded(
                             request.requestId(),
-                            new ResponseEnd(epoch, contact.endpointId(), status, framing, eventCount, cause, detail));
+                            new ResponseEnd(
+                                    epoch,
+                                    contact.endpointId(),
+                                    status,
+                                    framing,
+                                    eventCount,
+                                    cause,
+                                    detail,
+                                    call.carrier()));
         }
 
         /** Lets the core retry the request, or resets the caller's connection if no other response can follow. */
--- a/server/src/main/java/io/radishwinch/server/proxy/ResponseEnd.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ResponseEnd.java
@@ -10,9 +10,17 @@
  * @param eventCount complete events of the response that were forwarded
  * @param cause why the response ended
  * @param detail description of the failure, or an empty string
+ * @param carrier connection over which the response came
  */
 public record ResponseEnd(
-        int epoch, String endpointId, int status, Framing framing, int eventCount, Cause cause, String detail) {
+        int epoch,
+        String endpointId,
+        int status,
+        Framing framing,
+        int eventCount,
+        Cause cause,
+        String detail,
+        Carrier carrier) {
 
     private static final int FIRST_ERROR = 400;
 
@@ -39,10 +47,24 @@
         }
     }
 
+    /**
+     * Connection of a response, and what attributes the response to its request.
+     *
+     * @param connectionId number of the connection among those to all endpoints, or 0 if there was none
+     * @param requestNumber number of the request on its connection, from 1
+     * @param isIdentified whether the response names its request
+     */
+    public record Carrier(long connectionId, int requestNumber, boolean isIdentified) {
+        /** The attempt ended before it had a connection. */
+        public static final Carrier NONE = new Carrier(0, 0, false);
+    }
+
     /** Why a response ended. */
     public enum Cause {
         /** The response ended as its framing says. */
         COMPLETE("complete"),
+        /** The endpoint stated that it did not run the request. */
+        REFUSED("refused"),
         /** The connection failed, or the request did not reach the endpoint. */
         CONNECTION_FAILED("connection-failed"),
         /** The response cannot be attributed to the endpoint. */
--- a/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import java.util.Optional;
 
 /** One request to one endpoint. Confined to one traffic thread. */
 final class UpstreamCall {
@@ -90,6 +91,16 @@
         return request != null;
     }
 
+    /** Returns the connection of the call and whether its response names the request. */
+    ResponseEnd.Carrier carrier() {
+        return connection == null
+                ? ResponseEnd.Carrier.NONE
+                : new ResponseEnd.Carrier(
+                        connection.id(),
+                        connection.requestCount(),
+                        head != null && head.requestId().equals(Optional.of(requestId())));
+    }
+
     void pause() {
         response.pause();
     }
