Send requests that must not run twice on connections of their own

On a reused connection, a late second copy of an earlier response, or a close by the endpoint, leaves it unknown whether a charge has run: its caller gets an error and cannot repeat it. Reuse was limited to connections that had been idle for half a second at most, which avoids some of the closes and none of the copies. Such a request now always opens a connection, which serves repeatable requests afterwards.

Test before the change: aLateSecondCopyDoesNotAffectARequestThatMustNotRunTwice: expected "complete: run of b", was "STAGE_DIED MAY_HAVE_RUN"

--- a/server/src/main/java/io/radishwinch/server/proxy/EndpointConnectionPool.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EndpointConnectionPool.java
@@ -66,16 +66,27 @@
      *
      * @param requestId identifier of the request
      * @param maxOpen maximum number of open connections to the endpoint
-     * @param maxIdleMs maximum time for which a reused connection may have been idle, in ms
      * @return the connection, or a failure with an {@link EndpointException} whose verdict is {@code NOT_RUN}
      */
-    Future<Connection> acquire(EndpointContact contact, String requestId, int maxOpen, long maxIdleMs) {
-        AddressPool pool = poolsByAddress.computeIfAbsent(contact.address(), key -> new AddressPool());
-        Connection pooled = pool.takeIdle(requestId, clockMs.getAsLong(), maxIdleMs);
+    Future<Connection> acquire(EndpointContact contact, String requestId, int maxOpen) {
+        AddressPool pool = poolOf(contact);
+        Connection pooled = pool.takeIdle(requestId, clockMs.getAsLong());
         if (pooled != null) {
             pooled.recordRequest(requestId);
             return Future.succeededFuture(pooled);
         }
+        return open(contact, requestId, maxOpen);
+    }
+
+    /**
+     * Opens a connection to an endpoint. No earlier request can affect the response to its first one.
+     *
+     * @param requestId identifier of the request
+     * @param maxOpen maximum number of open connections to the endpoint
+     * @return the connection, or a failure with an {@link EndpointException} whose verdict is {@code NOT_RUN}
+     */
+    Future<Connection> open(EndpointContact contact, String requestId, int maxOpen) {
+        AddressPool pool = poolOf(contact);
         if (pool.openCount >= maxOpen && !pool.closeOldestIdle()) {
             return Future.failedFuture(
                     notSentException(contact, Reason.ENDPOINT_REFUSED, "connection limit reached", null));
@@ -96,6 +107,10 @@
                 });
     }
 
+    private AddressPool poolOf(EndpointContact contact) {
+        return poolsByAddress.computeIfAbsent(contact.address(), key -> new AddressPool());
+    }
+
     /** Closes the idle connections whose reuse time has expired. */
     void closeExpired() {
         long now = clockMs.getAsLong();
@@ -114,13 +129,11 @@
         private int openCount;
 
         /** Removes and returns the most recently used connection that is suitable, or returns null. */
-        Connection takeIdle(String requestId, long nowMs, long maxIdleMs) {
+        Connection takeIdle(String requestId, long nowMs) {
             // The most recently used connection is the least likely to have been closed by the endpoint.
             for (Iterator<Connection> iterator = idleConnections.descendingIterator(); iterator.hasNext(); ) {
                 Connection connection = iterator.next();
-                if (nowMs < connection.usableUntilMs
-                        && nowMs - connection.idleSinceMs <= maxIdleMs
-                        && !connection.hasCarried(requestId)) {
+                if (nowMs < connection.usableUntilMs && !connection.hasCarried(requestId)) {
                     iterator.remove();
                     return connection;
                 }
@@ -156,7 +169,6 @@
         private final int[] requestIdHashes = new int[MAX_REQUESTS_PER_CONNECTION];
         private int requestCount;
         private boolean isClosed;
-        private long idleSinceMs;
         private long usableUntilMs;
 
         Connection(AddressPool pool, HttpClientConnection http) {
@@ -200,8 +212,7 @@
                 discard();
             } else if (!isClosed) {
                 long usableMs = (long) (KEEP_ALIVE_SHARE * (keepAliveMs > 0 ? keepAliveMs : DEFAULT_KEEP_ALIVE_MS));
-                idleSinceMs = clockMs.getAsLong();
-                usableUntilMs = idleSinceMs + usableMs;
+                usableUntilMs = clockMs.getAsLong() + usableMs;
                 addressPool.idleConnections.addLast(this);
             }
         }
--- a/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
@@ -3,6 +3,7 @@
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.Verdict;
 import io.radishwinch.server.engine.EndpointException;
+import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -14,9 +15,6 @@
 /** One request to one endpoint. Confined to one traffic thread. */
 final class UpstreamCall {
 
-    /** Maximum idle time of a reused connection for a request that must not be sent twice, in ms. */
-    private static final long MAX_IDLE_AT_MOST_ONCE_MS = 500;
-
     private final ProxyScope scope;
     private final EndpointContact contact;
     private final Listener listener;
@@ -59,24 +57,31 @@
     }
 
     void start(OutgoingRequest outgoing, int maxConnections) {
-        long maxIdleMs = outgoing.isRepeatable() ? Long.MAX_VALUE : MAX_IDLE_AT_MOST_ONCE_MS;
+        connect(outgoing, maxConnections).onComplete(acquired -> {
+            if (acquired.failed()) {
+                fail(acquired.cause());
+            } else if (isEnded) {
+                acquired.result().release(0);
+            } else if (scope.notices().isPaused(contact.endpointId())) {
+                // The endpoint asked for the pause while this request waited for a connection.
+                acquired.result().release(0);
+                fail(Reason.ENDPOINT_REFUSED, Verdict.NOT_RUN, "the endpoint has asked for a pause");
+            } else {
+                connection = acquired.result();
+                open(outgoing);
+            }
+        });
+    }
+
+    /**
+     * Connects to the endpoint. A request that must not run twice gets a connection of its own: on a reused one, a
+     * second copy of an earlier response or a close by the endpoint would leave its outcome unknown.
+     */
+    private Future<EndpointConnectionPool.Connection> connect(OutgoingRequest outgoing, int maxConnections) {
         String requestId = scope.dialect().requestId(outgoing.headers());
-        scope.connections()
-                .acquire(contact, requestId, maxConnections, maxIdleMs)
-                .onComplete(acquired -> {
-                    if (acquired.failed()) {
-                        fail(acquired.cause());
-                    } else if (isEnded) {
-                        acquired.result().release(0);
-                    } else if (scope.notices().isPaused(contact.endpointId())) {
-                        // The endpoint asked for the pause while this request waited for a connection.
-                        acquired.result().release(0);
-                        fail(Reason.ENDPOINT_REFUSED, Verdict.NOT_RUN, "the endpoint has asked for a pause");
-                    } else {
-                        connection = acquired.result();
-                        open(outgoing);
-                    }
-                });
+        return outgoing.isRepeatable()
+                ? scope.connections().acquire(contact, requestId, maxConnections)
+                : scope.connections().open(contact, requestId, maxConnections);
     }
 
     /** Cancels the call. Closes the connection, which makes the endpoint stop the request. */
--- a/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
@@ -110,6 +110,10 @@
     }
 
     private Recorder call(String requestId, int port, EndpointNoticeListener notices) {
+        return call(requestId, port, notices, true);
+    }
+
+    private Recorder call(String requestId, int port, EndpointNoticeListener notices, boolean isRepeatable) {
         ProxyScope scope = new ProxyScope(
                 vertx,
                 context,
@@ -130,7 +134,7 @@
         context.runOnContext(ignored -> {
             recorder.call = new UpstreamCall(scope, contact, recorder);
             recorder.call.start(
-                    new UpstreamCall.OutgoingRequest(HttpMethod.GET, "/", headers, Buffer.buffer(), true),
+                    new UpstreamCall.OutgoingRequest(HttpMethod.GET, "/", headers, Buffer.buffer(), isRepeatable),
                     MAX_CONNECTIONS);
         });
         return recorder;
@@ -194,6 +198,19 @@
         }
     }
 
+    /** Guards against charges of unknown outcome because of a response to an earlier request. */
+    @Test
+    void aLateSecondCopyDoesNotAffectARequestThatMustNotRunTwice() throws Exception {
+        try (RepeatingEndpoint endpoint =
+                new RepeatingEndpoint(List.of(identified(200, "a", "run of a"), identified(200, "b", "run of b")))) {
+            outcomes(endpoint, "a");
+            assertThat(call("b", endpoint.port(), new NoNotices(), false)
+                            .outcome
+                            .get(WAIT_S, TimeUnit.SECONDS))
+                    .isEqualTo("complete: run of b");
+        }
+    }
+
     /** Guards against requests that reach a paused endpoint because they waited for a connection to it. */
     @Test
     void nothingIsSentToAnEndpointThatPausesWhenTheConnectionIsOpen() throws Exception {
