Close connections whose refusal does not end

A refusal as not run was read to its end before its connection was used again, without a bound: an endpoint that sends bytes without end took a connection and processor time until it stopped, and a silent one a place in the pool for good. The body of a refusal now has 64 KiB and one second; beyond that its connection is closed.

Test before the change: theConnectionOfARefusalWhoseBodyDoesNotEndIsClosed, with a body of 64 MiB and with one that stops: the connection stays open for 20 s.

--- a/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
@@ -15,6 +15,12 @@
 /** One request to one endpoint. Confined to one traffic thread. */
 final class UpstreamCall {
 
+    /** Time in which the body of a refusal must end for its connection to be used again, in ms. */
+    private static final long MAX_DRAIN_MS = 1_000;
+
+    /** Size of the body of a refusal above which its connection is closed, in bytes. */
+    private static final int MAX_DRAINED_BYTES = 64 << 10;
+
     private final ProxyScope scope;
     private final EndpointContact contact;
     private final Listener listener;
@@ -22,6 +28,7 @@
     private HttpClientRequest request;
     private HttpClientResponse response;
     private ResponseHead head;
+    private int drainedBytes;
     private boolean isBodySent;
     private boolean isEnded;
 
@@ -167,12 +174,7 @@
         }
         if (head.isNotRun()) {
             isEnded = true;
-            if (isReusable()) {
-                received.endHandler(ignored -> releaseConnection());
-                received.handler(ignored -> {});
-            } else {
-                connection.discard();
-            }
+            drain(received);
             listener.onRefused(head);
             return;
         }
@@ -192,6 +194,27 @@
         listener.onResponseHead(head, received);
     }
 
+    /**
+     * Reads the body of a refusal, after which the connection can be used again, unless the body is too long or slow.
+     */
+    private void drain(HttpClientResponse refusal) {
+        if (!isReusable()) {
+            connection.discard();
+            return;
+        }
+        long timerId = scope.vertx().setTimer(MAX_DRAIN_MS, ignored -> connection.discard());
+        refusal.handler(chunk -> {
+            drainedBytes += chunk.length();
+            if (drainedBytes > MAX_DRAINED_BYTES) {
+                connection.discard();
+            }
+        });
+        refusal.endHandler(ignored -> {
+            scope.vertx().cancelTimer(timerId);
+            releaseConnection();
+        });
+    }
+
     private void forwardNotices() {
         if (head.isLeaving()) {
             scope.notices().leaving(contact.endpointId());
--- a/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
@@ -14,6 +14,8 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -35,6 +37,9 @@
     private static final long WAIT_S = 20;
     private static final int MAX_CONNECTIONS = 4;
 
+    /** Exceeds what the buffers of a connection hold. */
+    private static final int MANY_BYTES = 64 << 20;
+
     private Vertx vertx;
     private Context context;
     private EndpointConnectionPool connections;
@@ -211,6 +216,33 @@
         }
     }
 
+    /** Guards against connections that are lost, and processor time that is spent, on refusals that never end. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void theConnectionOfARefusalWhoseBodyDoesNotEndIsClosed(boolean isFlooding) throws Exception {
+        Recorder recorder = call("a", server.getLocalPort(), new NoNotices());
+        try (Socket socket = server.accept()) {
+            ScriptedEndpoint.readHead(socket);
+            String refusal = response(503, "X-Not-Run: 1\r\nX-Request-Id: a\r\n", " ".repeat(MANY_BYTES));
+            String sent = isFlooding ? refusal : refusal.substring(0, refusal.length() - MANY_BYTES);
+            assertThat(isClosedByPeer(socket, sent)).isTrue();
+            assertThat(recorder.outcome.get(WAIT_S, TimeUnit.SECONDS)).isEqualTo("refused");
+        }
+    }
+
+    private static boolean isClosedByPeer(Socket socket, String bytesToSend) throws IOException {
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_S));
+        try {
+            socket.getOutputStream().write(bytesToSend.getBytes(StandardCharsets.US_ASCII));
+            return socket.getInputStream().read() < 0;
+        } catch (SocketTimeoutException e) {
+            return false;
+        } catch (SocketException e) {
+            // Reset while bytes were on their way.
+            return true;
+        }
+    }
+
     /** Guards against requests that reach a paused endpoint because they waited for a connection to it. */
     @Test
     void nothingIsSentToAnEndpointThatPausesWhenTheConnectionIsOpen() throws Exception {
