Send each order to a worker on a connection of its own

Orders and status reports shared pooled connections, and their responses do not name their call. A worker that sends the response to an earlier call twice, the second time late, had the copy taken for the response to the next order: an order that the worker refused counted as accepted, so that the router waited for layers that were never loaded; or a report was missing because the copy of an order's response came first.

A connection that carries one order can carry no response to another call. Few orders are sent, so that their connections cost little; status reports still share theirs with each other.

--- a/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
@@ -47,8 +47,22 @@
 
     /** Creates an HTTP client with pooled connections for exchanges. */
     public static HttpClientAgent newClient(Vertx vertx, ClientOptions options) {
+        return newClient(vertx, options, true);
+    }
+
+    /**
+     * Creates an HTTP client that opens a connection for each exchange and closes it afterwards. A pooled connection
+     * attributes a response to a call only by its place, so a late second copy of one response would be taken for the
+     * response to the next call.
+     */
+    public static HttpClientAgent newUnpooledClient(Vertx vertx, ClientOptions options) {
+        return newClient(vertx, options, false);
+    }
+
+    private static HttpClientAgent newClient(Vertx vertx, ClientOptions options, boolean isKeepAlive) {
         HttpClientOptions http = new HttpClientOptions()
                 .setConnectTimeout(options.connectTimeoutMs())
+                .setKeepAlive(isKeepAlive)
                 .setKeepAliveTimeout(options.keepAliveTimeoutS())
                 .setTcpNoDelay(true)
                 .setMaxHeaderSize(16 << 10);
