Apply no layers of a status report that is older than one already seen

Status reports of a worker share connections, and nothing in them names the call. A second copy of an earlier report, or one that overtakes a later one on another connection, returned the endpoint to the layers that it held before an order: requests were sent to it for layers that it had released, and the layers that it had loaded were not used.

The new test failed before:

statusReportFromBeforeALaterOrderChangesNoLayers Expecting actual: Optional[LayerRange[first=0, end=10]] to contain: LayerRange[first=10, end=20]

The number of accepted orders never decreases within a lifetime, so a report with a lower number is the older one on any connection. It still shows that the endpoint responds. A copy from before the end of an order that it already counts cannot be told from a new one.

--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -86,6 +86,7 @@
         private boolean isJoined;
         private boolean isLeaving;
         private boolean isMissing;
+        private long acceptedOrders;
         private int failures;
         private long nextCheckAtMs = Long.MAX_VALUE;
         private long evictAtMs = Long.MAX_VALUE;
@@ -274,14 +275,20 @@
         }
     }
 
-    /** Applies a status report; reports of another incarnation are ignored. */
+    /**
+     * Applies a status report. Reports of another incarnation are ignored. A report with fewer accepted orders than an
+     * earlier one arrived late or twice: it shows that the endpoint responds, but not which layers it holds.
+     */
     void applyStatusReport(String endpointId, StatusReport report, long nowMs) {
         EndpointLifetime endpoint = byId.get(endpointId);
         if (endpoint == null || report.incarnation() != endpoint.entry.incarnation()) {
             return;
         }
-        boolean hasOtherLayers = !endpoint.entry.layers().equals(report.layers());
-        endpoint.entry = endpoint.entry.withLayers(report.layers());
+        Optional<LayerRange> layers =
+                report.acceptedOrders() >= endpoint.acceptedOrders ? report.layers() : endpoint.entry.layers();
+        endpoint.acceptedOrders = Math.max(endpoint.acceptedOrders, report.acceptedOrders());
+        boolean hasOtherLayers = !endpoint.entry.layers().equals(layers);
+        endpoint.entry = endpoint.entry.withLayers(layers);
         if (!endpoint.isJoined) {
             log.stateChanged("endpoint-reachable", endpointId, "responds again");
             join(endpoint, nowMs);
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
@@ -164,6 +164,24 @@
         assertThat(takeEventTypes()).isEmpty();
     }
 
+    /** Guards against a late copy of a status report that returns an endpoint to layers that it no longer holds. */
+    @Test
+    void statusReportFromBeforeALaterOrderChangesNoLayers() {
+        StatusReport beforeOrder = new StatusReport(7, Optional.of(new LayerRange(0, 10)), false, 1, List.of(), 1);
+        StatusReport afterOrder = new StatusReport(7, Optional.of(new LayerRange(10, 20)), false, 2, List.of(), 1);
+        registry.applyEntry("e", entry("e", 7, false, new LayerRange(0, 10)), 0);
+        registry.applyStatusReport("e@7", beforeOrder, 100);
+        registry.applyStatusReport("e@7", afterOrder, 200);
+        takeEventTypes();
+        registry.applyStatusReport("e@7", beforeOrder, 300);
+        assertThat(registry.entry("e@7").orElseThrow().layers()).contains(new LayerRange(10, 20));
+        assertThat(takeEventTypes()).isEmpty();
+        registry.markUnreachable("e@7", "no report", 400);
+        takeEventTypes();
+        registry.applyStatusReport("e@7", beforeOrder, 500);
+        assertThat(takeEventTypes()).containsExactly(Event.EndpointJoined.class, Event.LoadReported.class);
+    }
+
     @Test
     void endpointOfAnUnknownServiceJoinsOnceTheServiceIsConfigured() {
         EndpointRegistry unconfigured =
