--- a/server/src/main/java/io/radishwinch/server/JournalTransport.java
+++ b/server/src/main/java/io/radishwinch/server/JournalTransport.java
@@ -31,6 +31,9 @@
     /** Maximum increments of an incarnation since the start; a member adds one each time it refutes a suspicion. */
     private static final long MAX_REFUTATIONS = 1000;
 
+    /** Number of low bits of a sequence number that count the requests; the others contain the start of the router. */
+    private static final int SEQUENCE_COUNT_BITS = 20;
+
     private static final char SEPARATOR = '_';
 
     private final Vertx vertx;
@@ -38,13 +41,15 @@
     private final long timeoutMs;
     private final Consumer<List<OutgoingFrame>> sender;
     private final Map<Long, Pending> pending = new HashMap<>();
-    private long nextSequence = 1;
+    private long nextSequence;
 
     JournalTransport(Vertx vertx, PeerNode node, long timeoutMs, Consumer<List<OutgoingFrame>> sender) {
         this.vertx = vertx;
         this.node = node;
         this.timeoutMs = timeoutMs;
         this.sender = sender;
+        // A reply to the previous process at this address must not complete a request of this one.
+        this.nextSequence = node.self().incarnation() << SEQUENCE_COUNT_BITS;
     }
 
     /** Request that waits for its reply. */
