Do not preempt the last run that a route allows

Callers saw streams of the lowest rank end with a reset connection in the middle, without a failure of any endpoint. The router preempted them for more urgent requests; after the second preemption the limit of runs of the route (2) left no further one, and the core refused a stream that had begun. A preempted run counts as a run, because it ran, but PreemptionSystem looked only at the number of preemptions (4 at most).

FailureTest.theLastRunOfABatchRequestIsNotPreempted failed before: expected: Complete[requestId=batch] but was: Refuse[requestId=batch, reason=ATTEMPTS_EXHAUSTED, verdict=MAY_HAVE_RUN, retryAfterMs=0]

Only requests with a run left after the current one are preempted, so that a preemption by itself does not use up the runs of a request.

--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -261,6 +261,11 @@
         }
     }
 
+    /** Returns whether the request may run once more after its running attempt. */
+    boolean hasRunsAfterCurrent(RequestRow row) {
+        return countRuns(row) + 1 < row.spec.maxRuns();
+    }
+
     /**
      * Counts the attempts that may have run, without those whose first endpoint has been removed. An ejected or leaving
      * endpoint has run its attempts.
--- a/core/src/main/java/io/radishwinch/core/impl/PreemptionSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/PreemptionSystem.java
@@ -45,7 +45,7 @@
 
     /**
      * Returns the batch attempt with the fewest tokens to recompute. Attempts that serve a floor are not preempted, nor
-     * are those close to completion, which release their slots soon.
+     * are those close to completion, which release their slots soon, and those of requests that could not run again.
      */
     private Optional<RequestRow> victim(String pool, long nowMs) {
         return state.running.stream()
@@ -55,6 +55,7 @@
                         && row.spec.isRepeatable()
                         && row.preemptions < state.settings.maxPreemptions()
                         && !state.queue.isPolledForFloor(row.id())
+                        && attempts.hasRunsAfterCurrent(row)
                         && !isNearCompletion(row, nowMs))
                 .min(Comparator.comparingLong(row -> (long) row.spec.promptTokens() + row.deliveredTokens));
     }
--- a/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
@@ -394,6 +394,37 @@
                 .hasSize(1);
     }
 
+    private static RequestSpec batchRequest(String caller, int tokens, int maxRuns) {
+        return new RequestSpec(
+                "batch",
+                caller,
+                Rank.BATCH,
+                CoreSimulation.MODEL,
+                10,
+                tokens,
+                0,
+                60_000,
+                "f-batch",
+                List.of(),
+                List.of(),
+                true,
+                maxRuns,
+                tokens,
+                60_000);
+    }
+
+    /** Guards against streams that the router breaks off itself: it preempts the last run that their route allows. */
+    @Test
+    void theLastRunOfABatchRequestIsNotPreempted() {
+        CoreSimulation simulation = simulation(1, 1, 1);
+        simulation.arrive(batchRequest("b", 1_000, 2));
+        simulation.arrive(simulation.request("urgent1", "a", Rank.INTERACTIVE, 1_000, 50, 30_000));
+        simulation.arrive(simulation.request("urgent2", "a", Rank.INTERACTIVE, 3_000, 50, 30_000));
+        simulation.run(60_000);
+        assertThat(simulation.trace("batch").end).isEqualTo(new Action.Complete("batch"));
+        assertThat(simulation.trace("batch").starts).hasSize(2);
+    }
+
     @Test
     void requestsOverTheLimitsAreRefusedAndUnusedTokensAreRefunded() {
         CoreSimulation simulation = CoreSimulation.of(new FakeDirectory(1, 4, 8), CoreSettings.defaults());
