Do not preempt requests whose contract has been withdrawn

After a configuration that removes a contract, running requests of its caller finish. One that is preempted cannot run again: the core refuses it at once, and a stream that has begun ends with a reset connection.

FailureTest.aRunningRequestOfADeletedContractIsNotPreempted failed before: expected: Complete[requestId=batch] but was: Refuse[requestId=batch, reason=CONTRACT_WITHDRAWN, verdict=MAY_HAVE_RUN, retryAfterMs=0]

Found by reading the code, not seen with real processes. Requests that the configuration in effect no longer allows are not preempted.

--- a/core/src/main/java/io/radishwinch/core/impl/PreemptionSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/PreemptionSystem.java
@@ -56,6 +56,7 @@
                         && row.preemptions < state.settings.maxPreemptions()
                         && !state.queue.isPolledForFloor(row.id())
                         && attempts.hasRunsAfterCurrent(row)
+                        && state.contractRefusalReason(row.spec) == null
                         && !isNearCompletion(row, nowMs))
                 .min(Comparator.comparingLong(row -> (long) row.spec.promptTokens() + row.deliveredTokens));
     }
--- a/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
@@ -425,6 +425,19 @@
         assertThat(simulation.trace("batch").starts).hasSize(2);
     }
 
+    /** Guards against running streams of a deleted contract that are broken off: preempted, they could not resume. */
+    @Test
+    void aRunningRequestOfADeletedContractIsNotPreempted() {
+        CoreSimulation simulation = simulation(1, 1, 1);
+        simulation.arrive(batchRequest("b", 1_000, 9));
+        simulation.run(100);
+        simulation.contracts.remove("b");
+        simulation.configure();
+        simulation.arrive(simulation.request("urgent", "a", Rank.INTERACTIVE, 1_000, 50, 30_000));
+        simulation.run(60_000);
+        assertThat(simulation.trace("batch").end).isEqualTo(new Action.Complete("batch"));
+    }
+
     @Test
     void requestsOverTheLimitsAreRefusedAndUnusedTokensAreRefunded() {
         CoreSimulation simulation = CoreSimulation.of(new FakeDirectory(1, 4, 8), CoreSettings.defaults());
