Preempt nothing while the router drains

A stopping router preempted streams that would have ended in time. A preempted stream starts again with what is left of the drain; if that is too short, the core refuses it and its connection is reset.

FailureTest.aDrainingRouterPreemptsNoRequest failed before: expected: Complete[requestId=batch] but was: Refuse[requestId=batch, reason=DRAINING, verdict=MAY_HAVE_RUN, retryAfterMs=0]

Found by reading the code, not seen by itself with real processes. The more urgent request that waits is refused as not run, and its caller can send it to another router.

--- a/core/src/main/java/io/radishwinch/core/impl/PreemptionSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/PreemptionSystem.java
@@ -19,6 +19,10 @@
 
     /** Preempts at most one attempt per pool and tick, so that a freed slot is used before the next preemption. */
     void tick(long nowMs) {
+        if (state.isDraining) {
+            // A preempted request might not end before the drain does; other routers serve those that wait.
+            return;
+        }
         state.pools.forEach((name, pool) -> {
             if (pool.isBlocked() && !isPreempting(name) && hasWaitingUrgentWork(name, nowMs)) {
                 victim(name, nowMs).ifPresent(row -> attempts.cancel(row, Reason.PREEMPTED, "", nowMs));
--- a/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
@@ -438,6 +438,20 @@
         assertThat(simulation.trace("batch").end).isEqualTo(new Action.Complete("batch"));
     }
 
+    /**
+     * Guards against running streams that a planned stop breaks off: preempted, they could not end before the drain.
+     */
+    @Test
+    void aDrainingRouterPreemptsNoRequest() {
+        CoreSimulation simulation = simulation(1, 1, 1, CoreSettings.defaults().withServiceWhileDraining());
+        simulation.arrive(batchRequest("b", 700, 9));
+        simulation.at(500, new Event.DrainStarted(7_500));
+        simulation.arrive(simulation.request("urgent", "a", Rank.INTERACTIVE, 600, 300, 5_000));
+        simulation.run(60_000);
+        assertThat(simulation.trace("batch").end).isEqualTo(new Action.Complete("batch"));
+        assertThat(simulation.trace("urgent").refusal().verdict()).isEqualTo(Verdict.NOT_RUN);
+    }
+
     @Test
     void requestsOverTheLimitsAreRefusedAndUnusedTokensAreRefunded() {
         CoreSimulation simulation = CoreSimulation.of(new FakeDirectory(1, 4, 8), CoreSettings.defaults());
