--- a/core/src/main/java/io/radishwinch/core/impl/PreemptionSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/PreemptionSystem.java
@@ -19,6 +19,10 @@
 
     /** Preempts at most one attempt per pool and tick, so that a freed slot is used before the next preemption. */
     void tick(long nowMs) {
+        if (state.isDraining) {
+            // A preempted request might not end before the drain does; other routers serve those that wait.
+            return;
+        }
         state.pools.forEach((name, pool) -> {
             if (pool.isBlocked() && !isPreempting(name) && hasWaitingUrgentWork(name, nowMs)) {
                 victim(name, nowMs).ifPresent(row -> attempts.cancel(row, Reason.PREEMPTED, "", nowMs));
@@ -45,7 +49,7 @@
 
     /**
      * Returns the batch attempt with the fewest tokens to recompute. Attempts that serve a floor are not preempted, nor
-     * are those close to completion, which release their slots soon.
+     * are those close to completion, which release their slots soon, and those of requests that could not run again.
      */
     private Optional<RequestRow> victim(String pool, long nowMs) {
         return state.running.stream()
@@ -55,6 +59,8 @@
                         && row.spec.isRepeatable()
                         && row.preemptions < state.settings.maxPreemptions()
                         && !state.queue.isPolledForFloor(row.id())
+                        && attempts.hasRunsAfterCurrent(row)
+                        && state.contractRefusalReason(row.spec) == null
                         && !isNearCompletion(row, nowMs))
                 .min(Comparator.comparingLong(row -> (long) row.spec.promptTokens() + row.deliveredTokens));
     }
