Fail a resumed response with an event that has no identifier

A caller could get a stream with status 200 that was framed as complete and was not: in place of its last events it held the head of an HTTP response.

Cause: the stand-in of an endpoint ended a stream inside an event, in complete framing, so that its connection was kept, and the resumed request was sent on it. A late copy of the head of the first response came before the second one. It names the same request, so it was taken for the head of the second response, and what followed, the real head included, for its body. The scanner forwarded these lines as an event without identifier, and the length in the late head ended the response before the last event.

The position of an event without identifier is unknown. Streams that contain one are not resumed for this reason, but a resumed response was not held to it. Such a response now fails the attempt: the event and all that follows are not forwarded, and the stream resumes after its last event elsewhere. A connection that carries a request twice is a fault of its own.

--- a/server/src/main/java/io/radishwinch/server/proxy/EventScanner.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EventScanner.java
@@ -29,6 +29,8 @@
     private int duplicateCount;
     private boolean hasContent;
     private boolean isLastEventIdentified = true;
+    private boolean isResumed;
+    private boolean isPositionLost;
 
     /**
      * Creates a scanner.
@@ -49,7 +51,7 @@
         pending.appendBuffer(chunk);
         Buffer completed = Buffer.buffer();
         int eventStart = 0;
-        while (scannedTo < pending.length()) {
+        while (scannedTo < pending.length() && !isPositionLost) {
             if (pending.getByte(scannedTo++) != LINE_FEED) {
                 continue;
             }
@@ -75,8 +77,10 @@
         return completed;
     }
 
-    /** Drops the bytes of the incomplete event before the stream resumes at another endpoint. */
-    void dropPartialEvent() {
+    /** Drops the bytes of the incomplete event before the stream starts or resumes at another endpoint. */
+    void startResponse() {
+        isResumed = eventCount > 0;
+        isPositionLost = false;
         pending = Buffer.buffer();
         scannedTo = 0;
         lineStart = 0;
@@ -92,6 +96,14 @@
         return isLastEventIdentified;
     }
 
+    /**
+     * Returns whether a resumed response contains an event without identifier, which the caller may already have. This
+     * event and all later ones of the response are not returned.
+     */
+    boolean isPositionLost() {
+        return isPositionLost;
+    }
+
     /** Returns whether bytes of an incomplete event are buffered. */
     boolean hasPartialEvent() {
         return pending.length() > 0;
@@ -119,6 +131,10 @@
 
     private void endEvent(Buffer completed, int eventStart) {
         boolean isDuplicate = eventId != RequestHead.NONE && eventId <= lastEventId;
+        isPositionLost = isResumed && hasContent && eventId == RequestHead.NONE;
+        if (isPositionLost) {
+            return;
+        }
         if (isDuplicate) {
             duplicateCount++;
         } else {
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -113,7 +113,7 @@
                     contact.get(), stage.layers().first(), stage.layers().end()));
         }
         lastActivityAtMs = shared.control().nowMs();
-        scanner.dropPartialEvent();
+        scanner.startResponse();
         attempt = new Attempt(start.epoch(), hops.get(0).contact());
         boolean isService = request.pool().startsWith(ModelSpec.SERVICE_PREFIX);
         String caller = request.caller().equals(RoutingConfig.PUBLIC_CALLER) ? "" : request.caller();
@@ -291,11 +291,7 @@
                 return;
             }
             if (isHeadSent && !continuesStream()) {
-                call.cancel();
-                reportEnd(
-                        ResponseEnd.Cause.UNEXPECTED,
-                        "response with status " + status + " does not continue the stream");
-                endAttempt(Reason.ENDPOINT_ERROR, Verdict.RAN);
+                failUnexpected("response with status " + status + " does not continue the stream");
                 return;
             }
             lastActivityAtMs = shared.control().nowMs();
@@ -321,6 +317,8 @@
                 if (scanner.isOversized() || leadingComments.length() > EventScanner.MAX_EVENT_BYTES) {
                     call.cancel();
                     fail(ResponseEnd.Cause.OVERSIZED, "event exceeds the maximum size");
+                } else if (scanner.isPositionLost()) {
+                    failUnexpected("resumed stream contains an event without identifier");
                 }
             } else if (isHeadSent) {
                 write(chunk);
@@ -364,6 +362,13 @@
             endAttempt(Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN);
         }
 
+        /** Ends the attempt because its response does not continue the stream that the caller is reading. */
+        private void failUnexpected(String detail) {
+            call.cancel();
+            reportEnd(ResponseEnd.Cause.UNEXPECTED, detail);
+            endAttempt(Reason.ENDPOINT_ERROR, Verdict.RAN);
+        }
+
         private void reportEnd(ResponseEnd.Cause cause, String detail) {
             shared.responseEnds()
                     .responseEnded(
--- a/server/src/test/java/io/radishwinch/server/proxy/EventScannerTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/EventScannerTest.java
@@ -36,7 +36,7 @@
     void aDroppedPartialEventLeavesNoBytesInTheResumedStream() {
         EventScanner scanner = new EventScanner(RequestHead.NONE);
         scanner.feed(Buffer.buffer("id: 1\ndata: a\n\nid: 2\nda"));
-        scanner.dropPartialEvent();
+        scanner.startResponse();
         assertThat(scanner.feed(Buffer.buffer("id: 2\ndata: b\n\n")).toString()).isEqualTo("id: 2\ndata: b\n\n");
     }
 
--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
@@ -281,6 +281,30 @@
         assertThat(outcome.get(WAIT_S, TimeUnit.SECONDS)).isEmpty();
     }
 
+    static Stream<Script> resumedResponsesWithAnUnidentifiedEvent() {
+        String realResponse = STREAM_HEAD + chunk(events(3, 4)) + LAST_CHUNK;
+        String lateHead =
+                "HTTP/1.1 200 OK\r\n" + SEALED + STREAM + "Content-Length: " + realResponse.length() + "\r\n\r\n";
+        return Stream.of(
+                new Script(lateHead + realResponse, End.NONE),
+                new Script(STREAM_HEAD + chunk("data: x\n\n" + events(3, 4)) + LAST_CHUNK, End.NONE),
+                new Script(STREAM_HEAD + chunk(events(3, 3) + "data: x\n\n" + events(4, 4)) + LAST_CHUNK, End.NONE));
+    }
+
+    /**
+     * Guards against a response head, or an event that the caller may have, inside a resumed stream that ends as
+     * complete. A late copy of a response head makes the next response on the connection its body.
+     */
+    @ParameterizedTest
+    @MethodSource("resumedResponsesWithAnUnidentifiedEvent")
+    void aResumedStreamWithAnEventWithoutIdentifierIsResumedElsewhere(Script second) throws Exception {
+        Script rest = new Script(
+                head -> STREAM_HEAD + chunk(events(lastEventId(head) + 1, 4)) + LAST_CHUNK, "", End.NONE, () -> {});
+        String response = call(start(RouteKind.STREAM, List.of(brokenStream(), second, rest)));
+        assertThat(bodyOf(response)).isEqualTo(events(1, 4));
+        assertThat(response).endsWith("\r\n" + LAST_CHUNK);
+    }
+
     static Stream<Script> responsesThatBreakOffBeforeAnEvent() {
         String connectionHead = "HTTP/1.1 200 OK\r\n" + SEALED + STREAM + "\r\n";
         return Stream.of(
