Reuse no connections to an endpoint that has sent a surplus response

An endpoint that repeats its responses late broke the next call on each of its connections: the response named another request, so the call failed although it ran. Each new connection could break one call more. After the first surplus response, the idle connections to the endpoint are now closed and none is reused for 30 s; on a connection that carries one request there is no next response that a copy could displace.

Test before the change: onlyTheFirstLateSecondCopyOfAnotherRequestsResponseFailsACall: expected the fourth call to be "complete: run of d", was "STAGE_DIED MAY_HAVE_RUN"

--- a/server/src/main/java/io/radishwinch/server/proxy/EndpointConnectionPool.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EndpointConnectionPool.java
@@ -41,6 +41,9 @@
      */
     private static final double KEEP_ALIVE_SHARE = 0.6;
 
+    /** Time for which no connection to an endpoint is reused after a surplus response, in ms. */
+    private static final long REUSE_SUSPENSION_MS = 30_000;
+
     private static final int MAX_HEADER_BYTES = 64 << 10;
 
     /** Number of requests after which a connection is closed; bounds the memory for their identifiers. */
@@ -111,11 +114,24 @@
         return poolsByAddress.computeIfAbsent(contact.address(), key -> new AddressPool());
     }
 
+    /**
+     * Closes the idle connections to an endpoint that has sent a surplus response, and reuses none for some time. The
+     * copies that it owes to other connections are then never sent.
+     */
+    void suspendReuse(EndpointContact contact) {
+        AddressPool pool = poolOf(contact);
+        pool.reusableFromMs = clockMs.getAsLong() + REUSE_SUSPENSION_MS;
+        boolean hasIdle = true;
+        while (hasIdle) {
+            hasIdle = pool.closeOldestIdle();
+        }
+    }
+
     /** Closes the idle connections whose reuse time has expired. */
     void closeExpired() {
         long now = clockMs.getAsLong();
         poolsByAddress.values().forEach(pool -> pool.closeExpired(now));
-        poolsByAddress.values().removeIf(pool -> pool.openCount == 0);
+        poolsByAddress.values().removeIf(pool -> pool.openCount == 0 && now >= pool.reusableFromMs);
     }
 
     private static EndpointException notSentException(
@@ -127,6 +143,7 @@
     private static final class AddressPool {
         private final ArrayDeque<Connection> idleConnections = new ArrayDeque<>();
         private int openCount;
+        private long reusableFromMs;
 
         /** Removes and returns the most recently used connection that is suitable, or returns null. */
         Connection takeIdle(String requestId, long nowMs) {
@@ -203,16 +220,17 @@
         }
 
         /**
-         * Returns the connection to the pool, or closes it after its last request.
+         * Returns the connection to the pool, or closes it after its last request or while reuse is suspended.
          *
          * @param keepAliveMs keep-alive time that the endpoint announced, in ms, or 0 if it announced none
          */
         void release(long keepAliveMs) {
-            if (requestCount == MAX_REQUESTS_PER_CONNECTION) {
+            long nowMs = clockMs.getAsLong();
+            if (requestCount == MAX_REQUESTS_PER_CONNECTION || nowMs < addressPool.reusableFromMs) {
                 discard();
             } else if (!isClosed) {
                 long usableMs = (long) (KEEP_ALIVE_SHARE * (keepAliveMs > 0 ? keepAliveMs : DEFAULT_KEEP_ALIVE_MS));
-                usableUntilMs = clockMs.getAsLong() + usableMs;
+                usableUntilMs = nowMs + usableMs;
                 addressPool.idleConnections.addLast(this);
             }
         }
--- a/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
@@ -164,6 +164,7 @@
         received.exceptionHandler(cause -> onConnectionFailure(cause.getMessage()));
         if (head.requestId().isPresent() && !head.requestId().get().equals(requestId())) {
             // The response belongs to an earlier request on this connection; it is unknown whether this request runs.
+            scope.connections().suspendReuse(contact);
             onConnectionFailure("response belongs to another request");
             return;
         }
--- a/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
@@ -192,14 +192,22 @@
         }
     }
 
-    /** Guards against a response that belongs to another request, and against a new connection for each request. */
+    /**
+     * Guards against a response that belongs to another request, against a new connection for each request, and against
+     * further calls that fail because the endpoint goes on repeating its responses.
+     */
     @Test
-    void aLateSecondCopyOfAnotherRequestsResponseFailsTheCallOnItsConnection() throws Exception {
-        try (RepeatingEndpoint endpoint =
-                new RepeatingEndpoint(List.of(identified(200, "a", "run of a"), identified(200, "b", "run of b")))) {
-            assertThat(outcomes(endpoint, "a", "b"))
-                    .containsExactly("complete: run of a", Reason.STAGE_DIED + " " + Verdict.MAY_HAVE_RUN);
-            assertThat(endpoint.connections).hasValue(1);
+    void onlyTheFirstLateSecondCopyOfAnotherRequestsResponseFailsACall() throws Exception {
+        List<String> ids = List.of("a", "b", "c", "d");
+        try (RepeatingEndpoint endpoint = new RepeatingEndpoint(
+                ids.stream().map(id -> identified(200, id, "run of " + id)).toList())) {
+            assertThat(outcomes(endpoint, ids.toArray(String[]::new)))
+                    .containsExactly(
+                            "complete: run of a",
+                            "STAGE_DIED MAY_HAVE_RUN",
+                            "complete: run of c",
+                            "complete: run of d");
+            assertThat(endpoint.connections).hasValue(3);
         }
     }
 
