Apply the entries after one whose handling fails, and count unreadable entries

An exception in the decoding of one entry would have ended the control task, and with it the handling of the entries listed after it. It now makes this entry unreadable, with a log line and the name of the exception. No decoder is known to throw one; the test uses one that does.

The gauge radishwinch_endpoints_unreadable shows how many entries can't be read; endpoint-unreadable names each once.

EndpointRegistryTest.entryWhoseDecodingFailsIsUnreadable failed before: IllegalStateException: fault of a decoder.

--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -10,8 +10,8 @@
 import io.radishwinch.core.model.ModelSpec;
 import io.radishwinch.server.proxy.ContactLookup;
 import io.radishwinch.server.proxy.EndpointContact;
+import io.vavr.control.Either;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -20,6 +20,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /**
  * Tracks the endpoints and their holdings from the platform's list and from status reports, and posts changes to the
@@ -29,6 +30,8 @@
  */
 final class EndpointRegistry implements ContactLookup {
 
+    private static final System.Logger LOG = System.getLogger(EndpointRegistry.class.getName());
+
     /** Time for which a removed endpoint is retained to finish its requests, in ms; the longest deadline. */
     private static final long REMOVED_RETENTION_MS = 20_000;
 
@@ -52,7 +55,7 @@
     private final Map<String, EndpointLifetime> byId = new TreeMap<>();
     private final Map<String, EndpointContact> contacts = new ConcurrentHashMap<>();
     private final Map<String, String> idsByAddress = new ConcurrentHashMap<>();
-    private final Set<String> unreadableInstances = new HashSet<>();
+    private final Set<String> unreadableInstances = ConcurrentHashMap.newKeySet();
 
     /** Lifetimes that announced themselves that they leave, by instance; they outlive the endpoint and its entry. */
     private final Map<String, EndpointEntry> announcedLeaving = new LinkedHashMap<>() {
@@ -187,6 +190,26 @@
         }
     }
 
+    /**
+     * Applies an encoded entry, which may be unreadable. A decoder that fails makes only this entry unreadable, so that
+     * the entries after it are applied.
+     */
+    void applyEncoded(String instanceId, Supplier<Either<String, EndpointEntry>> decoder, long nowMs) {
+        try {
+            decoder.get()
+                    .peek(entry -> applyEntry(instanceId, entry, nowMs))
+                    .peekLeft(problem -> markUnreadable(instanceId, problem));
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "entry of endpoint " + instanceId + " cannot be applied", e);
+            markUnreadable(instanceId, e.getClass().getSimpleName());
+        }
+    }
+
+    /** Returns the number of entries that cannot be read; safe for use by any thread. */
+    int unreadableCount() {
+        return unreadableInstances.size();
+    }
+
     /** Records an entry that cannot be decoded; the previous entry stays in effect. */
     void markUnreadable(String instanceId, String problem) {
         if (unreadableInstances.add(instanceId)) {
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -152,6 +152,10 @@
                 log);
         control = new ControlLoop(context, clock, decisionCore(), this::performSharedAction);
         registry = new EndpointRegistry(control::post, new PeerPublisher(), log, settings.relistGraceMs());
+        metrics.gauge(
+                "radishwinch.endpoints.unreadable",
+                "endpoints whose entry cannot be read, which get no requests",
+                registry::unreadableCount);
         endpointNotices = new EndpointNotices(registry, control::execute, control::post, clock);
         healthChecker = new EndpointHealthChecker(clients.endpoints(), registry, endpointNotices::isPaused, log, clock);
         orderSender = new LayerOrderSender(
@@ -431,9 +435,7 @@
             return;
         }
         hasEndpointList = true;
-        dialect.decodeEndpoint(instanceId, object.value())
-                .peek(entry -> registry.applyEntry(instanceId, entry, nowMs))
-                .peekLeft(problem -> registry.markUnreadable(instanceId, problem));
+        registry.applyEncoded(instanceId, () -> dialect.decodeEndpoint(instanceId, object.value()), nowMs);
     }
 
     private void offerConfiguration(byte[] value, long version) {
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
@@ -9,6 +9,7 @@
 import io.radishwinch.core.model.LayerRange;
 import io.radishwinch.core.model.ModelSpec;
 import io.radishwinch.core.model.ServiceSpec;
+import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -132,6 +133,20 @@
         assertThat(registry.activeEndpointCount()).isEqualTo(1);
     }
 
+    /** Guards against an entry whose handling fails and ends that of the entries listed after it. */
+    @Test
+    void entryWhoseDecodingFailsIsUnreadable() {
+        registry.applyEncoded(
+                "e",
+                () -> {
+                    throw new IllegalStateException("fault of a decoder");
+                },
+                0);
+        registry.applyEncoded("f", () -> Either.right(entry("f", 7, false, null)), 0);
+        assertThat(registry.activeEndpointCount()).isEqualTo(1);
+        assertThat(registry.unreadableCount()).isEqualTo(1);
+    }
+
     @Test
     void unreachableEndpointIsCheckedAgainAndJoinsWhenItResponds() {
         registry.applyEntry("e", entry("e", 7, false, new LayerRange(0, 10)), 0);
