Use no endpoint whose entry becomes unreadable

A worker whose entry changed to a state that isn't known, or that another writer overwrote, went on getting requests as if the entry before were still stored. An entry that can't be read names no worker to use.

Such an endpoint now gets no new work, runs what it has, and is used again as soon as its entry can be read. Peers read the same entry and aren't told, so that a late message can't take the endpoint out of use once the entry is readable.

unreadableEntryLeavesThePreviousOneInEffect required the opposite. It is replaced by endpointWhoseEntryBecomesUnreadableGetsNoNewWorkUntilItCanBeReadAgain, which checks the events, the number of active endpoints, a second unreadable entry, another endpoint and the return to use. It failed before: expected [EndpointLeaving[endpointId=e@7]], found [].

--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -198,10 +198,10 @@
         try {
             decoder.get()
                     .peek(entry -> applyEntry(instanceId, entry, nowMs))
-                    .peekLeft(problem -> markUnreadable(instanceId, problem));
+                    .peekLeft(problem -> markUnreadable(instanceId, problem, nowMs));
         } catch (RuntimeException e) {
             LOG.log(System.Logger.Level.ERROR, "entry of endpoint " + instanceId + " cannot be applied", e);
-            markUnreadable(instanceId, e.getClass().getSimpleName());
+            markUnreadable(instanceId, e.getClass().getSimpleName(), nowMs);
         }
     }
 
@@ -210,8 +210,19 @@
         return unreadableInstances.size();
     }
 
-    /** Records an entry that cannot be decoded; the previous entry stays in effect. */
-    void markUnreadable(String instanceId, String problem) {
+    /**
+     * Records an entry that cannot be decoded. It names no endpoint to use: one that is known gets no new work until
+     * its entry can be read again. Other routers read the same entry and aren't told.
+     */
+    void markUnreadable(String instanceId, String problem, long nowMs) {
+        logUnreadable(instanceId, problem);
+        EndpointLifetime known = byInstance.get(instanceId);
+        if (known != null && !known.isLeaving) {
+            stopNewWork(known, "its entry cannot be read", nowMs);
+        }
+    }
+
+    private void logUnreadable(String instanceId, String problem) {
         if (unreadableInstances.add(instanceId)) {
             log.stateChanged("endpoint-unreadable", instanceId, problem);
         }
@@ -408,11 +419,15 @@
         if (endpoint.isLeaving) {
             return;
         }
+        stopNewWork(endpoint, cause, nowMs);
+        listener.endpointLeaving(endpoint.endpointId);
+    }
+
+    private void stopNewWork(EndpointLifetime endpoint, String cause, long nowMs) {
         endpoint.isLeaving = true;
         endpoint.evictAtMs = nowMs + REMOVED_RETENTION_MS;
         log.stateChanged("endpoint-leaving", endpoint.endpointId, cause);
         events.accept(new Event.EndpointLeaving(endpoint.endpointId));
-        listener.endpointLeaving(endpoint.endpointId);
     }
 
     /** Ends the lifetime of an endpoint that has restarted. */
