Pass no layers beyond the model's to the core

An entry with layers that end beyond the model's, or with a very large number of layers, joined with these layers.

The layers are checked against the configuration where an endpoint joins and where its holdings are reported. An endpoint that names such layers doesn't join; one that has joined holds none until its entry, its status report or the configuration changes. Both are logged once as endpoint-unreadable.

EndpointRegistryTest.endpointWithLayersBeyondItsModelDoesNotJoin and joinedEndpointThatNamesLayersBeyondItsModelHoldsNone failed before: two EndpointJoined events, and Holding[pool=m, layers=LayerRange[first=0, end=81]].

--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -159,7 +159,9 @@
 
     /** Applies a listed or changed entry of the platform's list. */
     void applyEntry(String instanceId, EndpointEntry entry, long nowMs) {
-        unreadableInstances.remove(instanceId);
+        if (!namesLayersBeyondModel(entry)) {
+            unreadableInstances.remove(instanceId);
+        }
         EndpointLifetime known = byInstance.get(instanceId);
         EndpointEntry announced = announcedLeaving.get(instanceId);
         if (announced != null && announced.isSameLifetime(entry)) {
@@ -382,6 +384,10 @@
         if (!isKnown || endpoint.isLeaving) {
             return;
         }
+        if (namesLayersBeyondModel(entry)) {
+            logLayersBeyondModel(entry);
+            return;
+        }
         endpoint.isJoined = true;
         endpoint.nextCheckAtMs = Long.MAX_VALUE;
         events.accept(new Event.EndpointJoined(new EndpointSpec(
@@ -406,8 +412,13 @@
             holdings.add(new Holding(ModelSpec.SERVICE_PREFIX + entry.service(), new LayerRange(0, 1)));
         } else {
             ModelSpec model = config.models().get(entry.service());
-            entry.layers().ifPresent(layers -> holdings.add(new Holding(entry.service(), layers)));
-            int layers = entry.layers().map(LayerRange::size).orElse(0);
+            Optional<LayerRange> held = entry.layers();
+            if (namesLayersBeyondModel(entry)) {
+                logLayersBeyondModel(entry);
+                held = Optional.empty();
+            }
+            held.ifPresent(layers -> holdings.add(new Holding(entry.service(), layers)));
+            int layers = held.map(LayerRange::size).orElse(0);
             kvBytes = engines.kvBytes(entry.acceleratorKind(), layers, model);
             layerTimeUs = engines.layerTimeUs(entry.acceleratorKind(), model);
         }
@@ -423,6 +434,22 @@
         listener.endpointLeaving(endpoint.endpointId);
     }
 
+    /** Returns whether an entry names layers that the configured model of its service lacks. */
+    private boolean namesLayersBeyondModel(EndpointEntry entry) {
+        ModelSpec model = config.models().get(entry.service());
+        return model != null
+                && entry.layers()
+                        .filter(layers -> layers.end() > model.layerCount())
+                        .isPresent();
+    }
+
+    private void logLayersBeyondModel(EndpointEntry entry) {
+        logUnreadable(
+                entry.instanceId(),
+                "layers end at " + entry.layers().map(LayerRange::end).orElse(0) + ", beyond the "
+                        + config.models().get(entry.service()).layerCount() + " of the model");
+    }
+
     private void stopNewWork(EndpointLifetime endpoint, String cause, long nowMs) {
         endpoint.isLeaving = true;
         endpoint.evictAtMs = nowMs + REMOVED_RETENTION_MS;
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
@@ -144,6 +144,32 @@
         assertThat(registry.unreadableCount()).isZero();
     }
 
+    /** Guards against a placement that fails at each run because an endpoint names layers that its model lacks. */
+    @Test
+    void endpointWithLayersBeyondItsModelDoesNotJoin() {
+        registry.applyEntry("e", entry("e", 7, false, new LayerRange(0, 81)), 0);
+        registry.applyEntry("huge", entry("huge", 7, false, new LayerRange(3, Integer.MAX_VALUE)), 0);
+        assertThat(takeEventTypes()).isEmpty();
+        assertThat(registry.unreadableCount()).isEqualTo(2);
+        registry.applyEntry("e", entry("e", 7, false, new LayerRange(0, 80)), 100);
+        assertThat(takeEventTypes()).containsExactly(Event.EndpointJoined.class, Event.LoadReported.class);
+        assertThat(registry.unreadableCount()).isEqualTo(1);
+    }
+
+    /** Guards against the same for layers that a joined endpoint names later, in its entry or its status report. */
+    @Test
+    void joinedEndpointThatNamesLayersBeyondItsModelHoldsNone() {
+        Optional<LayerRange> beyond = Optional.of(new LayerRange(0, 81));
+        registry.applyEntry("e", entry("e", 7, false, new LayerRange(0, 10)), 0);
+        registry.applyEntry("f", entry("f", 7, false, new LayerRange(0, 10)), 0);
+        events.clear();
+        registry.applyEntry("e", entry("e", 7, false, beyond.get()), 100);
+        registry.applyStatusReport("f@7", new StatusReport(7, beyond, false, 1, List.of(), 1), 100);
+        assertThat(events).hasSize(2).allSatisfy(event -> assertThat(
+                        ((Event.LoadReported) event).report().holdings())
+                .isEmpty());
+    }
+
     /** Guards against an entry whose handling fails and ends that of the entries listed after it. */
     @Test
     void entryWhoseDecodingFailsIsUnreadable() {
