--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -10,8 +10,8 @@
 import io.radishwinch.core.model.ModelSpec;
 import io.radishwinch.server.proxy.ContactLookup;
 import io.radishwinch.server.proxy.EndpointContact;
+import io.vavr.control.Either;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -20,6 +20,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /**
  * Tracks the endpoints and their holdings from the platform's list and from status reports, and posts changes to the
@@ -29,6 +30,8 @@
  */
 final class EndpointRegistry implements ContactLookup {
 
+    private static final System.Logger LOG = System.getLogger(EndpointRegistry.class.getName());
+
     /** Time for which a removed endpoint is retained to finish its requests, in ms; the longest deadline. */
     private static final long REMOVED_RETENTION_MS = 20_000;
 
@@ -52,7 +55,7 @@
     private final Map<String, EndpointLifetime> byId = new TreeMap<>();
     private final Map<String, EndpointContact> contacts = new ConcurrentHashMap<>();
     private final Map<String, String> idsByAddress = new ConcurrentHashMap<>();
-    private final Set<String> unreadableInstances = new HashSet<>();
+    private final Set<String> unreadableInstances = ConcurrentHashMap.newKeySet();
 
     /** Lifetimes that announced themselves that they leave, by instance; they outlive the endpoint and its entry. */
     private final Map<String, EndpointEntry> announcedLeaving = new LinkedHashMap<>() {
@@ -157,7 +160,9 @@
 
     /** Applies a listed or changed entry of the platform's list. */
     void applyEntry(String instanceId, EndpointEntry entry, long nowMs) {
-        unreadableInstances.remove(instanceId);
+        if (!namesLayersBeyondModel(entry)) {
+            unreadableInstances.remove(instanceId);
+        }
         EndpointLifetime known = byInstance.get(instanceId);
         EndpointEntry announced = announcedLeaving.get(instanceId);
         if (announced != null && announced.isSameLifetime(entry)) {
@@ -188,8 +193,39 @@
         }
     }
 
-    /** Records an entry that cannot be decoded; the previous entry stays in effect. */
-    void markUnreadable(String instanceId, String problem) {
+    /**
+     * Applies an encoded entry, which may be unreadable. A decoder that fails makes only this entry unreadable, so that
+     * the entries after it are applied.
+     */
+    void applyEncoded(String instanceId, Supplier<Either<String, EndpointEntry>> decoder, long nowMs) {
+        try {
+            decoder.get()
+                    .peek(entry -> applyEntry(instanceId, entry, nowMs))
+                    .peekLeft(problem -> markUnreadable(instanceId, problem, nowMs));
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "entry of endpoint " + instanceId + " cannot be applied", e);
+            markUnreadable(instanceId, e.getClass().getSimpleName(), nowMs);
+        }
+    }
+
+    /** Returns the number of entries that cannot be read; safe for use by any thread. */
+    int unreadableCount() {
+        return unreadableInstances.size();
+    }
+
+    /**
+     * Records an entry that cannot be decoded. It names no endpoint to use: one that is known gets no new work until
+     * its entry can be read again. Other routers read the same entry and aren't told.
+     */
+    void markUnreadable(String instanceId, String problem, long nowMs) {
+        logUnreadable(instanceId, problem);
+        EndpointLifetime known = byInstance.get(instanceId);
+        if (known != null && !known.isLeaving) {
+            stopNewWork(known, "its entry cannot be read", nowMs);
+        }
+    }
+
+    private void logUnreadable(String instanceId, String problem) {
         if (unreadableInstances.add(instanceId)) {
             log.stateChanged("endpoint-unreadable", instanceId, problem);
         }
@@ -355,6 +391,10 @@
         if (!isKnown || endpoint.isLeaving) {
             return;
         }
+        if (namesLayersBeyondModel(entry)) {
+            logLayersBeyondModel(entry);
+            return;
+        }
         endpoint.isJoined = true;
         endpoint.nextCheckAtMs = Long.MAX_VALUE;
         events.accept(new Event.EndpointJoined(new EndpointSpec(
@@ -379,8 +419,13 @@
             holdings.add(new Holding(ModelSpec.SERVICE_PREFIX + entry.service(), new LayerRange(0, 1)));
         } else {
             ModelSpec model = config.models().get(entry.service());
-            entry.layers().ifPresent(layers -> holdings.add(new Holding(entry.service(), layers)));
-            int layers = entry.layers().map(LayerRange::size).orElse(0);
+            Optional<LayerRange> held = entry.layers();
+            if (namesLayersBeyondModel(entry)) {
+                logLayersBeyondModel(entry);
+                held = Optional.empty();
+            }
+            held.ifPresent(layers -> holdings.add(new Holding(entry.service(), layers)));
+            int layers = held.map(LayerRange::size).orElse(0);
             kvBytes = engines.kvBytes(entry.acceleratorKind(), layers, model);
             layerTimeUs = engines.layerTimeUs(entry.acceleratorKind(), model);
         }
@@ -392,11 +437,31 @@
         if (endpoint.isLeaving) {
             return;
         }
+        stopNewWork(endpoint, cause, nowMs);
+        listener.endpointLeaving(endpoint.endpointId);
+    }
+
+    /** Returns whether an entry names layers that the configured model of its service lacks. */
+    private boolean namesLayersBeyondModel(EndpointEntry entry) {
+        ModelSpec model = config.models().get(entry.service());
+        return model != null
+                && entry.layers()
+                        .filter(layers -> layers.end() > model.layerCount())
+                        .isPresent();
+    }
+
+    private void logLayersBeyondModel(EndpointEntry entry) {
+        logUnreadable(
+                entry.instanceId(),
+                "layers end at " + entry.layers().map(LayerRange::end).orElse(0) + ", beyond the "
+                        + config.models().get(entry.service()).layerCount() + " of the model");
+    }
+
+    private void stopNewWork(EndpointLifetime endpoint, String cause, long nowMs) {
         endpoint.isLeaving = true;
         endpoint.evictAtMs = nowMs + REMOVED_RETENTION_MS;
         log.stateChanged("endpoint-leaving", endpoint.endpointId, cause);
         events.accept(new Event.EndpointLeaving(endpoint.endpointId));
-        listener.endpointLeaving(endpoint.endpointId);
     }
 
     /** Ends the lifetime of an endpoint that has restarted. */
