Send orders and KV transfers to engines on connections of their own

All calls to an engine shared pooled connections, and the responses to short calls do not name their call. A late second copy of a response was taken for the response to the next call: an order that the engine refused counted as accepted, and an export returned the KV cache of another range. New tests failed before:

aCopyOfAReportIsNotTheResponseToAnOrder Expecting value to be false but was true aCopyOfTheResponseToAnOrderIsNotTheResponseToTheNextOrder Expecting value to be false but was true aCopyOfAnExportIsNotTheNextExport expected: "second" but was: "first"

Orders, cancellations and KV transfers now open a connection each. Load reports and cache events are polled and keep a pool: their fields differ, and cache events continue at a sequence number, so that a copy shows as a gap. Streams have a pool of their own; each of their lines names request and epoch.

--- a/server/src/main/java/io/radishwinch/server/engine/HttpEngineClient.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpEngineClient.java
@@ -16,7 +16,12 @@
 import java.io.IOException;
 import java.util.function.LongSupplier;
 
-/** Engine client over HTTP; see docs/protocols.md. */
+/**
+ * Engine client over HTTP; see docs/protocols.md.
+ *
+ * <p>Streams share connections, as do reports: their lines and fields show to which of them they belong. The responses
+ * to all other calls do not name their call, so that each of these has a connection of its own.
+ */
 public final class HttpEngineClient implements EngineClient {
     private static final int HTTP_OK = 200;
     private static final int HTTP_NOT_FOUND = 404;
@@ -26,7 +31,9 @@
     private static final int EVENT_BUFFER_SIZE = 4_096;
 
     private final Vertx vertx;
-    private final HttpClient client;
+    private final HttpClient streamClient;
+    private final HttpClient reportClient;
+    private final HttpClient callClient;
     private final ClientOptions options;
     private final LongSupplier clockMs;
     private final String orderKey;
@@ -40,7 +47,9 @@
      */
     public HttpEngineClient(Vertx vertx, ClientOptions options, LongSupplier clockMs, String orderKey) {
         this.vertx = vertx;
-        this.client = HttpExchange.newClient(vertx, options);
+        this.streamClient = HttpExchange.newClient(vertx, options);
+        this.reportClient = HttpExchange.newClient(vertx, options);
+        this.callClient = HttpExchange.newUnpooledClient(vertx, options);
         this.options = options;
         this.clockMs = clockMs;
         this.orderKey = orderKey;
@@ -53,13 +62,14 @@
 
     /** Closes all connections. */
     public Future<Void> close() {
-        return client.close();
+        return Future.join(streamClient.close(), reportClient.close(), callClient.close())
+                .mapEmpty();
     }
 
     @Override
     public EngineStream open(AttemptRequest request, EngineStream.Receiver receiver) {
         HttpEngineStream stream = new HttpEngineStream(vertx, request, options, clockMs, counters, receiver);
-        stream.start(client);
+        stream.start(streamClient);
         return stream;
     }
 
@@ -84,7 +94,7 @@
         });
         emitter.onRequest(count -> stream[0].resume());
         emitter.onTermination(() -> stream[0].cancel());
-        stream[0].start(client);
+        stream[0].start(streamClient);
     }
 
     @Override
@@ -116,7 +126,7 @@
 
     @Override
     public Uni<EngineLoad> fetchLoad(EndpointAddress endpoint) {
-        return call(endpoint, HttpMethod.GET, "/v1/load", null, (response, status) -> {
+        return call(reportClient, endpoint, HttpMethod.GET, "/v1/load", null, (response, status) -> {
             requireOk(endpoint, response);
             return EngineJson.decodeLoad(endpoint, response.body(), clockMs.getAsLong());
         });
@@ -124,7 +134,7 @@
 
     @Override
     public Uni<CacheEvents> fetchCacheEvents(EndpointAddress engine, long from) {
-        return call(engine, HttpMethod.GET, "/v1/cache-events?from=" + from, null, (response, status) -> {
+        return call(reportClient, engine, HttpMethod.GET, "/v1/cache-events?from=" + from, null, (response, status) -> {
             requireOk(engine, response);
             return EngineJson.decodeCacheEvents(response.body(), from);
         });
@@ -163,6 +173,16 @@
 
     private <T> Uni<T> call(
             EndpointAddress address, HttpMethod method, String uri, Buffer body, ResponseReader<T> reader) {
+        return call(callClient, address, method, uri, body, reader);
+    }
+
+    private <T> Uni<T> call(
+            HttpClient client,
+            EndpointAddress address,
+            HttpMethod method,
+            String uri,
+            Buffer body,
+            ResponseReader<T> reader) {
         return Uni.createFrom().emitter(emitter -> {
             MultiMap headers = MultiMap.caseInsensitiveMultiMap();
             if (uri.equals("/v1/orders") && !orderKey.isEmpty()) {
--- /dev/null
+++ b/server/src/test/java/io/radishwinch/server/engine/ResponseCopyTest.java
@@ -0,0 +1,66 @@
+package io.radishwinch.server.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.core.model.EngineOrder;
+import io.radishwinch.core.model.LayerRange;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a late second copy of a response that is taken for the response to the next call. */
+class ResponseCopyTest {
+    private static final String EVENTS = "200 {\"events\":[],\"next\":7}";
+    private static final EngineOrder ORDER =
+            new EngineOrder.LoadLayers("m", new LayerRange(0, 4), EngineOrder.Handover.WAIT);
+
+    private final Vertx vertx = Vertx.vertx();
+    private final HttpEngineClient engines =
+            new HttpEngineClient(vertx, ClientOptions.defaults(), System::currentTimeMillis, "");
+
+    @AfterEach
+    void stop() {
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    private static <T> T await(Uni<T> uni) {
+        return uni.await().atMost(Duration.ofSeconds(30));
+    }
+
+    private static EndpointAddress address(RepeatingEndpoint endpoint) {
+        return new EndpointAddress("e", "127.0.0.1", endpoint.port());
+    }
+
+    /** Guards against an order that an engine refused and that counts as accepted. */
+    @Test
+    void aCopyOfAReportIsNotTheResponseToAnOrder() throws IOException {
+        try (RepeatingEndpoint engine = new RepeatingEndpoint(EVENTS, "409 {}")) {
+            await(engines.fetchCacheEvents(address(engine), 7));
+            assertThat(await(engines.sendOrder(address(engine), 1, ORDER))).isFalse();
+        }
+    }
+
+    /** Guards against an order that an engine refused and that counts as accepted like the one before. */
+    @Test
+    void aCopyOfTheResponseToAnOrderIsNotTheResponseToTheNextOrder() throws IOException {
+        try (RepeatingEndpoint engine = new RepeatingEndpoint("200 {}", "409 {}")) {
+            assertThat(await(engines.sendOrder(address(engine), 1, ORDER))).isTrue();
+            assertThat(await(engines.sendOrder(address(engine), 2, ORDER))).isFalse();
+        }
+    }
+
+    /** Guards against a KV cache that contains the tokens of another range. */
+    @Test
+    void aCopyOfAnExportIsNotTheNextExport() throws IOException {
+        KvRange range = new KvRange("r", "m", new LayerRange(0, 4));
+        try (RepeatingEndpoint engine = new RepeatingEndpoint("200 first", "200 second")) {
+            await(engines.exportKv(address(engine), range));
+            assertThat(new String(await(engines.exportKv(address(engine), range)), StandardCharsets.US_ASCII))
+                    .isEqualTo("second");
+        }
+    }
+}
