Close the connection to an engine that refused an attempt

A refusal has only a status, unlike the lines of a stream, which name request and epoch. Its connection returned to the pool, so that a late second copy was taken for the refusal of the next attempt, which the engine ran; with the header of a refusal that did not run, the request was then sent again.

--- a/server/src/main/java/io/radishwinch/server/engine/HttpEngineStream.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpEngineStream.java
@@ -135,7 +135,9 @@
         response = received;
         if (received.statusCode() != HTTP_OK) {
             boolean isNotRun = "true".equalsIgnoreCase(received.getHeader(HttpExchange.NOT_RUN_HEADER));
-            endAndDrainResponse();
+            stopTimers();
+            // A refusal does not name its attempt, so a second copy of it must not reach the next one.
+            request.connection().close();
             receiver.handle(new EngineEvent.Failed(
                     attempt.firstStage().endpointId(),
                     Reason.ENDPOINT_REFUSED,
--- a/server/src/test/java/io/radishwinch/server/engine/ResponseCopyTest.java
+++ b/server/src/test/java/io/radishwinch/server/engine/ResponseCopyTest.java
@@ -1,6 +1,7 @@
 package io.radishwinch.server.engine;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.radishwinch.core.model.EngineOrder;
 import io.radishwinch.core.model.LayerRange;
@@ -9,6 +10,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -63,4 +65,34 @@
                     .isEqualTo("second");
         }
     }
+
+    /** Guards against a stream that counts as refused although its engine runs it. */
+    @Test
+    void aCopyOfARefusalIsNotTheResponseToTheNextAttempt() throws IOException {
+        try (RepeatingEndpoint engine = new RepeatingEndpoint("409 {}", "200 \n")) {
+            assertThat(attempt(engine, "first")).contains("unexpected HTTP status 409");
+            assertThat(attempt(engine, "second")).contains("stream ended without a line of type done");
+        }
+    }
+
+    /** Guards against a stream that counts as refused because a report was sent twice. */
+    @Test
+    void aCopyOfARefusedReportIsNotTheResponseToAnAttempt() throws IOException {
+        try (RepeatingEndpoint engine = new RepeatingEndpoint("409 {}", "200 \n")) {
+            assertThatThrownBy(() -> await(engines.fetchCacheEvents(address(engine), 7)))
+                    .isInstanceOf(EndpointException.class);
+            assertThat(attempt(engine, "r")).contains("stream ended without a line of type done");
+        }
+    }
+
+    private String attempt(RepeatingEndpoint engine, String requestId) {
+        AttemptRequest.StageTarget stage =
+                new AttemptRequest.StageTarget(address(engine), new LayerRange(0, 4), List.of());
+        long deadlineMs = System.currentTimeMillis() + 60_000;
+        return Attempts.run(
+                        engines,
+                        new AttemptRequest(
+                                requestId, 1, "m", List.of(stage), "", 1, List.of(), List.of(), 1, 0, deadlineMs))
+                .toString();
+    }
 }
