--- a/server/src/test/java/io/radishwinch/server/engine/RepeatingEndpoint.java
+++ b/server/src/test/java/io/radishwinch/server/engine/RepeatingEndpoint.java
@@ -7,9 +7,12 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.List;
 import java.util.Locale;
 import java.util.Queue;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Endpoint on loopback that responds to each request with the next of some responses. If a connection is used again, a
@@ -18,26 +21,37 @@
 public final class RepeatingEndpoint implements AutoCloseable {
 
     private final ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
-    private final Queue<String> responses = new ArrayDeque<>();
+    private final Queue<String> responses;
+
+    /** Number of connections that the endpoint has accepted. */
+    public final AtomicInteger acceptedConnections = new AtomicInteger();
 
     /** One permit for each connection that the client has closed. */
     public final Semaphore closedConnections = new Semaphore(0);
 
     /** Starts an endpoint whose responses each consist of a status and a body, separated by a space. */
     public RepeatingEndpoint(String... statusesAndBodies) throws IOException {
-        for (String response : statusesAndBodies) {
-            String[] parts = response.split(" ", 2);
-            responses.add("HTTP/1.1 " + parts[0] + " \r\nContent-Type: application/json\r\nContent-Length: "
-                    + parts[1].length() + "\r\n\r\n" + parts[1]);
-        }
+        this(Arrays.stream(statusesAndBodies).map(RepeatingEndpoint::toResponse).toList());
+    }
+
+    /** Starts an endpoint whose responses are given as they are sent. */
+    public RepeatingEndpoint(List<String> responses) throws IOException {
+        this.responses = new ArrayDeque<>(responses);
         start(() -> {
             while (true) {
                 Socket socket = server.accept();
+                acceptedConnections.incrementAndGet();
                 start(() -> serve(socket));
             }
         });
     }
 
+    private static String toResponse(String statusAndBody) {
+        String[] parts = statusAndBody.split(" ", 2);
+        return "HTTP/1.1 " + parts[0] + " \r\nContent-Type: application/json\r\nContent-Length: " + parts[1].length()
+                + "\r\n\r\n" + parts[1];
+    }
+
     /** Returns the port at which the endpoint listens. */
     public int port() {
         return server.getLocalPort();
--- a/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
@@ -4,6 +4,7 @@
 
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.Verdict;
+import io.radishwinch.server.engine.RepeatingEndpoint;
 import io.vertx.core.Context;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
@@ -207,7 +208,7 @@
                             "STAGE_DIED MAY_HAVE_RUN",
                             "complete: run of c",
                             "complete: run of d");
-            assertThat(endpoint.connections).hasValue(3);
+            assertThat(endpoint.acceptedConnections).hasValue(3);
         }
     }
 
