--- a/server/src/test/java/io/radishwinch/server/proxy/ScriptedEndpoint.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ScriptedEndpoint.java
@@ -84,7 +84,7 @@
         }
     }
 
-    private static String readHead(Socket socket) throws IOException {
+    static String readHead(Socket socket) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
             int next = socket.getInputStream().read();
