Let a preempted response that cannot be cancelled run on

An exchange does not confirm the cancellation of an attempt whose response has begun and cannot be continued, such as a large plain response. After 1 s the core refused the request as preempted, and the connection of its caller was reset although the endpoint was sound. Such an attempt now runs on and is not preempted again.

Found in review.

--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -175,7 +175,13 @@
             if (state.deadlineMs(row) <= nowMs) {
                 state.pool(row.spec.pool()).recordUnfinished(row.spec, nowMs - row.attemptStartedAtMs, nowMs);
                 state.refuse(row, state.deadlineReason(row, Reason.DEADLINE_EXCEEDED), nowMs);
-            } else if (row.state == RequestRow.State.CANCELLING && row.nextTransitionAtMs <= nowMs) {
+            } else if (row.state != RequestRow.State.CANCELLING || row.nextTransitionAtMs > nowMs) {
+                continue;
+            } else if (row.cancelReason == Reason.PREEMPTED) {
+                // No other attempt can continue the response that has begun, and its endpoint is sound.
+                row.state = RequestRow.State.RUNNING;
+                row.preemptions = state.settings.maxPreemptions();
+            } else {
                 // The delivered tokens are unknown, and a resume from an outdated count would deliver tokens twice.
                 state.refuse(row, row.cancelReason, nowMs);
             }
--- a/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
@@ -425,6 +425,20 @@
         assertThat(simulation.trace("batch").starts).hasSize(2);
     }
 
+    /**
+     * Guards against responses that the router breaks off itself: it preempts one whose head was sent and that no other
+     * attempt can continue, whose exchange therefore does not confirm the cancellation.
+     */
+    @Test
+    void aBatchRequestThatCannotBeCancelledIsNotRefusedAsPreempted() {
+        CoreSimulation simulation = simulation(1, 1, 1);
+        simulation.confirmsCancellations = false;
+        simulation.arrive(batchRequest("b", 1_000, 9));
+        simulation.arrive(simulation.request("urgent", "a", Rank.INTERACTIVE, 1_000, 50, 30_000));
+        simulation.run(60_000);
+        assertThat(String.valueOf(simulation.trace("batch").end)).doesNotContain("reason=PREEMPTED");
+    }
+
     /** Guards against running streams of a deleted contract that are broken off: preempted, they could not resume. */
     @Test
     void aRunningRequestOfADeletedContractIsNotPreempted() {
