Keep the previous entry of an endpoint whose entry becomes unreadable

A review showed that an endpoint taken out of use by an unreadable entry does not share its later leaving with other routers, and comes back under an identifier that these do not know.

--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -201,10 +201,10 @@
         try {
             decoder.get()
                     .peek(entry -> applyEntry(instanceId, entry, nowMs))
-                    .peekLeft(problem -> markUnreadable(instanceId, problem, nowMs));
+                    .peekLeft(problem -> markUnreadable(instanceId, problem));
         } catch (RuntimeException e) {
             LOG.log(System.Logger.Level.ERROR, "entry of endpoint " + instanceId + " cannot be applied", e);
-            markUnreadable(instanceId, e.getClass().getSimpleName(), nowMs);
+            markUnreadable(instanceId, e.getClass().getSimpleName());
         }
     }
 
@@ -213,19 +213,8 @@
         return unreadableInstances.size();
     }
 
-    /**
-     * Records an entry that cannot be decoded. It names no endpoint to use: one that is known gets no new work until
-     * its entry can be read again. Other routers read the same entry and aren't told.
-     */
-    void markUnreadable(String instanceId, String problem, long nowMs) {
-        logUnreadable(instanceId, problem);
-        EndpointLifetime known = byInstance.get(instanceId);
-        if (known != null && !known.isLeaving) {
-            stopNewWork(known, "its entry cannot be read", nowMs);
-        }
-    }
-
-    private void logUnreadable(String instanceId, String problem) {
+    /** Records an entry that cannot be decoded; the previous entry stays in effect. */
+    void markUnreadable(String instanceId, String problem) {
         if (unreadableInstances.add(instanceId)) {
             log.stateChanged("endpoint-unreadable", instanceId, problem);
         }
@@ -437,7 +426,10 @@
         if (endpoint.isLeaving) {
             return;
         }
-        stopNewWork(endpoint, cause, nowMs);
+        endpoint.isLeaving = true;
+        endpoint.evictAtMs = nowMs + REMOVED_RETENTION_MS;
+        log.stateChanged("endpoint-leaving", endpoint.endpointId, cause);
+        events.accept(new Event.EndpointLeaving(endpoint.endpointId));
         listener.endpointLeaving(endpoint.endpointId);
     }
 
@@ -451,19 +443,12 @@
     }
 
     private void logLayersBeyondModel(EndpointEntry entry) {
-        logUnreadable(
+        markUnreadable(
                 entry.instanceId(),
                 "layers end at " + entry.layers().map(LayerRange::end).orElse(0) + ", beyond the "
                         + config.models().get(entry.service()).layerCount() + " of the model");
     }
 
-    private void stopNewWork(EndpointLifetime endpoint, String cause, long nowMs) {
-        endpoint.isLeaving = true;
-        endpoint.evictAtMs = nowMs + REMOVED_RETENTION_MS;
-        log.stateChanged("endpoint-leaving", endpoint.endpointId, cause);
-        events.accept(new Event.EndpointLeaving(endpoint.endpointId));
-    }
-
     /** Ends the lifetime of an endpoint that has restarted. */
     private void endLifetime(EndpointLifetime endpoint, long nowMs) {
         if (!endpoint.isLeaving) {
