Count a broken attempt as a crash only once its endpoint is known to have ended

Cause: each attempt that ended with a broken connection or response counted as a crash of its endpoint, and two of them at different endpoints quarantined the fingerprint on all routers. Endpoints that break some responses and go on answering took a popular request out of service.

Change: CrashEvidence keeps broken attempts for 5 s. They count as crashes once the endpoint is removed (failed status check, new lifetime) or a peer reports its crash. Until then they are a suspicion of 1.5 s, which delays and limits attempts of fingerprints that no request has finished with lately, and never quarantines. A finished request clears both.

Copies of a crashing request, proof 5 to 1,300 ms after the crash: 3 to 8 crashes in 30 s, at most three later than 3 s after the third.

--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -58,7 +58,7 @@
         int newTokens = row.deliveredTokens - row.tokensBeforeAttempt;
         double intervalMs = newTokens > 1 ? (double) (nowMs - row.attemptStartedAtMs - firstMs) / (newTokens - 1) : 0;
         state.actions.addAll(state.directory.recordSuccess(row.chain, firstMs, intervalMs, nowMs));
-        state.quarantine.recordRequestFinished(row.spec.fingerprint(), nowMs);
+        quarantineSystem.requestFinished(row, nowMs);
         partQuarantineSystem.recordProof(row, nowMs);
         if (row.epoch == 1) {
             state.pool(row.spec.pool()).recordFinished(row.spec, firstMs, intervalMs, newTokens, nowMs);
@@ -96,6 +96,7 @@
                 }
             }
         }
+        quarantineSystem.endpointEnded(removed.endpointId(), nowMs);
         partQuarantineSystem.endpointEnded(removed.endpointId(), nowMs);
         for (RequestRow row : rows) {
             if (removed.hasCrashed() && row.isAccepted && state.requests.containsKey(row.id())) {
@@ -197,7 +198,7 @@
 
     private void endAttempt(RequestRow row, String endpointId, Reason reason, Verdict verdict, long nowMs) {
         Chain chain = row.chain;
-        boolean isCrash = reason == Reason.STAGE_DIED
+        boolean isBroken = reason == Reason.STAGE_DIED
                 && verdict != Verdict.NOT_RUN
                 && (row.state != RequestRow.State.CANCELLING || row.isCancelledByCrash);
         state.release(row, nowMs);
@@ -230,8 +231,8 @@
                 nowMs,
                 "attempt " + row.epoch + " ended: " + reason.wireName() + " at " + endpointId + ", "
                         + verdict.wireName());
-        if (isCrash && chain.uses(endpointId)) {
-            quarantineSystem.recordCrash(row, endpointId, nowMs);
+        if (isBroken && chain.uses(endpointId)) {
+            quarantineSystem.recordBrokenAttempt(row, endpointId, nowMs);
             partQuarantineSystem.recordFailure(row, endpointId, nowMs);
         }
         if (state.requests.containsKey(row.id())) {
--- a/core/src/main/java/io/radishwinch/core/impl/QuarantineSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/QuarantineSystem.java
@@ -3,20 +3,52 @@
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.event.Event;
 import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.quarantine.CrashEvidence;
 import java.util.List;
 
 /** Applies the crash quarantine to the requests of this router and shares crashes and quarantines with its peers. */
 final class QuarantineSystem {
 
     private final CoreState state;
+    private final CrashEvidence evidence;
 
     QuarantineSystem(CoreState state) {
         this.state = state;
+        this.evidence = new CrashEvidence(state.settings.quarantine().maxEntries());
+    }
+
+    /** Records an attempt that broke at an endpoint; it counts as a crash once the endpoint is known to have ended. */
+    void recordBrokenAttempt(RequestRow row, String endpointId, long nowMs) {
+        String fingerprint = row.spec.fingerprint();
+        if (evidence.recordBrokenAttempt(fingerprint, endpointId, nowMs)) {
+            recordCrash(fingerprint, endpointId, nowMs);
+        } else {
+            state.quarantine.recordSuspicion(fingerprint, endpointId, nowMs);
+        }
+    }
+
+    /** Counts the attempts that broke at an endpoint that has ended as crashes. */
+    void endpointEnded(String endpointId, long nowMs) {
+        for (String fingerprint : evidence.recordEndpointEnded(endpointId, nowMs)) {
+            recordCrash(fingerprint, endpointId, nowMs);
+        }
+    }
+
+    void endpointJoined(String endpointId) {
+        evidence.recordEndpointJoined(endpointId);
+    }
+
+    void requestFinished(RequestRow row, long nowMs) {
+        state.quarantine.recordRequestFinished(row.spec.fingerprint(), nowMs);
+        evidence.recordRequestFinished(row.spec.fingerprint());
     }
 
     /** Records that a request was running on an endpoint when the endpoint crashed. */
     void recordCrash(RequestRow row, String endpointId, long nowMs) {
-        String fingerprint = row.spec.fingerprint();
+        recordCrash(row.spec.fingerprint(), endpointId, nowMs);
+    }
+
+    private void recordCrash(String fingerprint, String endpointId, long nowMs) {
         if (state.quarantine.recordCrash(fingerprint, endpointId, false, nowMs)) {
             state.actions.add(new Action.ShareCrash(fingerprint, endpointId));
             applyQuarantine(fingerprint, true, nowMs);
@@ -27,6 +59,12 @@
         if (state.quarantine.recordCrash(event.fingerprint(), event.endpointId(), true, nowMs)) {
             applyQuarantine(event.fingerprint(), true, nowMs);
         }
+        // A peer reports a crash only once it knows that the endpoint ended. It may have lost its own link to the
+        // endpoint,
+        // so that its report says nothing about attempts that break here later.
+        for (String fingerprint : evidence.confirm(event.endpointId(), nowMs)) {
+            recordCrash(fingerprint, event.endpointId(), nowMs);
+        }
     }
 
     void recordPeerQuarantine(Event.QuarantineShared event, long nowMs) {
@@ -36,6 +74,7 @@
 
     /** Ends the observation of suspects that have run for the observation time after their first token. */
     void tick(long nowMs) {
+        evidence.tick(nowMs);
         long observationMs = state.settings.quarantine().observationMs();
         for (RequestRow row : state.running) {
             if (row.isObserved && row.firstTokenAtMs >= 0 && nowMs - row.firstTokenAtMs >= observationMs) {
--- a/core/src/main/java/io/radishwinch/core/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/io/radishwinch/core/quarantine/CrashQuarantine.java
@@ -10,18 +10,29 @@
  * it is quarantined. Until a request with the fingerprint finishes, the sum of its crashes and running attempts at this
  * router does not exceed that number, so that copies sent at the same time crash no further endpoints. A finished
  * request clears its fingerprint.
+ *
+ * <p>An attempt that broke at an endpoint that is not known to have ended is a suspicion. For a short time it counts
+ * like a crash for the start of attempts, unless a request with the fingerprint finished lately; it never leads to a
+ * quarantine.
  */
 public final class CrashQuarantine {
 
     /** Time within which reports of a crash of the same endpoint count as the same crash, in ms. */
     private static final long SAME_CRASH_MS = 5_000;
 
+    /**
+     * Time for which an attempt that broke restricts further ones, in ms. A status check of its endpoint ends within
+     * it.
+     */
+    private static final long SUSPICION_MS = 1_500;
+
     private record Crash(String endpointId, long atMs, long restartAllowedAtMs, int count) {}
 
     private final QuarantineSettings settings;
     private final ExpiringMap<Long> quarantined;
     private final ExpiringMap<Crash> suspects;
     private final ExpiringMap<Boolean> trusted;
+    private final ExpiringMap<Crash> suspicions;
     private final Map<String, Integer> running = new HashMap<>();
 
     /** Creates an empty quarantine. */
@@ -30,6 +41,7 @@
         this.quarantined = new ExpiringMap<>(settings.maxEntries());
         this.suspects = new ExpiringMap<>(settings.maxEntries());
         this.trusted = new ExpiringMap<>(settings.maxEntries());
+        this.suspicions = new ExpiringMap<>(settings.maxEntries());
     }
 
     /** Returns whether the fingerprint is quarantined. */
@@ -43,9 +55,12 @@
         return untilMs == null ? 0 : untilMs;
     }
 
-    /** Returns whether the fingerprint was running on a crashed endpoint and no request with it has finished since. */
+    /**
+     * Returns whether the fingerprint was running on a crashed endpoint, or on one whose crash is suspected, and no
+     * request with it has finished since.
+     */
     public boolean isSuspect(String fingerprint, long nowMs) {
-        return suspects.get(fingerprint, nowMs) != null;
+        return suspects.get(fingerprint, nowMs) != null || suspicions.get(fingerprint, nowMs) != null;
     }
 
     /** Returns whether another attempt can start without putting more endpoints at risk than the settings allow. */
@@ -54,24 +69,28 @@
             return false;
         }
         Crash crash = suspects.get(fingerprint, nowMs);
-        if (crash != null && nowMs < crash.restartAllowedAtMs()) {
+        Crash suspicion = suspicions.get(fingerprint, nowMs);
+        if (crash != null && nowMs < crash.restartAllowedAtMs()
+                || suspicion != null && nowMs < suspicion.restartAllowedAtMs()) {
             return false;
         }
         if (crash == null && trusted.get(fingerprint, nowMs) != null) {
             return true;
         }
-        return (crash == null ? 0 : crash.count()) + running.getOrDefault(fingerprint, 0) < settings.maxCrashes();
+        int crashes = (crash == null ? 0 : crash.count()) + (suspicion == null ? 0 : suspicion.count());
+        return crashes + running.getOrDefault(fingerprint, 0) < settings.maxCrashes();
     }
 
-    /** Returns the last endpoint that crashed while it ran the suspect, or an empty string if it is no suspect. */
+    /** Returns the last endpoint at which an attempt of the suspect ended, or an empty string if it is no suspect. */
     public String crashedEndpointId(String fingerprint, long nowMs) {
-        Crash crash = suspects.get(fingerprint, nowMs);
+        Crash suspicion = suspicions.get(fingerprint, nowMs);
+        Crash crash = suspicion == null ? suspects.get(fingerprint, nowMs) : suspicion;
         return crash == null ? "" : crash.endpointId();
     }
 
     /** Returns the total number of entries of all tables. */
     public int size() {
-        return quarantined.size() + suspects.size() + trusted.size() + running.size();
+        return quarantined.size() + suspects.size() + trusted.size() + suspicions.size() + running.size();
     }
 
     /** Records the start of an attempt with the fingerprint. */
@@ -87,9 +106,23 @@
     /** Records a finished request, which clears its fingerprint. */
     public void recordRequestFinished(String fingerprint, long nowMs) {
         suspects.remove(fingerprint);
+        suspicions.remove(fingerprint);
         trusted.put(fingerprint, true, nowMs + settings.trustMs());
     }
 
+    /** Records that an attempt with the fingerprint broke at an endpoint that is not known to have ended. */
+    public void recordSuspicion(String fingerprint, String endpointId, long nowMs) {
+        if (trusted.get(fingerprint, nowMs) != null) {
+            return;
+        }
+        Crash earlier = suspicions.get(fingerprint, nowMs);
+        int count = earlier == null ? 1 : earlier.count() + 1;
+        suspicions.put(
+                fingerprint,
+                new Crash(endpointId, nowMs, nowMs + settings.restartDelayMs(), count),
+                nowMs + SUSPICION_MS);
+    }
+
     /**
      * Records that the fingerprint was running on an endpoint when the endpoint crashed.
      *
@@ -102,6 +135,7 @@
             return false;
         }
         trusted.remove(fingerprint);
+        suspicions.remove(fingerprint);
         long delayMs = isReportedByPeer ? settings.peerRestartDelayMs() : settings.restartDelayMs();
         int count = earlier == null ? 1 : earlier.count() + 1;
         Crash crash = new Crash(endpointId, nowMs, nowMs + delayMs, count);
@@ -130,5 +164,6 @@
         quarantined.expire(nowMs);
         suspects.expire(nowMs);
         trusted.expire(nowMs);
+        suspicions.expire(nowMs);
     }
 }
