Name the route, method and query in fingerprints, and weigh finished requests

Cause: the fingerprint left out the query and the method, so that all look-ups of a caller on one path counted as one request. Two crashes without a finished request in between quarantined a fingerprint, however often it had finished before.

Change: fingerprints name the route (which stands for the host; the one a caller names may be a router's address), method, path and query. A quarantine takes one crash for each 20 requests that finished within the time of trust, at least the configured number and at most 5.

--- a/core/src/main/java/io/radishwinch/core/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/io/radishwinch/core/quarantine/CrashQuarantine.java
@@ -26,6 +26,12 @@
      */
     private static final long SUSPICION_MS = 1_500;
 
+    /** Number of finished requests of a fingerprint for each crash that its quarantine takes. */
+    private static final int FINISHED_PER_CRASH = 20;
+
+    /** Highest number of crashes before a quarantine, however many requests have finished. */
+    private static final int MAX_CRASH_LIMIT = 5;
+
     private record Crash(String endpointId, long atMs, long restartAllowedAtMs, int count) {}
 
     private final QuarantineSettings settings;
@@ -33,6 +39,7 @@
     private final ExpiringMap<Crash> suspects;
     private final ExpiringMap<Boolean> trusted;
     private final ExpiringMap<Crash> suspicions;
+    private final ExpiringMap<Integer> finishedCounts;
     private final Map<String, Integer> running = new HashMap<>();
 
     /** Creates an empty quarantine. */
@@ -42,6 +49,7 @@
         this.suspects = new ExpiringMap<>(settings.maxEntries());
         this.trusted = new ExpiringMap<>(settings.maxEntries());
         this.suspicions = new ExpiringMap<>(settings.maxEntries());
+        this.finishedCounts = new ExpiringMap<>(settings.maxEntries());
     }
 
     /** Returns whether the fingerprint is quarantined. */
@@ -78,7 +86,7 @@
             return true;
         }
         int crashes = (crash == null ? 0 : crash.count()) + (suspicion == null ? 0 : suspicion.count());
-        return crashes + running.getOrDefault(fingerprint, 0) < settings.maxCrashes();
+        return crashes + running.getOrDefault(fingerprint, 0) < crashLimit(fingerprint, nowMs);
     }
 
     /** Returns the last endpoint at which an attempt of the suspect ended, or an empty string if it is no suspect. */
@@ -90,7 +98,12 @@
 
     /** Returns the total number of entries of all tables. */
     public int size() {
-        return quarantined.size() + suspects.size() + trusted.size() + suspicions.size() + running.size();
+        return quarantined.size()
+                + suspects.size()
+                + trusted.size()
+                + suspicions.size()
+                + finishedCounts.size()
+                + running.size();
     }
 
     /** Records the start of an attempt with the fingerprint. */
@@ -108,6 +121,9 @@
         suspects.remove(fingerprint);
         suspicions.remove(fingerprint);
         trusted.put(fingerprint, true, nowMs + settings.trustMs());
+        Integer earlier = finishedCounts.get(fingerprint, nowMs);
+        int count = earlier == null ? 1 : Math.min(earlier + 1, FINISHED_PER_CRASH * MAX_CRASH_LIMIT);
+        finishedCounts.put(fingerprint, count, nowMs + settings.trustMs());
     }
 
     /** Records that an attempt with the fingerprint broke at an endpoint that is not known to have ended. */
@@ -139,7 +155,7 @@
         long delayMs = isReportedByPeer ? settings.peerRestartDelayMs() : settings.restartDelayMs();
         int count = earlier == null ? 1 : earlier.count() + 1;
         Crash crash = new Crash(endpointId, nowMs, nowMs + delayMs, count);
-        if (count < settings.maxCrashes()) {
+        if (count < crashLimit(fingerprint, nowMs)) {
             suspects.put(fingerprint, crash, nowMs + settings.suspectMs());
             return true;
         }
@@ -151,6 +167,16 @@
         return true;
     }
 
+    /**
+     * Returns the number of crashes, without a finished request in between, that quarantines a fingerprint: one for
+     * each {@value #FINISHED_PER_CRASH} requests that finished lately, within fixed bounds.
+     */
+    private int crashLimit(String fingerprint, long nowMs) {
+        Integer finished = finishedCounts.get(fingerprint, nowMs);
+        int limit = finished == null ? 0 : Math.min(finished / FINISHED_PER_CRASH, MAX_CRASH_LIMIT);
+        return Math.max(limit, settings.maxCrashes());
+    }
+
     /** Quarantines a fingerprint until the time in ms given by a peer, but at most for the configured time. */
     public void quarantine(String fingerprint, long untilMs, long nowMs) {
         if (untilMs > nowMs) {
@@ -165,5 +191,6 @@
         suspects.expire(nowMs);
         trusted.expire(nowMs);
         suspicions.expire(nowMs);
+        finishedCounts.expire(nowMs);
     }
 }
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -23,6 +23,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -289,7 +290,10 @@
                 head.maxNewTokens(),
                 received.arrivedAtMs,
                 received.arrivedAtMs + timeoutMs,
-                PromptHashes.fingerprint(received.caller, received.request.path(), received.body.getBytes()),
+                PromptHashes.fingerprint(
+                        received.caller,
+                        target(route, received.request.method(), received.request.path(), received.request.query()),
+                        received.body.getBytes()),
                 List.of(),
                 head.sharedParts(),
                 route.isRepeatable(),
@@ -310,6 +314,16 @@
         exchange.submit();
     }
 
+    /**
+     * Returns the target that a fingerprint names. The route stands for the host, as the host that a caller names may
+     * be the address of a router.
+     *
+     * @param query query without its question mark, or null
+     */
+    static String target(Route route, HttpMethod method, String path, String query) {
+        return route.name() + "\n" + method + " " + path + (query == null ? "" : "?" + query);
+    }
+
     private Optional<Contract> findContract(HttpServerRequest request, Route route, RoutingConfig config) {
         Optional<Contract> known =
                 dependencies.authenticator().authenticate(dependencies.dialect().credentials(request.headers()));
