Continue attempts at silent endpoints that no other attempt can take up

Callers lost streams, or were refused, because a sound endpoint was silent for about a second. An endpoint that leaves a status check unanswered is removed, and the core cancelled its attempts as stage-died whether or not they could run again: on the last run that the route allows, at the last holder of the layers, after the contract was withdrawn, or too late for another attempt. A begun response that cannot be continued was refused when its cancellation was not confirmed in time.

A removal now says whether it is only a suspicion. Attempts at a suspected endpoint are cancelled as before if another attempt can take them up, and otherwise continue. Each tick repeats the decision, so they leave as soon as another endpoint covers the layers. Runs at the endpoint count against the limit of the route for the first 2 s of silence, because a sound endpoint still runs them; later ones count as lost, as before. Proven ends act as before.

SilentEndpointTest: four of its six tests failed with the removal of an unresponsive endpoint treated as a proven end (the behaviour before), and pass now. The other two guard against staying at dead endpoints and passed before. EndpointRegistryTest also checks the new field. FailureTest, FailurePairTest, CorePropertyTest, StreamRerouteTest, EndpointRegistryTest, EndpointHealthCheckerTest, ProxyExchangeTest, EndpointPauseTest, RetryEndpointTest and PoisonPromptPartTest pass. Not yet run with real router processes.

--- a/core/src/main/java/io/radishwinch/core/event/Event.java
+++ b/core/src/main/java/io/radishwinch/core/event/Event.java
@@ -103,8 +103,20 @@
      *
      * @param endpointId endpoint
      * @param hasCrashed whether the endpoint failed instead of leaving as announced
+     * @param isSuspected whether the only sign is that the endpoint does not respond; it may join again
      */
-    record EndpointRemoved(String endpointId, boolean hasCrashed) implements Event {}
+    record EndpointRemoved(String endpointId, boolean hasCrashed, boolean isSuspected) implements Event {
+
+        /** Creates the removal of an endpoint that has ended. */
+        public EndpointRemoved(String endpointId, boolean hasCrashed) {
+            this(endpointId, hasCrashed, false);
+        }
+
+        /** Creates the removal of an endpoint that does not respond. */
+        public static EndpointRemoved suspected(String endpointId) {
+            return new EndpointRemoved(endpointId, false, true);
+        }
+    }
 
     /**
      * An endpoint sent a load report.
--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -9,15 +9,25 @@
 import io.radishwinch.core.model.Verdict;
 import io.radishwinch.core.retry.RetryPolicy;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /** Tracks running attempts and decides between retry, reroute and refusal when they fail. */
 final class AttemptSystem {
 
+    /**
+     * Time for which a suspected endpoint counts as one that still runs its attempts, in ms; a sound endpoint may be
+     * silent for about a second.
+     */
+    private static final long MAX_SILENCE_MS = 2_000;
+
     private final CoreState state;
     private final QuarantineSystem quarantineSystem;
     private final PartQuarantineSystem partQuarantineSystem;
+    /** Endpoints that do not respond, with the time in ms since which they are suspected. */
+    private final Map<String, Long> suspectedSinceMs = new HashMap<>();
 
     AttemptSystem(CoreState state, QuarantineSystem quarantineSystem, PartQuarantineSystem partQuarantineSystem) {
         this.state = state;
@@ -81,8 +91,16 @@
         endAttempt(row, endpointId, reason, verdict, nowMs);
     }
 
-    /** Reroutes or cancels the attempts on a removed endpoint; the end of each one reports the delivered tokens. */
+    /**
+     * Reroutes or cancels the attempts on a removed endpoint; the end of each one reports the delivered tokens.
+     * Attempts on an endpoint that is only suspected continue unless another attempt can take them up.
+     */
     void endpointRemoved(Event.EndpointRemoved removed, long nowMs) {
+        if (removed.isSuspected()) {
+            suspectedSinceMs.put(removed.endpointId(), nowMs);
+        } else {
+            suspectedSinceMs.remove(removed.endpointId());
+        }
         List<RequestRow> rows = state.running.stream()
                 .filter(row -> row.chain.uses(removed.endpointId()))
                 .toList();
@@ -91,7 +109,8 @@
             boolean canRestart = row.spec.isRepeatable() || !row.isAccepted;
             if (row.state == RequestRow.State.RUNNING && canRestart) {
                 row.isCancelledByCrash = removed.hasCrashed();
-                if (!startReroute(row, removed.endpointId(), nowMs)) {
+                boolean isRerouted = startReroute(row, removed.endpointId(), nowMs);
+                if (!isRerouted && (!removed.isSuspected() || canLeaveSuspected(row, removed.endpointId(), nowMs))) {
                     cancel(row, Reason.STAGE_DIED, removed.endpointId(), nowMs);
                 }
             }
@@ -105,6 +124,42 @@
         }
     }
 
+    /** Ends the suspicion of an endpoint that responds again. */
+    void endpointJoined(String endpointId) {
+        suspectedSinceMs.remove(endpointId);
+    }
+
+    /** Cancels the attempts on suspected endpoints that another attempt can take up by now. */
+    private void leaveSuspectedEndpoints(long nowMs) {
+        for (String endpointId : suspectedSinceMs.keySet()) {
+            for (RequestRow row : List.copyOf(state.running)) {
+                if (row.state == RequestRow.State.RUNNING
+                        && row.rerouteChain == null
+                        && row.chain.uses(endpointId)
+                        && canLeaveSuspected(row, endpointId, nowMs)) {
+                    cancel(row, Reason.STAGE_DIED, endpointId, nowMs);
+                }
+            }
+        }
+    }
+
+    /** Returns whether another attempt can take up a running one in time, whose endpoint does not respond. */
+    private boolean canLeaveSuspected(RequestRow row, String endpointId, long nowMs) {
+        if (!row.spec.isRepeatable()) {
+            // An attempt that the endpoint has not accepted did not run.
+            return !row.isAccepted;
+        }
+        boolean isSilenceExceeded = nowMs - suspectedSinceMs.getOrDefault(endpointId, nowMs) >= MAX_SILENCE_MS;
+        boolean hasRuns = hasRunsAfterCurrent(row) || isSilenceExceeded && countRuns(row) < row.spec.maxRuns();
+        long neededMs = state.pool(row.spec.pool()).neededMs(row.spec, row.deliveredTokens, false, nowMs);
+        return hasRuns
+                && !row.cannotBeTakenUp
+                && row.attempts < state.settings.retry().maxAttempts()
+                && state.contractRefusalReason(row.spec) == null
+                && state.directory.isCovered(row.spec.pool(), nowMs)
+                && nowMs + neededMs < state.deadlineMs(row);
+    }
+
     /**
      * Asks the first stage to continue a stream over another chain without a new run.
      *
@@ -165,6 +220,7 @@
 
     /** Applies the timeouts of deadlines, reroutes, cancellations and waits for the retry budget. */
     void tick(long nowMs) {
+        leaveSuspectedEndpoints(nowMs);
         for (RequestRow row : List.copyOf(state.running)) {
             if (!row.isRunning()) {
                 continue;
@@ -181,6 +237,10 @@
                 // No other attempt can continue the response that has begun, and its endpoint is sound.
                 row.state = RequestRow.State.RUNNING;
                 row.preemptions = state.settings.maxPreemptions();
+            } else if (row.cancelReason == Reason.STAGE_DIED && isSuspected(row.cancelEndpointId)) {
+                // No other attempt can continue the response that has begun, and its endpoint may respond again.
+                row.state = RequestRow.State.RUNNING;
+                row.cannotBeTakenUp = true;
             } else {
                 // The delivered tokens are unknown, and a resume from an outdated count would deliver tokens twice.
                 state.refuse(row, row.cancelReason, nowMs);
@@ -282,6 +342,11 @@
                 .count();
     }
 
+    /** Returns whether an attempt was cancelled only because its endpoint did not respond at that time. */
+    private boolean isSuspected(String endpointId) {
+        return suspectedSinceMs.containsKey(endpointId) || !state.directory.isRemoved(endpointId);
+    }
+
     private RequestRow runningAttempt(String requestId, int epoch) {
         RequestRow row = state.requests.get(requestId);
         return row != null && row.isRunning() && row.epoch == epoch ? row : null;
--- a/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
@@ -188,6 +188,7 @@
         row.hasProvenParts = false;
         row.tokensBeforeAttempt = row.deliveredTokens;
         row.isAccepted = false;
+        row.cannotBeTakenUp = false;
         row.canUseBusyEndpoint = false;
         state.acquire(row, chain, nowMs);
         List<String> kvSources = row.kvSourceEndpointIds.stream()
--- a/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -108,6 +108,8 @@
         } else if (event instanceof Event.EndpointRemoved removed) {
             attempts.endpointRemoved(removed, nowMs);
             dispatch.dispatch(nowMs);
+        } else if (event instanceof Event.EndpointJoined joined) {
+            attempts.endpointJoined(joined.endpoint().id());
         } else if (event instanceof Event.CrashShared crash) {
             quarantineSystem.recordPeerCrash(crash, nowMs);
         } else if (event instanceof Event.QuarantineShared shared) {
--- a/core/src/test/java/io/radishwinch/core/impl/FakeDirectory.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FakeDirectory.java
@@ -74,6 +74,8 @@
     public List<Action> handle(Event event, long nowMs) {
         if (event instanceof Event.EndpointRemoved removed) {
             down.add(removed.endpointId());
+        } else if (event instanceof Event.EndpointJoined joined) {
+            down.remove(joined.endpoint().id());
         }
         return List.of();
     }
--- /dev/null
+++ b/core/src/test/java/io/radishwinch/core/impl/SilentEndpointTest.java
@@ -0,0 +1,133 @@
+package io.radishwinch.core.impl;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.EndpointSpec;
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Stage;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests that are ended because a sound endpoint was silent for about a second. */
+class SilentEndpointTest {
+    private static final int TOKENS = 300;
+    private static final long TIMEOUT_MS = 30_000;
+
+    private static CoreSimulation simulation(int endpoints) {
+        return CoreSimulation.of(new FakeDirectory(1, endpoints, 4), CoreSettings.defaults())
+                .contract("a");
+    }
+
+    /** Returns a stream of 3 s that may run a limited number of times. */
+    private static RequestSpec stream(int maxRuns) {
+        return new RequestSpec(
+                "r",
+                "a",
+                Rank.INTERACTIVE,
+                CoreSimulation.MODEL,
+                10,
+                TOKENS,
+                0,
+                TIMEOUT_MS,
+                "f",
+                List.of(),
+                List.of(),
+                true,
+                maxRuns,
+                TOKENS,
+                TIMEOUT_MS);
+    }
+
+    private static void assertServedByOneAttempt(CoreSimulation simulation) {
+        assertThat(simulation.trace("r").end).isInstanceOf(Action.Complete.class);
+        assertThat(simulation.trace("r").starts).hasSize(1);
+    }
+
+    private static Event joined(String endpointId) {
+        return new Event.EndpointJoined(new EndpointSpec(endpointId, "dc", "host", 1, "card", 4, false, false));
+    }
+
+    /** Failure: the stream was cancelled as stage-died and refused, because its route allows no second run. */
+    @Test
+    void aStreamOnItsLastRunOutlivesTheSilenceOfItsEndpoint() {
+        CoreSimulation simulation = simulation(2);
+        simulation.arrive(stream(1));
+        simulation.at(500, Event.EndpointRemoved.suspected("0-0"));
+        simulation.at(1_500, joined("0-0"));
+        simulation.run(5_000);
+        assertServedByOneAttempt(simulation);
+    }
+
+    /** Failure: the stream was cancelled although no other endpoint held its layers, and ended at its deadline. */
+    @Test
+    void aStreamOnTheLastHolderOfItsLayersOutlivesItsSilence() {
+        CoreSimulation simulation = simulation(1);
+        simulation.arrive(stream(3));
+        simulation.at(500, Event.EndpointRemoved.suspected("0-0"));
+        simulation.at(1_500, joined("0-0"));
+        simulation.run(5_000);
+        assertServedByOneAttempt(simulation);
+    }
+
+    /** Failure: a stream whose contract was withdrawn meanwhile was refused for a second of silence. */
+    @Test
+    void aStreamWhoseContractWasWithdrawnOutlivesTheSilenceOfItsEndpoint() {
+        CoreSimulation simulation = simulation(2);
+        simulation.arrive(stream(3));
+        simulation.run(400);
+        simulation.contracts.clear();
+        simulation.configure();
+        simulation.at(500, Event.EndpointRemoved.suspected("0-0"));
+        simulation.at(1_500, joined("0-0"));
+        simulation.run(5_000);
+        assertServedByOneAttempt(simulation);
+    }
+
+    /** Failure: a begun response that no other attempt can continue was refused when its cancellation timed out. */
+    @Test
+    void aResponseThatCannotBeContinuedOutlivesTheSilenceOfItsEndpoint() {
+        CoreSimulation simulation = simulation(2);
+        simulation.arrive(stream(3));
+        simulation.run(500);
+        // The adapter confirms no cancellation of such a response, which ends by itself.
+        simulation.core.handle(Event.EndpointRemoved.suspected("0-0"), 500);
+        simulation.run(5_000);
+        assertServedByOneAttempt(simulation);
+    }
+
+    /** Guards against streams that stay at a dead endpoint although another one can take them up. */
+    @Test
+    void aStreamThatAnotherAttemptCanTakeUpLeavesASilentEndpointAtOnce() {
+        CoreSimulation simulation = simulation(2);
+        simulation.arrive(stream(3));
+        simulation.at(500, Event.EndpointRemoved.suspected("0-0"));
+        simulation.run(500);
+        assertThat(simulation.actions).contains(new Action.CancelAttempt("r", 1, Reason.STAGE_DIED));
+        simulation.run(10_000);
+        assertThat(simulation.trace("r").end).isInstanceOf(Action.Complete.class);
+        assertThat(simulation.trace("r").starts).hasSize(2);
+    }
+
+    /** Guards against streams that stay at a dead last holder after another endpoint has loaded its layers. */
+    @Test
+    void aStreamLeavesASilentEndpointWhenAnotherOneLoadsItsLayers() {
+        CoreSimulation simulation = simulation(2);
+        simulation.endpointBehaviour = start -> {
+            boolean isDead = start.chain().firstStage().endpointId().equals("0-0");
+            return isDead ? null : simulation.finishes(start);
+        };
+        simulation.directory.down.add("0-1");
+        simulation.arrive(stream(3));
+        simulation.at(500, Event.EndpointRemoved.suspected("0-0"));
+        simulation.at(1_500, joined("0-1"));
+        simulation.run(10_000);
+        List<Action.StartAttempt> starts = simulation.trace("r").starts;
+        assertThat(starts).hasSize(2);
+        assertThat(starts.get(1).chain().stages()).extracting(Stage::endpointId).containsExactly("0-1");
+        assertThat(simulation.trace("r").end).isInstanceOf(Action.Complete.class);
+    }
+}
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -288,7 +288,7 @@
         log.stateChanged("endpoint-unreachable", endpointId, cause);
         listener.endpointUnreachable(endpointId);
         // The endpoint may be unreachable rather than dead, so its requests are not suspected of crashing it.
-        events.accept(new Event.EndpointRemoved(endpointId, false));
+        events.accept(Event.EndpointRemoved.suspected(endpointId));
     }
 
     /** Marks an endpoint as reachable that responded without a status report. */
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
@@ -181,7 +181,7 @@
         registry.applyEntry("e", entry("e", 7, false, new LayerRange(0, 10)), 0);
         takeEventTypes();
         registry.markUnreachable("e@7", "no report", 100);
-        assertThat(events).containsExactly(new Event.EndpointRemoved("e@7", false));
+        assertThat(events).containsExactly(Event.EndpointRemoved.suspected("e@7"));
         assertThat(registry.takeDueHealthChecks(200)).isEmpty();
         assertThat(registry.takeDueHealthChecks(1_000)).containsExactly("e@7");
         takeEventTypes();
