Start the backoff of health checks anew after an endpoint has responded

The number of failures was never reset, so each silence of a sound endpoint doubled the wait before the first check of the next one, up to 4 s. The endpoint stayed out of use meanwhile although it responded again.

theBackoffOfHealthChecksStartsAnewAfterTheEndpointHasResponded failed before (one of the 15 tests of EndpointRegistryTest) and passes now, as does EndpointHealthCheckerTest.

--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -385,6 +385,7 @@
             return;
         }
         endpoint.isJoined = true;
+        endpoint.failures = 0;
         endpoint.nextCheckAtMs = Long.MAX_VALUE;
         events.accept(new Event.EndpointJoined(new EndpointSpec(
                 endpoint.endpointId,
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
@@ -176,6 +176,18 @@
         assertThat(registry.unreadableCount()).isEqualTo(1);
     }
 
+    /** Failure: each silence of a sound endpoint doubled the wait before the checks of the next one, up to 4 s. */
+    @Test
+    void theBackoffOfHealthChecksStartsAnewAfterTheEndpointHasResponded() {
+        registry.applyEntry("e", entry("e", 7, false, new LayerRange(0, 10)), 0);
+        for (long nowMs = 0; nowMs <= 30_000; nowMs += 10_000) {
+            registry.markUnreachable("e@7", "no report", nowMs);
+            assertThat(registry.takeDueHealthChecks(nowMs + 499)).isEmpty();
+            assertThat(registry.takeDueHealthChecks(nowMs + 500)).containsExactly("e@7");
+            registry.markReachable("e@7", nowMs + 600);
+        }
+    }
+
     @Test
     void unreachableEndpointIsCheckedAgainAndJoinsWhenItResponds() {
         registry.applyEntry("e", entry("e", 7, false, new LayerRange(0, 10)), 0);
