Wait for silent holders of layers before requests are refused

With the last holder of some layers silent, requests were refused with "no endpoints are available for some layers" after 400 ms, the grace period for repairs. A sound endpoint may be silent for longer and go on.

While an endpoint has been suspected for less than 2 s, the grace period is at least 2 s. Gaps without such a suspicion, and silences that last longer, are refused as before.

SilentEndpointTest.aRequestWaitsForTheSilentLastHolderOfItsLayers failed before and passes now; the test of a dead last holder bounds the wait. FailureTest, FailurePairTest, CorePropertyTest and StreamRerouteTest pass.

--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -9,25 +9,15 @@
 import io.radishwinch.core.model.Verdict;
 import io.radishwinch.core.retry.RetryPolicy;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
 /** Tracks running attempts and decides between retry, reroute and refusal when they fail. */
 final class AttemptSystem {
 
-    /**
-     * Time for which a suspected endpoint counts as one that still runs its attempts, in ms; a sound endpoint may be
-     * silent for about a second.
-     */
-    private static final long MAX_SILENCE_MS = 2_000;
-
     private final CoreState state;
     private final QuarantineSystem quarantineSystem;
     private final PartQuarantineSystem partQuarantineSystem;
-    /** Endpoints that do not respond, with the time in ms since which they are suspected. */
-    private final Map<String, Long> suspectedSinceMs = new HashMap<>();
 
     AttemptSystem(CoreState state, QuarantineSystem quarantineSystem, PartQuarantineSystem partQuarantineSystem) {
         this.state = state;
@@ -97,9 +87,9 @@
      */
     void endpointRemoved(Event.EndpointRemoved removed, long nowMs) {
         if (removed.isSuspected()) {
-            suspectedSinceMs.put(removed.endpointId(), nowMs);
+            state.suspectedSinceMs.put(removed.endpointId(), nowMs);
         } else {
-            suspectedSinceMs.remove(removed.endpointId());
+            state.suspectedSinceMs.remove(removed.endpointId());
         }
         List<RequestRow> rows = state.running.stream()
                 .filter(row -> row.chain.uses(removed.endpointId()))
@@ -126,12 +116,12 @@
 
     /** Ends the suspicion of an endpoint that responds again. */
     void endpointJoined(String endpointId) {
-        suspectedSinceMs.remove(endpointId);
+        state.suspectedSinceMs.remove(endpointId);
     }
 
     /** Cancels the attempts on suspected endpoints that another attempt can take up by now. */
     private void leaveSuspectedEndpoints(long nowMs) {
-        for (String endpointId : suspectedSinceMs.keySet()) {
+        for (String endpointId : state.suspectedSinceMs.keySet()) {
             for (RequestRow row : List.copyOf(state.running)) {
                 if (row.state == RequestRow.State.RUNNING
                         && row.rerouteChain == null
@@ -149,7 +139,8 @@
             // An attempt that the endpoint has not accepted did not run.
             return !row.isAccepted;
         }
-        boolean isSilenceExceeded = nowMs - suspectedSinceMs.getOrDefault(endpointId, nowMs) >= MAX_SILENCE_MS;
+        boolean isSilenceExceeded =
+                nowMs - state.suspectedSinceMs.getOrDefault(endpointId, nowMs) >= CoreState.MAX_SILENCE_MS;
         boolean hasRuns = hasRunsAfterCurrent(row) || isSilenceExceeded && countRuns(row) < row.spec.maxRuns();
         long neededMs = state.pool(row.spec.pool()).neededMs(row.spec, row.deliveredTokens, false, nowMs);
         return hasRuns
@@ -344,7 +335,7 @@
 
     /** Returns whether an attempt was cancelled only because its endpoint did not respond at that time. */
     private boolean isSuspected(String endpointId) {
-        return suspectedSinceMs.containsKey(endpointId) || !state.directory.isRemoved(endpointId);
+        return state.suspectedSinceMs.containsKey(endpointId) || !state.directory.isRemoved(endpointId);
     }
 
     private RequestRow runningAttempt(String requestId, int epoch) {
--- a/core/src/main/java/io/radishwinch/core/impl/CoreState.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreState.java
@@ -41,6 +41,12 @@
     /** Largest share of the queue capacity that requests of one caller may use outside the queue. */
     private static final double MAX_WAITING_SHARE = 0.25;
 
+    /**
+     * Time for which a suspected endpoint counts as one that still runs its attempts and may respond again, in ms; a
+     * sound endpoint may be silent for about a second.
+     */
+    static final long MAX_SILENCE_MS = 2_000;
+
     private static final String FINISHED = "finished";
     private static final int MAX_FINISHED = 2_000;
     private static final int MAX_PENDING_ALLOTMENTS = 10_000;
@@ -70,6 +76,9 @@
     /** Endpoints that run a suspect under observation, at most one suspect each. */
     final Set<String> observedEndpointIds = new LinkedHashSet<>();
 
+    /** Endpoints that do not respond, with the time in ms since which they are suspected. */
+    final Map<String, Long> suspectedSinceMs = new HashMap<>();
+
     /** Allotments that arrived before their contracts. */
     final Map<String, Event.AllotmentChanged> pendingAllotments = new LinkedHashMap<>();
 
@@ -149,7 +158,12 @@
         if (pool.uncoveredSinceMs < 0) {
             pool.uncoveredSinceMs = nowMs;
         }
-        return nowMs - pool.uncoveredSinceMs >= settings.uncoveredGraceMs();
+        // A gap that begins with a silence may end with it.
+        boolean maySilenceEnd =
+                suspectedSinceMs.values().stream().anyMatch(sinceMs -> nowMs - sinceMs < MAX_SILENCE_MS);
+        long graceMs =
+                maySilenceEnd ? Math.max(MAX_SILENCE_MS, settings.uncoveredGraceMs()) : settings.uncoveredGraceMs();
+        return nowMs - pool.uncoveredSinceMs >= graceMs;
     }
 
     /** Returns whether the pauses that endpoints asked for leave too little time to start the request. */
--- a/core/src/test/java/io/radishwinch/core/impl/SilentEndpointTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/SilentEndpointTest.java
@@ -99,6 +99,33 @@
         assertServedByOneAttempt(simulation);
     }
 
+    /** Failure: requests were refused for missing layers 400 ms after the last holder had become silent. */
+    @Test
+    void aRequestWaitsForTheSilentLastHolderOfItsLayers() {
+        CoreSimulation simulation = CoreSimulation.of(
+                        new FakeDirectory(1, 1, 4), CoreSettings.defaults().withUncoveredGraceMs(400))
+                .contract("a");
+        simulation.at(1_000, Event.EndpointRemoved.suspected("0-0"));
+        simulation.arrive(simulation.request("waiting", "a", Rank.INTERACTIVE, 1_100, 10, TIMEOUT_MS));
+        simulation.arrive(simulation.request("late", "a", Rank.INTERACTIVE, 2_200, 10, TIMEOUT_MS));
+        simulation.at(2_300, joined("0-0"));
+        simulation.run(5_000);
+        assertThat(simulation.traces.values()).allMatch(CoreSimulation.Trace::isServed);
+    }
+
+    /** Guards against requests that wait for a dead last holder until their deadlines. */
+    @Test
+    void aRequestIsRefusedWhenTheLastHolderOfItsLayersStaysSilent() {
+        CoreSimulation simulation = CoreSimulation.of(
+                        new FakeDirectory(1, 1, 4), CoreSettings.defaults().withUncoveredGraceMs(400))
+                .contract("a");
+        simulation.at(1_000, Event.EndpointRemoved.suspected("0-0"));
+        simulation.arrive(simulation.request("r", "a", Rank.INTERACTIVE, 1_100, 10, TIMEOUT_MS));
+        simulation.run(5_000);
+        assertThat(simulation.trace("r").refusal().reason()).isEqualTo(Reason.NO_CAPACITY);
+        assertThat(simulation.trace("r").endedAtMs).isLessThan(3_500);
+    }
+
     /** Guards against streams that stay at a dead endpoint although another one can take them up. */
     @Test
     void aStreamThatAnotherAttemptCanTakeUpLeavesASilentEndpointAtOnce() {
