--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -81,8 +81,16 @@
         endAttempt(row, endpointId, reason, verdict, nowMs);
     }
 
-    /** Reroutes or cancels the attempts on a removed endpoint; the end of each one reports the delivered tokens. */
+    /**
+     * Reroutes or cancels the attempts on a removed endpoint; the end of each one reports the delivered tokens.
+     * Attempts on an endpoint that is only suspected continue unless another attempt can take them up.
+     */
     void endpointRemoved(Event.EndpointRemoved removed, long nowMs) {
+        if (removed.isSuspected()) {
+            state.suspectedSinceMs.put(removed.endpointId(), nowMs);
+        } else {
+            state.suspectedSinceMs.remove(removed.endpointId());
+        }
         List<RequestRow> rows = state.running.stream()
                 .filter(row -> row.chain.uses(removed.endpointId()))
                 .toList();
@@ -91,7 +99,8 @@
             boolean canRestart = row.spec.isRepeatable() || !row.isAccepted;
             if (row.state == RequestRow.State.RUNNING && canRestart) {
                 row.isCancelledByCrash = removed.hasCrashed();
-                if (!startReroute(row, removed.endpointId(), nowMs)) {
+                boolean isRerouted = startReroute(row, removed.endpointId(), nowMs);
+                if (!isRerouted && (!removed.isSuspected() || canLeaveSuspected(row, removed.endpointId(), nowMs))) {
                     cancel(row, Reason.STAGE_DIED, removed.endpointId(), nowMs);
                 }
             }
@@ -106,6 +115,43 @@
         }
     }
 
+    /** Ends the suspicion of an endpoint that responds again. */
+    void endpointJoined(String endpointId) {
+        state.suspectedSinceMs.remove(endpointId);
+    }
+
+    /** Cancels the attempts on suspected endpoints that another attempt can take up by now. */
+    private void leaveSuspectedEndpoints(long nowMs) {
+        for (String endpointId : state.suspectedSinceMs.keySet()) {
+            for (RequestRow row : List.copyOf(state.running)) {
+                if (row.state == RequestRow.State.RUNNING
+                        && row.rerouteChain == null
+                        && row.chain.uses(endpointId)
+                        && canLeaveSuspected(row, endpointId, nowMs)) {
+                    cancel(row, Reason.STAGE_DIED, endpointId, nowMs);
+                }
+            }
+        }
+    }
+
+    /** Returns whether another attempt can take up a running one in time, whose endpoint does not respond. */
+    private boolean canLeaveSuspected(RequestRow row, String endpointId, long nowMs) {
+        if (!row.spec.isRepeatable()) {
+            // An attempt that the endpoint has not accepted did not run.
+            return !row.isAccepted;
+        }
+        boolean isSilenceExceeded =
+                nowMs - state.suspectedSinceMs.getOrDefault(endpointId, nowMs) >= CoreState.MAX_SILENCE_MS;
+        boolean hasRuns = hasRunsAfterCurrent(row) || isSilenceExceeded && countRuns(row) < row.spec.maxRuns();
+        long neededMs = state.pool(row.spec.pool()).neededMs(row.spec, row.deliveredTokens, false, nowMs);
+        return hasRuns
+                && !row.cannotBeTakenUp
+                && row.attempts < state.settings.retry().maxAttempts()
+                && state.contractRefusalReason(row.spec) == null
+                && state.directory.isCovered(row.spec.pool(), nowMs)
+                && nowMs + neededMs < state.deadlineMs(row);
+    }
+
     /**
      * Asks the first stage to continue a stream over another chain without a new run.
      *
@@ -166,6 +212,7 @@
 
     /** Applies the timeouts of deadlines, reroutes, cancellations and waits for the retry budget. */
     void tick(long nowMs) {
+        leaveSuspectedEndpoints(nowMs);
         for (RequestRow row : List.copyOf(state.running)) {
             if (!row.isRunning()) {
                 continue;
@@ -182,6 +229,10 @@
                 // No other attempt can continue the response that has begun, and its endpoint is sound.
                 row.state = RequestRow.State.RUNNING;
                 row.preemptions = state.settings.maxPreemptions();
+            } else if (row.cancelReason == Reason.STAGE_DIED && isSuspected(row.cancelEndpointId)) {
+                // No other attempt can continue the response that has begun, and its endpoint may respond again.
+                row.state = RequestRow.State.RUNNING;
+                row.cannotBeTakenUp = true;
             } else {
                 // The delivered tokens are unknown, and a resume from an outdated count would deliver tokens twice.
                 state.refuse(row, row.cancelReason, nowMs);
@@ -283,6 +334,11 @@
                 .count();
     }
 
+    /** Returns whether an attempt was cancelled only because its endpoint did not respond at that time. */
+    private boolean isSuspected(String endpointId) {
+        return state.suspectedSinceMs.containsKey(endpointId) || !state.directory.isRemoved(endpointId);
+    }
+
     private RequestRow runningAttempt(String requestId, int epoch) {
         RequestRow row = state.requests.get(requestId);
         return row != null && row.isRunning() && row.epoch == epoch ? row : null;
--- a/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -109,6 +109,7 @@
             attempts.endpointRemoved(removed, nowMs);
             dispatch.dispatch(nowMs);
         } else if (event instanceof Event.EndpointJoined joined) {
+            attempts.endpointJoined(joined.endpoint().id());
             quarantineSystem.endpointJoined(joined.endpoint().id());
         } else if (event instanceof Event.CrashShared crash) {
             quarantineSystem.recordPeerCrash(crash, nowMs);
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -288,7 +288,7 @@
         log.stateChanged("endpoint-unreachable", endpointId, cause);
         listener.endpointUnreachable(endpointId);
         // The endpoint may be unreachable rather than dead, so its requests are not suspected of crashing it.
-        events.accept(new Event.EndpointRemoved(endpointId, false));
+        events.accept(Event.EndpointRemoved.suspected(endpointId));
     }
 
     /** Marks an endpoint as reachable that responded without a status report. */
@@ -385,6 +385,7 @@
             return;
         }
         endpoint.isJoined = true;
+        endpoint.failures = 0;
         endpoint.nextCheckAtMs = Long.MAX_VALUE;
         events.accept(new Event.EndpointJoined(new EndpointSpec(
                 endpoint.endpointId,
