Open a connection for each call to a service

Repeatable calls to plain services of the product protocol shared pooled connections, and a response does not name its call. A late second copy of one response was passed to the caller of the next call.

All calls use HttpExchange.newUnpooledClient now. It replaces the separate connections of non-repeatable calls (ServiceClient.Call.useNewConnection); callOverANewConnectionToAStoppedServiceDidNotRun holds for all calls and no longer asks for such a connection. The connection of a refusal is closed at once instead of being drained. Non-repeatable calls are now subject to the client's limits on connections and waiting calls.

--- a/server/src/main/java/io/radishwinch/server/engine/HttpServiceClient.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpServiceClient.java
@@ -13,13 +13,15 @@
     private final LongSupplier clockMs;
 
     /**
-     * Creates a client with its own connection pool.
+     * Creates a client that opens a connection for each call. A response does not name its call, so a late second copy
+     * of one would be taken for the response to the next call on its connection; and a service that has stopped refuses
+     * a new connection, which shows that the call did not run.
      *
      * @param clockMs the router's clock, in ms
      */
     public HttpServiceClient(Vertx vertx, ClientOptions options, LongSupplier clockMs) {
         this.vertx = vertx;
-        this.client = HttpExchange.newClient(vertx, options);
+        this.client = HttpExchange.newUnpooledClient(vertx, options);
         this.options = options;
         this.clockMs = clockMs;
     }
--- a/server/src/main/java/io/radishwinch/server/engine/HttpServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpServiceExchange.java
@@ -8,12 +8,9 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientAgent;
-import io.vertx.core.http.HttpClientConnection;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpConnectOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.streams.ReadStream;
 import java.util.Set;
@@ -22,7 +19,6 @@
 /** HTTP call to a plain service; one Vert.x context owns all state. */
 final class HttpServiceExchange implements ServiceClient.Exchange {
     private static final int HTTP_UNAVAILABLE = 503;
-    private static final long RESPONSE_DRAIN_TIMEOUT_MS = 1_000;
 
     /** Headers that the client sets for the endpoint. */
     private static final Set<String> SET_BY_CLIENT = Set.of("host");
@@ -33,7 +29,6 @@
     private final long maxResponseBytes;
     private final LongSupplier clockMs;
     private final Promise<ServiceClient.Response> promise = Promise.promise();
-    private HttpClientConnection dedicatedConnection;
     private HttpClientRequest request;
     private BoundedBody responseBody;
     private boolean isEnded;
@@ -83,30 +78,11 @@
                 .setPort(call.endpoint().port())
                 .setURI(call.uri())
                 .setHeaders(endToEndHeaders(call.headers()));
-        if (call.useNewConnection()) {
-            target.putHeader("Connection", "close");
-        }
-        connect(client)
-                .compose(connection -> connection.request(target))
+        client.request(target)
                 .onFailure(cause -> fail(Reason.STAGE_DIED, "failed to connect: " + cause.getMessage(), cause))
                 .onSuccess(this::sendRequest);
     }
 
-    private Future<? extends HttpClient> connect(HttpClientAgent client) {
-        if (!call.useNewConnection()) {
-            return Future.succeededFuture(client);
-        }
-        HttpConnectOptions target = new HttpConnectOptions()
-                .setHost(call.endpoint().host())
-                .setPort(call.endpoint().port());
-        return client.connect(target).onSuccess(connection -> {
-            dedicatedConnection = connection;
-            if (isEnded) {
-                connection.close();
-            }
-        });
-    }
-
     private void sendRequest(HttpClientRequest opened) {
         if (isEnded) {
             opened.reset();
@@ -167,7 +143,7 @@
         }
         if (received.statusCode() == HTTP_UNAVAILABLE
                 && "true".equalsIgnoreCase(received.getHeader(HttpExchange.NOT_RUN_HEADER))) {
-            onRefused(received);
+            onRefused();
             return;
         }
         received.pause();
@@ -177,12 +153,9 @@
                 new ServiceClient.Response(received.statusCode(), endToEndHeaders(received.headers()), responseBody));
     }
 
-    /** Reads the rest of the refusal response, so that its connection returns to the pool. */
-    private void onRefused(HttpClientResponse received) {
+    private void onRefused() {
         finish();
-        long timer = vertx.setTimer(RESPONSE_DRAIN_TIMEOUT_MS, id -> request.reset());
-        received.endHandler(ignored -> vertx.cancelTimer(timer));
-        received.exceptionHandler(ignored -> vertx.cancelTimer(timer));
+        request.reset();
         promise.fail(new EndpointException(
                 call.endpoint().endpointId(),
                 Reason.ENDPOINT_REFUSED,
@@ -194,9 +167,6 @@
     private void finish() {
         isEnded = true;
         vertx.cancelTimer(deadlineTimer);
-        if (dedicatedConnection != null) {
-            dedicatedConnection.close();
-        }
     }
 
     private void fail(Reason reason, String message, Throwable cause) {
--- a/server/src/main/java/io/radishwinch/server/engine/ServiceClient.java
+++ b/server/src/main/java/io/radishwinch/server/engine/ServiceClient.java
@@ -9,7 +9,9 @@
 /** Client of plain services. */
 public interface ServiceClient {
 
-    /** Sends a call. A streamed body is read at the speed at which the service accepts it. */
+    /**
+     * Sends a call over a connection of its own. A streamed body is read at the speed at which the service accepts it.
+     */
     Exchange call(Call call);
 
     /** An in-flight call. */
@@ -30,30 +32,9 @@
      * @param headers request headers; the client removes hop-by-hop headers
      * @param body request body
      * @param deadlineMs time by which the response must be complete, in ms of the router's clock
-     * @param useNewConnection whether to open a connection for this call only, as non-repeatable calls need. If the
-     *     service is stopping, a failed connect has the verdict {@code NOT_RUN}, but a pooled connection that the
-     *     service closes leads to {@code MAY_HAVE_RUN}
      */
     record Call(
-            EndpointAddress endpoint,
-            HttpMethod method,
-            String uri,
-            MultiMap headers,
-            Body body,
-            long deadlineMs,
-            boolean useNewConnection) {
-
-        /** Creates a call that uses a pooled connection. */
-        public Call(
-                EndpointAddress endpoint, HttpMethod method, String uri, MultiMap headers, Body body, long deadlineMs) {
-            this(endpoint, method, uri, headers, body, deadlineMs, false);
-        }
-
-        /** Returns a copy that opens a connection for this call only. */
-        public Call withNewConnection() {
-            return new Call(endpoint, method, uri, headers, body, deadlineMs, true);
-        }
-    }
+            EndpointAddress endpoint, HttpMethod method, String uri, MultiMap headers, Body body, long deadlineMs) {}
 
     /** Request body. */
     sealed interface Body {
--- a/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
@@ -152,8 +152,7 @@
                 ServiceHeaders.forService(call.headers(), request.requestId()),
                 new ServiceClient.Body.Buffered(call.body()),
                 attempt.deadlineMs());
-        // If a reused connection fails, it is unknown whether the call ran.
-        inFlight = shared.serviceClient().call(request.isRepeatable() ? outgoing : outgoing.withNewConnection());
+        inFlight = shared.serviceClient().call(outgoing);
         inFlight.response()
                 .onComplete(
                         head -> readBody(attemptEpoch, address, head),
--- a/server/src/test/java/io/radishwinch/server/engine/HttpServiceClientTest.java
+++ b/server/src/test/java/io/radishwinch/server/engine/HttpServiceClientTest.java
@@ -65,10 +65,9 @@
     @Test
     void callOverANewConnectionToAStoppedServiceDidNotRun() {
         for (int i = 0; i < 50; i++) {
-            assertThat(body(call("before " + i, 20_000).withNewConnection()).toString())
-                    .contains("\"executions\":1");
+            assertThat(body(call("before " + i, 20_000)).toString()).contains("\"executions\":1");
             service.crash();
-            assertFailed(() -> body(call("gone", 20_000).withNewConnection()), Reason.STAGE_DIED, Verdict.NOT_RUN);
+            assertFailed(() -> body(call("gone", 20_000)), Reason.STAGE_DIED, Verdict.NOT_RUN);
             service.restart();
         }
     }
--- a/server/src/test/java/io/radishwinch/server/engine/ResponseCopyTest.java
+++ b/server/src/test/java/io/radishwinch/server/engine/ResponseCopyTest.java
@@ -6,11 +6,15 @@
 import io.radishwinch.core.model.EngineOrder;
 import io.radishwinch.core.model.LayerRange;
 import io.smallrye.mutiny.Uni;
+import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -95,4 +99,33 @@
                                 requestId, 1, "m", List.of(stage), "", 1, List.of(), List.of(), 1, 0, deadlineMs))
                 .toString();
     }
+
+    /** Guards against a caller who gets the response to the call of another one. */
+    @Test
+    void aCopyOfAServiceResponseIsNotTheResponseToTheNextCall() throws IOException {
+        HttpServiceClient services = new HttpServiceClient(vertx, ClientOptions.defaults(), System::currentTimeMillis);
+        try (RepeatingEndpoint service = new RepeatingEndpoint("200 {}", "201 {}")) {
+            call(services, service);
+            assertThat(call(services, service)).isEqualTo(201);
+        }
+    }
+
+    private int call(HttpServiceClient services, RepeatingEndpoint service) {
+        CompletableFuture<Integer> status = new CompletableFuture<>();
+        services.call(new ServiceClient.Call(
+                        address(service),
+                        HttpMethod.GET,
+                        "/",
+                        MultiMap.caseInsensitiveMultiMap(),
+                        new ServiceClient.Body.Buffered(Buffer.buffer()),
+                        System.currentTimeMillis() + 60_000))
+                .response()
+                .onFailure(status::completeExceptionally)
+                .onSuccess(response -> {
+                    response.body().endHandler(ignored -> status.complete(response.status()));
+                    response.body().handler(ignored -> {});
+                    response.body().resume();
+                });
+        return status.join();
+    }
 }
