Open a connection for each call to the platform

HttpPlatformClient, the client of the product protocol, shared pooled connections, and a response names neither its call nor its prefix. A late second copy of one response was taken for the response to the next call. Two new tests failed before:

PlatformCopyTest.aCopyOfTheResponseToAWriteIsNotTheResponseToTheNextWrite expected a conflict, was Written[version=8] PlatformCopyTest.aCopyOfAListingIsNotTheListingOfAnotherPrefix expected store version 9, was 8

Each call and each watch has a connection of its own now. PlatformCopyTest and HttpPlatformClientTest pass (2 and 12 tests). The cost of the connections of this client is not measured.

--- a/server/src/main/java/io/radishwinch/server/platform/HttpPlatformClient.java
+++ b/server/src/main/java/io/radishwinch/server/platform/HttpPlatformClient.java
@@ -53,10 +53,10 @@
     private final EndpointAddress platform;
     private final ClientOptions options;
 
-    /** Creates a client with its own connection pool. */
+    /** Creates a client that opens a connection for each call, because a response does not name its call. */
     public HttpPlatformClient(Vertx vertx, String host, int port, ClientOptions options) {
         this.vertx = vertx;
-        this.client = HttpExchange.newClient(vertx, options);
+        this.client = HttpExchange.newUnpooledClient(vertx, options);
         this.platform = new EndpointAddress("platform", host, port);
         this.options = options;
     }
