Number membership probes from the start time of the process

Each process numbered its probes from 1, so that a late acknowledgement to the previous process at the address passed a probe of the restarted one, and a failed member was suspected later. The new test failed before:

ProbeSequenceTest.acknowledgementsToThePreviousProcessDoNotCompleteProbesOfThisOne the target, which acknowledges no probe of the restarted process, was still ALIVE after 3 s

ProbeSequenceTest and MembershipTest pass (1 and 10 tests).

--- a/cluster/src/main/java/io/radishwinch/cluster/membership/Membership.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/membership/Membership.java
@@ -51,6 +51,9 @@
     /** Time between attempts to reach seeds while no other member is known, in ms. */
     static final long JOIN_INTERVAL_MS = 500;
 
+    /** Number of low bits of a sequence number that count the probes; the others contain the start of the router. */
+    private static final int SEQUENCE_COUNT_BITS = 20;
+
     private static final int INDIRECT_PROBES = 3;
     private static final int PUSH_FANOUT = 4;
     private static final int SEEDS_PER_ATTEMPT = 3;
@@ -67,7 +70,7 @@
     private final Consumer<MemberInfo> listener;
 
     private MemberInfo self;
-    private long nextSequence = 1;
+    private long nextSequence;
     private long lastTickMs = Long.MIN_VALUE;
     private long nextRingProbeMs;
     private long nextRandomProbeMs;
@@ -102,6 +105,9 @@
         this.self = self;
         this.random = random;
         this.listener = listener;
+        // An acknowledgement to the previous process at this address must not complete a probe of this one. Sequence
+        // number 0 means that no probe is acknowledged.
+        this.nextSequence = (self.incarnation() << SEQUENCE_COUNT_BITS) + 1;
     }
 
     /** Returns the state of this router. */
