--- a/core/src/main/java/io/radishwinch/core/impl/QuarantineSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/QuarantineSystem.java
@@ -60,8 +60,7 @@
             applyQuarantine(event.fingerprint(), true, nowMs);
         }
         // A peer reports a crash only once it knows that the endpoint ended. It may have lost its own link to the
-        // endpoint,
-        // so that its report says nothing about attempts that break here later.
+        // endpoint, so that its report says nothing about attempts that break here later.
         for (String fingerprint : evidence.confirm(event.endpointId(), nowMs)) {
             recordCrash(fingerprint, event.endpointId(), nowMs);
         }
--- a/core/src/test/java/io/radishwinch/core/impl/CrashProofTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/CrashProofTest.java
@@ -174,9 +174,6 @@
         }
         run(45_000);
         long thirdMs = crashTimesMs.size() < 3 ? Long.MAX_VALUE - 10_000 : crashTimesMs.get(2);
-        System.out.printf(
-                "crash after %d ms, connection ends after %d ms, proof after %d ms: %d crashes%n",
-                afterMs, connectionEndMs, proofMs, crashTimesMs.size());
         assertThat(crashTimesMs.stream().filter(crashMs -> crashMs > thirdMs + 3_000))
                 .hasSizeLessThanOrEqualTo(3);
         assertThat(refusedAsQuarantined("poison")).isPositive();
