Read on to the end of what an endpoint sent before it closed

- A whole response was cut as may-have-run when its endpoint closed while the caller read slowly: with a message handler, a paused socket queues messages, and the close overtakes them.
Reading is resumed at the end.
- Connections of HTTP/1.0 responses without keep-alive were reused.
- A HEAD request never ended behind an interim response, and the copy of its response took the next one.
The decoder knows the method of the request now, and HEAD requests have a connection of their own.
- A copy of a 204 or 304 still ended the attempt that it met.
- A response naming a request that its connection has not carried kept the call waiting until its deadline; it fails the call at once.
- The number of interim and surplus responses was not bounded.

--- a/server/src/main/java/io/radishwinch/server/proxy/EndpointConnection.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EndpointConnection.java
@@ -6,12 +6,14 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -25,20 +27,25 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.internal.buffer.BufferInternal;
 import io.vertx.core.internal.net.NetSocketInternal;
+import java.util.function.Predicate;
 
 /**
  * HTTP/1.1 connection to an endpoint, which carries one request at a time.
  *
  * <p>HTTP/1.1 matches responses to requests by their order. A second copy of an earlier response would take the place
- * of the response to the current request, so that a response that names another request is dropped, and the one after
- * it is read. It is passed on instead if its end cannot be found: if only the end of the connection delimits it, or
- * after a {@code HEAD} request. Confined to one traffic thread.
+ * of the response to the current request, so that a response that names an earlier request of the connection is
+ * dropped, and the one after it is read. It is passed on instead if only the end of the connection delimits it. A
+ * {@code HEAD} request needs a connection of its own, because the end of a second copy of its response could not be
+ * found. Confined to one traffic thread.
  */
 final class EndpointConnection {
 
     /** Size of the body of a surplus response above which the connection is closed, in bytes. */
     static final int MAX_SURPLUS_BYTES = 256 << 10;
 
+    /** Number of interim and surplus responses before a response above which the connection is closed. */
+    private static final int MAX_SKIPPED_RESPONSES = 32;
+
     /** Time in which a surplus response must end, in ms. */
     private static final long MAX_SURPLUS_MS = 1_000;
 
@@ -50,11 +57,14 @@
     private final Vertx vertx;
     private final NetSocketInternal socket;
     private final String requestIdHeader;
+    private final Predicate<String> hasCarried;
     private final Runnable onClosed;
     private Reading reading = Reading.NOTHING;
     private HttpMethod method;
     private String requestId = "";
     private Listener listener;
+    private boolean isKeptAlive;
+    private int skippedResponses;
     private int surplusResponses;
     private int surplusBytes;
     private long surplusTimerId = NO_TIMER;
@@ -90,28 +100,53 @@
      * Creates a connection over a connected socket.
      *
      * @param requestIdHeader name of the header that names a request and its response
+     * @param hasCarried returns whether the connection may have carried a request with an identifier
      * @param onClosed called once when the connection is closed by either side
      */
-    EndpointConnection(Vertx vertx, NetSocketInternal socket, String requestIdHeader, Runnable onClosed) {
+    EndpointConnection(
+            Vertx vertx,
+            NetSocketInternal socket,
+            String requestIdHeader,
+            Predicate<String> hasCarried,
+            Runnable onClosed) {
         this.vertx = vertx;
         this.socket = socket;
         this.requestIdHeader = requestIdHeader;
+        this.hasCarried = hasCarried;
         this.onClosed = onClosed;
         ChannelHandlerContext handler = socket.channelHandlerContext();
         HttpDecoderConfig decoder = new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
                 .setMaxChunkSize(MAX_CHUNK_BYTES);
-        handler.pipeline().addBefore(handler.name(), "codec", new HttpClientCodec(decoder, false, false));
+        handler.pipeline().addBefore(handler.name(), "encoder", new HttpRequestEncoder());
+        handler.pipeline().addBefore(handler.name(), "decoder", new ResponseDecoder(decoder));
         socket.messageHandler(this::read);
-        socket.exceptionHandler(cause -> fail(cause.getMessage()));
-        socket.closeHandler(ignored -> fail("connection closed"));
+        socket.exceptionHandler(cause -> onSocketEnd(cause.getMessage()));
+        socket.closeHandler(ignored -> onSocketEnd("connection closed"));
+    }
+
+    /** Decodes responses; those to a {@code HEAD} request have no body, whatever their headers say. */
+    private final class ResponseDecoder extends HttpResponseDecoder {
+        ResponseDecoder(HttpDecoderConfig config) {
+            super(config);
+        }
+
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            return method == HttpMethod.HEAD || super.isContentAlwaysEmpty(message);
+        }
     }
 
     boolean isClosed() {
         return isClosed;
     }
 
+    /** Returns whether the endpoint keeps the connection open after the last response. */
+    boolean isKeptAlive() {
+        return isKeptAlive;
+    }
+
     /** Returns the number of responses to earlier requests that were dropped since the last request was sent. */
     int surplusResponses() {
         return surplusResponses;
@@ -129,6 +164,7 @@
         requestId = id == null ? "" : id;
         method = requestMethod;
         listener = responseListener;
+        skippedResponses = 0;
         surplusResponses = 0;
         reading = Reading.HEAD;
         return socket.writeMessage(request).onFailure(cause -> fail(cause.getMessage()));
@@ -163,6 +199,12 @@
         fail("closed by this router");
     }
 
+    /** Passes on what was received before the end while reading was paused. */
+    private void onSocketEnd(String message) {
+        socket.resume();
+        fail(message);
+    }
+
     private void read(Object message) {
         try {
             if (isClosed) {
@@ -195,23 +237,36 @@
             fail("unexpected protocol: " + response.protocolVersion() + " " + response.status());
         } else if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             reading = Reading.INTERIM_RESPONSE;
+            skip();
         } else if (isSurplus(response)) {
             reading = Reading.SURPLUS_RESPONSE;
             surplusResponses++;
             surplusBytes = 0;
             surplusTimerId = vertx.setTimer(MAX_SURPLUS_MS, ignored -> fail("a surplus response does not end"));
+            skip();
         } else {
             reading = Reading.BODY;
+            isKeptAlive = HttpUtil.isKeepAlive(response);
             MultiMap headers = MultiMap.caseInsensitiveMultiMap();
             response.headers().forEach(header -> headers.add(header.getKey(), header.getValue()));
             listener.onResponseHead(response.status().code(), headers);
         }
     }
 
+    private void skip() {
+        if (++skippedResponses > MAX_SKIPPED_RESPONSES) {
+            fail("too many interim or surplus responses");
+        }
+    }
+
+    /** Returns whether a response names an earlier request on this connection, and its end can be found. */
     private boolean isSurplus(HttpResponse response) {
-        boolean isDelimited = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+        boolean isDelimited = HttpUtil.isContentLengthSet(response)
+                || HttpUtil.isTransferEncodingChunked(response)
+                || response.status().equals(HttpResponseStatus.NO_CONTENT)
+                || response.status().equals(HttpResponseStatus.NOT_MODIFIED);
         String id = response.headers().get(requestIdHeader);
-        return id != null && !id.equals(requestId) && isDelimited && method != HttpMethod.HEAD;
+        return isDelimited && id != null && !id.equals(requestId) && hasCarried.test(id);
     }
 
     private void readContent(HttpContent content) {
@@ -252,6 +307,8 @@
         }
         isClosed = true;
         cancelSurplusTimer();
+        // Messages that were received while reading was paused are released when they are read.
+        socket.resume();
         socket.close();
         onClosed.run();
         if (listener != null) {
--- a/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
@@ -26,6 +26,7 @@
     private ResponseHead head;
     private long drainTimerId;
     private int drainedBytes;
+    private boolean isOnlyRequest;
     private boolean isSent;
     private boolean isBodySent;
     private boolean isEnded;
@@ -80,11 +81,13 @@
 
     /**
      * Connects to the endpoint. A request that must not run twice gets a connection of its own: on a reused one, a
-     * second copy of an earlier response or a close by the endpoint would leave its outcome unknown.
+     * second copy of an earlier response or a close by the endpoint would leave its outcome unknown. So does a
+     * {@code HEAD} request, whose response has no body although its headers may state one.
      */
     private Future<EndpointConnectionPool.Connection> connect(OutgoingRequest outgoing, int maxConnections) {
         String requestId = scope.dialect().requestId(outgoing.headers());
-        return outgoing.isRepeatable()
+        isOnlyRequest = outgoing.method() == HttpMethod.HEAD;
+        return outgoing.isRepeatable() && !isOnlyRequest
                 ? scope.connections().acquire(contact, requestId, maxConnections)
                 : scope.connections().open(contact, requestId, maxConnections);
     }
@@ -220,7 +223,11 @@
      * cannot be told from the response to the next request.
      */
     private boolean isReusable() {
-        return !head.isClosing() && isBodySent && head.requestId().isPresent();
+        return !head.isClosing()
+                && connection.http().isKeptAlive()
+                && !isOnlyRequest
+                && isBodySent
+                && head.requestId().isPresent();
     }
 
     /**
--- a/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
@@ -65,6 +65,7 @@
         private final CompletableFuture<Void> hasBody = new CompletableFuture<>();
         private final Buffer body = Buffer.buffer();
         private UpstreamCall call;
+        private boolean pausesAtHead;
 
         @Override
         public void onRequestSent() {}
@@ -75,7 +76,11 @@
         }
 
         @Override
-        public void onResponseHead(ResponseHead head, MultiMap headers) {}
+        public void onResponseHead(ResponseHead head, MultiMap headers) {
+            if (pausesAtHead) {
+                call.pause();
+            }
+        }
 
         @Override
         public void onBodyChunk(Buffer chunk) {
@@ -117,6 +122,16 @@
     }
 
     private Recorder call(String requestId, int port, EndpointNoticeListener notices, boolean isRepeatable) {
+        return call(requestId, port, notices, isRepeatable, HttpMethod.GET, new Recorder());
+    }
+
+    private Recorder call(
+            String requestId,
+            int port,
+            EndpointNoticeListener notices,
+            boolean isRepeatable,
+            HttpMethod method,
+            Recorder recorder) {
         ProxyScope scope = new ProxyScope(
                 vertx,
                 context,
@@ -131,13 +146,12 @@
                 (ignored, end) -> {},
                 () -> false,
                 1_000);
-        Recorder recorder = new Recorder();
         EndpointContact contact = new EndpointContact("e@1", "e", "127.0.0.1", port);
         MultiMap headers = MultiMap.caseInsensitiveMultiMap().add("X-Request-Id", requestId);
         context.runOnContext(ignored -> {
             recorder.call = new UpstreamCall(scope, contact, recorder);
             recorder.call.start(
-                    new UpstreamCall.OutgoingRequest(HttpMethod.GET, "/", headers, Buffer.buffer(), isRepeatable),
+                    new UpstreamCall.OutgoingRequest(method, "/", headers, Buffer.buffer(), isRepeatable),
                     MAX_CONNECTIONS);
         });
         return recorder;
@@ -250,6 +264,82 @@
         }
     }
 
+    /** Guards against an attempt that ends because of a copy of a response that has no body. */
+    @ParameterizedTest
+    @ValueSource(strings = {"204 No Content", "304 Not Modified"})
+    void aLateSecondCopyOfAResponseWithoutBodyIsDropped(String status) throws Exception {
+        String first = "HTTP/1.1 " + status + "\r\nX-Request-Id: a\r\n\r\n";
+        try (RepeatingEndpoint endpoint = new RepeatingEndpoint(List.of(first, identified(200, "b", "run of b")))) {
+            assertThat(outcomes(endpoint, "a", "b")).containsExactly("complete: ", "complete: run of b");
+        }
+    }
+
+    /** Guards against a call that waits for its deadline at an endpoint that names another request in its response. */
+    @Test
+    void aResponseToARequestThatTheConnectionHasNotCarriedFailsTheCall() throws Exception {
+        Recorder recorder = call("a", server.getLocalPort(), new NoNotices());
+        try (Socket socket = server.accept()) {
+            ScriptedEndpoint.readHead(socket);
+            write(socket, identified(200, "z", "run of z"));
+            assertThat(recorder.outcome.get(WAIT_S, TimeUnit.SECONDS)).isEqualTo("STAGE_DIED MAY_HAVE_RUN");
+        }
+    }
+
+    /** Guards against whole responses that are cut because the endpoint closes while the caller reads slowly. */
+    @ParameterizedTest
+    @ValueSource(ints = {100, 20_000})
+    void aWholeResponseIsReadWhenItsEndpointClosesWhileReadingIsPaused(int bytes) throws Exception {
+        Recorder recorder = new Recorder();
+        recorder.pausesAtHead = true;
+        call("a", server.getLocalPort(), new NoNotices(), true, HttpMethod.GET, recorder);
+        String body = "x".repeat(bytes);
+        try (Socket socket = server.accept()) {
+            ScriptedEndpoint.readHead(socket);
+            write(socket, response(200, "X-Request-Id: a\r\nConnection: close\r\n", body));
+        }
+        assertThat(recorder.outcome.get(WAIT_S, TimeUnit.SECONDS)).isEqualTo("complete: " + body);
+    }
+
+    /** Guards against calls that never end because an interim response is taken for the response. */
+    @ParameterizedTest
+    @CsvSource({"GET, whole", "HEAD, ''"})
+    void interimResponsesAreSkipped(String method, String body) throws Exception {
+        Recorder recorder =
+                call("a", server.getLocalPort(), new NoNotices(), true, HttpMethod.valueOf(method), new Recorder());
+        try (Socket socket = server.accept()) {
+            ScriptedEndpoint.readHead(socket);
+            String interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n";
+            write(socket, interim + HEAD + "Content-Length: 5\r\n\r\n" + body);
+            assertThat(recorder.outcome.get(WAIT_S, TimeUnit.SECONDS)).isEqualTo("complete: " + body);
+        }
+    }
+
+    /** Guards against interim responses without end. */
+    @Test
+    void theConnectionOfTooManyInterimResponsesIsClosed() throws Exception {
+        Recorder recorder = call("a", server.getLocalPort(), new NoNotices());
+        try (Socket socket = server.accept()) {
+            ScriptedEndpoint.readHead(socket);
+            assertThat(isClosedByPeer(socket, "HTTP/1.1 102 Processing\r\n\r\n".repeat(1_000)))
+                    .isTrue();
+            assertThat(recorder.outcome.get(WAIT_S, TimeUnit.SECONDS)).isEqualTo("STAGE_DIED MAY_HAVE_RUN");
+        }
+    }
+
+    /** Guards against requests that are sent while an endpoint closes the connection after each response. */
+    @ParameterizedTest
+    @CsvSource({"GET, HTTP/1.0", "HEAD, HTTP/1.1"})
+    void aConnectionThatCannotCarryAnotherRequestIsClosed(String method, String version) throws Exception {
+        Recorder recorder =
+                call("a", server.getLocalPort(), new NoNotices(), true, HttpMethod.valueOf(method), new Recorder());
+        try (Socket socket = server.accept()) {
+            ScriptedEndpoint.readHead(socket);
+            String response = version + " 200 OK\r\nX-Request-Id: a\r\nContent-Length: 0\r\n\r\n";
+            assertThat(isClosedByPeer(socket, response)).isTrue();
+            assertThat(recorder.outcome.get(WAIT_S, TimeUnit.SECONDS)).isEqualTo("complete: ");
+        }
+    }
+
     /** Guards against charges of unknown outcome because of a response to an earlier request. */
     @Test
     void aLateSecondCopyDoesNotAffectARequestThatMustNotRunTwice() throws Exception {
