Cancel no more attempts at a silent endpoint than the retry budget allows

Callers: of 40 streams at an endpoint that was silent for a second, 23 were refused as deadline-unreachable, although another endpoint was free. All were cancelled at once, and the budget granted 17 retries.

The retry of an attempt at a suspected endpoint is charged before the attempt is cancelled; without it, the attempt continues.

--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -105,7 +105,9 @@
                 }
             }
         }
-        quarantineSystem.endpointEnded(removed.endpointId(), nowMs);
+        if (!removed.isSuspected()) {
+            quarantineSystem.endpointEnded(removed.endpointId(), nowMs);
+        }
         partQuarantineSystem.endpointEnded(removed.endpointId(), nowMs);
         for (RequestRow row : rows) {
             if (removed.hasCrashed() && row.isAccepted && state.requests.containsKey(row.id())) {
@@ -123,6 +125,10 @@
     /** Cancels the attempts on suspected endpoints that another attempt can take up by now. */
     private void leaveSuspectedEndpoints(long nowMs) {
         for (String endpointId : state.suspectedSinceMs.keySet()) {
+            if (nowMs - state.suspectedSinceMs.get(endpointId) >= CoreState.MAX_SILENCE_MS) {
+                // A sound endpoint would have responded by now.
+                quarantineSystem.endpointEnded(endpointId, nowMs);
+            }
             for (RequestRow row : List.copyOf(state.running)) {
                 if (row.state == RequestRow.State.RUNNING
                         && row.rerouteChain == null
@@ -149,7 +155,8 @@
                 && row.attempts < state.settings.retry().maxAttempts()
                 && state.contractRefusalReason(row.spec) == null
                 && state.directory.isCovered(row.spec.pool(), nowMs)
-                && nowMs + neededMs < state.deadlineMs(row);
+                && nowMs + neededMs < state.deadlineMs(row)
+                && reserveRetry(row, nowMs);
     }
 
     /**
@@ -291,11 +298,20 @@
         }
     }
 
+    /** Charges the retry that follows a cancellation, so that an attempt that could not be retried is not cancelled. */
+    private boolean reserveRetry(RequestRow row, long nowMs) {
+        row.hasReservedRetry =
+                row.hasReservedRetry || state.retries.tryReserve(row.spec, row.deliveredTokens > 0, nowMs);
+        return row.hasReservedRetry;
+    }
+
     private void retryOrRefuse(RequestRow row, long nowMs) {
-        RetryPolicy.Decision decision = state.retries.decide(
-                new RetryPolicy.Failure(
-                        row.spec, row.lastReason, row.verdict, row.attempts, row.budgetWaits, row.deliveredTokens),
-                nowMs);
+        RetryPolicy.Failure failure = new RetryPolicy.Failure(
+                row.spec, row.lastReason, row.verdict, row.attempts, row.budgetWaits, row.deliveredTokens);
+        RetryPolicy.Decision decision = row.hasReservedRetry && row.lastReason == Reason.STAGE_DIED
+                ? new RetryPolicy.Retry(0)
+                : state.retries.decide(failure, nowMs);
+        row.hasReservedRetry = false;
         Reason contractReason = state.contractRefusalReason(row.spec);
         row.isWaitingForRetryBudget = false;
         if (state.partQuarantineMs(row.spec, nowMs) > 0) {
--- a/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
@@ -189,6 +189,7 @@
         row.tokensBeforeAttempt = row.deliveredTokens;
         row.isAccepted = false;
         row.cannotBeTakenUp = false;
+        row.hasReservedRetry = false;
         row.canUseBusyEndpoint = false;
         state.acquire(row, chain, nowMs);
         List<String> kvSources = row.kvSourceEndpointIds.stream()
--- a/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
+++ b/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
@@ -73,6 +73,8 @@
     boolean isCancelledByCrash;
     /** Whether the request waits for a retry that the budget has not granted yet. */
     boolean isWaitingForRetryBudget;
+    /** Whether the retry after the running attempt has been charged to the budget. */
+    boolean hasReservedRetry;
     /** Whether the running attempt was cancelled, but its response cannot be continued by another attempt. */
     boolean cannotBeTakenUp;
     /** Whether the crash quarantine delays the request because of other attempts with its fingerprint. */
--- a/core/src/main/java/io/radishwinch/core/retry/BudgetedRetryPolicy.java
+++ b/core/src/main/java/io/radishwinch/core/retry/BudgetedRetryPolicy.java
@@ -38,6 +38,11 @@
         budget.setRouterCount(routerCount, nowMs);
     }
 
+    @Override
+    public boolean tryReserve(RequestSpec request, boolean hasStarted, long nowMs) {
+        return budget.tryWithdraw(request.caller(), request.pool(), hasStarted, nowMs);
+    }
+
     @Override
     public Decision decide(Failure failure, long nowMs) {
         RequestSpec request = failure.request();
--- a/core/src/main/java/io/radishwinch/core/retry/RetryPolicy.java
+++ b/core/src/main/java/io/radishwinch/core/retry/RetryPolicy.java
@@ -16,6 +16,14 @@
     /** Sets the number of routers that share the endpoints. */
     void setRouterCount(int routerCount, long nowMs);
 
+    /**
+     * Charges the retry of a running attempt to the budget before the attempt is cancelled.
+     *
+     * @param hasStarted whether the caller has received a part of the response
+     * @return false if the budget is exhausted and nothing was charged
+     */
+    boolean tryReserve(RequestSpec request, boolean hasStarted, long nowMs);
+
     /** Returns the decision on a failed attempt; a granted retry is charged to the budget immediately. */
     Decision decide(Failure failure, long nowMs);
 
--- a/core/src/test/java/io/radishwinch/core/impl/SilentEndpointTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/SilentEndpointTest.java
@@ -157,4 +157,37 @@
         assertThat(starts.get(1).chain().stages()).extracting(Stage::endpointId).containsExactly("0-1");
         assertThat(simulation.trace("r").end).isInstanceOf(Action.Complete.class);
     }
+
+    /** Failure: streams that the endpoint would have continued were cancelled, and the budget granted no retry. */
+    @Test
+    void noMoreStreamsLeaveASilentEndpointThanTheRetryBudgetAllows() {
+        long timeoutMs = 6_000;
+        CoreSimulation simulation = CoreSimulation.of(new FakeDirectory(1, 2, 64), CoreSettings.defaults())
+                .contract("a");
+        simulation.directory.down.add("0-1");
+        for (int n = 0; n < 40; n++) {
+            simulation.arrive(new RequestSpec(
+                    "r" + n,
+                    "a",
+                    Rank.INTERACTIVE,
+                    CoreSimulation.MODEL,
+                    10,
+                    TOKENS,
+                    0,
+                    timeoutMs,
+                    "f" + n,
+                    List.of(),
+                    List.of(),
+                    true,
+                    3,
+                    TOKENS,
+                    timeoutMs));
+        }
+        simulation.run(400);
+        simulation.directory.down.remove("0-1");
+        simulation.at(500, Event.EndpointRemoved.suspected("0-0"));
+        simulation.at(1_500, joined("0-0"));
+        simulation.run(timeoutMs + 2_000);
+        assertThat(simulation.traces.values()).allMatch(trace -> trace.end instanceof Action.Complete);
+    }
 }
