Take a refused connection as the end of an endpoint

A status check that fails is only a suspicion, because a sound endpoint may be silent for a second. A process that is silent still accepts connections; where a connection is refused nothing listens, and attempts are cancelled at once and crashes counted, as before suspicions were told from ends.

--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointHealthChecker.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointHealthChecker.java
@@ -1,6 +1,7 @@
 package io.radishwinch.server.fleet;
 
 import io.radishwinch.server.proxy.EndpointContact;
+import java.net.ConnectException;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -23,6 +24,9 @@
     /** Time within which a check completes or fails, in ms; a longer one means that this process was paused. */
     private static final long MAX_CHECK_DURATION_MS = 1_000;
 
+    /** Text of the operating system's error ECONNREFUSED. */
+    private static final String CONNECTION_REFUSED = "Connection refused";
+
     private final EndpointControl endpoints;
     private final EndpointRegistry registry;
     private final Predicate<String> isPaused;
@@ -99,20 +103,34 @@
                 .subscribe()
                 .with(
                         response -> onCheckResponse(endpointId, response, checksStreams),
-                        error -> onCheckFailure(endpointId, checksStreams, isRepeat, startedAtMs, error.getMessage()));
+                        error -> onCheckFailure(endpointId, checksStreams, isRepeat, startedAtMs, error));
     }
 
     private void onCheckFailure(
-            String endpointId, boolean checksStreams, boolean isRepeat, long startedAtMs, String cause) {
+            String endpointId, boolean checksStreams, boolean isRepeat, long startedAtMs, Throwable error) {
         pendingChecks.remove(endpointId);
         long nowMs = clockMs.getAsLong();
-        if (nowMs - startedAtMs > MAX_CHECK_DURATION_MS && !isRepeat) {
+        String cause = "no report: " + error.getMessage();
+        if (isRefused(error)) {
+            registry.markEnded(endpointId, cause, nowMs);
+        } else if (nowMs - startedAtMs > MAX_CHECK_DURATION_MS && !isRepeat) {
             // This process was paused during the check, so a missing response says nothing about the endpoint. A second
             // late failure counts: a process that is merely slow would otherwise repeat the check forever.
             sendCheck(endpointId, checksStreams, true);
         } else {
-            registry.markUnreachable(endpointId, "no report: " + cause, nowMs);
+            registry.markUnreachable(endpointId, cause, nowMs);
+        }
+    }
+
+    /** Returns whether nothing listens at the address; a process that is silent still accepts connections. */
+    private static boolean isRefused(Throwable error) {
+        for (Throwable cause = error; cause != null; cause = cause.getCause()) {
+            if (cause instanceof ConnectException
+                    && String.valueOf(cause.getMessage()).contains(CONNECTION_REFUSED)) {
+                return true;
+            }
         }
+        return false;
     }
 
     private void onCheckResponse(String endpointId, Optional<StatusReport> response, boolean checksStreams) {
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -279,16 +279,31 @@
 
     /** Takes an unresponsive endpoint out of use until a health check succeeds. */
     void markUnreachable(String endpointId, String cause, long nowMs) {
+        if (takeOutOfUse(endpointId, cause, nowMs)) {
+            // The endpoint may be unreachable rather than dead, so its requests are not suspected of crashing it.
+            events.accept(Event.EndpointRemoved.suspected(endpointId));
+        }
+    }
+
+    /** Takes an endpoint at whose address nothing listens out of use until a health check succeeds. */
+    void markEnded(String endpointId, String cause, long nowMs) {
+        takeOutOfUse(endpointId, cause, nowMs);
+        if (byId.containsKey(endpointId)) {
+            // An endpoint that was only suspected so far has ended as well.
+            events.accept(new Event.EndpointRemoved(endpointId, false));
+        }
+    }
+
+    private boolean takeOutOfUse(String endpointId, String cause, long nowMs) {
         EndpointLifetime endpoint = byId.get(endpointId);
         if (endpoint == null || !endpoint.isJoined) {
-            return;
+            return false;
         }
         endpoint.isJoined = false;
         endpoint.backOff(nowMs);
         log.stateChanged("endpoint-unreachable", endpointId, cause);
         listener.endpointUnreachable(endpointId);
-        // The endpoint may be unreachable rather than dead, so its requests are not suspected of crashing it.
-        events.accept(Event.EndpointRemoved.suspected(endpointId));
+        return true;
     }
 
     /** Marks an endpoint as reachable that responded without a status report. */
