--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointHealthCheckerTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointHealthCheckerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.channel.ConnectTimeoutException;
 import io.radishwinch.core.event.Event;
 import io.radishwinch.core.model.EngineOrder.Handover;
 import io.radishwinch.core.model.FleetConfig;
@@ -11,6 +12,7 @@
 import io.radishwinch.server.proxy.ForwardingContext;
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
+import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -95,4 +97,18 @@
         failCheckAfter(300);
         assertThat(isRemoved()).isTrue();
     }
+
+    /** Guards against a wait for endpoints that have ended, and against the loss of streams at silent ones. */
+    @Test
+    void onlyARefusedConnectionShowsThatAnEndpointHasEnded() {
+        join();
+        checker.check("e@7");
+        pendingChecks.remove(0).fail(new IllegalStateException(new ConnectTimeoutException("connection timed out")));
+        assertThat(events).last().isEqualTo(Event.EndpointRemoved.suspected("e@7"));
+        checker.check("e@7");
+        pendingChecks
+                .remove(0)
+                .fail(new IllegalStateException(new ConnectException("finishConnect(..) failed: Connection refused")));
+        assertThat(events).last().isEqualTo(new Event.EndpointRemoved("e@7", false));
+    }
 }
