Look for attempts at suspected endpoints in one pass

Each tick copied the running attempts and searched them once for each suspected endpoint. They are now searched once, and not at all without suspicions. isSuspected also held for endpoints in use again, and is named mayRespondAgain. If a chain has several suspected stages, the first one is named as the cause, where the order of a hash map decided before.

--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -124,18 +124,28 @@
 
     /** Cancels the attempts on suspected endpoints that another attempt can take up by now. */
     private void leaveSuspectedEndpoints(long nowMs) {
-        for (String endpointId : state.suspectedSinceMs.keySet()) {
-            if (nowMs - state.suspectedSinceMs.get(endpointId) >= CoreState.MAX_SILENCE_MS) {
+        if (state.suspectedSinceMs.isEmpty()) {
+            return;
+        }
+        state.suspectedSinceMs.forEach((endpointId, sinceMs) -> {
+            if (nowMs - sinceMs >= CoreState.MAX_SILENCE_MS) {
                 // A sound endpoint would have responded by now.
                 quarantineSystem.endpointEnded(endpointId, nowMs);
             }
-            for (RequestRow row : List.copyOf(state.running)) {
-                if (row.state == RequestRow.State.RUNNING
-                        && row.rerouteChain == null
-                        && row.chain.uses(endpointId)
-                        && canLeaveSuspected(row, endpointId, nowMs)) {
-                    cancel(row, Reason.STAGE_DIED, endpointId, nowMs);
-                }
+        });
+        for (RequestRow row : state.running) {
+            if (row.state == RequestRow.State.RUNNING && row.rerouteChain == null) {
+                leaveSuspectedEndpoint(row, nowMs);
+            }
+        }
+    }
+
+    private void leaveSuspectedEndpoint(RequestRow row, long nowMs) {
+        for (Stage stage : row.chain.stages()) {
+            String endpointId = stage.endpointId();
+            if (state.suspectedSinceMs.containsKey(endpointId) && canLeaveSuspected(row, endpointId, nowMs)) {
+                cancel(row, Reason.STAGE_DIED, endpointId, nowMs);
+                return;
             }
         }
     }
@@ -236,7 +246,7 @@
                 // No other attempt can continue the response that has begun, and its endpoint is sound.
                 row.state = RequestRow.State.RUNNING;
                 row.preemptions = state.settings.maxPreemptions();
-            } else if (row.cancelReason == Reason.STAGE_DIED && isSuspected(row.cancelEndpointId)) {
+            } else if (row.cancelReason == Reason.STAGE_DIED && mayRespondAgain(row.cancelEndpointId)) {
                 // No other attempt can continue the response that has begun, and its endpoint may respond again.
                 row.state = RequestRow.State.RUNNING;
                 row.cannotBeTakenUp = true;
@@ -350,8 +360,8 @@
                 .count();
     }
 
-    /** Returns whether an attempt was cancelled only because its endpoint did not respond at that time. */
-    private boolean isSuspected(String endpointId) {
+    /** Returns whether an endpoint is only suspected, or is in use again. */
+    private boolean mayRespondAgain(String endpointId) {
         return state.suspectedSinceMs.containsKey(endpointId) || !state.directory.isRemoved(endpointId);
     }
 
