Read the identifier of an outgoing request once

UpstreamCall read it to choose a connection and again to send, and EndpointConnection a third time. The call keeps it and passes it on.

--- a/server/src/main/java/io/radishwinch/server/proxy/EndpointConnection.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EndpointConnection.java
@@ -41,7 +41,7 @@
 final class EndpointConnection {
 
     /** Size of the body of a surplus response above which the connection is closed, in bytes. */
-    static final int MAX_SURPLUS_BYTES = 256 << 10;
+    private static final int MAX_SURPLUS_BYTES = 256 << 10;
 
     /** Number of interim and surplus responses before a response above which the connection is closed. */
     private static final int MAX_SKIPPED_RESPONSES = 32;
@@ -155,14 +155,14 @@
     /**
      * Sends a request. The connection must be open and must not be waiting for a response.
      *
+     * @param sentRequestId identifier of the request
      * @return future that completes when the request is written
      * @throws IllegalArgumentException if a header cannot be sent; nothing has been sent then
      */
-    Future<Void> send(HttpMethod requestMethod, String uri, MultiMap headers, Buffer body, Listener responseListener) {
-        FullHttpRequest request = encode(requestMethod, uri, headers, body);
-        String id = headers.get(requestIdHeader);
-        requestId = id == null ? "" : id;
-        method = requestMethod;
+    Future<Void> send(UpstreamCall.OutgoingRequest outgoing, String sentRequestId, Listener responseListener) {
+        FullHttpRequest request = encode(outgoing);
+        requestId = sentRequestId;
+        method = outgoing.method();
         listener = responseListener;
         skippedResponses = 0;
         surplusResponses = 0;
@@ -170,11 +170,12 @@
         return socket.writeMessage(request).onFailure(cause -> fail(cause.getMessage()));
     }
 
-    private FullHttpRequest encode(HttpMethod requestMethod, String uri, MultiMap headers, Buffer body) {
+    private FullHttpRequest encode(UpstreamCall.OutgoingRequest outgoing) {
+        Buffer body = outgoing.body();
         ByteBuf content = Unpooled.unreleasableBuffer(((BufferInternal) body).getByteBuf());
-        FullHttpRequest request =
-                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, requestMethod.toNetty(), uri, content);
-        headers.forEach((name, value) -> request.headers().add(name, value));
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, outgoing.method().toNetty(), outgoing.uri(), content);
+        outgoing.headers().forEach((name, value) -> request.headers().add(name, value));
         if (!request.headers().contains(HttpHeaderNames.HOST)) {
             request.headers().set(HttpHeaderNames.HOST, socket.remoteAddress().toString());
         }
--- a/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
@@ -63,6 +63,8 @@
     }
 
     void start(OutgoingRequest outgoing, int maxConnections) {
+        requestId = scope.dialect().requestId(outgoing.headers());
+        isOnlyRequest = outgoing.method() == HttpMethod.HEAD;
         connect(outgoing, maxConnections).onComplete(acquired -> {
             if (acquired.failed()) {
                 fail(acquired.cause());
@@ -85,8 +87,6 @@
      * {@code HEAD} request, whose response has no body although its headers may state one.
      */
     private Future<EndpointConnectionPool.Connection> connect(OutgoingRequest outgoing, int maxConnections) {
-        String requestId = scope.dialect().requestId(outgoing.headers());
-        isOnlyRequest = outgoing.method() == HttpMethod.HEAD;
         return outgoing.isRepeatable() && !isOnlyRequest
                 ? scope.connections().acquire(contact, requestId, maxConnections)
                 : scope.connections().open(contact, requestId, maxConnections);
@@ -131,12 +131,9 @@
             fail(Reason.STAGE_DIED, Verdict.NOT_RUN, "connection closed before the request was sent");
             return;
         }
-        requestId = scope.dialect().requestId(outgoing.headers());
         Future<Void> written;
         try {
-            written = connection
-                    .http()
-                    .send(outgoing.method(), outgoing.uri(), outgoing.headers(), outgoing.body(), this);
+            written = connection.http().send(outgoing, requestId, this);
         } catch (IllegalArgumentException e) {
             fail(Reason.MALFORMED_REQUEST, Verdict.NOT_RUN, "request cannot be sent: " + e.getMessage());
             return;
