Log the first of several listings that are discarded as too old

A router that reads the store and discards every listing looked the same in the logs as one that reads nothing, and as one that finds each object stale. The line tells the hypotheses on a restored store apart.

--- a/cluster/src/main/java/io/radishwinch/cluster/platform/WatchFollower.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/WatchFollower.java
@@ -41,6 +41,7 @@
     private boolean isRunning;
     private boolean isWatchWanted;
     private boolean isCurrent;
+    private boolean isListingDiscarded;
     private Cancellable watch;
     private Scheduler.Timer timer;
 
@@ -59,6 +60,15 @@
          * @param storeVersion lowest store version of all pages
          */
         default void onListing(Collection<StoredObject> objects, long storeVersion) {}
+
+        /**
+         * Called for the first of several listings in a row that are discarded because the store was read at an earlier
+         * version than before.
+         *
+         * @param storeVersion lowest store version of all pages
+         * @param neededVersion lowest store version of a listing that is accepted
+         */
+        default void onListingDiscarded(long storeVersion, long neededVersion) {}
     }
 
     /**
@@ -152,6 +162,10 @@
         if (page.hasMore()) {
             list(objects.get(objects.size() - 1).key(), found, lowestVersion, neededVersion);
         } else if (lowestVersion < neededVersion) {
+            if (!isListingDiscarded) {
+                isListingDiscarded = true;
+                receiver.onListingDiscarded(lowestVersion, neededVersion);
+            }
             retry();
         } else {
             onListed(found, lowestVersion);
@@ -159,6 +173,7 @@
     }
 
     private void onListed(Map<String, StoredObject> found, long listedVersion) {
+        isListingDiscarded = false;
         receiver.onListing(found.values(), listedVersion);
         found.values()
                 .forEach(object -> applyChange(
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -182,7 +182,7 @@
         endpointFollower = new WatchFollower(
                 platform, scheduler, random, dialect.endpointPrefix(), new EndpointReceiver(), MAX_PLATFORM_BACKOFF_MS);
         configFollower = new WatchFollower(
-                platform, scheduler, random, dialect.configPrefix(), this::offerToPeers, MAX_PLATFORM_BACKOFF_MS);
+                platform, scheduler, random, dialect.configPrefix(), new ConfigReceiver(), MAX_PLATFORM_BACKOFF_MS);
         routerDirectory =
                 new RouterDirectory(platform, dialect.routerObjectPrefix() + "router-", node.self(), this::newNonce);
     }
@@ -452,6 +452,25 @@
         }
     }
 
+    private void logDiscardedListing(String prefix, long storeVersion, long neededVersion) {
+        log.stateChanged(
+                "listing-discarded", prefix, "store version " + storeVersion + ", expected at least " + neededVersion);
+    }
+
+    /** Shares the platform's configuration with the other routers. */
+    private final class ConfigReceiver implements WatchFollower.Receiver {
+
+        @Override
+        public void onChange(Change change) {
+            offerToPeers(change);
+        }
+
+        @Override
+        public void onListingDiscarded(long storeVersion, long neededVersion) {
+            logDiscardedListing(dialect.configPrefix(), storeVersion, neededVersion);
+        }
+    }
+
     /** Shares the platform's endpoint list with the other routers. */
     private final class EndpointReceiver implements WatchFollower.Receiver {
 
@@ -468,6 +487,11 @@
         public void onChange(Change change) {
             offerToPeers(change);
         }
+
+        @Override
+        public void onListingDiscarded(long storeVersion, long neededVersion) {
+            logDiscardedListing(dialect.endpointPrefix(), storeVersion, neededVersion);
+        }
     }
 
     /** Publishes endpoint states detected by this router to the other routers of the data centre. */
