Order what a store says by its era first, then by its revision

Callers got 404 on routes that a configuration had added: a store that comes back from an older copy gives its revisions out again, and no router ever used the version that it confirmed afterwards.

Cause: a revision was taken for a clock that only runs forward. The same holds for objects, tombstones, watches that the restored store accepts because it has reached their revision again, and writes that are conditional on a revision which another object has by now.

Change: StoreVersion encodes era and revision as one number that is ordered by the era first, made where a response is read and passed on in place of the revision, so that listings, peers, tombstones and digests order it as before. A watch fails once its responses name another era, a response of an earlier era is discarded, a write that names a version of an earlier era is not sent, and one during which the store was restored is neither repeated nor taken for done. After a restore, objects whose content is unchanged are not pushed to peers.

--- a/cluster/src/main/java/io/radishwinch/cluster/PeerNode.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/PeerNode.java
@@ -398,12 +398,13 @@
         return configuration.hasVersion(entry.key(), entry.version());
     }
 
-    private void onConfigurationChanged(ConfigurationObject object) {
+    private void onConfigurationChanged(ConfigurationObject object, boolean hasOtherContent) {
         if (!isAdmittingEntry) {
             GossipEntry entry = new GossipEntry(
                     EntryKind.CONFIGURATION, object.key(), object.version(), "", object.value(), GossipEntry.NEVER);
-            // At the start all routers list the same objects.
-            boolean isKnownToPeers = hasElectedWatchers && (isFirstListing || !election.isWatching());
+            // At the start all routers list the same objects, and after a restore most keep their content.
+            boolean isKnownToPeers =
+                    hasElectedWatchers && (isFirstListing || !hasOtherContent || !election.isWatching());
             if (isKnownToPeers) {
                 gossip.store(entry, nowMs);
             } else {
--- a/cluster/src/main/java/io/radishwinch/cluster/configuration/ConfigurationStore.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/configuration/ConfigurationStore.java
@@ -3,7 +3,9 @@
 import io.radishwinch.cluster.membership.RendezvousHash;
 import io.radishwinch.cluster.platform.PlatformClient;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -39,17 +41,32 @@
     private static final int MAX_REJECTED = 1_000;
 
     private final ConfigurationValidator validator;
-    private final Consumer<ConfigurationObject> listener;
+    private final ChangeListener listener;
     private final Consumer<String> evictedTombstoneListener;
     private final Consumer<RejectedObject> rejectionListener;
     private final Map<String, ConfigurationObject> objects = new TreeMap<>();
     private final Map<String, RejectedObject> rejected = new TreeMap<>();
+    /** Highest version of an evicted tombstone, by kind of object; the versions of different kinds may not compare. */
+    private final Map<String, Long> evictedTombstoneVersions = new HashMap<>();
+
     private long totalBytes;
     private int tombstoneCount;
     private long versionInEffect;
-    private long evictedTombstoneVersion;
     private long fingerprint;
 
+    /** Receives the objects and deletions that take effect. */
+    @FunctionalInterface
+    public interface ChangeListener {
+
+        /**
+         * Called for each object or deletion that takes effect.
+         *
+         * @param hasOtherContent false if only the version differs from that of the object before, as after a restore
+         *     of the platform
+         */
+        void onChanged(ConfigurationObject object, boolean hasOtherContent);
+    }
+
     /** Result of an offer. */
     public enum Outcome {
         /** The object took effect. */
@@ -72,7 +89,7 @@
      */
     public ConfigurationStore(
             ConfigurationValidator validator,
-            Consumer<ConfigurationObject> listener,
+            ChangeListener listener,
             Consumer<String> evictedTombstoneListener,
             Consumer<RejectedObject> rejectionListener) {
         this.validator = validator;
@@ -88,7 +105,9 @@
      */
     public Outcome offer(String key, long version, byte[] value) {
         ConfigurationObject known = objects.get(key);
-        if (known == null ? version <= evictedTombstoneVersion : version <= known.version()) {
+        if (known == null
+                ? version <= evictedTombstoneVersions.getOrDefault(kindOf(key), 0L)
+                : version <= known.version()) {
             return Outcome.STALE;
         }
         if (value != null) {
@@ -172,6 +191,11 @@
         return Optional.empty();
     }
 
+    private static String kindOf(String key) {
+        int slash = key.indexOf('/');
+        return slash < 0 ? "" : key.substring(0, slash);
+    }
+
     private void reject(String key, long version, String problem) {
         RejectedObject before = rejected.get(key);
         boolean isNewer = before == null ? rejected.size() < MAX_REJECTED : before.version() < version;
@@ -183,7 +207,8 @@
     }
 
     private void put(ConfigurationObject object) {
-        updateTotals(objects.put(object.key(), object), -1);
+        ConfigurationObject replaced = objects.put(object.key(), object);
+        updateTotals(replaced, -1);
         updateTotals(object, 1);
         versionInEffect = Math.max(versionInEffect, object.version());
         RejectedObject before = rejected.get(object.key());
@@ -193,7 +218,7 @@
         if (tombstoneCount > MAX_TOMBSTONES) {
             evictOldTombstones();
         }
-        listener.accept(object);
+        listener.onChanged(object, replaced == null || !Arrays.equals(replaced.value(), object.value()));
     }
 
     private void updateTotals(ConfigurationObject object, int sign) {
@@ -217,7 +242,7 @@
             objects.remove(object.key());
             updateTotals(object, -1);
             evictedTombstoneListener.accept(object.key());
-            evictedTombstoneVersion = Math.max(evictedTombstoneVersion, object.version());
+            evictedTombstoneVersions.merge(kindOf(object.key()), object.version(), Math::max);
         }
     }
 }
--- a/cluster/src/main/java/io/radishwinch/cluster/platform/InMemoryPlatform.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/InMemoryPlatform.java
@@ -69,6 +69,33 @@
         historyStartVersion = storeVersion;
     }
 
+    /** Contents of the platform at an earlier moment. */
+    public record Copy(Map<String, StoredObject> objects, long revision) {}
+
+    /** Returns a copy to restore the platform from. */
+    public Copy copy() {
+        return new Copy(new TreeMap<>(objects), StoreVersion.revision(storeVersion));
+    }
+
+    /**
+     * Restores an earlier copy: what was written since is lost, the next writes get the revisions of the lost ones, and
+     * the era increases. Watches fail.
+     */
+    public void restore(Copy copy) {
+        long era = StoreVersion.era(storeVersion) + 1;
+        objects.clear();
+        copy.objects.forEach((key, object) -> objects.put(
+                key,
+                new StoredObject(
+                        key,
+                        StoreVersion.of(era, StoreVersion.revision(object.version())),
+                        object.value(),
+                        object.nonce())));
+        storeVersion = StoreVersion.of(era, copy.revision);
+        discardHistory();
+        breakWatches();
+    }
+
     /** Returns a copy of the stored objects. Not counted as a call. */
     public Map<String, StoredObject> contents() {
         return new TreeMap<>(objects);
--- a/cluster/src/main/java/io/radishwinch/cluster/platform/PlatformClient.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/PlatformClient.java
@@ -9,7 +9,8 @@
  * Port to the platform's object API and VM list.
  *
  * <p>Every operation may fail with a {@link PlatformException}, whose kind tells whether a write may have taken effect.
- * Versions increase over the whole store. A value has at most {@link #MAX_VALUE_BYTES} bytes.
+ * Versions increase over the whole store, also when it is restored from an older copy, because they contain the era of
+ * the store (see {@link StoreVersion}). A value has at most {@link #MAX_VALUE_BYTES} bytes.
  */
 public interface PlatformClient {
 
@@ -31,7 +32,8 @@
     Uni<Page> list(String prefix, String afterKey, int limit);
 
     /**
-     * Writes an object if its version is the expected one.
+     * Writes an object if its version is the expected one. A version of an earlier era of the store is never the
+     * expected one. Fails with {@link PlatformException.Kind#STORE_RESTORED} if the store was restored during the call.
      *
      * @param expectedVersion version from an earlier read, or {@link #ABSENT} to create the object
      * @param nonce unique identifier of this write, stored with the object, which resolves a lost response
@@ -43,8 +45,8 @@
     Uni<PutResult> delete(String key, long expectedVersion, String nonce);
 
     /**
-     * Watches the changes under a prefix. Fails when the connection breaks or the history after {@code fromVersion} has
-     * expired; the caller then lists the objects again.
+     * Watches the changes under a prefix. Fails when the connection breaks, the history after {@code fromVersion} has
+     * expired or the store was restored since; the caller then lists the objects again.
      *
      * @param fromVersion version after which changes are reported
      */
--- a/cluster/src/main/java/io/radishwinch/cluster/platform/PlatformException.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/PlatformException.java
@@ -24,6 +24,11 @@
         /** The response was lost; a write may have taken effect. */
         EFFECT_UNKNOWN,
         /** The history that a watch requested has expired. */
-        HISTORY_EXPIRED
+        HISTORY_EXPIRED,
+        /**
+         * The store was restored from an older copy between what the call rests on and its response. A write may have
+         * taken effect and be lost since, or have replaced an object that its caller has not read.
+         */
+        STORE_RESTORED
     }
 }
--- a/cluster/src/main/java/io/radishwinch/cluster/platform/ResilientPlatformClient.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/ResilientPlatformClient.java
@@ -15,7 +15,8 @@
  * responses.
  *
  * <p>A write whose response was lost is resolved by reading the object and comparing its nonce. If the object has
- * neither the written nor the previous version, the call fails with {@link Kind#EFFECT_UNKNOWN}. Not thread-safe.
+ * neither the written nor the previous version, the call fails with {@link Kind#EFFECT_UNKNOWN}. A call during which
+ * the store was restored from an older copy is not repeated, because what it rests on may be gone. Not thread-safe.
  */
 public final class ResilientPlatformClient implements PlatformClient {
     private static final int MAX_ATTEMPTS = 4;
@@ -294,8 +295,9 @@
     }
 
     private boolean canRetry(Throwable failure, int attempt) {
-        boolean isRetryable =
-                failure instanceof PlatformException exception && exception.kind() != Kind.HISTORY_EXPIRED;
+        boolean isRetryable = failure instanceof PlatformException exception
+                && exception.kind() != Kind.HISTORY_EXPIRED
+                && exception.kind() != Kind.STORE_RESTORED;
         if (!isRetryable || attempt >= MAX_ATTEMPTS || circuit.isOpen()) {
             return false;
         }
--- a/cluster/src/main/java/io/radishwinch/cluster/platform/WatchFollower.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/WatchFollower.java
@@ -148,15 +148,20 @@
     private void list(String afterKey, Map<String, StoredObject> found, long lowestVersion, long neededVersion) {
         platform.list(prefix, afterKey, PAGE_OBJECTS)
                 .subscribe()
-                .with(
-                        page -> onPage(page, found, Math.min(lowestVersion, page.storeVersion()), neededVersion),
-                        failure -> retry());
+                .with(page -> onPage(page, found, lowestVersion, neededVersion), failure -> retry());
     }
 
-    private void onPage(Page page, Map<String, StoredObject> found, long lowestVersion, long neededVersion) {
+    private void onPage(Page page, Map<String, StoredObject> found, long lowestBefore, long neededVersion) {
         if (!isRunning) {
             return;
         }
+        boolean isFirstPage = lowestBefore == Long.MAX_VALUE;
+        if (!isFirstPage && StoreVersion.era(lowestBefore) != StoreVersion.era(page.storeVersion())) {
+            // Pages read before and after a restore do not form one listing.
+            retry();
+            return;
+        }
+        long lowestVersion = Math.min(lowestBefore, page.storeVersion());
         List<StoredObject> objects = page.objects();
         objects.forEach(object -> found.put(object.key(), object));
         if (page.hasMore()) {
--- a/cluster/src/test/java/io/radishwinch/cluster/ConfigurationTest.java
+++ b/cluster/src/test/java/io/radishwinch/cluster/ConfigurationTest.java
@@ -237,7 +237,7 @@
         List<RejectedObject> reported = new ArrayList<>();
         ConfigurationStore store = new ConfigurationStore(
                 (key, value) -> value.length > 3 ? Optional.of("too long") : Optional.empty(),
-                inEffect::add,
+                (object, hasOtherContent) -> inEffect.add(object),
                 key -> {},
                 reported::add);
         assertThat(store.offer("a", 5, new byte[3])).isEqualTo(ConfigurationStore.Outcome.IN_EFFECT);
@@ -258,8 +258,8 @@
     @Example
     void evictingOldTombstonesDoesNotRestoreDeletedObjects() {
         List<String> evictedKeys = new ArrayList<>();
-        ConfigurationStore store =
-                new ConfigurationStore((key, value) -> Optional.empty(), o -> {}, evictedKeys::add, rejected -> {});
+        ConfigurationStore store = new ConfigurationStore(
+                (key, value) -> Optional.empty(), (object, hasOtherContent) -> {}, evictedKeys::add, rejected -> {});
         for (int i = 0; i <= ConfigurationStore.MAX_TOMBSTONES; i++) {
             store.offer("k" + i, 2L * i + 2, null);
         }
--- a/cluster/src/test/java/io/radishwinch/cluster/platform/WatchFollowerTest.java
+++ b/cluster/src/test/java/io/radishwinch/cluster/platform/WatchFollowerTest.java
@@ -120,4 +120,43 @@
         scheduler.advance(900_000);
         assertCaughtUp();
     }
+
+    /** Guards against changes of a restored store that are taken for ones from before, or skipped by a watch. */
+    @Test
+    void aChangeAtARevisionThatWasGivenOutBeforeTheRestoreIsReported() {
+        start(1);
+        write("config/a", "1");
+        scheduler.advance(100);
+        InMemoryPlatform.Copy copy = platform.copy();
+        write("config/a", "2");
+        write("config/b", "1");
+        scheduler.advance(100);
+        platform.restore(copy);
+        write("config/c", "1");
+        write("config/c", "2");
+        write("config/c", "3");
+        scheduler.advance(1_000);
+        assertCaughtUp();
+    }
+
+    @Property(tries = 200, seed = "6", shrinking = ShrinkingMode.OFF)
+    void noChangeIsMissedWhenThePlatformIsRestoredFromCopies(@ForAll long seed) {
+        start(seed);
+        Random random = new Random(seed);
+        InMemoryPlatform.Copy copy = platform.copy();
+        for (int i = 0; i < 80; i++) {
+            switch (random.nextInt(12)) {
+                case 0 -> platform.faults().setStaleReads(10, random.nextDouble());
+                case 1 -> platform.breakWatches();
+                case 2 -> platform.faults().setDown(random.nextBoolean());
+                case 3 -> copy = platform.copy();
+                case 4 -> platform.restore(copy);
+                default -> write("config/" + random.nextInt(5), random.nextInt(3) == 0 ? null : "value-" + i);
+            }
+            scheduler.advance(random.nextInt(400));
+        }
+        platform.faults().clear();
+        scheduler.advance(900_000);
+        assertCaughtUp();
+    }
 }
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -12,6 +12,7 @@
 import io.radishwinch.cluster.platform.PlatformClient.Change;
 import io.radishwinch.cluster.platform.PlatformClient.StoredObject;
 import io.radishwinch.cluster.platform.ResilientPlatformClient;
+import io.radishwinch.cluster.platform.StoreVersion;
 import io.radishwinch.cluster.platform.WatchFollower;
 import io.radishwinch.core.DecisionCore.RequestView;
 import io.radishwinch.core.action.Action;
@@ -454,7 +455,10 @@
 
     private void logDiscardedListing(String prefix, long storeVersion, long neededVersion) {
         log.stateChanged(
-                "listing-discarded", prefix, "store version " + storeVersion + ", expected at least " + neededVersion);
+                "listing-discarded",
+                prefix,
+                "store version " + StoreVersion.toString(storeVersion) + ", expected at least "
+                        + StoreVersion.toString(neededVersion));
     }
 
     /** Shares the platform's configuration with the other routers. */
