Order configurations by the version that they name themselves

A router that started after the store had come back from an older copy used the configuration of the copy, although its peers had a later one: each of them had replaced it by the older content under the version of the new era.

Change: a configuration is shared with the peers under its own version, which increases with each configuration, so that none replaces a later one at any router, whatever the store says for a moment. A listing without it removes it nowhere.

--- a/server/src/main/java/io/radishwinch/server/fleet/ConfigHolder.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/ConfigHolder.java
@@ -10,7 +10,7 @@
     private final FleetLog log;
     private volatile RoutingConfig inEffect = RoutingConfig.empty();
     private String lastError = "";
-    private long latestStoreVersion = Long.MIN_VALUE;
+    private long latestVersion = Long.MIN_VALUE;
 
     ConfigHolder(FleetDialect dialect, FleetLog log) {
         this.dialect = dialect;
@@ -22,13 +22,17 @@
         return inEffect;
     }
 
-    /** Offers an encoded configuration of the platform and returns whether it replaced the one in effect. */
-    boolean offer(byte[] value, long storeVersion) {
-        if (storeVersion <= latestStoreVersion) {
-            // Watches, listings and other routers deliver the same object several times.
+    /**
+     * Offers an encoded configuration of the platform and returns whether it replaced the one in effect.
+     *
+     * @param version version that the configuration itself names
+     */
+    boolean offer(byte[] value, long version) {
+        if (version <= latestVersion) {
+            // Watches, listings and other routers deliver the same configuration several times.
             return false;
         }
-        latestStoreVersion = storeVersion;
+        latestVersion = version;
         Either<String, RoutingConfig> decoded = dialect.decodeConfig(value);
         if (decoded.isLeft()) {
             if (!decoded.getLeft().equals(lastError)) {
@@ -44,8 +48,7 @@
         log.stateChanged(
                 "config-in-force",
                 dialect.configKey(),
-                "version " + offered.version() + " at store version " + storeVersion + " replaces "
-                        + inEffect.version());
+                "version " + offered.version() + " replaces " + inEffect.version());
         inEffect = offered;
         return true;
     }
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -421,7 +421,27 @@
 
     /** Shares a change seen at the platform, so that routers that the platform rejects receive it from this one. */
     private void offerToPeers(Change change) {
-        node.offerConfiguration(change.key(), change.version(), change.value().orElse(null), clock.getAsLong());
+        if (change.key().equals(dialect.configKey())) {
+            offerConfigToPeers(change);
+        } else {
+            node.offerConfiguration(
+                    change.key(), change.version(), change.value().orElse(null), clock.getAsLong());
+        }
+    }
+
+    /**
+     * Shares a configuration under the version that it names itself, so that a store that was restored from an older
+     * copy does not replace a later one at any router.
+     */
+    private void offerConfigToPeers(Change change) {
+        if (change.value().isEmpty()) {
+            log.stateChanged("config-missing", dialect.configKey(), "the one in effect is kept");
+            return;
+        }
+        dialect.configVersion(change.value().get())
+                .peek(version -> node.offerConfiguration(
+                        change.key(), version, change.value().get(), clock.getAsLong()))
+                .peekLeft(problem -> log.stateChanged("config-unreadable", dialect.configKey(), problem));
     }
 
     /** Applies an object newer than the known one, received from the platform or from another router. */
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetDialect.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetDialect.java
@@ -25,6 +25,12 @@
     /** Decodes the entry of an endpoint, or returns a description of the error. */
     Either<String, EndpointEntry> decodeEndpoint(String instanceId, byte[] value);
 
+    /**
+     * Returns the version that a configuration itself names, or a description of the error. It increases with each
+     * configuration and, unlike the version of the store, is never given to another one.
+     */
+    Either<String, Long> configVersion(byte[] value);
+
     /** Decodes a configuration, or returns a description of the error. */
     Either<String, RoutingConfig> decodeConfig(byte[] value);
 }
--- a/server/src/test/java/io/radishwinch/server/fleet/ConfigHolderTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/ConfigHolderTest.java
@@ -80,6 +80,11 @@
             return Either.left("endpoints are not supported");
         }
 
+        @Override
+        public Either<String, Long> configVersion(byte[] value) {
+            throw new UnsupportedOperationException();
+        }
+
         @Override
         public Either<String, RoutingConfig> decodeConfig(byte[] value) {
             reads++;
