Distrust the endpoints, leases and registrations of a restored store

The copy that a store comes back from lists endpoints that have left since, and lacks leases and routers' registrations that were acknowledged. A router that took it at its word would send requests to an endpoint that has left, and two routers could hold one lease.

Change: the first object of a new era, from the store or from a peer, shows the restore. From then on, endpoints that the list lacks are kept as after an outage, those that had left, or were followed by a later lifetime, stay out of use until the store would have removed them, held leases are read again, once at once and once after the longest delay of a write, and each router registers again. The restore is logged as store-restored.

EndpointRegistryTest and LeaseManagerTest cause each case; before this change an endpoint that was listed again joined at once, and a lease that the store had lost was held on.

--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -35,6 +35,15 @@
     /** Time for which a removed endpoint is retained to finish its requests, in ms; the longest deadline. */
     private static final long REMOVED_RETENTION_MS = 20_000;
 
+    /**
+     * Time after a restore of the store in which it may list endpoints that have left, in ms; by then it removes those
+     * that no longer write their entries.
+     */
+    private static final long RELISTED_HOLD_MS = 6_000;
+
+    /** Maximum number of lifetimes that are remembered after they have left; the oldest are forgotten above it. */
+    private static final int MAX_DEPARTED = 4_096;
+
     /** First backoff before an unreachable endpoint is checked again, in ms; doubles with each check. */
     private static final long INITIAL_BACKOFF_MS = 500;
 
@@ -58,18 +67,18 @@
     private final Set<String> unreadableInstances = ConcurrentHashMap.newKeySet();
 
     /** Lifetimes that announced themselves that they leave, by instance; they outlive the endpoint and its entry. */
-    private final Map<String, EndpointEntry> announcedLeaving = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
+    private final Map<String, EndpointEntry> announcedLeaving = new RecentEntries(MAX_ANNOUNCED_LEAVING);
 
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, EndpointEntry> eldest) {
-            return size() > MAX_ANNOUNCED_LEAVING;
-        }
-    };
+    /** Lifetimes that have left and are no longer retained, by instance. */
+    private final Map<String, EndpointEntry> departed = new RecentEntries(MAX_DEPARTED);
+
+    /** Entries of lifetimes that have left and that the restored store lists again, by instance. */
+    private final Map<String, EndpointEntry> relisted = new TreeMap<>();
 
     private final Set<String> announcedLeavingIds = ConcurrentHashMap.newKeySet();
     private FleetConfig config = FleetConfig.empty();
     private long relistGraceUntilMs;
+    private long relistedHoldUntilMs;
     private boolean isPlatformUnreachable;
 
     /** Receives endpoint states that this router detected and should share with other routers. */
@@ -82,6 +91,22 @@
         void endpointUnreachable(String endpointId);
     }
 
+    /** Entries by instance, of which the oldest are forgotten above a maximum number. */
+    private static final class RecentEntries extends LinkedHashMap<String, EndpointEntry> {
+        private static final long serialVersionUID = 1L;
+
+        private final int maxEntries;
+
+        RecentEntries(int maxEntries) {
+            this.maxEntries = maxEntries;
+        }
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, EndpointEntry> eldest) {
+            return size() > maxEntries;
+        }
+    }
+
     /** State of an endpoint from its start to its removal. */
     private static final class EndpointLifetime {
         private final String endpointId;
@@ -172,6 +197,12 @@
             }
             return;
         }
+        relisted.remove(instanceId);
+        if (nowMs < relistedHoldUntilMs && !entry.isLeaving() && hasLeft(instanceId, entry)) {
+            // The copy that the store was restored from is older than the end of this lifetime.
+            relisted.put(instanceId, entry);
+            return;
+        }
         boolean isContinued =
                 known != null && known.entry.isSameLifetime(entry) && !(known.isLeaving && !entry.isLeaving());
         if (!isContinued) {
@@ -223,6 +254,7 @@
     /** Applies the removal of an entry. An entry that expired during a platform outage may be listed again. */
     void applyRemoval(String instanceId, long nowMs) {
         unreadableInstances.remove(instanceId);
+        relisted.remove(instanceId);
         EndpointLifetime known = byInstance.get(instanceId);
         if (known == null) {
             return;
@@ -267,6 +299,25 @@
         isPlatformUnreachable = !isReachable;
     }
 
+    /**
+     * Prepares for the list of a store that was restored from an older copy. Endpoints that it lacks may be listed
+     * again, and those that have left stay out of use until they cannot be listed by mistake.
+     */
+    void onStoreRestored(long nowMs) {
+        extendRelistGrace(nowMs + relistGraceMs);
+        relistedHoldUntilMs = nowMs + RELISTED_HOLD_MS;
+    }
+
+    /** Returns whether an entry is that of a lifetime that has left or was followed by another one. */
+    private boolean hasLeft(String instanceId, EndpointEntry entry) {
+        EndpointLifetime known = byInstance.get(instanceId);
+        if (known != null && !known.isLeaving) {
+            return entry.incarnation() < known.entry.incarnation();
+        }
+        EndpointEntry left = known != null ? known.entry : departed.get(instanceId);
+        return left != null && (left.isSameLifetime(entry) || entry.incarnation() < left.incarnation());
+    }
+
     /** Returns the remaining time in which removed endpoints may be listed again, in ms. */
     long relistGraceMs(long nowMs) {
         return Math.max(0, relistGraceUntilMs - nowMs);
@@ -351,6 +402,11 @@
 
     /** Ends the grace period of entries that were not listed again, and evicts endpoints after their retention time. */
     void tick(long nowMs) {
+        if (nowMs >= relistedHoldUntilMs && !relisted.isEmpty()) {
+            Map<String, EndpointEntry> listedStill = Map.copyOf(relisted);
+            relisted.clear();
+            listedStill.forEach((instanceId, entry) -> applyEntry(instanceId, entry, nowMs));
+        }
         boolean isRelistGraceOver = !isPlatformUnreachable && nowMs >= relistGraceUntilMs;
         for (EndpointLifetime endpoint : List.copyOf(byId.values())) {
             if (endpoint.isMissing && isRelistGraceOver) {
@@ -479,7 +535,9 @@
         events.accept(new Event.EndpointRemoved(endpoint.endpointId, false));
         byId.remove(endpoint.endpointId);
         announcedLeavingIds.remove(endpoint.endpointId);
-        byInstance.remove(endpoint.entry.instanceId(), endpoint);
+        if (byInstance.remove(endpoint.entry.instanceId(), endpoint)) {
+            departed.put(endpoint.entry.instanceId(), endpoint.entry);
+        }
         EndpointContact contact = contacts.remove(endpoint.endpointId);
         idsByAddress.remove(contact.address(), endpoint.endpointId);
     }
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -76,6 +76,8 @@
      */
     private static final double PLATFORM_RATE_SHARE = 0.5;
 
+    private static final long UNKNOWN_ERA = -1;
+
     private final Vertx vertx;
     private final FleetSettings settings;
     private final LongSupplier clock;
@@ -109,6 +111,7 @@
     private boolean isWatching;
     private long routerListDeadlineMs;
     private long tickCount;
+    private long storeEra = UNKNOWN_ERA;
 
     FleetControl(
             Vertx vertx,
@@ -456,6 +459,7 @@
     private void applyEndpointObject(ConfigurationObject object) {
         String instanceId = object.key().substring(dialect.endpointPrefix().length());
         long nowMs = clock.getAsLong();
+        observeEra(StoreVersion.era(object.version()), nowMs);
         if (object.isDeleted()) {
             registry.applyRemoval(instanceId, nowMs);
             return;
@@ -464,6 +468,24 @@
         registry.applyEncoded(instanceId, () -> dialect.decodeEndpoint(instanceId, object.value()), nowMs);
     }
 
+    /**
+     * Notices that the store was restored from an older copy, by the first object of its new era. Other routers may
+     * pass it on before this one reads the store.
+     */
+    private void observeEra(long era, long nowMs) {
+        if (era <= storeEra) {
+            return;
+        }
+        boolean isRestored = storeEra != UNKNOWN_ERA;
+        storeEra = era;
+        if (isRestored) {
+            log.stateChanged("store-restored", "platform", "era " + era);
+            registry.onStoreRestored(nowMs);
+            leaseManager.onStoreRestored(nowMs);
+            routerDirectory.register();
+        }
+    }
+
     private void offerConfiguration(byte[] value, long version) {
         if (config.offer(value, version)) {
             RoutingConfig current = config.inEffect();
--- a/server/src/main/java/io/radishwinch/server/fleet/LeaseManager.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/LeaseManager.java
@@ -3,6 +3,7 @@
 import io.radishwinch.cluster.platform.PlatformClient;
 import io.radishwinch.cluster.platform.PlatformClient.PutResult;
 import io.radishwinch.cluster.platform.PlatformClient.StoredObject;
+import io.radishwinch.cluster.platform.StoreVersion;
 import io.radishwinch.core.placement.LayoutPlanner;
 import io.radishwinch.core.placement.PlacementLease;
 import java.nio.charset.StandardCharsets;
@@ -34,6 +35,12 @@
     /** Time between two ticks from which the process counts as paused, in ms; several tick intervals. */
     private static final long PAUSE_THRESHOLD_MS = 1_500;
 
+    /**
+     * Time after a restore of the store in which a write that another router had sent before it may still replace a
+     * lease, in ms.
+     */
+    private static final long DELAYED_WRITE_MS = 7_000;
+
     private final String routerId;
     private final long incarnation;
     private final String dataCentre;
@@ -44,6 +51,7 @@
     private final FleetLog log;
     private final Map<String, Lease> leases = new TreeMap<>();
     private long lastTickMs = Long.MIN_VALUE;
+    private long recheckAtMs = Long.MAX_VALUE;
 
     /** Looks up live routers in the membership. */
     interface LiveMembers {
@@ -132,10 +140,23 @@
         leases.values().forEach(lease -> lease.needsRecheck |= isHeldByThisRouter(lease));
     }
 
+    /**
+     * Requires held leases to be read again, because the store was restored from an older copy and may have lost them.
+     * A write of another router that was conditional on an earlier version may arrive later, so they are read twice.
+     */
+    void onStoreRestored(long nowMs) {
+        recheckHeldLeases();
+        recheckAtMs = nowMs + DELAYED_WRITE_MS;
+    }
+
     /** Takes over leases without a live holder; must be called several times per second. */
     void tick(long nowMs) {
         boolean wasPaused = lastTickMs != Long.MIN_VALUE && nowMs - lastTickMs > PAUSE_THRESHOLD_MS;
         lastTickMs = nowMs;
+        if (nowMs >= recheckAtMs) {
+            recheckAtMs = Long.MAX_VALUE;
+            recheckHeldLeases();
+        }
         if (wasPaused) {
             recheckHeldLeases();
         }
@@ -207,7 +228,7 @@
             lease.version = written.version();
             lease.holder = new Holder(routerId, incarnation);
             lease.heldSinceMs = nowMs;
-            log.stateChanged("lease-taken", prefix + key, "version " + written.version());
+            log.stateChanged("lease-taken", prefix + key, "version " + StoreVersion.toString(written.version()));
         } else if (result instanceof PutResult.Conflict conflict) {
             applyStoredLease(key, lease, conflict.current(), nowMs);
         }
--- a/server/src/main/java/io/radishwinch/server/fleet/RouterDirectory.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/RouterDirectory.java
@@ -7,6 +7,7 @@
 import io.radishwinch.cluster.platform.PlatformClient.StoredObject;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -38,28 +39,38 @@
 
     /** Registers this router and passes the other registered routers to the receiver. */
     void registerAndList(Consumer<Collection<Seed>> receiver) {
-        write(PlatformClient.ABSENT);
+        register();
         platform.list(prefix, "", MAX_LISTED_ROUTERS)
                 .subscribe()
                 .with(page -> receiver.accept(seeds(page.objects())), error -> logFailure("read", error));
     }
 
+    /** Registers this router; called again after the store may have lost the registration. */
+    void register() {
+        write(PlatformClient.ABSENT);
+    }
+
     private void write(long version) {
-        byte[] value = (self.dataCentre() + " " + self.address().host() + " "
-                        + self.address().port())
-                .getBytes(StandardCharsets.UTF_8);
-        platform.put(prefix + self.id(), version, value, nonces.get())
+        platform.put(prefix + self.id(), version, encodeSelf(), nonces.get())
                 .subscribe()
                 .with(result -> onPutResult(version, result), error -> logFailure("write", error));
     }
 
     private void onPutResult(long version, PlatformClient.PutResult result) {
-        boolean isRestart = version == PlatformClient.ABSENT;
-        if (isRestart && result instanceof PlatformClient.PutResult.Conflict conflict) {
-            conflict.current().ifPresent(current -> write(current.version()));
+        boolean isFirstAttempt = version == PlatformClient.ABSENT;
+        if (isFirstAttempt && result instanceof PlatformClient.PutResult.Conflict conflict) {
+            conflict.current()
+                    .filter(current -> !Arrays.equals(current.value(), encodeSelf()))
+                    .ifPresent(current -> write(current.version()));
         }
     }
 
+    private byte[] encodeSelf() {
+        return (self.dataCentre() + " " + self.address().host() + " "
+                        + self.address().port())
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
     private static void logFailure(String operation, Throwable error) {
         LOG.log(System.Logger.Level.WARNING, "failed to {0} the router directory: {1}", operation, error.getMessage());
     }
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
@@ -104,6 +104,60 @@
         assertThat(events).containsExactly(new Event.EndpointLeaving("gone@7"));
     }
 
+    /** Guards against a restored store that lists endpoints which have left, or an earlier lifetime of one. */
+    @Test
+    void endpointThatHadLeftBeforeARestoreStaysOutOfUseUntilItsEntryCannotBeAnOldOne() {
+        registry.applyEntry("left", entry("left", 7, false, null), 0);
+        registry.applyEntry("restarted", entry("restarted", 5, false, null), 0);
+        registry.applyEntry("restarted", entry("restarted", 7, false, null), 0);
+        registry.applyEntry("left", entry("left", 7, true, null), 100);
+        takeEventTypes();
+        registry.onStoreRestored(1_000);
+        registry.applyEntry("left", entry("left", 7, false, null), 1_000);
+        registry.applyEntry("restarted", entry("restarted", 5, false, null), 1_000);
+        registry.tick(1_100);
+        assertThat(takeEventTypes()).isEmpty();
+        registry.applyEntry("restarted", entry("restarted", 7, false, null), 2_000);
+        registry.applyRemoval("left", 4_500);
+        registry.tick(12_000);
+        assertThat(takeEventTypes()).isEmpty();
+    }
+
+    @Test
+    void endpointThatTheRestoredStoreStillListsAfterTheHoldIsUsedAgain() {
+        registry.applyEntry("e", entry("e", 7, false, null), 0);
+        registry.applyRemoval("e", 100);
+        registry.onStoreRestored(1_000);
+        registry.applyEntry("e", entry("e", 7, false, null), 1_000);
+        registry.tick(1_100);
+        takeEventTypes();
+        registry.tick(12_000);
+        assertThat(takeEventTypes()).containsExactly(Event.EndpointJoined.class, Event.LoadReported.class);
+    }
+
+    @Test
+    void endpointThatTheRestoredStoreLacksIsKeptForTheGracePeriod() {
+        registry.applyEntry("e", entry("e", 7, false, null), 0);
+        takeEventTypes();
+        registry.onStoreRestored(1_000);
+        registry.applyRemoval("e", 1_000);
+        registry.tick(1_000 + RELIST_GRACE_MS - 1);
+        assertThat(takeEventTypes()).isEmpty();
+        registry.tick(1_000 + RELIST_GRACE_MS);
+        assertThat(takeEventTypes()).containsExactly(Event.EndpointLeaving.class);
+    }
+
+    @Test
+    void lifetimeThatWasForgottenLongBeforeARestoreStaysOutOfUse() {
+        registry.applyEntry("e", entry("e", 7, false, null), 0);
+        registry.applyRemoval("e", 100);
+        registry.tick(30_000);
+        takeEventTypes();
+        registry.onStoreRestored(31_000);
+        registry.applyEntry("e", entry("e", 7, false, null), 31_000);
+        assertThat(takeEventTypes()).isEmpty();
+    }
+
     /** Guards against a list that lags and returns an endpoint to use that has announced that it leaves. */
     @Test
     void endpointThatAnnouncedItsLeavingStaysOutOfUseUntilItRestarts() {
--- a/server/src/test/java/io/radishwinch/server/fleet/LeaseManagerTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/LeaseManagerTest.java
@@ -139,4 +139,43 @@
         }
         assertThat(remote.holds(GROUP, 12_000)).isTrue();
     }
+
+    /** Guards against two holders of a lease that a restored store has lost. */
+    @Test
+    void aHolderWhoseLeaseTheRestoredStoreHasLostActsOnlyOnceItHasTakenItAgain() {
+        InMemoryPlatform.Copy copy = platform.copy();
+        LeaseManager first = leaseManager("a", 1);
+        LeaseManager second = leaseManager("b", 1);
+        tick(first, 0);
+        assertThat(first.holds(GROUP, 100)).isTrue();
+        platform.restore(copy);
+        tick(second, 500);
+        assertThat(second.holds(GROUP, 600)).isTrue();
+        first.onStoreRestored(700);
+        assertThat(first.holds(GROUP, 700)).isFalse();
+        tick(first, 1_000);
+        assertThat(first.holds(GROUP, 1_100)).isFalse();
+        assertThat(second.holds(GROUP, 1_100)).isTrue();
+    }
+
+    /** Guards against a write from before a restore that replaces a lease after its holder has read it again. */
+    @Test
+    void aLeaseThatALateWriteReplacesIsNoticedAfterARestore() {
+        LeaseManager holder = leaseManager("a", 1);
+        tick(holder, 0);
+        platform.restore(platform.copy());
+        holder.onStoreRestored(500);
+        tick(holder, 500);
+        assertThat(holder.holds(GROUP, 600)).isTrue();
+        platform.put(
+                        "own/lease-" + GROUP,
+                        platform.contents().get("own/lease-" + GROUP).version(),
+                        "b 1".getBytes(java.nio.charset.StandardCharsets.UTF_8),
+                        "late")
+                .subscribe()
+                .with(result -> {}, failure -> {});
+        scheduler.advance(100);
+        tick(holder, 8_000);
+        assertThat(holder.holds(GROUP, 8_100)).isFalse();
+    }
 }
