Name the era of the store in the product's own platform protocol

Its client took versions for a clock as well, and nothing in the protocol told that a store had been restored. Every response carries X-Store-Era; versions contain it, a watch and a conditional write from an earlier era fail, and the stand-in can keep a copy and return to it. HttpPlatformClientTest causes a restore between a read and a write.

--- a/server/src/main/java/io/radishwinch/server/platform/HttpPlatformClient.java
+++ b/server/src/main/java/io/radishwinch/server/platform/HttpPlatformClient.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.radishwinch.cluster.platform.PlatformClient;
 import io.radishwinch.cluster.platform.PlatformException;
+import io.radishwinch.cluster.platform.StoreEra;
+import io.radishwinch.cluster.platform.StoreVersion;
 import io.radishwinch.core.model.Verdict;
 import io.radishwinch.server.engine.ClientOptions;
 import io.radishwinch.server.engine.EndpointAddress;
@@ -32,6 +34,10 @@
  */
 public final class HttpPlatformClient implements PlatformClient {
     private static final ObjectMapper JSON = new ObjectMapper();
+
+    /** Header of all responses with the era of the store; without it, the era is 0. */
+    static final String ERA_HEADER = "X-Store-Era";
+
     private static final int HTTP_OK = 200;
     private static final int HTTP_NOT_FOUND = 404;
     private static final int HTTP_CONFLICT = 412;
@@ -52,6 +58,7 @@
     private final HttpClient client;
     private final EndpointAddress platform;
     private final ClientOptions options;
+    private final StoreEra storeEra = new StoreEra();
 
     /** Creates a client that opens a connection for each call, because a response does not name its call. */
     public HttpPlatformClient(Vertx vertx, String host, int port, ClientOptions options) {
@@ -68,7 +75,7 @@
 
     @Override
     public Uni<Optional<StoredObject>> get(String key) {
-        return call(HttpMethod.GET, path(key), noHeaders(), null, false, response -> {
+        return call(HttpMethod.GET, path(key), noHeaders(), null, false, (response, era) -> {
             if (response.status() == HTTP_NOT_FOUND) {
                 return Optional.empty();
             }
@@ -79,7 +86,7 @@
             String nonce = response.headers().get("X-Nonce");
             return Optional.of(new StoredObject(
                     key,
-                    parseETag(response.headers().get("ETag")),
+                    StoreVersion.of(era, parseETag(response.headers().get("ETag"))),
                     response.body().getBytes(),
                     nonce == null ? "" : nonce));
         });
@@ -88,23 +95,21 @@
     @Override
     public Uni<Page> list(String prefix, String afterKey, int limit) {
         String uri = "/v1/objects?prefix=" + encode(prefix) + "&after=" + encode(afterKey) + "&limit=" + limit;
-        return call(HttpMethod.GET, uri, noHeaders(), null, false, response -> {
+        return call(HttpMethod.GET, uri, noHeaders(), null, false, (response, era) -> {
             requireOk(response, false);
             JsonNode node = JSON.readTree(response.body().getBytes());
             List<StoredObject> objects = new ArrayList<>();
             for (JsonNode object : required(node, "objects")) {
-                objects.add(PlatformJson.parseObject(object));
+                objects.add(PlatformJson.parseObject(object, era));
             }
             return new Page(
-                    objects,
-                    required(node, "more").asBoolean(),
-                    required(node, "storeVersion").asLong());
+                    objects, required(node, "more").asBoolean(), PlatformJson.parseVersion(node, "storeVersion", era));
         });
     }
 
     @Override
     public Uni<List<Vm>> vms() {
-        return call(HttpMethod.GET, "/v1/vms", noHeaders(), null, false, response -> {
+        return call(HttpMethod.GET, "/v1/vms", noHeaders(), null, false, (response, era) -> {
             requireOk(response, false);
             List<Vm> vms = new ArrayList<>();
             for (JsonNode vm : required(JSON.readTree(response.body().getBytes()), "vms")) {
@@ -132,29 +137,40 @@
     }
 
     private Uni<PutResult> write(HttpMethod method, String key, long expectedVersion, Buffer body, String nonce) {
-        MultiMap headers =
-                noHeaders().set("If-Match", "\"" + expectedVersion + "\"").set("X-Nonce", nonce);
-        return call(method, path(key), headers, body, true, response -> {
+        if (!storeEra.isCurrent(expectedVersion)) {
+            // The restored store may have given the revision to an object that nobody here has read.
+            return get(key).map(PutResult.Conflict::new);
+        }
+        MultiMap headers = noHeaders()
+                .set("If-Match", "\"" + StoreVersion.revision(expectedVersion) + "\"")
+                .set("X-Nonce", nonce);
+        return call(method, path(key), headers, body, true, (response, era) -> {
             if (response.status() == HTTP_CONFLICT) {
                 JsonNode current = JSON.readTree(response.body().getBytes()).get("current");
                 if (current == null) {
                     throw new IOException("required field current is missing");
                 }
                 return new PutResult.Conflict(
-                        current.isObject() ? Optional.of(PlatformJson.parseObject(current)) : Optional.empty());
+                        current.isObject() ? Optional.of(PlatformJson.parseObject(current, era)) : Optional.empty());
             }
             requireOk(response, true);
+            StoreEra.requireSame(expectedVersion, era);
             JsonNode node = JSON.readTree(response.body().getBytes());
-            return new PutResult.Written(required(node, "version").asLong());
+            return new PutResult.Written(PlatformJson.parseVersion(node, "version", era));
         });
     }
 
     @Override
     public Multi<Change> watch(String prefix, long fromVersion) {
-        String uri = "/v1/watch?prefix=" + encode(prefix) + "&from=" + fromVersion;
+        String uri = "/v1/watch?prefix=" + encode(prefix) + "&from=" + StoreVersion.revision(fromVersion);
         return Multi.createFrom()
                 .emitter(
-                        emitter -> new HttpWatch(vertx, platform, uri, MAX_LINE_BYTES, options, emitter).start(client),
+                        emitter -> new HttpWatch(vertx, platform, uri, MAX_LINE_BYTES, options, emitter, header -> {
+                                    long era = storeEra.observe(header);
+                                    StoreEra.requireSame(fromVersion, era);
+                                    return era;
+                                })
+                                .start(client),
                         WATCH_BUFFER);
     }
 
@@ -166,7 +182,12 @@
                 .onSuccess(response -> {
                     T result;
                     try {
-                        result = reader.read(response);
+                        // A refusal says nothing about the contents of the store and may come from a proxy.
+                        boolean isRefusal = response.status() >= HTTP_SERVER_ERROR;
+                        long era = isRefusal
+                                ? storeEra.latest()
+                                : storeEra.observe(response.headers().get(ERA_HEADER));
+                        result = reader.read(response, era);
                     } catch (PlatformException e) {
                         emitter.fail(e);
                         return;
@@ -224,9 +245,9 @@
         return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
     }
 
-    /** Converts a response to a result. */
+    /** Converts a response of an era of the store to a result. */
     @FunctionalInterface
     private interface ResponseReader<T> {
-        T read(HttpExchange.Response response) throws IOException;
+        T read(HttpExchange.Response response, long era) throws IOException;
     }
 }
--- a/server/src/main/java/io/radishwinch/server/platform/HttpWatch.java
+++ b/server/src/main/java/io/radishwinch/server/platform/HttpWatch.java
@@ -15,6 +15,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.io.IOException;
+import java.util.function.ToLongFunction;
 
 /** Reads the changes of one watch and emits them, with back-pressure from the subscriber. */
 final class HttpWatch {
@@ -28,25 +29,35 @@
     private final ClientOptions options;
     private final MultiEmitter<? super PlatformClient.Change> emitter;
     private final LineSplitter splitter;
+    private final ToLongFunction<String> eraReader;
+    private long era;
     private HttpClientRequest request;
     private HttpClientResponse response;
     private boolean isEnded;
     private boolean hasReceivedData;
     private long inactivityTimerId = -1;
 
+    /**
+     * Creates a watch.
+     *
+     * @param eraReader returns the era that the header of the response names, or throws a {@link PlatformException} if
+     *     the watch cannot go on in it
+     */
     HttpWatch(
             Vertx vertx,
             EndpointAddress platform,
             String uri,
             int maxLineBytes,
             ClientOptions options,
-            MultiEmitter<? super PlatformClient.Change> emitter) {
+            MultiEmitter<? super PlatformClient.Change> emitter,
+            ToLongFunction<String> eraReader) {
         this.vertx = vertx;
         this.context = vertx.getOrCreateContext();
         this.platform = platform;
         this.uri = uri;
         this.options = options;
         this.emitter = emitter;
+        this.eraReader = eraReader;
         this.splitter = new LineSplitter(maxLineBytes, this::onLine);
     }
 
@@ -107,6 +118,15 @@
                     null);
             return;
         }
+        try {
+            era = eraReader.applyAsLong(received.getHeader(HttpPlatformClient.ERA_HEADER));
+        } catch (PlatformException e) {
+            fail(e.kind(), e.getMessage(), e);
+            return;
+        } catch (IllegalArgumentException e) {
+            fail(PlatformException.Kind.NO_EFFECT, e.getMessage(), e);
+            return;
+        }
         response = received;
         received.endHandler(ignored -> fail(PlatformException.Kind.NO_EFFECT, "the platform ended the watch", null));
         received.handler(chunk -> {
@@ -125,7 +145,7 @@
     private boolean onLine(byte[] bytes, int offset, int length) throws MalformedLineException {
         PlatformClient.Change change;
         try {
-            change = PlatformJson.parseChange(bytes, offset, length);
+            change = PlatformJson.parseChange(bytes, offset, length, era);
         } catch (IOException e) {
             throw new MalformedLineException("malformed change: " + e.getMessage(), e);
         }
--- a/server/src/main/java/io/radishwinch/server/platform/PlatformJson.java
+++ b/server/src/main/java/io/radishwinch/server/platform/PlatformJson.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.radishwinch.cluster.platform.PlatformClient;
+import io.radishwinch.cluster.platform.StoreVersion;
 import java.io.IOException;
 import java.util.Optional;
 
@@ -12,20 +13,22 @@
 
     private PlatformJson() {}
 
-    static PlatformClient.StoredObject parseObject(JsonNode node) throws IOException {
+    /** Parses an object of a response that names the given era of the store. */
+    static PlatformClient.StoredObject parseObject(JsonNode node, long era) throws IOException {
         return new PlatformClient.StoredObject(
                 required(node, "key").asText(),
-                required(node, "version").asLong(),
+                parseVersion(node, "version", era),
                 required(node, "value").binaryValue(),
                 node.path("nonce").asText());
     }
 
-    static PlatformClient.Change parseChange(byte[] line, int offset, int length) throws IOException {
+    /** Parses a change of a watch whose response names the given era of the store. */
+    static PlatformClient.Change parseChange(byte[] line, int offset, int length, long era) throws IOException {
         JsonNode node = JSON.readTree(line, offset, length);
         JsonNode value = node.path("value");
         return new PlatformClient.Change(
                 required(node, "key").asText(),
-                required(node, "version").asLong(),
+                parseVersion(node, "version", era),
                 value.isTextual() ? Optional.of(value.binaryValue()) : Optional.empty(),
                 node.path("nonce").asText());
     }
@@ -41,6 +44,15 @@
                 node.path("leaving").asBoolean());
     }
 
+    /** Parses a revision of the given era. */
+    static long parseVersion(JsonNode node, String field, long era) throws IOException {
+        try {
+            return StoreVersion.of(era, required(node, field).asLong());
+        } catch (IllegalArgumentException e) {
+            throw new IOException(field + ": " + e.getMessage(), e);
+        }
+    }
+
     static JsonNode required(JsonNode node, String field) throws IOException {
         JsonNode value = node.get(field);
         if (value == null || value.isNull()) {
--- a/server/src/test/java/io/radishwinch/server/platform/HttpPlatformClientTest.java
+++ b/server/src/test/java/io/radishwinch/server/platform/HttpPlatformClientTest.java
@@ -63,6 +63,32 @@
         assertThat(await(client.delete("config/a b/ä", 0, "n6"))).isEqualTo(new PutResult.Conflict(Optional.empty()));
     }
 
+    /** Guards against a revision that the restored platform gives out again and that is taken for the earlier one. */
+    @Test
+    void aVersionFromBeforeARestoreNamesNothingAfterIt() {
+        platform.keepCopy();
+        put("config/a", 0, "lost", "n1");
+        platform.restoreCopy();
+        platform.putObject("config/a", bytes("of another writer"));
+        assertThat(kind(client.put("config/a", 1, bytes("x"), "n2"))).isEqualTo(PlatformException.Kind.STORE_RESTORED);
+        platform.restoreCopy();
+        platform.putObject("config/a", bytes("of another writer"));
+        long version = await(client.get("config/a")).orElseThrow().version();
+        assertThat(version).isGreaterThan(1);
+        assertThat(put("config/a", 1, "x", "n3")).isInstanceOf(PutResult.Conflict.class);
+        assertThat(text(platform.object("config/a"))).isEqualTo("of another writer");
+        assertThat(put("config/a", version, "next", "n4")).isEqualTo(new PutResult.Written(version + 1));
+    }
+
+    @Test
+    void aWatchFromBeforeARestoreFails() {
+        platform.keepCopy();
+        put("config/a", 0, "lost", "n1");
+        platform.restoreCopy();
+        platform.putObject("config/b", bytes("1"));
+        assertThat(kind(client.watch("config/", 1).toUni())).isEqualTo(PlatformException.Kind.STORE_RESTORED);
+    }
+
     /** Guards against a write that is retried or abandoned although it took effect, after its response was lost. */
     @Test
     void aLostResponseIsResolvedByTheNonce() {
--- a/standins/src/main/java/io/radishwinch/standins/PlatformStandIn.java
+++ b/standins/src/main/java/io/radishwinch/standins/PlatformStandIn.java
@@ -42,6 +42,7 @@
     private long vmListDelayMs;
     private long callDelayMs;
     private boolean isDown;
+    private PlatformStore.Copy copy;
     private int responsesToDrop;
     private long callCount;
     private long keepAliveTimer = -1;
@@ -135,6 +136,28 @@
         run(() -> store.trim(0));
     }
 
+    /** Keeps a copy of all objects, which {@link #restoreCopy} returns to. */
+    public void keepCopy() {
+        run(() -> copy = store.copy());
+    }
+
+    /**
+     * Returns to the last copy: what was written since is lost, its versions are given out again, and the era
+     * increases. All connections are closed.
+     *
+     * @throws IllegalStateException if no copy was kept
+     */
+    public void restoreCopy() {
+        run(() -> {
+            if (copy == null) {
+                throw new IllegalStateException("no copy was kept");
+            }
+            store.restore(copy);
+            watches.clear();
+            dropConnections();
+        });
+    }
+
     @Override
     void onStopped() {
         watches.clear();
@@ -162,6 +185,7 @@
             request.connection().close();
             return;
         }
+        request.response().putHeader("X-Store-Era", Long.toString(store.era()));
         boolean isWrite = request.method() == HttpMethod.PUT || request.method() == HttpMethod.DELETE;
         if (!(isWrite ? writeLimit : readLimit).tryAcquire()) {
             request.response().putHeader("Retry-After", "1");
--- a/standins/src/main/java/io/radishwinch/standins/PlatformStore.java
+++ b/standins/src/main/java/io/radishwinch/standins/PlatformStore.java
@@ -15,12 +15,36 @@
     private final NavigableMap<String, StoredValue> objects = new TreeMap<>();
     private final ArrayDeque<StoredValue> history = new ArrayDeque<>();
     private long version;
+    private long era;
     private long oldestWatchable;
 
     PlatformStore(int maxHistory) {
         this.maxHistory = maxHistory;
     }
 
+    /** Contents of the store at an earlier moment. */
+    record Copy(Map<String, StoredValue> objects, long version) {}
+
+    /** Returns a copy to restore the store from. */
+    Copy copy() {
+        return new Copy(new TreeMap<>(objects), version);
+    }
+
+    /** Restores an earlier copy; the next writes get the versions of the lost ones, and the era increases. */
+    void restore(Copy copy) {
+        objects.clear();
+        objects.putAll(copy.objects);
+        version = copy.version;
+        history.removeIf(change -> change.version > version);
+        oldestWatchable = Math.min(oldestWatchable, version);
+        era++;
+    }
+
+    /** Returns the number of times that the store was restored. */
+    long era() {
+        return era;
+    }
+
     StoredValue get(String key) {
         return objects.get(key);
     }
