--- a/cluster/src/main/java/io/radishwinch/cluster/journal/ShardLog.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/ShardLog.java
@@ -12,6 +12,7 @@
 import io.radishwinch.cluster.platform.PlatformException;
 import io.radishwinch.cluster.platform.PlatformException.Kind;
 import io.radishwinch.cluster.platform.Scheduler;
+import io.radishwinch.cluster.platform.StoreVersion;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -69,6 +70,10 @@
     private long minStoreVersion;
     private Manifest manifest = Manifest.EMPTY;
     private long manifestVersion = PlatformClient.ABSENT;
+    /** Era of the store from which the shard was read. */
+    private long era;
+
+    private final LostRecords lostRecords = new LostRecords();
     /** Versions of the batches that exist on the platform, by sequence number. */
     private TreeMap<Long, Long> batchVersions = new TreeMap<>();
 
@@ -213,6 +218,13 @@
     /** Replies to the decided steps and creates one batch with the records of the others. */
     private void commit() {
         long logMs = nextLogMs();
+        if (!lostRecords.isEmpty()) {
+            List<JournalRecord> missing = lostRecords.missingFrom(index, settings.maxBatchRecords());
+            if (!missing.isEmpty()) {
+                create(new Batch(logMs, missing), List.of());
+                return;
+            }
+        }
         List<PendingStep> batchSteps = new ArrayList<>();
         List<JournalRecord> records = new ArrayList<>();
         Set<Hash128> keys = new HashSet<>();
@@ -301,7 +313,11 @@
                 .subscribe()
                 .with(
                         tail -> {
-                            if (tail.manifest().floorSequence() >= sequence) {
+                            boolean isRestored = tail.era() != era || StoreVersion.era(version) != era;
+                            if (isRestored) {
+                                prepareReload();
+                            }
+                            if (isRestored || tail.manifest().floorSequence() >= sequence) {
                                 listener.onVoidBatch(shard);
                                 store.deleteBatch(sequence, version, nonces.next())
                                         .subscribe()
@@ -313,7 +329,7 @@
                             batchVersions.put(sequence, version);
                             index.apply(sequence, batch);
                             nextSequence = sequence + 1;
-                            isEmptyBatchRequested = false;
+                            isEmptyBatchRequested = !lostRecords.isEmpty();
                             batchSteps.forEach(PendingStep::markCommitted);
                             listener.onCommit(shard, batch.records().size(), bytes);
                             applyTail(tail, current);
@@ -333,6 +349,12 @@
      * Applies batches of other routers. The steps that were queued before the read are then decided by a fresh state.
      */
     private void applyTail(Tail tail, List<PendingStep> waiting) {
+        if (tail.era() != era) {
+            prepareReload();
+            unload();
+            finishOperation();
+            return;
+        }
         if (tail.manifest().floorSequence() >= nextSequence) {
             unload();
             finishOperation();
@@ -417,6 +439,15 @@
         return !(failure instanceof PlatformException exception) || exception.kind() == Kind.EFFECT_UNKNOWN;
     }
 
+    /**
+     * Remembers the entries of a shard that has to be read again, because the store was restored from an older copy.
+     * The records that it has lost are written again before any other.
+     */
+    private void prepareReload() {
+        lostRecords.remember(index);
+        isEmptyBatchRequested = true;
+    }
+
     private void unload() {
         isLoaded = false;
         index = new ShardIndex(settings);
@@ -464,6 +495,7 @@
 
     private void restore(ShardSnapshot snapshot) {
         unload();
+        era = snapshot.tail().era();
         manifest = snapshot.tail().manifest();
         manifestVersion = snapshot.tail().manifestVersion();
         minStoreVersion = Math.max(minStoreVersion, manifestVersion);
--- a/cluster/src/main/java/io/radishwinch/cluster/journal/ShardStore.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/ShardStore.java
@@ -8,6 +8,7 @@
 import io.radishwinch.cluster.platform.PlatformException;
 import io.radishwinch.cluster.platform.PlatformException.Kind;
 import io.radishwinch.cluster.platform.Scheduler;
+import io.radishwinch.cluster.platform.StoreVersion;
 import io.smallrye.mutiny.Uni;
 import java.util.ArrayList;
 import java.util.List;
@@ -49,8 +50,9 @@
      * @param batches batches by sequence number
      * @param manifest manifest
      * @param manifestVersion version of the manifest, or {@link PlatformClient#ABSENT}
+     * @param era era of the store when it was read
      */
-    record Tail(TreeMap<Long, StoredBatch> batches, Manifest manifest, long manifestVersion) {}
+    record Tail(TreeMap<Long, StoredBatch> batches, Manifest manifest, long manifestVersion, long era) {}
 
     /**
      * A stored batch.
@@ -107,7 +109,11 @@
                                 .transformToUni(waited -> readTail(afterKey, version, batches, pageNumber, attempt + 1))
                         : Uni.createFrom().failure(noEffect("reads stay stale for " + logPrefix));
             }
-            return Uni.createFrom().item(toTail(batches, manifest));
+            long era = StoreVersion.era(page.storeVersion());
+            boolean isOfOneEra = batches.values().stream().allMatch(batch -> StoreVersion.era(batch.version()) == era);
+            return isOfOneEra
+                    ? Uni.createFrom().item(toTail(batches, manifest, era))
+                    : Uni.createFrom().failure(noEffect("the store was restored during a read of " + logPrefix));
         });
     }
 
@@ -124,12 +130,13 @@
         return Uni.createFrom().emitter(emitter -> scheduler.schedule(delayMs, () -> emitter.complete(true)));
     }
 
-    private static Tail toTail(TreeMap<Long, StoredBatch> batches, Optional<StoredObject> manifest) {
+    private static Tail toTail(TreeMap<Long, StoredBatch> batches, Optional<StoredObject> manifest, long era) {
         return new Tail(
                 batches,
                 manifest.map(object -> decode(object, JournalCodec::decodeManifest))
                         .orElse(Manifest.EMPTY),
-                manifest.map(StoredObject::version).orElse(PlatformClient.ABSENT));
+                manifest.map(StoredObject::version).orElse(PlatformClient.ABSENT),
+                era);
     }
 
     /** Deletes a batch that is contained in a segment or is void. */
