--- a/cluster/src/main/java/io/radishwinch/cluster/gossip/KindPolicy.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/gossip/KindPolicy.java
@@ -35,7 +35,7 @@
     private static final KindPolicy EJECTION = new KindPolicy(false, true, false, 8_192, 512, HOUR_MS);
     private static final KindPolicy LEAVING = new KindPolicy(false, true, true, 8_192, 512, 24 * HOUR_MS);
     private static final KindPolicy ENDPOINT_LOAD = new KindPolicy(false, false, false, 8_192, 8_192, MINUTE_MS);
-    private static final KindPolicy PLACEMENT = new KindPolicy(false, true, false, 8_192, 2_048, 24 * HOUR_MS);
+    private static final KindPolicy PLACEMENT = new KindPolicy(true, true, true, 8_192, 512, HOUR_MS);
     private static final KindPolicy DEMAND = new KindPolicy(false, false, false, 2_048, 2_048, MINUTE_MS);
     private static final KindPolicy DAY_COUNTERS = new KindPolicy(false, true, false, 1_024, 65_536, 48 * HOUR_MS);
     private static final KindPolicy DIRECTORY = new KindPolicy(true, true, false, 64, 65_536, 0);
--- a/server/src/main/java/io/radishwinch/server/PeerStateBridge.java
+++ b/server/src/main/java/io/radishwinch/server/PeerStateBridge.java
@@ -86,6 +86,9 @@
 
         /** Called when an endpoint named another request limit to a peer, in requests/s, or none any more. */
         default void requestLimitChanged(String endpointId, OptionalDouble limitPerS) {}
+
+        /** Called when another router has released a lease. */
+        default void leaseReleased(String leaseKey) {}
     }
 
     /** Applies the caller limits of a configuration. */
@@ -177,6 +180,15 @@
         publish(EntryKind.EJECTION, endpointId, new byte[0], control.nowMs() + UNREACHABLE_TTL_MS);
     }
 
+    /**
+     * Publishes that this router has released a lease, whose other candidates do not read it while its holder is alive.
+     *
+     * @param ttlMs time-to-live of the entry, in ms
+     */
+    public void publishLeaseReleased(String leaseKey, long ttlMs) {
+        publish(EntryKind.PLACEMENT, leaseKey, new byte[0], control.nowMs() + ttlMs);
+    }
+
     /** Publishes the load of this router on each endpoint. */
     public void publishLoad(CoreView view) {
         Map<Integer, EndpointLoad> loads = new HashMap<>();
@@ -241,6 +253,11 @@
                     endpointListener.endpointUnreachable(entry.key());
                 }
             }
+            case PLACEMENT -> {
+                if (!entry.isTombstone()) {
+                    endpointListener.leaseReleased(entry.key());
+                }
+            }
             default -> {
                 // PeerNode handles the other kinds.
             }
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointControl.java
@@ -21,6 +21,9 @@
      */
     Uni<Optional<StatusReport>> requestStatus(EndpointContact contact);
 
+    /** Connects to an endpoint and closes the connection. Fails if the endpoint does not accept it in time. */
+    Uni<Void> connect(EndpointContact contact);
+
     /**
      * Orders an engine to hold exactly a range of layers.
      *
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointHealthChecker.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointHealthChecker.java
@@ -30,6 +30,7 @@
     private final EndpointControl endpoints;
     private final EndpointRegistry registry;
     private final Predicate<String> isPaused;
+    private final EndpointReachability reachability;
     private final FleetLog log;
     private final LongSupplier clockMs;
     private final Map<String, Long> nextCheckAtMs = new HashMap<>();
@@ -39,16 +40,19 @@
      * Creates a health checker.
      *
      * @param isPaused returns whether an endpoint has asked for a pause; it is not checked before the pause is over
+     * @param reachability tells whether a failed check shows that the endpoint or that this router is cut off
      */
     EndpointHealthChecker(
             EndpointControl endpoints,
             EndpointRegistry registry,
             Predicate<String> isPaused,
+            EndpointReachability reachability,
             FleetLog log,
             LongSupplier clockMs) {
         this.endpoints = endpoints;
         this.registry = registry;
         this.isPaused = isPaused;
+        this.reachability = reachability;
         this.log = log;
         this.clockMs = clockMs;
     }
@@ -74,7 +78,10 @@
 
     /** Checks the unreachable endpoints whose backoff has passed. */
     void tick(long nowMs) {
-        registry.takeDueHealthChecks(nowMs).forEach(id -> sendCheck(id, false, false));
+        reachability.tick(nowMs);
+        if (!reachability.isIsolated()) {
+            registry.takeDueHealthChecks(nowMs).forEach(id -> sendCheck(id, false, false));
+        }
         nextCheckAtMs.keySet().removeIf(id -> registry.contact(id).isEmpty());
     }
 
@@ -94,7 +101,8 @@
      */
     private void sendCheck(String endpointId, boolean checksStreams, boolean isRepeat) {
         Optional<EndpointContact> contact = registry.contact(endpointId);
-        if (contact.isEmpty() || isPaused.test(endpointId) || !pendingChecks.add(endpointId)) {
+        boolean isUseless = contact.isEmpty() || isPaused.test(endpointId) || reachability.isIsolated();
+        if (isUseless || !pendingChecks.add(endpointId)) {
             return;
         }
         long startedAtMs = clockMs.getAsLong();
@@ -112,13 +120,13 @@
         long nowMs = clockMs.getAsLong();
         String cause = "no report: " + error.getMessage();
         if (isRefused(error)) {
-            registry.markEnded(endpointId, cause, nowMs);
+            reachability.confirm(endpointId, () -> registry.markEnded(endpointId, cause, clockMs.getAsLong()));
         } else if (nowMs - startedAtMs > MAX_CHECK_DURATION_MS && !isRepeat) {
             // This process was paused during the check, so a missing response says nothing about the endpoint. A second
             // late failure counts: a process that is merely slow would otherwise repeat the check forever.
             sendCheck(endpointId, checksStreams, true);
         } else {
-            registry.markUnreachable(endpointId, cause, nowMs);
+            reachability.confirm(endpointId, () -> registry.markUnreachable(endpointId, cause, clockMs.getAsLong()));
         }
     }
 
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -388,6 +388,17 @@
         }
     }
 
+    /** Returns the contacts of the endpoints that are in use. */
+    List<EndpointContact> joinedContacts() {
+        List<EndpointContact> joined = new ArrayList<>();
+        for (EndpointLifetime endpoint : byId.values()) {
+            if (endpoint.isJoined && !endpoint.isLeaving) {
+                joined.add(contacts.get(endpoint.endpointId));
+            }
+        }
+        return joined;
+    }
+
     /** Returns the unreachable endpoints whose backoff has passed, and starts their next backoff. */
     List<String> takeDueHealthChecks(long nowMs) {
         List<String> due = new ArrayList<>();
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -37,6 +37,7 @@
 import io.radishwinch.server.peer.PeerTransport;
 import io.radishwinch.server.proxy.ContactLookup;
 import io.radishwinch.server.proxy.EndpointNoticeListener;
+import io.radishwinch.server.proxy.PeerRelays;
 import io.radishwinch.server.proxy.RequestLimitListener;
 import io.radishwinch.server.route.RoutingConfig;
 import io.vertx.core.Context;
@@ -47,6 +48,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.function.LongSupplier;
 
@@ -76,6 +78,9 @@
      */
     private static final double PLATFORM_RATE_SHARE = 0.5;
 
+    /** Time-to-live of the gossip entry for a released lease, in ms; by then its candidates have read it. */
+    private static final long RELEASED_LEASE_TTL_MS = 10_000;
+
     private static final long UNKNOWN_ERA = -1;
 
     private final Vertx vertx;
@@ -94,6 +99,8 @@
     private final EndpointRegistry registry;
     private final EndpointHealthChecker healthChecker;
     private final LayerOrderSender orderSender;
+    private final EndpointReachability reachability;
+    private final PeerDirectory relays;
     private final StreamRerouter rerouter;
     private final LeaseManager leaseManager;
     private final ConfigHolder config;
@@ -153,6 +160,7 @@
                 dialect.routerObjectPrefix() + "lease-",
                 new MembershipView(),
                 this::newNonce,
+                this::publishLeaseReleased,
                 log);
         control = new ControlLoop(context, clock, decisionCore(), this::performSharedAction);
         registry = new EndpointRegistry(control::post, new PeerPublisher(), log, settings.relistGraceMs());
@@ -161,7 +169,14 @@
                 "endpoints whose entry cannot be read, which get no requests",
                 registry::unreadableCount);
         endpointNotices = new EndpointNotices(registry, control::execute, control::post, clock);
-        healthChecker = new EndpointHealthChecker(clients.endpoints(), registry, endpointNotices::isPaused, log, clock);
+        reachability = new EndpointReachability(
+                clients.endpoints(), registry::joinedContacts, random, clock, this::onIsolationChanged);
+        OptionalInt relayPort =
+                settings.relay().stream().mapToInt(Address::port).findFirst();
+        relays = new PeerDirectory(
+                settings.dataCentre(), relayPort, reachability, control::execute, clock, log, metrics);
+        healthChecker = new EndpointHealthChecker(
+                clients.endpoints(), registry, endpointNotices::isPaused, reachability, log, clock);
         orderSender = new LayerOrderSender(
                 clients.endpoints(), registry, scheduler, control::post, leaseManager::recheckHeldLeases, log, clock);
         rerouter = new StreamRerouter(clients.endpoints(), registry, control::post, log);
@@ -271,6 +286,24 @@
         return hasEndpointList && config.inEffect().version() > 0;
     }
 
+    /** Returns the routers that take requests while this one reaches no endpoint; safe for use by any thread. */
+    PeerRelays relays() {
+        return relays;
+    }
+
+    /** Checks the link to the endpoints because a connection to one could not be opened; safe for use by any thread. */
+    void suspectConnection(String endpointId) {
+        control.execute(() -> reachability.suspect(endpointId));
+    }
+
+    private void onIsolationChanged(boolean isIsolated) {
+        log.stateChanged(
+                isIsolated ? "endpoints-unreachable" : "endpoints-reachable",
+                settings.routerId(),
+                isIsolated ? "requests are relayed to other routers" : "");
+        leaseManager.setSuspended(isIsolated);
+    }
+
     /** Checks an endpoint whose streams are unresponsive; safe for use by any thread. */
     void checkStalledStreams(String endpointId) {
         control.execute(() -> healthChecker.checkStalledStreams(endpointId));
@@ -316,6 +349,10 @@
                 endpointFollower.isCurrent() && configFollower.isCurrent(), registry.relistGraceMs(nowMs));
     }
 
+    private void publishLeaseReleased(String leaseKey) {
+        peerState.publishLeaseReleased(leaseKey, RELEASED_LEASE_TTL_MS);
+    }
+
     private void publishRequestLimit(String endpointId, OptionalDouble limitPerS) {
         peerState.publishRequestLimit(endpointId, limitPerS, RequestLimits.TTL_MS);
     }
@@ -347,10 +384,10 @@
 
     private void publishLoad() {
         peerState.publishLoad(control.core().view());
-        int remote = node.remoteDataCentres().stream()
-                .mapToInt(name -> node.remoteMembers(name).size())
-                .sum();
-        int live = node.members().size() + remote + 1;
+        List<MemberInfo> peers = new ArrayList<>(node.members());
+        node.remoteDataCentres().forEach(name -> peers.addAll(node.remoteMembers(name)));
+        relays.setPeers(peers);
+        int live = peers.size() + 1;
         if (live != liveRouters) {
             liveRouters = live;
             budget.setRates(rates(live));
@@ -571,6 +608,11 @@
         public void requestLimitChanged(String endpointId, OptionalDouble limitPerS) {
             requestLimits.apply(endpointId, limitPerS);
         }
+
+        @Override
+        public void leaseReleased(String leaseKey) {
+            leaseManager.recheck(leaseKey);
+        }
     }
 
     private void observeEvent(Event event) {
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
@@ -121,6 +121,8 @@
                         outcomes,
                         plane.requestLimits(),
                         plane.endpointNotices(),
+                        plane.relays(),
+                        plane::suspectConnection,
                         plane::checkStalledStreams));
         metrics.gauge("radishwinch.config.version", "version of the configuration in effect", () -> plane.config()
                 .version());
@@ -133,9 +135,8 @@
 
     private Future<Void> startTraffic() {
         Promise<Void> listening = Promise.promise();
-        trafficVertx.getOrCreateContext().runOnContext(ignored -> proxy.start(
-                        settings.callers().host(), settings.callers().port())
-                .compose(port -> serve(settings.readiness(), this::handleReadiness))
+        trafficVertx.getOrCreateContext().runOnContext(ignored -> proxy.start(settings.callers(), settings.relay())
+                .compose(started -> serve(settings.readiness(), this::handleReadiness))
                 .compose(done -> serve(settings.metrics(), this::handleMetrics))
                 .onComplete(listening));
         return listening.future();
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetSettings.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetSettings.java
@@ -3,6 +3,7 @@
 import io.radishwinch.cluster.membership.Address;
 import io.radishwinch.core.retry.DeploymentRetryLimit;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Addresses and limits of one router.
@@ -14,6 +15,8 @@
  * @param readinessPath path of the readiness check
  * @param metrics listen address for metrics
  * @param peers listen address for other routers
+ * @param relay listen address for requests that other routers relay, with the same port on all routers; without it,
+ *     none are relayed
  * @param seeds addresses of other routers
  * @param platformReadsPerS limit on the reads of all routers together, in calls/s
  * @param platformWritesPerS limit on the writes of all routers together, in calls/s
@@ -29,6 +32,7 @@
         String readinessPath,
         Address metrics,
         Address peers,
+        Optional<Address> relay,
         List<Address> seeds,
         double platformReadsPerS,
         double platformWritesPerS,
--- a/server/src/main/java/io/radishwinch/server/fleet/LeaseManager.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/LeaseManager.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /**
@@ -48,10 +49,12 @@
     private final String prefix;
     private final LiveMembers liveMembers;
     private final Supplier<String> nonces;
+    private final Consumer<String> onReleased;
     private final FleetLog log;
     private final Map<String, Lease> leases = new TreeMap<>();
     private long lastTickMs = Long.MIN_VALUE;
     private long recheckAtMs = Long.MAX_VALUE;
+    private boolean isSuspended;
 
     /** Looks up live routers in the membership. */
     interface LiveMembers {
@@ -82,6 +85,7 @@
 
     /** Router process that holds a lease. */
     private record Holder(String routerId, long incarnation) {
+        private static final Holder NONE = new Holder("", 0);
 
         byte[] encode() {
             return (routerId + " " + incarnation).getBytes(StandardCharsets.UTF_8);
@@ -90,10 +94,10 @@
         static Holder decode(byte[] value) {
             String[] parts = new String(value, StandardCharsets.UTF_8).split(" ", -1);
             try {
-                return parts.length == 2 ? new Holder(parts[0], Long.parseLong(parts[1])) : new Holder("", 0);
+                return parts.length == 2 ? new Holder(parts[0], Long.parseLong(parts[1])) : NONE;
             } catch (NumberFormatException e) {
                 // An object not written by a router names no holder, so the lease can be taken over.
-                return new Holder("", 0);
+                return NONE;
             }
         }
     }
@@ -106,6 +110,7 @@
             String prefix,
             LiveMembers liveMembers,
             Supplier<String> nonces,
+            Consumer<String> onReleased,
             FleetLog log) {
         this.routerId = routerId;
         this.incarnation = incarnation;
@@ -114,13 +119,14 @@
         this.prefix = prefix;
         this.liveMembers = liveMembers;
         this.nonces = nonces;
+        this.onReleased = onReleased;
         this.log = log;
     }
 
     @Override
     public boolean holds(String key, long nowMs) {
         Lease lease = leases.computeIfAbsent(key, ignored -> new Lease());
-        return isHeldByThisRouter(lease) && !lease.needsRecheck && mayHold(key, lease, nowMs);
+        return !isSuspended && isHeldByThisRouter(lease) && !lease.needsRecheck && mayHold(key, lease, nowMs);
     }
 
     @Override
@@ -135,6 +141,14 @@
         return 0;
     }
 
+    /** Requires a lease to be read again, because its holder has released it. */
+    void recheck(String key) {
+        Lease lease = leases.get(key);
+        if (lease != null) {
+            lease.needsRecheck = true;
+        }
+    }
+
     /** Requires held leases to be read again before use, because another router may have taken them over. */
     void recheckHeldLeases() {
         leases.values().forEach(lease -> lease.needsRecheck |= isHeldByThisRouter(lease));
@@ -149,6 +163,14 @@
         recheckAtMs = nowMs + DELAYED_WRITE_MS;
     }
 
+    /**
+     * Sets whether this router reaches no engine. It then releases its leases, so that another one can take them over,
+     * and takes none.
+     */
+    void setSuspended(boolean newSuspended) {
+        isSuspended = newSuspended;
+    }
+
     /** Takes over leases without a live holder; must be called several times per second. */
     void tick(long nowMs) {
         boolean wasPaused = lastTickMs != Long.MIN_VALUE && nowMs - lastTickMs > PAUSE_THRESHOLD_MS;
@@ -164,7 +186,11 @@
             if (lease.isCallPending || nowMs < lease.nextCallMs) {
                 return;
             }
-            if (lease.needsRecheck) {
+            if (isSuspended) {
+                if (isHeldByThisRouter(lease)) {
+                    release(key, lease, nowMs);
+                }
+            } else if (lease.needsRecheck) {
                 markCallPending(lease, nowMs);
                 platform.get(prefix + key)
                         .subscribe()
@@ -181,6 +207,25 @@
         });
     }
 
+    private void release(String key, Lease lease, long nowMs) {
+        markCallPending(lease, nowMs);
+        platform.put(prefix + key, lease.version, Holder.NONE.encode(), nonces.get())
+                .subscribe()
+                .with(result -> onReleased(key, lease, result, nowMs), error -> lease.isCallPending = false);
+    }
+
+    private void onReleased(String key, Lease lease, PutResult result, long nowMs) {
+        lease.isCallPending = false;
+        if (result instanceof PutResult.Written written) {
+            lease.version = written.version();
+            lease.holder = Holder.NONE;
+            onReleased.accept(key);
+            log.stateChanged("lease-released", prefix + key, "version " + StoreVersion.toString(written.version()));
+        } else if (result instanceof PutResult.Conflict conflict) {
+            applyStoredLease(key, lease, conflict.current(), nowMs);
+        }
+    }
+
     private static void markCallPending(Lease lease, long nowMs) {
         lease.isCallPending = true;
         lease.nextCallMs = nowMs + CALL_INTERVAL_MS;
--- a/server/src/main/java/io/radishwinch/server/http/DeliveryStats.java
+++ b/server/src/main/java/io/radishwinch/server/http/DeliveryStats.java
@@ -18,7 +18,7 @@
         this.arrivedAtMs = arrivedAtMs;
     }
 
-    void recordAttempt() {
+    public void recordAttempt() {
         attempts++;
     }
 
--- a/server/src/main/java/io/radishwinch/server/proxy/EndpointConnectionPool.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EndpointConnectionPool.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.stream.IntStream;
 
@@ -49,6 +50,7 @@
     private final NetClient client;
     private final String requestIdHeader;
     private final LongSupplier clockMs;
+    private final Consumer<String> onConnectFailure;
     private final Map<String, AddressPool> poolsByAddress = new HashMap<>();
     private long openedConnections;
 
@@ -56,13 +58,16 @@
      * Creates an empty pool.
      *
      * @param requestIdHeader name of the header in which responses name their request
+     * @param onConnectFailure receives the identifiers of endpoints to which no connection could be opened
      */
-    EndpointConnectionPool(Vertx vertx, String requestIdHeader, LongSupplier clockMs) {
+    EndpointConnectionPool(
+            Vertx vertx, String requestIdHeader, LongSupplier clockMs, Consumer<String> onConnectFailure) {
         this.requestIdHeader = requestIdHeader;
         this.vertx = vertx;
         this.client = vertx.createNetClient(
                 new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS).setTcpNoDelay(true));
         this.clockMs = clockMs;
+        this.onConnectFailure = onConnectFailure;
     }
 
     /**
@@ -104,6 +109,7 @@
                 })
                 .recover(cause -> {
                     pool.openCount--;
+                    onConnectFailure.accept(contact.endpointId());
                     return Future.failedFuture(notSentException(
                             contact, Reason.STAGE_DIED, "connect failed: " + cause.getMessage(), cause));
                 });
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyDialect.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyDialect.java
@@ -21,6 +21,14 @@
     /** Returns the headers of the request that is forwarded to an endpoint. */
     MultiMap toEndpointHeaders(MultiMap callerHeaders, ForwardingContext forwarding);
 
+    /**
+     * Returns the headers of a request that is relayed to another router, which treats it as a caller's request.
+     *
+     * @param remainingMs time until the deadline of the response, in ms
+     * @param resumeAfterEventId identifier of the event after which the stream resumes, or {@link RequestHead#NONE}
+     */
+    MultiMap toPeerHeaders(MultiMap callerHeaders, long remainingMs, long resumeAfterEventId);
+
     /** Parses the status and headers of an endpoint's response. */
     ResponseHead readResponseHead(int status, MultiMap headers);
 
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -19,9 +19,11 @@
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Forwards one request of a caller to the endpoints that the core selects, and returns a single response.
@@ -30,6 +32,9 @@
  * retry at another endpoint stays invisible to the caller. A started stream keeps its response head and resumes after
  * its last complete event. Once the head is sent, only a stream in the same format can continue the response: any other
  * response to a later attempt is a failure of that attempt.
+ *
+ * <p>While this router reaches no endpoint, the request is withdrawn from the core and relayed to another router, which
+ * decides on it from then on. A response that has started continues there in the same way as at another endpoint.
  */
 final class ProxyExchange extends AbstractExchange<ProxyScope> {
 
@@ -39,15 +44,35 @@
     private static final long PROGRESS_INTERVAL_MS = 1_000;
     private static final int OK = 200;
 
+    /** Epoch of the attempts at other routers, which the core does not know. */
+    private static final int RELAY_EPOCH = -1;
+
+    /** Number of routers to which a request is relayed one after the other, at most. */
+    private static final int MAX_RELAYS = 3;
+
+    /** Maximum number of connections to one router. */
+    private static final int MAX_RELAY_CONNECTIONS = 512;
+
+    /** Time without data after which a running attempt of an isolated router is given up, in ms. */
+    private static final long RELAY_AFTER_SILENCE_MS = 300;
+
+    /** Time for which the response of another router may arrive after the deadline, in ms. */
+    private static final long RELAY_DEADLINE_MARGIN_MS = 100;
+
     private final HttpServerRequest incoming;
     private final Route route;
     private final RequestHead head;
     private final Buffer body;
     private final int maxConnections;
     private final int tokensPerEvent;
+    private final boolean isRelayAllowed;
     private final EventScanner scanner;
+    private final Set<String> triedRouterIds = new HashSet<>();
 
     private Attempt attempt;
+    private int startedRuns;
+    private boolean isRelayed;
+    private long relayTimerId = -1;
     private BufferedResponse bufferedResponse;
     private boolean isHeadSent;
 
@@ -87,7 +112,8 @@
             RequestHead head,
             Buffer body,
             int maxConnections,
-            int tokensPerEvent) {
+            int tokensPerEvent,
+            boolean isRelayAllowed) {
         super(scope, request, incoming, body.length());
         this.incoming = incoming;
         this.route = route;
@@ -95,11 +121,16 @@
         this.body = body;
         this.maxConnections = maxConnections;
         this.tokensPerEvent = tokensPerEvent;
+        // A caller of HTTP/1.0 may need the whole response in memory, which only the router that runs it can hold.
+        this.isRelayAllowed = isRelayAllowed && !isDelimitedByClose();
         this.scanner = new EventScanner(head.resumeAfterEventId());
     }
 
     @Override
     protected void startAttempt(Action.StartAttempt start) {
+        if (isRelayed) {
+            return;
+        }
         Chain chain = start.chain();
         List<ForwardingContext.Hop> hops = new ArrayList<>();
         for (Stage stage : chain.stages()) {
@@ -113,7 +144,7 @@
         }
         lastActivityAtMs = shared.control().nowMs();
         scanner.startResponse();
-        attempt = new Attempt(start.epoch(), hops.get(0).contact());
+        attempt = new Attempt(start.epoch(), hops.get(0).contact(), shared);
         boolean isService = request.pool().startsWith(ModelSpec.SERVICE_PREFIX);
         String caller = request.caller().equals(RoutingConfig.PUBLIC_CALLER) ? "" : request.caller();
         ForwardingContext forwarding = new ForwardingContext(
@@ -130,6 +161,93 @@
                 maxConnections);
     }
 
+    /**
+     * Relays the request to another router if it waits or its running attempt is silent; called while this router
+     * reaches no endpoint.
+     */
+    void relayIfStuck(long nowMs) {
+        boolean isProgressing = attempt != null
+                && attempt.call.isSent()
+                && (nowMs - lastActivityAtMs <= RELAY_AFTER_SILENCE_MS || response.writeQueueFull());
+        if (!isRelayed && !isProgressing) {
+            tryRelay();
+        }
+    }
+
+    /**
+     * Relays the request to another router instead of running it here. Returns false, and changes nothing, if no router
+     * can take it or another run is not allowed.
+     */
+    boolean tryRelay() {
+        boolean isRunning = attempt != null && attempt.call.isSent();
+        boolean isAllowed = isRelayAllowed
+                && !isFinished()
+                && !isAttemptFinished
+                && canContinue()
+                && (request.isRepeatable() || startedRuns == 0 && !isRunning)
+                && startedRuns < request.maxRuns();
+        Optional<EndpointContact> router = isAllowed ? nextRouter() : Optional.empty();
+        router.ifPresent(chosen -> {
+            if (attempt != null) {
+                attempt.reportEnd(ResponseEnd.Cause.CANCELLED, "relayed to " + chosen.endpointId());
+                releaseEndpoint();
+            }
+            isRelayed = true;
+            shared.control().withdraw(request.requestId());
+            relayTimerId = shared.vertx()
+                    .setTimer(
+                            Math.max(1, request.deadlineMs() - shared.control().nowMs() + RELAY_DEADLINE_MARGIN_MS),
+                            ignored -> endRelay(Reason.DEADLINE_EXCEEDED, Verdict.MAY_HAVE_RUN, 0));
+            startRelay(chosen);
+        });
+        return router.isPresent();
+    }
+
+    private Optional<EndpointContact> nextRouter() {
+        return triedRouterIds.size() < MAX_RELAYS ? shared.relays().choose(triedRouterIds) : Optional.empty();
+    }
+
+    private void startRelay(EndpointContact router) {
+        triedRouterIds.add(router.endpointId());
+        lastActivityAtMs = shared.control().nowMs();
+        scanner.startResponse();
+        attempt = new Attempt(RELAY_EPOCH, router, shared.forRelays());
+        long remainingMs = Math.max(1, request.deadlineMs() - lastActivityAtMs);
+        MultiMap headers = shared.dialect().toPeerHeaders(incoming.headers(), remainingMs, scanner.lastEventId());
+        RelayHeaders.setMaxRuns(headers, request.maxRuns() - startedRuns);
+        delivery.recordAttempt();
+        shared.relays().relayed(request.requestId(), router.endpointId(), scanner.lastEventId());
+        attempt.call.start(
+                new UpstreamCall.OutgoingRequest(
+                        incoming.method(), incoming.uri(), headers, body, request.isRepeatable()),
+                MAX_RELAY_CONNECTIONS);
+    }
+
+    /** Relays the request to the next router if the last one has not run it, and ends the exchange otherwise. */
+    private void onRelayFailed(EndpointContact router, Reason reason, Verdict verdict) {
+        if (verdict == Verdict.NOT_RUN) {
+            shared.relays().markUnavailable(router.endpointId());
+            Optional<EndpointContact> next = nextRouter();
+            if (next.isPresent()) {
+                startRelay(next.get());
+                return;
+            }
+        }
+        endRelay(verdict == Verdict.NOT_RUN ? Reason.NO_CAPACITY : reason, verdict, 0);
+    }
+
+    /** Ends a relayed request with an error, or breaks off its response if it has started. */
+    private void endRelay(Reason reason, Verdict verdict, long retryAfterMs) {
+        Verdict overall = startedRuns == 0 ? verdict : Verdict.MAY_HAVE_RUN;
+        Refusal refusal = new Refusal(reason, overall, ErrorMessages.of(reason), retryAfterMs);
+        finish(Optional.of(refusal));
+        if (isHeadSent) {
+            abortResponse();
+        } else {
+            ProxyErrorResponse.send(response, refusal, shared, head.requestId());
+        }
+    }
+
     @Override
     protected void cancelAttempt(int epoch, Reason reason) {
         if (attempt == null || attempt.epoch != epoch || isAttemptFinished) {
@@ -153,12 +271,20 @@
 
     @Override
     protected void releaseEndpoint() {
+        shared.vertx().cancelTimer(relayTimerId);
         if (attempt != null) {
             attempt.call.cancel();
             attempt = null;
         }
     }
 
+    /** Reports an event of an attempt to the core, which does not know the attempts at other routers. */
+    private void postAttemptEvent(Event event) {
+        if (!isRelayed) {
+            post(event);
+        }
+    }
+
     private void postAttemptFailed(int epoch, String endpointId, Reason reason, Verdict verdict) {
         post(new Event.AttemptFailed(request.requestId(), epoch, endpointId, reason, verdict, deliveredTokens()));
     }
@@ -174,8 +300,11 @@
      * @param nextEventMs maximum time without data between events, in ms
      */
     Optional<String> stalledEndpoint(long nowMs, long firstEventMs, long nextEventMs) {
-        boolean isWaiting =
-                attempt != null && attempt.call.isSent() && !isAttemptFinished && route.kind() == RouteKind.STREAM;
+        boolean isWaiting = !isRelayed
+                && attempt != null
+                && attempt.call.isSent()
+                && !isAttemptFinished
+                && route.kind() == RouteKind.STREAM;
         long allowedMs = isFirstTokenReported ? nextEventMs : firstEventMs;
         return isWaiting && nowMs - lastActivityAtMs > allowedMs && !response.writeQueueFull()
                 ? Optional.of(attempt.contact.endpointId())
@@ -184,6 +313,10 @@
 
     @Override
     protected void completeResponse() {
+        if (isRelayed && !isAttemptFinished) {
+            // The core decided before it learned that the request is relayed.
+            return;
+        }
         finish(Optional.empty());
         if (isHeadSent) {
             response.end();
@@ -194,6 +327,15 @@
 
     @Override
     protected void refuseRequest(Refusal refusal) {
+        if (isRelayed) {
+            return;
+        }
+        if (refusal.reason() == Reason.NO_CAPACITY) {
+            shared.relays().suspectIsolation();
+        }
+        if (shared.relays().isIsolated() && mayOtherRouterServe(refusal.reason()) && tryRelay()) {
+            return;
+        }
         if (isAttemptFinished) {
             // The core decided before it learned that the response is complete.
             completeResponse();
@@ -212,6 +354,22 @@
         }
     }
 
+    /** Returns whether a request that was refused for a reason may be served by a router that reaches its endpoints. */
+    private static boolean mayOtherRouterServe(Reason reason) {
+        return switch (reason) {
+            case NO_CAPACITY,
+                    QUEUE_FULL,
+                    DEADLINE_UNREACHABLE,
+                    STAGE_DIED,
+                    ENDPOINT_REFUSED,
+                    ENDPOINT_CHANGED,
+                    ENDPOINT_TIMEOUT,
+                    RETRY_BUDGET_EXHAUSTED,
+                    ATTEMPTS_EXHAUSTED -> true;
+            default -> false;
+        };
+    }
+
     private void sendBuffered(BufferedResponse buffered) {
         writeHead(buffered.status, buffered.headers);
         response.end(buffered.body);
@@ -256,15 +414,18 @@
         /** Comments before the first event, which are forwarded with it. */
         private Buffer leadingComments = Buffer.buffer();
 
-        Attempt(int epoch, EndpointContact contact) {
+        Attempt(int epoch, EndpointContact contact, ProxyScope scope) {
             this.epoch = epoch;
             this.contact = contact;
-            this.call = new UpstreamCall(shared, contact, this);
+            this.call = new UpstreamCall(scope, contact, this);
         }
 
         @Override
         public void onRequestSent() {
-            post(new Event.AttemptStarted(request.requestId(), epoch));
+            if (epoch != RELAY_EPOCH) {
+                startedRuns++;
+            }
+            postAttemptEvent(new Event.AttemptStarted(request.requestId(), epoch));
         }
 
         @Override
@@ -277,7 +438,7 @@
             status = responseHead.status();
             reportEnd(ResponseEnd.Cause.REFUSED, "");
             Reason reason = responseHead.isMisdirected() ? Reason.ENDPOINT_CHANGED : Reason.ENDPOINT_REFUSED;
-            postAttemptFailed(epoch, faultyEndpointId, reason, Verdict.NOT_RUN);
+            failAttempt(faultyEndpointId, reason, Verdict.NOT_RUN);
         }
 
         @Override
@@ -285,6 +446,10 @@
             status = responseHead.status();
             headers = responseHeaders;
             framing = framingOf(headers);
+            if (epoch == RELAY_EPOCH && !responseHead.isSealed()) {
+                onRouterError();
+                return;
+            }
             if (!responseHead.isSealed()) {
                 // Without the seal, the response cannot be attributed to the endpoint.
                 call.cancel();
@@ -298,6 +463,19 @@
             lastActivityAtMs = shared.control().nowMs();
         }
 
+        /** Ends the request as the other router did, or relays it to the next one. */
+        private void onRouterError() {
+            call.cancel();
+            attempt = null;
+            reportEnd(ResponseEnd.Cause.REFUSED, "response of a router");
+            if (RelayHeaders.isUnavailable(headers)) {
+                onRelayFailed(contact, Reason.NO_CAPACITY, Verdict.NOT_RUN);
+            } else {
+                RelayError error = RelayError.of(status, headers);
+                endRelay(error.reason(), error.verdict(), error.retryAfterMs());
+            }
+        }
+
         @Override
         public void onBodyChunk(Buffer chunk) {
             lastActivityAtMs = shared.control().nowMs();
@@ -340,7 +518,7 @@
                 onStreamEnd();
             } else if (isHeadSent) {
                 finishAttempt();
-            } else if (request.isRepeatable() && status >= 500) {
+            } else if (epoch != RELAY_EPOCH && request.isRepeatable() && status >= 500) {
                 bufferedResponse = new BufferedResponse(status, headers, bufferedBody);
                 attempt = null;
                 reportEnd(ResponseEnd.Cause.COMPLETE, "");
@@ -387,13 +565,21 @@
         /** Lets the core retry the request, or resets the caller's connection if no other response can follow. */
         private void endAttempt(Reason reason, Verdict verdict) {
             attempt = null;
-            if (canContinue()) {
-                postAttemptFailed(epoch, contact.endpointId(), reason, verdict);
+            if (epoch == RELAY_EPOCH || canContinue()) {
+                failAttempt(contact.endpointId(), reason, verdict);
             } else {
                 abort(reason);
             }
         }
 
+        private void failAttempt(String endpointId, Reason reason, Verdict verdict) {
+            if (epoch == RELAY_EPOCH) {
+                onRelayFailed(contact, reason, verdict);
+            } else {
+                postAttemptFailed(epoch, endpointId, reason, verdict);
+            }
+        }
+
         private boolean isStream() {
             return route.kind() == RouteKind.STREAM && status == OK;
         }
@@ -428,7 +614,11 @@
         private void finishAttempt() {
             isAttemptFinished = true;
             reportEnd(ResponseEnd.Cause.COMPLETE, "");
-            post(new Event.AttemptFinished(request.requestId(), epoch, deliveredTokens()));
+            if (epoch == RELAY_EPOCH) {
+                completeResponse();
+            } else {
+                post(new Event.AttemptFinished(request.requestId(), epoch, deliveredTokens()));
+            }
         }
 
         private void forwardEvents(Buffer events) {
@@ -439,10 +629,10 @@
             }
             if (!isFirstTokenReported) {
                 isFirstTokenReported = true;
-                post(new Event.FirstToken(request.requestId(), epoch));
+                postAttemptEvent(new Event.FirstToken(request.requestId(), epoch));
             } else if (nowMs >= nextProgressAtMs) {
                 nextProgressAtMs = nowMs + PROGRESS_INTERVAL_MS;
-                post(new Event.Progress(request.requestId(), epoch, deliveredTokens()));
+                postAttemptEvent(new Event.Progress(request.requestId(), epoch, deliveredTokens()));
             }
             write(events);
         }
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyScope.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyScope.java
@@ -21,6 +21,7 @@
  * @param connections pooled connections to endpoints
  * @param limits receives the request limits that endpoints name
  * @param notices receives what endpoints announce about themselves
+ * @param relays other routers that take requests while this one reaches no endpoint
  * @param bodyMemory memory budget of all request bodies
  * @param listener receives the outcome of every request
  * @param responseEnds receives how the response to each attempt ended
@@ -36,6 +37,7 @@
         EndpointConnectionPool connections,
         RequestLimitListener limits,
         EndpointNoticeListener notices,
+        PeerRelays relays,
         MemoryBudget bodyMemory,
         ExchangeListener listener,
         ResponseEndListener responseEnds,
@@ -43,6 +45,28 @@
         long writeTimeoutMs)
         implements ExchangeScope {
 
+    /**
+     * Returns a scope for calls to other routers. What the responses say of endpoints concerns the router that relayed
+     * them, so it is ignored.
+     */
+    ProxyScope forRelays() {
+        return new ProxyScope(
+                vertx,
+                context,
+                control,
+                dialect,
+                contacts,
+                connections,
+                (endpointId, limitPerS) -> {},
+                EndpointNoticeListener.NONE,
+                relays,
+                bodyMemory,
+                listener,
+                responseEnds,
+                isDraining,
+                writeTimeoutMs);
+    }
+
     /** Adds a {@code Connection: close} header to the response if this router is draining. */
     void announceClose(HttpServerResponse response) {
         if (isDraining.getAsBoolean()) {
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -1,5 +1,6 @@
 package io.radishwinch.server.proxy;
 
+import io.radishwinch.cluster.membership.Address;
 import io.radishwinch.core.model.Contract;
 import io.radishwinch.core.model.EnginePoolSpec;
 import io.radishwinch.core.model.Rank;
@@ -20,6 +21,7 @@
 import io.radishwinch.server.route.RoutingConfig;
 import io.vavr.control.Either;
 import io.vertx.core.Future;
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
@@ -28,6 +30,7 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpVersion;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -84,6 +87,7 @@
     private long duplicateIdCount;
     private final CallerConnections callerConnections = new CallerConnections();
     private HttpServer server;
+    private Optional<HttpServer> relayServer = Optional.empty();
     private long closeIdleAtMs = Long.MAX_VALUE;
     private volatile boolean isDraining;
 
@@ -100,6 +104,8 @@
      * @param responseEnds receives how the response to each attempt ended
      * @param limits receives the request limits that endpoints name
      * @param notices receives what endpoints announce about themselves
+     * @param relays other routers that take requests while this one reaches no endpoint
+     * @param onConnectFailure receives the identifiers of endpoints to which no connection could be opened
      * @param onStalledEndpoint receives the identifiers of endpoints with unresponsive streams
      */
     public record Dependencies(
@@ -113,6 +119,8 @@
             ResponseEndListener responseEnds,
             RequestLimitListener limits,
             EndpointNoticeListener notices,
+            PeerRelays relays,
+            Consumer<String> onConnectFailure,
             Consumer<String> onStalledEndpoint) {}
 
     /** Creates a server on the traffic thread of a Vert.x instance with one event loop. */
@@ -121,8 +129,11 @@
         this.dependencies = dependencies;
     }
 
-    /** Starts the server and returns its port. The future fails if the address is in use. */
-    public Future<Integer> start(String host, int port) {
+    /**
+     * Starts the servers for callers and, if it has an address, for requests that other routers relay. The future fails
+     * if an address is in use.
+     */
+    public Future<Void> start(Address callers, Optional<Address> relay) {
         MemoryBudget bodyMemory = new MemoryBudget((long) (Runtime.getRuntime().maxMemory() * BODY_MEMORY_SHARE));
         scope = new ProxyScope(
                 vertx,
@@ -131,9 +142,13 @@
                 dependencies.dialect(),
                 dependencies.contacts(),
                 new EndpointConnectionPool(
-                        vertx, dependencies.dialect().requestIdHeader(), dependencies.control()::nowMs),
+                        vertx,
+                        dependencies.dialect().requestIdHeader(),
+                        dependencies.control()::nowMs,
+                        dependencies.onConnectFailure()),
                 dependencies.limits(),
                 dependencies.notices(),
+                dependencies.relays(),
                 bodyMemory,
                 this,
                 dependencies.responseEnds(),
@@ -141,6 +156,9 @@
                 WRITE_TIMEOUT_MS);
         vertx.setPeriodic(CHECK_INTERVAL_MS, ignored -> {
             reportStalledEndpoints();
+            if (dependencies.relays().isIsolated()) {
+                relayStuckRequests();
+            }
             scope.connections().closeExpired();
             if (dependencies.control().nowMs() >= closeIdleAtMs) {
                 callerConnections.closeIdle();
@@ -156,14 +174,25 @@
                 // With upgrades to HTTP/2, Vert.x reports a connection only after its first request head.
                 .setHttp2ClearTextEnabled(false)
                 .setCompressionSupported(false);
-        server = vertx.createHttpServer(options)
+        server = createServer(options, this::handle);
+        Future<HttpServer> listening = server.listen(callers.port(), callers.host());
+        if (relay.isPresent()) {
+            HttpServer created = createServer(options, this::handleRelayed);
+            relayServer = Optional.of(created);
+            Address address = relay.get();
+            listening = listening.compose(ignored -> created.listen(address.port(), address.host()));
+        }
+        return listening.mapEmpty();
+    }
+
+    private HttpServer createServer(HttpServerOptions options, Handler<HttpServerRequest> handler) {
+        return vertx.createHttpServer(options)
                 .connectionHandler(callerConnections::connectionOpened)
                 .requestHandler(request -> {
                     callerConnections.requestStarted(request);
-                    handle(request);
+                    handler.handle(request);
                 })
                 .invalidRequestHandler(this::refuseInvalid);
-        return server.listen(port, host).map(HttpServer::actualPort);
     }
 
     /**
@@ -187,7 +216,9 @@
      */
     public Future<Void> shutdown(long timeoutMs) {
         callerConnections.startShutdown();
-        return server.shutdown(timeoutMs, TimeUnit.MILLISECONDS);
+        List<Future<Void>> closed = new ArrayList<>(List.of(server.shutdown(timeoutMs, TimeUnit.MILLISECONDS)));
+        relayServer.ifPresent(relays -> closed.add(relays.shutdown(timeoutMs, TimeUnit.MILLISECONDS)));
+        return Future.join(closed).mapEmpty();
     }
 
     /** Returns the number of requests that have not ended. */
@@ -210,7 +241,32 @@
         stalled.forEach(dependencies.onStalledEndpoint());
     }
 
+    private void relayStuckRequests() {
+        long nowMs = dependencies.control().nowMs();
+        List.copyOf(exchangesByRequestId.values()).forEach(exchange -> exchange.relayIfStuck(nowMs));
+    }
+
+    /** Handles a request that another router relays, which is not relayed any further. */
+    private void handleRelayed(HttpServerRequest request) {
+        int maxRuns = RelayHeaders.takeMaxRuns(request.headers());
+        if (dependencies.relays().isIsolated()) {
+            RelayHeaders.setUnavailable(request.response().headers());
+            reject(request, "", null, refusal(Reason.NO_CAPACITY));
+        } else {
+            handle(request, Optional.of(maxRuns));
+        }
+    }
+
     private void handle(HttpServerRequest request) {
+        handle(request, Optional.empty());
+    }
+
+    /**
+     * Handles a request.
+     *
+     * @param relayedRuns maximum number of runs of a relayed request, or empty for a request of a caller
+     */
+    private void handle(HttpServerRequest request, Optional<Integer> relayedRuns) {
         RoutingConfig config = dependencies.config().get();
         if (config.version() == 0) {
             reject(
@@ -259,7 +315,14 @@
                         reject(request, caller, route.get().rank(), body.getLeft());
                     } else {
                         admit(new ReceivedRequest(
-                                request, config, route.get(), caller, head.get(), body.get(), arrivedAtMs));
+                                request,
+                                config,
+                                route.get(),
+                                caller,
+                                head.get(),
+                                body.get(),
+                                arrivedAtMs,
+                                relayedRuns));
                     }
                 });
     }
@@ -272,7 +335,8 @@
             String caller,
             RequestHead head,
             Buffer body,
-            long arrivedAtMs) {}
+            long arrivedAtMs,
+            Optional<Integer> relayedRuns) {}
 
     private void admit(ReceivedRequest received) {
         Route route = received.route;
@@ -298,7 +362,7 @@
                 List.of(),
                 head.sharedParts(),
                 route.isRepeatable(),
-                route.kind() == RouteKind.AT_MOST_ONCE ? 1 : Math.max(1, route.maxRuns()),
+                Math.min(maxRuns(route), received.relayedRuns.orElse(Integer.MAX_VALUE)),
                 (int) (KV_RESERVATION_RATIO * head.expectedNewTokens()),
                 received.arrivedAtMs + Math.min(timeoutMs, route.targetMs() > 0 ? route.targetMs() : timeoutMs));
         EnginePoolSpec engines = received.config.fleet().enginePools().get(pool);
@@ -310,9 +374,16 @@
                 head,
                 received.body,
                 maxConnections(received.config, pool),
-                engines == null ? 1 : engines.tokensPerEvent());
+                engines == null ? 1 : engines.tokensPerEvent(),
+                received.relayedRuns.isEmpty());
         exchangesByRequestId.put(spec.requestId(), exchange);
-        exchange.submit();
+        if (!dependencies.relays().isIsolated() || !exchange.tryRelay()) {
+            exchange.submit();
+        }
+    }
+
+    private static int maxRuns(Route route) {
+        return route.kind() == RouteKind.AT_MOST_ONCE ? 1 : Math.max(1, route.maxRuns());
     }
 
     /**
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointHealthCheckerTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointHealthCheckerTest.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import org.junit.jupiter.api.Test;
 
 /** Guards against health checks that never reach a verdict on an endpoint. */
@@ -35,8 +36,10 @@
     private final List<UniEmitter<? super Optional<StatusReport>>> pendingChecks = new ArrayList<>();
     private final FleetLog log = new FleetLog(() -> 0);
     private final EndpointRegistry registry = new EndpointRegistry(events::add, NO_LISTENER, log, 2_500);
-    private final EndpointHealthChecker checker =
-            new EndpointHealthChecker(new SilentEndpoints(), registry, id -> false, log, () -> this.nowMs);
+    private final EndpointReachability reachability = new EndpointReachability(
+            new SilentEndpoints(), registry::joinedContacts, new Random(1), () -> this.nowMs, isolated -> {});
+    private final EndpointHealthChecker checker = new EndpointHealthChecker(
+            new SilentEndpoints(), registry, id -> false, reachability, log, () -> this.nowMs);
     private long nowMs;
 
     /** Endpoints whose checks end when the test ends them. */
@@ -46,6 +49,11 @@
             return Uni.createFrom().emitter(pendingChecks::add);
         }
 
+        @Override
+        public Uni<Void> connect(EndpointContact contact) {
+            throw new UnsupportedOperationException();
+        }
+
         @Override
         public Uni<OrderResult> orderLayers(
                 EndpointContact contact, LayerRange layers, Handover handover, long acceptedOrders) {
--- /dev/null
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointReachabilityTest.java
@@ -0,0 +1,133 @@
+package io.radishwinch.server.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.core.model.EngineOrder.Handover;
+import io.radishwinch.core.model.LayerRange;
+import io.radishwinch.server.proxy.EndpointContact;
+import io.radishwinch.server.proxy.ForwardingContext;
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Guards against endpoints that are taken out of use, one by one, by a router that reaches none of them. */
+class EndpointReachabilityTest {
+    private static final long RECOVERY_MS = 300;
+
+    private final List<UniEmitter<? super Void>> pendingConnects = new ArrayList<>();
+    private final List<Boolean> changes = new ArrayList<>();
+    private final List<String> lost = new ArrayList<>();
+    private List<EndpointContact> contacts = IntStream.range(0, 8)
+            .mapToObj(i -> new EndpointContact("e" + i, "e" + i, "127.0.0.1", i))
+            .toList();
+    private long nowMs = 10_000;
+    private final EndpointReachability reachability =
+            new EndpointReachability(new PendingEndpoints(), () -> contacts, new Random(1), () -> nowMs, changes::add);
+
+    /** Endpoints whose connections end when the test ends them. */
+    private final class PendingEndpoints implements EndpointControl {
+        @Override
+        public Uni<Optional<StatusReport>> requestStatus(EndpointContact contact) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Uni<Void> connect(EndpointContact contact) {
+            return Uni.createFrom().emitter(pendingConnects::add);
+        }
+
+        @Override
+        public Uni<OrderResult> orderLayers(
+                EndpointContact contact, LayerRange layers, Handover handover, long acceptedOrders) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Uni<OrderResult> reroute(
+                EndpointContact firstStage, String requestId, List<ForwardingContext.Hop> chain) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void setLeavingListener(Consumer<String> listener) {}
+    }
+
+    private void lose(String endpointId) {
+        reachability.confirm(endpointId, () -> lost.add(endpointId));
+    }
+
+    private void endConnects(boolean succeed, long durationMs) {
+        nowMs += durationMs;
+        List<UniEmitter<? super Void>> ended = List.copyOf(pendingConnects);
+        pendingConnects.clear();
+        for (UniEmitter<? super Void> connect : ended) {
+            if (succeed) {
+                connect.complete(null);
+            } else {
+                connect.fail(new IllegalStateException("connect failed"));
+            }
+        }
+    }
+
+    @Test
+    void anEndpointIsLostOnceAnotherOneResponds() {
+        lose("e1");
+        lose("e2");
+        assertThat(lost).isEmpty();
+        endConnects(true, 1);
+        assertThat(lost).containsExactly("e1", "e2");
+        lose("e3");
+        assertThat(lost).contains("e3");
+        assertThat(changes).isEmpty();
+    }
+
+    @Test
+    void aRouterThatReachesNoOtherEndpointIsIsolatedAndLosesNone() {
+        lose("e1");
+        endConnects(false, 400);
+        assertThat(reachability.isIsolated()).isTrue();
+        lose("e2");
+        assertThat(lost).isEmpty();
+        assertThat(pendingConnects).isEmpty();
+    }
+
+    @Test
+    void anIsolatedRouterIsBackOnceAnyEndpointAcceptsAConnection() {
+        lose("e1");
+        endConnects(false, 400);
+        reachability.tick(nowMs);
+        assertThat(pendingConnects).isEmpty();
+        nowMs += RECOVERY_MS;
+        reachability.tick(nowMs);
+        endConnects(false, 400);
+        assertThat(reachability.isIsolated()).isTrue();
+        nowMs += RECOVERY_MS;
+        reachability.tick(nowMs);
+        pendingConnects.get(1).complete(null);
+        assertThat(changes).containsExactly(true, false);
+        endConnects(false, 400);
+        assertThat(reachability.isIsolated()).isFalse();
+    }
+
+    @Test
+    void aProcessThatWasPausedDuringItsProbesIsNotIsolated() {
+        lose("e1");
+        endConnects(false, 5_000);
+        assertThat(reachability.isIsolated()).isFalse();
+        assertThat(lost).isEmpty();
+    }
+
+    @Test
+    void tooFewOtherEndpointsTellNothingAboutTheLink() {
+        contacts = contacts.subList(0, 2);
+        lose("e1");
+        assertThat(lost).containsExactly("e1");
+        assertThat(pendingConnects).isEmpty();
+    }
+}
--- a/server/src/test/java/io/radishwinch/server/fleet/LeaseManagerTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/LeaseManagerTest.java
@@ -4,8 +4,10 @@
 
 import io.radishwinch.cluster.platform.InMemoryPlatform;
 import io.radishwinch.cluster.platform.VirtualScheduler;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -19,6 +21,7 @@
     private final InMemoryPlatform platform = new InMemoryPlatform(scheduler, new Random(1));
     private final Map<String, Long> liveIncarnations = new HashMap<>();
     private final Set<String> dataCentresWithRouters = new HashSet<>(Set.of(GROUP));
+    private final List<String> released = new ArrayList<>();
     private int nonces;
 
     /** Membership with the incarnations and data centres that the test sets. */
@@ -53,6 +56,7 @@
                 "own/lease-",
                 new FakeMembers(),
                 () -> "nonce-" + ++nonces,
+                released::add,
                 new FleetLog(() -> 0));
         leaseManager.holds(GROUP, 0);
         return leaseManager;
@@ -178,4 +182,25 @@
         tick(holder, 8_000);
         assertThat(holder.holds(GROUP, 8_100)).isFalse();
     }
+
+    /** Guards against a layout that nobody plans because its planner reaches no engine. */
+    @Test
+    void aSuspendedHolderReleasesItsLeaseAndTakesNone() {
+        LeaseManager suspended = leaseManager("a", 1);
+        LeaseManager other = leaseManager("b", 1);
+        tick(suspended, 0);
+        tick(other, 0);
+        suspended.setSuspended(true);
+        assertThat(suspended.holds(GROUP, 100)).isFalse();
+        tick(suspended, 600);
+        assertThat(released).containsExactly(GROUP);
+        other.recheck(GROUP);
+        tick(other, 700);
+        tick(other, 1_300);
+        tick(suspended, 1_400);
+        assertThat(other.holds(GROUP, 1_400)).isTrue();
+        suspended.setSuspended(false);
+        tick(suspended, 2_000);
+        assertThat(suspended.holds(GROUP, 2_000)).isFalse();
+    }
 }
--- a/server/src/test/java/io/radishwinch/server/proxy/PlainDialect.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/PlainDialect.java
@@ -43,6 +43,15 @@
         return headers;
     }
 
+    @Override
+    public MultiMap toPeerHeaders(MultiMap callerHeaders, long remainingMs, long resumeAfterEventId) {
+        MultiMap headers = MultiMap.caseInsensitiveMultiMap().add(REQUEST_ID, requestId(callerHeaders));
+        if (resumeAfterEventId != RequestHead.NONE) {
+            headers.add("Last-Event-Id", Long.toString(resumeAfterEventId));
+        }
+        return headers;
+    }
+
     @Override
     public ResponseHead readResponseHead(int status, MultiMap headers) {
         return new ResponseHead(
--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
@@ -149,9 +149,10 @@
                         return Optional.of(ENDPOINT);
                     }
                 },
-                new EndpointConnectionPool(vertx, PlainDialect.REQUEST_ID, System::currentTimeMillis),
+                new EndpointConnectionPool(vertx, PlainDialect.REQUEST_ID, System::currentTimeMillis, id -> {}),
                 (endpointId, limit) -> {},
                 new NoNotices(),
+                PeerRelays.NONE,
                 new MemoryBudget(1 << 20),
                 new ExchangeListener() {
                     @Override
@@ -178,7 +179,7 @@
         RequestSpec request = new RequestSpec(
                 ID, "c", Rank.INTERACTIVE, "m", 1, 10, 0, Long.MAX_VALUE, "f", List.of(), route.isRepeatable());
         RequestHead head = new RequestHead(ID, RequestHead.NONE, 1, 10, 10, List.of(), callersLastEventId);
-        new ProxyExchange(scope, request, incoming, route, head, Buffer.buffer(), 8, 1).submit();
+        new ProxyExchange(scope, request, incoming, route, head, Buffer.buffer(), 8, 1, true).submit();
     }
 
     /** Sends a request and returns everything that the caller receives until its connection is closed. */
--- a/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
@@ -49,7 +49,7 @@
     void listen() throws IOException {
         vertx = Vertx.vertx();
         context = vertx.getOrCreateContext();
-        connections = new EndpointConnectionPool(vertx, PlainDialect.REQUEST_ID, System::currentTimeMillis);
+        connections = new EndpointConnectionPool(vertx, PlainDialect.REQUEST_ID, System::currentTimeMillis, id -> {});
         server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
     }
 
@@ -141,6 +141,7 @@
                 connections,
                 (endpointId, limit) -> {},
                 notices,
+                PeerRelays.NONE,
                 null,
                 null,
                 (ignored, end) -> {},
