Announce that a watcher has lost the platform, and notice it by pings

Cause: a watch without changes looks the same as one on a silent connection until it times out after 3.4 s.

PlatformWatchTest.watchersThatSayThatTheyLostThePlatformAreReplacedAtOnce failed before.

--- a/cluster/src/main/java/io/radishwinch/cluster/PeerNode.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/PeerNode.java
@@ -57,6 +57,9 @@
     /** Time after which a router without peers stops waiting for the first synchronisation, in ms. */
     public static final long INITIAL_SYNC_TIMEOUT_MS = 5_000;
 
+    /** Grace period in a heartbeat whose sender no longer receives the changes of the platform. */
+    private static final long PLATFORM_LOST = -1;
+
     private final List<PeerListener> listeners = new ArrayList<>();
     private final Membership membership;
     private final RemoteDataCentres remoteDataCentres;
@@ -69,6 +72,7 @@
     private final WatcherElection election;
     private boolean hasElectedWatchers;
     private boolean isPlatformCurrent;
+    private boolean hasAnnouncedPlatform;
     private long relistGraceMs;
     private boolean isAdmittingEntry;
     private boolean isFirstListing;
@@ -463,16 +467,29 @@
     }
 
     private void sendPlatformHeartbeats(long nowMs, List<Envelope> out) {
-        if (!election.isWatching() || !isPlatformCurrent || !election.takeDueHeartbeat(nowMs)) {
-            return;
+        if (election.isWatching() && isPlatformCurrent) {
+            if (election.takeDueHeartbeat(nowMs)) {
+                hasAnnouncedPlatform = true;
+                sendPlatformHeartbeat(relistGraceMs, out);
+            }
+        } else if (hasAnnouncedPlatform) {
+            hasAnnouncedPlatform = false;
+            sendPlatformHeartbeat(PLATFORM_LOST, out);
         }
-        Message heartbeat = Message.platformHeartbeat(new PlatformHeartbeat(gossip.fleetHash(), relistGraceMs));
+    }
+
+    private void sendPlatformHeartbeat(long announcedGraceMs, List<Envelope> out) {
+        Message heartbeat = Message.platformHeartbeat(new PlatformHeartbeat(gossip.fleetHash(), announcedGraceMs));
         for (MemberInfo member : membership.others()) {
             out.add(new Envelope(member.address(), heartbeat));
         }
     }
 
     private void onPlatformHeartbeat(MemberInfo sender, PlatformHeartbeat heartbeat, List<Envelope> out) {
+        if (heartbeat.getRelistGraceMs() == PLATFORM_LOST) {
+            election.onPlatformLost(sender.id());
+            return;
+        }
         election.onHeartbeat(sender.id(), nowMs);
         gossip.onFleetHash(sender.address(), sender.id(), heartbeat.getFleetHash(), out);
         listeners.forEach(listener -> listener.platformHeartbeat(heartbeat.getRelistGraceMs()));
--- a/cluster/src/main/java/io/radishwinch/cluster/platform/InMemoryPlatform.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/InMemoryPlatform.java
@@ -188,6 +188,11 @@
         return read(() -> vms);
     }
 
+    @Override
+    public Uni<Void> ping(long timeoutMs) {
+        return read(() -> null);
+    }
+
     private <T> Uni<T> read(Supplier<T> operation) {
         return call(false, operation);
     }
--- a/cluster/src/main/java/io/radishwinch/cluster/platform/PlatformClient.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/PlatformClient.java
@@ -55,6 +55,13 @@
     /** Reads the lagging list of VMs. */
     Uni<List<Vm>> vms();
 
+    /**
+     * Checks at low cost whether the platform responds. Fails quickly if it does not.
+     *
+     * @param timeoutMs time within which the platform must respond, in ms
+     */
+    Uni<Void> ping(long timeoutMs);
+
     /**
      * A stored object.
      *
--- a/cluster/src/main/java/io/radishwinch/cluster/platform/ResilientPlatformClient.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/ResilientPlatformClient.java
@@ -109,6 +109,14 @@
         return read(platform::vms, 1);
     }
 
+    /**
+     * Neither repeats a ping nor counts it against the call budget, because its failure is what the caller asks for.
+     */
+    @Override
+    public Uni<Void> ping(long timeoutMs) {
+        return platform.ping(timeoutMs);
+    }
+
     @Override
     public Uni<PutResult> put(String key, long expectedVersion, byte[] value, String nonce) {
         if (value.length > MAX_VALUE_BYTES) {
--- a/cluster/src/main/java/io/radishwinch/cluster/watch/WatcherElection.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/watch/WatcherElection.java
@@ -11,8 +11,9 @@
  * <p>The members that come first in the order of rendezvous weights are designated. A watcher that receives the
  * platform's changes sends heartbeats to all members. A member that hears no watcher for {@link #HEARTBEAT_TIMEOUT_MS}
  * watches as well, whatever silenced the designated ones: a failure that the membership has not detected yet, a
- * partition, or a platform that rejects them. While the platform is unreachable for all, every router therefore tries
- * to reach it by itself.
+ * partition, or a platform that rejects them. A watcher that has lost the platform but still reaches its peers says so,
+ * and they need not wait. While the platform is unreachable for all, every router therefore tries to reach it by
+ * itself.
  *
  * <p>Times are in ms of this router's monotonic clock. Not thread-safe.
  */
@@ -58,6 +59,11 @@
         heardAtMs.put(senderId, nowMs);
     }
 
+    /** Records that another member of the data centre no longer receives the changes of the platform. */
+    public void onPlatformLost(String senderId) {
+        heardAtMs.remove(senderId);
+    }
+
     /**
      * Advances the time.
      *
--- a/cluster/src/test/java/io/radishwinch/cluster/PlatformWatchTest.java
+++ b/cluster/src/test/java/io/radishwinch/cluster/PlatformWatchTest.java
@@ -102,6 +102,19 @@
         assertInEffectWithinBound();
     }
 
+    /**
+     * Guards against a takeover that adds the time without heartbeats to the time in which a silent watch is noticed.
+     */
+    @Test
+    void watchersThatSayThatTheyLostThePlatformAreReplacedAtOnce() {
+        start(3, 3);
+        List<Address> designated = watchers();
+        rejected.addAll(designated);
+        run(300);
+        assertThat(watchers()).hasSizeGreaterThanOrEqualTo(2 * designated.size());
+        assertInEffectWithinBound();
+    }
+
     @Test
     void frozenWatchersAreReplacedAndTheirStandInsStepDownAfterTheirReturn() {
         start(3, 8);
--- a/cluster/src/test/java/io/radishwinch/cluster/journal/TestRouter.java
+++ b/cluster/src/test/java/io/radishwinch/cluster/journal/TestRouter.java
@@ -201,5 +201,10 @@
         public Uni<List<Vm>> vms() {
             return fleet.platform.vms();
         }
+
+        @Override
+        public Uni<Void> ping(long timeoutMs) {
+            return gated(fleet.platform.ping(timeoutMs));
+        }
     }
 }
--- a/protocol/src/main/thrift/radishwinch.thrift
+++ b/protocol/src/main/thrift/radishwinch.thrift
@@ -130,7 +130,7 @@
 /**
  * Sent by a router that receives the platform's changes to the members of its data centre. fleetHash is the hash of its
  * fleet-wide durable entries; relistGraceMs is the remaining time in which the platform may list endpoints again that it
- * removed during an outage.
+ * removed during an outage, or -1 if the sender no longer receives the changes.
  */
 struct PlatformHeartbeat { 1: required i64 fleetHash, 2: required i64 relistGraceMs }
 
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -111,6 +111,7 @@
     private final WatchFollower endpointFollower;
     private final WatchFollower configFollower;
     private final RouterDirectory routerDirectory;
+    private final PlatformLiveness platformLiveness;
     private volatile int liveRouters = 1;
     private volatile boolean hasEndpointList;
     private boolean wasPlatformAvailable = true;
@@ -202,6 +203,7 @@
                 platform, scheduler, random, dialect.endpointPrefix(), new EndpointReceiver(), MAX_PLATFORM_BACKOFF_MS);
         configFollower = new WatchFollower(
                 platform, scheduler, random, dialect.configPrefix(), new ConfigReceiver(), MAX_PLATFORM_BACKOFF_MS);
+        platformLiveness = new PlatformLiveness(platform);
         routerDirectory =
                 new RouterDirectory(platform, dialect.routerObjectPrefix() + "router-", node.self(), this::newNonce);
     }
@@ -344,9 +346,11 @@
         if (isWatcher) {
             endpointFollower.start();
             configFollower.start();
+            platformLiveness.tick(nowMs);
         }
-        node.setPlatformWatchState(
-                endpointFollower.isCurrent() && configFollower.isCurrent(), registry.relistGraceMs(nowMs));
+        boolean isCurrent =
+                endpointFollower.isCurrent() && configFollower.isCurrent() && platformLiveness.isResponding();
+        node.setPlatformWatchState(isCurrent, registry.relistGraceMs(nowMs));
     }
 
     private void publishLeaseReleased(String leaseKey) {
--- a/server/src/main/java/io/radishwinch/server/platform/HttpPlatformClient.java
+++ b/server/src/main/java/io/radishwinch/server/platform/HttpPlatformClient.java
@@ -119,6 +119,11 @@
         });
     }
 
+    @Override
+    public Uni<Void> ping(long timeoutMs) {
+        return vms().replaceWithVoid();
+    }
+
     @Override
     public Uni<PutResult> put(String key, long expectedVersion, byte[] value, String nonce) {
         if (value.length > MAX_VALUE_BYTES) {
