Test streams, at-most-once requests and refusals that are relayed

A scripted endpoint stands for the other routers: a silent stream continues after its last event, a request that must not run twice stays where it was sent, and a router that is isolated itself is followed by another one.

--- a/server/src/test/java/io/radishwinch/server/proxy/PlainDialect.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/PlainDialect.java
@@ -14,6 +14,9 @@
     static final String REQUEST_ID = "X-Request-Id";
     private static final String NOT_RUN = "X-Not-Run";
 
+    /** Marks a response that another router made itself. */
+    static final String UNSEALED = "X-Unsealed";
+
     @Override
     public Either<String, RequestHead> readRequest(MultiMap headers) {
         throw new UnsupportedOperationException();
@@ -57,7 +60,7 @@
         return new ResponseHead(
                 status,
                 headers.contains(NOT_RUN),
-                true,
+                !headers.contains(UNSEALED),
                 Optional.ofNullable(headers.get(REQUEST_ID)),
                 Optional.empty(),
                 0,
--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
@@ -29,8 +29,10 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
@@ -70,6 +72,34 @@
     private ControlLoop control;
     private ScriptedEndpoint endpoint;
     private long callersLastEventId = RequestHead.NONE;
+    private final OtherRouters relays = new OtherRouters();
+    private Context context;
+    private ProxyExchange exchange;
+
+    /** Other routers, all at the address of the endpoint. */
+    private final class OtherRouters implements PeerRelays {
+        private final List<String> chosen = new ArrayList<>();
+
+        @Override
+        public boolean isIsolated() {
+            return false;
+        }
+
+        @Override
+        public void suspectIsolation() {}
+
+        @Override
+        public Optional<EndpointContact> choose(Set<String> excludedIds) {
+            chosen.add("router-" + (excludedIds.size() + 1));
+            return Optional.of(new EndpointContact(chosen.get(chosen.size() - 1), "r", "127.0.0.1", endpoint.port()));
+        }
+
+        @Override
+        public void markUnavailable(String routerId) {}
+
+        @Override
+        public void relayed(String requestId, String routerId, long resumeAfterEventId) {}
+    }
 
     @AfterEach
     void close() throws Exception {
@@ -130,7 +160,7 @@
     /** Starts a router for requests of one kind whose endpoint answers with these scripts, and returns its port. */
     private int start(RouteKind kind, List<Script> scripts) throws Exception {
         endpoint = new ScriptedEndpoint(scripts);
-        Context context = vertx.getOrCreateContext();
+        context = vertx.getOrCreateContext();
         control = new ControlLoop(context, System::currentTimeMillis, core, action -> {});
         EndpointContact contact = new EndpointContact(ENDPOINT, "e", "127.0.0.1", endpoint.port());
         ProxyScope scope = new ProxyScope(
@@ -152,7 +182,7 @@
                 new EndpointConnectionPool(vertx, PlainDialect.REQUEST_ID, System::currentTimeMillis, id -> {}),
                 (endpointId, limit) -> {},
                 new NoNotices(),
-                PeerRelays.NONE,
+                relays,
                 new MemoryBudget(1 << 20),
                 new ExchangeListener() {
                     @Override
@@ -179,7 +209,8 @@
         RequestSpec request = new RequestSpec(
                 ID, "c", Rank.INTERACTIVE, "m", 1, 10, 0, Long.MAX_VALUE, "f", List.of(), route.isRepeatable());
         RequestHead head = new RequestHead(ID, RequestHead.NONE, 1, 10, 10, List.of(), callersLastEventId);
-        new ProxyExchange(scope, request, incoming, route, head, Buffer.buffer(), 8, 1, true).submit();
+        exchange = new ProxyExchange(scope, request, incoming, route, head, Buffer.buffer(), 8, 1, true);
+        exchange.submit();
     }
 
     /** Sends a request and returns everything that the caller receives until its connection is closed. */
@@ -274,6 +305,68 @@
         assertThat(outcome.get(WAIT_S, TimeUnit.SECONDS)).isPresent();
     }
 
+    private boolean tryRelay() throws Exception {
+        CompletableFuture<Boolean> isRelayed = new CompletableFuture<>();
+        context.runOnContext(ignored -> isRelayed.complete(exchange.tryRelay()));
+        return isRelayed.get(WAIT_S, TimeUnit.SECONDS);
+    }
+
+    /** Guards against a stream that ends or repeats events because its router loses all endpoints. */
+    @Test
+    void aSilentStreamContinuesAtAnotherRouterAfterItsLastEvent() throws Exception {
+        int port = start(
+                RouteKind.STREAM, List.of(new Script(STREAM_HEAD + chunk(events(1, 2)), End.NONE), restOfStream()));
+        try (Socket socket = send(port)) {
+            String started = readUntil(socket, "t2\n\n");
+            assertThat(tryRelay()).isTrue();
+            String rest = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertThat(bodyOf(started + rest)).isEqualTo(events(1, 4));
+            assertThat(rest).endsWith("\r\n" + LAST_CHUNK);
+        }
+        assertThat(endpoint.requestHeads)
+                .hasSize(2)
+                .last()
+                .asString()
+                .contains("Last-Event-Id: 2")
+                .contains("X-Relay-Max-Runs: ");
+        assertThat(outcome.get(WAIT_S, TimeUnit.SECONDS)).isEmpty();
+    }
+
+    @Test
+    void aRequestThatMustNotRunTwiceIsNotRelayedOnceItWasSent() throws Exception {
+        int port = start(RouteKind.AT_MOST_ONCE, List.of(new Script("HTTP/1.1 200 OK\r\n", End.NONE)));
+        try (Socket socket = send(port)) {
+            while (endpoint.requestHeads.isEmpty()) {
+                Thread.sleep(5);
+            }
+            assertThat(tryRelay()).isFalse();
+            assertThat(socket.isClosed()).isFalse();
+        }
+        assertThat(relays.chosen).isEmpty();
+    }
+
+    @Test
+    void anIsolatedRouterIsFollowedByAnotherOneAndARefusalEndsTheRequest() throws Exception {
+        String unsealed = "HTTP/1.1 503 Unavailable\r\nX-Request-Id: a\r\nX-Unsealed: 1\r\nContent-Length: 0\r\n";
+        int port = start(
+                RouteKind.REPEATABLE,
+                List.of(
+                        new Script("HTTP/1.1 200 OK\r\n", End.NONE),
+                        new Script(unsealed + "X-Relay-Unavailable: 1\r\n\r\n", End.NONE),
+                        new Script(unsealed + "Retry-After: 2.50\r\n\r\n", End.NONE)));
+        try (Socket socket = send(port)) {
+            while (endpoint.requestHeads.isEmpty()) {
+                Thread.sleep(5);
+            }
+            assertThat(tryRelay()).isTrue();
+            String response = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            // The request may have run at the endpoint before, so no status may promise that it has not.
+            assertThat(response).startsWith("HTTP/1.1 502");
+        }
+        assertThat(relays.chosen).containsExactly("router-1", "router-2");
+        assertThat(outcome.get(WAIT_S, TimeUnit.SECONDS)).isPresent();
+    }
+
     @Test
     void aStreamThatBreaksOffInsideAnEventIsContinuedAfterItsLastCompleteEvent() throws Exception {
         String response = call(start(RouteKind.STREAM, List.of(brokenStream(), restOfStream())));
