Charge the retry budget for a relayed request that may have run

A router that becomes isolated relays its silent streams, and the other router runs each of them again. These repeats counted against no limit, so that a large data centre that is cut off could exceed the limit on retries of all routers.

The core now decides on the relay of a request that has run: it takes a retry from the budget, or the request stays. A request that waits needs none, and one that was refused after a run is no longer relayed. RelayTest has the limit of a fleet of eight.

--- a/core/src/main/java/io/radishwinch/core/action/Action.java
+++ b/core/src/main/java/io/radishwinch/core/action/Action.java
@@ -90,6 +90,13 @@
      */
     record ShareQuarantine(String fingerprint, long untilMs) implements Action {}
 
+    /**
+     * Withdraws a request and relays it to another router, within the retry budget if it may have run.
+     *
+     * @param requestId request
+     */
+    record Relay(String requestId) implements Action {}
+
     /**
      * Announces to peers that a request with the fingerprint was running on an endpoint when it crashed.
      *
--- a/core/src/main/java/io/radishwinch/core/event/Event.java
+++ b/core/src/main/java/io/radishwinch/core/event/Event.java
@@ -36,6 +36,13 @@
      */
     record CallerDisconnected(String requestId) implements Event {}
 
+    /**
+     * The router reaches no endpoint, and another router may run the request.
+     *
+     * @param requestId request that waits or whose attempt is silent
+     */
+    record RelayRequested(String requestId) implements Event {}
+
     /**
      * The first endpoint of the chain accepted the attempt, so the request may have run.
      *
--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -315,6 +315,19 @@
         return row.hasReservedRetry;
     }
 
+    /** Relays a request. If it may have run, the other router runs it again, so that the retry budget must allow it. */
+    void relayRequested(String requestId, long nowMs) {
+        RequestRow row = state.requests.get(requestId);
+        if (row == null) {
+            return;
+        }
+        boolean needsRetry = row.isRunning() || row.isWaitingForRetryBudget;
+        if (!needsRetry || reserveRetry(row, nowMs)) {
+            state.recordDecision(row, nowMs, "relayed");
+            state.actions.add(new Action.Relay(requestId));
+        }
+    }
+
     private void retryOrRefuse(RequestRow row, long nowMs) {
         RetryPolicy.Failure failure = new RetryPolicy.Failure(
                 row.spec, row.lastReason, row.verdict, row.attempts, row.budgetWaits, row.deliveredTokens);
--- a/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -94,6 +94,8 @@
             dispatch.dispatch(nowMs);
         } else if (event instanceof Event.CallerDisconnected disconnected) {
             callerDisconnected(disconnected.requestId(), nowMs);
+        } else if (event instanceof Event.RelayRequested requested) {
+            attempts.relayRequested(requested.requestId(), nowMs);
         } else {
             handleControl(event, nowMs);
         }
--- /dev/null
+++ b/core/src/test/java/io/radishwinch/core/impl/RelayTest.java
@@ -0,0 +1,81 @@
+package io.radishwinch.core.impl;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.retry.DeploymentRetryLimit;
+import io.radishwinch.core.retry.RetrySettings;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against relayed requests that run a second time beyond the retry limit of all routers. */
+class RelayTest {
+    private static final int TOKENS = 300;
+    private static final int STREAMS = 40;
+
+    private final CoreSimulation simulation = CoreSimulation.of(
+                    new FakeDirectory(1, 1, 100),
+                    CoreSettings.defaults()
+                            .withRetry(RetrySettings.defaults()
+                                    .withDeploymentLimit(new DeploymentRetryLimit(0.2, 40, 10_000))))
+            .contract("a");
+
+    private static RequestSpec stream(int number) {
+        return new RequestSpec(
+                "r" + number,
+                "a",
+                Rank.INTERACTIVE,
+                CoreSimulation.MODEL,
+                10,
+                TOKENS,
+                0,
+                30_000,
+                "fingerprint " + number,
+                List.of(),
+                List.of(),
+                true,
+                2,
+                TOKENS,
+                30_000);
+    }
+
+    private long relays() {
+        return simulation.actions.stream()
+                .filter(action -> action instanceof Action.Relay)
+                .count();
+    }
+
+    private void requestRelays() {
+        for (int i = 0; i < STREAMS; i++) {
+            simulation.at(600, new Event.RelayRequested("r" + i));
+        }
+        simulation.run(601);
+    }
+
+    @Test
+    void runningStreamsAreRelayedAsFarAsTheRetryLimitAllows() {
+        simulation.at(0, new Event.RouterCountChanged(8));
+        for (int i = 0; i < STREAMS; i++) {
+            simulation.arrive(stream(i));
+        }
+        simulation.run(500);
+        requestRelays();
+        // A share of 5 of the reserve of 40, and a fifth of the first attempts.
+        assertThat(relays()).isPositive().isLessThanOrEqualTo(5 + STREAMS / 5);
+    }
+
+    @Test
+    void waitingRequestsAreRelayedWithoutARetry() {
+        simulation.at(0, new Event.RouterCountChanged(8));
+        simulation.directory.down.add("0-0");
+        for (int i = 0; i < STREAMS; i++) {
+            simulation.arrive(stream(i));
+        }
+        simulation.run(300);
+        requestRelays();
+        assertThat(relays()).isEqualTo(STREAMS);
+    }
+}
--- a/server/src/main/java/io/radishwinch/server/ControlLoop.java
+++ b/server/src/main/java/io/radishwinch/server/ControlLoop.java
@@ -133,6 +133,8 @@
             withExchange(start.requestId(), exchange -> exchange.start(start));
         } else if (action instanceof Action.CancelAttempt cancel) {
             withExchange(cancel.requestId(), exchange -> exchange.cancel(cancel));
+        } else if (action instanceof Action.Relay relay) {
+            withExchange(relay.requestId(), Exchange::relay);
         } else if (action instanceof Action.Refuse refuse) {
             finish(refuse.requestId(), exchange -> exchange.refuse(refuse));
         } else if (action instanceof Action.Complete complete) {
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -163,30 +163,44 @@
 
     /**
      * Relays the request to another router if it waits or its running attempt is silent; called while this router
-     * reaches no endpoint.
+     * reaches no endpoint. The core decides on a request that may have run, because of the retry budget.
      */
     void relayIfStuck(long nowMs) {
-        boolean isProgressing = attempt != null
-                && attempt.call.isSent()
-                && (nowMs - lastActivityAtMs <= RELAY_AFTER_SILENCE_MS || response.writeQueueFull());
-        if (!isRelayed && !isProgressing) {
+        boolean isRunning = attempt != null && attempt.call.isSent();
+        boolean isProgressing =
+                isRunning && (nowMs - lastActivityAtMs <= RELAY_AFTER_SILENCE_MS || response.writeQueueFull());
+        if (isRelayed || isProgressing) {
+            return;
+        }
+        if (startedRuns == 0) {
             tryRelay();
+        } else if (mayRelay()) {
+            post(new Event.RelayRequested(request.requestId()));
         }
     }
 
-    /**
-     * Relays the request to another router instead of running it here. Returns false, and changes nothing, if no router
-     * can take it or another run is not allowed.
-     */
-    boolean tryRelay() {
+    @Override
+    public void relay() {
+        onTrafficThread(this::tryRelay);
+    }
+
+    private boolean mayRelay() {
         boolean isRunning = attempt != null && attempt.call.isSent();
-        boolean isAllowed = isRelayAllowed
+        return isRelayAllowed
+                && !isRelayed
                 && !isFinished()
                 && !isAttemptFinished
                 && canContinue()
                 && (request.isRepeatable() || startedRuns == 0 && !isRunning)
                 && startedRuns < request.maxRuns();
-        Optional<EndpointContact> router = isAllowed ? nextRouter() : Optional.empty();
+    }
+
+    /**
+     * Relays the request to another router instead of running it here. Returns false, and changes nothing, if no router
+     * can take it or another run is not allowed.
+     */
+    boolean tryRelay() {
+        Optional<EndpointContact> router = mayRelay() ? nextRouter() : Optional.empty();
         router.ifPresent(chosen -> {
             if (attempt != null) {
                 attempt.reportEnd(ResponseEnd.Cause.CANCELLED, "relayed to " + chosen.endpointId());
@@ -333,7 +347,8 @@
         if (refusal.reason() == Reason.NO_CAPACITY) {
             shared.relays().suspectIsolation();
         }
-        if (shared.relays().isIsolated() && mayOtherRouterServe(refusal.reason()) && tryRelay()) {
+        boolean hasNotRun = startedRuns == 0 && mayOtherRouterServe(refusal.reason());
+        if (hasNotRun && shared.relays().isIsolated() && tryRelay()) {
             return;
         }
         if (isAttemptFinished) {
