Try endpoints of the own data centre before a router counts as isolated

The endpoints to connect to were drawn from all data centres. With three of them, and the links between them cut, three draws in ten contain none of the own one, so that a router which reaches its own endpoints relayed its requests.

Two of now four attempts go to the own data centre. EndpointReachabilityTest checks the choice.

--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointReachability.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointReachability.java
@@ -6,8 +6,9 @@
 import java.util.List;
 import java.util.Random;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
+import java.util.function.Predicate;
 
 /**
  * Tells an endpoint that is lost from a link that is: before an endpoint is taken out of use, this router connects to
@@ -19,7 +20,13 @@
 final class EndpointReachability {
 
     /** Number of other endpoints that are tried before this router counts as isolated. */
-    private static final int PROBES = 3;
+    private static final int PROBES = 4;
+
+    /**
+     * Number of them that are taken from the router's own data centre first, because a partition between data centres
+     * does not isolate it.
+     */
+    private static final int LOCAL_PROBES = 2;
 
     /** Number of other endpoints below which nothing can be told about the link. */
     private static final int MIN_PROBES = 2;
@@ -37,7 +44,8 @@
     private static final long MAX_PROBE_DURATION_MS = 1_000;
 
     private final EndpointControl endpoints;
-    private final Supplier<List<EndpointContact>> contacts;
+    private final String dataCentre;
+    private final Function<Predicate<String>, List<EndpointContact>> contactsByDataCentre;
     private final Random random;
     private final LongSupplier clockMs;
     private final Consumer<Boolean> listener;
@@ -52,17 +60,20 @@
     /**
      * Creates the state of a router that is not isolated.
      *
-     * @param contacts endpoints in use
+     * @param dataCentre data centre of this router
+     * @param contactsByDataCentre returns the endpoints in use in the data centres that a predicate accepts
      * @param listener called with the new state when this router becomes isolated or reaches endpoints again
      */
     EndpointReachability(
             EndpointControl endpoints,
-            Supplier<List<EndpointContact>> contacts,
+            String dataCentre,
+            Function<Predicate<String>, List<EndpointContact>> contactsByDataCentre,
             Random random,
             LongSupplier clockMs,
             Consumer<Boolean> listener) {
         this.endpoints = endpoints;
-        this.contacts = contacts;
+        this.dataCentre = dataCentre;
+        this.contactsByDataCentre = contactsByDataCentre;
         this.random = random;
         this.clockMs = clockMs;
         this.listener = listener;
@@ -115,10 +126,7 @@
     }
 
     private void probe(String excludedId, long nowMs) {
-        List<EndpointContact> others = new ArrayList<>(contacts.get());
-        others.removeIf(contact -> contact.endpointId().equals(excludedId));
-        Collections.shuffle(others, random);
-        List<EndpointContact> chosen = others.subList(0, Math.min(PROBES, others.size()));
+        List<EndpointContact> chosen = chooseProbes(excludedId);
         if (chosen.size() < MIN_PROBES) {
             setIsolated(false);
             releaseWaiting();
@@ -126,11 +134,25 @@
         }
         isProbing = true;
         Round round = new Round(chosen.size(), nowMs);
-        for (EndpointContact contact : List.copyOf(chosen)) {
+        for (EndpointContact contact : chosen) {
             endpoints.connect(contact).subscribe().with(done -> round.onConnected(), error -> round.onFailed());
         }
     }
 
+    private List<EndpointContact> chooseProbes(String excludedId) {
+        List<EndpointContact> chosen = new ArrayList<>();
+        addProbes(chosen, contactsByDataCentre.apply(dataCentre::equals), excludedId, LOCAL_PROBES);
+        addProbes(chosen, contactsByDataCentre.apply(name -> true), excludedId, PROBES);
+        return chosen;
+    }
+
+    private void addProbes(List<EndpointContact> chosen, List<EndpointContact> from, String excludedId, int maxChosen) {
+        List<EndpointContact> others = new ArrayList<>(from);
+        others.removeIf(contact -> contact.endpointId().equals(excludedId) || chosen.contains(contact));
+        Collections.shuffle(others, random);
+        chosen.addAll(others.subList(0, Math.min(Math.max(0, maxChosen - chosen.size()), others.size())));
+    }
+
     private void setIsolated(boolean isNowIsolated) {
         if (isIsolated != isNowIsolated) {
             isIsolated = isNowIsolated;
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -20,6 +20,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /**
@@ -388,11 +389,11 @@
         }
     }
 
-    /** Returns the contacts of the endpoints that are in use. */
-    List<EndpointContact> joinedContacts() {
+    /** Returns the contacts of the endpoints that are in use in the data centres that a predicate accepts. */
+    List<EndpointContact> joinedContacts(Predicate<String> dataCentres) {
         List<EndpointContact> joined = new ArrayList<>();
         for (EndpointLifetime endpoint : byId.values()) {
-            if (endpoint.isJoined && !endpoint.isLeaving) {
+            if (endpoint.isJoined && !endpoint.isLeaving && dataCentres.test(endpoint.entry.dataCentre())) {
                 joined.add(contacts.get(endpoint.endpointId));
             }
         }
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -170,12 +170,8 @@
                 "endpoints whose entry cannot be read, which get no requests",
                 registry::unreadableCount);
         endpointNotices = new EndpointNotices(registry, control::execute, control::post, clock);
-        reachability = new EndpointReachability(
-                clients.endpoints(), registry::joinedContacts, random, clock, this::onIsolationChanged);
-        OptionalInt relayPort =
-                settings.relay().stream().mapToInt(Address::port).findFirst();
-        relays = new PeerDirectory(
-                settings.dataCentre(), relayPort, reachability, control::execute, clock, log, metrics);
+        reachability = createReachability(clients.endpoints());
+        relays = createRelays();
         healthChecker = new EndpointHealthChecker(
                 clients.endpoints(), registry, endpointNotices::isPaused, reachability, log, clock);
         orderSender = new LayerOrderSender(
@@ -217,6 +213,17 @@
         return TableDecisionCore.create(core, directory, new CostChainPlanner(table, seed));
     }
 
+    private EndpointReachability createReachability(EndpointControl endpoints) {
+        return new EndpointReachability(
+                endpoints, settings.dataCentre(), registry::joinedContacts, random, clock, this::onIsolationChanged);
+    }
+
+    private PeerDirectory createRelays() {
+        OptionalInt relayPort =
+                settings.relay().stream().mapToInt(Address::port).findFirst();
+        return new PeerDirectory(settings.dataCentre(), relayPort, reachability, control::execute, clock, log, metrics);
+    }
+
     private CallRates rates(int routerCount) {
         return new CallRates(
                 PLATFORM_RATE_SHARE * settings.platformReadsPerS() / routerCount,
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointHealthCheckerTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointHealthCheckerTest.java
@@ -37,7 +37,7 @@
     private final FleetLog log = new FleetLog(() -> 0);
     private final EndpointRegistry registry = new EndpointRegistry(events::add, NO_LISTENER, log, 2_500);
     private final EndpointReachability reachability = new EndpointReachability(
-            new SilentEndpoints(), registry::joinedContacts, new Random(1), () -> this.nowMs, isolated -> {});
+            new SilentEndpoints(), "dc", registry::joinedContacts, new Random(1), () -> this.nowMs, isolated -> {});
     private final EndpointHealthChecker checker = new EndpointHealthChecker(
             new SilentEndpoints(), registry, id -> false, reachability, log, () -> this.nowMs);
     private long nowMs;
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointReachabilityTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointReachabilityTest.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
@@ -21,14 +22,15 @@
     private static final long RECOVERY_MS = 300;
 
     private final List<UniEmitter<? super Void>> pendingConnects = new ArrayList<>();
+    private final List<String> probed = new ArrayList<>();
     private final List<Boolean> changes = new ArrayList<>();
     private final List<String> lost = new ArrayList<>();
     private List<EndpointContact> contacts = IntStream.range(0, 8)
             .mapToObj(i -> new EndpointContact("e" + i, "e" + i, "127.0.0.1", i))
             .toList();
     private long nowMs = 10_000;
-    private final EndpointReachability reachability =
-            new EndpointReachability(new PendingEndpoints(), () -> contacts, new Random(1), () -> nowMs, changes::add);
+    private final EndpointReachability reachability = new EndpointReachability(
+            new PendingEndpoints(), "local", this::contacts, new Random(1), () -> nowMs, changes::add);
 
     /** Endpoints whose connections end when the test ends them. */
     private final class PendingEndpoints implements EndpointControl {
@@ -39,6 +41,7 @@
 
         @Override
         public Uni<Void> connect(EndpointContact contact) {
+            probed.add(contact.endpointId());
             return Uni.createFrom().emitter(pendingConnects::add);
         }
 
@@ -58,6 +61,14 @@
         public void setLeavingListener(Consumer<String> listener) {}
     }
 
+    /** Returns all endpoints, of which the last three are in the router's data centre. */
+    private List<EndpointContact> contacts(Predicate<String> dataCentres) {
+        return IntStream.range(0, contacts.size())
+                .filter(i -> dataCentres.test(i < contacts.size() - 3 ? "remote" : "local"))
+                .mapToObj(contacts::get)
+                .toList();
+    }
+
     private void lose(String endpointId) {
         reachability.confirm(endpointId, () -> lost.add(endpointId));
     }
@@ -87,6 +98,16 @@
         assertThat(changes).isEmpty();
     }
 
+    /** Guards against a router that counts as isolated because the other data centres are cut off. */
+    @Test
+    void endpointsOfTheOwnDataCentreAreAmongThoseThatAreTried() {
+        lose("e1");
+        assertThat(probed)
+                .hasSize(4)
+                .filteredOn(List.of("e5", "e6", "e7")::contains)
+                .hasSizeGreaterThanOrEqualTo(2);
+    }
+
     @Test
     void aRouterThatReachesNoOtherEndpointIsIsolatedAndLosesNone() {
         lose("e1");
