--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointHealthCheckerTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointHealthCheckerTest.java
@@ -4,12 +4,9 @@
 
 import io.netty.channel.ConnectTimeoutException;
 import io.radishwinch.core.event.Event;
-import io.radishwinch.core.model.EngineOrder.Handover;
 import io.radishwinch.core.model.FleetConfig;
-import io.radishwinch.core.model.LayerRange;
 import io.radishwinch.core.model.ServiceSpec;
 import io.radishwinch.server.proxy.EndpointContact;
-import io.radishwinch.server.proxy.ForwardingContext;
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
 import java.net.ConnectException;
@@ -43,31 +40,11 @@
     private long nowMs;
 
     /** Endpoints whose checks end when the test ends them. */
-    private final class SilentEndpoints implements EndpointControl {
+    private final class SilentEndpoints extends UnsupportedEndpointControl {
         @Override
         public Uni<Optional<StatusReport>> requestStatus(EndpointContact contact) {
             return Uni.createFrom().emitter(pendingChecks::add);
         }
-
-        @Override
-        public Uni<Void> connect(EndpointContact contact) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public Uni<OrderResult> orderLayers(
-                EndpointContact contact, LayerRange layers, Handover handover, long acceptedOrders) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public Uni<OrderResult> reroute(
-                EndpointContact firstStage, String requestId, List<ForwardingContext.Hop> chain) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void setLeavingListener(java.util.function.Consumer<String> listener) {}
     }
 
     private void failCheckAfter(long durationMs) {
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointReachabilityTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointReachabilityTest.java
@@ -2,17 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.radishwinch.core.model.EngineOrder.Handover;
-import io.radishwinch.core.model.LayerRange;
 import io.radishwinch.server.proxy.EndpointContact;
-import io.radishwinch.server.proxy.ForwardingContext;
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.Random;
-import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -33,32 +28,12 @@
             new PendingEndpoints(), "local", this::contacts, new Random(1), () -> nowMs, changes::add);
 
     /** Endpoints whose connections end when the test ends them. */
-    private final class PendingEndpoints implements EndpointControl {
-        @Override
-        public Uni<Optional<StatusReport>> requestStatus(EndpointContact contact) {
-            throw new UnsupportedOperationException();
-        }
-
+    private final class PendingEndpoints extends UnsupportedEndpointControl {
         @Override
         public Uni<Void> connect(EndpointContact contact) {
             probed.add(contact.endpointId());
             return Uni.createFrom().emitter(pendingConnects::add);
         }
-
-        @Override
-        public Uni<OrderResult> orderLayers(
-                EndpointContact contact, LayerRange layers, Handover handover, long acceptedOrders) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public Uni<OrderResult> reroute(
-                EndpointContact firstStage, String requestId, List<ForwardingContext.Hop> chain) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void setLeavingListener(Consumer<String> listener) {}
     }
 
     /** Returns all endpoints, of which the last three are in the router's data centre. */
