--- a/cluster/src/main/java/io/radishwinch/cluster/journal/ShardLog.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/ShardLog.java
@@ -51,6 +51,7 @@
     private final ShardIndex.ActiveGrants activeGrants;
     private final JournalListener listener;
     private final ShardCompactor compactor;
+    private final RestoreObserver restores;
 
     private final Set<PendingStep> queue = new LinkedHashSet<>();
     private long queuedBytes;
@@ -73,10 +74,21 @@
     /** Era of the store from which the shard was read. */
     private long era;
 
+    private boolean isReloadRequested;
     private final LostRecords lostRecords = new LostRecords();
     /** Versions of the batches that exist on the platform, by sequence number. */
     private TreeMap<Long, Long> batchVersions = new TreeMap<>();
 
+    /** What the shards of a journal tell each other of restores of the store. */
+    interface RestoreObserver {
+
+        /** Called with the era of the store that a read of a shard shows. */
+        void observeEra(long era);
+
+        /** Returns whether records that a restore has lost may not be written again yet, so that no key is granted. */
+        boolean isSettling();
+    }
+
     ShardLog(
             int shard,
             JournalSettings settings,
@@ -85,6 +97,7 @@
             Scheduler scheduler,
             NonceSource nonces,
             ShardIndex.ActiveGrants activeGrants,
+            RestoreObserver restores,
             JournalListener listener) {
         this.shard = shard;
         this.settings = settings;
@@ -92,6 +105,7 @@
         this.store = new ShardStore(platform, scheduler, shard);
         this.nonces = nonces;
         this.activeGrants = activeGrants;
+        this.restores = restores;
         this.listener = listener;
         this.index = new ShardIndex(settings);
         this.compactor =
@@ -187,7 +201,8 @@
 
     /** Starts the next operation that queued steps need, unless one is running. */
     private void processQueue() {
-        if (isOperationRunning || (queue.isEmpty() && !isEmptyBatchRequested)) {
+        boolean hasWork = !queue.isEmpty() || isEmptyBatchRequested || isReloadRequested || !lostRecords.isEmpty();
+        if (isOperationRunning || !hasWork) {
             return;
         }
         long waitMs = nextOperationMs - scheduler.nowMs();
@@ -196,6 +211,11 @@
             return;
         }
         isOperationRunning = true;
+        if (isReloadRequested && isLoaded) {
+            prepareReload();
+            unload();
+        }
+        isReloadRequested = false;
         if (isLoaded) {
             commit();
         } else {
@@ -249,6 +269,9 @@
                 } else {
                     needsCatchUp = true;
                 }
+            } else if (step.step() == Step.OPEN && restores.isSettling()) {
+                remove(step);
+                step.reply(refusal(step));
             } else if (evaluation instanceof Evaluation.Write write) {
                 int recordBytes = write.record().sizeBytes();
                 if (records.size() < settings.maxBatchRecords()
@@ -313,6 +336,7 @@
                 .subscribe()
                 .with(
                         tail -> {
+                            restores.observeEra(tail.era());
                             boolean isRestored = tail.era() != era || StoreVersion.era(version) != era;
                             if (isRestored) {
                                 prepareReload();
@@ -329,7 +353,7 @@
                             batchVersions.put(sequence, version);
                             index.apply(sequence, batch);
                             nextSequence = sequence + 1;
-                            isEmptyBatchRequested = !lostRecords.isEmpty();
+                            isEmptyBatchRequested = false;
                             batchSteps.forEach(PendingStep::markCommitted);
                             listener.onCommit(shard, batch.records().size(), bytes);
                             applyTail(tail, current);
@@ -349,6 +373,7 @@
      * Applies batches of other routers. The steps that were queued before the read are then decided by a fresh state.
      */
     private void applyTail(Tail tail, List<PendingStep> waiting) {
+        restores.observeEra(tail.era());
         if (tail.era() != era) {
             prepareReload();
             unload();
@@ -445,7 +470,14 @@
      */
     private void prepareReload() {
         lostRecords.remember(index);
-        isEmptyBatchRequested = true;
+    }
+
+    /** Reads the shard again and writes the records again that the store has lost. */
+    void reload() {
+        if (isLoaded) {
+            isReloadRequested = true;
+            processQueue();
+        }
     }
 
     private void unload() {
@@ -528,6 +560,7 @@
     void unloadIfIdle(long idleMs) {
         if (!isOperationRunning
                 && queue.isEmpty()
+                && lostRecords.isEmpty()
                 && !compactor.isRunning()
                 && scheduler.nowMs() - lastUsedMs >= idleMs) {
             unload();
--- a/cluster/src/main/java/io/radishwinch/cluster/journal/ShardedJournal.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/ShardedJournal.java
@@ -29,6 +29,14 @@
     private static final long INACTIVE_SHARD_MS = Duration.ofHours(1).toMillis();
     private static final int MAX_KEY_BYTES = 255;
 
+    /**
+     * Time after a restore of the store was noticed in which no key is granted, in ms. Meanwhile the routers that have
+     * a shard in memory notice the restore as well and write again what it has lost.
+     */
+    static final long RESTORE_SETTLING_MS = 15_000;
+
+    private static final long UNKNOWN_ERA = -1;
+
     private final JournalSettings settings;
     private final Scheduler scheduler;
     private final JournalWriters writers;
@@ -39,6 +47,8 @@
     /** Nonces of the grants of this router that are requested or in use. */
     private final Set<String> activeNonces = new HashSet<>();
 
+    private long era = UNKNOWN_ERA;
+    private long settlingUntilMs = Long.MIN_VALUE;
     private Scheduler.Timer maintenanceTimer;
 
     /**
@@ -65,10 +75,29 @@
         this.listener = listener;
         this.nonces = new NonceSource(settings.routerId(), random);
         this.localOutcomes = new LocalOutcomeCache(settings.retentionMs());
+        ShardLog.RestoreObserver restores = new ShardLog.RestoreObserver() {
+            @Override
+            public void observeEra(long seenEra) {
+                ShardedJournal.this.observeEra(seenEra);
+            }
+
+            @Override
+            public boolean isSettling() {
+                return scheduler.nowMs() < settlingUntilMs;
+            }
+        };
         this.shards = new ShardLog[settings.shardCount()];
         for (int shard = 0; shard < shards.length; shard++) {
             shards[shard] = new ShardLog(
-                    shard, settings, platform, backgroundPlatform, scheduler, nonces, this::isInUse, listener);
+                    shard,
+                    settings,
+                    platform,
+                    backgroundPlatform,
+                    scheduler,
+                    nonces,
+                    this::isInUse,
+                    restores,
+                    listener);
         }
         scheduleMaintenance();
     }
@@ -169,6 +198,21 @@
         });
     }
 
+    /**
+     * Observes the era of the store. If the store was restored from an older copy, the shards in memory are read again,
+     * what the store has lost of them is written again, and no key is granted for {@value #RESTORE_SETTLING_MS} ms.
+     */
+    public void observeEra(long seenEra) {
+        boolean isRestored = era != UNKNOWN_ERA && seenEra > era;
+        era = Math.max(era, seenEra);
+        if (isRestored) {
+            settlingUntilMs = scheduler.nowMs() + RESTORE_SETTLING_MS;
+            for (ShardLog shard : shards) {
+                shard.reload();
+            }
+        }
+    }
+
     /** Stops the maintenance timer. Running steps still complete. */
     public void close() {
         maintenanceTimer.cancel();
--- a/cluster/src/test/java/io/radishwinch/cluster/journal/JournalRestoreTest.java
+++ b/cluster/src/test/java/io/radishwinch/cluster/journal/JournalRestoreTest.java
@@ -4,6 +4,12 @@
 
 import io.radishwinch.cluster.journal.Journal.Decision;
 import io.radishwinch.cluster.platform.InMemoryPlatform;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
 import org.junit.jupiter.api.Test;
 
 /** Guards against second runs of a key whose intent the platform lost when it was restored from an older copy. */
@@ -22,6 +28,11 @@
         fleet.platform.restore(copy);
         fleet.scheduler.advance(100);
         assertThat(fleet.begin(second, "refund", "5")).isNotInstanceOf(Decision.Granted.class);
+        // The first router hears of the restore from its configuration, and writes its intent again.
+        first.journal.observeEra(1);
+        fleet.scheduler.advance(ShardedJournal.RESTORE_SETTLING_MS);
+        assertThat(fleet.begin(second, "refund", "5")).isInstanceOf(Decision.InProgress.class);
+        assertThat(fleet.begin(second, "another refund", "5")).isInstanceOf(Decision.Granted.class);
     }
 
     @Test
@@ -48,4 +59,34 @@
         assertThat(fleet.complete(first, open, "charged")).isTrue();
         assertThat(Fleet.replayedOutcome(fleet.begin(second, "charge", "7"))).isEqualTo("charged");
     }
+
+    /** Guards against a second grant in any order of restores, grants and the moments at which routers notice. */
+    @Property(tries = 300, seed = "7", shrinking = ShrinkingMode.OFF)
+    void noKeyIsGrantedTwiceWhileTheRoutersThatKnowItsGrantLive(@ForAll long seed) {
+        Fleet random = Fleet.of(seed, 3);
+        random.routers.forEach(router -> random.begin(router, "warm-up", "x"));
+        List<String> granted = new ArrayList<>();
+        InMemoryPlatform.Copy copy = random.platform.copy();
+        long era = 0;
+        for (int i = 0; i < 60; i++) {
+            int step = random.random.nextInt(20);
+            if (step == 0) {
+                copy = random.platform.copy();
+            } else if (step == 1) {
+                random.platform.restore(copy);
+                long newEra = ++era;
+                random.routers.forEach(router ->
+                        router.after(random.random.nextLong(10_000), () -> router.journal.observeEra(newEra)));
+            } else {
+                String key = "key-" + random.random.nextInt(8);
+                AtomicReference<Decision> decision =
+                        random.beginAsync(random.routers.get(random.random.nextInt(3)), key, "content");
+                random.scheduler.advance(random.random.nextLong(3_000));
+                if (decision.get() instanceof Decision.Granted) {
+                    granted.add(key);
+                }
+            }
+        }
+        assertThat(granted).doesNotHaveDuplicates();
+    }
 }
--- a/server/src/main/java/io/radishwinch/server/ControlPlane.java
+++ b/server/src/main/java/io/radishwinch/server/ControlPlane.java
@@ -1,6 +1,7 @@
 package io.radishwinch.server;
 
 import io.radishwinch.cluster.PeerNode;
+import io.radishwinch.cluster.configuration.ConfigurationObject;
 import io.radishwinch.cluster.journal.JournalSettings;
 import io.radishwinch.cluster.journal.ShardedJournal;
 import io.radishwinch.cluster.membership.Address;
@@ -12,6 +13,7 @@
 import io.radishwinch.cluster.platform.PlatformClient;
 import io.radishwinch.cluster.platform.PlatformClient.Vm;
 import io.radishwinch.cluster.platform.ResilientPlatformClient;
+import io.radishwinch.cluster.platform.StoreVersion;
 import io.radishwinch.config.settings.RouterFeature;
 import io.radishwinch.config.settings.RouterSettings;
 import io.radishwinch.config.settings.SettingKey;
@@ -155,7 +157,7 @@
                 node,
                 control,
                 endpoints,
-                object -> configuration.markChanged(),
+                this::onConfigurationObject,
                 (sender, message) -> journalTransport.receive(sender, message, journal));
         node.addListener(peerState);
         node.addListener(new ConfigurationRejections(
@@ -276,6 +278,11 @@
         return demandMeter;
     }
 
+    private void onConfigurationObject(ConfigurationObject object) {
+        configuration.markChanged();
+        journal.observeEra(StoreVersion.era(object.version()));
+    }
+
     ShardedJournal journal() {
         return journal;
     }
