Ping the store only while its changes seem to arrive

All routers watch while the store is away, and each pinged it twice a second then, six times the rate that the circuit breaker allows at the planned size. Once the watch has failed there is nothing left to notice. The trace of a request names the loss of all endpoints of a router among its causes.

--- a/cli/src/main/java/io/radishwinch/cli/log/RequestTrace.java
+++ b/cli/src/main/java/io/radishwinch/cli/log/RequestTrace.java
@@ -26,6 +26,7 @@
             "endpoint-unreachable",
             "endpoint-leaving",
             "endpoint-restarted",
+            "endpoints-unreachable",
             "dependency-lost",
             "order-failed",
             "stopping");
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -353,11 +353,12 @@
         if (isWatcher) {
             endpointFollower.start();
             configFollower.start();
+        }
+        boolean isFollowing = endpointFollower.isCurrent() && configFollower.isCurrent();
+        if (isWatcher && isFollowing) {
             platformLiveness.tick(nowMs);
         }
-        boolean isCurrent =
-                endpointFollower.isCurrent() && configFollower.isCurrent() && platformLiveness.isResponding();
-        node.setPlatformWatchState(isCurrent, registry.relistGraceMs(nowMs));
+        node.setPlatformWatchState(isFollowing && platformLiveness.isResponding(), registry.relistGraceMs(nowMs));
     }
 
     private void publishLeaseReleased(String leaseKey) {
