--- a/cluster/src/main/java/io/radishwinch/cluster/journal/LostRecords.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/LostRecords.java
@@ -25,19 +25,33 @@
         return entriesBefore.isEmpty();
     }
 
-    /** Returns the records that the log lacks, and forgets the entries that it contains. */
-    List<JournalRecord> missingFrom(ShardIndex restored, int maxRecords) {
-        List<JournalRecord> missing = new ArrayList<>();
+    /**
+     * Returns records that the log lacks, as many as fit into a batch, and forgets the entries that it contains.
+     *
+     * @param maxRecords maximum number of records, unless those of one key are more
+     * @param maxBytes maximum size of the records, in bytes, unless those of one key are larger
+     */
+    List<JournalRecord> missingFrom(ShardIndex restored, int maxRecords, int maxBytes) {
+        List<JournalRecord> batch = new ArrayList<>();
         entriesBefore.entrySet().removeIf(before -> {
-            if (missing.size() >= maxRecords) {
-                return false;
-            }
-            int sizeBefore = missing.size();
+            List<JournalRecord> missing = new ArrayList<>();
             KeyEntry current = restored.liveEntry(before.getKey(), restored.logMs());
             addMissing(before.getKey(), before.getValue(), current, missing);
-            return missing.size() == sizeBefore;
+            if (missing.isEmpty()) {
+                return true;
+            }
+            boolean fits =
+                    batch.size() + missing.size() <= maxRecords && sizeBytes(batch) + sizeBytes(missing) <= maxBytes;
+            if (batch.isEmpty() || fits) {
+                batch.addAll(missing);
+            }
+            return false;
         });
-        return missing;
+        return batch;
+    }
+
+    private static int sizeBytes(List<JournalRecord> records) {
+        return records.stream().mapToInt(JournalRecord::sizeBytes).sum();
     }
 
     private static void addMissing(Hash128 key, KeyEntry before, KeyEntry current, List<JournalRecord> missing) {
--- a/cluster/src/main/java/io/radishwinch/cluster/journal/ShardLog.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/ShardLog.java
@@ -239,7 +239,8 @@
     private void commit() {
         long logMs = nextLogMs();
         if (!lostRecords.isEmpty()) {
-            List<JournalRecord> missing = lostRecords.missingFrom(index, settings.maxBatchRecords());
+            List<JournalRecord> missing =
+                    lostRecords.missingFrom(index, settings.maxBatchRecords(), JournalSettings.MAX_BATCH_BYTES);
             if (!missing.isEmpty()) {
                 create(new Batch(logMs, missing), List.of());
                 return;
--- a/cluster/src/test/java/io/radishwinch/cluster/journal/JournalRestoreTest.java
+++ b/cluster/src/test/java/io/radishwinch/cluster/journal/JournalRestoreTest.java
@@ -60,6 +60,23 @@
         assertThat(Fleet.replayedOutcome(fleet.begin(second, "charge", "7"))).isEqualTo("charged");
     }
 
+    /** Guards against a batch above the size that the platform stores, which would block its shard for good. */
+    @Test
+    void largeOutcomesAreWrittenAgainInSeveralBatches() {
+        InMemoryPlatform.Copy copy = fleet.platform.copy();
+        String outcome = "x".repeat(JournalSettings.MAX_OUTCOME_BYTES);
+        for (int i = 0; i < 40; i++) {
+            fleet.complete(first, fleet.begin(first, "refund-" + i, "5"), outcome);
+        }
+        fleet.platform.restore(copy);
+        first.journal.observeEra(1);
+        fleet.scheduler.advance(60_000);
+        for (int i = 0; i < 40; i++) {
+            assertThat(Fleet.replayedOutcome(fleet.begin(second, "refund-" + i, "5")))
+                    .isEqualTo(outcome);
+        }
+    }
+
     /** Guards against a second grant in any order of restores, grants and the moments at which routers notice. */
     @Property(tries = 300, seed = "7", shrinking = ShrinkingMode.OFF)
     void noKeyIsGrantedTwiceWhileTheRoutersThatKnowItsGrantLive(@ForAll long seed) {
