Relay to other data centres once a router of the own one is isolated as well

Callers of a large data centre whose routers reach no endpoint got 503: each request was relayed to three routers of the same data centre, all isolated, and then refused.

Change: while a router of the own data centre counts as unavailable, those of other data centres are chosen first.

--- a/server/src/main/java/io/radishwinch/server/fleet/PeerDirectory.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/PeerDirectory.java
@@ -18,7 +18,10 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
-/** Chooses the routers to which requests are relayed: those of the own data centre first, at random. Thread-safe. */
+/**
+ * Chooses the routers to which requests are relayed, at random: those of the own data centre first, unless one of them
+ * took no request lately, because a partition may isolate all routers of a data centre. Thread-safe.
+ */
 final class PeerDirectory implements PeerRelays {
 
     /** Time for which a router that takes no relayed requests is not chosen, in ms. */
@@ -87,7 +90,8 @@
                 (peer.dataCentre().equals(dataCentre) ? local : remote).add(peer);
             }
         }
-        List<MemberInfo> candidates = local.isEmpty() ? remote : local;
+        boolean prefersRemote = local.isEmpty() || hasUnavailableLocalPeer(nowMs) && !remote.isEmpty();
+        List<MemberInfo> candidates = prefersRemote ? remote : local;
         if (candidates.isEmpty() || relayPort.isEmpty()) {
             return Optional.empty();
         }
@@ -96,6 +100,12 @@
                 new EndpointContact(chosen.id(), chosen.id(), chosen.address().host(), relayPort.getAsInt()));
     }
 
+    private boolean hasUnavailableLocalPeer(long nowMs) {
+        return peers.stream()
+                .filter(peer -> peer.dataCentre().equals(dataCentre))
+                .anyMatch(peer -> nowMs < unavailableUntilMs.getOrDefault(peer.id(), Long.MIN_VALUE));
+    }
+
     @Override
     public void markUnavailable(String routerId) {
         unavailableUntilMs.put(routerId, clockMs.getAsLong() + UNAVAILABLE_MS);
