--- a/cluster/src/main/java/io/radishwinch/cluster/journal/LostRecords.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/LostRecords.java
@@ -33,35 +33,35 @@
      */
     List<JournalRecord> missingFrom(ShardIndex restored, int maxRecords, int maxBytes) {
         List<JournalRecord> batch = new ArrayList<>();
-        entriesBefore.entrySet().removeIf(before -> {
-            List<JournalRecord> missing = new ArrayList<>();
+        int batchBytes = 0;
+        for (var entries = entriesBefore.entrySet().iterator(); entries.hasNext(); ) {
+            Map.Entry<Hash128, KeyEntry> before = entries.next();
             KeyEntry current = restored.liveEntry(before.getKey(), restored.logMs());
-            addMissing(before.getKey(), before.getValue(), current, missing);
+            List<JournalRecord> missing = missingRecords(before.getKey(), before.getValue(), current);
             if (missing.isEmpty()) {
-                return true;
+                entries.remove();
+                continue;
             }
-            boolean fits =
-                    batch.size() + missing.size() <= maxRecords && sizeBytes(batch) + sizeBytes(missing) <= maxBytes;
+            int missingBytes =
+                    missing.stream().mapToInt(JournalRecord::sizeBytes).sum();
+            boolean fits = batch.size() + missing.size() <= maxRecords && batchBytes + missingBytes <= maxBytes;
             if (batch.isEmpty() || fits) {
                 batch.addAll(missing);
+                batchBytes += missingBytes;
             }
-            return false;
-        });
+        }
         return batch;
     }
 
-    private static int sizeBytes(List<JournalRecord> records) {
-        return records.stream().mapToInt(JournalRecord::sizeBytes).sum();
-    }
-
-    private static void addMissing(Hash128 key, KeyEntry before, KeyEntry current, List<JournalRecord> missing) {
+    private static List<JournalRecord> missingRecords(Hash128 key, KeyEntry before, KeyEntry current) {
+        List<JournalRecord> missing = new ArrayList<>();
         for (String nonce : before.abandonedNonces()) {
             if (current == null || !current.abandonedNonces().contains(nonce)) {
                 missing.add(new Abandoned(key, nonce));
             }
         }
         if (before.state() == State.ABANDONED) {
-            return;
+            return missing;
         }
         boolean isFree = current == null || current.state() == State.ABANDONED;
         if (isFree) {
@@ -73,5 +73,6 @@
             boolean isKept = before.outcome() != null;
             missing.add(new Outcome(key, before.nonce(), isKept ? before.outcome() : new byte[0], isKept));
         }
+        return missing;
     }
 }
--- a/cluster/src/main/java/io/radishwinch/cluster/journal/ShardedJournal.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/ShardedJournal.java
@@ -5,6 +5,7 @@
 import io.radishwinch.cluster.journal.JournalPeer.Result;
 import io.radishwinch.cluster.journal.JournalPeer.Step;
 import io.radishwinch.cluster.platform.PlatformClient;
+import io.radishwinch.cluster.platform.RestoreDetector;
 import io.radishwinch.cluster.platform.Scheduler;
 import io.smallrye.mutiny.Uni;
 import java.nio.charset.StandardCharsets;
@@ -35,8 +36,6 @@
      */
     static final long RESTORE_SETTLING_MS = 15_000;
 
-    private static final long UNKNOWN_ERA = -1;
-
     private final JournalSettings settings;
     private final Scheduler scheduler;
     private final JournalWriters writers;
@@ -47,7 +46,7 @@
     /** Nonces of the grants of this router that are requested or in use. */
     private final Set<String> activeNonces = new HashSet<>();
 
-    private long era = UNKNOWN_ERA;
+    private final RestoreDetector restoreDetector = new RestoreDetector();
     private long settlingUntilMs = Long.MIN_VALUE;
     private Scheduler.Timer maintenanceTimer;
 
@@ -203,9 +202,7 @@
      * what the store has lost of them is written again, and no key is granted for {@value #RESTORE_SETTLING_MS} ms.
      */
     public void observeEra(long seenEra) {
-        boolean isRestored = era != UNKNOWN_ERA && seenEra > era;
-        era = Math.max(era, seenEra);
-        if (isRestored) {
+        if (restoreDetector.observe(seenEra)) {
             settlingUntilMs = scheduler.nowMs() + RESTORE_SETTLING_MS;
             for (ShardLog shard : shards) {
                 shard.reload();
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -12,6 +12,7 @@
 import io.radishwinch.cluster.platform.PlatformClient.Change;
 import io.radishwinch.cluster.platform.PlatformClient.StoredObject;
 import io.radishwinch.cluster.platform.ResilientPlatformClient;
+import io.radishwinch.cluster.platform.RestoreDetector;
 import io.radishwinch.cluster.platform.StoreVersion;
 import io.radishwinch.cluster.platform.WatchFollower;
 import io.radishwinch.core.DecisionCore.RequestView;
@@ -81,8 +82,6 @@
     /** Time-to-live of the gossip entry for a released lease, in ms; by then its candidates have read it. */
     private static final long RELEASED_LEASE_TTL_MS = 10_000;
 
-    private static final long UNKNOWN_ERA = -1;
-
     private final Vertx vertx;
     private final FleetSettings settings;
     private final LongSupplier clock;
@@ -112,6 +111,7 @@
     private final WatchFollower configFollower;
     private final RouterDirectory routerDirectory;
     private final PlatformLiveness platformLiveness;
+    private final RestoreDetector restoreDetector = new RestoreDetector();
     private volatile int liveRouters = 1;
     private volatile boolean hasEndpointList;
     private boolean wasPlatformAvailable = true;
@@ -119,7 +119,6 @@
     private boolean isWatching;
     private long routerListDeadlineMs;
     private long tickCount;
-    private long storeEra = UNKNOWN_ERA;
 
     FleetControl(
             Vertx vertx,
@@ -198,7 +197,12 @@
         endpointFollower = new WatchFollower(
                 platform, scheduler, random, dialect.endpointPrefix(), new EndpointReceiver(), MAX_PLATFORM_BACKOFF_MS);
         configFollower = new WatchFollower(
-                platform, scheduler, random, dialect.configPrefix(), new ConfigReceiver(), MAX_PLATFORM_BACKOFF_MS);
+                platform,
+                scheduler,
+                random,
+                dialect.configPrefix(),
+                new PlatformReceiver(dialect.configPrefix()),
+                MAX_PLATFORM_BACKOFF_MS);
         platformLiveness = new PlatformLiveness(platform);
         routerDirectory =
                 new RouterDirectory(platform, dialect.routerObjectPrefix() + "router-", node.self(), this::newNonce);
@@ -394,10 +398,16 @@
         return local;
     }
 
+    /** Returns the live routers of all data centres other than this one. */
+    private List<MemberInfo> liveMembers() {
+        List<MemberInfo> live = new ArrayList<>(node.members());
+        node.remoteDataCentres().forEach(name -> live.addAll(node.remoteMembers(name)));
+        return live;
+    }
+
     private void publishLoad() {
         peerState.publishLoad(control.core().view());
-        List<MemberInfo> peers = new ArrayList<>(node.members());
-        node.remoteDataCentres().forEach(name -> peers.addAll(node.remoteMembers(name)));
+        List<MemberInfo> peers = liveMembers();
         relays.setPeers(peers);
         int live = peers.size() + 1;
         if (live != liveRouters) {
@@ -445,9 +455,7 @@
 
         @Override
         public Optional<Long> incarnation(String routerId) {
-            List<MemberInfo> live = new ArrayList<>(node.members());
-            node.remoteDataCentres().forEach(name -> live.addAll(node.remoteMembers(name)));
-            return live.stream()
+            return liveMembers().stream()
                     .filter(member -> member.id().equals(routerId))
                     .map(MemberInfo::incarnation)
                     .findFirst();
@@ -522,12 +530,7 @@
      * pass it on before this one reads the store.
      */
     private void observeEra(long era, long nowMs) {
-        if (era <= storeEra) {
-            return;
-        }
-        boolean isRestored = storeEra != UNKNOWN_ERA;
-        storeEra = era;
-        if (isRestored) {
+        if (restoreDetector.observe(era)) {
             log.stateChanged("store-restored", "platform", "era " + era);
             registry.onStoreRestored(nowMs);
             leaseManager.onStoreRestored(nowMs);
@@ -544,16 +547,13 @@
         }
     }
 
-    private void logDiscardedListing(String prefix, long storeVersion, long neededVersion) {
-        log.stateChanged(
-                "listing-discarded",
-                prefix,
-                "store version " + StoreVersion.toString(storeVersion) + ", expected at least "
-                        + StoreVersion.toString(neededVersion));
-    }
+    /** Shares the platform's objects under a prefix with the other routers. */
+    private class PlatformReceiver implements WatchFollower.Receiver {
+        private final String prefix;
 
-    /** Shares the platform's configuration with the other routers. */
-    private final class ConfigReceiver implements WatchFollower.Receiver {
+        PlatformReceiver(String prefix) {
+            this.prefix = prefix;
+        }
 
         @Override
         public void onChange(Change change) {
@@ -562,12 +562,20 @@
 
         @Override
         public void onListingDiscarded(long storeVersion, long neededVersion) {
-            logDiscardedListing(dialect.configPrefix(), storeVersion, neededVersion);
+            log.stateChanged(
+                    "listing-discarded",
+                    prefix,
+                    "store version " + StoreVersion.toString(storeVersion) + ", expected at least "
+                            + StoreVersion.toString(neededVersion));
         }
     }
 
-    /** Shares the platform's endpoint list with the other routers. */
-    private final class EndpointReceiver implements WatchFollower.Receiver {
+    /** Shares the platform's endpoint list, whose listings show deletions as well. */
+    private final class EndpointReceiver extends PlatformReceiver {
+
+        EndpointReceiver() {
+            super(dialect.endpointPrefix());
+        }
 
         @Override
         public void onListing(Collection<StoredObject> objects, long storeVersion) {
@@ -577,16 +585,6 @@
                     .toList();
             node.offerConfigurationListing(dialect.endpointPrefix(), listing, storeVersion, clock.getAsLong());
         }
-
-        @Override
-        public void onChange(Change change) {
-            offerToPeers(change);
-        }
-
-        @Override
-        public void onListingDiscarded(long storeVersion, long neededVersion) {
-            logDiscardedListing(dialect.endpointPrefix(), storeVersion, neededVersion);
-        }
     }
 
     /** Publishes endpoint states detected by this router to the other routers of the data centre. */
--- a/server/src/main/java/io/radishwinch/server/fleet/PeerDirectory.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/PeerDirectory.java
@@ -84,13 +84,16 @@
         long nowMs = clockMs.getAsLong();
         List<MemberInfo> local = new ArrayList<>();
         List<MemberInfo> remote = new ArrayList<>();
+        boolean hasUnavailableLocalPeer = false;
         for (MemberInfo peer : peers) {
+            boolean isLocal = peer.dataCentre().equals(dataCentre);
             boolean isAvailable = nowMs >= unavailableUntilMs.getOrDefault(peer.id(), Long.MIN_VALUE);
+            hasUnavailableLocalPeer |= isLocal && !isAvailable;
             if (isAvailable && !excludedIds.contains(peer.id())) {
-                (peer.dataCentre().equals(dataCentre) ? local : remote).add(peer);
+                (isLocal ? local : remote).add(peer);
             }
         }
-        boolean prefersRemote = local.isEmpty() || hasUnavailableLocalPeer(nowMs) && !remote.isEmpty();
+        boolean prefersRemote = local.isEmpty() || hasUnavailableLocalPeer && !remote.isEmpty();
         List<MemberInfo> candidates = prefersRemote ? remote : local;
         if (candidates.isEmpty() || relayPort.isEmpty()) {
             return Optional.empty();
@@ -100,12 +103,6 @@
                 new EndpointContact(chosen.id(), chosen.id(), chosen.address().host(), relayPort.getAsInt()));
     }
 
-    private boolean hasUnavailableLocalPeer(long nowMs) {
-        return peers.stream()
-                .filter(peer -> peer.dataCentre().equals(dataCentre))
-                .anyMatch(peer -> nowMs < unavailableUntilMs.getOrDefault(peer.id(), Long.MIN_VALUE));
-    }
-
     @Override
     public void markUnavailable(String routerId) {
         unavailableUntilMs.put(routerId, clockMs.getAsLong() + UNAVAILABLE_MS);
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyErrorResponse.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyErrorResponse.java
@@ -9,23 +9,24 @@
 
 /** Sends the error responses that the router itself generates. */
 final class ProxyErrorResponse {
-    private static final int BAD_REQUEST = 400;
-    private static final int UNAUTHORIZED = 401;
-    private static final int NOT_FOUND = 404;
-    private static final int REQUEST_TIMEOUT = 408;
-    private static final int CONTENT_TOO_LARGE = 413;
-    private static final int HEADERS_TOO_LARGE = 431;
+    static final int BAD_REQUEST = 400;
+    static final int UNAUTHORIZED = 401;
+    static final int NOT_FOUND = 404;
+    static final int REQUEST_TIMEOUT = 408;
+    static final int CONTENT_TOO_LARGE = 413;
+    static final int HEADERS_TOO_LARGE = 431;
     private static final int BAD_GATEWAY = 502;
-    private static final int UNAVAILABLE = 503;
-    private static final int GATEWAY_TIMEOUT = 504;
-    private static final double MS_PER_S = 1_000;
+    static final int UNAVAILABLE = 503;
+    static final int GATEWAY_TIMEOUT = 504;
+    static final String RETRY_AFTER = "Retry-After";
+    static final double MS_PER_S = 1_000;
 
     private ProxyErrorResponse() {}
 
     static void send(HttpServerResponse response, Refusal refusal, ProxyScope scope, String requestId) {
         response.setStatusCode(status(refusal)).putHeader(HttpHeaders.CONTENT_TYPE, "text/plain");
         if (refusal.retryAfterMs() > 0) {
-            response.putHeader("Retry-After", String.format(Locale.ROOT, "%.2f", refusal.retryAfterMs() / MS_PER_S));
+            response.putHeader(RETRY_AFTER, String.format(Locale.ROOT, "%.2f", refusal.retryAfterMs() / MS_PER_S));
         }
         scope.announceClose(response);
         scope.dialect().markRouterResponse(response.headers(), requestId);
--- a/server/src/main/java/io/radishwinch/server/proxy/RelayError.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/RelayError.java
@@ -12,39 +12,33 @@
  * @param retryAfterMs delay before a retry that the router suggests in ms, or 0 for none
  */
 record RelayError(Reason reason, Verdict verdict, long retryAfterMs) {
-    private static final int BAD_REQUEST = 400;
-    private static final int UNAUTHORIZED = 401;
-    private static final int NOT_FOUND = 404;
-    private static final int REQUEST_TIMEOUT = 408;
-    private static final int CONTENT_TOO_LARGE = 413;
     private static final int TOO_MANY_REQUESTS = 429;
-    private static final int HEADERS_TOO_LARGE = 431;
-    private static final int UNAVAILABLE = 503;
-    private static final int GATEWAY_TIMEOUT = 504;
-    private static final double MS_PER_S = 1_000;
 
     /** Returns the error that a response of a router stands for; the reverse of {@link ProxyErrorResponse#status}. */
     static RelayError of(int status, MultiMap headers) {
         return switch (status) {
-            case BAD_REQUEST -> notRun(Reason.MALFORMED_REQUEST, headers);
-            case UNAUTHORIZED -> notRun(Reason.UNKNOWN_CALLER, headers);
-            case NOT_FOUND -> notRun(Reason.UNKNOWN_PATH, headers);
-            case REQUEST_TIMEOUT -> notRun(Reason.SLOW_SENDER, headers);
-            case CONTENT_TOO_LARGE -> notRun(Reason.BODY_TOO_LARGE, headers);
-            case HEADERS_TOO_LARGE -> notRun(Reason.HEADER_TOO_LARGE, headers);
-            case TOO_MANY_REQUESTS, UNAVAILABLE -> notRun(Reason.NO_CAPACITY, headers);
-            case GATEWAY_TIMEOUT -> new RelayError(Reason.DEADLINE_EXCEEDED, Verdict.MAY_HAVE_RUN, 0);
+            case ProxyErrorResponse.BAD_REQUEST -> notRun(Reason.MALFORMED_REQUEST, headers);
+            case ProxyErrorResponse.UNAUTHORIZED -> notRun(Reason.UNKNOWN_CALLER, headers);
+            case ProxyErrorResponse.NOT_FOUND -> notRun(Reason.UNKNOWN_PATH, headers);
+            case ProxyErrorResponse.REQUEST_TIMEOUT -> notRun(Reason.SLOW_SENDER, headers);
+            case ProxyErrorResponse.CONTENT_TOO_LARGE -> notRun(Reason.BODY_TOO_LARGE, headers);
+            case ProxyErrorResponse.HEADERS_TOO_LARGE -> notRun(Reason.HEADER_TOO_LARGE, headers);
+            case TOO_MANY_REQUESTS, ProxyErrorResponse.UNAVAILABLE -> notRun(Reason.NO_CAPACITY, headers);
+            case ProxyErrorResponse.GATEWAY_TIMEOUT ->
+                new RelayError(Reason.DEADLINE_EXCEEDED, Verdict.MAY_HAVE_RUN, 0);
             default -> new RelayError(Reason.ENDPOINT_ERROR, Verdict.MAY_HAVE_RUN, 0);
         };
     }
 
     private static RelayError notRun(Reason reason, MultiMap headers) {
-        return new RelayError(reason, Verdict.NOT_RUN, retryAfterMs(headers.get("Retry-After")));
+        return new RelayError(reason, Verdict.NOT_RUN, retryAfterMs(headers.get(ProxyErrorResponse.RETRY_AFTER)));
     }
 
     private static long retryAfterMs(String seconds) {
         try {
-            return seconds == null ? 0 : Math.max(0, (long) (Double.parseDouble(seconds) * MS_PER_S));
+            return seconds == null
+                    ? 0
+                    : Math.max(0, (long) (Double.parseDouble(seconds) * ProxyErrorResponse.MS_PER_S));
         } catch (NumberFormatException e) {
             // Routers state seconds as a decimal number.
             return 0;
