Ask the index of a shard which lost records its log would take

A router wrote an intent again for ever, and decided nothing else in its shard, if the grant had been released after the platform was restored: the log ignores an intent whose nonce was abandoned.

Change: a record is missing only if the index says that it would change its entry. JournalRestoreTest.aGrantThatWasReleasedAfterTheRestoreIsNotWrittenAgain failed before: 79 batches and more were written without an end.

--- a/cluster/src/main/java/io/radishwinch/cluster/journal/LostRecords.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/LostRecords.java
@@ -36,8 +36,7 @@
         int batchBytes = 0;
         for (var entries = entriesBefore.entrySet().iterator(); entries.hasNext(); ) {
             Map.Entry<Hash128, KeyEntry> before = entries.next();
-            KeyEntry current = restored.liveEntry(before.getKey(), restored.logMs());
-            List<JournalRecord> missing = missingRecords(before.getKey(), before.getValue(), current);
+            List<JournalRecord> missing = missingRecords(before.getKey(), before.getValue(), restored);
             if (missing.isEmpty()) {
                 entries.remove();
                 continue;
@@ -53,26 +52,34 @@
         return batch;
     }
 
-    private static List<JournalRecord> missingRecords(Hash128 key, KeyEntry before, KeyEntry current) {
+    private static List<JournalRecord> missingRecords(Hash128 key, KeyEntry before, ShardIndex restored) {
         List<JournalRecord> missing = new ArrayList<>();
         for (String nonce : before.abandonedNonces()) {
-            if (current == null || !current.abandonedNonces().contains(nonce)) {
-                missing.add(new Abandoned(key, nonce));
-            }
+            addIfMissing(new Abandoned(key, nonce), restored, missing);
         }
         if (before.state() == State.ABANDONED) {
             return missing;
         }
-        boolean isFree = current == null || current.state() == State.ABANDONED;
-        if (isFree) {
-            missing.add(new Intent(key, before.fingerprint(), before.nonce()));
-        }
-        boolean isOpen =
-                isFree || current.state() == State.INTENT && current.nonce().equals(before.nonce());
-        if (isOpen && before.state() != State.INTENT) {
+        boolean isIntentMissing =
+                addIfMissing(new Intent(key, before.fingerprint(), before.nonce()), restored, missing);
+        if (before.state() != State.INTENT) {
             boolean isKept = before.outcome() != null;
-            missing.add(new Outcome(key, before.nonce(), isKept ? before.outcome() : new byte[0], isKept));
+            Outcome outcome = new Outcome(key, before.nonce(), isKept ? before.outcome() : new byte[0], isKept);
+            if (isIntentMissing) {
+                missing.add(outcome);
+            } else {
+                addIfMissing(outcome, restored, missing);
+            }
         }
         return missing;
     }
+
+    /** Adds a record unless the restored log would ignore it, and returns whether it was added. */
+    private static boolean addIfMissing(JournalRecord record, ShardIndex restored, List<JournalRecord> missing) {
+        boolean isMissing = restored.isChangedBy(record);
+        if (isMissing) {
+            missing.add(record);
+        }
+        return isMissing;
+    }
 }
--- a/cluster/src/main/java/io/radishwinch/cluster/journal/ShardIndex.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/journal/ShardIndex.java
@@ -63,6 +63,12 @@
         }
     }
 
+    /** Returns whether a record that is appended now would change the entry of its key. */
+    boolean isChangedBy(JournalRecord record) {
+        KeyEntry current = liveEntry(record.key(), logMs);
+        return nextEntry(current, record, 0) != current;
+    }
+
     private KeyEntry nextEntry(KeyEntry current, JournalRecord record, long sequence) {
         if (record instanceof Intent intent) {
             boolean isFree = current == null
--- a/cluster/src/test/java/io/radishwinch/cluster/journal/JournalRestoreTest.java
+++ b/cluster/src/test/java/io/radishwinch/cluster/journal/JournalRestoreTest.java
@@ -60,6 +60,25 @@
         assertThat(Fleet.replayedOutcome(fleet.begin(second, "charge", "7"))).isEqualTo("charged");
     }
 
+    /**
+     * Guards against a router that writes an intent again and again which the log ignores, and that blocks its shard.
+     */
+    @Test
+    void aGrantThatWasReleasedAfterTheRestoreIsNotWrittenAgain() {
+        InMemoryPlatform.Copy copy = fleet.platform.copy();
+        Decision grant = fleet.begin(first, "refund", "5");
+        assertThat(fleet.begin(second, "refund", "5")).isInstanceOf(Decision.InProgress.class);
+        fleet.platform.restore(copy);
+        first.journal.abandon((Decision.Granted) grant).subscribe().with(released -> {});
+        fleet.scheduler.advance(5_000);
+        second.journal.observeEra(1);
+        fleet.scheduler.advance(ShardedJournal.RESTORE_SETTLING_MS);
+        long commitsBefore = second.count("commit");
+        fleet.scheduler.advance(10_000);
+        assertThat(second.count("commit")).isEqualTo(commitsBefore);
+        assertThat(fleet.begin(second, "refund", "5")).isInstanceOf(Decision.Granted.class);
+    }
+
     /** Guards against a batch above the size that the platform stores, which would block its shard for good. */
     @Test
     void largeOutcomesAreWrittenAgainInSeveralBatches() {
