Attribute no response without identifier at an endpoint that names requests

A copy that names no request, on a connection that no copy was expected on, was taken for the response: in a run of AbandonedRunSoakTest with copies on any connection of which a tenth names no request, 22 of 908 callers got the response to another request. A refusal of this kind would report a request as not run that runs, also if it must not run twice and has a connection of its own.

An endpoint that names the request in its refusals, or in its other responses, does so in each of them. A response of that kind without identifier now fails the attempt as may-have-run. Endpoints that never name a request are served as before.

The two cases of the new unit test failed before. The run of the soak was not repeated with unnamed copies after the change.

--- a/server/src/main/java/io/radishwinch/server/proxy/EndpointConnectionPool.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EndpointConnectionPool.java
@@ -43,6 +43,9 @@
     /** Time for which no connection to an endpoint is reused after a surplus response, in ms. */
     private static final long REUSE_SUSPENSION_MS = 30_000;
 
+    /** Time after its last connection for which it is remembered what an endpoint names in its responses, in ms. */
+    private static final long NAMING_MEMORY_MS = 60_000;
+
     /** Number of requests after which a connection is closed; bounds the memory for their identifiers. */
     private static final int MAX_REQUESTS_PER_CONNECTION = 256;
 
@@ -132,11 +135,23 @@
         }
     }
 
+    /**
+     * Returns whether a response can be attributed to the request of its connection. An endpoint that names the request
+     * in its refusals, or in its other responses, does so in each of them: one that names none may be a late copy.
+     *
+     * @param isRefusal whether the response states that the request has not run
+     */
+    boolean isAttributable(EndpointContact contact, boolean isRefusal, boolean namesRequest) {
+        AddressPool pool = poolOf(contact);
+        pool.forgettableFromMs = clockMs.getAsLong() + NAMING_MEMORY_MS;
+        return pool.namingOf(contact.endpointId()).isAttributable(isRefusal, namesRequest);
+    }
+
     /** Closes the idle connections whose reuse time has expired. */
     void closeExpired() {
         long now = clockMs.getAsLong();
         poolsByAddress.values().forEach(pool -> pool.closeExpired(now));
-        poolsByAddress.values().removeIf(pool -> pool.openCount == 0 && now >= pool.reusableFromMs);
+        poolsByAddress.values().removeIf(pool -> pool.isForgettable(now));
     }
 
     private static EndpointException notSentException(
@@ -147,8 +162,21 @@
     /** Pool of the connections to one address. */
     private static final class AddressPool {
         private final ArrayDeque<Connection> idleConnections = new ArrayDeque<>();
+        private ResponseNaming naming = new ResponseNaming("");
         private int openCount;
         private long reusableFromMs;
+        private long forgettableFromMs;
+
+        private boolean isForgettable(long nowMs) {
+            return openCount == 0 && nowMs >= reusableFromMs && nowMs >= forgettableFromMs;
+        }
+
+        private ResponseNaming namingOf(String endpointId) {
+            if (!naming.endpointId.equals(endpointId)) {
+                naming = new ResponseNaming(endpointId);
+            }
+            return naming;
+        }
 
         /** Removes and returns the most recently used connection that is suitable, or returns null. */
         Connection takeIdle(String requestId, long nowMs) {
@@ -183,6 +211,26 @@
         }
     }
 
+    /** In which responses an endpoint names their request. */
+    private static final class ResponseNaming {
+        private final String endpointId;
+        private boolean namesRefusals;
+        private boolean namesOtherResponses;
+
+        ResponseNaming(String endpointId) {
+            this.endpointId = endpointId;
+        }
+
+        boolean isAttributable(boolean isRefusal, boolean namesRequest) {
+            if (isRefusal) {
+                namesRefusals |= namesRequest;
+                return namesRequest || !namesRefusals;
+            }
+            namesOtherResponses |= namesRequest;
+            return namesRequest || !namesOtherResponses;
+        }
+    }
+
     /** A connection that is in use or idle in the pool. */
     final class Connection {
         private final AddressPool addressPool;
--- a/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
@@ -152,6 +152,11 @@
             onFailure("response belongs to another request");
             return;
         }
+        if (!scope.connections()
+                .isAttributable(contact, head.isNotRun(), head.requestId().isPresent())) {
+            onFailure("response names no request");
+            return;
+        }
         scope.limits().responded(contact.endpointId(), head.requestLimitPerS());
         if (!head.isMisdirected()) {
             // Otherwise another endpoint has taken over the address, and speaks for itself.
--- a/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
@@ -305,6 +305,27 @@
         }
     }
 
+    /**
+     * Guards against copies without identifier on another connection that are taken for the response, at an endpoint
+     * that names the request in responses of this kind.
+     */
+    @ParameterizedTest
+    @CsvSource({"503, X-Not-Run: 1, refused", "200, Date: now, complete: run of a"})
+    void aResponseWithoutIdentifierIsNotTakenForThatToTheRequest(int status, String header, String first)
+            throws Exception {
+        String named = response(status, header + "\r\nX-Request-Id: a\r\n", "run of a");
+        String unnamed = response(status, header + "\r\nConnection: close\r\n", "run of z");
+        try (RepeatingEndpoint endpoint = new RepeatingEndpoint(List.of(named, unnamed))) {
+            String outcome = call("a", endpoint.port(), new NoNotices()).outcome.get(WAIT_S, TimeUnit.SECONDS);
+            assertThat(outcome).isEqualTo(first);
+            // A request that must not run twice has a connection of its own.
+            assertThat(call("b", endpoint.port(), new NoNotices(), false)
+                            .outcome
+                            .get(WAIT_S, TimeUnit.SECONDS))
+                    .isEqualTo("STAGE_DIED MAY_HAVE_RUN");
+        }
+    }
+
     /** Guards against whole responses that are cut because the endpoint closes while the caller reads slowly. */
     @ParameterizedTest
     @ValueSource(ints = {100, 20_000})
