Count attempts that a status check cancelled as crashes once the end of their endpoint is proven

Callers saw: copies of a request that crashes the workers which run it went on as long as they were sent, at four routers.

Cause: a failed status check cancels the attempts at its endpoint, and cancelled attempts counted for no crash, as a cut link cancels sound requests in the same way. So nothing counted when the check preceded the ends of the connections.

It counts once the list shows a new lifetime of the endpoint, or drops one that refuses connections. It is forgotten when the endpoint responds in the same lifetime or a request with the fingerprint finishes, and not kept after an announced leave. At endpoints that refuse connections it holds further copies meanwhile; at silent ones it delays nothing. Sound requests that lost two endpoints to another one run once more, alone, before the quarantine.

Tests: the endpoints of CrashProofTest joined again under their identifier without an end of their lifetime, which the registry never reports of a process that restarted; they are reported as ended now, by a new lifetime or by the loss of their entry. On the code before, the two listed cases and their two variants fail all the same.

--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -109,6 +109,9 @@
             quarantineSystem.endpointEnded(removed.endpointId(), nowMs);
         }
         partQuarantineSystem.endpointEnded(removed.endpointId(), nowMs);
+        if (removed.hasCrashed()) {
+            quarantineSystem.endProven(removed.endpointId(), nowMs);
+        }
         for (RequestRow row : rows) {
             if (removed.hasCrashed() && row.isAccepted && state.requests.containsKey(row.id())) {
                 quarantineSystem.recordCrash(row, removed.endpointId(), nowMs);
@@ -266,9 +269,8 @@
 
     private void endAttempt(RequestRow row, String endpointId, Reason reason, Verdict verdict, long nowMs) {
         Chain chain = row.chain;
-        boolean isBroken = reason == Reason.STAGE_DIED
-                && verdict != Verdict.NOT_RUN
-                && (row.state != RequestRow.State.CANCELLING || row.isCancelledByCrash);
+        boolean hasLostEndpoint = reason == Reason.STAGE_DIED && verdict != Verdict.NOT_RUN && chain.uses(endpointId);
+        boolean isInterrupted = row.state == RequestRow.State.CANCELLING && !row.isCancelledByCrash;
         state.release(row, nowMs);
         row.rerouteChain = null;
         row.state = RequestRow.State.BACKING_OFF;
@@ -299,7 +301,9 @@
                 nowMs,
                 "attempt " + row.epoch + " ended: " + reason.wireName() + " at " + endpointId + ", "
                         + verdict.wireName());
-        if (isBroken && chain.uses(endpointId)) {
+        if (hasLostEndpoint && isInterrupted) {
+            quarantineSystem.recordInterruption(row, endpointId, nowMs);
+        } else if (hasLostEndpoint) {
             quarantineSystem.recordBrokenAttempt(row, endpointId, nowMs);
             partQuarantineSystem.recordFailure(row, endpointId, nowMs);
         }
--- a/core/src/main/java/io/radishwinch/core/impl/QuarantineSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/QuarantineSystem.java
@@ -34,8 +34,43 @@
         }
     }
 
-    void endpointJoined(String endpointId) {
+    /**
+     * Records an attempt that was cancelled because its endpoint does not respond. It counts as a crash once the
+     * endpoint is proven to have ended; a cut link or a silence has the same effect on sound requests.
+     */
+    void recordInterruption(RequestRow row, String endpointId, long nowMs) {
+        if (state.directory.isRemoved(endpointId)) {
+            boolean isSilent = state.suspectedSinceMs.containsKey(endpointId);
+            state.quarantine.recordInterruption(row.spec.fingerprint(), endpointId, !isSilent, nowMs);
+        }
+    }
+
+    /** Counts the attempts that were cancelled at an endpoint as crashes, as it is proven to have ended. */
+    void endProven(String endpointId, long nowMs) {
+        for (String fingerprint : state.quarantine.takeInterrupted(endpointId, nowMs)) {
+            if (state.quarantine.recordProvenInterruption(fingerprint, endpointId, nowMs)) {
+                state.actions.add(new Action.ShareCrash(fingerprint, endpointId));
+                applyQuarantine(fingerprint, true, nowMs);
+            }
+        }
+    }
+
+    /**
+     * Applies that an endpoint leaves. The end of one that accepts no connections and is then removed from the list is
+     * proven; one that is merely silent may be frozen.
+     */
+    void endpointLeaving(String endpointId, long nowMs) {
+        if (!state.directory.isRemoved(endpointId)) {
+            state.quarantine.recordLeave(endpointId, nowMs);
+        } else if (!state.suspectedSinceMs.containsKey(endpointId)) {
+            endProven(endpointId, nowMs);
+        }
+    }
+
+    /** Forgets the evidence against requests at an endpoint that responds in the same lifetime. */
+    void endpointJoined(String endpointId, long nowMs) {
         evidence.recordEndpointJoined(endpointId);
+        state.quarantine.recordEndpointJoined(endpointId, nowMs);
     }
 
     void requestFinished(RequestRow row, long nowMs) {
--- a/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -112,7 +112,9 @@
             dispatch.dispatch(nowMs);
         } else if (event instanceof Event.EndpointJoined joined) {
             attempts.endpointJoined(joined.endpoint().id());
-            quarantineSystem.endpointJoined(joined.endpoint().id());
+            quarantineSystem.endpointJoined(joined.endpoint().id(), nowMs);
+        } else if (event instanceof Event.EndpointLeaving leaving) {
+            quarantineSystem.endpointLeaving(leaving.endpointId(), nowMs);
         } else if (event instanceof Event.CrashShared crash) {
             quarantineSystem.recordPeerCrash(crash, nowMs);
         } else if (event instanceof Event.QuarantineShared shared) {
--- a/core/src/main/java/io/radishwinch/core/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/io/radishwinch/core/quarantine/CrashQuarantine.java
@@ -1,6 +1,7 @@
 package io.radishwinch.core.quarantine;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -14,6 +15,9 @@
  * <p>An attempt that broke at an endpoint that is not known to have ended is a suspicion. For a short time it counts
  * like a crash for the start of attempts, unless a request with the fingerprint finished lately; it never leads to a
  * quarantine.
+ *
+ * <p>An attempt that was cancelled because its endpoint did not respond counts as a crash only once the endpoint is
+ * proven to have ended. Attempts at endpoints that accept no connections count for the start of others meanwhile.
  */
 public final class CrashQuarantine {
 
@@ -32,7 +36,15 @@
     /** Highest number of crashes before a quarantine, however many requests have finished. */
     private static final int MAX_CRASH_LIMIT = 5;
 
-    private record Crash(String endpointId, long atMs, long restartAllowedAtMs, int count) {}
+    /** Time for which an announced leave explains why an endpoint does not respond, in ms. */
+    private static final long LEAVE_MS = 60_000;
+
+    /**
+     * Last crash of a fingerprint.
+     *
+     * @param allowsTrial whether one more attempt may run alone, although the number of crashes would quarantine
+     */
+    private record Crash(String endpointId, long atMs, long restartAllowedAtMs, int count, boolean allowsTrial) {}
 
     private final QuarantineSettings settings;
     private final ExpiringMap<Long> quarantined;
@@ -40,6 +52,8 @@
     private final ExpiringMap<Boolean> trusted;
     private final ExpiringMap<Crash> suspicions;
     private final ExpiringMap<Integer> finishedCounts;
+    private final InterruptedAttempts interruptions;
+    private final ExpiringMap<Boolean> leaves;
     private final Map<String, Integer> running = new HashMap<>();
 
     /** Creates an empty quarantine. */
@@ -50,6 +64,8 @@
         this.trusted = new ExpiringMap<>(settings.maxEntries());
         this.suspicions = new ExpiringMap<>(settings.maxEntries());
         this.finishedCounts = new ExpiringMap<>(settings.maxEntries());
+        this.interruptions = new InterruptedAttempts(settings.maxEntries());
+        this.leaves = new ExpiringMap<>(settings.maxEntries());
     }
 
     /** Returns whether the fingerprint is quarantined. */
@@ -85,8 +101,14 @@
         if (crash == null && trusted.get(fingerprint, nowMs) != null) {
             return true;
         }
-        int crashes = (crash == null ? 0 : crash.count()) + (suspicion == null ? 0 : suspicion.count());
-        return crashes + running.getOrDefault(fingerprint, 0) < crashLimit(fingerprint, nowMs);
+        // An interruption is also a suspicion for some time.
+        int unproven =
+                Math.max(suspicion == null ? 0 : suspicion.count(), interruptions.delayCount(fingerprint, nowMs));
+        int atRisk = unproven + running.getOrDefault(fingerprint, 0);
+        if (crash != null && crash.allowsTrial() && atRisk == 0) {
+            return true;
+        }
+        return (crash == null ? 0 : crash.count()) + atRisk < crashLimit(fingerprint, nowMs);
     }
 
     /** Returns the last endpoint at which an attempt of the suspect ended, or an empty string if it is no suspect. */
@@ -103,6 +125,8 @@
                 + trusted.size()
                 + suspicions.size()
                 + finishedCounts.size()
+                + interruptions.size()
+                + leaves.size()
                 + running.size();
     }
 
@@ -120,6 +144,7 @@
     public void recordRequestFinished(String fingerprint, long nowMs) {
         suspects.remove(fingerprint);
         suspicions.remove(fingerprint);
+        interruptions.forgetFingerprint(fingerprint);
         trusted.put(fingerprint, true, nowMs + settings.trustMs());
         Integer earlier = finishedCounts.get(fingerprint, nowMs);
         int count = earlier == null ? 1 : Math.min(earlier + 1, FINISHED_PER_CRASH * MAX_CRASH_LIMIT);
@@ -135,10 +160,62 @@
         int count = earlier == null ? 1 : earlier.count() + 1;
         suspicions.put(
                 fingerprint,
-                new Crash(endpointId, nowMs, nowMs + settings.restartDelayMs(), count),
+                new Crash(endpointId, nowMs, nowMs + settings.restartDelayMs(), count, false),
                 nowMs + SUSPICION_MS);
     }
 
+    /**
+     * Records that an attempt with the fingerprint was cancelled because its endpoint did not respond.
+     *
+     * @param delaysCopies whether it counts like a crash for the start of attempts until the endpoint responds or is
+     *     proven to have ended
+     */
+    public void recordInterruption(String fingerprint, String endpointId, boolean delaysCopies, long nowMs) {
+        boolean isExplained = leaves.get(endpointId, nowMs) != null
+                || isKnownCrash(suspects.get(fingerprint, nowMs), endpointId, nowMs);
+        if (!isExplained) {
+            interruptions.record(fingerprint, endpointId, delaysCopies, nowMs);
+            if (delaysCopies) {
+                recordSuspicion(fingerprint, endpointId, nowMs);
+            }
+        }
+    }
+
+    /**
+     * Records that an endpoint is proven to have ended at which an attempt with the fingerprint was cancelled.
+     *
+     * <p>Such attempts alone quarantine their fingerprint one crash later than others: copies are held until the proof,
+     * so that a sound request which lost its endpoints to another one had no chance to finish. It gets one, alone.
+     *
+     * @return whether the peers should learn of the crash; only the first one is shared before the quarantine
+     */
+    public boolean recordProvenInterruption(String fingerprint, String endpointId, long nowMs) {
+        Crash earlier = suspects.get(fingerprint, nowMs);
+        boolean allowsTrial = earlier == null || earlier.count() < crashLimit(fingerprint, nowMs);
+        return recordCrash(fingerprint, endpointId, settings.peerRestartDelayMs(), allowsTrial, nowMs)
+                && (earlier == null || isQuarantined(fingerprint, nowMs));
+    }
+
+    /** Forgets the attempts that were cancelled at an endpoint, and returns their fingerprints. */
+    public List<String> takeInterrupted(String endpointId, long nowMs) {
+        return interruptions.takeEndpoint(endpointId, nowMs);
+    }
+
+    /** Records that an endpoint that responds has announced its end, so that its end is no crash. */
+    public void recordLeave(String endpointId, long nowMs) {
+        leaves.put(endpointId, true, nowMs + LEAVE_MS);
+    }
+
+    /** Forgets the cancelled attempts at an endpoint that responds in the same lifetime. */
+    public void recordEndpointJoined(String endpointId, long nowMs) {
+        leaves.remove(endpointId);
+        interruptions.takeEndpoint(endpointId, nowMs);
+    }
+
+    private static boolean isKnownCrash(Crash crash, String endpointId, long nowMs) {
+        return crash != null && crash.endpointId().equals(endpointId) && nowMs - crash.atMs() < SAME_CRASH_MS;
+    }
+
     /**
      * Records that the fingerprint was running on an endpoint when the endpoint crashed.
      *
@@ -146,16 +223,21 @@
      * @return false if the crash was already known
      */
     public boolean recordCrash(String fingerprint, String endpointId, boolean isReportedByPeer, long nowMs) {
+        long delayMs = isReportedByPeer ? settings.peerRestartDelayMs() : settings.restartDelayMs();
+        return recordCrash(fingerprint, endpointId, delayMs, false, nowMs);
+    }
+
+    private boolean recordCrash(String fingerprint, String endpointId, long delayMs, boolean allowsTrial, long nowMs) {
         Crash earlier = suspects.get(fingerprint, nowMs);
-        if (earlier != null && earlier.endpointId().equals(endpointId) && nowMs - earlier.atMs() < SAME_CRASH_MS) {
+        interruptions.forget(fingerprint, endpointId);
+        if (isKnownCrash(earlier, endpointId, nowMs)) {
             return false;
         }
         trusted.remove(fingerprint);
         suspicions.remove(fingerprint);
-        long delayMs = isReportedByPeer ? settings.peerRestartDelayMs() : settings.restartDelayMs();
         int count = earlier == null ? 1 : earlier.count() + 1;
-        Crash crash = new Crash(endpointId, nowMs, nowMs + delayMs, count);
-        if (count < crashLimit(fingerprint, nowMs)) {
+        Crash crash = new Crash(endpointId, nowMs, nowMs + delayMs, count, allowsTrial);
+        if (allowsTrial || count < crashLimit(fingerprint, nowMs)) {
             suspects.put(fingerprint, crash, nowMs + settings.suspectMs());
             return true;
         }
@@ -192,5 +274,7 @@
         trusted.expire(nowMs);
         suspicions.expire(nowMs);
         finishedCounts.expire(nowMs);
+        interruptions.tick(nowMs);
+        leaves.expire(nowMs);
     }
 }
--- a/core/src/test/java/io/radishwinch/core/impl/CrashProofTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/CrashProofTest.java
@@ -13,10 +13,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.Function;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against a quarantine of sound requests at faulty endpoints, and of crashing ones that is too late. */
@@ -30,6 +32,8 @@
     private final List<CoreSimulation> routers = new ArrayList<>();
     private final Map<String, Long> downSinceMs = new HashMap<>();
     private final List<Long> crashTimesMs = new ArrayList<>();
+    /** What the list says of a crashed endpoint before it joins again. */
+    private Function<String, Event> endOfLifetime = id -> new Event.EndpointRemoved(id, true);
 
     private void createRouters() {
         for (int n = 0; n < ROUTERS; n++) {
@@ -76,13 +80,18 @@
                     .toList();
             restarted.forEach(downSinceMs::remove);
             for (CoreSimulation router : routers) {
-                router.directory.down.removeAll(restarted);
-                restarted.forEach(id -> router.handle(
-                        new Event.EndpointJoined(new EndpointSpec(id, "dc", "", 0, "k", 100, true, true))));
+                restarted.forEach(id -> {
+                    router.handle(endOfLifetime.apply(id));
+                    router.handle(joined(id));
+                });
             }
         }
     }
 
+    private static Event joined(String endpointId) {
+        return new Event.EndpointJoined(new EndpointSpec(endpointId, "dc", "", 0, "k", 100, true, true));
+    }
+
     private void relay(Action action, CoreSimulation from, long atMs) {
         Event event = null;
         if (action instanceof Action.ShareCrash crash) {
@@ -161,6 +170,58 @@
         assertThatCopiesStop(afterMs, connectionEndMs, proofMs, intervalMs);
     }
 
+    /** Guards against crashes that count for no request, as the endpoints start again under other identifiers. */
+    @ParameterizedTest
+    @CsvSource({"10,200,100,300", "10,1000,300,300"})
+    void copiesStopIfTheEntriesOfTheirEndpointsExpire(
+            long afterMs, long connectionEndMs, long proofMs, long intervalMs) {
+        endOfLifetime = Event.EndpointLeaving::new;
+        assertThatCopiesStop(afterMs, connectionEndMs, proofMs, intervalMs);
+    }
+
+    enum Silence {
+        CUT_LINK,
+        SILENT_SECOND,
+        FREEZE,
+        PLANNED_END
+    }
+
+    /** Guards against a quarantine of sound requests that lose endpoints which have not crashed. */
+    @ParameterizedTest
+    @EnumSource(Silence.class)
+    void aRequestThatLosesEndpointsWhichHaveNotCrashedIsServed(Silence silence) {
+        createRouters();
+        CoreSimulation router = routers.get(0);
+        router.arrive(router.request("r", "a", Rank.INTERACTIVE, 0, 1_000, 20_000));
+        for (int n = 0; n < 500; n++) {
+            router.arrive(router.request("short" + n, "a", Rank.INTERACTIVE, n * 20L, 30, 10_000));
+        }
+        for (long atMs = 1_000; atMs <= 2_500; atMs += 1_500) {
+            router.run(atMs - 1);
+            List<Action.StartAttempt> starts = router.trace("r").starts;
+            String endpointId =
+                    starts.get(starts.size() - 1).chain().firstStage().endpointId();
+            loseEndpoint(router, endpointId, atMs, silence);
+        }
+        router.run(20_000);
+        assertThat(router.trace("r").starts).hasSize(3);
+        assertThat(router.trace("r").endedAtMs).isBetween(10_000L, 12_000L);
+        assertThat(router.traces.values()).allMatch(CoreSimulation.Trace::isServed);
+        assertThat(router.actions).noneMatch(action -> action instanceof Action.ShareCrash);
+    }
+
+    private static void loseEndpoint(CoreSimulation router, String endpointId, long atMs, Silence silence) {
+        boolean isSuspected = silence == Silence.SILENT_SECOND || silence == Silence.FREEZE;
+        if (silence == Silence.PLANNED_END) {
+            router.at(atMs, new Event.EndpointLeaving(endpointId));
+        }
+        router.at(atMs, new Event.EndpointRemoved(endpointId, false, isSuspected));
+        if (silence == Silence.FREEZE) {
+            router.at(atMs + 1_800, new Event.EndpointLeaving(endpointId));
+        }
+        router.at(atMs + (silence == Silence.SILENT_SECOND ? 1_000 : 2_500), joined(endpointId));
+    }
+
     private void assertThatCopiesStop(long afterMs, long connectionEndMs, long proofMs, long intervalMs) {
         createRouters();
         crashEndpoints("poison", afterMs, connectionEndMs, proofMs);
