Order no layers of an engine that is only suspected

Callers of a model were refused for missing layers, and their streams were cut, when a sound engine was silent for about a second: 12 to 230 ms after its suspicion other engines were ordered to load its layers, with a cut-over, which interrupts their streams and gives up layers that they hold. The order cannot be undone when the engine responds a second later.

The placement was told of removed endpoints only by their absence, so that a suspected engine looked like one that has ended. It is now passed with its last holdings until its silence has lasted 2 s. It counts as a holder and gets no orders, and engines that share layers only with it neither move nor release them. An engine that has ended is replaced at once, as before. One that ends without a refused connection is replaced 2 s later than before.

SuspectedEngineTest failed before: four engines were ordered to load other layers, with cut-over, while a silent one could still respond. It passes with the change, as do LayoutPlannerTest, PlacementPlannerTest and BalancedLayoutTest.

--- a/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
+++ b/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
@@ -14,7 +14,9 @@
 import io.radishwinch.core.placement.Placement;
 import io.radishwinch.core.placement.PlacementEndpoint;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeSet;
 
 /**
@@ -35,9 +37,14 @@
     private final EndpointHealth health;
     private final DeliveredTokenRates deliveredTokenRates = new DeliveredTokenRates();
     private final Placement placement;
+    /** Engines that do not respond, which keep their layers in the eyes of the placement until their silence ends. */
+    private final Map<String, SuspectedEngine> suspectedEngines = new HashMap<>();
+
     private long nextPlacementMs = Long.MIN_VALUE;
     private long nextScanMs = Long.MIN_VALUE;
 
+    private record SuspectedEngine(PlacementEndpoint lastState, long untilMs) {}
+
     /**
      * Creates a directory over a table.
      *
@@ -68,6 +75,7 @@
         } else if (event instanceof Event.ConfigChanged e) {
             table.setConfig(e.config());
         } else if (event instanceof Event.EndpointJoined e) {
+            suspectedEngines.remove(e.endpoint().id());
             if (table.join(e.endpoint())) {
                 health.add(e.endpoint().id(), nowMs);
                 applyWeight(e.endpoint().id(), nowMs);
@@ -83,6 +91,7 @@
                 actions.add(new Action.StateChanged(e.endpointId(), "leaving, no new work"));
             }
         } else if (event instanceof Event.EndpointRemoved e) {
+            trackSuspicion(e, nowMs);
             if (table.remove(e.endpointId(), nowMs)) {
                 health.remove(e.endpointId());
                 actions.add(new Action.StateChanged(e.endpointId(), e.hasCrashed() ? "gone, crashed" : "gone"));
@@ -115,6 +124,22 @@
         return actions;
     }
 
+    private void trackSuspicion(Event.EndpointRemoved removed, long nowMs) {
+        EndpointRow row = table.row(removed.endpointId());
+        if (!removed.isSuspected()) {
+            suspectedEngines.remove(removed.endpointId());
+        } else if (placement != null && row != null && !row.isRemoved()) {
+            suspectedEngines.put(
+                    row.id(),
+                    new SuspectedEngine(
+                            placementEndpoint(row).suspected(), nowMs + Event.EndpointRemoved.MAX_SILENCE_MS));
+        }
+    }
+
+    private PlacementEndpoint placementEndpoint(EndpointRow row) {
+        return new PlacementEndpoint(row.spec(), row.holdings(), health.isEjected(row.id()), row.occupiedSlots());
+    }
+
     private void reportCache(Event.CacheReported event) {
         EndpointRow row = table.row(event.endpointId());
         if (row != null && !row.isRemoved()) {
@@ -236,10 +261,16 @@
 
     private void runPlacement(long nowMs, List<Action> actions) {
         List<PlacementEndpoint> endpoints = new ArrayList<>();
+        suspectedEngines.values().removeIf(engine -> nowMs >= engine.untilMs);
         for (EndpointRow row : table.rows()) {
-            if (!row.isRemoved() && !row.isLeaving()) {
-                boolean isEjected = health.isEjected(row.id());
-                endpoints.add(new PlacementEndpoint(row.spec(), row.holdings(), isEjected, row.occupiedSlots()));
+            if (row.isLeaving()) {
+                continue;
+            }
+            SuspectedEngine suspected = suspectedEngines.get(row.id());
+            if (!row.isRemoved()) {
+                endpoints.add(placementEndpoint(row));
+            } else if (suspected != null) {
+                endpoints.add(suspected.lastState);
             }
         }
         for (Action action : placement.tick(endpoints, table.config(), nowMs)) {
--- a/core/src/main/java/io/radishwinch/core/event/Event.java
+++ b/core/src/main/java/io/radishwinch/core/event/Event.java
@@ -114,6 +114,12 @@
      */
     record EndpointRemoved(String endpointId, boolean hasCrashed, boolean isSuspected) implements Event {
 
+        /**
+         * Time for which a suspected endpoint counts as one that still runs its attempts and may respond again, in ms;
+         * a sound endpoint may be silent for about a second.
+         */
+        public static final long MAX_SILENCE_MS = 2_000;
+
         /** Creates the removal of an endpoint that has ended. */
         public EndpointRemoved(String endpointId, boolean hasCrashed) {
             this(endpointId, hasCrashed, false);
--- a/core/src/main/java/io/radishwinch/core/impl/CoreState.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreState.java
@@ -41,11 +41,7 @@
     /** Largest share of the queue capacity that requests of one caller may use outside the queue. */
     private static final double MAX_WAITING_SHARE = 0.25;
 
-    /**
-     * Time for which a suspected endpoint counts as one that still runs its attempts and may respond again, in ms; a
-     * sound endpoint may be silent for about a second.
-     */
-    static final long MAX_SILENCE_MS = 2_000;
+    static final long MAX_SILENCE_MS = Event.EndpointRemoved.MAX_SILENCE_MS;
 
     private static final String FINISHED = "finished";
     private static final int MAX_FINISHED = 2_000;
--- a/core/src/main/java/io/radishwinch/core/placement/LayerCapacity.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayerCapacity.java
@@ -44,11 +44,13 @@
         return holders[layer];
     }
 
-    /** Returns the smallest number of holders over the layers of the range. */
-    int minHolders(LayerRange layers) {
+    /**
+     * Returns the smallest number of holders over the layers of the range, without those that are counted elsewhere.
+     */
+    int minHolders(LayerRange layers, LayerCapacity without) {
         int fewest = Integer.MAX_VALUE;
         for (int layer = layers.first(); layer < Math.min(layers.end(), capacityRequests.length); layer++) {
-            fewest = Math.min(fewest, holders[layer]);
+            fewest = Math.min(fewest, holders[layer] - without.holders[layer]);
         }
         return fewest;
     }
--- a/core/src/main/java/io/radishwinch/core/placement/PlacementPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/placement/PlacementPlanner.java
@@ -227,10 +227,14 @@
                     .orElse(null);
         }
 
+        private boolean canOrder(PlacementEndpoint endpoint) {
+            return !endpoint.isEjected() && !endpoint.isSuspected() && !pending.containsKey(endpoint.id());
+        }
+
         private boolean canMove(PlacementEndpoint endpoint, boolean afterCooldown) {
             Long lastMs = movedAtMs.get(endpoint.id());
             boolean isCoolingDown = afterCooldown && lastMs != null && nowMs - lastMs < settings.cooldownMs();
-            if (endpoint.isEjected() || isCoolingDown || pending.containsKey(endpoint.id())) {
+            if (!canOrder(endpoint) || isCoolingDown) {
                 return false;
             }
             for (Holding holding : endpoint.holdings()) {
@@ -293,7 +297,7 @@
                 return;
             }
             for (PlacementEndpoint endpoint : endpoints.values()) {
-                if (endpoint.isEjected() || pending.containsKey(endpoint.id()) || nowMs < storeFreeAtMs) {
+                if (!canOrder(endpoint) || nowMs < storeFreeAtMs) {
                     continue;
                 }
                 for (EngineOrder order : ordersForGoals(endpoint)) {
