Back off no health checks before a silence counts as an end

A sound engine that was silent for about a second stayed out of use for up to 11.7 s, and requests for its layers were refused or ran out of time: the checks at 0.5, 1.5, 3.5 and 7.5 s each met a later silence, at growing intervals.

The backoff doubled from the first check on. It now does so once the silence has lasted 2 s, from which on the endpoint counts as one that has ended.

The new test failed before, with checks at 0.5, 1.5, 3.5, 7.5 and 11.5 s.

--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -45,7 +45,10 @@
     /** Maximum number of lifetimes that are remembered after they have left; the oldest are forgotten above it. */
     private static final int MAX_DEPARTED = 4_096;
 
-    /** First backoff before an unreachable endpoint is checked again, in ms; doubles with each check. */
+    /**
+     * First backoff before an unreachable endpoint is checked again, in ms; doubles with each check once the endpoint
+     * has been silent for longer than a sound one.
+     */
     private static final long INITIAL_BACKOFF_MS = 500;
 
     private static final long MAX_BACKOFF_MS = 4_000;
@@ -117,6 +120,8 @@
         private boolean isMissing;
         private long acceptedOrders;
         private int failures;
+        private int doublings;
+        private long silentSinceMs;
         private long nextCheckAtMs = Long.MAX_VALUE;
         private long evictAtMs = Long.MAX_VALUE;
 
@@ -126,7 +131,13 @@
         }
 
         void backOff(long nowMs) {
-            nextCheckAtMs = nowMs + Math.min(MAX_BACKOFF_MS, INITIAL_BACKOFF_MS << Math.min(failures, MAX_DOUBLINGS));
+            if (failures == 0) {
+                silentSinceMs = nowMs;
+                doublings = 0;
+            } else if (nowMs - silentSinceMs >= Event.EndpointRemoved.MAX_SILENCE_MS && doublings < MAX_DOUBLINGS) {
+                doublings++;
+            }
+            nextCheckAtMs = nowMs + Math.min(MAX_BACKOFF_MS, INITIAL_BACKOFF_MS << doublings);
             failures++;
         }
     }
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -242,6 +243,18 @@
         }
     }
 
+    /** Failure: checks that met several silences of a sound endpoint backed off, and it was out of use for 12 s. */
+    @Test
+    void healthChecksBackOffOnlyOnceAnEndpointIsSilentForLongerThanASoundOne() {
+        registry.applyEntry("e", entry("e", 7, false, new LayerRange(0, 10)), 0);
+        registry.markUnreachable("e@7", "no report", 0);
+        List<Long> checksAtMs = LongStream.rangeClosed(0, 15_000)
+                .filter(nowMs -> !registry.takeDueHealthChecks(nowMs).isEmpty())
+                .boxed()
+                .toList();
+        assertThat(checksAtMs).containsExactly(500L, 1_000L, 1_500L, 2_000L, 3_000L, 5_000L, 9_000L, 13_000L);
+    }
+
     @Test
     void unreachableEndpointIsCheckedAgainAndJoinsWhenItResponds() {
         registry.applyEntry("e", entry("e", 7, false, new LayerRange(0, 10)), 0);
