Refuse no request for layers that a silent endpoint may still hold

Two time limits passed during the silence: the latest start of a request, at the target time of its route, and the grace period of a coverage gap, which was extended to 2 s from the begin of the gap while any endpoint was suspected, and so ended between two silences that follow each other.

The directory now tells whether a pool will be covered once the suspected endpoints respond, from the layers that they held. While it will be, for at most 2 s for each silence, requests are neither refused for missing layers, nor does the time to their latest start pass. Suspicions of endpoints that do not close the gap extend no grace period any more.

The two tests of SilentEndpointTest failed before.

--- a/core/src/main/java/io/radishwinch/core/chain/EndpointDirectory.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointDirectory.java
@@ -55,6 +55,9 @@
     /** Returns whether usable endpoints cover every layer of the pool, regardless of free slots. */
     boolean isCovered(String pool, long nowMs);
 
+    /** Returns whether the pool is not covered, and is again once the endpoints respond that are only suspected. */
+    boolean isCoveredAfterSilences(String pool, long nowMs);
+
     /**
      * Returns the time in ms until which requests for a pool wait for endpoints that have asked for a pause, or the
      * given time if others hold every layer.
--- a/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
+++ b/core/src/main/java/io/radishwinch/core/chain/EndpointTable.java
@@ -11,6 +11,7 @@
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.model.Stage;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
@@ -118,6 +119,19 @@
                         .anyMatch(entry -> entry.first == 0 && entry.row.isUsable() && !entry.row.isEntryClosed());
     }
 
+    /** Returns whether usable endpoints and holders of further layers together hold every layer of a pool. */
+    boolean isCoveredWith(ModelSpec pool, Collection<LayerRange> furtherLayers) {
+        BitSet held = new BitSet(pool.layerCount());
+        furtherLayers.forEach(layers -> held.set(layers.first(), layers.end()));
+        for (HeldRange entry : heldRanges(pool)) {
+            boolean isClosedEntry = entry.first == 0 && entry.row.isEntryClosed();
+            if (entry.row.isUsable() && !isClosedEntry) {
+                held.set(entry.first, entry.end);
+            }
+        }
+        return held.nextClearBit(0) >= pool.layerCount();
+    }
+
     /**
      * Returns the lowest layer that no usable endpoint holds, or the layer count if all layers are held.
      *
--- a/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
+++ b/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
@@ -8,6 +8,8 @@
 import io.radishwinch.core.health.HealthSettings;
 import io.radishwinch.core.model.Chain;
 import io.radishwinch.core.model.EngineOrder;
+import io.radishwinch.core.model.Holding;
+import io.radishwinch.core.model.LayerRange;
 import io.radishwinch.core.model.ModelSpec;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
@@ -37,13 +39,13 @@
     private final EndpointHealth health;
     private final DeliveredTokenRates deliveredTokenRates = new DeliveredTokenRates();
     private final Placement placement;
-    /** Engines that do not respond, which keep their layers in the eyes of the placement until their silence ends. */
-    private final Map<String, SuspectedEngine> suspectedEngines = new HashMap<>();
+    /** Endpoints that do not respond and may hold their layers still, with their state before. */
+    private final Map<String, SuspectedEndpoint> suspectedEndpoints = new HashMap<>();
 
     private long nextPlacementMs = Long.MIN_VALUE;
     private long nextScanMs = Long.MIN_VALUE;
 
-    private record SuspectedEngine(PlacementEndpoint lastState, long untilMs) {}
+    private record SuspectedEndpoint(PlacementEndpoint lastState, long untilMs) {}
 
     /**
      * Creates a directory over a table.
@@ -75,13 +77,14 @@
         } else if (event instanceof Event.ConfigChanged e) {
             table.setConfig(e.config());
         } else if (event instanceof Event.EndpointJoined e) {
-            suspectedEngines.remove(e.endpoint().id());
+            suspectedEndpoints.remove(e.endpoint().id());
             if (table.join(e.endpoint())) {
                 health.add(e.endpoint().id(), nowMs);
                 applyWeight(e.endpoint().id(), nowMs);
                 actions.add(new Action.StateChanged(e.endpoint().id(), "joined"));
             }
         } else if (event instanceof Event.EndpointLeaving e) {
+            suspectedEndpoints.remove(e.endpointId());
             EndpointRow row = table.row(e.endpointId());
             // A crashed endpoint is also removed from the list, some heartbeats later; this is not a planned leave.
             if (placement != null && row != null && !row.isRemoved()) {
@@ -127,11 +130,11 @@
     private void trackSuspicion(Event.EndpointRemoved removed, long nowMs) {
         EndpointRow row = table.row(removed.endpointId());
         if (!removed.isSuspected()) {
-            suspectedEngines.remove(removed.endpointId());
-        } else if (placement != null && row != null && !row.isRemoved()) {
-            suspectedEngines.put(
+            suspectedEndpoints.remove(removed.endpointId());
+        } else if (row != null && !row.isRemoved()) {
+            suspectedEndpoints.put(
                     row.id(),
-                    new SuspectedEngine(
+                    new SuspectedEndpoint(
                             placementEndpoint(row).suspected(), nowMs + Event.EndpointRemoved.MAX_SILENCE_MS));
         }
     }
@@ -195,6 +198,21 @@
         return spec != null && table.isCovered(spec);
     }
 
+    @Override
+    public boolean isCoveredAfterSilences(String pool, long nowMs) {
+        ModelSpec spec = table.config().pool(pool);
+        if (spec == null || suspectedEndpoints.isEmpty()) {
+            return false;
+        }
+        List<LayerRange> silent = suspectedEndpoints.values().stream()
+                .filter(endpoint -> nowMs < endpoint.untilMs)
+                .flatMap(endpoint -> endpoint.lastState.holdings().stream())
+                .filter(holding -> holding.pool().equals(pool))
+                .map(Holding::layers)
+                .toList();
+        return !silent.isEmpty() && !table.isCovered(spec) && table.isCoveredWith(spec, silent);
+    }
+
     @Override
     public long pauseEndMs(String pool, long nowMs) {
         ModelSpec spec = table.config().pool(pool);
@@ -243,6 +261,7 @@
     private void tick(long nowMs, List<Action> actions) {
         throughputBounds.refineEstimates();
         table.decayRefusals(nowMs);
+        suspectedEndpoints.values().removeIf(endpoint -> nowMs >= endpoint.untilMs);
         if (placement != null && nowMs >= nextPlacementMs) {
             nextPlacementMs = nowMs + PLACEMENT_INTERVAL_MS;
             runPlacement(nowMs, actions);
@@ -261,12 +280,11 @@
 
     private void runPlacement(long nowMs, List<Action> actions) {
         List<PlacementEndpoint> endpoints = new ArrayList<>();
-        suspectedEngines.values().removeIf(engine -> nowMs >= engine.untilMs);
         for (EndpointRow row : table.rows()) {
             if (row.isLeaving()) {
                 continue;
             }
-            SuspectedEngine suspected = suspectedEngines.get(row.id());
+            SuspectedEndpoint suspected = suspectedEndpoints.get(row.id());
             if (!row.isRemoved()) {
                 endpoints.add(placementEndpoint(row));
             } else if (suspected != null) {
--- a/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
@@ -68,6 +68,7 @@
         caller.tokens.take(spec.costTokens());
         caller.active++;
         RequestRow row = new RequestRow(spec);
+        row.silentGapsBeforeMs = state.pool(spec.pool()).silentGapsMs(nowMs);
         state.requests.put(spec.requestId(), row);
         state.activeByFingerprint.merge(spec.fingerprint(), 1, Integer::sum);
         state.recordDecision(row, nowMs, "admitted");
--- a/core/src/main/java/io/radishwinch/core/impl/CoreState.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreState.java
@@ -154,12 +154,13 @@
         if (pool.uncoveredSinceMs < 0) {
             pool.uncoveredSinceMs = nowMs;
         }
-        // A gap that begins with a silence may end with it.
-        boolean maySilenceEnd =
-                suspectedSinceMs.values().stream().anyMatch(sinceMs -> nowMs - sinceMs < MAX_SILENCE_MS);
-        long graceMs =
-                maySilenceEnd ? Math.max(MAX_SILENCE_MS, settings.uncoveredGraceMs()) : settings.uncoveredGraceMs();
-        return nowMs - pool.uncoveredSinceMs >= graceMs;
+        return nowMs - pool.uncoveredSinceMs >= settings.uncoveredGraceMs()
+                && !directory.isCoveredAfterSilences(poolName, nowMs);
+    }
+
+    /** Records which pools have a coverage gap that ends with the silence of endpoints. */
+    void recordSilentGaps(long nowMs) {
+        pools.forEach((name, pool) -> pool.recordSilentGap(directory.isCoveredAfterSilences(name, nowMs), nowMs));
     }
 
     /** Returns whether the pauses that endpoints asked for leave too little time to start the request. */
--- a/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
@@ -148,10 +148,14 @@
 
     /**
      * Returns whether a request that never ran is past its latest start time. It is refused then, so that its caller
-     * can still retry.
+     * can still retry. The time in which it waits for the end of a silence does not count, because a retry would meet
+     * the same silence.
      */
-    private static boolean hasWaitedTooLong(RequestRow row, long nowMs) {
-        return nowMs >= row.spec.startDeadlineMs() && (row.verdict == null || row.verdict == Verdict.NOT_RUN);
+    private boolean hasWaitedTooLong(RequestRow row, long nowMs) {
+        // A pool that was configured anew counts from zero.
+        long silentMs = Math.max(0, state.pool(row.spec.pool()).silentGapsMs(nowMs) - row.silentGapsBeforeMs);
+        return nowMs - silentMs >= row.spec.startDeadlineMs()
+                && (row.verdict == null || row.verdict == Verdict.NOT_RUN);
     }
 
     private boolean isTooLate(RequestRow row, long nowMs) {
--- a/core/src/main/java/io/radishwinch/core/impl/PoolRow.java
+++ b/core/src/main/java/io/radishwinch/core/impl/PoolRow.java
@@ -35,6 +35,24 @@
 
     long uncoveredSinceMs = -1;
 
+    /** Whether the pool has a coverage gap that ends with the silence of endpoints. */
+    private boolean hasSilentGap;
+
+    private long silentGapSeenAtMs;
+    private long silentGapsMs;
+
+    /** Records whether the pool has a coverage gap that ends with the silence of endpoints. */
+    void recordSilentGap(boolean isPresent, long nowMs) {
+        silentGapsMs = silentGapsMs(nowMs);
+        hasSilentGap = isPresent;
+        silentGapSeenAtMs = nowMs;
+    }
+
+    /** Returns the total duration of such gaps, in ms. */
+    long silentGapsMs(long nowMs) {
+        return silentGapsMs + (hasSilentGap ? nowMs - silentGapSeenAtMs : 0);
+    }
+
     /** Records that no chain was found; planning is skipped until the next release or tick. */
     void block(long nowMs) {
         isBlocked = true;
--- a/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
+++ b/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
@@ -36,6 +36,9 @@
      */
     final Map<String, Long> exclusionEndsMs = new LinkedHashMap<>();
 
+    /** Total duration of the gaps of its pool that end with the silence of endpoints, at its admission, in ms. */
+    long silentGapsBeforeMs;
+
     State state = State.QUEUED;
     int epoch;
     int attempts;
--- a/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -133,6 +133,7 @@
     }
 
     private void tick(long nowMs) {
+        state.recordSilentGaps(nowMs);
         attempts.tick(nowMs);
         for (RequestSpec spec : state.queue.removeExpired(nowMs)) {
             state.refuse(state.requests.get(spec.requestId()), Reason.DEADLINE_UNREACHABLE, nowMs);
--- a/core/src/test/java/io/radishwinch/core/impl/FakeDirectory.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FakeDirectory.java
@@ -19,6 +19,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.stream.IntStream;
 
 /** Directory of endpoints {@code <stage>-<n>}; a chain uses the endpoint of each stage with the fewest attempts. */
 final class FakeDirectory implements EndpointDirectory, ChainPlanner {
@@ -27,6 +29,7 @@
     final int slots;
     final Map<String, Integer> runningByEndpoint = new TreeMap<>();
     final Set<String> down = new HashSet<>();
+    private final Map<String, Long> suspectedUntilMs = new TreeMap<>();
 
     FakeDirectory(int stageCount, int endpointsPerStage, int slots) {
         this.stageCount = stageCount;
@@ -74,8 +77,14 @@
     public List<Action> handle(Event event, long nowMs) {
         if (event instanceof Event.EndpointRemoved removed) {
             down.add(removed.endpointId());
+            if (removed.isSuspected()) {
+                suspectedUntilMs.put(removed.endpointId(), nowMs + Event.EndpointRemoved.MAX_SILENCE_MS);
+            } else {
+                suspectedUntilMs.remove(removed.endpointId());
+            }
         } else if (event instanceof Event.EndpointJoined joined) {
             down.remove(joined.endpoint().id());
+            suspectedUntilMs.remove(joined.endpoint().id());
         }
         return List.of();
     }
@@ -117,7 +126,19 @@
 
     @Override
     public boolean isCovered(String pool, long nowMs) {
-        return runningByEndpoint.keySet().stream().anyMatch(id -> id.startsWith("0-") && !down.contains(id));
+        return isCovered(pool, id -> !down.contains(id));
+    }
+
+    private boolean isCovered(String pool, Predicate<String> isHolder) {
+        int columns = pool.startsWith(ModelSpec.SERVICE_PREFIX) ? 1 : stageCount;
+        return IntStream.range(0, columns).allMatch(column -> runningByEndpoint.keySet().stream()
+                .anyMatch(id -> id.startsWith(column + "-") && isHolder.test(id)));
+    }
+
+    @Override
+    public boolean isCoveredAfterSilences(String pool, long nowMs) {
+        return !isCovered(pool, nowMs)
+                && isCovered(pool, id -> !down.contains(id) || nowMs < suspectedUntilMs.getOrDefault(id, nowMs));
     }
 
     @Override
--- a/core/src/test/java/io/radishwinch/core/impl/SilentEndpointTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/SilentEndpointTest.java
@@ -28,6 +28,11 @@
     }
 
     private static RequestSpec stream(String requestId, int maxRuns, long timeoutMs) {
+        return stream(requestId, maxRuns, 0, timeoutMs, timeoutMs);
+    }
+
+    private static RequestSpec stream(
+            String requestId, int maxRuns, long arrivedAtMs, long deadlineMs, long startDeadlineMs) {
         return new RequestSpec(
                 requestId,
                 "a",
@@ -35,15 +40,15 @@
                 CoreSimulation.MODEL,
                 10,
                 TOKENS,
-                0,
-                timeoutMs,
+                arrivedAtMs,
+                deadlineMs,
                 "fingerprint of " + requestId,
                 List.of(),
                 List.of(),
                 true,
                 maxRuns,
                 TOKENS,
-                timeoutMs);
+                startDeadlineMs);
     }
 
     private static void assertServedByOneAttempt(CoreSimulation simulation) {
@@ -117,6 +122,32 @@
         assertThat(simulation.traces.values()).allMatch(CoreSimulation.Trace::isServed);
     }
 
+    /** Failure: the request was refused for missing layers at its target time, before the silence ended. */
+    @Test
+    void theTargetTimeOfARequestDoesNotPassDuringTheSilenceOfTheLastHolderOfItsLayers() {
+        CoreSimulation simulation = simulation(1);
+        simulation.at(1_000, Event.EndpointRemoved.suspected("0-0"));
+        simulation.arrive(stream("r", 3, 1_100, TIMEOUT_MS, 1_600));
+        simulation.at(2_300, joined("0-0"));
+        simulation.run(10_000);
+        assertServedByOneAttempt(simulation);
+    }
+
+    /** Failure: two short silences, one after the other, made a gap of 2 s, and requests were refused meanwhile. */
+    @Test
+    void aRequestWaitsForHoldersThatAreSilentOneAfterTheOther() {
+        CoreSimulation simulation = CoreSimulation.of(
+                        new FakeDirectory(2, 1, 4), CoreSettings.defaults().withUncoveredGraceMs(400))
+                .contract("a");
+        simulation.at(100, Event.EndpointRemoved.suspected("0-0"));
+        simulation.at(1_500, Event.EndpointRemoved.suspected("1-0"));
+        simulation.arrive(simulation.request("r", "a", Rank.INTERACTIVE, 300, 10, TIMEOUT_MS));
+        simulation.at(1_800, joined("0-0"));
+        simulation.at(3_200, joined("1-0"));
+        simulation.run(10_000);
+        assertThat(simulation.trace("r").isServed()).isTrue();
+    }
+
     /** Guards against requests that wait for a dead last holder until their deadlines. */
     @Test
     void aRequestIsRefusedWhenTheLastHolderOfItsLayersStaysSilent() {
--- a/core/src/test/java/io/radishwinch/core/placement/SuspectedEngineTest.java
+++ b/core/src/test/java/io/radishwinch/core/placement/SuspectedEngineTest.java
@@ -86,6 +86,15 @@
         assertThat(run(SILENT_AT_MS + 10_000)).isEmpty();
     }
 
+    @Test
+    void aPoolIsExpectedToBeCoveredWhileASilentEngineMayRespondAgain() {
+        assertThat(directory.isCovered("m", nowMs)).isFalse();
+        assertThat(directory.isCoveredAfterSilences("m", nowMs + 1_999)).isTrue();
+        assertThat(directory.isCoveredAfterSilences("m", nowMs + 2_000)).isFalse();
+        directory.handle(new Event.EndpointLeaving(silentId), nowMs);
+        assertThat(directory.isCoveredAfterSilences("m", nowMs)).isFalse();
+    }
+
     @Test
     void theLayersOfAnEngineThatStaysSilentAreOrdered() {
         assertThat(run(SILENT_AT_MS + 2_000)).isEmpty();
