--- a/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
+++ b/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
@@ -8,13 +8,17 @@
 import io.radishwinch.core.health.HealthSettings;
 import io.radishwinch.core.model.Chain;
 import io.radishwinch.core.model.EngineOrder;
+import io.radishwinch.core.model.Holding;
+import io.radishwinch.core.model.LayerRange;
 import io.radishwinch.core.model.ModelSpec;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.placement.Placement;
 import io.radishwinch.core.placement.PlacementEndpoint;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeSet;
 
 /**
@@ -35,9 +39,14 @@
     private final EndpointHealth health;
     private final DeliveredTokenRates deliveredTokenRates = new DeliveredTokenRates();
     private final Placement placement;
+    /** Endpoints that do not respond and may hold their layers still, with their state before. */
+    private final Map<String, SuspectedEndpoint> suspectedEndpoints = new HashMap<>();
+
     private long nextPlacementMs = Long.MIN_VALUE;
     private long nextScanMs = Long.MIN_VALUE;
 
+    private record SuspectedEndpoint(PlacementEndpoint lastState, long untilMs) {}
+
     /**
      * Creates a directory over a table.
      *
@@ -68,12 +77,14 @@
         } else if (event instanceof Event.ConfigChanged e) {
             table.setConfig(e.config());
         } else if (event instanceof Event.EndpointJoined e) {
+            suspectedEndpoints.remove(e.endpoint().id());
             if (table.join(e.endpoint())) {
                 health.add(e.endpoint().id(), nowMs);
                 applyWeight(e.endpoint().id(), nowMs);
                 actions.add(new Action.StateChanged(e.endpoint().id(), "joined"));
             }
         } else if (event instanceof Event.EndpointLeaving e) {
+            suspectedEndpoints.remove(e.endpointId());
             EndpointRow row = table.row(e.endpointId());
             // A crashed endpoint is also removed from the list, some heartbeats later; this is not a planned leave.
             if (placement != null && row != null && !row.isRemoved()) {
@@ -83,6 +94,7 @@
                 actions.add(new Action.StateChanged(e.endpointId(), "leaving, no new work"));
             }
         } else if (event instanceof Event.EndpointRemoved e) {
+            trackSuspicion(e, nowMs);
             if (table.remove(e.endpointId(), nowMs)) {
                 health.remove(e.endpointId());
                 actions.add(new Action.StateChanged(e.endpointId(), e.hasCrashed() ? "gone, crashed" : "gone"));
@@ -115,6 +127,22 @@
         return actions;
     }
 
+    private void trackSuspicion(Event.EndpointRemoved removed, long nowMs) {
+        EndpointRow row = table.row(removed.endpointId());
+        if (!removed.isSuspected()) {
+            suspectedEndpoints.remove(removed.endpointId());
+        } else if (row != null && !row.isRemoved()) {
+            suspectedEndpoints.put(
+                    row.id(),
+                    new SuspectedEndpoint(
+                            placementEndpoint(row).suspected(), nowMs + Event.EndpointRemoved.MAX_SILENCE_MS));
+        }
+    }
+
+    private PlacementEndpoint placementEndpoint(EndpointRow row) {
+        return new PlacementEndpoint(row.spec(), row.holdings(), health.isEjected(row.id()), row.occupiedSlots());
+    }
+
     private void reportCache(Event.CacheReported event) {
         EndpointRow row = table.row(event.endpointId());
         if (row != null && !row.isRemoved()) {
@@ -170,6 +198,21 @@
         return spec != null && table.isCovered(spec);
     }
 
+    @Override
+    public boolean isCoveredAfterSilences(String pool, long nowMs) {
+        ModelSpec spec = table.config().pool(pool);
+        if (spec == null || suspectedEndpoints.isEmpty()) {
+            return false;
+        }
+        List<LayerRange> silent = suspectedEndpoints.values().stream()
+                .filter(endpoint -> nowMs < endpoint.untilMs)
+                .flatMap(endpoint -> endpoint.lastState.holdings().stream())
+                .filter(holding -> holding.pool().equals(pool))
+                .map(Holding::layers)
+                .toList();
+        return !silent.isEmpty() && !table.isCovered(spec) && table.isCoveredWith(spec, silent);
+    }
+
     @Override
     public long pauseEndMs(String pool, long nowMs) {
         ModelSpec spec = table.config().pool(pool);
@@ -218,6 +261,7 @@
     private void tick(long nowMs, List<Action> actions) {
         throughputBounds.refineEstimates();
         table.decayRefusals(nowMs);
+        suspectedEndpoints.values().removeIf(endpoint -> nowMs >= endpoint.untilMs);
         if (placement != null && nowMs >= nextPlacementMs) {
             nextPlacementMs = nowMs + PLACEMENT_INTERVAL_MS;
             runPlacement(nowMs, actions);
@@ -237,9 +281,14 @@
     private void runPlacement(long nowMs, List<Action> actions) {
         List<PlacementEndpoint> endpoints = new ArrayList<>();
         for (EndpointRow row : table.rows()) {
-            if (!row.isRemoved() && !row.isLeaving()) {
-                boolean isEjected = health.isEjected(row.id());
-                endpoints.add(new PlacementEndpoint(row.spec(), row.holdings(), isEjected, row.occupiedSlots()));
+            if (row.isLeaving()) {
+                continue;
+            }
+            SuspectedEndpoint suspected = suspectedEndpoints.get(row.id());
+            if (!row.isRemoved()) {
+                endpoints.add(placementEndpoint(row));
+            } else if (suspected != null) {
+                endpoints.add(suspected.lastState);
             }
         }
         for (Action action : placement.tick(endpoints, table.config(), nowMs)) {
--- a/core/src/main/java/io/radishwinch/core/impl/CoreState.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreState.java
@@ -41,11 +41,7 @@
     /** Largest share of the queue capacity that requests of one caller may use outside the queue. */
     private static final double MAX_WAITING_SHARE = 0.25;
 
-    /**
-     * Time for which a suspected endpoint counts as one that still runs its attempts and may respond again, in ms; a
-     * sound endpoint may be silent for about a second.
-     */
-    static final long MAX_SILENCE_MS = 2_000;
+    static final long MAX_SILENCE_MS = Event.EndpointRemoved.MAX_SILENCE_MS;
 
     private static final String FINISHED = "finished";
     private static final int MAX_FINISHED = 2_000;
@@ -158,12 +154,13 @@
         if (pool.uncoveredSinceMs < 0) {
             pool.uncoveredSinceMs = nowMs;
         }
-        // A gap that begins with a silence may end with it.
-        boolean maySilenceEnd =
-                suspectedSinceMs.values().stream().anyMatch(sinceMs -> nowMs - sinceMs < MAX_SILENCE_MS);
-        long graceMs =
-                maySilenceEnd ? Math.max(MAX_SILENCE_MS, settings.uncoveredGraceMs()) : settings.uncoveredGraceMs();
-        return nowMs - pool.uncoveredSinceMs >= graceMs;
+        return nowMs - pool.uncoveredSinceMs >= settings.uncoveredGraceMs()
+                && !directory.isCoveredAfterSilences(poolName, nowMs);
+    }
+
+    /** Records which pools have a coverage gap that ends with the silence of endpoints. */
+    void recordSilentGaps(long nowMs) {
+        pools.forEach((name, pool) -> pool.recordSilentGap(directory.isCoveredAfterSilences(name, nowMs), nowMs));
     }
 
     /** Returns whether the pauses that endpoints asked for leave too little time to start the request. */
