Keep the terms of admission for requests that may have run

Callers whose stream had begun saw it break off when a configuration withdrew their tenant or the service while the stream waited to resume.

Cause: the core judged every request that was not running by the configuration in effect, also one between two attempts. Only the reset of the connection can end a response whose head has been sent, and a request that may have run can no longer be refused as not run.

Evidence: FailureTest.aStreamThatWaitsToResumeOutlivesItsContract and ...OutlivesItsModel failed before, the stream ended without Complete.

Change: a configuration withdraws only requests that have not run. All others keep the pool and the contract under which they were admitted, at a change of the configuration, before a retry, and for a reroute.

--- a/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
@@ -67,7 +67,7 @@
         caller.requests.take(1);
         caller.tokens.take(spec.costTokens());
         caller.active++;
-        RequestRow row = new RequestRow(spec);
+        RequestRow row = new RequestRow(spec, state.config.pool(spec.pool()));
         state.requests.put(spec.requestId(), row);
         state.activeByFingerprint.merge(spec.fingerprint(), 1, Integer::sum);
         state.recordDecision(row, nowMs, "admitted");
--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -3,7 +3,6 @@
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.event.Event;
 import io.radishwinch.core.model.Chain;
-import io.radishwinch.core.model.ModelSpec;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.Stage;
 import io.radishwinch.core.model.Verdict;
@@ -175,16 +174,15 @@
      * @return false if the stream cannot be rerouted
      */
     private boolean startReroute(RequestRow row, String lostEndpointId, long nowMs) {
-        ModelSpec pool = state.config.pool(row.spec.pool());
         boolean canReroute = state.settings.reroutesStreams()
                 && row.isAccepted
                 && row.rerouteChain == null
-                && pool != null
                 && !row.chain.firstStage().endpointId().equals(lostEndpointId);
         if (!canReroute) {
             return false;
         }
-        Optional<Chain> replacement = state.planner.replaceStage(row.spec, pool, row.chain, lostEndpointId, nowMs);
+        Optional<Chain> replacement =
+                state.planner.replaceStage(row.spec, state.poolSpec(row), row.chain, lostEndpointId, nowMs);
         if (replacement.isEmpty()) {
             return false;
         }
@@ -335,7 +333,7 @@
                 ? new RetryPolicy.Retry(0)
                 : state.retries.decide(failure, nowMs);
         row.hasReservedRetry = false;
-        Reason contractReason = state.contractRefusalReason(row.spec);
+        Reason contractReason = state.withdrawalReason(row);
         row.isWaitingForRetryBudget = false;
         if (state.partQuarantineMs(row.spec, nowMs) > 0) {
             state.refuse(row, Reason.QUARANTINED, nowMs);
--- a/core/src/main/java/io/radishwinch/core/impl/CoreState.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreState.java
@@ -195,6 +195,20 @@
         return spec.costTokens() > pool.maxContextTokens() ? Reason.MALFORMED_REQUEST : null;
     }
 
+    /**
+     * Returns why the configuration in effect withdraws an admitted request, or null if it does not. A request that may
+     * have run keeps the terms of its admission, because its response may have begun.
+     */
+    Reason withdrawalReason(RequestRow row) {
+        return row.currentVerdict() == Verdict.NOT_RUN ? contractRefusalReason(row.spec) : null;
+    }
+
+    /** Returns the pool of a request as configured, or as it was at its admission if it has been deleted. */
+    ModelSpec poolSpec(RequestRow row) {
+        ModelSpec configured = config.pool(row.spec.pool());
+        return configured == null ? row.admittedPool : configured;
+    }
+
     void recordDecision(RequestRow row, long nowMs, String decision) {
         if (row.history.size() >= settings.maxHistory()) {
             row.history.removeFirst();
--- a/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
@@ -79,7 +79,7 @@
 
     /** Plans a chain; the exclusions that have ended are dropped only if there is no chain without these endpoints. */
     private Optional<Chain> plan(RequestRow row, long nowMs) {
-        ModelSpec model = state.config.pool(row.spec.pool());
+        ModelSpec model = state.poolSpec(row);
         Optional<Chain> chain = state.planner.plan(row.spec, model, excludedEndpointIds(row, nowMs), nowMs);
         boolean hasEndedExclusions =
                 chain.isEmpty() && row.exclusionEndsMs.values().removeIf(endMs -> endMs <= nowMs);
@@ -103,7 +103,7 @@
         }
         // If only the exclusions of this request prevent a plan, it waits outside the queue and does not block others.
         boolean hasExclusions = !row.exclusionEndsMs.isEmpty() || state.quarantine.isSuspect(spec.fingerprint(), nowMs);
-        ModelSpec model = state.config.pool(spec.pool());
+        ModelSpec model = state.poolSpec(row);
         if (hasExclusions && state.planner.plan(spec, model, Set.of(), nowMs).isPresent()) {
             return true;
         }
--- a/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
+++ b/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
@@ -2,6 +2,7 @@
 
 import io.radishwinch.core.DecisionCore.RequestView;
 import io.radishwinch.core.model.Chain;
+import io.radishwinch.core.model.ModelSpec;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.model.Verdict;
@@ -30,6 +31,9 @@
     }
 
     final RequestSpec spec;
+    /** Pool as configured when the request was admitted. */
+    final ModelSpec admittedPool;
+
     final ArrayDeque<String> history = new ArrayDeque<>();
     /**
      * Endpoints on which the request failed, each with the time in ms until which the request waits for others instead.
@@ -88,8 +92,9 @@
 
     boolean isCallerDisconnected;
 
-    RequestRow(RequestSpec spec) {
+    RequestRow(RequestSpec spec, ModelSpec admittedPool) {
         this.spec = spec;
+        this.admittedPool = admittedPool;
     }
 
     RequestView view(String stateName, Optional<Verdict> finalVerdict, Optional<Reason> reason) {
--- a/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -197,10 +197,7 @@
             }
         }
         for (RequestRow row : List.copyOf(state.requests.values())) {
-            if (row.isRunning()) {
-                continue;
-            }
-            Reason reason = state.contractRefusalReason(row.spec);
+            Reason reason = state.withdrawalReason(row);
             if (reason != null) {
                 state.refuse(row, reason, nowMs);
             }
--- a/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
@@ -515,4 +515,34 @@
         simulation.run(5_000);
         assertThat(simulation.trace("running").isServed()).isTrue();
     }
+
+    /** Guards against a stream that is broken off because its contract was deleted before it resumes. */
+    @Test
+    void aStreamThatWaitsToResumeOutlivesItsContract() {
+        CoreSimulation simulation = streamThatWaitsToResume();
+        simulation.contracts.clear();
+        simulation.configure();
+        simulation.run(20_000);
+        assertThat(simulation.trace("r").end).isInstanceOf(Action.Complete.class);
+    }
+
+    /** Guards against a stream that is broken off because its model was deleted before it resumes. */
+    @Test
+    void aStreamThatWaitsToResumeOutlivesItsModel() {
+        CoreSimulation simulation = streamThatWaitsToResume();
+        simulation.models.clear();
+        simulation.configure();
+        simulation.run(20_000);
+        assertThat(simulation.trace("r").end).isInstanceOf(Action.Complete.class);
+    }
+
+    /** Returns a simulation in which the stream "r" has lost its endpoint and waits for its next attempt. */
+    private static CoreSimulation streamThatWaitsToResume() {
+        CoreSimulation simulation = simulation(1, 2, 4);
+        simulation.arrive(simulation.request("r", "a", Rank.INTERACTIVE, 0, 100, 30_000));
+        simulation.at(400, new Event.EndpointRemoved("0-0", true));
+        simulation.run(400);
+        assertThat(simulation.core.state().waiting).hasSize(1);
+        return simulation;
+    }
 }
