Keep the layers of endpoints whose model is deleted

Callers whose stream waited to resume when its model was deleted got the rest neither at its endpoint nor at another one, and their stream broke off at its deadline.

Cause: every endpoint in use reported its load after a change of the models, and an endpoint of an unknown service counted as one of a plain service without layers.

Breaking off at the deadline is concluded from the code.

Change: endpoints of services that are not configured report no load, so that the core keeps the layers it knows. No new request is routed to a service that is not configured.

--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -458,9 +458,7 @@
 
     private void join(EndpointLifetime endpoint, long nowMs) {
         EndpointEntry entry = endpoint.entry;
-        boolean isKnown = config.enginePools().containsKey(entry.service())
-                || config.services().containsKey(entry.service());
-        if (!isKnown || endpoint.isLeaving) {
+        if (!isConfigured(entry.service()) || endpoint.isLeaving) {
             return;
         }
         if (namesLayersBeyondModel(entry)) {
@@ -482,8 +480,16 @@
         postLoadReport(endpoint, nowMs);
     }
 
+    private boolean isConfigured(String service) {
+        return config.enginePools().containsKey(service) || config.services().containsKey(service);
+    }
+
     private void postLoadReport(EndpointLifetime endpoint, long nowMs) {
         EndpointEntry entry = endpoint.entry;
+        if (!isConfigured(entry.service())) {
+            // Streams that began before the service was deleted resume at the layers known so far.
+            return;
+        }
         EnginePoolSpec engines = config.enginePools().get(entry.service());
         List<Holding> holdings = new ArrayList<>();
         long kvBytes = UNLIMITED_KV_BYTES;
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
@@ -301,4 +301,15 @@
         unconfigured.configure(CONFIG, 10);
         assertThat(takeEventTypes()).containsExactly(Event.EndpointJoined.class, Event.LoadReported.class);
     }
+
+    /** Guards against streams that cannot resume because the layers of a deleted model count as unloaded. */
+    @Test
+    void aDeletedModelKeepsTheLayersOfItsEndpoints() {
+        registry.applyEntry("e", entry("e", 7, false, new LayerRange(0, 10)), 0);
+        takeEventTypes();
+        registry.configure(new FleetConfig(2, Map.of(), Map.of(), Map.of(), Map.of()), 100);
+        assertThat(events).isEmpty();
+        registry.configure(CONFIG, 200);
+        assertThat(takeEventTypes()).containsExactly(Event.LoadReported.class);
+    }
 }
