--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -21,7 +21,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 
@@ -88,23 +87,6 @@
     /** A response of an endpoint that has not been sent to the caller. */
     private record BufferedResponse(int status, MultiMap headers, Buffer body) {}
 
-    /**
-     * Format that all parts of a stream must have in common.
-     *
-     * @param mediaType media type without parameters, in lower case, or an empty string
-     * @param contentEncoding content coding in lower case, or an empty string
-     */
-    private record StreamFormat(String mediaType, String contentEncoding) {
-
-        static StreamFormat of(MultiMap headers) {
-            String mediaType = headers.get(HttpHeaders.CONTENT_TYPE);
-            String contentEncoding = headers.get(HttpHeaders.CONTENT_ENCODING);
-            return new StreamFormat(
-                    mediaType == null ? "" : mediaType.split(";", 2)[0].trim().toLowerCase(Locale.ROOT),
-                    contentEncoding == null ? "" : contentEncoding.trim().toLowerCase(Locale.ROOT));
-        }
-    }
-
     ProxyExchange(
             ProxyScope scope,
             RequestSpec request,
@@ -243,13 +225,15 @@
     private void onRelayFailed(EndpointContact router, Reason reason, Verdict verdict) {
         if (verdict == Verdict.NOT_RUN) {
             shared.relays().markUnavailable(router.endpointId());
-            Optional<EndpointContact> next = nextRouter();
-            if (next.isPresent()) {
-                startRelay(next.get());
-                return;
-            }
+            relayToNext();
+        } else {
+            endRelay(reason, verdict, 0);
         }
-        endRelay(verdict == Verdict.NOT_RUN ? Reason.NO_CAPACITY : reason, verdict, 0);
+    }
+
+    /** Relays a request that the last router has not run to the next one, or ends the exchange if there is none. */
+    private void relayToNext() {
+        nextRouter().ifPresentOrElse(this::startRelay, () -> endRelay(Reason.NO_CAPACITY, Verdict.NOT_RUN, 0));
     }
 
     /** Ends a relayed request with an error, or breaks off its response if it has started. */
@@ -485,10 +469,12 @@
             call.cancel();
             attempt = null;
             reportEnd(ResponseEnd.Cause.REFUSED, "response of a router");
+            RelayError error = RelayError.of(status, headers);
             if (RelayHeaders.isUnavailable(headers)) {
                 onRelayFailed(contact, Reason.NO_CAPACITY, Verdict.NOT_RUN);
+            } else if (error.verdict() == Verdict.NOT_RUN && (isHeadSent || error.contradictsAdmission())) {
+                relayToNext();
             } else {
-                RelayError error = RelayError.of(status, headers);
                 endRelay(error.reason(), error.verdict(), error.retryAfterMs());
             }
         }
