Tell responses to callers' requests from those to calls to a worker

A worker may send a second copy of the response to a caller's request late, on whichever connection asks next. If that was the first response on the connection of an order or a status report, it was taken for the response:

- an order counted as accepted after a copy with 200 or 202, as refused by its number after one with 409 and as refused after any other, whatever the worker did with it.
The layout then waits for layers that nobody loads.
- a status report was malformed, so that the check failed.
The worker counted as unreachable, its requests were cancelled as stage-died while it went on with them, and those that may be repeated ran once more elsewhere.
A caller can then get a success although the worker answered the request with an error.
- a reroute counted as failed, which cancels the stream, or as done although the worker had refused it.

Cause: responses to calls were matched by their place on the connection alone. A connection of its own for each order does not help against a copy that comes first on it.

Change: a response with the identifier or the seal of a request belongs to no call. Its connection is closed.

--- a/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
@@ -16,6 +16,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
+import java.util.function.Predicate;
 
 /**
  * A short HTTP call with a size limit for the response and a verdict for each failure.
@@ -25,24 +26,48 @@
  * <p>A response with neither a length nor chunks ends with its connection, and one that broke off looks the same (RFC
  * 9112, section 8). It is returned as it came: a reader either parses a document that shows its own end, such as a JSON
  * object with required fields, or requires {@link Response#isDelimited()}.
+ *
+ * <p>A late second copy of the response to another call may arrive first on any connection, a new one included. See
+ * {@link Attribution}.
  */
 public final class HttpExchange {
     /** Response header with which an endpoint states that it did not run the call. */
     public static final String NOT_RUN_HEADER = "X-Not-Run";
 
+    private static final System.Logger LOG = System.getLogger(HttpExchange.class.getName());
+
+    /** Number of responses to other calls after which a call fails instead of being sent again. */
+    private static final int MAX_FOREIGN_RESPONSES = 8;
+
     private final Vertx vertx;
     private final EndpointAddress address;
     private final int maxResponseBytes;
+    private final Attribution attribution;
     private final Promise<Response> promise = Promise.promise();
     private final Buffer responseBody = Buffer.buffer();
     private HttpClientRequest request;
+    private int foreignResponses;
     private boolean isEnded;
     private long timerId = -1;
 
-    private HttpExchange(Vertx vertx, EndpointAddress address, int maxResponseBytes) {
+    private HttpExchange(Vertx vertx, EndpointAddress address, int maxResponseBytes, Attribution attribution) {
         this.vertx = vertx;
         this.address = address;
         this.maxResponseBytes = maxResponseBytes;
+        this.attribution = attribution;
+    }
+
+    /**
+     * Tells the response to a call from those to other calls, which say nothing about it. The connection of such a
+     * response is closed, because the HTTP client cannot read the response behind it.
+     *
+     * @param isForeign returns whether a response with certain headers belongs to another call
+     * @param isRepeatable whether the call is sent again on another connection after such a response; it fails as
+     *     {@code MAY_HAVE_RUN} otherwise
+     */
+    public record Attribution(Predicate<MultiMap> isForeign, boolean isRepeatable) {
+        /** Takes every response for that to the call. */
+        public static final Attribution NONE = new Attribution(headers -> false, false);
     }
 
     /** Creates an HTTP client with pooled connections for exchanges. */
@@ -91,7 +116,22 @@
             Buffer body,
             long timeoutMs,
             int maxResponseBytes) {
-        HttpExchange exchange = new HttpExchange(vertx, address, maxResponseBytes);
+        return send(vertx, client, address, method, uri, headers, body, timeoutMs, maxResponseBytes, Attribution.NONE);
+    }
+
+    /** Sends a call whose response may be told from those to other calls. */
+    public static Future<Response> send(
+            Vertx vertx,
+            HttpClient client,
+            EndpointAddress address,
+            HttpMethod method,
+            String uri,
+            MultiMap headers,
+            Buffer body,
+            long timeoutMs,
+            int maxResponseBytes,
+            Attribution attribution) {
+        HttpExchange exchange = new HttpExchange(vertx, address, maxResponseBytes, attribution);
         RequestOptions options = new RequestOptions()
                 .setMethod(method)
                 .setHost(address.host())
@@ -106,6 +146,10 @@
         timerId = vertx.setTimer(
                 Math.max(1, timeoutMs),
                 id -> fail(Reason.ENDPOINT_TIMEOUT, "no response within " + timeoutMs + " ms", null));
+        open(client, options, body);
+    }
+
+    private void open(HttpClient client, RequestOptions options, Buffer body) {
         client.request(options)
                 .onFailure(cause -> fail(Reason.STAGE_DIED, "failed to connect: " + cause.getMessage(), cause))
                 .onSuccess(opened -> {
@@ -114,10 +158,16 @@
                         return;
                     }
                     request = opened;
-                    opened.exceptionHandler(cause -> fail(Reason.STAGE_DIED, "connection failed", cause));
+                    opened.exceptionHandler(cause -> onConnectionFailure(opened, cause));
                     opened.response()
-                            .onSuccess(this::onResponse)
-                            .onFailure(cause -> fail(Reason.STAGE_DIED, "connection failed", cause));
+                            .onSuccess(response -> {
+                                if (!isEnded && attribution.isForeign().test(response.headers())) {
+                                    onForeignResponse(() -> open(client, options, body));
+                                } else {
+                                    onResponse(response);
+                                }
+                            })
+                            .onFailure(cause -> onConnectionFailure(opened, cause));
                     if (body == null) {
                         opened.end();
                     } else {
@@ -126,6 +176,30 @@
                 });
     }
 
+    private void onConnectionFailure(HttpClientRequest failed, Throwable cause) {
+        // The connection of a response to another call is closed on purpose.
+        if (failed == request) {
+            fail(Reason.STAGE_DIED, "connection failed", cause);
+        }
+    }
+
+    private void onForeignResponse(Runnable repeat) {
+        foreignResponses++;
+        LOG.log(
+                System.Logger.Level.INFO,
+                "{0}: a response to another call was dropped, {1} for this call",
+                address.endpointId(),
+                foreignResponses);
+        if (!attribution.isRepeatable() || foreignResponses >= MAX_FOREIGN_RESPONSES) {
+            fail(Reason.STAGE_DIED, "response belongs to another call", null);
+            return;
+        }
+        HttpClientRequest dropped = request;
+        request = null;
+        dropped.reset();
+        repeat.run();
+    }
+
     private void onResponse(HttpClientResponse response) {
         if (isEnded) {
             return;
@@ -153,7 +227,8 @@
         }
         isEnded = true;
         vertx.cancelTimer(timerId);
-        Verdict verdict = request == null ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
+        boolean isSent = request != null || foreignResponses > 0;
+        Verdict verdict = isSent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
         if (request != null) {
             request.reset();
         }
--- a/server/src/test/java/io/radishwinch/server/engine/RepeatingEndpoint.java
+++ b/server/src/test/java/io/radishwinch/server/engine/RepeatingEndpoint.java
@@ -46,7 +46,8 @@
         });
     }
 
-    private static String toResponse(String statusAndBody) {
+    /** Returns a response without identifiers, given its status and its body, separated by a space. */
+    public static String toResponse(String statusAndBody) {
         String[] parts = statusAndBody.split(" ", 2);
         return "HTTP/1.1 " + parts[0] + " \r\nContent-Type: application/json\r\nContent-Length: " + parts[1].length()
                 + "\r\n\r\n" + parts[1];
