Keep an engine in use that responds to a check of its order without a report

After an order the engine is asked for its status until it holds the layers. A response without a report, such as a late second copy of a refusal without an identifier, took the engine out of use as unreachable: its requests were cancelled as stage-died although it had responded and went on with them, and those that may be repeated ran once more elsewhere.

Cause: the check shared the reading of responses with callers that need the report, for whom its absence is a failure.

Change: such a response is logged as endpoint-without-report, and the next check follows, at most 20 in all as before. A call that fails still takes the engine out of use.

--- a/server/src/main/java/io/radishwinch/server/fleet/LayerOrderSender.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/LayerOrderSender.java
@@ -138,11 +138,17 @@
             if (isDone || contact.isEmpty()) {
                 return;
             }
-            requestStatus(contact.get())
+            endpoints
+                    .requestStatus(contact.get())
+                    .subscribe()
                     .with(
-                            report -> {
-                                registry.applyStatusReport(endpointId, report, clockMs.getAsLong());
-                                if (report.isBusy() || !report.layers().equals(Optional.of(layers))) {
+                            response -> {
+                                response.ifPresentOrElse(
+                                        report -> registry.applyStatusReport(endpointId, report, clockMs.getAsLong()),
+                                        () -> log.stateChanged(
+                                                "endpoint-without-report", endpointId, "check " + check));
+                                if (response.filter(report -> holds(report, layers))
+                                        .isEmpty()) {
                                     scheduleCheck(endpointId, layers, check + 1);
                                 }
                             },
@@ -151,6 +157,10 @@
         });
     }
 
+    private static boolean holds(StatusReport report, LayerRange layers) {
+        return !report.isBusy() && report.layers().equals(Optional.of(layers));
+    }
+
     private UniSubscribe<StatusReport> requestStatus(EndpointContact contact) {
         return endpoints
                 .requestStatus(contact)
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointHealthCheckerTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointHealthCheckerTest.java
@@ -20,14 +20,13 @@
 /** Guards against health checks that never reach a verdict on an endpoint. */
 class EndpointHealthCheckerTest {
 
-    private static final EndpointRegistry.EndpointStateListener NO_LISTENER =
-            new EndpointRegistry.EndpointStateListener() {
-                @Override
-                public void endpointLeaving(String endpointId) {}
+    static final EndpointRegistry.EndpointStateListener NO_LISTENER = new EndpointRegistry.EndpointStateListener() {
+        @Override
+        public void endpointLeaving(String endpointId) {}
 
-                @Override
-                public void endpointUnreachable(String endpointId) {}
-            };
+        @Override
+        public void endpointUnreachable(String endpointId) {}
+    };
 
     private final List<Event> events = new ArrayList<>();
     private final List<UniEmitter<? super Optional<StatusReport>>> pendingChecks = new ArrayList<>();
