Recognise the response to an order by its fencing token

Any 200 counted as an accepted order and any 409 as a refused one. A late second copy of another response that came first on the connection of the order, such as a stream, a report or the response to an earlier order, decided the order, whatever the engine did with it. A layout then waits for layers that nobody loads, or gives up those that are loading.

Cause: the client did not read the body, in which the protocol names the order.

Change: an accepted order must repeat the fencing token, and a refused one name one that is not lower. Any other response leaves the result unknown (may-have-run). The responses "{}" in two tests lacked what the protocol requires of engines; they have it, and what the tests check is the same.

ResponseCopyTest.aCopyThatComesFirstLeavesTheResultOfAnOrderUnknown failed before: the first copy, the response to an accepted order, was taken for that of the next one.

--- a/server/src/main/java/io/radishwinch/server/engine/EngineJson.java
+++ b/server/src/main/java/io/radishwinch/server/engine/EngineJson.java
@@ -88,6 +88,23 @@
         return toBuffer(node);
     }
 
+    /**
+     * Returns whether an order was accepted.
+     *
+     * @param isOk whether the status of the response is that of an accepted order
+     * @throws IOException if the response is not that to an order with the fencing token
+     */
+    static boolean decodeOrderResult(Buffer body, long fencingToken, boolean isOk) throws IOException {
+        JsonNode node = JSON.readTree(body.getBytes());
+        boolean isAccepted = requiredField(node, "accepted").asBoolean();
+        long fencing = requiredField(node, "fencing").asLong();
+        boolean isMatching = isAccepted ? fencing == fencingToken : fencing >= fencingToken;
+        if (isAccepted != isOk || !isMatching) {
+            throw new IOException("response to another call than the order with fencing token " + fencingToken);
+        }
+        return isAccepted;
+    }
+
     static EngineLoad decodeLoad(EndpointAddress endpoint, Buffer body, long nowMs) throws IOException {
         JsonNode node = JSON.readTree(body.getBytes());
         List<Holding> holdings = new ArrayList<>();
--- a/server/src/main/java/io/radishwinch/server/engine/HttpEngineClient.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpEngineClient.java
@@ -116,11 +116,10 @@
                 "/v1/orders",
                 EngineJson.encodeOrder(fencingToken, order),
                 (response, status) -> {
-                    if (status == HTTP_CONFLICT) {
-                        return false;
+                    if (status != HTTP_CONFLICT) {
+                        requireOk(engine, response);
                     }
-                    requireOk(engine, response);
-                    return true;
+                    return EngineJson.decodeOrderResult(response.body(), fencingToken, status == HTTP_OK);
                 });
     }
 
--- a/server/src/test/java/io/radishwinch/server/engine/ResponseCopyTest.java
+++ b/server/src/test/java/io/radishwinch/server/engine/ResponseCopyTest.java
@@ -5,6 +5,7 @@
 
 import io.radishwinch.core.model.EngineOrder;
 import io.radishwinch.core.model.LayerRange;
+import io.radishwinch.core.model.Verdict;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
@@ -44,7 +45,7 @@
     /** Guards against an order that an engine refused and that counts as accepted. */
     @Test
     void aCopyOfAReportIsNotTheResponseToAnOrder() throws IOException {
-        try (RepeatingEndpoint engine = new RepeatingEndpoint(EVENTS, "409 {}")) {
+        try (RepeatingEndpoint engine = new RepeatingEndpoint(EVENTS, refused(1))) {
             await(engines.fetchCacheEvents(address(engine), 7));
             assertThat(await(engines.sendOrder(address(engine), 1, ORDER))).isFalse();
         }
@@ -53,12 +54,33 @@
     /** Guards against an order that an engine refused and that counts as accepted like the one before. */
     @Test
     void aCopyOfTheResponseToAnOrderIsNotTheResponseToTheNextOrder() throws IOException {
-        try (RepeatingEndpoint engine = new RepeatingEndpoint("200 {}", "409 {}")) {
+        try (RepeatingEndpoint engine = new RepeatingEndpoint(accepted(1), refused(2))) {
             assertThat(await(engines.sendOrder(address(engine), 1, ORDER))).isTrue();
             assertThat(await(engines.sendOrder(address(engine), 2, ORDER))).isFalse();
         }
     }
 
+    /** Guards against an order whose result is that of another call that responds first on its connection. */
+    @Test
+    void aCopyThatComesFirstLeavesTheResultOfAnOrderUnknown() throws IOException {
+        for (String copy : List.of(accepted(1), refused(1), EVENTS, "200 \n", "409 ")) {
+            try (RepeatingEndpoint engine = new RepeatingEndpoint(copy)) {
+                assertThatThrownBy(() -> await(engines.sendOrder(address(engine), 2, ORDER)))
+                        .as(copy)
+                        .isInstanceOfSatisfying(EndpointException.class, failure -> assertThat(failure.verdict())
+                                .isEqualTo(Verdict.MAY_HAVE_RUN));
+            }
+        }
+    }
+
+    private static String accepted(long fencingToken) {
+        return "200 {\"accepted\":true,\"fencing\":" + fencingToken + "}";
+    }
+
+    private static String refused(long fencingToken) {
+        return "409 {\"accepted\":false,\"fencing\":" + fencingToken + "}";
+    }
+
     /** Guards against a KV cache that contains the tokens of another range. */
     @Test
     void aCopyOfAnExportIsNotTheNextExport() throws IOException {
