--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -119,7 +119,7 @@
         List<ForwardingContext.Hop> hops = new ArrayList<>();
         for (Stage stage : chain.stages()) {
             Optional<EndpointContact> contact = shared.contacts().contact(stage.endpointId());
-            if (contact.isEmpty()) {
+            if (contact.filter(endpoint -> !refusals.mayRepeatRefusal(endpoint)).isEmpty()) {
                 postAttemptFailed(start.epoch(), stage.endpointId(), Reason.ENDPOINT_REFUSED, Verdict.NOT_RUN);
                 return;
             }
--- a/server/src/main/java/io/radishwinch/server/proxy/RefusalHistory.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/RefusalHistory.java
@@ -14,6 +14,14 @@
         this.connections = connections;
     }
 
+    /**
+     * Returns whether an endpoint that repeats its responses has refused the request. A copy of that refusal would end
+     * another attempt there, whose run nobody would read.
+     */
+    boolean mayRepeatRefusal(EndpointContact contact) {
+        return endpointIds.contains(contact.endpointId()) && connections.mayRepeatResponses(contact);
+    }
+
     /**
      * Records a refusal, and returns whether it proves that the attempt did not run. A refusal of an endpoint that
      * repeats its responses may be a copy: of that of another request if it names none, and of the endpoint's first one
