--- a/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
+++ b/core/src/main/java/io/radishwinch/core/chain/TableEndpointDirectory.java
@@ -39,13 +39,13 @@
     private final EndpointHealth health;
     private final DeliveredTokenRates deliveredTokenRates = new DeliveredTokenRates();
     private final Placement placement;
-    /** Endpoints that do not respond and may hold their layers still, with their state before. */
+    /** Endpoints that do not respond and may hold their layers still. */
     private final Map<String, SuspectedEndpoint> suspectedEndpoints = new HashMap<>();
 
     private long nextPlacementMs = Long.MIN_VALUE;
     private long nextScanMs = Long.MIN_VALUE;
 
-    private record SuspectedEndpoint(PlacementEndpoint lastState, long untilMs) {}
+    private record SuspectedEndpoint(List<Holding> holdings, long untilMs) {}
 
     /**
      * Creates a directory over a table.
@@ -133,16 +133,10 @@
             suspectedEndpoints.remove(removed.endpointId());
         } else if (row != null && !row.isRemoved()) {
             suspectedEndpoints.put(
-                    row.id(),
-                    new SuspectedEndpoint(
-                            placementEndpoint(row).suspected(), nowMs + Event.EndpointRemoved.MAX_SILENCE_MS));
+                    row.id(), new SuspectedEndpoint(row.holdings(), nowMs + Event.EndpointRemoved.MAX_SILENCE_MS));
         }
     }
 
-    private PlacementEndpoint placementEndpoint(EndpointRow row) {
-        return new PlacementEndpoint(row.spec(), row.holdings(), health.isEjected(row.id()), row.occupiedSlots());
-    }
-
     private void reportCache(Event.CacheReported event) {
         EndpointRow row = table.row(event.endpointId());
         if (row != null && !row.isRemoved()) {
@@ -206,7 +200,7 @@
         }
         List<LayerRange> silent = suspectedEndpoints.values().stream()
                 .filter(endpoint -> nowMs < endpoint.untilMs)
-                .flatMap(endpoint -> endpoint.lastState.holdings().stream())
+                .flatMap(endpoint -> endpoint.holdings.stream())
                 .filter(holding -> holding.pool().equals(pool))
                 .map(Holding::layers)
                 .toList();
@@ -281,14 +275,9 @@
     private void runPlacement(long nowMs, List<Action> actions) {
         List<PlacementEndpoint> endpoints = new ArrayList<>();
         for (EndpointRow row : table.rows()) {
-            if (row.isLeaving()) {
-                continue;
-            }
-            SuspectedEndpoint suspected = suspectedEndpoints.get(row.id());
-            if (!row.isRemoved()) {
-                endpoints.add(placementEndpoint(row));
-            } else if (suspected != null) {
-                endpoints.add(suspected.lastState);
+            if (!row.isRemoved() && !row.isLeaving()) {
+                boolean isEjected = health.isEjected(row.id());
+                endpoints.add(new PlacementEndpoint(row.spec(), row.holdings(), isEjected, row.occupiedSlots()));
             }
         }
         for (Action action : placement.tick(endpoints, table.config(), nowMs)) {
--- a/core/src/main/java/io/radishwinch/core/placement/LayerCapacity.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayerCapacity.java
@@ -44,13 +44,11 @@
         return holders[layer];
     }
 
-    /**
-     * Returns the smallest number of holders over the layers of the range, without those that are counted elsewhere.
-     */
-    int minHolders(LayerRange layers, LayerCapacity without) {
+    /** Returns the smallest number of holders over the layers of the range. */
+    int minHolders(LayerRange layers) {
         int fewest = Integer.MAX_VALUE;
         for (int layer = layers.first(); layer < Math.min(layers.end(), capacityRequests.length); layer++) {
-            fewest = Math.min(fewest, holders[layer] - without.holders[layer]);
+            fewest = Math.min(fewest, holders[layer]);
         }
         return fewest;
     }
--- a/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
@@ -98,24 +98,18 @@
         endpoints.forEach(endpoint -> byId.put(endpoint.id(), endpoint));
         pending.entrySet().removeIf(entry -> {
             PlacementEndpoint endpoint = byId.get(entry.getKey());
-            return isMissingBeyondTimeout(entry.getKey(), isPresent(endpoint), nowMs)
+            return isMissingBeyondTimeout(entry.getKey(), endpoint != null, nowMs)
                     || nowMs >= entry.getValue().expiresAtMs
                     || endpoint != null && entry.getValue().range.equals(rangeOf(endpoint));
         });
         missingSinceMs.keySet().retainAll(pending.keySet());
-        joinedAtMs.keySet().removeIf(id -> !isPresent(byId.get(id)));
-        byId.values().stream()
-                .filter(LayoutPlanner::isPresent)
-                .forEach(endpoint -> joinedAtMs.putIfAbsent(endpoint.id(), nowMs));
+        joinedAtMs.keySet().retainAll(byId.keySet());
+        byId.keySet().forEach(id -> joinedAtMs.putIfAbsent(id, nowMs));
         consecutiveRefusals.keySet().retainAll(byId.keySet());
         backoffUntilMs.replaceAll((id, untilMs) -> untilMs == Long.MAX_VALUE ? nowMs + refusalBackoffMs(id) : untilMs);
         backoffUntilMs.entrySet().removeIf(entry -> nowMs >= entry.getValue() || !byId.containsKey(entry.getKey()));
     }
 
-    private static boolean isPresent(PlacementEndpoint endpoint) {
-        return endpoint != null && !endpoint.isSuspected();
-    }
-
     private boolean isMissingBeyondTimeout(String endpointId, boolean isPresent, long nowMs) {
         if (isPresent) {
             missingSinceMs.remove(endpointId);
@@ -168,9 +162,6 @@
         private final long nowMs;
         private final List<Action> actions;
         private final LayerCapacity capacity;
-        /** Part of the capacity that is held by suspected engines. */
-        private final LayerCapacity suspectedCapacity;
-
         private final double targetCapacityRequests;
         private int ordersLeft;
 
@@ -188,7 +179,6 @@
             this.actions = actions;
             this.ordersLeft = settings.maxOrdersPerTick();
             this.capacity = new LayerCapacity(model.layerCount());
-            this.suspectedCapacity = new LayerCapacity(model.layerCount());
             this.targetCapacityRequests = BalancedLayout.targetCapacityRequests(endpoints, model, pool);
             for (PlacementEndpoint endpoint : endpoints) {
                 members.put(endpoint.id(), endpoint);
@@ -197,9 +187,6 @@
                 if (range != null) {
                     ranges.put(endpoint.id(), range);
                     capacity.add(range, capacityRequests(endpoint, range));
-                    if (endpoint.isSuspected()) {
-                        suspectedCapacity.add(range, capacityRequests(endpoint, range));
-                    }
                 }
             }
             pending.forEach((id, order) -> {
@@ -232,8 +219,7 @@
                     issueOrder(endpoint, capacity.mostNeededRange(layers), Handover.WAIT);
                 }
             }
-            boolean hasSuspected = members.values().stream().anyMatch(PlacementEndpoint::isSuspected);
-            if (capacity.uncoveredRanges().isEmpty() && pending.isEmpty() && !hasSuspected) {
+            if (capacity.uncoveredRanges().isEmpty() && pending.isEmpty()) {
                 trimExcessLayers();
             }
         }
@@ -245,7 +231,6 @@
         private boolean isRejoining() {
             long rejoined = members.values().stream()
                     .filter(endpoint -> rangeOf(endpoint) != null
-                            && isPresent(endpoint)
                             && nowMs - joinedAtMs.getOrDefault(endpoint.id(), nowMs) < settings.stabilizationMs())
                     .count();
             return rejoined >= settings.rejoiningEngines();
@@ -296,7 +281,7 @@
             if (extension != null) {
                 return extension;
             }
-            boolean isRedundant = capacity.minHolders(held, suspectedCapacity) > 1;
+            boolean isRedundant = capacity.minHolders(held) > 1;
             int layers = targetLayers(endpoint);
             if (!isRedundant || layers == 0) {
                 return null;
@@ -388,9 +373,7 @@
         }
 
         private boolean canOrder(PlacementEndpoint endpoint) {
-            return !endpoint.isSuspected()
-                    && !pending.containsKey(endpoint.id())
-                    && !backoffUntilMs.containsKey(endpoint.id());
+            return !pending.containsKey(endpoint.id()) && !backoffUntilMs.containsKey(endpoint.id());
         }
 
         private int targetLayers(PlacementEndpoint endpoint) {
--- a/core/src/main/java/io/radishwinch/core/placement/Placement.java
+++ b/core/src/main/java/io/radishwinch/core/placement/Placement.java
@@ -11,7 +11,7 @@
     /**
      * Plans the next orders.
      *
-     * @param endpoints endpoints that are in use or suspected
+     * @param endpoints endpoints that are neither removed nor leaving
      * @param config configuration in effect
      * @param nowMs current time in ms
      * @return orders to send and changes to log
--- a/core/src/main/java/io/radishwinch/core/placement/PlacementPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/placement/PlacementPlanner.java
@@ -227,14 +227,10 @@
                     .orElse(null);
         }
 
-        private boolean canOrder(PlacementEndpoint endpoint) {
-            return !endpoint.isEjected() && !endpoint.isSuspected() && !pending.containsKey(endpoint.id());
-        }
-
         private boolean canMove(PlacementEndpoint endpoint, boolean afterCooldown) {
             Long lastMs = movedAtMs.get(endpoint.id());
             boolean isCoolingDown = afterCooldown && lastMs != null && nowMs - lastMs < settings.cooldownMs();
-            if (!canOrder(endpoint) || isCoolingDown) {
+            if (endpoint.isEjected() || isCoolingDown || pending.containsKey(endpoint.id())) {
                 return false;
             }
             for (Holding holding : endpoint.holdings()) {
@@ -297,7 +293,7 @@
                 return;
             }
             for (PlacementEndpoint endpoint : endpoints.values()) {
-                if (!canOrder(endpoint) || nowMs < storeFreeAtMs) {
+                if (endpoint.isEjected() || pending.containsKey(endpoint.id()) || nowMs < storeFreeAtMs) {
                     continue;
                 }
                 for (EngineOrder order : ordersForGoals(endpoint)) {
