Share the report of a crash, and keep one constant for silences

QuarantineSystem.endProven repeated how recordCrash tells the peers and applies the quarantine; shareCrash serves both. CoreState.MAX_SILENCE_MS was an alias of the constant of EndpointRemoved.

--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -130,7 +130,7 @@
             return;
         }
         state.suspectedSinceMs.forEach((endpointId, sinceMs) -> {
-            if (nowMs - sinceMs >= CoreState.MAX_SILENCE_MS) {
+            if (nowMs - sinceMs >= Event.EndpointRemoved.MAX_SILENCE_MS) {
                 // A sound endpoint would have responded by now.
                 quarantineSystem.endpointEnded(endpointId, nowMs);
             }
@@ -159,7 +159,7 @@
             return !row.isAccepted;
         }
         boolean isSilenceExceeded =
-                nowMs - state.suspectedSinceMs.getOrDefault(endpointId, nowMs) >= CoreState.MAX_SILENCE_MS;
+                nowMs - state.suspectedSinceMs.getOrDefault(endpointId, nowMs) >= Event.EndpointRemoved.MAX_SILENCE_MS;
         boolean hasRuns = hasRunsAfterCurrent(row) || isSilenceExceeded && countRuns(row) < row.spec.maxRuns();
         long neededMs = state.pool(row.spec.pool()).neededMs(row.spec, row.deliveredTokens, false, nowMs);
         return hasRuns
--- a/core/src/main/java/io/radishwinch/core/impl/CoreState.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreState.java
@@ -41,8 +41,6 @@
     /** Largest share of the queue capacity that requests of one caller may use outside the queue. */
     private static final double MAX_WAITING_SHARE = 0.25;
 
-    static final long MAX_SILENCE_MS = Event.EndpointRemoved.MAX_SILENCE_MS;
-
     private static final String FINISHED = "finished";
     private static final int MAX_FINISHED = 2_000;
     private static final int MAX_PENDING_ALLOTMENTS = 10_000;
--- a/core/src/main/java/io/radishwinch/core/impl/QuarantineSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/QuarantineSystem.java
@@ -49,8 +49,7 @@
     void endProven(String endpointId, long nowMs) {
         for (String fingerprint : state.quarantine.takeInterrupted(endpointId, nowMs)) {
             if (state.quarantine.recordProvenInterruption(fingerprint, endpointId, nowMs)) {
-                state.actions.add(new Action.ShareCrash(fingerprint, endpointId));
-                applyQuarantine(fingerprint, true, nowMs);
+                shareCrash(fingerprint, endpointId, nowMs);
             }
         }
     }
@@ -85,11 +84,15 @@
 
     private void recordCrash(String fingerprint, String endpointId, long nowMs) {
         if (state.quarantine.recordCrash(fingerprint, endpointId, false, nowMs)) {
-            state.actions.add(new Action.ShareCrash(fingerprint, endpointId));
-            applyQuarantine(fingerprint, true, nowMs);
+            shareCrash(fingerprint, endpointId, nowMs);
         }
     }
 
+    private void shareCrash(String fingerprint, String endpointId, long nowMs) {
+        state.actions.add(new Action.ShareCrash(fingerprint, endpointId));
+        applyQuarantine(fingerprint, true, nowMs);
+    }
+
     void recordPeerCrash(Event.CrashShared event, long nowMs) {
         if (state.quarantine.recordCrash(event.fingerprint(), event.endpointId(), true, nowMs)) {
             applyQuarantine(event.fingerprint(), true, nowMs);
