--- a/server/src/main/java/io/radishwinch/server/engine/HttpEngineClient.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpEngineClient.java
@@ -188,7 +188,17 @@
                 headers.set("Authorization", "Bearer " + orderKey);
             }
             int maxBytes = uri.equals("/v1/kv/export") ? MAX_KV_BYTES : options.maxResponseBytes();
-            HttpExchange.send(vertx, client, address, method, uri, headers, body, options.callTimeoutMs(), maxBytes)
+            HttpExchange.send(
+                            vertx,
+                            client,
+                            address,
+                            method,
+                            uri,
+                            headers,
+                            body,
+                            options.callTimeoutMs(),
+                            maxBytes,
+                            HttpExchange.Attribution.NONE)
                     .onFailure(emitter::fail)
                     .onSuccess(response -> {
                         T result;
--- a/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
@@ -104,22 +104,9 @@
      * @param body request body, or null for none
      * @param timeoutMs timeout of the call including the response body, in ms
      * @param maxResponseBytes maximum size of the response body, in bytes
+     * @param attribution what tells the response from those to other calls
      * @return response with any status; fails with an {@link EndpointException}
      */
-    public static Future<Response> send(
-            Vertx vertx,
-            HttpClient client,
-            EndpointAddress address,
-            HttpMethod method,
-            String uri,
-            MultiMap headers,
-            Buffer body,
-            long timeoutMs,
-            int maxResponseBytes) {
-        return send(vertx, client, address, method, uri, headers, body, timeoutMs, maxResponseBytes, Attribution.NONE);
-    }
-
-    /** Sends a call whose response may be told from those to other calls. */
     public static Future<Response> send(
             Vertx vertx,
             HttpClient client,
--- a/server/src/main/java/io/radishwinch/server/platform/HttpPlatformClient.java
+++ b/server/src/main/java/io/radishwinch/server/platform/HttpPlatformClient.java
@@ -182,7 +182,16 @@
     private <T> Uni<T> call(
             HttpMethod method, String uri, MultiMap headers, Buffer body, boolean isWrite, ResponseReader<T> reader) {
         return Uni.createFrom().emitter(emitter -> HttpExchange.send(
-                        vertx, client, platform, method, uri, headers, body, options.callTimeoutMs(), MAX_PAGE_BYTES)
+                        vertx,
+                        client,
+                        platform,
+                        method,
+                        uri,
+                        headers,
+                        body,
+                        options.callTimeoutMs(),
+                        MAX_PAGE_BYTES,
+                        HttpExchange.Attribution.NONE)
                 .onFailure(cause -> emitter.fail(toPlatformException(cause, isWrite)))
                 .onSuccess(response -> {
                     T result;
