End an attempt whose response head has a line without a colon

A success could still be given for a request that its endpoint answered with an error: if the bytes before a response end in a line that contains a space, "HTTP/1.1 200 OK\r\nmore bytes" before "HTTP/1.1 500 X", Netty ends the header name at the space, drops the rest of the line for want of a colon, and with it the second status line that the check of the head looks for.

A header line without a colon now ends the attempt. Space before the colon is still accepted.

UpstreamCallTest.aHeaderLineWithoutColonEndsTheCall: 3 of 3 cases failed before (a 200 in place of the 500), none now. aSoundResponseIsPassedOn holds before and after.

--- a/server/src/main/java/io/radishwinch/server/proxy/EndpointConnection.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EndpointConnection.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
@@ -160,6 +161,21 @@
             }
         }
 
+        /**
+         * Rejects a header line without a colon, whose name would end at its first space, and the rest would be lost.
+         */
+        @Override
+        protected AsciiString splitHeaderName(byte[] bytes, int start, int length) {
+            int next = start + length;
+            while (next < bytes.length && (bytes[next] == ' ' || bytes[next] == '\t')) {
+                next++;
+            }
+            if (next == bytes.length || bytes[next] != ':') {
+                throw new IllegalArgumentException("header line without a colon");
+            }
+            return super.splitHeaderName(bytes, start, length);
+        }
+
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
             return method == HttpMethod.HEAD || super.isContentAlwaysEmpty(message);
--- a/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
@@ -279,6 +279,40 @@
         }
     }
 
+    /** Guards against the same after bytes of which the last line contains a space, so that it ends its header name. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nDate ", "HTTP/1.1 200 OK\r\nmore bytes", "HTTP/1.1 200 OK\r\nmore\t"})
+    void aHeaderLineWithoutColonEndsTheCall(String surplus) throws Exception {
+        Recorder first = call("a", server.getLocalPort(), new NoNotices());
+        try (Socket socket = server.accept()) {
+            Recorder second = callAfter(first, socket);
+            write(socket, surplus + identified(500, "b", "run of b"));
+            assertThat(second.outcome.get(WAIT_S, TimeUnit.SECONDS)).isEqualTo("STAGE_DIED MAY_HAVE_RUN");
+        }
+    }
+
+    /** Guards against a sound response that is rejected because of how its head is written. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200\r\n",
+                "HTTP/1.1 200 HTTP/1.1 is spoken\r\n",
+                "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\n",
+                "HTTP/1.1 200 OK\r\nEmpty:\r\n",
+                "HTTP/1.1 200 OK\r\nName : value\r\n",
+                "HTTP/1.1 200 OK\r\nFolded: one\r\n two\r\n",
+                "\r\nHTTP/1.1 200 OK\r\n",
+                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+            })
+    void aSoundResponseIsPassedOn(String head) throws Exception {
+        Recorder recorder = call("a", server.getLocalPort(), new NoNotices());
+        try (Socket socket = server.accept()) {
+            ScriptedEndpoint.readHead(socket);
+            write(socket, head + "X-Request-Id: a\r\nContent-Length: 4\r\n\r\nbody\r\n");
+            assertThat(recorder.outcome.get(WAIT_S, TimeUnit.SECONDS)).isEqualTo("complete: body");
+        }
+    }
+
     /** Accepts a connection, or returns the given one if its next request arrives first. */
     private Socket acceptOr(Socket socket) throws Exception {
         server.setSoTimeout(POLL_MS);
