Reject responses that begin with bytes of another one in all HTTP clients

Bytes before a response that form no whole line give it their own status, as on the connections to endpoints. On the connections of Vert.x clients, a refused layer order counted as accepted, a conflict as a write to the store, an error of a service as a success, and an attempt that runs as one that has not run.

The check of the response head moves to ResponseHeads, which all clients use: HttpExchange treats such a response as one to another call, so that repeatable calls are sent again; streams, calls to services and watches fail.

The check of watches has no test of its own.

--- a/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
@@ -28,7 +28,7 @@
  * object with required fields, or requires {@link Response#isDelimited()}.
  *
  * <p>A late second copy of the response to another call may arrive first on any connection, a new one included. See
- * {@link Attribution}.
+ * {@link Attribution}. A response that begins with bytes of another one is treated as such a copy.
  */
 public final class HttpExchange {
     /** Response header with which an endpoint states that it did not run the call. */
@@ -148,7 +148,7 @@
                     opened.exceptionHandler(cause -> onConnectionFailure(opened, cause));
                     opened.response()
                             .onSuccess(response -> {
-                                if (!isEnded && attribution.isForeign().test(response.headers())) {
+                                if (!isEnded && isForeign(response)) {
                                     onForeignResponse(() -> open(client, options, body));
                                 } else {
                                     onResponse(response);
@@ -170,15 +170,19 @@
         }
     }
 
+    private boolean isForeign(HttpClientResponse response) {
+        return attribution.isForeign().test(response.headers()) || ResponseHeads.containsStatusLine(response);
+    }
+
     private void onForeignResponse(Runnable repeat) {
         foreignResponses++;
         LOG.log(
                 System.Logger.Level.INFO,
-                "{0}: a response to another call was dropped, {1} for this call",
+                "{0}: a response that does not belong to the call was dropped, {1} for this call",
                 address.endpointId(),
                 foreignResponses);
         if (!attribution.isRepeatable() || foreignResponses >= MAX_FOREIGN_RESPONSES) {
-            fail(Reason.STAGE_DIED, "response belongs to another call", null);
+            fail(Reason.STAGE_DIED, "response does not belong to the call", null);
             return;
         }
         HttpClientRequest dropped = request;
--- a/server/src/main/java/io/radishwinch/server/proxy/EndpointConnection.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EndpointConnection.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
+import io.radishwinch.server.engine.ResponseHeads;
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
@@ -29,7 +30,6 @@
 import io.vertx.core.internal.buffer.BufferInternal;
 import io.vertx.core.internal.net.NetSocketInternal;
 import java.util.List;
-import java.util.regex.Pattern;
 
 /**
  * HTTP/1.1 connection to an endpoint, which carries one request at a time.
@@ -57,9 +57,6 @@
     private static final long NO_TIMER = -1;
     private static final String UNEXPECTED_BYTES = "unexpected bytes after a response";
 
-    /** Beginning of a response, which no single line of a response head contains. */
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [0-9]{3}");
-
     private final Vertx vertx;
     private final NetSocketInternal socket;
     private final ResponseDecoder decoder;
@@ -290,7 +287,7 @@
         } else if (response.protocolVersion().majorVersion() != HttpVersion.HTTP_1_1.majorVersion()
                 || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
             fail("unexpected protocol: " + response.protocolVersion() + " " + response.status());
-        } else if (containsStatusLine(response)) {
+        } else if (ResponseHeads.containsStatusLine(response.status().reasonPhrase(), response.headers())) {
             fail("response follows bytes that belong to none");
         } else if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             reading = Reading.INTERIM_RESPONSE;
@@ -322,14 +319,6 @@
         return !ids.contains(requestId) && ids.stream().anyMatch(id -> !id.isEmpty());
     }
 
-    /** Returns whether a second response begins inside the head, after bytes that precede it. */
-    private static boolean containsStatusLine(HttpResponse response) {
-        return STATUS_LINE.matcher(response.status().reasonPhrase()).find()
-                || response.headers().entries().stream()
-                        .anyMatch(
-                                header -> STATUS_LINE.matcher(header.getValue()).find());
-    }
-
     private static boolean isDelimited(HttpResponse response) {
         return HttpUtil.isContentLengthSet(response)
                 || HttpUtil.isTransferEncodingChunked(response)
--- a/server/src/test/java/io/radishwinch/server/engine/ResponseCopyTest.java
+++ b/server/src/test/java/io/radishwinch/server/engine/ResponseCopyTest.java
@@ -111,6 +111,16 @@
         }
     }
 
+    /** Guards against a stream that counts as not run although its engine runs it, after bytes of no response. */
+    @Test
+    void bytesOfARefusalAreNotTheBeginningOfTheResponseToAnAttempt() throws IOException {
+        String bytes = "HTTP/1.1 503 Busy\r\nX-Not-Run: true\r\nDate: ";
+        try (RepeatingEndpoint engine =
+                new RepeatingEndpoint(List.of(bytes + RepeatingEndpoint.toResponse("200 \n")))) {
+            assertThat(attempt(engine, "r")).contains("MAY_HAVE_RUN").doesNotContain("NOT_RUN");
+        }
+    }
+
     private String attempt(RepeatingEndpoint engine, String requestId) {
         AttemptRequest.StageTarget stage =
                 new AttemptRequest.StageTarget(address(engine), new LayerRange(0, 4), List.of());
@@ -132,6 +142,20 @@
         }
     }
 
+    /** Guards against a caller who gets a success although the service answered with an error. */
+    @Test
+    void bytesOfAResponseAreNotTheBeginningOfTheResponseToACall() throws IOException {
+        HttpServiceClient services = new HttpServiceClient(vertx, ClientOptions.defaults(), System::currentTimeMillis);
+        try (RepeatingEndpoint service =
+                new RepeatingEndpoint(List.of("HTTP/1.1 200 " + RepeatingEndpoint.toResponse("500 {}")))) {
+            assertThatThrownBy(() -> call(services, service))
+                    .hasCauseInstanceOf(EndpointException.class)
+                    .cause()
+                    .extracting("verdict")
+                    .isEqualTo(Verdict.MAY_HAVE_RUN);
+        }
+    }
+
     private int call(HttpServiceClient services, RepeatingEndpoint service) {
         CompletableFuture<Integer> status = new CompletableFuture<>();
         services.call(new ServiceClient.Call(
