--- a/server/src/test/java/io/radishwinch/server/engine/RepeatingEndpoint.java
+++ b/server/src/test/java/io/radishwinch/server/engine/RepeatingEndpoint.java
@@ -16,12 +16,13 @@
 
 /**
  * Endpoint on loopback that responds to each request with the next of some responses. If a connection is used again, a
- * second copy of its last response precedes the response to the new request.
+ * second copy of its last response precedes the response to the new request, unless the endpoint sends no copies.
  */
 public final class RepeatingEndpoint implements AutoCloseable {
 
     private final ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
     private final Queue<String> responses;
+    private final boolean sendsCopies;
 
     /** Number of connections that the endpoint has accepted. */
     public final AtomicInteger acceptedConnections = new AtomicInteger();
@@ -36,6 +37,12 @@
 
     /** Starts an endpoint whose responses are given as they are sent. */
     public RepeatingEndpoint(List<String> responses) throws IOException {
+        this(responses, true);
+    }
+
+    /** Starts an endpoint whose responses are given as they are sent. */
+    public RepeatingEndpoint(List<String> responses, boolean sendsCopies) throws IOException {
+        this.sendsCopies = sendsCopies;
         this.responses = new ArrayDeque<>(responses);
         start(() -> {
             while (true) {
@@ -68,7 +75,7 @@
             while (readRequest(socket.getInputStream())) {
                 String next = nextResponse();
                 socket.getOutputStream().write((last + next).getBytes(StandardCharsets.US_ASCII));
-                last = next;
+                last = sendsCopies ? next : "";
             }
             closedConnections.release();
         }
