--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
@@ -2,15 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.radishwinch.core.DecisionCore;
-import io.radishwinch.core.action.Action;
 import io.radishwinch.core.event.Event;
-import io.radishwinch.core.model.Chain;
-import io.radishwinch.core.model.LayerRange;
 import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
-import io.radishwinch.core.model.Stage;
 import io.radishwinch.core.model.Verdict;
 import io.radishwinch.server.ControlLoop;
 import io.radishwinch.server.http.DeliveryStats;
@@ -30,7 +25,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -51,15 +45,14 @@
 
 /** Guards against responses that break off and reach the caller as complete ones, over loopback sockets. */
 class ProxyExchangeTest {
-    private static final String ID = "a";
-    private static final String ENDPOINT = "e@1";
+    private static final String ID = RetryingCore.ID;
+    private static final String ENDPOINT = RetryingCore.ENDPOINT;
     private static final String SEALED = "X-Request-Id: a\r\nConnection: close\r\n";
     private static final String CHUNKED = "Transfer-Encoding: chunked\r\n";
     private static final String STREAM = "Content-Type: text/event-stream\r\n";
     private static final String STREAM_HEAD = "HTTP/1.1 200 OK\r\n" + SEALED + STREAM + CHUNKED + "\r\n";
     private static final String LAST_CHUNK = "0\r\n\r\n";
     private static final String LARGE_BODY = "x".repeat(100_000);
-    private static final int MAX_ATTEMPTS = 3;
 
     /** Events of a stream that exceeds the caller's receive buffer and fits into all buffers on the way. */
     private static final int LARGE_EVENTS = 60;
@@ -109,58 +102,6 @@
         vertx.close().toCompletionStage().toCompletableFuture().join();
     }
 
-    /** Retries each failed attempt until the maximum number of attempts, and cancels attempts when a test asks. */
-    private static final class RetryingCore implements DecisionCore {
-        private final List<Verdict> failureVerdicts = Collections.synchronizedList(new ArrayList<>());
-        private volatile boolean refusesFinishedAttempts;
-        private int epoch;
-
-        @Override
-        public List<Action> handle(Event event, long nowMs) {
-            if (event instanceof Event.RequestArrived) {
-                return List.of(start());
-            } else if (event instanceof Event.AttemptFailed failed && failed.epoch() == epoch) {
-                failureVerdicts.add(failed.verdict());
-                return List.of(epoch < MAX_ATTEMPTS ? start() : refusal(failed.reason()));
-            } else if (event instanceof Event.AttemptFinished finished && finished.epoch() == epoch) {
-                return refusesFinishedAttempts
-                        ? List.of(
-                                new Action.CancelAttempt(ID, epoch, Reason.DEADLINE_EXCEEDED),
-                                refusal(Reason.DEADLINE_EXCEEDED))
-                        : List.of(new Action.Complete(ID));
-            } else if (event instanceof Event.EndpointRemoved) {
-                return List.of(new Action.CancelAttempt(ID, epoch, Reason.STAGE_DIED));
-            } else if (event instanceof Event.Tick) {
-                return List.of(refusal(Reason.DEADLINE_EXCEEDED));
-            }
-            return List.of();
-        }
-
-        private Action start() {
-            Stage stage = new Stage(ENDPOINT, new LayerRange(0, 1));
-            return new Action.StartAttempt(ID, ++epoch, new Chain(List.of(stage)), 0, List.of(), 0, Long.MAX_VALUE);
-        }
-
-        private static Action refusal(Reason reason) {
-            return new Action.Refuse(ID, reason, Verdict.MAY_HAVE_RUN, 0);
-        }
-
-        @Override
-        public Optional<RequestView> request(String requestId) {
-            return Optional.empty();
-        }
-
-        @Override
-        public Optional<CallerView> caller(String caller) {
-            return Optional.empty();
-        }
-
-        @Override
-        public CoreView view() {
-            throw new UnsupportedOperationException();
-        }
-    }
-
     /** Starts a router for requests of one kind whose endpoint answers with these scripts, and returns its port. */
     private int start(RouteKind kind, List<Script> scripts) throws Exception {
         endpoint = new ScriptedEndpoint(scripts);
@@ -659,6 +600,29 @@
         assertThat(outcome.get(WAIT_S, TimeUnit.SECONDS)).isEmpty();
     }
 
+    /** Guards against a caller that loses the error of its first run, because its deadline passes during the second. */
+    @Test
+    void theErrorOfARunIsSentWhenTheDeadlinePassesDuringTheNextOne() throws Exception {
+        String error = "HTTP/1.1 500 Internal Server Error\r\n" + SEALED + "Content-Length: 5\r\n\r\nerror";
+        CompletableFuture<Void> isAnswered = new CompletableFuture<>();
+        Script running = new Script(
+                request -> {
+                    control.post(new Event.Tick());
+                    return "";
+                },
+                "HTTP/1.1 200 OK\r\n" + SEALED + "Content-Length: 2\r\n\r\nok",
+                End.NONE,
+                () -> isAnswered.get(WAIT_S, TimeUnit.SECONDS));
+        String response = call(start(RouteKind.REPEATABLE, List.of(new Script(error, End.NONE), running)));
+        isAnswered.complete(null);
+        assertThat(response)
+                .startsWith("HTTP/1.1 500 ")
+                .contains("X-Request-Id: a")
+                .endsWith("error");
+        assertThat(outcome.get(WAIT_S, TimeUnit.SECONDS)).map(Refusal::reason).contains(Reason.DEADLINE_EXCEEDED);
+        assertThat(endpoint.requestHeads).hasSize(2);
+    }
+
     /** Guards against a response of unknown length that a caller of HTTP/1.0 takes for whole when it breaks off. */
     @Test
     void aLargeResponseOfUnknownLengthIsNotSentToACallerOfHttp10() throws Exception {
