Put what decides on the cause of a request line first

Each line on a request now begins with time (in ms), event and id, then the fields that decide; level and atMs are last. response-ended has the connection, the number of the request on it and its identification in one field of bounded size before the detail, and omits a status, a detail and surplus responses that it does not have. The history of a refusal starts with the latest decision. retried has the id.

--- a/core/src/main/java/io/radishwinch/core/action/Action.java
+++ b/core/src/main/java/io/radishwinch/core/action/Action.java
@@ -122,11 +122,12 @@
     /**
      * Counts a retry.
      *
+     * @param requestId identifier of the request
      * @param caller caller
      * @param rank rank
      * @param reason reason for which the previous attempt ended
      */
-    record CountRetry(String caller, Rank rank, Reason reason) implements Action {}
+    record CountRetry(String requestId, String caller, Rank rank, Reason reason) implements Action {}
 
     /**
      * Logs a state change.
--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -352,7 +352,7 @@
             row.nextTransitionAtMs = nowMs + wait.waitMs();
             state.waitOutsideQueue(row, RequestRow.State.BACKING_OFF, nowMs);
         } else if (decision instanceof RetryPolicy.Retry retry) {
-            state.actions.add(new Action.CountRetry(row.spec.caller(), row.spec.rank(), row.lastReason));
+            state.actions.add(new Action.CountRetry(row.id(), row.spec.caller(), row.spec.rank(), row.lastReason));
             row.nextTransitionAtMs = nowMs + retry.waitMs();
             if (state.waitOutsideQueue(row, RequestRow.State.BACKING_OFF, nowMs) && retry.waitMs() == 0) {
                 state.requeue(row, nowMs);
--- a/server/src/main/java/io/radishwinch/server/JsonLogFormatter.java
+++ b/server/src/main/java/io/radishwinch/server/JsonLogFormatter.java
@@ -2,22 +2,27 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.temporal.ChronoUnit;
 import java.util.Map;
 import java.util.logging.Formatter;
 import java.util.logging.LogRecord;
 
-/** Formats each log record as a JSON object on one line, with {@link LogFields} as members. */
-final class JsonLogFormatter extends Formatter {
+/**
+ * Formats each log record as a JSON object on one line, with {@link LogFields} as members. Their order is kept, so that
+ * what comes first survives in tools that shorten lines.
+ */
+public final class JsonLogFormatter extends Formatter {
     @Override
     public String format(LogRecord record) {
         ObjectNode line = JsonNodeFactory.instance.objectNode();
-        line.put("time", record.getInstant().toString());
-        line.put("level", record.getLevel().getName());
+        line.put("time", record.getInstant().truncatedTo(ChronoUnit.MILLIS).toString());
         Object[] parameters = record.getParameters();
         if (parameters != null && parameters.length == 1 && parameters[0] instanceof LogFields fields) {
             line.put("event", fields.event());
             fields.values().forEach((name, value) -> put(line, name, value));
+            line.put("level", record.getLevel().getName());
         } else {
+            line.put("level", record.getLevel().getName());
             line.put("logger", record.getLoggerName());
             line.put("message", formatMessage(record));
         }
--- a/server/src/main/java/io/radishwinch/server/fleet/DecisionLogger.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/DecisionLogger.java
@@ -8,6 +8,8 @@
 import io.radishwinch.core.model.Stage;
 import io.radishwinch.core.quarantine.PromptCrash;
 import io.radishwinch.server.LogFields;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
@@ -48,9 +50,9 @@
         } else if (event instanceof Event.AttemptFailed failed) {
             log.request(() -> LogFields.of("attempt-failed")
                     .with("id", failed.requestId())
-                    .with("epoch", failed.epoch())
-                    .with("endpoint", failed.failedEndpointId())
                     .with("reason", failed.reason().wireName())
+                    .with("endpoint", failed.failedEndpointId())
+                    .with("epoch", failed.epoch())
                     .with("verdict", failed.verdict().wireName())
                     .with("delivered", failed.deliveredTokens()));
         } else if (event instanceof Event.CrashShared crash) {
@@ -85,12 +87,13 @@
                     .with("id", refuse.requestId())
                     .with("reason", refuse.reason().wireName())
                     .with("verdict", refuse.verdict().wireName())
-                    .with("retryAfterMs", refuse.retryAfterMs())
-                    .with("history", history(refuse.requestId())));
+                    .with("history", history(refuse.requestId()))
+                    .with("retryAfterMs", refuse.retryAfterMs()));
         } else if (action instanceof Action.CountRetry retry) {
             log.request(() -> LogFields.of("retried")
-                    .with("caller", retry.caller())
-                    .with("reason", retry.reason().wireName()));
+                    .with("id", retry.requestId())
+                    .with("reason", retry.reason().wireName())
+                    .with("caller", retry.caller()));
         }
     }
 
@@ -107,9 +110,14 @@
         return parts.stream().map(HEX::toHexDigits).collect(Collectors.joining(" "));
     }
 
+    /** Returns the decisions on a request before its refusal, the latest first. */
     private String history(String requestId) {
         return requests.apply(requestId)
-                .map(view -> String.join("; ", view.history()))
+                .map(view -> {
+                    List<String> decisions = new ArrayList<>(view.history());
+                    Collections.reverse(decisions);
+                    return decisions.stream().skip(1).collect(Collectors.joining("; "));
+                })
                 .orElse("");
     }
 
--- a/server/src/main/java/io/radishwinch/server/fleet/OutcomeLogger.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/OutcomeLogger.java
@@ -53,19 +53,27 @@
         if (end.isOrdinary()) {
             return;
         }
-        log.request(() -> LogFields.of("response-ended")
+        log.request(() -> fieldsOf(requestId, end));
+    }
+
+    /** Returns the fields of bounded size first, and those that other lines on the attempt have as well last. */
+    private static LogFields fieldsOf(String requestId, ResponseEnd end) {
+        LogFields fields = LogFields.of("response-ended")
                 .with("id", requestId)
-                .with("epoch", end.epoch())
-                .with("endpoint", end.endpointId())
-                .with("status", end.status())
+                .with("cause", end.cause().wireName());
+        if (end.status() != 0) {
+            fields.with("status", end.status());
+        }
+        fields.with("epoch", end.epoch()).with("connection", end.carrier().describe());
+        if (end.carrier().surplusResponses() > 0) {
+            fields.with("surplus", end.carrier().surplusResponses());
+        }
+        if (!end.detail().isEmpty()) {
+            fields.with("detail", end.detail());
+        }
+        return fields.with("endpoint", end.endpointId())
                 .with("framing", end.framing().wireName())
-                .with("events", end.eventCount())
-                .with("cause", end.cause().wireName())
-                .with("detail", end.detail())
-                .with("connection", end.carrier().connectionId())
-                .with("requestNumber", end.carrier().requestNumber())
-                .with("identified", end.carrier().isIdentified())
-                .with("surplus", end.carrier().surplusResponses()));
+                .with("events", end.eventCount());
     }
 
     @Override
--- a/server/src/main/java/io/radishwinch/server/proxy/ResponseEnd.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ResponseEnd.java
@@ -58,6 +58,17 @@
     public record Carrier(long connectionId, int requestNumber, boolean isIdentified, int surplusResponses) {
         /** The attempt ended before it had a connection. */
         public static final Carrier NONE = new Carrier(0, 0, false, 0);
+
+        /**
+         * Returns the numbers of the connection and of the request on it, as in {@code 17/3}, followed by
+         * {@code identified} if the response names its request; {@code none} without a connection.
+         */
+        public String describe() {
+            if (connectionId == 0) {
+                return "none";
+            }
+            return connectionId + "/" + requestNumber + (isIdentified ? " identified" : "");
+        }
     }
 
     /** Why a response ended. */
--- a/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
@@ -210,7 +210,7 @@
 
     @Override
     public void onFailure(String message) {
-        fail(Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN, "connection failed: " + message);
+        fail(Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN, message);
     }
 
     private void forwardNotices() {
