Log where the response of an answered request came from

For a success, the log could not say which run it was: a first attempt that completes is logged only as answered, without endpoint, status or connection.

answered now has status, endpoint, connection with the number of the request on it and whether the response named its request, and the surplus responses that were dropped before it. No line is added. The operator's trace prints the origin; logs of earlier releases still read.

--- a/cli/src/main/java/io/radishwinch/cli/log/RequestTrace.java
+++ b/cli/src/main/java/io/radishwinch/cli/log/RequestTrace.java
@@ -101,10 +101,18 @@
         private RequestTrace explainAnswered(LogLine last) {
             Optional<LogLine> failure = firstFailedAttempt();
             String times = "completed, first event after " + last.text("firstMs") + " ms, longest pause "
-                    + last.text("longestPauseMs") + " ms";
+                    + last.text("longestPauseMs") + " ms" + origin(last);
             return failure.isPresent() ? explainByFailedAttempt(times, last) : traceWithCause(times, Optional.empty());
         }
 
+        /** Returns where the response came from, which routers of earlier releases do not log. */
+        private static String origin(LogLine answered) {
+            return answered.text("connection").isEmpty()
+                    ? ""
+                    : ", status " + answered.text("status") + " of " + answered.text("endpoint") + " over connection "
+                            + answered.text("connection");
+        }
+
         private RequestTrace explainRefused(LogLine last) {
             String outcome = "refused as " + last.text("verdict") + " because of " + last.text("reason");
             if (last.text("reason").equals("draining")) {
--- a/cli/src/test/java/io/radishwinch/cli/LogCommandsTest.java
+++ b/cli/src/test/java/io/radishwinch/cli/LogCommandsTest.java
@@ -37,7 +37,7 @@
             2026-12-04 host-2 {"event":"rejected","id":"unknown","caller":"","reason":"unknown-caller","detail":"the key is unknown","atMs":7100}
             2026-12-04 host-2 {"event":"request-arrived","id":"fine","caller":"clinic","pool":"m","leftMs":9000,"config":3,"atMs":8000}
             2026-12-04 host-2 {"event":"attempt-started","id":"fine","epoch":1,"chain":"i-1@7:0-8","from":0,"atMs":8001}
-            2026-12-04 host-2 {"event":"answered","id":"fine","attempts":1,"firstMs":60,"longestPauseMs":40,"events":12,"arrivedAtMs":8000,"atMs":8900}
+            2026-12-04 host-2 {"event":"answered","id":"fine","status":200,"endpoint":"i-1@7","connection":"17/3 identified","attempts":1,"firstMs":60,"longestPauseMs":40,"events":12,"arrivedAtMs":8000,"atMs":8900}
             """;
 
     @TempDir
@@ -83,6 +83,19 @@
         assertThat(session.text()).contains("1 unstructured lines were skipped").doesNotContain("answered");
     }
 
+    /**
+     * Guards against a trace of a response whose origin an earlier release did not log that names an empty endpoint.
+     */
+    @Test
+    void traceOfAnEarlierReleaseNamesNoOrigin() throws Exception {
+        session.write(
+                "c.log",
+                "{\"event\":\"retried\",\"caller\":\"clinic\",\"reason\":\"stage-died\",\"atMs\":7990}\n"
+                        + "{\"event\":\"answered\",\"id\":\"old\",\"attempts\":1,\"firstMs\":60,\"longestPauseMs\":40,\"atMs\":8900}\n");
+        session.run("trace c.log old");
+        assertThat(session.text()).contains("completed, first event after 60 ms, longest pause 40 ms\n");
+    }
+
     /** Guards against a trace that misses the outcome because the end of a cancelled response is logged after it. */
     @Test
     void traceFindsTheOutcomeBeforeTheEndOfACancelledResponse() throws Exception {
--- a/server/src/main/java/io/radishwinch/server/fleet/OutcomeLogger.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/OutcomeLogger.java
@@ -65,9 +65,7 @@
             fields.with("status", end.status());
         }
         fields.with("epoch", end.epoch()).with("connection", end.carrier().describe());
-        if (end.carrier().surplusResponses() > 0) {
-            fields.with("surplus", end.carrier().surplusResponses());
-        }
+        addSurplus(fields, end.carrier().surplusResponses());
         if (!end.detail().isEmpty()) {
             fields.with("detail", end.detail());
         }
@@ -76,20 +74,35 @@
                 .with("events", end.eventCount());
     }
 
+    private static void addSurplus(LogFields fields, int surplusResponses) {
+        if (surplusResponses > 0) {
+            fields.with("surplus", surplusResponses);
+        }
+    }
+
     @Override
     public void finished(RequestSpec request, DeliveryStats delivery, Optional<Refusal> refusal) {
         next.finished(request, delivery, refusal);
         if (refusal.isEmpty()) {
-            log.request(() -> LogFields.of("answered")
-                    .with("id", request.requestId())
-                    .with("attempts", delivery.attempts())
-                    .with("firstMs", delivery.timeToFirstTokenMs())
-                    .with("longestPauseMs", delivery.maxTokenIntervalMs())
-                    .with("events", delivery.deliveredTokens())
-                    .with("arrivedAtMs", request.arrivedAtMs()));
+            log.request(() -> fieldsOf(request, delivery));
         }
     }
 
+    private static LogFields fieldsOf(RequestSpec request, DeliveryStats delivery) {
+        LogFields fields = LogFields.of("answered").with("id", request.requestId());
+        delivery.origin().ifPresent(origin -> {
+            fields.with("status", origin.status())
+                    .with("endpoint", origin.endpointId())
+                    .with("connection", origin.connection());
+            addSurplus(fields, origin.surplusResponses());
+        });
+        return fields.with("attempts", delivery.attempts())
+                .with("firstMs", delivery.timeToFirstTokenMs())
+                .with("longestPauseMs", delivery.maxTokenIntervalMs())
+                .with("events", delivery.deliveredTokens())
+                .with("arrivedAtMs", request.arrivedAtMs());
+    }
+
     @Override
     public void rejected(String requestId, String caller, Optional<Rank> rank, Refusal refusal) {
         next.rejected(requestId, caller, rank, refusal);
--- a/server/src/main/java/io/radishwinch/server/http/DeliveryStats.java
+++ b/server/src/main/java/io/radishwinch/server/http/DeliveryStats.java
@@ -1,7 +1,10 @@
 package io.radishwinch.server.http;
 
+import java.util.Optional;
+
 /**
- * Statistics of the response delivered to a caller: attempts, tokens and their timing. Confined to one traffic thread.
+ * Statistics of the response delivered to a caller: its origin, attempts, tokens and their timing. Confined to one
+ * traffic thread.
  */
 public final class DeliveryStats {
     private static final long NONE = -1;
@@ -13,8 +16,10 @@
     private long firstTokenAtMs = NONE;
     private long lastTokenAtMs = NONE;
     private long maxTokenIntervalMs;
+    private Optional<ResponseOrigin> origin = Optional.empty();
 
-    DeliveryStats(long arrivedAtMs) {
+    /** Creates the statistics of a request that arrived at the given time, in ms of the router's clock. */
+    public DeliveryStats(long arrivedAtMs) {
         this.arrivedAtMs = arrivedAtMs;
     }
 
@@ -26,6 +31,11 @@
         isReplayed = true;
     }
 
+    /** Records where the response that completed the request came from. */
+    public void recordOrigin(ResponseOrigin responseOrigin) {
+        origin = Optional.of(responseOrigin);
+    }
+
     /** Records the delivery of a token at the given time, in ms of the router's clock. */
     public void recordToken(long nowMs) {
         deliveredTokens++;
@@ -37,6 +47,11 @@
         lastTokenAtMs = nowMs;
     }
 
+    /** Returns where the response came from, or empty if this is not known or no response is complete. */
+    public Optional<ResponseOrigin> origin() {
+        return origin;
+    }
+
     /** Returns the number of attempts started. */
     public int attempts() {
         return attempts;
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -11,6 +11,7 @@
 import io.radishwinch.server.http.AbstractExchange;
 import io.radishwinch.server.http.ErrorMessages;
 import io.radishwinch.server.http.Refusal;
+import io.radishwinch.server.http.ResponseOrigin;
 import io.radishwinch.server.route.Route;
 import io.radishwinch.server.route.RouteKind;
 import io.radishwinch.server.route.RoutingConfig;
@@ -616,6 +617,9 @@
 
         private void finishAttempt() {
             isAttemptFinished = true;
+            ResponseEnd.Carrier carrier = call.carrier();
+            delivery.recordOrigin(
+                    new ResponseOrigin(status, contact.endpointId(), carrier.describe(), carrier.surplusResponses()));
             reportEnd(ResponseEnd.Cause.COMPLETE, "");
             if (epoch == RELAY_EPOCH) {
                 completeResponse();
--- a/server/src/test/java/io/radishwinch/server/fleet/RequestLogLineTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/RequestLogLineTest.java
@@ -13,6 +13,8 @@
 import io.radishwinch.core.model.Verdict;
 import io.radishwinch.server.JsonLogFormatter;
 import io.radishwinch.server.OutcomeCounter;
+import io.radishwinch.server.http.DeliveryStats;
+import io.radishwinch.server.http.ResponseOrigin;
 import io.radishwinch.server.metrics.RouterMetrics;
 import io.radishwinch.server.proxy.ResponseEnd;
 import io.radishwinch.server.proxy.ResponseEnd.Carrier;
@@ -116,6 +118,15 @@
         assertKept("id", "cause", "status", "epoch", "connection", "detail");
     }
 
+    @Test
+    void aSuccessNamesTheRunThatItCameFrom() throws Exception {
+        DeliveryStats delivery = new DeliveryStats(NOW_MS);
+        delivery.recordAttempt();
+        delivery.recordOrigin(new ResponseOrigin(200, ENDPOINT, new Carrier(12_345, 17, true, 2).describe(), 2));
+        outcomes.finished(REQUEST, delivery, Optional.empty());
+        assertKept("id", "status", "endpoint", "connection", "surplus", "attempts");
+    }
+
     @Test
     void aRefusalKeepsTheLastAttempt() throws Exception {
         history.add("+0 ms admitted");
