--- a/cli/src/main/java/io/radishwinch/cli/CommandTree.java
+++ b/cli/src/main/java/io/radishwinch/cli/CommandTree.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
+import io.radishwinch.config.build.BuildIdentity;
 import io.radishwinch.config.contract.ObjectKind;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -15,6 +16,7 @@
 
     private final JCommander root;
     private final Group rootOptions = new Group();
+    private final VersionOption version = new VersionOption();
     private final Map<String, Map<String, Command>> groups = new LinkedHashMap<>();
     private final Map<String, Command> topLevelCommands = new LinkedHashMap<>();
 
@@ -32,7 +34,11 @@
         topLevelCommands.put("drain", new FleetCommands.Drain());
         topLevelCommands.put("trace", new LogCommands.Trace());
         topLevelCommands.put("report", new ReportCommand());
-        root = JCommander.newBuilder().programName(NAME).addObject(rootOptions).build();
+        root = JCommander.newBuilder()
+                .programName(NAME)
+                .addObject(rootOptions)
+                .addObject(version)
+                .build();
         // By default JCommander replaces an argument @FILE with the content of the file.
         root.setExpandAtSign(false);
         groups.forEach((name, commands) -> {
@@ -50,11 +56,18 @@
         private boolean isHelpRequested;
     }
 
+    /** Option of the root that prints the build. */
+    @Parameters
+    private static final class VersionOption {
+        @Parameter(names = "--version", description = "Print the build.", help = true)
+        private boolean isVersionRequested;
+    }
+
     /**
      * Result of parsing the arguments.
      *
      * @param command command to run, or null if the help is printed instead
-     * @param help help text, empty if there is a command to run
+     * @param help help text or build, empty if there is a command to run
      */
     record ParsedCommand(Command command, String help) {}
 
@@ -71,6 +84,9 @@
                     ExitCode.USAGE, e.getMessage().lines().findFirst().orElse("invalid arguments"), helpHint(args));
         }
         String name = root.getParsedCommand();
+        if (name == null && version.isVersionRequested) {
+            return new ParsedCommand(null, NAME + " " + BuildIdentity.ofProcess() + "\n");
+        }
         if (name == null) {
             return helpOrUsageError(rootOptions.isHelpRequested, rootHelp(), args);
         }
@@ -133,7 +149,7 @@
                 .keySet()
                 .forEach(name ->
                         text.append(HelpText.line(name, root.getCommands().get(name))));
-        text.append("\nEvery command has --help. Exit codes:\n");
+        text.append("\nEvery command has --help; radishwinch --version prints the build. Exit codes:\n");
         for (ExitCode code : ExitCode.values()) {
             text.append("  ")
                     .append(code.code())
--- a/cli/src/test/java/io/radishwinch/cli/MainTest.java
+++ b/cli/src/test/java/io/radishwinch/cli/MainTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.radishwinch.config.build.BuildIdentity;
 import io.radishwinch.config.contract.ObjectKind;
 import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.Reason;
@@ -44,6 +45,13 @@
         session.close();
     }
 
+    /** Guards against a tool that cannot say which build it is. */
+    @Test
+    void theVersionIsTheBuild() throws Exception {
+        session.run("--version");
+        assertThat(session.text()).contains("radishwinch " + BuildIdentity.ofProcess() + "\nexit code 0");
+    }
+
     @Test
     void contractsAreCheckedComparedAppliedAndDeleted() throws Exception {
         session.write("fleet/app-members.yaml", MEMBERS);
--- a/server/src/main/java/io/radishwinch/server/Main.java
+++ b/server/src/main/java/io/radishwinch/server/Main.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import io.radishwinch.config.ConfigError;
+import io.radishwinch.config.build.BuildIdentity;
 import io.radishwinch.config.settings.RouterSettings;
 import io.vavr.control.Either;
 import java.io.IOException;
@@ -33,6 +34,9 @@
         @Parameter(names = "--embedded", description = "run a whole deployment with stand-ins on loopback")
         private boolean embedded;
 
+        @Parameter(names = "--version", description = "print the build")
+        private boolean isVersionRequested;
+
         @Parameter(
                 names = {"--help", "-h"},
                 help = true,
@@ -71,6 +75,10 @@
             commander.usage();
             return ExitCode.OK;
         }
+        if (arguments.isVersionRequested) {
+            System.out.println("radishwinchd " + BuildIdentity.ofProcess());
+            return ExitCode.OK;
+        }
         if (arguments.embedded) {
             arguments.rest.addAll(commander.getUnknownOptions());
             return runEmbedded(arguments.rest);
@@ -121,10 +129,11 @@
         }
         LOG.log(
                 System.Logger.Level.INFO,
-                "started; callers on port {0}, operators on {1}, routers on {2}",
+                "started; callers on port {0}, operators on {1}, routers on {2}; build {3}",
                 Integer.toString(router.callerPort()),
                 Integer.toString(router.adminPort()),
-                Integer.toString(router.peerPort()));
+                Integer.toString(router.peerPort()),
+                BuildIdentity.ofProcess());
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(router), "drain"));
         stopped.await();
@@ -136,7 +145,7 @@
         try {
             router.drain().toCompletionStage().toCompletableFuture().get();
             router.close().toCompletionStage().toCompletableFuture().get();
-            LOG.log(System.Logger.Level.INFO, "stopped");
+            LOG.log(System.Logger.Level.INFO, "stopped; build {0}", BuildIdentity.ofProcess());
             Runtime.getRuntime().halt(ExitCode.OK);
         } catch (InterruptedException | ExecutionException e) {
             Runtime.getRuntime().halt(ExitCode.FAILED);
--- a/server/src/main/java/io/radishwinch/server/RouterProcess.java
+++ b/server/src/main/java/io/radishwinch/server/RouterProcess.java
@@ -1,5 +1,6 @@
 package io.radishwinch.server;
 
+import io.radishwinch.config.build.BuildIdentity;
 import io.radishwinch.config.settings.RouterSettings;
 import io.radishwinch.config.settings.SettingKey;
 import io.radishwinch.server.http.Authenticator;
@@ -107,6 +108,7 @@
     }
 
     private void registerGauges() {
+        metrics.build(BuildIdentity.ofProcess());
         metrics.gauge("radishwinch.caller.connections", "open connections of callers", callers::openConnections);
         metrics.gauge("radishwinch.caller.body.bytes", "memory taken by request bodies", callers::bodyBytes);
         metrics.gauge("radishwinch.config.version", "version of the configuration in effect", () -> authenticator
@@ -122,7 +124,7 @@
      */
     public Future<Void> drain() {
         isDraining = true;
-        LOG.log(System.Logger.Level.INFO, "draining");
+        LOG.log(System.Logger.Level.INFO, "draining; build {0}", BuildIdentity.ofProcess());
         Promise<Void> drained = Promise.promise();
         long timeoutMs = settings.integer(SettingKey.DRAIN_TIMEOUT_MS);
         plane.startDrain(plane.control().nowMs() + timeoutMs);
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
@@ -2,6 +2,7 @@
 
 import io.radishwinch.cluster.membership.Address;
 import io.radishwinch.cluster.platform.PlatformClient;
+import io.radishwinch.config.build.BuildIdentity;
 import io.radishwinch.server.LogFields;
 import io.radishwinch.server.OutcomeCounter;
 import io.radishwinch.server.RouterClock;
@@ -87,6 +88,7 @@
         return started.future()
                 .onSuccess(ignored -> log.lifecycle(LogFields.of("started")
                         .with("router", settings.routerId())
+                        .with("build", BuildIdentity.ofProcess())
                         .with("dataCentre", settings.dataCentre())
                         .with("callers", settings.callers())
                         .with("peers", settings.peers())));
@@ -124,6 +126,7 @@
                         plane.relays(),
                         plane::suspectConnection,
                         plane::checkStalledStreams));
+        metrics.build(BuildIdentity.ofProcess());
         metrics.gauge("radishwinch.config.version", "version of the configuration in effect", () -> plane.config()
                 .version());
         metrics.gauge("radishwinch.routers.live", "routers that this one believes alive", plane::liveRouters);
@@ -164,10 +167,14 @@
     public Future<Void> stop() {
         isDraining = true;
         long deadlineMs = clock.getAsLong() + settings.stopGraceMs() - CLOSE_MARGIN_MS;
-        log.lifecycle(LogFields.of("stopping").with("router", settings.routerId()));
+        logLifecycle("stopping");
         return started.future().compose(ignored -> drain(deadlineMs));
     }
 
+    private void logLifecycle(String event) {
+        log.lifecycle(LogFields.of(event).with("router", settings.routerId()).with("build", BuildIdentity.ofProcess()));
+    }
+
     private Future<Void> drain(long deadlineMs) {
         Promise<Void> stopped = Promise.promise();
         trafficVertx.getOrCreateContext().runOnContext(ignored -> {
@@ -179,9 +186,7 @@
         controlVertx
                 .getOrCreateContext()
                 .runOnContext(ignored -> controlVertx.setTimer(DRAIN_DELAY_MS, timer -> plane.startDrain(deadlineMs)));
-        return stopped.future()
-                .compose(ignored -> leave())
-                .onComplete(ignored -> log.lifecycle(LogFields.of("stopped").with("router", settings.routerId())));
+        return stopped.future().compose(ignored -> leave()).onComplete(ignored -> logLifecycle("stopped"));
     }
 
     /** Closes all connections and stops all threads without waiting for requests. */
--- a/server/src/main/java/io/radishwinch/server/metrics/RouterMetrics.java
+++ b/server/src/main/java/io/radishwinch/server/metrics/RouterMetrics.java
@@ -6,6 +6,7 @@
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.radishwinch.config.build.BuildIdentity;
 import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.Reason;
 import java.time.Duration;
@@ -104,6 +105,14 @@
         Gauge.builder(name, value).description(description).register(registry);
     }
 
+    /** Registers the build that the process runs, as the label of a gauge with the value 1. */
+    public void build(BuildIdentity build) {
+        Gauge.builder("radishwinch.build", () -> 1)
+                .description("build that this process runs")
+                .tag("identity", build.value())
+                .register(registry);
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public String scrape() {
         return registry.scrape();
--- a/server/src/test/java/io/radishwinch/server/fleet/RequestLogLineTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/RequestLogLineTest.java
@@ -42,6 +42,9 @@
             new RequestSpec(ID, "sama895", Rank.BATCH, "service:gyka113", 0, 0, NOW_MS, NOW_MS, "f", List.of(), true);
 
     private final List<String> lines = new ArrayList<>();
+    /** Held, because the logging system refers to loggers weakly. */
+    private final Logger logger = Logger.getLogger("radishwinch");
+
     private final Handler handler = new Handler() {
         private final JsonLogFormatter formatter = new JsonLogFormatter();
 
@@ -67,12 +70,12 @@
 
     @BeforeEach
     void capture() {
-        Logger.getLogger("radishwinch").addHandler(handler);
+        logger.addHandler(handler);
     }
 
     @AfterEach
     void release() {
-        Logger.getLogger("radishwinch").removeHandler(handler);
+        logger.removeHandler(handler);
     }
 
     private String lastLine() {
