--- a/server/src/main/java/io/radishwinch/server/fleet/OutcomeLogger.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/OutcomeLogger.java
@@ -53,35 +53,56 @@
         if (end.isOrdinary()) {
             return;
         }
-        log.request(() -> LogFields.of("response-ended")
+        log.request(() -> fieldsOf(requestId, end));
+    }
+
+    /** Returns the fields of bounded size first, and those that other lines on the attempt have as well last. */
+    private static LogFields fieldsOf(String requestId, ResponseEnd end) {
+        LogFields fields = LogFields.of("response-ended")
                 .with("id", requestId)
-                .with("epoch", end.epoch())
-                .with("endpoint", end.endpointId())
-                .with("status", end.status())
+                .with("cause", end.cause().wireName());
+        if (end.status() != 0) {
+            fields.with("status", end.status());
+        }
+        fields.with("epoch", end.epoch()).with("connection", end.carrier().describe());
+        addSurplus(fields, end.carrier().surplusResponses());
+        if (!end.detail().isEmpty()) {
+            fields.with("detail", end.detail());
+        }
+        return fields.with("endpoint", end.endpointId())
                 .with("framing", end.framing().wireName())
-                .with("events", end.eventCount())
-                .with("cause", end.cause().wireName())
-                .with("detail", end.detail())
-                .with("connection", end.carrier().connectionId())
-                .with("requestNumber", end.carrier().requestNumber())
-                .with("identified", end.carrier().isIdentified())
-                .with("surplus", end.carrier().surplusResponses()));
+                .with("events", end.eventCount());
+    }
+
+    private static void addSurplus(LogFields fields, int surplusResponses) {
+        if (surplusResponses > 0) {
+            fields.with("surplus", surplusResponses);
+        }
     }
 
     @Override
     public void finished(RequestSpec request, DeliveryStats delivery, Optional<Refusal> refusal) {
         next.finished(request, delivery, refusal);
         if (refusal.isEmpty()) {
-            log.request(() -> LogFields.of("answered")
-                    .with("id", request.requestId())
-                    .with("attempts", delivery.attempts())
-                    .with("firstMs", delivery.timeToFirstTokenMs())
-                    .with("longestPauseMs", delivery.maxTokenIntervalMs())
-                    .with("events", delivery.deliveredTokens())
-                    .with("arrivedAtMs", request.arrivedAtMs()));
+            log.request(() -> fieldsOf(request, delivery));
         }
     }
 
+    private static LogFields fieldsOf(RequestSpec request, DeliveryStats delivery) {
+        LogFields fields = LogFields.of("answered").with("id", request.requestId());
+        delivery.origin().ifPresent(origin -> {
+            fields.with("status", origin.status())
+                    .with("endpoint", origin.endpointId())
+                    .with("connection", origin.connection());
+            addSurplus(fields, origin.surplusResponses());
+        });
+        return fields.with("attempts", delivery.attempts())
+                .with("firstMs", delivery.timeToFirstTokenMs())
+                .with("longestPauseMs", delivery.maxTokenIntervalMs())
+                .with("events", delivery.deliveredTokens())
+                .with("arrivedAtMs", request.arrivedAtMs());
+    }
+
     @Override
     public void rejected(String requestId, String caller, Optional<Rank> rank, Refusal refusal) {
         next.rejected(requestId, caller, rank, refusal);
