Compare responses with the seals of complete errors only

Only a complete error to a plain request needs the comparison; a second answer cannot continue a stream.

--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -407,6 +407,7 @@
         private final EndpointContact contact;
         private final UpstreamCall call;
         private int status;
+        private Optional<String> seal = Optional.empty();
         private MultiMap headers;
         private ResponseEnd.Framing framing = ResponseEnd.Framing.NONE;
         private final int duplicatesBefore = scanner.duplicateCount();
@@ -446,6 +447,7 @@
         @Override
         public void onResponseHead(ResponseHead responseHead, MultiMap responseHeaders) {
             status = responseHead.status();
+            seal = responseHead.seal();
             headers = responseHeaders;
             framing = framingOf(headers);
             if (epoch == RELAY_EPOCH && !responseHead.isSealed()) {
@@ -458,7 +460,6 @@
                 fail(ResponseEnd.Cause.UNSEALED, "response with status " + status + " lacks the endpoint's seal");
                 return;
             }
-            history.recordRun(contact, responseHead);
             if (isHeadSent && !continuesStream()) {
                 failUnexpected("response with status " + status + " does not continue the stream");
                 return;
@@ -525,6 +526,7 @@
                 finishAttempt();
             } else if (epoch != RELAY_EPOCH && request.isRepeatable() && status >= 500) {
                 bufferedResponse = new BufferedResponse(status, headers, bufferedBody);
+                history.recordError(contact, seal);
                 attempt = null;
                 reportEnd(ResponseEnd.Cause.COMPLETE, "");
                 postAttemptFailed(epoch, contact.endpointId(), Reason.ENDPOINT_ERROR, Verdict.RAN);
--- a/server/src/main/java/io/radishwinch/server/proxy/ResponseHistory.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ResponseHistory.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /** What endpoints have responded to a request before. Confined to one traffic thread. */
@@ -36,14 +37,14 @@
         return isProof ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
     }
 
-    /** Records the response to a run of the request. */
-    void recordRun(EndpointContact contact, ResponseHead response) {
-        response.seal().filter(seal -> !seal.isEmpty()).ifPresent(seal -> sealsByEndpointId
+    /** Records a complete error response to a run of the request. */
+    void recordError(EndpointContact contact, Optional<String> seal) {
+        seal.filter(text -> !text.isEmpty()).ifPresent(text -> sealsByEndpointId
                 .computeIfAbsent(contact.endpointId(), key -> new HashSet<>())
-                .add(seal));
+                .add(text));
     }
 
-    /** Returns the seals of the responses of an endpoint to runs so far. */
+    /** Returns the seals of the error responses of an endpoint so far. */
     Set<String> sealsOf(EndpointContact contact) {
         return Set.copyOf(sealsByEndpointId.getOrDefault(contact.endpointId(), Set.of()));
     }
