Drop sealed responses without identifier at endpoints that name requests

At an endpoint that names the request in its responses, such an answer is now dropped like one that names another request. An unsealed one still ends the attempt, because it may be the response of an intermediary.

Bytes on an idle connection count as surplus too, so that the endpoint is known to send what nobody asked for.

UpstreamCallTest.aSealedResponseWithoutIdentifierIsDropped.

--- a/server/src/main/java/io/radishwinch/server/proxy/EndpointConnection.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EndpointConnection.java
@@ -87,7 +87,7 @@
     /** Receives the response to one request. No event follows {@link #onEnd} or {@link #onFailure}. */
     interface Listener {
 
-        /** Returns whether a response that names the request does not belong to this run of it. */
+        /** Returns whether a response that names no other request does not belong to this run of the request. */
         boolean isSurplus(int status, MultiMap headers);
 
         /** Called for the head of the response; interim responses are skipped. */
@@ -107,7 +107,8 @@
      * Creates a connection over a connected socket.
      *
      * @param requestIdHeader name of the header that names a request and its response
-     * @param onSurplus called for each response that names another request
+     * @param onSurplus called for each response that belongs to another request or run, and for bytes that belong to
+     *     none
      * @param onClosed called once when the connection is closed by either side
      */
     EndpointConnection(
@@ -145,6 +146,7 @@
         public void channelRead(ChannelHandlerContext handler, Object message) throws Exception {
             if (reading == Reading.NOTHING) {
                 ReferenceCountUtil.release(message);
+                onSurplus.run();
                 fail(UNEXPECTED_BYTES);
             } else {
                 super.channelRead(handler, message);
--- a/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
@@ -61,8 +61,8 @@
     /**
      * Creates a call that is not started.
      *
-     * @param earlierSeals seals of the responses of the endpoint to earlier runs of the request; it may send another
-     *     response to them
+     * @param earlierSeals seals of the error responses of the endpoint to earlier runs of the request; it may send
+     *     another response to them
      */
     UpstreamCall(ProxyScope scope, EndpointContact contact, Set<String> earlierSeals, Listener listener) {
         this.scope = scope;
@@ -154,11 +154,20 @@
 
     @Override
     public boolean isSurplus(int status, MultiMap headers) {
-        return scope.dialect()
-                .readResponseHead(status, headers)
-                .seal()
-                .filter(earlierSeals::contains)
-                .isPresent();
+        ResponseHead response = scope.dialect().readResponseHead(status, headers);
+        Optional<String> seal = response.seal().filter(text -> !text.isEmpty());
+        return seal.filter(earlierSeals::contains).isPresent()
+                || seal.isPresent() && !response.isNotRun() && !isAttributable(response);
+    }
+
+    /** Returns whether the response can be attributed to the request, although it may not name it. */
+    private boolean isAttributable(ResponseHead response) {
+        return response.isMisdirected()
+                || scope.connections()
+                        .isAttributable(
+                                contact,
+                                response.isNotRun(),
+                                response.requestId().isPresent());
     }
 
     @Override
@@ -172,10 +181,7 @@
             onFailure("response belongs to another request or run");
             return;
         }
-        if (!head.isMisdirected()
-                && !scope.connections()
-                        .isAttributable(
-                                contact, head.isNotRun(), head.requestId().isPresent())) {
+        if (!isAttributable(head)) {
             onFailure("response names no request");
             return;
         }
--- a/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
@@ -327,6 +327,21 @@
         return socket;
     }
 
+    /**
+     * Guards against a run that nobody reads because a sealed response without identifier ends its attempt, at an
+     * endpoint that names the request in its responses.
+     */
+    @Test
+    void aSealedResponseWithoutIdentifierIsDropped() throws Exception {
+        Recorder first = call("a", server.getLocalPort(), new NoNotices());
+        try (Socket socket = server.accept()) {
+            Recorder second = callAfter(first, socket);
+            write(socket, response(200, "X-Seal: run of z\r\n", "ok") + identified(500, "b", "run of b"));
+            assertThat(second.outcome.get(WAIT_S, TimeUnit.SECONDS)).isEqualTo("complete: run of b");
+            assertThat(second.status).isEqualTo(500);
+        }
+    }
+
     /** Guards against a call that waits for its response behind a surplus one whose end cannot be found. */
     @ParameterizedTest
     @ValueSource(
