--- a/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
@@ -85,13 +85,18 @@
     /** Starts all servers. The returned future fails if an address is in use. */
     public Future<Void> start() {
         controlVertx.getOrCreateContext().runOnContext(ignored -> startControl().onComplete(started));
-        return started.future()
-                .onSuccess(ignored -> log.lifecycle(LogFields.of("started")
-                        .with("router", settings.routerId())
-                        .with("build", BuildIdentity.ofProcess())
-                        .with("dataCentre", settings.dataCentre())
-                        .with("callers", settings.callers())
-                        .with("peers", settings.peers())));
+        return started.future().onSuccess(ignored -> logStart());
+    }
+
+    private void logStart() {
+        // Reads the identity of the build when the servers listen, so that it does not delay them.
+        metrics.build(BuildIdentity.ofProcess());
+        log.lifecycle(LogFields.of("started")
+                .with("router", settings.routerId())
+                .with("build", BuildIdentity.ofProcess())
+                .with("dataCentre", settings.dataCentre())
+                .with("callers", settings.callers())
+                .with("peers", settings.peers()));
     }
 
     /**
@@ -126,7 +131,6 @@
                         plane.relays(),
                         plane::suspectConnection,
                         plane::checkStalledStreams));
-        metrics.build(BuildIdentity.ofProcess());
         metrics.gauge("radishwinch.config.version", "version of the configuration in effect", () -> plane.config()
                 .version());
         metrics.gauge("radishwinch.routers.live", "routers that this one believes alive", plane::liveRouters);
