Name the build of each router in the trace of a request

trace printed the lines of all routers on a request, but not which build each of them ran. It now ends with the build of each log file, from the last started line up to the end of the request; a file without one, or of an earlier release, is "unknown". LogCommandsTest has both cases.

--- a/cli/src/main/java/io/radishwinch/cli/LogCommands.java
+++ b/cli/src/main/java/io/radishwinch/cli/LogCommands.java
@@ -52,9 +52,12 @@
                         "%8d ms  %s  %s  %s", line.atMs() - startMs, line.file(), line.event(), line.details());
             }
             session.printLine("cause: %s", trace.cause());
+            trace.builds().forEach((file, build) -> session.printLine("build: %s  %s", file, build));
             session.printJson(Map.of(
                     "cause",
                     trace.cause(),
+                    "builds",
+                    trace.builds(),
                     "lines",
                     trace.lines().stream().map(LogLine::fields).toList(),
                     "evidence",
--- a/cli/src/main/java/io/radishwinch/cli/log/RequestTrace.java
+++ b/cli/src/main/java/io/radishwinch/cli/log/RequestTrace.java
@@ -2,10 +2,13 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 
 /**
@@ -14,14 +17,22 @@
  * @param lines lines with the request's identifier, sorted by time
  * @param stateChanges losses of endpoints and similar events that the same router logged shortly before and during the
  *     request, sorted by time
+ * @param builds builds of the routers that logged the lines, by log file; {@code unknown} if the file does not say so
  * @param cause cause of the outcome, in one sentence
  * @param evidence line that shows the cause, or empty if there is none
  */
-public record RequestTrace(List<LogLine> lines, List<LogLine> stateChanges, String cause, Optional<LogLine> evidence) {
+public record RequestTrace(
+        List<LogLine> lines,
+        List<LogLine> stateChanges,
+        Map<String, String> builds,
+        String cause,
+        Optional<LogLine> evidence) {
 
     /** Time before the first line of a request in which a state change can explain its outcome, in ms. */
     private static final long LOOKBACK_MS = 5_000;
 
+    private static final String UNKNOWN_BUILD = "unknown";
+
     private static final Set<String> LOSS_EVENTS = Set.of(
             "endpoint-unreachable",
             "endpoint-leaving",
@@ -31,8 +42,9 @@
             "order-failed",
             "stopping");
 
-    /** Copies the lists. */
+    /** Copies the collections. */
     public RequestTrace {
+        builds = Collections.unmodifiableMap(new TreeMap<>(builds));
         lines = List.copyOf(lines);
         stateChanges = List.copyOf(stateChanges);
     }
@@ -57,24 +69,36 @@
         LogLine first = requestLines.get(0);
         LogLine last = requestLines.get(requestLines.size() - 1);
         List<LogLine> stateChanges = new ArrayList<>();
+        Map<String, String> builds = new TreeMap<>();
+        requestLines.forEach(line -> builds.put(line.file(), UNKNOWN_BUILD));
         files.read(line -> {
+            if (line.event().equals("started") && line.atMs() <= last.atMs()) {
+                // Lines of a file are in order of time, so that the last one is of the process that served the request.
+                builds.computeIfPresent(line.file(), (file, build) -> buildOf(line));
+            }
             boolean isInTraceWindow = line.atMs() >= first.atMs() - LOOKBACK_MS && line.atMs() <= last.atMs();
             if (isInTraceWindow && line.file().equals(first.file()) && LOSS_EVENTS.contains(line.event())) {
                 stateChanges.add(line);
             }
         });
         stateChanges.sort(Comparator.comparingLong(LogLine::atMs));
-        return Optional.of(new CauseFinder(requestLines, stateChanges).findCause());
+        return Optional.of(new CauseFinder(requestLines, stateChanges, builds).findCause());
+    }
+
+    private static String buildOf(LogLine started) {
+        return started.text("build").isEmpty() ? UNKNOWN_BUILD : started.text("build");
     }
 
     /** Derives the cause of an outcome from the log lines. */
     private static final class CauseFinder {
         private final List<LogLine> lines;
         private final List<LogLine> stateChanges;
+        private final Map<String, String> builds;
 
-        CauseFinder(List<LogLine> lines, List<LogLine> stateChanges) {
+        CauseFinder(List<LogLine> lines, List<LogLine> stateChanges, Map<String, String> builds) {
             this.lines = lines;
             this.stateChanges = stateChanges;
+            this.builds = builds;
         }
 
         RequestTrace findCause() {
@@ -179,7 +203,7 @@
         }
 
         private RequestTrace traceWithCause(String cause, Optional<LogLine> evidence) {
-            return new RequestTrace(lines, stateChanges, cause, evidence);
+            return new RequestTrace(lines, stateChanges, builds, cause, evidence);
         }
     }
 }
--- a/cli/src/test/java/io/radishwinch/cli/LogCommandsTest.java
+++ b/cli/src/test/java/io/radishwinch/cli/LogCommandsTest.java
@@ -13,7 +13,7 @@
 class LogCommandsTest {
     private static final String FIRST_ROUTER =
             """
-            {"time":"t","level":"INFO","event":"started","router":"router-1","atMs":1000}
+            {"time":"t","level":"INFO","event":"started","router":"router-1","build":"8f12ff2a0c1e","atMs":1000}
             {"event":"request-arrived","id":"cut","caller":"clinic","rank":"interactive","pool":"m","leftMs":9000,"config":3,"atMs":5000}
             {"event":"attempt-started","id":"cut","epoch":1,"chain":"i-1@7:0-4 i-2@7:4-8","from":0,"atMs":5001}
             {"event":"endpoint-unreachable","subject":"i-9@7","detail":"no report","atMs":5500}
