Log bytes that follow the last response of a connection

A connection that was closed because of such bytes left no line, so that an operator could not tell an endpoint that sends them. The endpoint counts as one that repeats responses, as on an idle connection.

--- a/server/src/main/java/io/radishwinch/server/proxy/EndpointConnection.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EndpointConnection.java
@@ -41,6 +41,7 @@
  * response to a {@code HEAD} request. Confined to one traffic thread.
  */
 final class EndpointConnection {
+    private static final System.Logger LOG = System.getLogger(EndpointConnection.class.getName());
 
     /** Size of the body of a surplus response above which the connection is closed, in bytes. */
     private static final int MAX_SURPLUS_BYTES = 256 << 10;
@@ -146,8 +147,7 @@
         public void channelRead(ChannelHandlerContext handler, Object message) throws Exception {
             if (reading == Reading.NOTHING) {
                 ReferenceCountUtil.release(message);
-                onSurplus.run();
-                fail(UNEXPECTED_BYTES);
+                closeBecauseOfSurplusBytes();
             } else {
                 super.channelRead(handler, message);
             }
@@ -198,6 +198,17 @@
         return isKeptAlive;
     }
 
+    /** Closes the connection because bytes were received after the last response. */
+    void closeBecauseOfSurplusBytes() {
+        LOG.log(
+                System.Logger.Level.INFO,
+                "connection to {0} is closed, because bytes that belong to no response follow request {1} on it",
+                socket.remoteAddress(),
+                requestId);
+        onSurplus.run();
+        close();
+    }
+
     /** Returns whether the connection is open and nothing has been received since the end of the last response. */
     boolean isIdle() {
         return !isClosed && !decoder.hasBegunResponse();
--- a/server/src/main/java/io/radishwinch/server/proxy/EndpointConnectionPool.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EndpointConnectionPool.java
@@ -286,7 +286,11 @@
          */
         void release(long keepAliveMs) {
             long nowMs = clockMs.getAsLong();
-            if (requestCount == MAX_REQUESTS_PER_CONNECTION || nowMs < addressPool.reusableFromMs || !http.isIdle()) {
+            if (!http.isClosed() && !http.isIdle()) {
+                http.closeBecauseOfSurplusBytes();
+            } else if (http.isClosed()
+                    || requestCount == MAX_REQUESTS_PER_CONNECTION
+                    || nowMs < addressPool.reusableFromMs) {
                 discard();
             } else {
                 long usableMs = (long) (KEEP_ALIVE_SHARE * (keepAliveMs > 0 ? keepAliveMs : DEFAULT_KEEP_ALIVE_MS));
