Parse a response head once less, and keep one form of build fields and of unknown

UpstreamCall parsed each response head a third time to look for another answer; FleetRouter wrote the fields of lines with the build twice; RequestTrace restated the identity of an unknown build. No behaviour changes. mvn verify, with format and lint: passed.

--- a/cli/src/main/java/io/radishwinch/cli/log/RequestTrace.java
+++ b/cli/src/main/java/io/radishwinch/cli/log/RequestTrace.java
@@ -1,5 +1,6 @@
 package io.radishwinch.cli.log;
 
+import io.radishwinch.config.build.BuildIdentity;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -31,8 +32,6 @@
     /** Time before the first line of a request in which a state change can explain its outcome, in ms. */
     private static final long LOOKBACK_MS = 5_000;
 
-    private static final String UNKNOWN_BUILD = "unknown";
-
     private static final Set<String> LOSS_EVENTS = Set.of(
             "endpoint-unreachable",
             "endpoint-leaving",
@@ -70,7 +69,7 @@
         LogLine last = requestLines.get(requestLines.size() - 1);
         List<LogLine> stateChanges = new ArrayList<>();
         Map<String, String> builds = new TreeMap<>();
-        requestLines.forEach(line -> builds.put(line.file(), UNKNOWN_BUILD));
+        requestLines.forEach(line -> builds.put(line.file(), BuildIdentity.UNKNOWN.value()));
         files.read(line -> {
             if (line.event().equals("started") && line.atMs() <= last.atMs()) {
                 // Lines of a file are in order of time, so that the last one is of the process that served the request.
@@ -86,7 +85,7 @@
     }
 
     private static String buildOf(LogLine started) {
-        return started.text("build").isEmpty() ? UNKNOWN_BUILD : started.text("build");
+        return started.text("build").isEmpty() ? BuildIdentity.UNKNOWN.value() : started.text("build");
     }
 
     /** Derives the cause of an outcome from the log lines. */
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
@@ -91,9 +91,7 @@
     private void logStart() {
         // Reads the identity of the build when the servers listen, so that it does not delay them.
         metrics.build(BuildIdentity.ofProcess());
-        log.lifecycle(LogFields.of("started")
-                .with("router", settings.routerId())
-                .with("build", BuildIdentity.ofProcess())
+        log.lifecycle(buildFields("started")
                 .with("dataCentre", settings.dataCentre())
                 .with("callers", settings.callers())
                 .with("peers", settings.peers()));
@@ -171,12 +169,13 @@
     public Future<Void> stop() {
         isDraining = true;
         long deadlineMs = clock.getAsLong() + settings.stopGraceMs() - CLOSE_MARGIN_MS;
-        logLifecycle("stopping");
+        log.lifecycle(buildFields("stopping"));
         return started.future().compose(ignored -> drain(deadlineMs));
     }
 
-    private void logLifecycle(String event) {
-        log.lifecycle(LogFields.of(event).with("router", settings.routerId()).with("build", BuildIdentity.ofProcess()));
+    /** Returns the fields of a line that names this router and its build. */
+    private LogFields buildFields(String event) {
+        return LogFields.of(event).with("router", settings.routerId()).with("build", BuildIdentity.ofProcess());
     }
 
     private Future<Void> drain(long deadlineMs) {
@@ -190,7 +189,9 @@
         controlVertx
                 .getOrCreateContext()
                 .runOnContext(ignored -> controlVertx.setTimer(DRAIN_DELAY_MS, timer -> plane.startDrain(deadlineMs)));
-        return stopped.future().compose(ignored -> leave()).onComplete(ignored -> logLifecycle("stopped"));
+        return stopped.future()
+                .compose(ignored -> leave())
+                .onComplete(ignored -> log.lifecycle(buildFields("stopped")));
     }
 
     /** Closes all connections and stops all threads without waiting for requests. */
--- a/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
@@ -154,7 +154,10 @@
 
     @Override
     public boolean isSurplus(int status, MultiMap headers) {
-        ResponseHead response = scope.dialect().readResponseHead(status, headers);
+        return isSurplus(scope.dialect().readResponseHead(status, headers));
+    }
+
+    private boolean isSurplus(ResponseHead response) {
         Optional<String> seal = response.seal().filter(text -> !text.isEmpty());
         return seal.filter(earlierSeals::contains).isPresent()
                 || seal.isPresent() && !response.isNotRun() && !isAttributable(response);
@@ -175,7 +178,7 @@
         head = scope.dialect().readResponseHead(status, headers);
         boolean namesOther =
                 head.requestId().isPresent() && !head.requestId().get().equals(requestId);
-        if (namesOther || isSurplus(status, headers)) {
+        if (namesOther || isSurplus(head)) {
             // The end of the response cannot be found, so that the one to this run cannot be read.
             scope.connections().suspendReuse(contact);
             onFailure("response belongs to another request or run");
