Reserve the memory of request bodies before it is allocated

The budget counted received bytes. All bodies shared it until none could be completed, refused bodies stayed in memory until their end, and buffers grew by doubling.

--- a/server/src/main/java/io/radishwinch/server/http/BodyCollector.java
+++ b/server/src/main/java/io/radishwinch/server/http/BodyCollector.java
@@ -9,14 +9,28 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.util.function.Consumer;
 
-/** Reads a request body into memory, with limits on size, time and total memory. */
+/**
+ * Reads a request body into memory, with limits on size, time and total memory.
+ *
+ * <p>Memory is reserved before it is allocated: at once for a body that states its length, and step by step for one
+ * that does not. A body that is refused is not kept while the rest of it arrives.
+ */
 public final class BodyCollector {
+
+    /** First reservation for a body that states no length, in bytes; each further one doubles it. */
+    private static final int FIRST_RESERVATION_BYTES = 4 << 10;
+
+    private static final int MEMORY_RETRY_AFTER_MS = 1_000;
+
     private final HttpServerRequest request;
     private final Vertx vertx;
     private final int maxBytes;
     private final MemoryBudget budget;
     private final Consumer<Either<Refusal, Buffer>> receiver;
-    private final Buffer body = Buffer.buffer();
+    /** Bytes received so far, or null before the first reservation and after the end. */
+    private Buffer body;
+
+    private int reservedBytes;
     private long timerId;
     private boolean isFinished;
 
@@ -52,10 +66,16 @@
     }
 
     private void start(long timeoutMs) {
-        if (declaredLength() > maxBytes) {
+        long declaredBytes = declaredLength();
+        if (declaredBytes > maxBytes) {
             fail(tooLarge());
             return;
         }
+        if (!tryReserve((int) Math.max(0, declaredBytes))) {
+            fail(outOfMemory());
+            return;
+        }
+        body = Buffer.buffer(reservedBytes);
         timerId = vertx.setTimer(
                 timeoutMs,
                 id -> fail(Refusal.notRun(Reason.SLOW_SENDER, "the body did not arrive within " + timeoutMs + " ms")));
@@ -78,21 +98,40 @@
         if (isFinished) {
             return;
         }
-        if (body.length() + chunk.length() > maxBytes) {
+        int neededBytes = body.length() + chunk.length();
+        if (neededBytes > maxBytes) {
             fail(tooLarge());
-        } else if (!budget.tryReserve(chunk.length())) {
-            fail(new Refusal(
-                    Reason.QUEUE_FULL, Verdict.NOT_RUN, "the memory limit for request bodies is reached", 1000));
+        } else if (neededBytes > reservedBytes && !extend(neededBytes)) {
+            fail(outOfMemory());
         } else {
             body.appendBuffer(chunk);
         }
     }
 
+    /** Reserves and allocates more memory for a body that stated no length. */
+    private boolean extend(int neededBytes) {
+        int doubledBytes = Math.min(maxBytes, Math.max(FIRST_RESERVATION_BYTES, 2 * reservedBytes));
+        if (!tryReserve(Math.max(neededBytes, doubledBytes) - reservedBytes)) {
+            return false;
+        }
+        body = Buffer.buffer(reservedBytes).appendBuffer(body);
+        return true;
+    }
+
+    private boolean tryReserve(int bytes) {
+        boolean isReserved = budget.tryReserve(bytes, reservedBytes);
+        reservedBytes += isReserved ? bytes : 0;
+        return isReserved;
+    }
+
     private void onEnd() {
         if (!isFinished) {
             isFinished = true;
             vertx.cancelTimer(timerId);
-            receiver.accept(Either.right(body));
+            Buffer received = body.length() == reservedBytes ? body : Buffer.buffer(body.getBytes());
+            body = null;
+            budget.release(reservedBytes - received.length());
+            receiver.accept(Either.right(received));
         }
     }
 
@@ -100,11 +139,20 @@
         if (!isFinished) {
             isFinished = true;
             vertx.cancelTimer(timerId);
-            budget.release(body.length());
+            body = null;
+            budget.release(reservedBytes);
             receiver.accept(Either.left(refusal));
         }
     }
 
+    private static Refusal outOfMemory() {
+        return new Refusal(
+                Reason.QUEUE_FULL,
+                Verdict.NOT_RUN,
+                "the memory limit for request bodies is reached",
+                MEMORY_RETRY_AFTER_MS);
+    }
+
     private Refusal tooLarge() {
         return Refusal.notRun(Reason.BODY_TOO_LARGE, "the body is larger than " + maxBytes + " bytes");
     }
