Load layers that lack capacity first when an engine is back

An engine without layers now gets the range that lacks the most capacity, compared with the target of the layout, and only then the one that protects most engines. A first layout is the same as before: each of its engines has the target capacity, so that only uncovered layers lack any.

LayoutPlannerTest.anEngineThatIsBackRestoresTheCapacityThatItsLossTook failed before: 65.2 requests after the loss and return of the largest engine, 113.3 before the loss.

--- a/core/src/main/java/io/radishwinch/core/placement/BalancedLayout.java
+++ b/core/src/main/java/io/radishwinch/core/placement/BalancedLayout.java
@@ -40,7 +40,7 @@
             String kind = endpoint.spec().acceleratorKind();
             int layers = pool.maxLayersForRequests(kind, capacityRequests, model);
             if (layers > 0) {
-                LayerRange range = capacity.mostNeededRange(layers);
+                LayerRange range = capacity.mostNeededRange(layers, capacityRequests);
                 capacity.add(range, pool.requestCapacity(kind, layers, model));
                 ranges.put(endpoint.id(), range);
             }
--- a/core/src/main/java/io/radishwinch/core/placement/LayerCapacity.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayerCapacity.java
@@ -7,8 +7,8 @@
 /** Number of engines and capacity for requests at each layer of a model. */
 final class LayerCapacity {
 
-    /** Tolerance for rounding errors in sums of engine shares. */
-    private static final double ENGINE_TOLERANCE = 1e-6;
+    /** Tolerance for rounding errors in sums over layers. */
+    private static final double TOLERANCE = 1e-6;
 
     private final double[] capacityRequests;
     private final int[] holders;
@@ -64,42 +64,60 @@
     }
 
     /**
-     * Returns the range of the given size that covers the most layers without a holder. Ties are resolved by the number
-     * of engines whose layers get a second holder, and then by the smallest total capacity.
+     * Returns the range of the given size that covers the most layers without a holder. Ties are resolved by the
+     * capacity that its layers lack, then by the number of engines whose layers get a second holder, and then by the
+     * smallest total capacity.
      *
      * <p>Any engine may fail, so a range that duplicates several small ranges protects more engines than one that
-     * duplicates a part of a large range.
+     * duplicates a part of a large range. A layer with less capacity than the others limits every chain, however many
+     * engines hold it.
+     *
+     * @param targetRequests capacity that each layer should have, in requests
      */
-    LayerRange mostNeededRange(int size) {
+    LayerRange mostNeededRange(int size, double targetRequests) {
         int best = 0;
-        int bestUncovered = -1;
-        double bestProtectedEngines = 0;
-        double bestCapacity = Double.MAX_VALUE;
+        Need bestNeed = null;
         for (int first = 0; first + size <= capacityRequests.length; first++) {
-            int uncovered = 0;
-            double protectedEngines = 0;
-            double totalCapacity = 0;
-            for (int layer = first; layer < first + size; layer++) {
-                uncovered += holders[layer] == 0 ? 1 : 0;
-                protectedEngines += holders[layer] == 1 ? 1.0 / rangeSizes[layer] : 0;
-                totalCapacity += capacityRequests[layer];
-            }
+            Need need = need(first, first + size, targetRequests);
             // A range that starts inside a coverage gap would leave a remainder that may fit no engine.
-            boolean splitsGap = uncovered > 0 && first > 0 && holders[first] == 0 && holders[first - 1] == 0;
+            boolean splitsGap = need.uncovered > 0 && first > 0 && holders[first] == 0 && holders[first - 1] == 0;
             boolean isAtEnd = first + size == capacityRequests.length;
-            if (splitsGap && !isAtEnd) {
-                continue;
-            }
-            boolean isEqual =
-                    uncovered == bestUncovered && Math.abs(protectedEngines - bestProtectedEngines) < ENGINE_TOLERANCE;
-            boolean isBetter = uncovered == bestUncovered && protectedEngines > bestProtectedEngines;
-            if (uncovered > bestUncovered || (isEqual ? totalCapacity < bestCapacity : isBetter)) {
+            if ((!splitsGap || isAtEnd) && (bestNeed == null || need.isGreaterThan(bestNeed))) {
                 best = first;
-                bestUncovered = uncovered;
-                bestProtectedEngines = protectedEngines;
-                bestCapacity = totalCapacity;
+                bestNeed = need;
             }
         }
         return new LayerRange(best, best + size);
     }
+
+    private Need need(int first, int end, double targetRequests) {
+        int uncovered = 0;
+        double lackingShare = 0;
+        double protectedEngines = 0;
+        double totalCapacity = 0;
+        for (int layer = first; layer < end; layer++) {
+            uncovered += holders[layer] == 0 ? 1 : 0;
+            lackingShare += Math.max(0, 1 - capacityRequests[layer] / targetRequests);
+            protectedEngines += holders[layer] == 1 ? 1.0 / rangeSizes[layer] : 0;
+            totalCapacity += capacityRequests[layer];
+        }
+        return new Need(uncovered, lackingShare, protectedEngines, totalCapacity);
+    }
+
+    /** Sums over the layers of a range that decide how much it needs a further holder, the most important first. */
+    private record Need(int uncovered, double lackingShare, double protectedEngines, double totalCapacity) {
+
+        boolean isGreaterThan(Need other) {
+            if (uncovered != other.uncovered) {
+                return uncovered > other.uncovered;
+            }
+            if (Math.abs(lackingShare - other.lackingShare) >= TOLERANCE) {
+                return lackingShare > other.lackingShare;
+            }
+            if (Math.abs(protectedEngines - other.protectedEngines) >= TOLERANCE) {
+                return protectedEngines > other.protectedEngines;
+            }
+            return totalCapacity < other.totalCapacity;
+        }
+    }
 }
--- a/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
@@ -216,7 +216,7 @@
             for (PlacementEndpoint endpoint : empty) {
                 int layers = targetLayers(endpoint);
                 if (layers > 0 && !ranges.containsKey(endpoint.id())) {
-                    issueOrder(endpoint, capacity.mostNeededRange(layers), Handover.WAIT);
+                    issueOrder(endpoint, capacity.mostNeededRange(layers, targetCapacityRequests), Handover.WAIT);
                 }
             }
             if (capacity.uncoveredRanges().isEmpty() && pending.isEmpty()) {
--- a/core/src/test/java/io/radishwinch/core/placement/LayoutPlannerTest.java
+++ b/core/src/test/java/io/radishwinch/core/placement/LayoutPlannerTest.java
@@ -85,6 +85,38 @@
         }
     }
 
+    /** Guards against layers that stay with little capacity after the engine that held them is back. */
+    @Test
+    void anEngineThatIsBackRestoresTheCapacityThatItsLossTook() {
+        layOutAllEngines();
+        double before = minCapacityRequests();
+        Map<String, PlacementEndpoint> laidOut = Map.copyOf(engines);
+        for (PlacementEndpoint empty : MixedEngines.empty("dc")) {
+            engines.putAll(laidOut);
+            planner = new LayoutPlanner(LayoutSettings.defaults(), new BalancedLayout(), new AlwaysGrantedLease());
+            tick(0);
+            engines.remove(empty.id());
+            runAndApplyOrders(10_000, 14_000);
+            engines.put(empty.id(), empty);
+            runAndApplyOrders(14_000, 34_000);
+            assertThat(minCapacityRequests())
+                    .as("after the loss and return of " + empty.id())
+                    .isGreaterThanOrEqualTo(before);
+        }
+    }
+
+    private void runAndApplyOrders(long fromMs, long untilMs) {
+        for (long nowMs = fromMs; nowMs < untilMs; nowMs += 250) {
+            applyOrders(tick(nowMs));
+        }
+    }
+
+    private double minCapacityRequests() {
+        Map<String, LayerRange> ranges = new HashMap<>();
+        engines.forEach((id, engine) -> engine.holdings().forEach(holding -> ranges.put(id, holding.layers())));
+        return MixedEngines.minCapacityRequests(engines.values(), ranges);
+    }
+
     private static EngineOrder.Handover handover(Action.OrderEngine order) {
         return ((EngineOrder.LoadLayers) order.order()).handover();
     }
