Take a lease over at once from a holder that the membership has removed

After a planned stop of the lease holder a data centre had no owner for up to 4 s: its successor had started a few seconds before, in the same roll, and waited 4 s from the time at which it had read the lease, although it had seen the holder alive since and had then received its leaving message.

The delay is for routers whose membership does not list a live holder yet. It does not apply once the membership has listed the holder: its removal is then a leave or a detected failure.

LeaseManagerTest.aRouterThatHasJustStartedTakesOverWhenTheHolderThatItSawLeaves failed before; the delay for a holder that was never listed is now tested too.

--- a/server/src/main/java/io/radishwinch/server/fleet/LeaseManager.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/LeaseManager.java
@@ -27,7 +27,7 @@
     /** Minimum interval between two platform calls for one lease, in ms. */
     private static final long CALL_INTERVAL_MS = 500;
 
-    /** Time for which a holder that is not in the membership is assumed alive, in ms. */
+    /** Time for which a holder that the membership has never listed is assumed alive, in ms; it may list it yet. */
     private static final long UNSEEN_HOLDER_GRACE_MS = 4_000;
 
     /** Time without a router in a data centre after which a remote router plans for it, in ms; a restart takes less. */
@@ -79,6 +79,9 @@
         /** Time since which the data centre has no live router, or {@code Long.MAX_VALUE} if it has one. */
         private long routersAbsentSinceMs = Long.MAX_VALUE;
 
+        /** Whether the membership has listed the holder since this router learned of it. */
+        private boolean wasHolderListed;
+
         private boolean needsRecheck;
         private boolean isCallPending;
     }
@@ -256,9 +259,10 @@
         }
         Optional<Long> alive = liveMembers.incarnation(lease.holder.routerId);
         if (alive.isPresent()) {
+            lease.wasHolderListed |= alive.get() == lease.holder.incarnation;
             return alive.get() > lease.holder.incarnation;
         }
-        return nowMs - lease.learnedAtMs >= UNSEEN_HOLDER_GRACE_MS;
+        return lease.wasHolderListed || nowMs - lease.learnedAtMs >= UNSEEN_HOLDER_GRACE_MS;
     }
 
     private void onRead(String key, Lease lease, Optional<StoredObject> found, long nowMs) {
@@ -286,6 +290,7 @@
         lease.holder = found.map(object -> Holder.decode(object.value())).orElse(null);
         if (lease.holder != null && !lease.holder.equals(before)) {
             lease.learnedAtMs = nowMs;
+            lease.wasHolderListed = false;
         }
         if (wasHeld && !isHeldByThisRouter(lease)) {
             log.stateChanged("lease-lost", prefix + key, "held by " + lease.holder);
--- a/server/src/test/java/io/radishwinch/server/fleet/LeaseManagerTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/LeaseManagerTest.java
@@ -114,6 +114,36 @@
         assertThat(second.holds(GROUP, 500)).isTrue();
     }
 
+    /** Guards against seconds without a holder when routers are stopped and started in turn. */
+    @Test
+    void aRouterThatHasJustStartedTakesOverWhenTheHolderThatItSawLeaves() {
+        LeaseManager first = leaseManager("a", 1);
+        tick(first, 0);
+        LeaseManager second = leaseManager("b", 1);
+        tick(second, 10_000);
+        tick(second, 10_500);
+        liveIncarnations.remove("a");
+        tick(second, 10_600);
+        assertThat(second.holds(GROUP, 10_700)).isTrue();
+    }
+
+    /**
+     * Guards against a router that takes a lease from a live holder before the membership has told it of that holder.
+     */
+    @Test
+    void aRouterThatHasJustStartedWaitsForAHolderThatItHasNotSeenYet() {
+        LeaseManager first = leaseManager("a", 1);
+        tick(first, 0);
+        LeaseManager second = leaseManager("b", 1);
+        liveIncarnations.remove("a");
+        tick(second, 10_000);
+        tick(second, 11_000);
+        tick(second, 13_900);
+        assertThat(second.holds(GROUP, 14_000)).isFalse();
+        tick(second, 14_100);
+        assertThat(second.holds(GROUP, 14_200)).isTrue();
+    }
+
     @Test
     void pausedHolderRechecksItsLeaseBeforeItActs() {
         LeaseManager paused = leaseManager("a", 1);
