Log what limits the chains of a layout when it changes

A request that is refused as no-capacity did not show whether layers had no holder, or which layers had too little capacity and who was to order more. The lease holder of a group now logs when the layout becomes uncovered, narrow or balanced, or when its smallest capacity changes by a fifth, with the layers and the target.

--- a/core/src/main/java/io/radishwinch/core/placement/LayerCapacity.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayerCapacity.java
@@ -58,6 +58,13 @@
         return Arrays.stream(capacityRequests).min().orElse(0);
     }
 
+    /** Returns the first maximal range of layers with the smallest capacity. */
+    LayerRange narrowestRange() {
+        double min = minCapacityRequests() + TOLERANCE;
+        return LayerRanges.matching(capacityRequests.length, layer -> capacityRequests[layer] <= min)
+                .get(0);
+    }
+
     /** Returns the maximal ranges of layers without a holder, in ascending order. */
     List<LayerRange> uncoveredRanges() {
         return LayerRanges.matching(capacityRequests.length, layer -> holders[layer] == 0);
--- a/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
@@ -12,6 +12,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -29,6 +30,9 @@
     /** Maximum number of times that the backoff after a refusal doubles. */
     private static final int MAX_BACKOFF_DOUBLINGS = 2;
 
+    /** Change of the smallest capacity that is logged, relative to the larger value. */
+    private static final double LOGGED_CHANGE_SHARE = 0.2;
+
     private final LayoutSettings settings;
     private final Layout layout;
     private final PlacementLease lease;
@@ -37,6 +41,7 @@
     private final Map<String, Integer> consecutiveRefusals = new HashMap<>();
     private final Map<String, Long> joinedAtMs = new HashMap<>();
     private final Map<String, Long> missingSinceMs = new HashMap<>();
+    private final Map<String, LoggedCapacity> logged = new HashMap<>();
     private long lastLeaveAtMs = Long.MIN_VALUE / 2;
     private long lastFencingToken;
 
@@ -44,6 +49,24 @@
     private record PendingOrder(
             String group, LayerRange range, double capacityRequests, long fencingToken, long expiresAtMs) {}
 
+    /** What limits the chains of a group once all orders are carried out. */
+    private enum CapacityState {
+        /** Each layer has the target capacity of the layout. */
+        BALANCED,
+        /** Some layers have less than the target capacity. */
+        NARROW,
+        /** Some layers have no holder. */
+        UNCOVERED
+    }
+
+    /** The state that was logged last, with the smallest capacity over the layers, in requests. */
+    private record LoggedCapacity(CapacityState state, double minRequests) {
+
+        boolean differsFrom(double otherRequests) {
+            return Math.abs(otherRequests - minRequests) > LOGGED_CHANGE_SHARE * Math.max(otherRequests, minRequests);
+        }
+    }
+
     /** Creates a planner. */
     public LayoutPlanner(LayoutSettings settings, Layout layout, PlacementLease lease) {
         this.settings = settings;
@@ -86,6 +109,8 @@
                 groups(endpoints, model, entry.getValue()).forEach((key, members) -> {
                     if (lease.holds(key, nowMs)) {
                         new GroupPlanner(key, members, model, entry.getValue(), nowMs, actions).plan();
+                    } else {
+                        logged.remove(key);
                     }
                 });
             }
@@ -222,6 +247,32 @@
             if (capacity.uncoveredRanges().isEmpty() && pending.isEmpty()) {
                 trimExcessLayers();
             }
+            logCapacityState();
+        }
+
+        /** Logs what limits the chains of the group when it changes, first when this router has taken the lease. */
+        private void logCapacityState() {
+            double minRequests = capacity.minCapacityRequests();
+            CapacityState state = capacity.uncoveredRanges().isEmpty()
+                    ? minRequests < targetCapacityRequests ? CapacityState.NARROW : CapacityState.BALANCED
+                    : CapacityState.UNCOVERED;
+            LoggedCapacity last = logged.get(key);
+            if (last != null && last.state == state && !last.differsFrom(minRequests)) {
+                return;
+            }
+            logged.put(key, new LoggedCapacity(state, minRequests));
+            LayerRange narrowest = capacity.narrowestRange();
+            String detail = String.format(
+                    Locale.ROOT,
+                    "%s: layers %d to %d have capacity for %.0f requests, target %.0f; %d engines, %d orders pending",
+                    state.name().toLowerCase(Locale.ROOT),
+                    narrowest.first(),
+                    narrowest.end(),
+                    minRequests,
+                    targetCapacityRequests,
+                    members.size(),
+                    pending.size());
+            actions.add(new Action.StateChanged("layout " + key, detail));
         }
 
         /**
--- a/core/src/test/java/io/radishwinch/core/placement/LayoutPlannerTest.java
+++ b/core/src/test/java/io/radishwinch/core/placement/LayoutPlannerTest.java
@@ -105,6 +105,29 @@
         }
     }
 
+    @Test
+    void whatLimitsTheChainsIsLoggedOnlyWhenItChanges() {
+        layOutAllEngines();
+        List<String> logged = new ArrayList<>();
+        for (long nowMs = 10_000; nowMs < 30_000; nowMs += 250) {
+            if (nowMs == 15_000) {
+                engines.remove("dc-huge0");
+            }
+            List<Action> actions = planner.tick(engines.values(), MixedEngines.CONFIG, nowMs);
+            actions.forEach(action -> {
+                if (action instanceof Action.StateChanged change
+                        && change.subject().equals("layout dc")) {
+                    logged.add(change.change());
+                } else if (action instanceof Action.OrderEngine order) {
+                    applyOrders(List.of(order));
+                }
+            });
+        }
+        assertThat(logged).hasSizeBetween(2, 4);
+        assertThat(logged.get(0)).startsWith("balanced: layers");
+        assertThat(logged.get(1)).contains("13 engines");
+    }
+
     private void runAndApplyOrders(long fromMs, long untilMs) {
         for (long nowMs = fromMs; nowMs < untilMs; nowMs += 250) {
             applyOrders(tick(nowMs));
