Do not end a started stream because endpoints refuse to resume it

Callers saw a stream that had begun end with a closed connection after about 3 s of their 20 s, while its endpoints were sound: they were silent now and then and refused some requests with a short pause. Every attempt counted against the limit of attempts, also one that an endpoint had refused as not run, so that a refusal after five attempts ended the request as attempts-exhausted with a reset. Before the response begins the same limit yields an error, which the caller can read.

The limit now ends a started response only after an attempt that failed; refusals stay limited by the retry budget, the backoff of the endpoint and the deadline.

--- a/core/src/main/java/io/radishwinch/core/retry/BudgetedRetryPolicy.java
+++ b/core/src/main/java/io/radishwinch/core/retry/BudgetedRetryPolicy.java
@@ -7,8 +7,10 @@
 /**
  * Retries endpoint failures within a retry budget and a limit of attempts.
  *
- * <p>A non-repeatable request is retried only if every attempt ended with {@code not-run}. Preempted attempts resume
- * without charge to the budget, because no endpoint failed and the core limits preemptions itself.
+ * <p>A response that has begun is not given up because endpoints refuse to continue it: the limit of attempts ends it
+ * only after an attempt that failed. A non-repeatable request is retried only if every attempt ended with
+ * {@code not-run}. Preempted attempts resume without charge to the budget, because no endpoint failed and the core
+ * limits preemptions itself.
  */
 public final class BudgetedRetryPolicy implements RetryPolicy {
 
@@ -55,7 +57,7 @@
         if (failure.budgetWaits() == 0) {
             budget.recordFailure(request.pool(), nowMs);
         }
-        if (failure.attempts() >= settings.maxAttempts()) {
+        if (failure.attempts() >= settings.maxAttempts() && !isRefusedResume(failure)) {
             return new DoNotRetry(Reason.ATTEMPTS_EXHAUSTED);
         }
         if (budget.tryWithdraw(request.caller(), request.pool(), failure.deliveredTokens() > 0, nowMs)) {
@@ -72,6 +74,15 @@
                 : new DoNotRetry(Reason.RETRY_BUDGET_EXHAUSTED);
     }
 
+    /**
+     * Returns whether endpoints refuse to continue a response that the caller is reading. Such attempts are limited by
+     * the budget and the deadline only, because the caller would lose the response without a failure of an endpoint.
+     */
+    private static boolean isRefusedResume(Failure failure) {
+        return failure.deliveredTokens() > 0
+                && (failure.reason() == Reason.ENDPOINT_REFUSED || failure.reason() == Reason.ENDPOINT_CHANGED);
+    }
+
     private static boolean isRetryable(Reason reason) {
         return switch (reason) {
             case STAGE_DIED, ENDPOINT_REFUSED, ENDPOINT_CHANGED, ENDPOINT_TIMEOUT, ENDPOINT_ERROR, PREEMPTED -> true;
--- a/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
@@ -536,6 +536,20 @@
         assertThat(simulation.trace("r").end).isInstanceOf(Action.Complete.class);
     }
 
+    /** Guards against a stream that is broken off because endpoints refuse several attempts to resume it. */
+    @Test
+    void aStreamThatWaitsToResumeOutlivesAttemptsThatAreRefused() {
+        CoreSimulation simulation = streamThatWaitsToResume();
+        var serving = simulation.endpointBehaviour;
+        int refusedEpochs = 2 * RetrySettings.defaults().maxAttempts();
+        simulation.endpointBehaviour = start -> start.epoch() <= refusedEpochs
+                ? CoreSimulation.fails(start, 10, Reason.ENDPOINT_REFUSED, Verdict.NOT_RUN, start.resumeFromToken())
+                : serving.apply(start);
+        simulation.run(20_000);
+        assertThat(simulation.trace("r").starts).hasSize(refusedEpochs + 1);
+        assertThat(simulation.trace("r").end).isInstanceOf(Action.Complete.class);
+    }
+
     /** Returns a simulation in which the stream "r" has lost its endpoint and waits for its next attempt. */
     private static CoreSimulation streamThatWaitsToResume() {
         CoreSimulation simulation = simulation(1, 2, 4);
