Log each caller's connection that ends without a complete response

The log named no such request when the response was broken off by the edge, when a stop closed the connection, or when a complete response was never written; the core reports all of them as caller-gone. One line, response-cut, now names the request, the reason, the side that closed the connection and how far the response was. It has a rate limit of its own, so that lines on other requests do not displace it.

--- a/server/src/main/java/io/radishwinch/server/fleet/FleetLog.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetLog.java
@@ -7,26 +7,25 @@
 /**
  * Writes a router's decisions and state changes as structured log lines.
  *
- * <p>A token bucket limits the lines on requests; suppressed lines are counted and the count is logged. Changes of the
- * router's known state are rare and always logged.
+ * <p>Token buckets limit the lines on requests, and those on incomplete responses, so that the many of one kind do not
+ * hide the other; suppressed lines are counted and the count is logged. Changes of the router's known state are rare
+ * and always logged.
  */
 final class FleetLog {
     private static final System.Logger LOG = System.getLogger("radishwinch");
 
-    /** Limit on request lines, in lines/s; a busy router logs about ten for each request. */
-    private static final double MAX_REQUEST_LINES_PER_S = 300;
+    /** Limit on the lines of one kind, in lines/s; a busy router logs about ten for each request. */
+    private static final double MAX_LINES_PER_S = 300;
 
-    private static final double MAX_REQUEST_LINE_BURST = 600;
+    private static final double MAX_LINE_BURST = 600;
     private static final double MS_PER_S = 1_000;
 
     private final LongSupplier clockMs;
-    private double tokens = MAX_REQUEST_LINE_BURST;
-    private long refilledAtMs;
-    private long suppressedLines;
+    private final LineLimit requestLimit = new LineLimit("request-lines-suppressed");
+    private final LineLimit cutLimit = new LineLimit("cut-lines-suppressed");
 
     FleetLog(LongSupplier clockMs) {
         this.clockMs = clockMs;
-        this.refilledAtMs = clockMs.getAsLong();
     }
 
     /** Logs a change of the known state of an endpoint, a lease, the configuration or the platform. */
@@ -40,23 +39,46 @@
     }
 
     /** Logs a decision on a request unless the rate limit is exceeded; safe for use by any thread. */
-    synchronized void request(Supplier<LogFields> fields) {
-        long nowMs = clockMs.getAsLong();
-        tokens = Math.min(MAX_REQUEST_LINE_BURST, tokens + (nowMs - refilledAtMs) * MAX_REQUEST_LINES_PER_S / MS_PER_S);
-        refilledAtMs = nowMs;
-        if (tokens < 1) {
-            suppressedLines++;
-            return;
-        }
-        tokens--;
-        if (suppressedLines > 0) {
-            write(LogFields.of("request-lines-suppressed").with("lines", suppressedLines));
-            suppressedLines = 0;
-        }
-        write(fields.get());
+    void request(Supplier<LogFields> fields) {
+        requestLimit.write(fields);
+    }
+
+    /** Logs a response that is incomplete, within a limit of its own; safe for use by any thread. */
+    void incompleteResponse(Supplier<LogFields> fields) {
+        cutLimit.write(fields);
     }
 
     private void write(LogFields fields) {
         LOG.log(System.Logger.Level.INFO, "{0}", fields.with("atMs", clockMs.getAsLong()));
     }
+
+    /** Token bucket of the lines of one kind. */
+    private final class LineLimit {
+        private final String suppressedEvent;
+        private double tokens = MAX_LINE_BURST;
+        private long refilledAtMs = Long.MIN_VALUE;
+        private long suppressedLines;
+
+        LineLimit(String suppressedEvent) {
+            this.suppressedEvent = suppressedEvent;
+        }
+
+        synchronized void write(Supplier<LogFields> fields) {
+            long nowMs = clockMs.getAsLong();
+            if (refilledAtMs != Long.MIN_VALUE) {
+                tokens = Math.min(MAX_LINE_BURST, tokens + (nowMs - refilledAtMs) * MAX_LINES_PER_S / MS_PER_S);
+            }
+            refilledAtMs = nowMs;
+            if (tokens < 1) {
+                suppressedLines++;
+                return;
+            }
+            tokens--;
+            if (suppressedLines > 0) {
+                FleetLog.this.write(LogFields.of(suppressedEvent).with("lines", suppressedLines));
+                suppressedLines = 0;
+            }
+            FleetLog.this.write(fields.get());
+        }
+    }
 }
--- a/server/src/main/java/io/radishwinch/server/fleet/OutcomeLogger.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/OutcomeLogger.java
@@ -7,6 +7,7 @@
 import io.radishwinch.server.http.DeliveryStats;
 import io.radishwinch.server.http.ExchangeListener;
 import io.radishwinch.server.http.Refusal;
+import io.radishwinch.server.http.ResponseCut;
 import io.radishwinch.server.metrics.RouterMetrics;
 import io.radishwinch.server.proxy.ResponseEnd;
 import io.radishwinch.server.proxy.ResponseEndListener;
@@ -15,8 +16,8 @@
 import java.util.Optional;
 
 /**
- * Logs complete responses with their timings, responses of endpoints that failed or that answered a retry, and requests
- * that were refused before they reached the core.
+ * Logs complete responses with their timings, responses of endpoints that failed or that answered a retry, requests
+ * that were refused before they reached the core, and responses whose connection ended before they were complete.
  */
 final class OutcomeLogger implements ExchangeListener, ResponseEndListener {
 
@@ -112,4 +113,15 @@
                 .with("reason", refusal.reason().wireName())
                 .with("detail", refusal.message()));
     }
+
+    @Override
+    public void responseCut(ResponseCut cut) {
+        next.responseCut(cut);
+        log.incompleteResponse(() -> LogFields.of("response-cut")
+                .with("id", cut.requestId())
+                .with("reason", cut.reason().wireName())
+                .with("origin", cut.origin().wireName())
+                .with("progress", cut.progress().wireName())
+                .with("bytes", cut.writtenBytes()));
+    }
 }
--- a/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
@@ -6,6 +6,7 @@
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.model.Verdict;
 import io.radishwinch.server.Exchange;
+import io.vertx.core.Future;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.http.HttpVersion;
@@ -109,9 +110,9 @@
     protected void refuseRequest(Refusal refusal) {
         finish(Optional.of(refusal));
         if (response.headWritten()) {
-            abortResponse();
+            abortResponse(refusal.reason());
         } else {
-            ErrorResponse.send(response, request.requestId(), refusal);
+            reportUnwritten(ErrorResponse.send(response, request.requestId(), refusal));
         }
     }
 
@@ -119,10 +120,26 @@
      * Breaks off a response whose head was already sent, so that the caller does not take it for complete. A response
      * that is {@linkplain #isDelimitedByClose delimited by close} must have a length.
      */
-    protected final void abortResponse() {
+    protected final void abortResponse(Reason reason) {
+        reportCut(reason, ResponseCut.Origin.ROUTER, progress());
         response.reset(HTTP2_INTERNAL_ERROR);
     }
 
+    /** Reports a complete response whose connection ends before it is written. */
+    protected final void reportUnwritten(Future<Void> written) {
+        written.onFailure(ignored ->
+                reportCut(Reason.CALLER_DISCONNECTED, ResponseCut.Origin.CALLER, ResponseCut.Progress.UNWRITTEN));
+    }
+
+    private ResponseCut.Progress progress() {
+        return response.headWritten() ? ResponseCut.Progress.STARTED : ResponseCut.Progress.NOT_STARTED;
+    }
+
+    private void reportCut(Reason reason, ResponseCut.Origin origin, ResponseCut.Progress progress) {
+        shared.listener()
+                .responseCut(new ResponseCut(request.requestId(), reason, origin, progress, response.bytesWritten()));
+    }
+
     /**
      * Returns whether a response without a length ends with its connection, as in HTTP/1.0. Vert.x resets a response of
      * HTTP/1 by closing the connection, so a caller cannot tell that such a response broke off.
@@ -171,7 +188,7 @@
             writeTimerId = shared.vertx().setTimer(shared.writeTimeoutMs(), ignored -> {
                 withdraw(Optional.of(new Refusal(
                         Reason.SLOW_READER, Verdict.MAY_HAVE_RUN, ErrorMessages.of(Reason.SLOW_READER), 0)));
-                abortResponse();
+                abortResponse(Reason.SLOW_READER);
             });
         }
     }
@@ -185,6 +202,9 @@
     }
 
     private void onCallerDisconnected() {
+        if (!isFinished) {
+            reportCut(Reason.CALLER_DISCONNECTED, ResponseCut.Origin.CALLER, progress());
+        }
         Verdict verdict = delivery.attempts() == 0 ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
         withdraw(Optional.of(
                 new Refusal(Reason.CALLER_DISCONNECTED, verdict, ErrorMessages.of(Reason.CALLER_DISCONNECTED), 0)));
--- a/server/src/main/java/io/radishwinch/server/http/ExchangeListener.java
+++ b/server/src/main/java/io/radishwinch/server/http/ExchangeListener.java
@@ -22,4 +22,7 @@
      * @param rank rank of the request, or empty if unknown
      */
     void rejected(String requestId, String caller, Optional<Rank> rank, Refusal refusal);
+
+    /** Called when the connection of a caller ends before its response is complete. */
+    default void responseCut(ResponseCut cut) {}
 }
--- a/server/src/main/java/io/radishwinch/server/http/ModelExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ModelExchange.java
@@ -213,10 +213,10 @@
         finish(Optional.empty());
         if (!completion.isStreaming()) {
             String text = String.join("", deliveredTokens);
-            response.putHeader(HttpHeaders.CONTENT_TYPE, "application/json")
+            reportUnwritten(response.putHeader(HttpHeaders.CONTENT_TYPE, "application/json")
                     .putHeader("X-Request-Id", request.requestId())
                     .end(format.fullResponse(text, finishReason, request.promptTokens(), deliveredTokens.size())
-                            .toString());
+                            .toString()));
             return;
         }
         if (!response.headWritten()) {
@@ -226,7 +226,7 @@
         if (completion.includeUsage()) {
             response.write(format.usageEvent(request.promptTokens(), deliveredTokens.size()));
         }
-        response.end(CompletionResponseFormat.STREAM_END);
+        reportUnwritten(response.end(CompletionResponseFormat.STREAM_END));
     }
 
     /**
@@ -244,7 +244,7 @@
         response.write("data: " + ErrorResponse.body(refusal, request.requestId()) + "\n\n")
                 .onComplete(ignored -> {
                     cancelWriteTimer();
-                    abortResponse();
+                    abortResponse(refusal.reason());
                 });
     }
 }
--- a/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
@@ -117,7 +117,7 @@
 
     private void endWithError(Refusal refusal) {
         withdraw(Optional.of(refusal));
-        ErrorResponse.send(response, request.requestId(), refusal);
+        reportUnwritten(ErrorResponse.send(response, request.requestId(), refusal));
     }
 
     private void replay(StoredResponse stored) {
@@ -138,7 +138,7 @@
         if (!stored.contentType().isEmpty()) {
             response.putHeader(HttpHeaders.CONTENT_TYPE, stored.contentType());
         }
-        response.end(Buffer.buffer(stored.body()));
+        reportUnwritten(response.end(Buffer.buffer(stored.body())));
     }
 
     private void send(Action.StartAttempt attempt, EndpointAddress address) {
@@ -247,7 +247,7 @@
      */
     private void abort(Reason reason) {
         withdraw(Optional.of(new Refusal(reason, Verdict.MAY_HAVE_RUN, ErrorMessages.of(reason), 0)));
-        abortResponse();
+        abortResponse(reason);
     }
 
     private void writeHead(ServiceResponse serviceResponse) {
@@ -325,10 +325,10 @@
     protected void completeResponse() {
         finish(Optional.empty());
         if (streamedResponse != null) {
-            response.end();
+            reportUnwritten(response.end());
         } else {
             writeHead(bufferedResponse);
-            response.end(bufferedResponse.body());
+            reportUnwritten(response.end(bufferedResponse.body()));
         }
     }
 }
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyErrorResponse.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyErrorResponse.java
@@ -3,6 +3,7 @@
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.Verdict;
 import io.radishwinch.server.http.Refusal;
+import io.vertx.core.Future;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.Locale;
@@ -23,14 +24,19 @@
 
     private ProxyErrorResponse() {}
 
-    static void send(HttpServerResponse response, Refusal refusal, ProxyScope scope, String requestId) {
+    /**
+     * Sends the error response.
+     *
+     * @return a future that completes when the response was written
+     */
+    static Future<Void> send(HttpServerResponse response, Refusal refusal, ProxyScope scope, String requestId) {
         response.setStatusCode(status(refusal)).putHeader(HttpHeaders.CONTENT_TYPE, "text/plain");
         if (refusal.retryAfterMs() > 0) {
             response.putHeader(RETRY_AFTER, String.format(Locale.ROOT, "%.2f", refusal.retryAfterMs() / MS_PER_S));
         }
         scope.announceClose(response);
         scope.dialect().markRouterResponse(response.headers(), requestId);
-        response.end(
+        return response.end(
                 refusal.reason().wireName() + ", " + refusal.verdict().wireName() + ": " + refusal.message() + "\n");
     }
 
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -243,9 +243,9 @@
         Refusal refusal = new Refusal(reason, overall, ErrorMessages.of(reason), retryAfterMs);
         finish(Optional.of(refusal));
         if (isHeadSent) {
-            abortResponse();
+            abortResponse(reason);
         } else {
-            ProxyErrorResponse.send(response, refusal, shared, head.requestId());
+            sendError(refusal);
         }
     }
 
@@ -320,7 +320,7 @@
         }
         finish(Optional.empty());
         if (isHeadSent) {
-            response.end();
+            reportUnwritten(response.end());
         } else {
             sendBuffered(bufferedResponse);
         }
@@ -348,14 +348,18 @@
         finish(Optional.of(refusal));
         if (isPartlySent) {
             // The head has been sent, so only a connection reset tells the caller that the response is incomplete.
-            abortResponse();
+            abortResponse(refusal.reason());
         } else if (buffered != null && refusal.verdict() != Verdict.NOT_RUN) {
             sendBuffered(buffered);
         } else {
-            ProxyErrorResponse.send(response, refusal, shared, head.requestId());
+            sendError(refusal);
         }
     }
 
+    private void sendError(Refusal refusal) {
+        reportUnwritten(ProxyErrorResponse.send(response, refusal, shared, head.requestId()));
+    }
+
     /** Returns whether a request that was refused for a reason may be served by a router that reaches its endpoints. */
     private static boolean mayOtherRouterServe(Reason reason) {
         return switch (reason) {
@@ -374,7 +378,7 @@
 
     private void sendBuffered(BufferedResponse buffered) {
         writeHead(buffered.status, buffered.headers);
-        response.end(buffered.body);
+        reportUnwritten(response.end(buffered.body));
     }
 
     private void writeHead(int status, MultiMap headers) {
@@ -398,7 +402,7 @@
      */
     private void abort(Reason reason) {
         withdraw(Optional.of(new Refusal(reason, Verdict.MAY_HAVE_RUN, ErrorMessages.of(reason), 0)));
-        abortResponse();
+        abortResponse(reason);
     }
 
     /** One attempt of the request on one chain. */
@@ -660,7 +664,7 @@
                         "a response of this size and unknown length needs HTTP/1.1",
                         0);
                 withdraw(Optional.of(refusal));
-                ProxyErrorResponse.send(response, refusal, shared, head.requestId());
+                sendError(refusal);
                 return false;
             }
             isHeadSent = true;
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -16,6 +16,7 @@
 import io.radishwinch.server.http.MemoryBudget;
 import io.radishwinch.server.http.PromptHashes;
 import io.radishwinch.server.http.Refusal;
+import io.radishwinch.server.http.ResponseCut;
 import io.radishwinch.server.route.Route;
 import io.radishwinch.server.route.RouteKind;
 import io.radishwinch.server.route.RoutingConfig;
@@ -29,6 +30,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.http.HttpVersion;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -89,6 +91,7 @@
     private HttpServer server;
     private Optional<HttpServer> relayServer = Optional.empty();
     private long closeIdleAtMs = Long.MAX_VALUE;
+    private long closeAllAtMs = Long.MAX_VALUE;
     private volatile boolean isDraining;
 
     /**
@@ -216,6 +219,7 @@
      */
     public Future<Void> shutdown(long timeoutMs) {
         callerConnections.startShutdown();
+        closeAllAtMs = dependencies.control().nowMs() + timeoutMs;
         List<Future<Void>> closed = new ArrayList<>(List.of(server.shutdown(timeoutMs, TimeUnit.MILLISECONDS)));
         relayServer.ifPresent(relays -> closed.add(relays.shutdown(timeoutMs, TimeUnit.MILLISECONDS)));
         return Future.join(closed).mapEmpty();
@@ -440,7 +444,14 @@
     private void reject(HttpServerRequest request, String caller, Rank rank, Refusal refusal) {
         String requestId = dependencies.dialect().requestId(request.headers());
         dependencies.listener().rejected(requestId, caller, Optional.ofNullable(rank), refusal);
-        ProxyErrorResponse.send(request.response(), refusal, scope, requestId);
+        HttpServerResponse response = request.response();
+        ProxyErrorResponse.send(response, refusal, scope, requestId)
+                .onFailure(ignored -> responseCut(new ResponseCut(
+                        requestId,
+                        refusal.reason(),
+                        ResponseCut.Origin.CALLER,
+                        ResponseCut.Progress.UNWRITTEN,
+                        response.bytesWritten())));
     }
 
     @Override
@@ -453,4 +464,10 @@
     public void rejected(String requestId, String caller, Optional<Rank> rank, Refusal refusal) {
         dependencies.listener().rejected(requestId, caller, rank, refusal);
     }
+
+    @Override
+    public void responseCut(ResponseCut cut) {
+        boolean isByStop = dependencies.control().nowMs() >= closeAllAtMs;
+        dependencies.listener().responseCut(isByStop ? cut.byStop() : cut);
+    }
 }
