Refuse streams that are unlikely to end before a planned stop from the stop request on

A router that is asked to stop serves new requests for 2.8 s, so that callers need not wait until the load balancer reacts. It admitted any stream in this time, also one that takes longer than the rest of the grace period, and started queued ones just before the drain; both were broken off at its end. When the router took up its stop request late, such a stream was admitted 3.3 s after the signal and cut when the process was killed.

The stop request now carries the time by which all requests must end. A new request whose pessimistic estimate exceeds it is refused as draining, not run, so that it goes to another router; one that waits and never started must be able to end by it. Requests that have started are unaffected until the drain. Pools without a current estimate admit as before.

FailureTest.aRouterThatWasAskedToStopRefusesStreams… and …StartsNoStream… failed before with a stream that was cut, with the verdict may-have-run.

--- a/core/src/main/java/io/radishwinch/core/event/Event.java
+++ b/core/src/main/java/io/radishwinch/core/event/Event.java
@@ -253,8 +253,13 @@
      */
     record EndpointPaused(String endpointId, long untilMs) implements Event {}
 
-    /** The router was asked to stop; it serves new requests until {@link DrainStarted}. */
-    record StopRequested() implements Event {}
+    /**
+     * The router was asked to stop; it serves new requests until {@link DrainStarted}, except those that are unlikely
+     * to end in time.
+     *
+     * @param deadlineMs time by which all requests must have finished, in ms of the router's clock
+     */
+    record StopRequested(long deadlineMs) implements Event {}
 
     /**
      * The router started to drain: running requests finish and new ones are refused.
--- a/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AdmissionSystem.java
@@ -83,6 +83,9 @@
             return Reason.QUARANTINED;
         }
         PoolRow pool = state.pool(spec.pool());
+        if (state.isStopping && nowMs + pool.neededMs(spec, 0, true, nowMs) >= state.drainDeadlineMs) {
+            return Reason.DRAINING;
+        }
         if (nowMs + pool.neededMs(spec, 0, false, nowMs) >= spec.deadlineMs()) {
             return Reason.DEADLINE_UNREACHABLE;
         }
--- a/core/src/main/java/io/radishwinch/core/impl/CoreState.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreState.java
@@ -364,9 +364,14 @@
         queue.requeue(row.spec, nowMs);
     }
 
-    /** Returns the time in ms by which the request must end: the earlier of its deadline and that of a drain. */
+    /**
+     * Returns the time in ms by which the request must end: the earlier of its deadline and that of a drain. Before the
+     * drain starts, the latter applies only to requests that another router can still serve instead.
+     */
     long deadlineMs(RequestRow row) {
-        return isDraining ? Math.min(drainDeadlineMs, row.spec.deadlineMs()) : row.spec.deadlineMs();
+        return isDraining || isStopping && row.epoch == 0
+                ? Math.min(drainDeadlineMs, row.spec.deadlineMs())
+                : row.spec.deadlineMs();
     }
 
     /** Returns {@link Reason#DRAINING} if a drain shortens the deadline of the request, otherwise the given reason. */
--- a/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -125,8 +125,9 @@
             partQuarantineSystem.applyProof(proven.parts(), proven.atMs(), nowMs);
         } else if (event instanceof Event.RouterCountChanged counted) {
             state.retries.setRouterCount(counted.routerCount(), nowMs);
-        } else if (event instanceof Event.StopRequested) {
+        } else if (event instanceof Event.StopRequested stop) {
             state.isStopping = true;
+            state.drainDeadlineMs = stop.deadlineMs();
         } else if (event instanceof Event.DrainStarted drain) {
             state.isStopping = true;
             state.isDraining = true;
--- a/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
@@ -471,7 +471,7 @@
     void aRouterThatWasAskedToStopPreemptsNoRequest() {
         CoreSimulation simulation = simulation(1, 1, 1, CoreSettings.defaults().withServiceWhileDraining());
         simulation.arrive(batchRequest("b", 700, 9));
-        simulation.at(500, new Event.StopRequested());
+        simulation.at(500, new Event.StopRequested(8_000));
         simulation.at(3_300, new Event.DrainStarted(8_000));
         simulation.arrive(simulation.request("urgent", "a", Rank.INTERACTIVE, 600, 300, 5_000));
         simulation.run(60_000);
@@ -479,6 +479,40 @@
         assertThat(simulation.trace("urgent").refusal().verdict()).isEqualTo(Verdict.NOT_RUN);
     }
 
+    /** Guards against streams that are admitted after a stop request and cut at the end of the grace period. */
+    @Test
+    void aRouterThatWasAskedToStopRefusesStreamsThatCannotEndBeforeIt() {
+        CoreSimulation simulation = simulation(1, 1, 8, CoreSettings.defaults().withServiceWhileDraining());
+        for (int i = 0; i < 25; i++) {
+            simulation.arrive(simulation.request("before" + i, "a", Rank.INTERACTIVE, 100 * i, 100, 30_000));
+        }
+        simulation.at(4_000, new Event.StopRequested(11_500));
+        simulation.at(6_800, new Event.DrainStarted(11_500));
+        simulation.arrive(simulation.request("short", "a", Rank.INTERACTIVE, 6_700, 400, 30_000));
+        simulation.arrive(simulation.request("long", "a", Rank.INTERACTIVE, 6_700, 550, 30_000));
+        simulation.run(60_000);
+        assertThat(simulation.trace("short").isServed()).isTrue();
+        assertThat(simulation.trace("long").refusal().reason()).isEqualTo(Reason.DRAINING);
+        assertThat(simulation.trace("long").refusal().verdict()).isEqualTo(Verdict.NOT_RUN);
+    }
+
+    /** Guards against streams that wait until a stop request, start after it and are cut at its end. */
+    @Test
+    void aRouterThatWasAskedToStopStartsNoStreamThatCannotEndBeforeIt() {
+        CoreSimulation simulation = simulation(1, 1, 1, CoreSettings.defaults().withServiceWhileDraining());
+        for (int i = 0; i < 25; i++) {
+            simulation.arrive(simulation.request("before" + i, "a", Rank.INTERACTIVE, 0, 20, 60_000));
+        }
+        simulation.arrive(simulation.request("running", "a", Rank.INTERACTIVE, 5_800, 300, 60_000));
+        simulation.arrive(simulation.request("waiting", "a", Rank.INTERACTIVE, 5_900, 600, 60_000));
+        simulation.at(6_000, new Event.StopRequested(13_500));
+        simulation.at(8_900, new Event.DrainStarted(13_500));
+        simulation.run(60_000);
+        assertThat(simulation.trace("running").isServed()).isTrue();
+        assertThat(simulation.trace("waiting").refusal().reason()).isEqualTo(Reason.DRAINING);
+        assertThat(simulation.trace("waiting").refusal().verdict()).isEqualTo(Verdict.NOT_RUN);
+    }
+
     @Test
     void requestsOverTheLimitsAreRefusedAndUnusedTokensAreRefunded() {
         CoreSimulation simulation = CoreSimulation.of(new FakeDirectory(1, 4, 8), CoreSettings.defaults());
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -244,8 +244,8 @@
     }
 
     /** Tells the core that the router will drain. */
-    void requestStop() {
-        control.post(new Event.StopRequested());
+    void requestStop(long deadlineMs) {
+        control.post(new Event.StopRequested(deadlineMs));
     }
 
     /** Starts to refuse new requests. */
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
@@ -185,7 +185,7 @@
             trafficVertx.setTimer(DRAIN_DELAY_MS, timer -> closeConnections(deadlineMs + FLUSH_MARGIN_MS)
                     .onComplete(stopped));
         });
-        plane.requestStop();
+        plane.requestStop(deadlineMs);
         controlVertx
                 .getOrCreateContext()
                 .runOnContext(ignored -> controlVertx.setTimer(DRAIN_DELAY_MS, timer -> plane.startDrain(deadlineMs)));
