Check the heads of endpoints' responses before they are decoded

A worker in trouble answered with status 000, and its caller got it. So did callers of 001, 099, 20, 600, 999, 1000 and 200200, and 0200 and +200 were read as 200, so that a failed run became a success.

Netty's decoder parses a status with Integer.parseInt and skips control characters and blanks between words, so that what the endpoint sent is lost before any check. ResponseHeadValidator checks each line of a head against the grammar of RFC 9112 as the bytes came, and passes the head on when all of it is valid. A violation ends the attempt as may-have-run and the connection; response-ended names the rule, and a counter counts by it.

It replaces the checks of EndpointConnection: header lines without a colon (splitHeaderName), the major version and status 101 (readHead), and the beginning of another response in the reason or a value (ResponseHeads).

--- a/server/src/main/java/io/radishwinch/server/fleet/OutcomeLogger.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/OutcomeLogger.java
@@ -4,6 +4,7 @@
 import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.server.LogFields;
+import io.radishwinch.server.engine.ResponseRule;
 import io.radishwinch.server.http.DeliveryStats;
 import io.radishwinch.server.http.ExchangeListener;
 import io.radishwinch.server.http.Refusal;
@@ -23,6 +24,7 @@
     private final FleetLog log;
     private final ExchangeListener next;
     private final Counter surplusResponses;
+    private final Map<ResponseRule, Counter> malformedByRule = new EnumMap<>(ResponseRule.class);
     private final Map<ResponseEnd.Cause, Counter> endsByCause = new EnumMap<>(ResponseEnd.Cause.class);
 
     /**
@@ -44,12 +46,22 @@
                             "cause",
                             cause.wireName()));
         }
+        for (ResponseRule rule : ResponseRule.values()) {
+            malformedByRule.put(
+                    rule,
+                    metrics.counter(
+                            "radishwinch.endpoint.responses.malformed",
+                            "responses of endpoints by the rule of HTTP that they break",
+                            "rule",
+                            rule.wireName()));
+        }
     }
 
     @Override
     public void responseEnded(String requestId, ResponseEnd end) {
         endsByCause.get(end.cause()).increment();
         surplusResponses.increment(end.carrier().surplusResponses());
+        end.carrier().brokenRule().ifPresent(rule -> malformedByRule.get(rule).increment());
         if (end.isOrdinary()) {
             return;
         }
@@ -66,6 +78,7 @@
         }
         fields.with("epoch", end.epoch()).with("connection", end.carrier().describe());
         addSurplus(fields, end.carrier().surplusResponses());
+        end.carrier().brokenRule().ifPresent(rule -> fields.with("rule", rule.wireName()));
         if (!end.detail().isEmpty()) {
             fields.with("detail", end.detail());
         }
--- a/server/src/main/java/io/radishwinch/server/proxy/EndpointConnection.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EndpointConnection.java
@@ -13,15 +13,15 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
-import io.radishwinch.server.engine.ResponseHeads;
+import io.radishwinch.server.engine.MalformedResponseException;
+import io.radishwinch.server.engine.ResponseRule;
+import io.radishwinch.server.engine.StrictResponseDecoder;
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
@@ -30,6 +30,7 @@
 import io.vertx.core.internal.buffer.BufferInternal;
 import io.vertx.core.internal.net.NetSocketInternal;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * HTTP/1.1 connection to an endpoint, which carries one request at a time.
@@ -73,6 +74,7 @@
     private int surplusResponses;
     private int surplusBytes;
     private long surplusTimerId = NO_TIMER;
+    private Optional<ResponseRule> brokenRule = Optional.empty();
     private boolean isClosed;
 
     /** What the next bytes from the endpoint belong to. */
@@ -136,8 +138,7 @@
      * request has asked for end the connection. The decoder would keep them until a line is complete, and read the next
      * response as their continuation.
      */
-    private final class ResponseDecoder extends HttpResponseDecoder {
-        private boolean isInsideResponse;
+    private final class ResponseDecoder extends StrictResponseDecoder {
 
         ResponseDecoder(HttpDecoderConfig config) {
             super(config);
@@ -153,40 +154,10 @@
             }
         }
 
-        @Override
-        protected void decode(ChannelHandlerContext handler, ByteBuf buffer, List<Object> out) throws Exception {
-            int lengthBefore = buffer.readableBytes();
-            super.decode(handler, buffer, out);
-            isInsideResponse |= buffer.readableBytes() < lengthBefore;
-            if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
-                isInsideResponse = false;
-            }
-        }
-
-        /**
-         * Rejects a header line without a colon, whose name would end at its first space, and the rest would be lost.
-         */
-        @Override
-        protected AsciiString splitHeaderName(byte[] bytes, int start, int length) {
-            int next = start + length;
-            while (next < bytes.length && (bytes[next] == ' ' || bytes[next] == '\t')) {
-                next++;
-            }
-            if (next == bytes.length || bytes[next] != ':') {
-                throw new IllegalArgumentException("header line without a colon");
-            }
-            return super.splitHeaderName(bytes, start, length);
-        }
-
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
             return method == HttpMethod.HEAD || super.isContentAlwaysEmpty(message);
         }
-
-        /** Returns whether bytes have arrived that follow the last complete response. */
-        boolean hasBegunResponse() {
-            return isInsideResponse || actualReadableBytes() > 0;
-        }
     }
 
     boolean isClosed() {
@@ -219,6 +190,11 @@
         return surplusResponses;
     }
 
+    /** Returns the rule that a response broke, which ended the connection. */
+    Optional<ResponseRule> brokenRule() {
+        return brokenRule;
+    }
+
     /**
      * Sends a request. The connection must be open and must not be waiting for a response.
      *
@@ -282,8 +258,9 @@
                 fail(UNEXPECTED_BYTES);
                 return;
             }
-            if (part.decoderResult().isFailure()) {
-                fail("malformed response: " + part.decoderResult().cause().getMessage());
+            if (part.decoderResult().cause() instanceof MalformedResponseException malformed) {
+                brokenRule = Optional.of(malformed.rule());
+                fail(malformed.getMessage());
                 return;
             }
             if (message instanceof HttpResponse response) {
@@ -300,11 +277,6 @@
     private void readHead(HttpResponse response) {
         if (reading != Reading.HEAD) {
             fail(UNEXPECTED_BYTES);
-        } else if (response.protocolVersion().majorVersion() != HttpVersion.HTTP_1_1.majorVersion()
-                || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
-            fail("unexpected protocol: " + response.protocolVersion() + " " + response.status());
-        } else if (ResponseHeads.containsStatusLine(response.status().reasonPhrase(), response.headers())) {
-            fail("response follows bytes that belong to none");
         } else if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             reading = Reading.INTERIM_RESPONSE;
             skip();
--- a/server/src/main/java/io/radishwinch/server/proxy/ResponseEnd.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ResponseEnd.java
@@ -1,5 +1,8 @@
 package io.radishwinch.server.proxy;
 
+import io.radishwinch.server.engine.ResponseRule;
+import java.util.Optional;
+
 /**
  * How the response of an endpoint to one attempt ended.
  *
@@ -54,11 +57,22 @@
      * @param requestNumber number of the request on its connection, from 1
      * @param isIdentified whether the response names its request
      * @param surplusResponses responses to other requests that were dropped before the response
+     * @param brokenRule rule of HTTP that the response breaks, which ended the connection
      */
-    public record Carrier(long connectionId, int requestNumber, boolean isIdentified, int surplusResponses) {
+    public record Carrier(
+            long connectionId,
+            int requestNumber,
+            boolean isIdentified,
+            int surplusResponses,
+            Optional<ResponseRule> brokenRule) {
         /** The attempt ended before it had a connection. */
         public static final Carrier NONE = new Carrier(0, 0, false, 0);
 
+        /** Creates a carrier of a response that breaks no rule. */
+        public Carrier(long connectionId, int requestNumber, boolean isIdentified, int surplusResponses) {
+            this(connectionId, requestNumber, isIdentified, surplusResponses, Optional.empty());
+        }
+
         /**
          * Returns the numbers of the connection and of the request on it, as in {@code 17/3}, followed by
          * {@code identified} if the response names its request; {@code none} without a connection.
--- a/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
@@ -124,7 +124,8 @@
                         connection.id(),
                         connection.requestCount(),
                         head != null && head.requestId().equals(Optional.of(requestId)),
-                        connection.http().surplusResponses());
+                        connection.http().surplusResponses(),
+                        connection.http().brokenRule());
     }
 
     void pause() {
--- a/server/src/test/java/io/radishwinch/server/fleet/RequestLogLineTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/RequestLogLineTest.java
@@ -13,6 +13,7 @@
 import io.radishwinch.core.model.Verdict;
 import io.radishwinch.server.JsonLogFormatter;
 import io.radishwinch.server.OutcomeCounter;
+import io.radishwinch.server.engine.ResponseRule;
 import io.radishwinch.server.http.DeliveryStats;
 import io.radishwinch.server.http.ResponseOrigin;
 import io.radishwinch.server.metrics.RouterMetrics;
@@ -121,6 +122,15 @@
         assertKept("id", "cause", "status", "epoch", "connection", "detail");
     }
 
+    @Test
+    void aMalformedResponseNamesTheRuleAndIsCountedByIt() throws Exception {
+        Carrier carrier = new Carrier(345, 17, false, 0, Optional.of(ResponseRule.STATUS));
+        endResponse(0, Cause.CONNECTION_FAILED, "malformed response, status: \"HTTP/1.1 000 X\"", carrier);
+        assertKept("id", "cause", "epoch", "connection", "rule");
+        assertThat(lastFields().path("endpoint").asText()).isEqualTo(ENDPOINT);
+        assertThat(metrics.scrape()).contains("radishwinch_endpoint_responses_malformed_total{rule=\"status\"} 1.0");
+    }
+
     @Test
     void aSuccessNamesTheRunThatItCameFrom() throws Exception {
         DeliveryStats delivery = new DeliveryStats(NOW_MS);
--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
@@ -221,6 +221,8 @@
                         "HTTP/1.1 206 Partial Content\r\n" + SEALED + STREAM + CHUNKED + "\r\n" + chunk(events(3, 3))
                                 + LAST_CHUNK,
                         End.NONE),
+                new Script(STREAM_HEAD.replace("200", "0200") + chunk(events(3, 4)) + LAST_CHUNK, End.NONE),
+                new Script("HTTP/1.1 999 X\r\n" + SEALED + error, End.NONE),
                 new Script("HTTP/1.1 200 OK\r\n" + SEALED + error, End.NONE),
                 new Script("HTTP/1.1 200 OK\r\n" + SEALED + "Content-Length: 0\r\n\r\n", End.NONE),
                 new Script(
@@ -291,6 +293,18 @@
         assertThat(endpoint.requestHeads).hasSize(3);
     }
 
+    /** Guards against a caller who gets a status that is none, or a success for a run that failed. */
+    @ParameterizedTest
+    @CsvSource({"REPEATABLE, 000", "REPEATABLE, 0200", "STREAM, 999", "STREAM, +200"})
+    void aMalformedResponseIsNotPassedOn(RouteKind kind, String status) throws Exception {
+        String head = STREAM_HEAD.replace("200", status);
+        Script malformed = new Script(head + chunk(events(1, 2)) + LAST_CHUNK, End.NONE);
+        assertThat(bodyOf(call(start(kind, List.of(malformed, restOfStream())))))
+                .isEqualTo(events(3, 4));
+        endpoint.close();
+        assertThat(call(start(kind, List.of(malformed, malformed, malformed)))).startsWith("HTTP/1.1 502 ");
+    }
+
     private boolean tryRelay() throws Exception {
         CompletableFuture<Boolean> isRelayed = new CompletableFuture<>();
         context.runOnContext(ignored -> isRelayed.complete(exchange.tryRelay()));
--- a/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
@@ -4,6 +4,7 @@
 
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.Verdict;
+import io.radishwinch.server.engine.MalformedHeads;
 import io.radishwinch.server.engine.RepeatingEndpoint;
 import io.vertx.core.Context;
 import io.vertx.core.MultiMap;
@@ -22,11 +23,13 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -68,6 +71,7 @@
         private final Buffer body = Buffer.buffer();
         private UpstreamCall call;
         private int status;
+        private String failure;
         private boolean pausesAtHead;
 
         @Override
@@ -99,6 +103,7 @@
 
         @Override
         public void onFailure(Reason reason, Verdict verdict, String message) {
+            failure = message;
             outcome.complete(reason + " " + verdict);
         }
     }
@@ -297,6 +302,9 @@
     @ValueSource(
             strings = {
                 "HTTP/1.1 200\r\n",
+                "HTTP/1.1 200 \r\n",
+                "HTTP/1.0 599 Other\r\n",
+                "HTTP/1.1 299 caf\u00e9\tau lait\r\nTAB:\tvalue\t\r\n",
                 "HTTP/1.1 200 HTTP/1.1 is spoken\r\n",
                 "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\n",
                 "HTTP/1.1 200 OK\r\nEmpty:\r\n",
@@ -314,6 +322,25 @@
         }
     }
 
+    static Stream<String> malformedHeads() {
+        return Stream.concat(MalformedHeads.statusLines(), MalformedHeads.headers());
+    }
+
+    /** Guards against a status that is none, or that is read as another one, and against an end at another place. */
+    @ParameterizedTest
+    @MethodSource("malformedHeads")
+    void aMalformedResponseEndsTheCallAndItsConnection(String head) throws Exception {
+        Recorder recorder = call("a", server.getLocalPort(), new NoNotices());
+        try (Socket socket = server.accept()) {
+            ScriptedEndpoint.readHead(socket);
+            String length = head.contains("Content-Length") || head.contains("Transfer") ? "" : "Content-Length: 0\r\n";
+            assertThat(isClosedByPeer(socket, head + "X-Request-Id: a\r\n" + length + "\r\n"))
+                    .isTrue();
+            assertThat(recorder.outcome.get(WAIT_S, TimeUnit.SECONDS)).isEqualTo("STAGE_DIED MAY_HAVE_RUN");
+            assertThat(recorder.failure).startsWith("malformed response, ");
+        }
+    }
+
     /** Accepts a connection, or returns the given one if its next request arrives first. */
     private Socket acceptOr(Socket socket) throws Exception {
         server.setSoTimeout(POLL_MS);
