Check response heads in the clients of engines, services, orders and the store

These clients took responses with a status that is none for sound ones, and 0200 or +200 for 200: an order counted as accepted, an attempt as refused, a write as done or without effect.

HttpExchange.newClient replaces the codec of each connection by one with the same StrictResponseDecoder that connections to endpoints use. A malformed response to a repeatable call (status reports, reroutes) is dropped and the call sent again; other calls fail as may-have-run or effect-unknown.

ResponseHeads, which looked for another status line in the decoded head, is removed with its uses in HttpExchange, HttpServiceExchange, HttpEngineStream and HttpWatch: the check of bytes covers them, and header lines without a colon, which these clients accepted.

--- a/server/src/main/java/io/radishwinch/server/engine/HttpEngineStream.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpEngineStream.java
@@ -122,7 +122,7 @@
         }
         request = opened;
         opened.exceptionHandler(cause -> fail(Reason.STAGE_DIED, "connection failed: " + cause.getMessage()));
-        ResponseHeads.responseTo(opened)
+        opened.response()
                 .onSuccess(this::onResponse)
                 .onFailure(cause -> fail(Reason.STAGE_DIED, "connection failed: " + cause.getMessage()));
         opened.end(EngineJson.encodeAttempt(attempt, clockMs.getAsLong()));
--- a/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
@@ -1,5 +1,6 @@
 package io.radishwinch.server.engine;
 
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.Verdict;
 import io.vertx.core.Future;
@@ -28,7 +29,7 @@
  * object with required fields, or requires {@link Response#isDelimited()}.
  *
  * <p>A late second copy of the response to another call may arrive first on any connection, a new one included. See
- * {@link Attribution}. A response that begins with bytes of another one is treated as such a copy.
+ * {@link Attribution}. A malformed response is treated as such a copy, because its status may not be that of the call.
  */
 public final class HttpExchange {
     /** Response header with which an endpoint states that it did not run the call. */
@@ -39,6 +40,9 @@
     /** Number of responses to other calls after which a call fails instead of being sent again. */
     private static final int MAX_FOREIGN_RESPONSES = 8;
 
+    private static final int MAX_INITIAL_LINE_BYTES = 4 << 10;
+    private static final int MAX_HEADER_BYTES = 16 << 10;
+
     private final Vertx vertx;
     private final EndpointAddress address;
     private final int maxResponseBytes;
@@ -90,11 +94,20 @@
                 .setKeepAlive(isKeepAlive)
                 .setKeepAliveTimeout(options.keepAliveTimeoutS())
                 .setTcpNoDelay(true)
-                .setMaxHeaderSize(16 << 10);
+                .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+                .setMaxHeaderSize(MAX_HEADER_BYTES);
+        HttpDecoderConfig decoder = new HttpDecoderConfig()
+                .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                .setMaxChunkSize(http.getMaxChunkSize());
         PoolOptions pool = new PoolOptions()
                 .setHttp1MaxSize(options.maxConnectionsPerEndpoint())
                 .setMaxWaitQueueSize(options.maxWaitQueueSize());
-        return vertx.createHttpClient(http, pool);
+        return vertx.httpClientBuilder()
+                .with(http)
+                .with(pool)
+                .withConnectHandler(connection -> StrictClientCodec.install(connection, decoder))
+                .build();
     }
 
     /**
@@ -145,16 +158,17 @@
                         return;
                     }
                     request = opened;
-                    opened.exceptionHandler(cause -> onConnectionFailure(opened, cause));
+                    Runnable repeat = () -> open(client, options, body);
+                    opened.exceptionHandler(cause -> onConnectionFailure(opened, cause, repeat));
                     opened.response()
                             .onSuccess(response -> {
-                                if (!isEnded && isForeign(response)) {
-                                    onForeignResponse(() -> open(client, options, body));
+                                if (!isEnded && attribution.isForeign().test(response.headers())) {
+                                    onForeignResponse("response does not belong to the call", repeat);
                                 } else {
                                     onResponse(response);
                                 }
                             })
-                            .onFailure(cause -> onConnectionFailure(opened, cause));
+                            .onFailure(cause -> onConnectionFailure(opened, cause, repeat));
                     if (body == null) {
                         opened.end();
                     } else {
@@ -163,26 +177,28 @@
                 });
     }
 
-    private void onConnectionFailure(HttpClientRequest failed, Throwable cause) {
+    private void onConnectionFailure(HttpClientRequest failed, Throwable cause, Runnable repeat) {
         // The connection of a response to another call is closed on purpose.
-        if (failed == request) {
+        if (failed != request) {
+            return;
+        }
+        if (cause instanceof MalformedResponseException) {
+            onForeignResponse(cause.getMessage(), repeat);
+        } else {
             fail(Reason.STAGE_DIED, "connection failed", cause);
         }
     }
 
-    private boolean isForeign(HttpClientResponse response) {
-        return attribution.isForeign().test(response.headers()) || ResponseHeads.containsStatusLine(response);
-    }
-
-    private void onForeignResponse(Runnable repeat) {
+    private void onForeignResponse(String message, Runnable repeat) {
         foreignResponses++;
         LOG.log(
                 System.Logger.Level.INFO,
-                "{0}: a response that does not belong to the call was dropped, {1} for this call",
+                "{0}: response dropped, {1} for this call: {2}",
                 address.endpointId(),
-                foreignResponses);
+                foreignResponses,
+                message);
         if (!attribution.isRepeatable() || foreignResponses >= MAX_FOREIGN_RESPONSES) {
-            fail(Reason.STAGE_DIED, "response does not belong to the call", null);
+            fail(Reason.STAGE_DIED, message, null);
             return;
         }
         HttpClientRequest dropped = request;
--- a/server/src/main/java/io/radishwinch/server/engine/HttpServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpServiceExchange.java
@@ -90,7 +90,7 @@
         }
         request = opened;
         opened.exceptionHandler(cause -> fail(Reason.STAGE_DIED, "connection failed: " + cause.getMessage(), cause));
-        ResponseHeads.responseTo(opened)
+        opened.response()
                 .onSuccess(this::onResponse)
                 .onFailure(cause -> fail(Reason.STAGE_DIED, "connection failed: " + cause.getMessage(), cause));
         if (call.body() instanceof ServiceClient.Body.Buffered buffered) {
--- a/server/src/main/java/io/radishwinch/server/platform/HttpWatch.java
+++ b/server/src/main/java/io/radishwinch/server/platform/HttpWatch.java
@@ -6,7 +6,6 @@
 import io.radishwinch.server.engine.EndpointAddress;
 import io.radishwinch.server.engine.LineSplitter;
 import io.radishwinch.server.engine.MalformedLineException;
-import io.radishwinch.server.engine.ResponseHeads;
 import io.smallrye.mutiny.subscription.MultiEmitter;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
@@ -98,7 +97,7 @@
                     request = opened;
                     opened.exceptionHandler(
                             cause -> fail(PlatformException.Kind.NO_EFFECT, "connection failed", cause));
-                    ResponseHeads.responseTo(opened)
+                    opened.response()
                             .onSuccess(this::onResponse)
                             .onFailure(cause -> fail(PlatformException.Kind.NO_EFFECT, "connection failed", cause));
                     opened.end();
