Do not give layers a second engine while their holder still has to be trimmed

The range of an engine without layers is now chosen as if the excess layers of all engines were released.

--- a/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
@@ -241,7 +241,7 @@
             for (PlacementEndpoint endpoint : empty) {
                 int layers = targetLayers(endpoint);
                 if (layers > 0 && !ranges.containsKey(endpoint.id())) {
-                    issueOrder(endpoint, capacity.mostNeededRange(layers, targetCapacityRequests), Handover.WAIT);
+                    issueOrder(endpoint, mostNeededRange(layers), Handover.WAIT);
                 }
             }
             if (capacity.uncoveredRanges().isEmpty() && pending.isEmpty()) {
@@ -379,27 +379,54 @@
         private void trimExcessLayers() {
             for (PlacementEndpoint endpoint : members.values()) {
                 LayerRange held = ranges.get(endpoint.id());
-                int excess = held == null ? 0 : held.size() - targetLayers(endpoint);
-                if (excess <= 0 || !canOrder(endpoint)) {
-                    continue;
-                }
-                int first = held.first();
-                int end = held.end();
-                while (excess > 0 && capacity.holders(first) > 1) {
-                    first++;
-                    excess--;
-                }
-                while (excess > 0 && capacity.holders(end - 1) > 1) {
-                    end--;
-                    excess--;
-                }
-                if (end - first < held.size()) {
-                    issueOrder(endpoint, new LayerRange(first, end), Handover.WAIT);
+                LayerRange trimmed = held == null || !canOrder(endpoint) ? held : withoutExcess(endpoint, held);
+                if (trimmed != held) {
+                    issueOrder(endpoint, trimmed, Handover.WAIT);
                     return;
                 }
             }
         }
 
+        /** Returns the range without redundant layers at its ends that exceed the target, or the same range. */
+        private LayerRange withoutExcess(PlacementEndpoint endpoint, LayerRange held) {
+            int excess = held.size() - targetLayers(endpoint);
+            int first = held.first();
+            int end = held.end();
+            while (excess > 0 && capacity.holders(first) > 1) {
+                first++;
+                excess--;
+            }
+            while (excess > 0 && capacity.holders(end - 1) > 1) {
+                end--;
+                excess--;
+            }
+            return end - first < held.size() ? new LayerRange(first, end) : held;
+        }
+
+        /**
+         * Returns the range for an engine without layers. Layers that lack capacity only until the excess layers of
+         * their holders are released do not need it.
+         */
+        private LayerRange mostNeededRange(int layers) {
+            Map<String, LayerRange> trimmed = new TreeMap<>();
+            ranges.forEach((id, held) -> {
+                PlacementEndpoint endpoint = members.get(id);
+                LayerRange remaining = withoutExcess(endpoint, held);
+                if (remaining != held) {
+                    replace(endpoint, held, remaining);
+                    trimmed.put(id, remaining);
+                }
+            });
+            LayerRange range = capacity.mostNeededRange(layers, targetCapacityRequests);
+            trimmed.forEach((id, remaining) -> replace(members.get(id), remaining, ranges.get(id)));
+            return range;
+        }
+
+        private void replace(PlacementEndpoint endpoint, LayerRange before, LayerRange after) {
+            capacity.remove(before, capacityRequests(endpoint, before));
+            capacity.add(after, capacityRequests(endpoint, after));
+        }
+
         private void issueOrder(PlacementEndpoint endpoint, LayerRange range, Handover handover) {
             if (ordersLeft == 0) {
                 return;
--- a/core/src/test/java/io/radishwinch/core/placement/LayoutPlannerTest.java
+++ b/core/src/test/java/io/radishwinch/core/placement/LayoutPlannerTest.java
@@ -105,6 +105,26 @@
         }
     }
 
+    /** Guards against a second engine for layers whose holder is about to release its excess. */
+    @Test
+    void anEngineThatIsBackDoesNotGetLayersThatLackCapacityOnlyUntilTheirHolderIsTrimmed() {
+        layOutAllEngines();
+        tick(9_000);
+        PlacementEndpoint extended = engines.get("dc-medium3");
+        LayerRange held = extended.holdings().get(0).layers();
+        LayerRange excess = new LayerRange(held.first(), held.end() + 2);
+        engines.put(extended.id(), MixedEngines.holding(extended, excess));
+        PlacementEndpoint empty = MixedEngines.empty("dc").stream()
+                .filter(engine -> engine.id().equals("dc-small6"))
+                .findFirst()
+                .orElseThrow();
+        LayerRange before = engines.put(empty.id(), empty).holdings().get(0).layers();
+        assertThat(tick(10_000)).singleElement().satisfies(order -> {
+            assertThat(order.endpointId()).isEqualTo(empty.id());
+            assertThat(layers(order)).isEqualTo(before);
+        });
+    }
+
     @Test
     void whatLimitsTheChainsIsLoggedOnlyWhenItChanges() {
         layOutAllEngines();
