Let the first layout wait while engines of other data centres join

Its layout was planned when 7 of its 13 engines had joined, because no engine of the group had joined for a second; the other six then filled in around ranges of 12 layers with memory for 5 requests, target 30.

The engines of one start-up join all groups at random intervals, so that the pause in one small group says little. A first layout now waits until no engine of any group has joined for a second, for 4 s at most.

LayoutPlannerTest.theFirstLayoutWaitsWhileEnginesOfOtherDataCentresAreJoining fails without the wait (orders at 1,000 ms).

--- a/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
@@ -106,9 +106,15 @@
         for (Map.Entry<String, EnginePoolSpec> entry : new TreeMap<>(config.enginePools()).entrySet()) {
             ModelSpec model = config.models().get(entry.getKey());
             if (model != null) {
-                groups(endpoints, model, entry.getValue()).forEach((key, members) -> {
+                Map<String, List<PlacementEndpoint>> groups = groups(endpoints, model, entry.getValue());
+                long newestJoinMs = groups.values().stream()
+                        .flatMap(List::stream)
+                        .mapToLong(endpoint -> joinedAtMs.get(endpoint.id()))
+                        .max()
+                        .orElse(nowMs);
+                groups.forEach((key, members) -> {
                     if (lease.holds(key, nowMs)) {
-                        new GroupPlanner(key, members, model, entry.getValue(), nowMs, actions).plan();
+                        new GroupPlanner(key, members, model, entry.getValue(), newestJoinMs, nowMs, actions).plan();
                     } else {
                         logged.remove(key);
                     }
@@ -184,6 +190,9 @@
         private final Map<String, LayerRange> ranges = new TreeMap<>();
         private final ModelSpec model;
         private final EnginePoolSpec pool;
+        /** Time at which the newest engine of any group joined. */
+        private final long newestJoinMs;
+
         private final long nowMs;
         private final List<Action> actions;
         private final LayerCapacity capacity;
@@ -195,11 +204,13 @@
                 List<PlacementEndpoint> endpoints,
                 ModelSpec model,
                 EnginePoolSpec pool,
+                long newestJoinMs,
                 long nowMs,
                 List<Action> actions) {
             this.key = key;
             this.model = model;
             this.pool = pool;
+            this.newestJoinMs = newestJoinMs;
             this.nowMs = nowMs;
             this.actions = actions;
             this.ordersLeft = settings.maxOrdersPerTick();
@@ -230,7 +241,7 @@
                     .toList();
             boolean isFirstLayout = empty.size() * 2 > members.size();
             if (isFirstLayout) {
-                if (isMembershipStable()) {
+                if (isMembershipStable(empty)) {
                     ordersLeft = members.size();
                     layout.plan(empty, model, pool)
                             .forEach((id, range) -> issueOrder(members.get(id), range, Handover.WAIT));
@@ -287,13 +298,24 @@
             return rejoined >= settings.rejoiningEngines();
         }
 
-        /** Returns whether no engine joined recently; a layout planned while engines join would change immediately. */
-        private boolean isMembershipStable() {
-            long newestMs = members.keySet().stream()
-                    .mapToLong(id -> joinedAtMs.getOrDefault(id, nowMs))
-                    .max()
+        /**
+         * Returns whether no engine joined recently; a layout planned while engines join would be planned for too few.
+         * Engines that join other groups count for a limited time, because the engines of one start-up join all groups
+         * at random intervals.
+         */
+        private boolean isMembershipStable(List<PlacementEndpoint> empty) {
+            long newestMemberMs =
+                    members.keySet().stream().mapToLong(joinedAtMs::get).max().orElse(nowMs);
+            long firstEmptyMs = empty.stream()
+                    .mapToLong(endpoint -> joinedAtMs.get(endpoint.id()))
+                    .min()
                     .orElse(nowMs);
-            return nowMs - newestMs >= settings.stabilizationMs();
+            boolean hasWaited = nowMs - firstEmptyMs >= settings.maxStabilizationMs();
+            return isStableSince(newestMemberMs) && (hasWaited || isStableSince(newestJoinMs));
+        }
+
+        private boolean isStableSince(long joinMs) {
+            return nowMs - joinMs >= settings.stabilizationMs();
         }
 
         private void repair() {
--- a/core/src/main/java/io/radishwinch/core/placement/LayoutSettings.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayoutSettings.java
@@ -5,6 +5,8 @@
  *
  * @param stabilizationMs time without a new engine before the first layout, in ms; engines register within one
  *     heartbeat of each other
+ * @param maxStabilizationMs time after which a first layout no longer waits for engines that join elsewhere, in ms;
+ *     engines of one start-up have registered by then
  * @param rejoiningEngines number of engines that join with layers within the stabilization period from which the whole
  *     group counts as rejoining
  * @param maxOrdersPerTick orders given in one tick to repair a layout; the weight store slows down beyond a few loads
@@ -23,6 +25,7 @@
  */
 public record LayoutSettings(
         long stabilizationMs,
+        long maxStabilizationMs,
         int rejoiningEngines,
         int maxOrdersPerTick,
         double minCapacityRequests,
@@ -37,6 +40,6 @@
 
     /** Returns the defaults. */
     public static LayoutSettings defaults() {
-        return new LayoutSettings(1_000, 3, 6, 10, 1_000, 2, 3_000, 0.2, 0.5, 1_500, 10_000, 0.005);
+        return new LayoutSettings(1_000, 4_000, 3, 6, 10, 1_000, 2, 3_000, 0.2, 0.5, 1_500, 10_000, 0.005);
     }
 }
--- a/core/src/test/java/io/radishwinch/core/placement/LayoutPlannerTest.java
+++ b/core/src/test/java/io/radishwinch/core/placement/LayoutPlannerTest.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.TreeMap;
 import net.jqwik.api.ForAll;
@@ -61,6 +62,38 @@
         assertThat(tick(STABLE_MS)).hasSize(engines.size());
     }
 
+    /** Guards against a layout for the few engines of a data centre that joined before a random pause. */
+    @Test
+    void theFirstLayoutWaitsWhileEnginesOfOtherDataCentresAreJoining() {
+        List<PlacementEndpoint> all = MixedEngines.empty("dc");
+        all.subList(0, 7).forEach(engine -> engines.put(engine.id(), engine));
+        List<PlacementEndpoint> others = MixedEngines.empty("other");
+        for (int i = 0; i < 4; i++) {
+            engines.put(others.get(i).id(), others.get(i));
+            assertThat(tick(i * 500L)).isEmpty();
+        }
+        all.forEach(engine -> engines.put(engine.id(), engine));
+        assertThat(tick(2_000)).isEmpty();
+        assertThat(tick(3_000))
+                .filteredOn(order -> order.endpointId().startsWith("dc-"))
+                .hasSize(all.size());
+    }
+
+    /** Guards against a first layout that never comes while engines elsewhere come and go. */
+    @Test
+    void theFirstLayoutWaitsForEnginesOfOtherDataCentresForALimitedTime() {
+        MixedEngines.empty("dc").forEach(engine -> engines.put(engine.id(), engine));
+        long nowMs = 0;
+        List<Action.OrderEngine> orders = List.of();
+        while (orders.isEmpty() && nowMs < 60_000) {
+            PlacementEndpoint other = MixedEngines.engine("other-" + nowMs, "other", "small", Optional.empty());
+            engines.put(other.id(), other);
+            orders = tick(nowMs);
+            nowMs += 250;
+        }
+        assertThat(nowMs).isLessThanOrEqualTo(STABLE_MS);
+    }
+
     @Test
     void aRouterWithoutTheLeaseGivesNoOrders() {
         planner = new LayoutPlanner(LayoutSettings.defaults(), new BalancedLayout(), new NeverGrantedLease(1));
@@ -257,8 +290,7 @@
     void aDataCentreThatCannotHoldTheModelIsLaidOutTogetherWithOthers() {
         MixedEngines.empty("big").forEach(engine -> engines.put(engine.id(), engine));
         for (String dataCentre : List.of("one", "two")) {
-            PlacementEndpoint engine =
-                    MixedEngines.engine(dataCentre + "-huge", dataCentre, "huge", java.util.Optional.empty());
+            PlacementEndpoint engine = MixedEngines.engine(dataCentre + "-huge", dataCentre, "huge", Optional.empty());
             engines.put(engine.id(), engine);
         }
         tick(0);
