Send a relayed request on when its router has no configuration yet

A router that has just started refuses requests with 503 until it has read its first configuration. A relayed request got this refusal as its own, although the next router would serve it. The router now marks the refusal in the same way as one that reaches no endpoint, after which the next router is tried.

UnconfiguredRouterTest fails on: the mark is missing.

--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -273,6 +273,9 @@
     private void handle(HttpServerRequest request, Optional<Integer> relayedRuns) {
         RoutingConfig config = dependencies.config().get();
         if (config.version() == 0) {
+            if (relayedRuns.isPresent()) {
+                RelayHeaders.setUnavailable(request.response().headers());
+            }
             reject(
                     request,
                     "",
