Let the core have a configuration before requests are admitted under it

The traffic threads saw a configuration before its event was queued for the decision core. A request that they admitted in between reached the core first and was refused as unknown-caller or unknown-service, although its key and route were in force. The event is now queued before the configuration is in effect for the traffic threads, so that the order of the queue keeps both views in step. Found by reading; the gap is too short for a run to show it.

ConfigHolderTest.aConfigurationIsAnnouncedBeforeItIsInEffect states the order, which the former constructor could not observe.

--- a/server/src/main/java/io/radishwinch/server/fleet/ConfigHolder.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/ConfigHolder.java
@@ -2,19 +2,27 @@
 
 import io.radishwinch.server.route.RoutingConfig;
 import io.vavr.control.Either;
+import java.util.function.Consumer;
 
 /** Holds the configuration in effect; its version never decreases. Used on the control thread. */
 final class ConfigHolder {
 
     private final FleetDialect dialect;
     private final FleetLog log;
+    private final Consumer<RoutingConfig> announcement;
     private volatile RoutingConfig inEffect = RoutingConfig.empty();
     private String lastError = "";
     private long latestVersion = Long.MIN_VALUE;
 
-    ConfigHolder(FleetDialect dialect, FleetLog log) {
+    /**
+     * Creates a holder of an empty configuration.
+     *
+     * @param announcement receives each configuration before it is in effect
+     */
+    ConfigHolder(FleetDialect dialect, FleetLog log, Consumer<RoutingConfig> announcement) {
         this.dialect = dialect;
         this.log = log;
+        this.announcement = announcement;
     }
 
     /** Returns the configuration in effect; safe for use by any thread. */
@@ -49,6 +57,7 @@
                 "config-in-force",
                 dialect.configKey(),
                 "version " + offered.version() + " replaces " + inEffect.version());
+        announcement.accept(offered);
         inEffect = offered;
         return true;
     }
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -176,7 +176,8 @@
         orderSender = new LayerOrderSender(
                 clients.endpoints(), registry, scheduler, control::post, leaseManager::recheckHeldLeases, log, clock);
         rerouter = new StreamRerouter(clients.endpoints(), registry, control::post, log);
-        config = new ConfigHolder(dialect, log);
+        // A request that the traffic threads admit under a configuration reaches the core after it.
+        config = new ConfigHolder(dialect, log, announced -> control.post(new Event.ConfigChanged(announced.fleet())));
         requestLimits = new RequestLimits(
                 settings.routerId(),
                 this::routersThatUse,
@@ -542,7 +543,6 @@
         if (config.offer(value, version)) {
             RoutingConfig current = config.inEffect();
             authenticator.configure(current.fleet());
-            control.post(new Event.ConfigChanged(current.fleet()));
             registry.configure(current.fleet(), clock.getAsLong());
         }
     }
--- a/server/src/test/java/io/radishwinch/server/fleet/ConfigHolderTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/ConfigHolderTest.java
@@ -9,13 +9,20 @@
 import io.radishwinch.server.route.RoutingConfig;
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 class ConfigHolderTest {
     private final NumberDialect dialect = new NumberDialect();
-    private final ConfigHolder source = new ConfigHolder(dialect, new FleetLog(() -> 0));
+    private final List<Long> versionsAtAnnouncement = new ArrayList<>();
+    private final ConfigHolder source =
+            new ConfigHolder(dialect, new FleetLog(() -> 0), announced -> recordAnnouncement());
+
+    private void recordAnnouncement() {
+        versionsAtAnnouncement.add(source.inEffect().version());
+    }
 
     private boolean offer(String version, long storeVersion) {
         return source.offer(version.getBytes(StandardCharsets.UTF_8), storeVersion);
@@ -46,6 +53,15 @@
         assertThat(offer("4", 12)).isTrue();
     }
 
+    /** Guards against requests that are admitted under a configuration and reach the core before it. */
+    @Test
+    void aConfigurationIsAnnouncedBeforeItIsInEffect() {
+        offer("3", 10);
+        offer("odd", 11);
+        offer("7", 12);
+        assertThat(versionsAtAnnouncement).containsExactly(0L, 3L);
+    }
+
     /** Dialect that encodes a configuration as its version number. */
     private static final class NumberDialect implements FleetDialect {
         private int reads;
