Perform the other actions of an event when one of them fails

A configuration can end many requests in one event. An exception in the action of one, or in the line that logs it, discarded the actions of all that followed. The core had forgotten these requests by then, so that no deadline ended them and their callers got no response. Each action is now performed on its own, and so is each event of a batch; a failure is logged as before.

ControlLoopTest.aFailedActionDoesNotDiscardThoseOfOtherRequests fails on: two of three requests stay open.

--- a/server/src/main/java/io/radishwinch/server/ControlLoop.java
+++ b/server/src/main/java/io/radishwinch/server/ControlLoop.java
@@ -63,7 +63,7 @@
     /** Handles events in one task of the control thread; may be called from any thread. */
     public void postAll(List<Event> events) {
         if (!events.isEmpty()) {
-            execute(() -> events.forEach(this::apply));
+            execute(() -> events.forEach(event -> runGuarded("event", () -> apply(event))));
         }
     }
 
@@ -87,13 +87,16 @@
 
     /** Runs a task on the control thread; may be called from any thread. */
     public void execute(Runnable task) {
-        context.runOnContext(ignored -> {
-            try {
-                task.run();
-            } catch (RuntimeException e) {
-                LOG.log(System.Logger.Level.ERROR, "control task failed", e);
-            }
-        });
+        context.runOnContext(ignored -> runGuarded("task", task));
+    }
+
+    /** Runs a part of a task whose failure must not end the other parts. */
+    private static void runGuarded(String part, Runnable run) {
+        try {
+            run.run();
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "control " + part + " failed", e);
+        }
     }
 
     /** Returns the core; must be used on the control thread only. */
@@ -123,12 +126,13 @@
         eventObserver.accept(event);
         List<Action> actions = core.handle(event, clockMs.getAsLong());
         for (Action action : actions) {
-            perform(action);
+            // The core has already applied all of them, so that a request whose action is lost is never answered.
+            runGuarded("observer", () -> actionObserver.accept(action));
+            runGuarded("action", () -> perform(action));
         }
     }
 
     private void perform(Action action) {
-        actionObserver.accept(action);
         if (action instanceof Action.StartAttempt start) {
             withExchange(start.requestId(), exchange -> exchange.start(start));
         } else if (action instanceof Action.CancelAttempt cancel) {
--- /dev/null
+++ b/server/src/test/java/io/radishwinch/server/ControlLoopTest.java
@@ -0,0 +1,114 @@
+package io.radishwinch.server;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.core.DecisionCore;
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.FleetConfig;
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Verdict;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class ControlLoopTest {
+    private static final int WAIT_S = 20;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final List<String> refused = Collections.synchronizedList(new ArrayList<>());
+
+    @AfterEach
+    void close() {
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    /** Guards against requests without a response because the action of another one fails in the same event. */
+    @Test
+    void aFailedActionDoesNotDiscardThoseOfOtherRequests() throws Exception {
+        ControlLoop control = new ControlLoop(vertx.getOrCreateContext(), () -> 0, new RefusingCore(), action -> {});
+        control.setActionObserver(action -> {
+            if (action instanceof Action.Refuse refuse && refuse.requestId().equals("b")) {
+                throw new IllegalStateException("no line for " + refuse.requestId());
+            }
+        });
+        for (String id : List.of("a", "b", "c")) {
+            control.submit(request(id), new RefusedExchange(id, id.equals("a")));
+        }
+        control.post(new Event.ConfigChanged(new FleetConfig(1, Map.of(), Map.of(), Map.of(), Map.of())));
+        CompletableFuture<Integer> openRequests = new CompletableFuture<>();
+        control.execute(() -> openRequests.complete(control.openRequests()));
+        assertThat(openRequests.get(WAIT_S, TimeUnit.SECONDS)).isZero();
+        assertThat(refused).containsExactly("a", "b", "c");
+    }
+
+    private static RequestSpec request(String id) {
+        return new RequestSpec(id, "c", Rank.INTERACTIVE, "m", 1, 1, 0, Long.MAX_VALUE, id, List.of(), true);
+    }
+
+    /** Refuses all requests when the configuration changes. */
+    private static final class RefusingCore implements DecisionCore {
+
+        @Override
+        public List<Action> handle(Event event, long nowMs) {
+            return event instanceof Event.ConfigChanged
+                    ? Stream.of("a", "b", "c")
+                            .<Action>map(id -> new Action.Refuse(id, Reason.CONTRACT_WITHDRAWN, Verdict.NOT_RUN, 0))
+                            .toList()
+                    : List.of();
+        }
+
+        @Override
+        public Optional<RequestView> request(String requestId) {
+            return Optional.empty();
+        }
+
+        @Override
+        public Optional<CallerView> caller(String caller) {
+            return Optional.empty();
+        }
+
+        @Override
+        public CoreView view() {
+            throw new UnsupportedOperationException();
+        }
+    }
+
+    /** Exchange that records its refusal, and may fail then. */
+    private final class RefusedExchange implements Exchange {
+        private final String id;
+        private final boolean isFailing;
+
+        RefusedExchange(String id, boolean isFailing) {
+            this.id = id;
+            this.isFailing = isFailing;
+        }
+
+        @Override
+        public void start(Action.StartAttempt attempt) {}
+
+        @Override
+        public void cancel(Action.CancelAttempt attempt) {}
+
+        @Override
+        public void complete() {}
+
+        @Override
+        public void refuse(Action.Refuse refusal) {
+            refused.add(id);
+            if (isFailing) {
+                throw new IllegalStateException("no exchange for " + id);
+            }
+        }
+    }
+}
