Check chunk sizes and trailers before they are decoded

Netty's decoder truncates a chunk size to 32 bits, so that is read as 2, and ignores what follows a blank or a control character, so that "2 2" and "2" with a NUL byte are read as 2. The body then ends at another place than its endpoint says, and the rest is read as the next response.

ChunkedBodyValidator checks the bytes of chunk sizes, ends of chunks and trailers as they came (RFC 9112, section 7.1).

--- a/server/src/main/java/io/radishwinch/server/engine/ResponseHeadValidator.java
+++ b/server/src/main/java/io/radishwinch/server/engine/ResponseHeadValidator.java
@@ -39,6 +39,7 @@
     private boolean isHttp10;
     private boolean hasLength;
     private boolean isChunked;
+    private boolean isEnded;
 
     /** What the last line is, which a folded line continues. */
     private enum Line {
@@ -61,6 +62,9 @@
      */
     boolean isComplete(ByteBuf received) {
         buffer = received;
+        if (isEnded) {
+            reset();
+        }
         int start = received.readerIndex();
         while (true) {
             int lineEnd = received.indexOf(start + searchedBytes, received.writerIndex(), (byte) '\n');
@@ -75,7 +79,7 @@
             boolean isLast = checkLine(start + checkedBytes, lineEnd);
             checkedBytes = searchedBytes;
             if (isLast) {
-                reset();
+                isEnded = true;
                 return true;
             }
         }
@@ -88,6 +92,12 @@
         isHttp10 = false;
         hasLength = false;
         isChunked = false;
+        isEnded = false;
+    }
+
+    /** Returns whether the last complete head states that its body consists of chunks. */
+    boolean isChunked() {
+        return isChunked;
     }
 
     /** Checks a line up to its line feed. Returns whether it ends the head. */
@@ -151,7 +161,7 @@
 
     private void checkHeader(int start, int end) {
         int nameEnd = start;
-        while (nameEnd < end && NAME_CHARACTERS.get(at(nameEnd) & 0xff)) {
+        while (nameEnd < end && isNameCharacter(at(nameEnd) & 0xff)) {
             nameEnd++;
         }
         int colon = skipBlanks(nameEnd, end);
@@ -196,7 +206,7 @@
     private void checkText(int textStart, int start, int end) {
         for (int i = textStart; i < end; i++) {
             int character = at(i) & 0xff;
-            if (character < ' ' && character != '\t' || character == 0x7f) {
+            if (isControlCharacter(character)) {
                 throw violation(ResponseRule.CONTROL_CHARACTER, start, end);
             }
             if (character == 'H' && isStatusLine(i, end)) {
@@ -205,6 +215,16 @@
         }
     }
 
+    /** Returns whether a character may be part of the name of a header. */
+    static boolean isNameCharacter(int character) {
+        return NAME_CHARACTERS.get(character);
+    }
+
+    /** Returns whether a character may not be part of a value or a reason phrase. */
+    static boolean isControlCharacter(int character) {
+        return character < ' ' && character != '\t' || character == 0x7f;
+    }
+
     private boolean isStatusLine(int start, int end) {
         if (end - start < REASON_OFFSET || !matches(VERSION, start)) {
             return false;
--- a/server/src/main/java/io/radishwinch/server/engine/StrictResponseDecoder.java
+++ b/server/src/main/java/io/radishwinch/server/engine/StrictResponseDecoder.java
@@ -1,8 +1,10 @@
 package io.radishwinch.server.engine;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -11,14 +13,15 @@
 import java.util.List;
 
 /**
- * Decodes responses whose heads satisfy the grammar. Netty's decoder accepts others as well, and then reads a status,
- * or an end of the body, that the endpoint did not send.
+ * Decodes responses whose heads and chunks satisfy the grammar. Netty's decoder accepts others as well, and then reads
+ * a status, or an end of the body, that the endpoint did not send.
  *
  * <p>A response that breaks a rule is passed on as a message whose decoder result has a
  * {@link MalformedResponseException}. All bytes after it are dropped, because its end is unknown.
  */
 public class StrictResponseDecoder extends HttpResponseDecoder {
-    private final ResponseHeadValidator validator;
+    private final ResponseHeadValidator head;
+    private final ChunkedBodyValidator chunks = new ChunkedBodyValidator();
     private Reading reading = Reading.HEAD;
 
     /** What the next bytes belong to. */
@@ -31,30 +34,38 @@
     /** Creates a decoder with these limits of sizes. */
     public StrictResponseDecoder(HttpDecoderConfig config) {
         super(config.clone().setStrictLineParsing(true).setAllowDuplicateContentLengths(false));
-        this.validator = new ResponseHeadValidator(config.getMaxInitialLineLength() + config.getMaxHeaderSize());
+        this.head = new ResponseHeadValidator(config.getMaxInitialLineLength() + config.getMaxHeaderSize());
     }
 
     @Override
     protected final void decode(ChannelHandlerContext handler, ByteBuf buffer, List<Object> out) throws Exception {
-        if (reading == Reading.HEAD) {
-            try {
-                if (!validator.isComplete(buffer)) {
+        try {
+            if (reading == Reading.HEAD) {
+                if (!head.isComplete(buffer)) {
                     return;
                 }
                 reading = Reading.BODY;
-            } catch (MalformedResponseException e) {
-                HttpResponse malformed = (HttpResponse) createInvalidMessage();
-                malformed.setDecoderResult(DecoderResult.failure(e));
-                out.add(malformed);
-                reading = Reading.NOTHING;
+                chunks.start();
+                super.decode(handler, buffer, out);
+            } else if (reading == Reading.BODY && head.isChunked()) {
+                chunks.check(buffer);
+                int lengthBefore = buffer.readableBytes();
+                super.decode(handler, buffer, out);
+                chunks.onConsumed(lengthBefore - buffer.readableBytes());
+            } else if (reading == Reading.BODY) {
+                super.decode(handler, buffer, out);
             }
+        } catch (MalformedResponseException e) {
+            HttpObject malformed = reading == Reading.HEAD
+                    ? createInvalidMessage()
+                    : new DefaultLastHttpContent(Unpooled.EMPTY_BUFFER);
+            malformed.setDecoderResult(DecoderResult.failure(e));
+            out.add(malformed);
+            reading = Reading.NOTHING;
         }
         if (reading == Reading.NOTHING) {
             buffer.skipBytes(buffer.readableBytes());
-            return;
-        }
-        super.decode(handler, buffer, out);
-        if (!out.isEmpty() && out.get(out.size() - 1) instanceof HttpObject last) {
+        } else if (!out.isEmpty() && out.get(out.size() - 1) instanceof HttpObject last) {
             onDecoded(last);
         }
     }
--- a/server/src/test/java/io/radishwinch/server/engine/MalformedHeads.java
+++ b/server/src/test/java/io/radishwinch/server/engine/MalformedHeads.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.stream.Stream;
 
-/** Heads of responses that are none, up to their identifier or length. */
+/** Heads of responses that are none, up to their identifier or length, and bodies of malformed chunks. */
 public final class MalformedHeads {
     /** Status lines whose status has another form, or another range, than RFC 9110, section 15, allows. */
     private static final List<String> STATUSES = List.of(
@@ -65,4 +65,19 @@
                 Stream.of("HTTP/1.1 200 OK\r\n folded\r\n", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n"),
                 HEADERS.stream().map(header -> "HTTP/1.1 200 OK\r\n" + header + "\r\n"));
     }
+
+    /** Returns bodies with malformed chunk sizes, chunks or trailers. */
+    public static Stream<String> chunks() {
+        Stream<String> sizes = Stream.of(
+                "", "+2", "-2", "0x2", " 2", "2 2", "2\0", "\0002", "2x", "2;\1", "100000002", "10000000000000002");
+        Stream<String> ends = Stream.of(
+                "2\nab\r\n0\r\n\r\n",
+                "2\r\nab\n0\r\n\r\n",
+                "2\r\nabX\r\n0\r\n\r\n",
+                "0\r\nno colon\r\n\r\n",
+                "0\r\n: value\r\n\r\n",
+                "0\r\n folded\r\n\r\n",
+                "0\r\nName: \0\r\n\r\n");
+        return Stream.concat(sizes.map(size -> size + "\r\nab\r\n0\r\n\r\n"), ends);
+    }
 }
--- a/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
@@ -341,6 +341,29 @@
         }
     }
 
+    /** Guards against a body that ends at another place than its endpoint says. */
+    @ParameterizedTest
+    @MethodSource("io.radishwinch.server.engine.MalformedHeads#chunks")
+    void malformedChunksEndTheCall(String chunks) throws Exception {
+        Recorder recorder = call("a", server.getLocalPort(), new NoNotices());
+        try (Socket socket = server.accept()) {
+            ScriptedEndpoint.readHead(socket);
+            assertThat(isClosedByPeer(socket, HEAD + "Transfer-Encoding: chunked\r\n\r\n" + chunks))
+                    .isTrue();
+            assertThat(recorder.outcome.get(WAIT_S, TimeUnit.SECONDS)).isEqualTo("STAGE_DIED MAY_HAVE_RUN");
+            assertThat(recorder.failure).startsWith("malformed response, body: ");
+        }
+    }
+
+    /** Guards against sound chunks that are rejected. */
+    @ParameterizedTest
+    @ValueSource(strings = {"2\r\n", "0002 \r\n", "2 ;name=\"value\"\r\n"})
+    void soundChunksArePassedOn(String size) throws Exception {
+        String chunks = size + "ab\r\nA\r\n0123456789\r\n00;last\r\nTrailer: value\r\n\r\n";
+        assertThat(outcome(HEAD + "Transfer-Encoding: chunked\r\n\r\n" + chunks, false))
+                .isEqualTo("complete: ab0123456789");
+    }
+
     /** Accepts a connection, or returns the given one if its next request arrives first. */
     private Socket acceptOr(Socket socket) throws Exception {
         server.setSoTimeout(POLL_MS);
