Do not repeat a call that has ended when its connection fails

A malformed message after the response would have sent a repeatable call again. The test of streams shows that the connection is closed as well.

--- a/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
@@ -179,7 +179,7 @@
 
     private void onConnectionFailure(HttpClientRequest failed, Throwable cause, Runnable repeat) {
         // The connection of a response to another call is closed on purpose.
-        if (failed != request) {
+        if (isEnded || failed != request) {
             return;
         }
         if (cause instanceof MalformedResponseException) {
--- a/server/src/test/java/io/radishwinch/server/engine/MalformedResponseTest.java
+++ b/server/src/test/java/io/radishwinch/server/engine/MalformedResponseTest.java
@@ -16,6 +16,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -50,8 +51,7 @@
     private static Throwable failure(Uni<?> uni) {
         CompletableFuture<Throwable> failure = new CompletableFuture<>();
         uni.subscribe().with(item -> failure.complete(new AssertionError("result " + item)), failure::complete);
-        return failure.orTimeout(TIMEOUT.toSeconds(), java.util.concurrent.TimeUnit.SECONDS)
-                .join();
+        return failure.orTimeout(TIMEOUT.toSeconds(), TimeUnit.SECONDS).join();
     }
 
     /** Guards against an order that counts as accepted or as refused. */
@@ -70,7 +70,7 @@
     /** Guards against an attempt that counts as refused by its engine, or as begun. */
     @ParameterizedTest
     @MethodSource("heads")
-    void aStreamOfAnEngineFails(String head) throws IOException {
+    void aStreamOfAnEngineFailsAndItsConnectionIsClosed(String head) throws Exception {
         try (RepeatingEndpoint engine = endpoint(head, "\n")) {
             EndpointAddress address = new EndpointAddress("e", "127.0.0.1", engine.port());
             AttemptRequest.StageTarget stage = new AttemptRequest.StageTarget(address, new LayerRange(0, 4), List.of());
@@ -81,6 +81,8 @@
                                             "r", 1, "m", List.of(stage), "", 1, List.of(), List.of(), 1, 0, deadlineMs))
                             .toString())
                     .contains("MAY_HAVE_RUN", "malformed response");
+            assertThat(engine.closedConnections.tryAcquire(TIMEOUT.toSeconds(), TimeUnit.SECONDS))
+                    .isTrue();
         }
     }
 
