--- a/server/src/main/java/io/radishwinch/server/proxy/EndpointConnection.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EndpointConnection.java
@@ -258,9 +258,8 @@
                 fail(UNEXPECTED_BYTES);
                 return;
             }
-            if (part.decoderResult().cause() instanceof MalformedResponseException malformed) {
-                brokenRule = Optional.of(malformed.rule());
-                fail(malformed.getMessage());
+            if (part.decoderResult().isFailure()) {
+                onMalformedResponse(part.decoderResult().cause());
                 return;
             }
             if (message instanceof HttpResponse response) {
@@ -274,6 +273,13 @@
         }
     }
 
+    private void onMalformedResponse(Throwable cause) {
+        if (cause instanceof MalformedResponseException malformed) {
+            brokenRule = Optional.of(malformed.rule());
+        }
+        fail(cause.getMessage());
+    }
+
     private void readHead(HttpResponse response) {
         if (reading != Reading.HEAD) {
             fail(UNEXPECTED_BYTES);
