Let a stopping router take no further leases

A router that was asked to stop keeps and uses the leases that it holds until it leaves, as before, but takes no others. LeaseManagerTest.aStoppingRouterKeepsItsLeaseAndTakesNoOther fails when stopTaking has no effect.

--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -245,6 +245,7 @@
 
     /** Tells the core that the router will drain. */
     void requestStop() {
+        control.execute(leaseManager::stopTaking);
         control.post(new Event.StopRequested());
     }
 
--- a/server/src/main/java/io/radishwinch/server/fleet/LeaseManager.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/LeaseManager.java
@@ -55,6 +55,7 @@
     private long lastTickMs = Long.MIN_VALUE;
     private long recheckAtMs = Long.MAX_VALUE;
     private boolean isSuspended;
+    private boolean isStopping;
 
     /** Looks up live routers in the membership. */
     interface LiveMembers {
@@ -174,6 +175,11 @@
         isSuspended = newSuspended;
     }
 
+    /** Keeps the held leases until this router leaves, but takes no others, which would soon have no holder again. */
+    void stopTaking() {
+        isStopping = true;
+    }
+
     /** Takes over leases without a live holder; must be called several times per second. */
     void tick(long nowMs) {
         boolean wasPaused = lastTickMs != Long.MIN_VALUE && nowMs - lastTickMs > PAUSE_THRESHOLD_MS;
@@ -198,7 +204,8 @@
                 platform.get(prefix + key)
                         .subscribe()
                         .with(found -> onRead(key, lease, found, nowMs), error -> lease.isCallPending = false);
-            } else if (!isHeldByThisRouter(lease)
+            } else if (!isStopping
+                    && !isHeldByThisRouter(lease)
                     && mayHold(key, lease, nowMs)
                     && isAvailable(lease, nowMs)
                     && liveMembers.isCandidate(key)) {
--- a/server/src/test/java/io/radishwinch/server/fleet/LeaseManagerTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/LeaseManagerTest.java
@@ -144,6 +144,22 @@
         assertThat(second.holds(GROUP, 14_200)).isTrue();
     }
 
+    /** Guards against a lease that loses its holder again when the router that took it ends its stop. */
+    @Test
+    void aStoppingRouterKeepsItsLeaseAndTakesNoOther() {
+        LeaseManager holder = leaseManager("a", 1);
+        LeaseManager other = leaseManager("b", 1);
+        tick(holder, 0);
+        tick(other, 0);
+        holder.stopTaking();
+        other.stopTaking();
+        tick(holder, 600);
+        assertThat(holder.holds(GROUP, 700)).isTrue();
+        liveIncarnations.remove("a");
+        tick(other, 10_000);
+        assertThat(other.holds(GROUP, 10_100)).isFalse();
+    }
+
     @Test
     void pausedHolderRechecksItsLeaseBeforeItActs() {
         LeaseManager paused = leaseManager("a", 1);
