Choose layers only for engines that can be ordered, and bear engines with more layers than the model

A configuration that lowers the number of layers made every run of the planner fail with an index out of bounds, as engines hold layers that the model no longer has.

--- a/core/src/main/java/io/radishwinch/core/placement/LayerCapacity.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayerCapacity.java
@@ -39,9 +39,12 @@
         }
     }
 
-    /** Returns the number of engines that hold the layer. */
+    /**
+     * Returns the number of engines that hold the layer, or 0 if the model has no such layer. An engine may hold more
+     * layers than the model has after a change of the configuration.
+     */
     int holders(int layer) {
-        return holders[layer];
+        return layer < holders.length ? holders[layer] : 0;
     }
 
     /** Returns the smallest number of holders over the layers of the range. */
--- a/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
+++ b/core/src/main/java/io/radishwinch/core/placement/LayoutPlanner.java
@@ -251,7 +251,7 @@
             repair();
             for (PlacementEndpoint endpoint : empty) {
                 int layers = targetLayers(endpoint);
-                if (layers > 0 && !ranges.containsKey(endpoint.id())) {
+                if (layers > 0 && ordersLeft > 0 && !ranges.containsKey(endpoint.id())) {
                     issueOrder(endpoint, mostNeededRange(layers), Handover.WAIT);
                 }
             }
--- a/core/src/test/java/io/radishwinch/core/placement/LayoutPlannerTest.java
+++ b/core/src/test/java/io/radishwinch/core/placement/LayoutPlannerTest.java
@@ -181,6 +181,18 @@
         assertThat(logged.get(1)).contains("13 engines");
     }
 
+    /** Guards against a placement that fails at each run after a configuration lowered the number of layers. */
+    @Test
+    void enginesMayHoldMoreLayersThanTheModelHas() {
+        MixedEngines.empty("dc")
+                .forEach(engine -> engines.put(
+                        engine.id(),
+                        MixedEngines.holding(engine, new LayerRange(0, MixedEngines.MODEL.layerCount() + 10))));
+        tick(0);
+        assertThat(tick(STABLE_MS)).isNotNull();
+        assertThat(capacity().uncoveredRanges()).isEmpty();
+    }
+
     private void runAndApplyOrders(long fromMs, long untilMs) {
         for (long nowMs = fromMs; nowMs < untilMs; nowMs += 250) {
             applyOrders(tick(nowMs));
