Keep the HTTP/2 client of a test reachable until the test ends

Vert.x closes a client that is no longer reachable. With a garbage collection between the creation of the client and its request the test fails in the same way; the fixture now keeps the client and closes it.

--- a/server/src/test/java/io/radishwinch/server/http/ExchangeFixture.java
+++ b/server/src/test/java/io/radishwinch/server/http/ExchangeFixture.java
@@ -19,6 +19,7 @@
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -58,6 +59,10 @@
     private final ControlLoop control =
             new ControlLoop(controlContext, System::currentTimeMillis, new ScriptedCore(), action -> {});
     private final HttpServer server;
+
+    /** Referenced here, because Vert.x closes a client that is no longer reachable. */
+    private HttpClient http2Client;
+
     private Socket caller;
 
     /** Creates the exchange under test. */
@@ -112,7 +117,8 @@
     Future<HttpClientResponse> callOverHttp2() throws Exception {
         HttpClientOptions options =
                 new HttpClientOptions().setProtocolVersion(HttpVersion.HTTP_2).setHttp2ClearTextUpgrade(false);
-        Future<HttpClientResponse> response = vertx.createHttpClient(options)
+        http2Client = vertx.createHttpClient(options);
+        Future<HttpClientResponse> response = http2Client
                 .request(HttpMethod.GET, server.actualPort(), "127.0.0.1", "/")
                 .compose(HttpClientRequest::send);
         await(Event.RequestArrived.class);
@@ -199,6 +205,9 @@
             caller.close();
         }
         endpoint.close();
+        if (http2Client != null) {
+            http2Client.close();
+        }
         vertx.close().toCompletionStage().toCompletableFuture().get(WAIT_S, TimeUnit.SECONDS);
     }
 
