--- a/server/src/test/java/io/radishwinch/server/engine/HttpServiceClientTest.java
+++ b/server/src/test/java/io/radishwinch/server/engine/HttpServiceClientTest.java
@@ -9,6 +9,7 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import java.util.Map;
@@ -131,10 +132,12 @@
                             .onFailure(response::completeExceptionally);
                 })
                 .listen(0, "127.0.0.1"));
-        vertx.createHttpClient()
-                .request(HttpMethod.POST, relay.actualPort(), "127.0.0.1", "/")
+        HttpClient caller = vertx.createHttpClient();
+        caller.request(HttpMethod.POST, relay.actualPort(), "127.0.0.1", "/")
                 .onSuccess(request -> request.send(Buffer.buffer(bytes)));
-        return response.join();
+        Buffer received = response.join();
+        caller.close();
+        return received;
     }
 
     private Buffer body(ServiceClient.Call call) {
