Share the core without views among tests of the server

The same empty views stood in three tests. PeerStateBridgeTest keeps the one that it needs; the others fail as before if a view is asked for.

--- a/server/src/test/java/io/radishwinch/server/ControlLoopTest.java
+++ b/server/src/test/java/io/radishwinch/server/ControlLoopTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.radishwinch.core.DecisionCore;
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.event.Event;
 import io.radishwinch.core.model.FleetConfig;
@@ -15,7 +14,6 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -57,7 +55,7 @@
     }
 
     /** Refuses all requests when the configuration changes. */
-    private static final class RefusingCore implements DecisionCore {
+    private static final class RefusingCore extends ViewlessCore {
 
         @Override
         public List<Action> handle(Event event, long nowMs) {
@@ -67,21 +65,6 @@
                             .toList()
                     : List.of();
         }
-
-        @Override
-        public Optional<RequestView> request(String requestId) {
-            return Optional.empty();
-        }
-
-        @Override
-        public Optional<CallerView> caller(String caller) {
-            return Optional.empty();
-        }
-
-        @Override
-        public CoreView view() {
-            throw new UnsupportedOperationException();
-        }
     }
 
     /** Exchange that records its refusal, and may fail then. */
--- a/server/src/test/java/io/radishwinch/server/PeerStateBridgeTest.java
+++ b/server/src/test/java/io/radishwinch/server/PeerStateBridgeTest.java
@@ -6,7 +6,6 @@
 import io.radishwinch.cluster.PeerNode;
 import io.radishwinch.cluster.membership.Address;
 import io.radishwinch.cluster.membership.Seed;
-import io.radishwinch.core.DecisionCore;
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.event.Event;
 import io.radishwinch.core.quarantine.PromptCrash;
@@ -16,7 +15,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -37,7 +35,7 @@
     }
 
     /** Core that records its events. */
-    private static final class RecordingCore implements DecisionCore {
+    private static final class RecordingCore extends ViewlessCore {
         private final List<Event> events = Collections.synchronizedList(new ArrayList<>());
 
         @Override
@@ -46,16 +44,6 @@
             return List.of();
         }
 
-        @Override
-        public Optional<RequestView> request(String requestId) {
-            return Optional.empty();
-        }
-
-        @Override
-        public Optional<CallerView> caller(String caller) {
-            return Optional.empty();
-        }
-
         @Override
         public CoreView view() {
             return new CoreView(List.of(), List.of(), List.of());
--- a/server/src/test/java/io/radishwinch/server/proxy/RetryingCore.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/RetryingCore.java
@@ -1,6 +1,5 @@
 package io.radishwinch.server.proxy;
 
-import io.radishwinch.core.DecisionCore;
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.event.Event;
 import io.radishwinch.core.model.Chain;
@@ -8,13 +7,13 @@
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.Stage;
 import io.radishwinch.core.model.Verdict;
+import io.radishwinch.server.ViewlessCore;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
-import java.util.Optional;
 
 /** Retries each failed attempt until the maximum number of attempts, and cancels attempts when a test asks. */
-final class RetryingCore implements DecisionCore {
+final class RetryingCore extends ViewlessCore {
     static final String ID = "a";
     static final String ENDPOINT = "e@1";
     private static final int MAX_ATTEMPTS = 3;
@@ -52,19 +51,4 @@
     private static Action refusal(Reason reason) {
         return new Action.Refuse(ID, reason, Verdict.MAY_HAVE_RUN, 0);
     }
-
-    @Override
-    public Optional<RequestView> request(String requestId) {
-        return Optional.empty();
-    }
-
-    @Override
-    public Optional<CallerView> caller(String caller) {
-        return Optional.empty();
-    }
-
-    @Override
-    public CoreView view() {
-        throw new UnsupportedOperationException();
-    }
 }
