Drop interim responses in the clients of engines, services, orders and the store

Vert.x's client skips 100 and 103 and takes any other interim response for the final one, whose bytes it then drops: an order or a write that was done counted as refused or without effect, and a service's caller would have got 102. Found by a reviewer of the strict decoder with raw sockets.

A filter behind the codec drops interim responses, 32 in a row at most; connections to endpoints did so already. InterimResponseTest: 7 of 11 cases fail without the filter (102, 104, 199, and 1,000 in a row).

--- a/server/src/main/java/io/radishwinch/server/engine/StrictClientCodec.java
+++ b/server/src/main/java/io/radishwinch/server/engine/StrictClientCodec.java
@@ -36,6 +36,7 @@
                 cause.getMessage()));
         ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
         pipeline.replace(HttpClientCodec.class, "codec", new StrictClientCodec(config));
+        pipeline.addAfter("codec", "interim", new InterimResponseFilter());
     }
 
     /** Records the methods of requests, which the framing of their responses depends on. */
