--- a/server/src/main/java/io/radishwinch/server/fleet/LeaseManager.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/LeaseManager.java
@@ -27,7 +27,9 @@
     /** Minimum interval between two platform calls for one lease, in ms. */
     private static final long CALL_INTERVAL_MS = 500;
 
-    /** Time for which a holder that the membership has never listed is assumed alive, in ms; it may list it yet. */
+    /**
+     * Time for which a holder that the membership has never listed is assumed alive, in ms, as lists may be incomplete.
+     */
     private static final long UNSEEN_HOLDER_GRACE_MS = 4_000;
 
     /**
