--- a/core/src/test/java/io/radishwinch/core/placement/LayoutPlannerTest.java
+++ b/core/src/test/java/io/radishwinch/core/placement/LayoutPlannerTest.java
@@ -122,7 +122,7 @@
     @Test
     void anEngineThatIsBackRestoresTheCapacityThatItsLossTook() {
         layOutAllEngines();
-        double before = minCapacityRequests();
+        double before = MixedEngines.minCapacityRequests(engines.values());
         Map<String, PlacementEndpoint> laidOut = Map.copyOf(engines);
         for (PlacementEndpoint empty : MixedEngines.empty("dc")) {
             engines.putAll(laidOut);
@@ -132,7 +132,7 @@
             runAndApplyOrders(10_000, 14_000);
             engines.put(empty.id(), empty);
             runAndApplyOrders(14_000, 34_000);
-            assertThat(minCapacityRequests())
+            assertThat(MixedEngines.minCapacityRequests(engines.values()))
                     .as("after the loss and return of " + empty.id())
                     .isGreaterThanOrEqualTo(before);
         }
@@ -199,12 +199,6 @@
         }
     }
 
-    private double minCapacityRequests() {
-        Map<String, LayerRange> ranges = new HashMap<>();
-        engines.forEach((id, engine) -> engine.holdings().forEach(holding -> ranges.put(id, holding.layers())));
-        return MixedEngines.minCapacityRequests(engines.values(), ranges);
-    }
-
     private static EngineOrder.Handover handover(Action.OrderEngine order) {
         return ((EngineOrder.LoadLayers) order.order()).handover();
     }
--- a/core/src/test/java/io/radishwinch/core/placement/MixedEngines.java
+++ b/core/src/test/java/io/radishwinch/core/placement/MixedEngines.java
@@ -9,6 +9,7 @@
 import io.radishwinch.core.model.ModelSpec;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -62,6 +63,13 @@
         return capacity.minCapacityRequests();
     }
 
+    /** Returns the smallest capacity over all layers, from the layers that the engines hold, in requests. */
+    static double minCapacityRequests(Collection<PlacementEndpoint> engines) {
+        Map<String, LayerRange> ranges = new HashMap<>();
+        engines.forEach(engine -> engine.holdings().forEach(holding -> ranges.put(engine.id(), holding.layers())));
+        return minCapacityRequests(engines, ranges);
+    }
+
     private static void add(List<PlacementEndpoint> engines, String dataCentre, String kind, int count) {
         for (int i = 0; i < count; i++) {
             engines.add(engine(dataCentre + "-" + kind + i, dataCentre, kind, Optional.empty()));
--- a/core/src/test/java/io/radishwinch/core/placement/NarrowLayoutTest.java
+++ b/core/src/test/java/io/radishwinch/core/placement/NarrowLayoutTest.java
@@ -6,7 +6,6 @@
 import io.radishwinch.core.model.EngineOrder;
 import io.radishwinch.core.model.LayerRange;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -35,12 +34,6 @@
         }
     }
 
-    private double minCapacityRequests() {
-        Map<String, LayerRange> ranges = new HashMap<>();
-        engines.forEach((id, engine) -> engine.holdings().forEach(holding -> ranges.put(id, holding.layers())));
-        return MixedEngines.minCapacityRequests(engines.values(), ranges);
-    }
-
     /** Guards against a return that leaves the extended range of another kind of engine narrow. */
     @Test
     void theReturnOfOneOfTwoHugeEnginesRestoresTheCapacity() {
@@ -48,12 +41,12 @@
             engines.put("dc-" + id, empty("dc-" + id));
         }
         run(0, 10_000);
-        double before = minCapacityRequests();
+        double before = MixedEngines.minCapacityRequests(engines.values());
         engines.remove("dc-huge0");
         run(10_000, 16_000);
         engines.put("dc-huge0", empty("dc-huge0"));
         run(16_000, 80_000);
-        assertThat(minCapacityRequests()).isGreaterThanOrEqualTo(before);
+        assertThat(MixedEngines.minCapacityRequests(engines.values())).isGreaterThanOrEqualTo(before);
     }
 
     /** Guards against two losses and returns that leave one small engine with layers beyond its target. */
@@ -61,7 +54,7 @@
     void theReturnOfTwoEnginesRestoresTheCapacity() {
         MixedEngines.empty("dc").forEach(engine -> engines.put(engine.id(), engine));
         run(0, 10_000);
-        double before = minCapacityRequests();
+        double before = MixedEngines.minCapacityRequests(engines.values());
         engines.remove("dc-large0");
         run(10_000, 12_750);
         engines.remove("dc-huge0");
@@ -70,6 +63,6 @@
         run(17_250, 17_750);
         engines.put("dc-large0", empty("dc-large0"));
         run(17_750, 80_000);
-        assertThat(minCapacityRequests()).isGreaterThanOrEqualTo(before);
+        assertThat(MixedEngines.minCapacityRequests(engines.values())).isGreaterThanOrEqualTo(before);
     }
 }
