Name the place of an exception in JSON log lines

The line of the unhandled exception of an attempt without an end had its message only, so that the record did not show which handler it left.

Lines on an exception now have the innermost 24 frames of its root cause as `stack`. RequestLogLineTest: the new test fails without the change.

--- a/server/src/main/java/io/radishwinch/server/JsonLogFormatter.java
+++ b/server/src/main/java/io/radishwinch/server/JsonLogFormatter.java
@@ -3,15 +3,24 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.temporal.ChronoUnit;
+import java.util.Arrays;
 import java.util.Map;
 import java.util.logging.Formatter;
 import java.util.logging.LogRecord;
+import java.util.stream.Collectors;
 
 /**
  * Formats each log record as a JSON object on one line, with {@link LogFields} as members. Their order is kept, so that
  * what comes first survives in tools that shorten lines.
  */
 public final class JsonLogFormatter extends Formatter {
+
+    /** Frames of an exception in a line, the innermost first. */
+    private static final int MAX_FRAMES = 24;
+
+    /** Causes that are followed; a chain of causes may have a cycle. */
+    private static final int MAX_CAUSES = 8;
+
     @Override
     public String format(LogRecord record) {
         ObjectNode line = JsonNodeFactory.instance.objectNode();
@@ -28,10 +37,23 @@
         }
         if (record.getThrown() != null) {
             line.put("error", record.getThrown().toString());
+            line.put("stack", stackOf(record.getThrown()));
         }
         return line + "\n";
     }
 
+    /** Returns the innermost frames of the exception's root cause. */
+    private static String stackOf(Throwable error) {
+        Throwable root = error;
+        for (int depth = 0; depth < MAX_CAUSES && root.getCause() != null; depth++) {
+            root = root.getCause();
+        }
+        return Arrays.stream(root.getStackTrace())
+                .limit(MAX_FRAMES)
+                .map(frame -> frame.getClassName() + "." + frame.getMethodName() + ":" + frame.getLineNumber())
+                .collect(Collectors.joining(" < "));
+    }
+
     private static void put(ObjectNode line, String name, Object value) {
         if (value instanceof Integer || value instanceof Long) {
             line.put(name, ((Number) value).longValue());
--- a/server/src/test/java/io/radishwinch/server/fleet/RequestLogLineTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/RequestLogLineTest.java
@@ -25,6 +25,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.logging.Handler;
+import java.util.logging.Level;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import org.junit.jupiter.api.AfterEach;
@@ -122,6 +123,15 @@
         assertKept("id", "cause", "status", "epoch", "connection", "detail");
     }
 
+    /** Guards against an exception in the record of an incident that names no place in the code. */
+    @Test
+    void aLineOnAnExceptionNamesWhereItsRootCauseWasThrown() {
+        logger.log(Level.SEVERE, "failed", new IllegalStateException("outer", new IllegalArgumentException("inner")));
+        assertThat(lastLine())
+                .contains("\"error\":\"java.lang.IllegalStateException: outer\"")
+                .contains("\"stack\":\"" + RequestLogLineTest.class.getName() + ".aLineOnAnException");
+    }
+
     @Test
     void aMalformedResponseNamesTheRuleAndIsCountedByIt() throws Exception {
         Carrier carrier = new Carrier(345, 17, false, 0, Optional.of(ResponseRule.STATUS));
