--- a/server/src/main/java/io/radishwinch/server/AdminControl.java
+++ b/server/src/main/java/io/radishwinch/server/AdminControl.java
@@ -217,7 +217,7 @@
                 .onFailure()
                 .transform(error -> new ControlException(
                         HTTP_UNAVAILABLE,
-                        "the platform did not confirm the change: " + error.getMessage(),
+                        "the platform did not confirm the change: " + Failures.describe(error),
                         "read the object before you retry the change; it may have been written"))
                 .map(AdminControl::changeResult);
     }
--- a/server/src/main/java/io/radishwinch/server/ControlLoop.java
+++ b/server/src/main/java/io/radishwinch/server/ControlLoop.java
@@ -3,7 +3,9 @@
 import io.radishwinch.core.DecisionCore;
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Verdict;
 import io.vertx.core.Context;
 import java.util.HashMap;
 import java.util.List;
@@ -13,13 +15,12 @@
 
 /** Runs the decision core on the control thread and dispatches its actions. */
 public final class ControlLoop {
-    private static final System.Logger LOG = System.getLogger(ControlLoop.class.getName());
-
     private final Context context;
     private final LongSupplier clockMs;
     private final DecisionCore core;
     private final Consumer<Action> sharedActions;
     private final Map<String, Exchange> exchanges = new HashMap<>();
+    private final InternalErrors errors = new InternalErrors();
     private Runnable idleListener = () -> {};
     private Consumer<Event> eventObserver = event -> {};
     private Consumer<Action> actionObserver = action -> {};
@@ -71,7 +72,13 @@
     public void submit(RequestSpec request, Exchange exchange) {
         execute(() -> {
             exchanges.put(request.requestId(), exchange);
-            apply(new Event.RequestArrived(request));
+            try {
+                apply(new Event.RequestArrived(request));
+            } catch (RuntimeException e) {
+                exchanges.remove(request.requestId());
+                exchange.refuse(new Action.Refuse(request.requestId(), Reason.INTERNAL_ERROR, Verdict.NOT_RUN, 0));
+                throw e;
+            }
         });
     }
 
@@ -106,14 +113,19 @@
     }
 
     /** Runs a part of a task whose failure must not end the other parts. */
-    private static void runGuarded(String part, Runnable run) {
+    private void runGuarded(String part, Runnable run) {
         try {
             run.run();
         } catch (RuntimeException e) {
-            LOG.log(System.Logger.Level.ERROR, "control " + part + " failed", e);
+            errors.report(InternalErrors.Part.CONTROL, part, e);
         }
     }
 
+    /** Returns what counts the exceptions of the control thread and of the exchanges; may be used from any thread. */
+    public InternalErrors errors() {
+        return errors;
+    }
+
     /** Returns the core; must be used on the control thread only. */
     public DecisionCore core() {
         return core;
@@ -138,11 +150,11 @@
     }
 
     private void apply(Event event) {
-        eventObserver.accept(event);
+        errors.observe("of an event", () -> eventObserver.accept(event));
         List<Action> actions = core.handle(event, clockMs.getAsLong());
         for (Action action : actions) {
             // The core has already applied all of them, so that a request whose action is lost is never answered.
-            runGuarded("observer", () -> actionObserver.accept(action));
+            errors.observe("of an action", () -> actionObserver.accept(action));
             runGuarded("action", () -> perform(action));
         }
     }
--- a/server/src/main/java/io/radishwinch/server/RouterProcess.java
+++ b/server/src/main/java/io/radishwinch/server/RouterProcess.java
@@ -69,6 +69,10 @@
     private Future<Void> startServers(int listeningPort) {
         peerPort = listeningPort;
         plane = new ControlPlane(controlVertx, settings, clock, metrics, authenticator, peers, listeningPort);
+        InternalErrors errors = plane.control().errors();
+        errors.bindTo(metrics);
+        errors.receiveFrom(controlVertx, "the control thread");
+        errors.receiveFrom(trafficVertx, "the traffic threads");
         callers = new CallerServer(trafficVertx, settings, callerParts());
         AdminControl adminControl = new AdminControl(plane, metrics::scrape, this::notReadyReason);
         registerGauges();
--- a/server/src/main/java/io/radishwinch/server/StructuredLog.java
+++ b/server/src/main/java/io/radishwinch/server/StructuredLog.java
@@ -61,7 +61,11 @@
                 StructuredLog.this.write(LogFields.of(suppressedEvent).with("lines", suppressedLines));
                 suppressedLines = 0;
             }
-            StructuredLog.this.write(fields.get());
+            try {
+                StructuredLog.this.write(fields.get());
+            } catch (RuntimeException e) {
+                LOG.log(System.Logger.Level.ERROR, "a line of the log cannot be composed", e);
+            }
         }
     }
 }
--- a/server/src/main/java/io/radishwinch/server/TlsReloader.java
+++ b/server/src/main/java/io/radishwinch/server/TlsReloader.java
@@ -58,7 +58,7 @@
                                 System.Logger.Level.ERROR,
                                 "{0}: failed to reload TLS files, the previous ones stay in effect: {1}",
                                 target.name(),
-                                error.getMessage()));
+                                Failures.describe(error)));
             }
         }
     }
--- a/server/src/main/java/io/radishwinch/server/admin/AdminApi.java
+++ b/server/src/main/java/io/radishwinch/server/admin/AdminApi.java
@@ -7,6 +7,7 @@
 import io.radishwinch.report.DaySlots;
 import io.radishwinch.report.DaySummary;
 import io.radishwinch.report.DaySummaryCodec;
+import io.radishwinch.server.Failures;
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.infrastructure.Infrastructure;
 import io.vertx.core.Context;
@@ -283,7 +284,7 @@
             return AdminError.of(e.status(), "router", e.getMessage(), e.hint());
         }
         LOG.log(System.Logger.Level.WARNING, "operator request failed", failure);
-        String message = failure.getMessage() == null ? failure.getClass().getSimpleName() : failure.getMessage();
+        String message = Failures.describe(failure);
         return AdminError.of(503, "unavailable", message, "repeat the command; if it fails again, ask another router");
     }
 
--- a/server/src/main/java/io/radishwinch/server/engine/BoundedBody.java
+++ b/server/src/main/java/io/radishwinch/server/engine/BoundedBody.java
@@ -1,5 +1,6 @@
 package io.radishwinch.server.engine;
 
+import io.radishwinch.server.Failures;
 import io.vertx.core.Handler;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
@@ -23,7 +24,7 @@
         this.maxBytes = maxBytes;
         this.onFailure = onFailure;
         response.exceptionHandler(
-                cause -> onFailure.accept("connection failed during the response: " + cause.getMessage()));
+                cause -> onFailure.accept("connection failed during the response: " + Failures.describe(cause)));
         response.endHandler(ignored -> {
             if (failure == null) {
                 isEnded = true;
--- a/server/src/main/java/io/radishwinch/server/engine/HttpEngineStream.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpEngineStream.java
@@ -3,6 +3,7 @@
 import io.radishwinch.core.model.LayerRange;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.Verdict;
+import io.radishwinch.server.Failures;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -111,7 +112,7 @@
                 .setURI("/v1/attempts")
                 .putHeader("Content-Type", "application/json");
         client.request(target)
-                .onFailure(cause -> fail(Reason.STAGE_DIED, "failed to connect: " + cause.getMessage()))
+                .onFailure(cause -> fail(Reason.STAGE_DIED, "failed to connect: " + Failures.describe(cause)))
                 .onSuccess(this::sendRequest);
     }
 
@@ -121,10 +122,10 @@
             return;
         }
         request = opened;
-        opened.exceptionHandler(cause -> fail(Reason.STAGE_DIED, "connection failed: " + cause.getMessage()));
+        opened.exceptionHandler(cause -> fail(Reason.STAGE_DIED, "connection failed: " + Failures.describe(cause)));
         opened.response()
                 .onSuccess(this::onResponse)
-                .onFailure(cause -> fail(Reason.STAGE_DIED, "connection failed: " + cause.getMessage()));
+                .onFailure(cause -> fail(Reason.STAGE_DIED, "connection failed: " + Failures.describe(cause)));
         opened.end(EngineJson.encodeAttempt(attempt, clockMs.getAsLong()));
     }
 
@@ -145,7 +146,7 @@
                     "unexpected HTTP status " + received.statusCode()));
             return;
         }
-        received.exceptionHandler(cause -> fail(Reason.STAGE_DIED, "connection failed: " + cause.getMessage()));
+        received.exceptionHandler(cause -> fail(Reason.STAGE_DIED, "connection failed: " + Failures.describe(cause)));
         received.endHandler(ignored -> fail(Reason.STAGE_DIED, "stream ended without a line of type done"));
         received.handler(this::onChunk);
         if (isPaused) {
--- a/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
@@ -4,6 +4,7 @@
 import io.radishwinch.core.model.Verdict;
 import io.radishwinch.http.MalformedResponseException;
 import io.radishwinch.http.StrictClientCodec;
+import io.radishwinch.server.Failures;
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Promise;
@@ -148,7 +149,7 @@
 
     private void open(HttpClient client, RequestOptions options, Buffer body) {
         client.request(options)
-                .onFailure(cause -> fail(Reason.STAGE_DIED, "failed to connect: " + cause.getMessage(), cause))
+                .onFailure(cause -> fail(Reason.STAGE_DIED, "failed to connect: " + Failures.describe(cause), cause))
                 .onSuccess(opened -> {
                     if (isEnded) {
                         opened.reset();
@@ -180,7 +181,7 @@
             return;
         }
         if (cause instanceof MalformedResponseException) {
-            onForeignResponse(cause.getMessage(), repeat);
+            onForeignResponse(Failures.describe(cause), repeat);
         } else {
             fail(Reason.STAGE_DIED, "connection failed", cause);
         }
--- a/server/src/main/java/io/radishwinch/server/engine/HttpServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpServiceExchange.java
@@ -2,6 +2,7 @@
 
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.Verdict;
+import io.radishwinch.server.Failures;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
@@ -79,7 +80,7 @@
                 .setURI(call.uri())
                 .setHeaders(endToEndHeaders(call.headers()));
         client.request(target)
-                .onFailure(cause -> fail(Reason.STAGE_DIED, "failed to connect: " + cause.getMessage(), cause))
+                .onFailure(cause -> fail(Reason.STAGE_DIED, "failed to connect: " + Failures.describe(cause), cause))
                 .onSuccess(this::sendRequest);
     }
 
@@ -89,10 +90,11 @@
             return;
         }
         request = opened;
-        opened.exceptionHandler(cause -> fail(Reason.STAGE_DIED, "connection failed: " + cause.getMessage(), cause));
+        opened.exceptionHandler(
+                cause -> fail(Reason.STAGE_DIED, "connection failed: " + Failures.describe(cause), cause));
         opened.response()
                 .onSuccess(this::onResponse)
-                .onFailure(cause -> fail(Reason.STAGE_DIED, "connection failed: " + cause.getMessage(), cause));
+                .onFailure(cause -> fail(Reason.STAGE_DIED, "connection failed: " + Failures.describe(cause), cause));
         if (call.body() instanceof ServiceClient.Body.Buffered buffered) {
             // The length of the buffered body replaces the caller's Content-Length.
             opened.headers().remove("Content-Length");
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointHealthChecker.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointHealthChecker.java
@@ -1,5 +1,6 @@
 package io.radishwinch.server.fleet;
 
+import io.radishwinch.server.Failures;
 import io.radishwinch.server.proxy.EndpointContact;
 import java.net.ConnectException;
 import java.util.HashMap;
@@ -118,7 +119,7 @@
             String endpointId, boolean checksStreams, boolean isRepeat, long startedAtMs, Throwable error) {
         pendingChecks.remove(endpointId);
         long nowMs = clockMs.getAsLong();
-        String cause = "no report: " + error.getMessage();
+        String cause = "no report: " + Failures.describe(error);
         if (isRefused(error)) {
             reachability.confirm(endpointId, () -> registry.markEnded(endpointId, cause, clockMs.getAsLong()));
         } else if (nowMs - startedAtMs > MAX_CHECK_DURATION_MS && !isRepeat) {
@@ -133,8 +134,7 @@
     /** Returns whether nothing listens at the address; a process that is silent still accepts connections. */
     private static boolean isRefused(Throwable error) {
         for (Throwable cause = error; cause != null; cause = cause.getCause()) {
-            if (cause instanceof ConnectException
-                    && String.valueOf(cause.getMessage()).contains(CONNECTION_REFUSED)) {
+            if (cause instanceof ConnectException && Failures.describe(cause).contains(CONNECTION_REFUSED)) {
                 return true;
             }
         }
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
@@ -3,6 +3,7 @@
 import io.radishwinch.cluster.membership.Address;
 import io.radishwinch.cluster.platform.PlatformClient;
 import io.radishwinch.config.build.BuildIdentity;
+import io.radishwinch.server.InternalErrors;
 import io.radishwinch.server.LogFields;
 import io.radishwinch.server.OutcomeCounter;
 import io.radishwinch.server.RouterClock;
@@ -112,6 +113,10 @@
                 dialect,
                 clientFactory.apply(controlVertx),
                 log);
+        InternalErrors errors = plane.control().errors();
+        errors.bindTo(metrics);
+        errors.receiveFrom(controlVertx, "the control thread");
+        errors.receiveFrom(trafficVertx, "the traffic thread");
         OutcomeLogger outcomes = new OutcomeLogger(log, new OutcomeCounter(metrics), metrics);
         proxy = new ProxyServer(
                 trafficVertx,
--- a/server/src/main/java/io/radishwinch/server/fleet/LayerOrderSender.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/LayerOrderSender.java
@@ -5,6 +5,7 @@
 import io.radishwinch.core.event.Event;
 import io.radishwinch.core.model.EngineOrder;
 import io.radishwinch.core.model.LayerRange;
+import io.radishwinch.server.Failures;
 import io.radishwinch.server.fleet.EndpointControl.OrderResult;
 import io.radishwinch.server.proxy.EndpointContact;
 import io.smallrye.mutiny.groups.UniSubscribe;
@@ -83,7 +84,7 @@
                             registry.applyStatusReport(order.endpointId(), report, clockMs.getAsLong());
                             sendOrder(order, contact, load, report.acceptedOrders());
                         },
-                        error -> acknowledge(order, false, "no report: " + error.getMessage()));
+                        error -> acknowledge(order, false, "no report: " + Failures.describe(error)));
     }
 
     private void sendOrder(
@@ -95,7 +96,7 @@
                 .with(result -> onOrderResult(order, contact, layers, acceptedCount, result), error -> {
                     // The engine may still execute the order, so the next order requests a status report first.
                     acceptedOrders.remove(order.endpointId());
-                    acknowledge(order, false, "no response: " + error.getMessage());
+                    acknowledge(order, false, "no response: " + Failures.describe(error));
                     scheduleCheck(order.endpointId(), layers, 1);
                 });
     }
@@ -122,7 +123,7 @@
                                 acceptedOrders.put(order.endpointId(), report.acceptedOrders());
                                 registry.applyStatusReport(order.endpointId(), report, clockMs.getAsLong());
                             },
-                            error -> log.stateChanged("endpoint-silent", order.endpointId(), error.getMessage()));
+                            error -> log.stateChanged("endpoint-silent", order.endpointId(), Failures.describe(error)));
         }
     }
 
@@ -153,7 +154,7 @@
                                 }
                             },
                             error -> registry.markUnreachable(
-                                    endpointId, "no report: " + error.getMessage(), clockMs.getAsLong()));
+                                    endpointId, "no report: " + Failures.describe(error), clockMs.getAsLong()));
         });
     }
 
--- a/server/src/main/java/io/radishwinch/server/fleet/RouterDirectory.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/RouterDirectory.java
@@ -5,6 +5,7 @@
 import io.radishwinch.cluster.membership.Seed;
 import io.radishwinch.cluster.platform.PlatformClient;
 import io.radishwinch.cluster.platform.PlatformClient.StoredObject;
+import io.radishwinch.server.Failures;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -72,7 +73,11 @@
     }
 
     private static void logFailure(String operation, Throwable error) {
-        LOG.log(System.Logger.Level.WARNING, "failed to {0} the router directory: {1}", operation, error.getMessage());
+        LOG.log(
+                System.Logger.Level.WARNING,
+                "failed to {0} the router directory: {1}",
+                operation,
+                Failures.describe(error));
     }
 
     private List<Seed> seeds(List<StoredObject> objects) {
--- a/server/src/main/java/io/radishwinch/server/fleet/StreamRerouter.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/StreamRerouter.java
@@ -3,6 +3,7 @@
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.event.Event;
 import io.radishwinch.core.model.Stage;
+import io.radishwinch.server.Failures;
 import io.radishwinch.server.proxy.EndpointContact;
 import io.radishwinch.server.proxy.ForwardingContext;
 import java.util.ArrayList;
@@ -42,7 +43,7 @@
                 .subscribe()
                 .with(
                         result -> onResult(reroute, result == EndpointControl.OrderResult.ACCEPTED, result.name()),
-                        error -> onResult(reroute, false, "no response: " + error.getMessage()));
+                        error -> onResult(reroute, false, "no response: " + Failures.describe(error)));
     }
 
     private void onResult(Action.RerouteAttempt reroute, boolean isAccepted, String detail) {
--- a/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
@@ -6,6 +6,7 @@
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.model.Verdict;
 import io.radishwinch.server.Exchange;
+import io.radishwinch.server.InternalErrors;
 import io.vertx.core.Future;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
@@ -48,8 +49,8 @@
         this.httpVersion = httpRequest.version();
         this.delivery = new DeliveryStats(request.arrivedAtMs());
         this.reservedBytes = reservedBytes;
-        response.closeHandler(ignored -> onCallerDisconnected());
-        response.exceptionHandler(ignored -> onCallerDisconnected());
+        response.closeHandler(ignored -> guard(this::onCallerDisconnected));
+        response.exceptionHandler(ignored -> guard(this::onCallerDisconnected));
     }
 
     /** Submits the request to the decision core. */
@@ -112,7 +113,7 @@
         if (response.headWritten()) {
             abortResponse(refusal.reason());
         } else {
-            reportUnwritten(ErrorResponse.send(response, request.requestId(), refusal));
+            sendRefusal(refusal);
         }
     }
 
@@ -125,11 +126,17 @@
         response.reset(HTTP2_INTERNAL_ERROR);
     }
 
+    /** Ends the exchange and breaks off its response, whose rest cannot be obtained from another endpoint. */
+    protected final void abort(Reason reason) {
+        withdraw(Optional.of(new Refusal(reason, Verdict.MAY_HAVE_RUN, ErrorMessages.of(reason), 0)));
+        abortResponse(reason);
+    }
+
     /** Reports a complete response to the scope, and as cut if its connection ends before it is written. */
     protected final void reportUnwritten(Future<Void> written) {
         shared.responseEnded(written);
-        written.onFailure(ignored -> shared.listener()
-                .responseCut(ResponseCut.unwritten(request.requestId(), Reason.CALLER_DISCONNECTED, response)));
+        written.onFailure(ignored -> observe(() -> shared.listener()
+                .responseCut(ResponseCut.unwritten(request.requestId(), Reason.CALLER_DISCONNECTED, response))));
     }
 
     private ResponseCut.Progress progress() {
@@ -137,8 +144,8 @@
     }
 
     private void reportCut(Reason reason, ResponseCut.Origin origin, ResponseCut.Progress progress) {
-        shared.listener()
-                .responseCut(new ResponseCut(request.requestId(), reason, origin, progress, response.bytesWritten()));
+        observe(() -> shared.listener()
+                .responseCut(new ResponseCut(request.requestId(), reason, origin, progress, response.bytesWritten())));
     }
 
     /**
@@ -167,15 +174,63 @@
         if (!isFinished) {
             isFinished = true;
             cancelWriteTimer();
-            releaseEndpoint();
-            shared.bodyMemory().release(reservedBytes);
-            shared.listener().finished(request, delivery, refusal);
+            try {
+                releaseEndpoint();
+            } finally {
+                shared.bodyMemory().release(reservedBytes);
+                observe(() -> shared.listener().finished(request, delivery, refusal));
+            }
         }
     }
 
     /** Runs a task on the traffic thread of this exchange. */
     protected final void onTrafficThread(Runnable task) {
-        shared.context().runOnContext(ignored -> task.run());
+        shared.context().runOnContext(ignored -> guard(task));
+    }
+
+    /**
+     * Runs a part of this exchange. An exception ends the exchange with an error, so that neither its caller nor the
+     * core waits for an event that no longer follows.
+     */
+    protected final void guard(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            shared.control().errors().report(InternalErrors.Part.EXCHANGE, request.requestId(), e);
+            endAfterInternalError();
+        }
+    }
+
+    /** Tells an observer something; its exceptions do not affect the exchange. */
+    protected final void observe(Runnable observer) {
+        shared.control().errors().observe(request.requestId(), observer);
+    }
+
+    private void endAfterInternalError() {
+        Refusal refusal =
+                new Refusal(Reason.INTERNAL_ERROR, attemptsVerdict(), ErrorMessages.of(Reason.INTERNAL_ERROR), 0);
+        try {
+            withdraw(Optional.of(refusal));
+            if (!response.ended() && !response.closed()) {
+                if (response.headWritten()) {
+                    abortResponse(refusal.reason());
+                } else {
+                    sendRefusal(refusal);
+                }
+            }
+        } catch (RuntimeException e) {
+            shared.control().errors().report(InternalErrors.Part.EXCHANGE, request.requestId(), e);
+            response.reset(HTTP2_INTERNAL_ERROR);
+        }
+    }
+
+    private Verdict attemptsVerdict() {
+        return delivery.attempts() == 0 ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
+    }
+
+    /** Sends an error response; called before the head of a response is sent. */
+    protected void sendRefusal(Refusal refusal) {
+        reportUnwritten(ErrorResponse.send(response, request.requestId(), refusal));
     }
 
     /** Reports an event to the core. */
@@ -186,11 +241,8 @@
     /** Starts the timer that resets the connection of a caller that does not read its response. */
     protected final void startWriteTimer() {
         if (writeTimerId == NO_TIMER) {
-            writeTimerId = shared.vertx().setTimer(shared.writeTimeoutMs(), ignored -> {
-                withdraw(Optional.of(new Refusal(
-                        Reason.SLOW_READER, Verdict.MAY_HAVE_RUN, ErrorMessages.of(Reason.SLOW_READER), 0)));
-                abortResponse(Reason.SLOW_READER);
-            });
+            writeTimerId =
+                    shared.vertx().setTimer(shared.writeTimeoutMs(), ignored -> guard(() -> abort(Reason.SLOW_READER)));
         }
     }
 
@@ -206,8 +258,7 @@
         if (!isFinished) {
             reportCut(Reason.CALLER_DISCONNECTED, ResponseCut.Origin.CALLER, progress());
         }
-        Verdict verdict = delivery.attempts() == 0 ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
-        withdraw(Optional.of(
-                new Refusal(Reason.CALLER_DISCONNECTED, verdict, ErrorMessages.of(Reason.CALLER_DISCONNECTED), 0)));
+        withdraw(Optional.of(new Refusal(
+                Reason.CALLER_DISCONNECTED, attemptsVerdict(), ErrorMessages.of(Reason.CALLER_DISCONNECTED), 0)));
     }
 }
--- a/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
@@ -241,15 +241,6 @@
         serviceResponse.streamTo(response, this::startWriteTimer, this::cancelWriteTimer);
     }
 
-    /**
-     * Resets the caller's connection. The head has been sent, so a reset is the only way to tell the caller that the
-     * response is incomplete.
-     */
-    private void abort(Reason reason) {
-        withdraw(Optional.of(new Refusal(reason, Verdict.MAY_HAVE_RUN, ErrorMessages.of(reason), 0)));
-        abortResponse(reason);
-    }
-
     private void writeHead(ServiceResponse serviceResponse) {
         response.setStatusCode(serviceResponse.status());
         ServiceHeaders.copyToCaller(serviceResponse.headers(), response.headers());
--- a/server/src/main/java/io/radishwinch/server/metrics/RouterMetrics.java
+++ b/server/src/main/java/io/radishwinch/server/metrics/RouterMetrics.java
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.DistributionSummary;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -100,6 +101,15 @@
         return Counter.builder(name).description(description).tag(label, value).register(registry);
     }
 
+    /** Registers a counter with one label from a fixed set of values, whose value is read on each scrape. */
+    public void functionCounter(
+            String name, String description, String label, String labelValue, Supplier<Number> value) {
+        FunctionCounter.builder(name, value, supplier -> supplier.get().doubleValue())
+                .description(description)
+                .tag(label, labelValue)
+                .register(registry);
+    }
+
     /** Registers a gauge whose value is read on each scrape. */
     public void gauge(String name, String description, Supplier<Number> value) {
         Gauge.builder(name, value).description(description).register(registry);
--- a/server/src/main/java/io/radishwinch/server/platform/HttpPlatformClient.java
+++ b/server/src/main/java/io/radishwinch/server/platform/HttpPlatformClient.java
@@ -7,6 +7,7 @@
 import io.radishwinch.cluster.platform.StoreEra;
 import io.radishwinch.cluster.platform.StoreVersion;
 import io.radishwinch.core.model.Verdict;
+import io.radishwinch.server.Failures;
 import io.radishwinch.server.engine.ClientOptions;
 import io.radishwinch.server.engine.EndpointAddress;
 import io.radishwinch.server.engine.EndpointException;
@@ -217,7 +218,7 @@
     private static PlatformException toPlatformException(Throwable cause, boolean isWrite) {
         boolean isNotSent = cause instanceof EndpointException failure && failure.verdict() == Verdict.NOT_RUN;
         return new PlatformException(
-                isNotSent ? PlatformException.Kind.NO_EFFECT : failureKind(isWrite), cause.getMessage(), cause);
+                isNotSent ? PlatformException.Kind.NO_EFFECT : failureKind(isWrite), Failures.describe(cause), cause);
     }
 
     private static void requireOk(HttpExchange.Response response, boolean isWrite) {
--- a/server/src/main/java/io/radishwinch/server/proxy/EndpointConnection.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EndpointConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
@@ -22,11 +23,11 @@
 import io.radishwinch.http.MalformedResponseException;
 import io.radishwinch.http.ResponseRule;
 import io.radishwinch.http.StrictResponseDecoder;
+import io.radishwinch.server.Failures;
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpMethod;
 import io.vertx.core.internal.buffer.BufferInternal;
 import io.vertx.core.internal.net.NetSocketInternal;
 import java.util.List;
@@ -131,7 +132,7 @@
         handler.pipeline().addBefore(handler.name(), "encoder", new HttpRequestEncoder());
         handler.pipeline().addBefore(handler.name(), "decoder", decoder);
         socket.messageHandler(this::read);
-        socket.exceptionHandler(cause -> onSocketEnd(cause.getMessage()));
+        socket.exceptionHandler(cause -> onSocketEnd(Failures.describe(cause)));
         socket.closeHandler(ignored -> onSocketEnd("connection closed"));
     }
 
@@ -158,12 +159,13 @@
 
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
-            return method == HttpMethod.HEAD || super.isContentAlwaysEmpty(message);
+            return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(message);
         }
     }
 
+    /** Returns whether no request can be sent any more; the close may be reported to the connection only later. */
     boolean isClosed() {
-        return isClosed;
+        return isClosed || !socket.channelHandlerContext().channel().isActive();
     }
 
     /** Returns whether the endpoint keeps the connection open after the last response. */
@@ -202,21 +204,24 @@
      *
      * @param sentRequestId identifier of the request
      * @return future that completes when the request is written
-     * @throws IllegalArgumentException if a header cannot be sent; nothing has been sent then
      */
-    Future<Void> send(UpstreamCall.OutgoingRequest outgoing, String sentRequestId, Listener responseListener) {
-        FullHttpRequest request = encode(outgoing);
+    Future<Void> send(FullHttpRequest request, String sentRequestId, Listener responseListener) {
         requestId = sentRequestId;
-        method = outgoing.method();
+        method = request.method();
         listener = responseListener;
         skippedResponses = 0;
         surplusResponses = 0;
         surplusBytes = 0;
         reading = Reading.HEAD;
-        return socket.writeMessage(request).onFailure(cause -> fail(cause.getMessage()));
+        return socket.writeMessage(request).onFailure(cause -> fail(Failures.describe(cause)));
     }
 
-    private FullHttpRequest encode(UpstreamCall.OutgoingRequest outgoing) {
+    /**
+     * Encodes a request for this connection.
+     *
+     * @throws IllegalArgumentException if a header cannot be sent
+     */
+    FullHttpRequest encode(UpstreamCall.OutgoingRequest outgoing) {
         Buffer body = outgoing.body();
         ByteBuf content = Unpooled.unreleasableBuffer(((BufferInternal) body).getByteBuf());
         FullHttpRequest request = new DefaultFullHttpRequest(
@@ -271,6 +276,9 @@
             if (message instanceof HttpContent content && !isClosed) {
                 readContent(content);
             }
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "response to request " + requestId + " cannot be handled", e);
+            fail("response cannot be handled: " + Failures.describe(e));
         } finally {
             ReferenceCountUtil.release(message);
         }
@@ -280,7 +288,7 @@
         if (cause instanceof MalformedResponseException malformed) {
             brokenRule = Optional.of(malformed.rule());
         }
-        fail(cause.getMessage());
+        fail(Failures.describe(cause));
     }
 
     private void readHead(HttpResponse response) {
@@ -299,7 +307,7 @@
         MultiMap headers = MultiMap.caseInsensitiveMultiMap();
         response.headers().forEach(header -> headers.add(header.getKey(), header.getValue()));
         boolean isSurplus = namesAnotherRequest(response) || listener.isSurplus(status, headers);
-        if (isSurplus && method != HttpMethod.HEAD && isDelimited(response)) {
+        if (isSurplus && !HttpMethod.HEAD.equals(method) && isDelimited(response)) {
             onSurplus.run();
             reading = Reading.SURPLUS_RESPONSE;
             surplusResponses++;
--- a/server/src/main/java/io/radishwinch/server/proxy/EndpointConnectionPool.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/EndpointConnectionPool.java
@@ -2,6 +2,7 @@
 
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.Verdict;
+import io.radishwinch.server.Failures;
 import io.radishwinch.server.engine.EndpointException;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -117,7 +118,7 @@
                     pool.openCount--;
                     onConnectFailure.accept(contact.endpointId());
                     return Future.failedFuture(notSentException(
-                            contact, Reason.STAGE_DIED, "connect failed: " + cause.getMessage(), cause));
+                            contact, Reason.STAGE_DIED, "connect failed: " + Failures.describe(cause), cause));
                 });
     }
 
@@ -192,6 +193,10 @@
             // The most recently used connection is the least likely to have been closed by the endpoint.
             for (Iterator<Connection> iterator = idleConnections.descendingIterator(); iterator.hasNext(); ) {
                 Connection connection = iterator.next();
+                if (connection.http.isClosed()) {
+                    // The connection removes itself when its close is reported to it.
+                    continue;
+                }
                 if (nowMs < connection.usableUntilMs && !connection.hasCarried(requestId)) {
                     iterator.remove();
                     return connection;
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -76,9 +76,6 @@
     private long nextProgressAtMs;
     private long lastActivityAtMs;
 
-    /** A response of an endpoint that has not been sent to the caller. */
-    private record BufferedResponse(int status, MultiMap headers, Buffer body) {}
-
     ProxyExchange(
             ProxyScope scope,
             RequestSpec request,
@@ -104,6 +101,19 @@
         this.relay = new RequestRelay(scope, request, new RelayListener());
     }
 
+    /**
+     * Starts to serve the request.
+     *
+     * @param isIsolated whether this router reaches no endpoint, so that another one should take the request
+     */
+    void serve(boolean isIsolated) {
+        guard(() -> {
+            if (!isIsolated || !tryRelay()) {
+                submit();
+            }
+        });
+    }
+
     @Override
     protected void startAttempt(Action.StartAttempt start) {
         if (relay.isActive()) {
@@ -144,6 +154,10 @@
      * reaches no endpoint. The core decides on a request that may have run, because of the retry budget.
      */
     void relayIfStuck(long nowMs) {
+        guard(() -> relayIfSilent(nowMs));
+    }
+
+    private void relayIfSilent(long nowMs) {
         boolean isRunning = attempt != null && attempt.call.isSent();
         boolean isProgressing =
                 isRunning && (nowMs - lastActivityAtMs <= RELAY_AFTER_SILENCE_MS || response.writeQueueFull());
@@ -299,18 +313,19 @@
         } else if (buffered != null && refusal.verdict() != Verdict.NOT_RUN) {
             sendBuffered(buffered);
         } else {
-            sendError(refusal);
+            sendRefusal(refusal);
         }
     }
 
-    private void sendError(Refusal refusal) {
+    @Override
+    protected void sendRefusal(Refusal refusal) {
         nameEndpoints();
         reportUnwritten(ProxyErrorResponse.send(response, refusal, shared, head.requestId()));
     }
 
     private void sendBuffered(BufferedResponse buffered) {
-        writeHead(buffered.status, buffered.headers);
-        reportUnwritten(response.end(buffered.body));
+        writeHead(buffered.status(), buffered.headers());
+        reportUnwritten(response.end(buffered.body()));
     }
 
     /** Tells the router that has relayed the request which endpoints have run it. */
@@ -327,26 +342,13 @@
         shared.announceClose(response);
     }
 
-    private static ResponseEnd.Framing framingOf(MultiMap headers) {
-        if (headers.contains(HttpHeaders.TRANSFER_ENCODING, HttpHeaders.CHUNKED, true)) {
-            return ResponseEnd.Framing.CHUNKED;
-        }
-        return headers.contains(HttpHeaders.CONTENT_LENGTH)
-                ? ResponseEnd.Framing.LENGTH
-                : ResponseEnd.Framing.CONNECTION;
-    }
-
-    /**
-     * Ends the exchange and resets the caller's connection, because the rest of the response cannot be obtained from
-     * another endpoint.
-     */
-    private void abort(Reason reason) {
-        withdraw(Optional.of(new Refusal(reason, Verdict.MAY_HAVE_RUN, ErrorMessages.of(reason), 0)));
-        abortResponse(reason);
-    }
-
     /** Sends the request to other routers. */
     private final class RelayListener implements RequestRelay.Listener {
+        @Override
+        public void run(Runnable part) {
+            guard(part);
+        }
+
         @Override
         public boolean isContinuable() {
             return isHeadSent && canContinue();
@@ -389,7 +391,7 @@
             if (isHeadSent) {
                 abortResponse(reason);
             } else {
-                sendError(refusal);
+                sendRefusal(refusal);
             }
         }
     }
@@ -417,6 +419,11 @@
             this.call = new UpstreamCall(scope, contact, history.sealsOf(contact), this);
         }
 
+        @Override
+        public void run(Runnable part) {
+            guard(part);
+        }
+
         @Override
         public void onRequestSent() {
             if (epoch != RELAY_EPOCH) {
@@ -448,7 +455,7 @@
             status = responseHead.status();
             seal = responseHead.seal();
             headers = responseHeaders;
-            framing = framingOf(headers);
+            framing = ResponseEnd.Framing.of(headers);
             if (epoch == RELAY_EPOCH) {
                 relay.endpoints().named(RelayHeaders.takeRanAt(headers));
             }
@@ -549,7 +556,7 @@
         }
 
         private void reportEnd(ResponseEnd.Cause cause, String detail) {
-            shared.responseEnds()
+            observe(() -> shared.responseEnds()
                     .responseEnded(
                             request.requestId(),
                             new ResponseEnd(
@@ -560,7 +567,7 @@
                                     eventCount,
                                     cause,
                                     detail,
-                                    call.carrier()));
+                                    call.carrier())));
         }
 
         /** Lets the core retry the request, or resets the caller's connection if no other response can follow. */
@@ -654,7 +661,7 @@
                         "a response of this size and unknown length needs HTTP/1.1",
                         0);
                 withdraw(Optional.of(refusal));
-                sendError(refusal);
+                sendRefusal(refusal);
                 return false;
             }
             isHeadSent = true;
@@ -672,13 +679,13 @@
             if (response.writeQueueFull()) {
                 call.pause();
                 startWriteTimer();
-                response.drainHandler(ignored -> {
+                response.drainHandler(ignored -> guard(() -> {
                     cancelWriteTimer();
                     lastActivityAtMs = shared.control().nowMs();
                     if (attempt == this && !isAttemptFinished) {
                         call.resume();
                     }
-                });
+                }));
             }
         }
     }
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -8,6 +8,7 @@
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.model.Verdict;
 import io.radishwinch.server.ControlLoop;
+import io.radishwinch.server.InternalErrors;
 import io.radishwinch.server.http.Authenticator;
 import io.radishwinch.server.http.BodyCollector;
 import io.radishwinch.server.http.DeliveryStats;
@@ -193,7 +194,7 @@
                 .connectionHandler(callerConnections::connectionOpened)
                 .requestHandler(request -> {
                     callerConnections.requestStarted(request);
-                    handler.handle(request);
+                    guard(request, () -> handler.handle(request));
                 })
                 .invalidRequestHandler(this::refuseInvalid);
     }
@@ -317,7 +318,12 @@
         }
         long arrivedAtMs = dependencies.control().nowMs();
         BodyCollector.collect(
-                vertx, request, config.limits().maxBodyBytes(), route.get().timeoutMs(), scope.bodyMemory(), body -> {
+                vertx,
+                request,
+                config.limits().maxBodyBytes(),
+                route.get().timeoutMs(),
+                scope.bodyMemory(),
+                body -> guard(request, () -> {
                     if (body.isLeft()) {
                         reject(request, caller, route.get().rank(), body.getLeft());
                     } else {
@@ -331,7 +337,20 @@
                                 arrivedAtMs,
                                 relayLimits));
                     }
-                });
+                }));
+    }
+
+    /** Runs a part of the admission of a request, which is refused as not run if an exception ends it. */
+    private void guard(HttpServerRequest request, Runnable part) {
+        try {
+            part.run();
+        } catch (RuntimeException e) {
+            String requestId = dependencies.dialect().requestId(request.headers());
+            dependencies.control().errors().report(InternalErrors.Part.EXCHANGE, requestId, e);
+            if (!request.response().ended()) {
+                reject(request, "", null, refusal(Reason.INTERNAL_ERROR));
+            }
+        }
     }
 
     /** A request with a parsed head and a complete body, ready for the core. */
@@ -389,9 +408,7 @@
                 engines == null ? 1 : engines.tokensPerEvent(),
                 received.relayLimits.isPresent());
         exchangesByRequestId.put(spec.requestId(), exchange);
-        if (!dependencies.relays().isIsolated() || !exchange.tryRelay()) {
-            exchange.submit();
-        }
+        exchange.serve(dependencies.relays().isIsolated());
     }
 
     private static int maxRuns(Route route) {
@@ -451,7 +468,7 @@
 
     private void reject(HttpServerRequest request, String caller, Rank rank, Refusal refusal) {
         String requestId = dependencies.dialect().requestId(request.headers());
-        dependencies.listener().rejected(requestId, caller, Optional.ofNullable(rank), refusal);
+        rejected(requestId, caller, Optional.ofNullable(rank), refusal);
         HttpServerResponse response = request.response();
         ProxyErrorResponse.send(response, refusal, scope, requestId)
                 .onFailure(ignored -> responseCut(ResponseCut.unwritten(requestId, refusal.reason(), response)));
@@ -465,7 +482,9 @@
 
     @Override
     public void rejected(String requestId, String caller, Optional<Rank> rank, Refusal refusal) {
-        dependencies.listener().rejected(requestId, caller, rank, refusal);
+        dependencies.control().errors().observe(requestId, () -> dependencies
+                .listener()
+                .rejected(requestId, caller, rank, refusal));
     }
 
     @Override
--- a/server/src/main/java/io/radishwinch/server/proxy/RequestRelay.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/RequestRelay.java
@@ -47,6 +47,9 @@
     /** Sends the request to the routers. */
     interface Listener {
 
+        /** Runs a part of the relay that may end with an exception. */
+        void run(Runnable part);
+
         /** Returns whether the caller is reading a response that another router can continue. */
         boolean isContinuable();
 
@@ -106,7 +109,8 @@
         deadlineTimerId = scope.vertx()
                 .setTimer(
                         Math.max(1, remainingMs + DEADLINE_MARGIN_MS),
-                        ignored -> listener.onRelayEnd(Reason.DEADLINE_EXCEEDED, Verdict.MAY_HAVE_RUN, 0));
+                        ignored -> listener.run(
+                                () -> listener.onRelayEnd(Reason.DEADLINE_EXCEEDED, Verdict.MAY_HAVE_RUN, 0)));
         relayTo(router);
     }
 
@@ -158,7 +162,7 @@
 
     private void requestRetry() {
         listener.onRetryNeeded();
-        retryTimerId = scope.vertx().setTimer(RETRY_INTERVAL_MS, ignored -> requestRetry());
+        retryTimerId = scope.vertx().setTimer(RETRY_INTERVAL_MS, ignored -> listener.run(this::requestRetry));
     }
 
     /** Relays the request to the next router, as the retry budget allows it. */
@@ -176,7 +180,7 @@
             relayTo(router.get());
         } else if (listener.isContinuable()) {
             triedRouterIds.clear();
-            retryTimerId = scope.vertx().setTimer(RETRY_INTERVAL_MS, ignored -> relayToNext());
+            retryTimerId = scope.vertx().setTimer(RETRY_INTERVAL_MS, ignored -> listener.run(this::relayToNext));
         } else {
             listener.onRelayEnd(Reason.NO_CAPACITY, Verdict.NOT_RUN, 0);
         }
--- a/server/src/main/java/io/radishwinch/server/proxy/ResponseEnd.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ResponseEnd.java
@@ -1,6 +1,8 @@
 package io.radishwinch.server.proxy;
 
 import io.radishwinch.http.ResponseRule;
+import io.vertx.core.MultiMap;
+import io.vertx.core.http.HttpHeaders;
 import java.util.Optional;
 
 /**
@@ -44,6 +46,14 @@
             this.wireName = wireName;
         }
 
+        /** Returns what marks the end of a response with these headers. */
+        static Framing of(MultiMap headers) {
+            if (headers.contains(HttpHeaders.TRANSFER_ENCODING, HttpHeaders.CHUNKED, true)) {
+                return CHUNKED;
+            }
+            return headers.contains(HttpHeaders.CONTENT_LENGTH) ? LENGTH : CONNECTION;
+        }
+
         /** Returns the name in logs. */
         public String wireName() {
             return wireName;
--- a/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/UpstreamCall.java
@@ -1,8 +1,11 @@
 package io.radishwinch.server.proxy;
 
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.Verdict;
+import io.radishwinch.server.Failures;
 import io.radishwinch.server.engine.EndpointException;
+import io.vertx.core.AsyncResult;
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
@@ -36,7 +39,12 @@
     /** Receives the events of a call. No event follows {@link #onFailure}, {@link #onRefused} or {@link #onEnd}. */
     interface Listener {
 
-        /** Called when the request was written, so that it may run from now on. */
+        /** Runs a part of the call that may end with an exception. */
+        default void run(Runnable part) {
+            part.run();
+        }
+
+        /** Called before the request is written; it may run from now on. */
         void onRequestSent();
 
         /** Called when the endpoint responds that it did not run the request. */
@@ -74,20 +82,22 @@
     void start(OutgoingRequest outgoing, int maxConnections) {
         requestId = scope.dialect().requestId(outgoing.headers());
         isOnlyRequest = outgoing.method() == HttpMethod.HEAD;
-        connect(outgoing, maxConnections).onComplete(acquired -> {
-            if (acquired.failed()) {
-                fail(acquired.cause());
-            } else if (isEnded) {
-                acquired.result().release(0);
-            } else if (scope.notices().isPaused(contact.endpointId())) {
-                // The endpoint asked for the pause while this request waited for a connection.
-                acquired.result().release(0);
-                fail(Reason.ENDPOINT_REFUSED, Verdict.NOT_RUN, "the endpoint has asked for a pause");
-            } else {
-                connection = acquired.result();
-                send(outgoing);
-            }
-        });
+        connect(outgoing, maxConnections).onComplete(acquired -> listener.run(() -> onConnection(acquired, outgoing)));
+    }
+
+    private void onConnection(AsyncResult<EndpointConnectionPool.Connection> acquired, OutgoingRequest outgoing) {
+        if (acquired.failed()) {
+            fail(acquired.cause());
+        } else if (isEnded) {
+            acquired.result().release(0);
+        } else if (scope.notices().isPaused(contact.endpointId())) {
+            // The endpoint asked for the pause while this request waited for a connection.
+            acquired.result().release(0);
+            fail(Reason.ENDPOINT_REFUSED, Verdict.NOT_RUN, "the endpoint has asked for a pause");
+        } else {
+            connection = acquired.result();
+            send(outgoing);
+        }
     }
 
     /**
@@ -141,16 +151,16 @@
             fail(Reason.STAGE_DIED, Verdict.NOT_RUN, "connection closed before the request was sent");
             return;
         }
-        Future<Void> written;
+        FullHttpRequest request;
         try {
-            written = connection.http().send(outgoing, requestId, this);
+            request = connection.http().encode(outgoing);
         } catch (IllegalArgumentException e) {
-            fail(Reason.MALFORMED_REQUEST, Verdict.NOT_RUN, "request cannot be sent: " + e.getMessage());
+            fail(Reason.MALFORMED_REQUEST, Verdict.NOT_RUN, "request cannot be sent: " + Failures.describe(e));
             return;
         }
         isSent = true;
-        written.onSuccess(done -> isBodySent = true);
         listener.onRequestSent();
+        connection.http().send(request, requestId, this).onSuccess(done -> isBodySent = true);
     }
 
     @Override
@@ -176,6 +186,10 @@
 
     @Override
     public void onResponseHead(int status, MultiMap headers) {
+        listener.run(() -> readHead(status, headers));
+    }
+
+    private void readHead(int status, MultiMap headers) {
         head = scope.dialect().readResponseHead(status, headers);
         boolean namesOther =
                 head.requestId().isPresent() && !head.requestId().get().equals(requestId);
@@ -217,7 +231,7 @@
     @Override
     public void onBodyChunk(Buffer chunk) {
         if (!isEnded) {
-            listener.onBodyChunk(chunk);
+            listener.run(() -> listener.onBodyChunk(chunk));
             return;
         }
         drainedBytes += chunk.length();
@@ -234,7 +248,7 @@
             scope.vertx().cancelTimer(drainTimerId);
         } else {
             isEnded = true;
-            listener.onEnd();
+            listener.run(listener::onEnd);
         }
     }
 
@@ -279,7 +293,7 @@
 
     private void fail(Throwable cause) {
         EndpointException failure = (EndpointException) cause;
-        fail(failure.reason(), failure.verdict(), failure.getMessage());
+        fail(failure.reason(), failure.verdict(), Failures.describe(failure));
     }
 
     private void fail(Reason reason, Verdict verdict, String message) {
@@ -288,7 +302,7 @@
             if (connection != null) {
                 connection.discard();
             }
-            listener.onFailure(reason, verdict, message);
+            listener.run(() -> listener.onFailure(reason, verdict, message));
         }
     }
 }
--- a/server/src/test/java/io/radishwinch/server/ControlLoopTest.java
+++ b/server/src/test/java/io/radishwinch/server/ControlLoopTest.java
@@ -44,10 +44,44 @@
             control.submit(request(id), new RefusedExchange(id, id.equals("a")));
         }
         control.post(new Event.ConfigChanged(new FleetConfig(1, Map.of(), Map.of(), Map.of(), Map.of())));
+        assertThat(openRequests(control)).isZero();
+        assertThat(refused).containsExactly("a", "b", "c");
+    }
+
+    /** Guards against events that never reach the core, such as the end of an attempt, because a log line fails. */
+    @Test
+    void anObserverThatThrowsDoesNotKeepAnEventFromTheCore() throws Exception {
+        ControlLoop control = new ControlLoop(vertx.getOrCreateContext(), () -> 0, new RefusingCore(), action -> {});
+        control.setEventObserver(event -> {
+            throw new IllegalStateException("no line for " + event);
+        });
+        control.submit(request("a"), new RefusedExchange("a", false));
+        control.post(new Event.ConfigChanged(new FleetConfig(1, Map.of(), Map.of(), Map.of(), Map.of())));
+        assertThat(openRequests(control)).isZero();
+        assertThat(refused).containsExactly("a");
+        assertThat(control.errors().count(InternalErrors.Part.OBSERVER)).isEqualTo(2);
+    }
+
+    /** Guards against a request that nobody answers because the core fails on its arrival. */
+    @Test
+    void aRequestOnWhichTheCoreFailsIsRefused() throws Exception {
+        ViewlessCore failing = new ViewlessCore() {
+            @Override
+            public List<Action> handle(Event event, long nowMs) {
+                throw new IllegalStateException("no decision on " + event);
+            }
+        };
+        ControlLoop control = new ControlLoop(vertx.getOrCreateContext(), () -> 0, failing, action -> {});
+        control.submit(request("a"), new RefusedExchange("a", false));
+        assertThat(openRequests(control)).isZero();
+        assertThat(refused).containsExactly("a");
+        assertThat(control.errors().count(InternalErrors.Part.CONTROL)).isOne();
+    }
+
+    private static int openRequests(ControlLoop control) throws Exception {
         CompletableFuture<Integer> openRequests = new CompletableFuture<>();
         control.execute(() -> openRequests.complete(control.openRequests()));
-        assertThat(openRequests.get(WAIT_S, TimeUnit.SECONDS)).isZero();
-        assertThat(refused).containsExactly("a", "b", "c");
+        return openRequests.get(WAIT_S, TimeUnit.SECONDS);
     }
 
     private static RequestSpec request(String id) {
--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
@@ -8,6 +8,7 @@
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.model.Verdict;
 import io.radishwinch.server.ControlLoop;
+import io.radishwinch.server.InternalErrors;
 import io.radishwinch.server.http.DeliveryStats;
 import io.radishwinch.server.http.ExchangeListener;
 import io.radishwinch.server.http.MemoryBudget;
@@ -73,6 +74,8 @@
     private long deadlineMs = Long.MAX_VALUE;
     private long writeTimeoutMs = TimeUnit.SECONDS.toMillis(WAIT_S);
     private boolean isForPeer;
+    private boolean areObserversFailing;
+    private boolean isLookupFailing;
     private final OtherRouters relays = new OtherRouters();
     private Context context;
     private ProxyExchange exchange;
@@ -129,6 +132,9 @@
                 new ContactLookup() {
                     @Override
                     public Optional<EndpointContact> contact(String endpointId) {
+                        if (isLookupFailing) {
+                            throw new IllegalStateException("no contact of " + endpointId);
+                        }
                         return Optional.of(contact);
                     }
 
@@ -146,12 +152,19 @@
                     @Override
                     public void finished(RequestSpec request, DeliveryStats delivery, Optional<Refusal> refusal) {
                         outcome.complete(refusal);
+                        if (areObserversFailing) {
+                            throw new IllegalStateException("no line for " + request);
+                        }
                     }
 
                     @Override
                     public void rejected(String requestId, String caller, Optional<Rank> rank, Refusal refusal) {}
                 },
-                (requestId, end) -> {},
+                (requestId, end) -> {
+                    if (areObserversFailing) {
+                        throw new IllegalStateException("no line for " + end);
+                    }
+                },
                 () -> false,
                 writeTimeoutMs);
         CompletableFuture<Integer> port = new CompletableFuture<>();
@@ -320,6 +333,37 @@
         assertThat(endpoint.requestHeads).hasSize(3);
     }
 
+    /**
+     * Guards against attempts that never end, so that their callers get neither an answer nor a refusal, because a log
+     * line on them throws.
+     */
+    @ParameterizedTest
+    @EnumSource(
+            value = RouteKind.class,
+            names = {"REPEATABLE", "STREAM"})
+    void aRequestIsRetriedAlthoughTheObserversOfItsAttemptsThrow(RouteKind kind) throws Exception {
+        areObserversFailing = true;
+        Script closing = new Script("", End.CLOSE);
+        Script success = new Script(STREAM_HEAD + chunk(events(1, 4)) + LAST_CHUNK, End.NONE);
+        String response = call(start(kind, List.of(closing, success)));
+        assertThat(bodyOf(response)).isEqualTo(events(1, 4));
+        assertThat(control.errors().count(InternalErrors.Part.OBSERVER)).isEqualTo(3);
+        assertThat(control.errors().count(InternalErrors.Part.EXCHANGE)).isZero();
+    }
+
+    /** Guards against callers who wait for an answer after the handling of their request has failed. */
+    @ParameterizedTest
+    @EnumSource(
+            value = RouteKind.class,
+            names = {"REPEATABLE", "STREAM"})
+    void aRequestWhoseHandlingFailsEndsWithAnError(RouteKind kind) throws Exception {
+        isLookupFailing = true;
+        String response = call(start(kind, List.of()));
+        assertThat(response).startsWith("HTTP/1.1 502 ").contains("internal-error, may-have-run");
+        assertThat(outcome.get(WAIT_S, TimeUnit.SECONDS)).map(Refusal::reason).contains(Reason.INTERNAL_ERROR);
+        assertThat(control.errors().count(InternalErrors.Part.EXCHANGE)).isOne();
+    }
+
     /** Guards against a caller who gets a status that is none, or a success for a run that failed. */
     @ParameterizedTest
     @CsvSource({"REPEATABLE, 000", "REPEATABLE, 0200", "STREAM, 999", "STREAM, +200"})
