Test a call whose kept connection is closed before the close is reported

The endpoint closes the connection, the event loop has read that, and the event that reports it follows the one that sends the next call. The test fails when the connection's own state is asked instead of the channel's: the call then ends as stage-died, may-have-run, with no text.

--- a/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/UpstreamCallTest.java
@@ -41,6 +41,8 @@
     private static final long WAIT_S = 20;
     private static final int MAX_CONNECTIONS = 4;
     private static final int POLL_MS = 20;
+    private static final int TASKS_BETWEEN_READS = 200;
+    private static final long MAX_TASKS_MS = 1_200;
 
     /** Exceeds what the buffers of a connection hold. */
     private static final int MANY_BYTES = 64 << 20;
@@ -187,6 +189,48 @@
         isReleased.get(WAIT_S, TimeUnit.SECONDS);
     }
 
+    /**
+     * Guards against a plain call without an answer, because the endpoint closes the kept connection as the request is
+     * written to it: the event loop has read the close, and reports it in an event after the one that sends.
+     */
+    @Test
+    void aCallDoesNotUseAConnectionThatTheEndpointHasJustClosed() throws Exception {
+        connections = new EndpointConnectionPool(vertx, PlainDialect.REQUEST_ID, () -> 0, id -> {});
+        Recorder first = call("a", server.getLocalPort(), new NoNotices());
+        CompletableFuture<Void> isClosed = new CompletableFuture<>();
+        Recorder second;
+        try (Socket socket = server.accept()) {
+            ScriptedEndpoint.readHead(socket);
+            write(socket, identified(200, "a", "run of a"));
+            first.outcome.get(WAIT_S, TimeUnit.SECONDS);
+            awaitRelease();
+            context.runOnContext(ignored -> {
+                isClosed.join();
+                sleep(MAX_TASKS_MS);
+            });
+            // The event loop reads from its sockets after a number of tasks that take longer than a limit.
+            for (int i = 0; i < TASKS_BETWEEN_READS; i++) {
+                context.runOnContext(ignored -> {});
+            }
+            second = call("b", server.getLocalPort(), new NoNotices());
+        }
+        isClosed.complete(null);
+        server.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_S));
+        try (Socket socket = server.accept()) {
+            ScriptedEndpoint.readHead(socket);
+            write(socket, identified(200, "b", "run of b"));
+            assertThat(second.outcome.get(WAIT_S, TimeUnit.SECONDS)).isEqualTo("complete: run of b");
+        }
+    }
+
+    private static void sleep(long durationMs) {
+        try {
+            Thread.sleep(durationMs);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** Answers the first call on a connection, and makes a second one that the connection carries. */
     private Recorder callAfter(Recorder first, Socket socket) throws Exception {
         ScriptedEndpoint.readHead(socket);
