Keep the limit of idle connections from cutting requests that wait

Callers got neither an answer nor a refusal, or a stream without its end, when no byte had passed on their connection for three times the idle limit of the configuration that was in force at the start of their router: the limit of the HTTP server does not ask whether a request is running. A router starts with the defaults, three minutes, unless its first configuration comes before its server listens; by reading, a start on a slow VM allows that.

The router now closes only connections that carry no request, by the configuration in force and never sooner than before. The check runs every 5 s.

ProxyServerTest.aRequestThatWaitsIsNotCutByTheLimitOfIdleConnections fails before: the connection of a request that waits ends after 1 s. The other test of the class covers the refusal of requests whose admission fails.

--- a/server/src/main/java/io/radishwinch/server/proxy/CallerConnections.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/CallerConnections.java
@@ -7,23 +7,42 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongSupplier;
 
 /** Tracks the connections of callers and the number of active requests on each. Confined to one traffic thread. */
 final class CallerConnections {
 
-    private final Map<HttpConnection, Integer> activeRequestCounts = new HashMap<>();
+    private final LongSupplier clockMs;
+    private final Map<HttpConnection, Activity> activities = new HashMap<>();
     private final Set<HttpConnection> idleSinceDrainStart = new HashSet<>();
     private boolean isShuttingDown;
 
+    /**
+     * Use of a connection.
+     *
+     * @param requests active requests
+     * @param changedAtMs when their number last changed
+     */
+    private record Activity(int requests, long changedAtMs) {
+
+        boolean isIdle() {
+            return requests == 0;
+        }
+    }
+
+    CallerConnections(LongSupplier clockMs) {
+        this.clockMs = clockMs;
+    }
+
     void connectionOpened(HttpConnection connection) {
         if (isShuttingDown) {
             // Accepted before the listener was closed; none of its requests has been read.
             connection.close();
             return;
         }
-        activeRequestCounts.put(connection, 0);
+        activities.put(connection, new Activity(0, clockMs.getAsLong()));
         connection.closeHandler(ignored -> {
-            activeRequestCounts.remove(connection);
+            activities.remove(connection);
             idleSinceDrainStart.remove(connection);
         });
     }
@@ -31,21 +50,34 @@
     void requestStarted(HttpServerRequest request) {
         HttpConnection connection = request.connection();
         idleSinceDrainStart.remove(connection);
-        activeRequestCounts.computeIfPresent(connection, (key, count) -> count + 1);
-        request.response()
-                .endHandler(ignored ->
-                        activeRequestCounts.computeIfPresent(connection, (key, count) -> Math.max(0, count - 1)));
+        addRequests(connection, 1);
+        request.response().endHandler(ignored -> addRequests(connection, -1));
+    }
+
+    private void addRequests(HttpConnection connection, int change) {
+        activities.computeIfPresent(
+                connection,
+                (key, activity) -> new Activity(Math.max(0, activity.requests + change), clockMs.getAsLong()));
     }
 
     /** Returns the number of open connections. */
     int count() {
-        return activeRequestCounts.size();
+        return activities.size();
+    }
+
+    /** Closes the connections that have carried no request since a time. */
+    void closeUnusedSince(long timeMs) {
+        List<HttpConnection> unused = activities.entrySet().stream()
+                .filter(entry -> entry.getValue().isIdle() && entry.getValue().changedAtMs <= timeMs)
+                .map(Map.Entry::getKey)
+                .toList();
+        unused.forEach(HttpConnection::close);
     }
 
     /** Records the connections that have no active request. */
     void startDrain() {
-        activeRequestCounts.forEach((connection, count) -> {
-            if (count == 0) {
+        activities.forEach((connection, activity) -> {
+            if (activity.isIdle()) {
                 idleSinceDrainStart.add(connection);
             }
         });
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -18,6 +18,7 @@
 import io.radishwinch.server.http.PromptHashes;
 import io.radishwinch.server.http.Refusal;
 import io.radishwinch.server.http.ResponseCut;
+import io.radishwinch.server.route.ConnectionLimits;
 import io.radishwinch.server.route.Route;
 import io.radishwinch.server.route.RouteKind;
 import io.radishwinch.server.route.RoutingConfig;
@@ -76,19 +77,24 @@
 
     private static final int MAX_INITIAL_LINE_BYTES = 16 << 10;
     private static final int MAX_HEADER_BYTES = 64 << 10;
-    private static final int MS_PER_S = 1_000;
 
     /**
      * Multiple of the configured idle timeout after which idle connections are closed, so that the caller closes first.
      */
     private static final int IDLE_TIMEOUT_FACTOR = 3;
 
+    /** Lowest idle timeout in ms; a caller may know of a longer one before this router does. */
+    private static final long MIN_IDLE_TIMEOUT_MS = ConnectionLimits.defaults().idleTimeoutMs();
+
+    /** Interval of the check for idle connections, in ms. */
+    private static final long IDLE_CHECK_INTERVAL_MS = 5_000;
+
     private final Dependencies dependencies;
     private final Vertx vertx;
     private final Map<String, ProxyExchange> exchangesByRequestId = new HashMap<>();
     private ProxyScope scope;
     private long duplicateIdCount;
-    private final CallerConnections callerConnections = new CallerConnections();
+    private final CallerConnections callerConnections;
     private HttpServer server;
     private Optional<HttpServer> relayServer = Optional.empty();
     private long closeIdleAtMs = Long.MAX_VALUE;
@@ -131,6 +137,7 @@
     public ProxyServer(Vertx vertx, Dependencies dependencies) {
         this.vertx = vertx;
         this.dependencies = dependencies;
+        this.callerConnections = new CallerConnections(dependencies.control()::nowMs);
     }
 
     /**
@@ -168,11 +175,10 @@
                 callerConnections.closeIdle();
             }
         });
-        long idleMs = IDLE_TIMEOUT_FACTOR * dependencies.config().get().limits().idleTimeoutMs();
+        vertx.setPeriodic(IDLE_CHECK_INTERVAL_MS, ignored -> closeUnusedConnections());
         HttpServerOptions options = new HttpServerOptions()
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
                 .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
-                .setIdleTimeout((int) (idleMs / MS_PER_S))
                 .setHandle100ContinueAutomatically(true)
                 .setTcpNoDelay(true)
                 // With upgrades to HTTP/2, Vert.x reports a connection only after its first request head.
@@ -236,6 +242,12 @@
         return callerConnections.count();
     }
 
+    private void closeUnusedConnections() {
+        long timeoutMs = Math.max(
+                MIN_IDLE_TIMEOUT_MS, dependencies.config().get().limits().idleTimeoutMs());
+        callerConnections.closeUnusedSince(dependencies.control().nowMs() - IDLE_TIMEOUT_FACTOR * timeoutMs);
+    }
+
     private void reportStalledEndpoints() {
         long nowMs = dependencies.control().nowMs();
         Set<String> stalled = new HashSet<>();
--- a/server/src/test/java/io/radishwinch/server/proxy/PlainDialect.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/PlainDialect.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import io.vertx.core.MultiMap;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -23,7 +24,8 @@
 
     @Override
     public Either<String, RequestHead> readRequest(MultiMap headers) {
-        throw new UnsupportedOperationException();
+        return Either.right(
+                new RequestHead(requestId(headers), RequestHead.NONE, 1, 1, 1, List.of(), RequestHead.NONE));
     }
 
     @Override
--- /dev/null
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyServerTest.java
@@ -0,0 +1,172 @@
+package io.radishwinch.server.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.radishwinch.cluster.membership.Address;
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.Contract;
+import io.radishwinch.core.model.FleetConfig;
+import io.radishwinch.core.model.Limits;
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.server.ControlLoop;
+import io.radishwinch.server.InternalErrors;
+import io.radishwinch.server.ViewlessCore;
+import io.radishwinch.server.http.Authenticator;
+import io.radishwinch.server.http.DeliveryStats;
+import io.radishwinch.server.http.ExchangeListener;
+import io.radishwinch.server.http.Refusal;
+import io.radishwinch.server.route.Backend;
+import io.radishwinch.server.route.ConnectionLimits;
+import io.radishwinch.server.route.Route;
+import io.radishwinch.server.route.RouteKind;
+import io.radishwinch.server.route.RouteTable;
+import io.radishwinch.server.route.RoutingConfig;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests of callers that get neither an answer nor a refusal, over loopback sockets. */
+class ProxyServerTest {
+    private static final int WAIT_MS = 20_000;
+    private static final long IDLE_TIMEOUT_MS = 400;
+
+    /** Exceeds the idle limit, which the server multiplies and rounds to seconds. */
+    private static final int WAITING_MS = 3_000;
+
+    private static final String REQUEST = "GET / HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n\r\n";
+
+    private final Vertx vertx = Vertx.vertx();
+    private final ControlLoop control =
+            new ControlLoop(vertx.getOrCreateContext(), System::currentTimeMillis, new WaitingCore(), action -> {});
+
+    @AfterEach
+    void close() {
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    /** Core in which all requests wait. */
+    private static final class WaitingCore extends ViewlessCore {
+        @Override
+        public List<Action> handle(Event event, long nowMs) {
+            return List.of();
+        }
+    }
+
+    private static RoutingConfig config(List<Backend> backends) {
+        Route route = new Route("r", "h", "/", RouteKind.STREAM, 60_000, 0, 0, Rank.BATCH, backends, 1, true, true);
+        Contract contract = new Contract(
+                RoutingConfig.PUBLIC_CALLER,
+                List.of(),
+                1,
+                new Limits(1, 1, 1),
+                Map.of(),
+                Rank.BATCH,
+                Set.of(),
+                Set.of());
+        FleetConfig fleet = new FleetConfig(1, Map.of(contract.caller(), contract), Map.of(), Map.of(), Map.of());
+        return new RoutingConfig(
+                1,
+                new RouteTable(List.of(route)),
+                fleet,
+                Map.of(),
+                new ConnectionLimits(16 << 10, 4 << 20, 10_000, IDLE_TIMEOUT_MS),
+                Map.of());
+    }
+
+    /** Starts a server that all its requests wait in, and returns its port. */
+    private int start(RoutingConfig config) throws Exception {
+        Address callers = new Address("127.0.0.1", freePort());
+        ProxyServer server = new ProxyServer(
+                vertx,
+                new ProxyServer.Dependencies(
+                        control,
+                        new PlainDialect(),
+                        new NoContacts(),
+                        new Authenticator(),
+                        () -> config,
+                        () -> 1,
+                        new SilentListener(),
+                        (requestId, end) -> {},
+                        (endpointId, limit) -> {},
+                        new NoNotices(),
+                        PeerRelays.NONE,
+                        endpointId -> {},
+                        endpointId -> {}));
+        CompletableFuture<Void> started = new CompletableFuture<>();
+        vertx.getOrCreateContext().runOnContext(ignored -> server.start(callers, Optional.empty())
+                .onComplete(done -> started.complete(null), started::completeExceptionally));
+        started.get(WAIT_MS, TimeUnit.MILLISECONDS);
+        return callers.port();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static Socket send(int port) throws IOException {
+        Socket socket = new Socket("127.0.0.1", port);
+        socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+        return socket;
+    }
+
+    /**
+     * Guards against a request whose connection is closed without an answer, because the configuration in force at the
+     * start of the router limits the time for which connections without a request are kept.
+     */
+    @Test
+    void aRequestThatWaitsIsNotCutByTheLimitOfIdleConnections() throws Exception {
+        try (Socket socket = send(start(config(List.of(new Backend("m", 1)))))) {
+            socket.setSoTimeout(WAITING_MS);
+            assertThatThrownBy(() -> socket.getInputStream().read()).isInstanceOf(SocketTimeoutException.class);
+        }
+    }
+
+    /** Guards against a request that waits for its answer after its admission has failed with an exception. */
+    @Test
+    void aRequestWhoseAdmissionFailsIsRefusedAsNotRun() throws Exception {
+        try (Socket socket = send(start(config(List.of())))) {
+            socket.setSoTimeout(WAIT_MS);
+            byte[] answer = socket.getInputStream().readNBytes("HTTP/1.1 503".length());
+            assertThat(new String(answer, StandardCharsets.US_ASCII)).isEqualTo("HTTP/1.1 503");
+        }
+        assertThat(control.errors().count(InternalErrors.Part.EXCHANGE)).isOne();
+    }
+
+    /** Lookup without endpoints. */
+    private static final class NoContacts implements ContactLookup {
+        @Override
+        public Optional<EndpointContact> contact(String endpointId) {
+            return Optional.empty();
+        }
+
+        @Override
+        public Optional<String> endpointAt(String address) {
+            return Optional.empty();
+        }
+    }
+
+    /** Listener that ignores all outcomes. */
+    private static final class SilentListener implements ExchangeListener {
+        @Override
+        public void finished(RequestSpec request, DeliveryStats delivery, Optional<Refusal> refusal) {}
+
+        @Override
+        public void rejected(String requestId, String caller, Optional<Rank> rank, Refusal refusal) {}
+    }
+}
