End attempts that outlive their endpoints

An attempt whose end is never reported could go on until the deadline of its request although its endpoint had ended: the cancellation was withdrawn when the endpoint joined under the same identifier in its next lifetime, a preemption that was not confirmed returned the attempt to an endpoint that had ended meanwhile, and nothing limited a request that must not be repeated.

Each attempt now has a deadline from the end of an endpoint of its chain, 2 s, by which its end must be reported. Otherwise it ends as stage-died, may have run. The deadline is withdrawn if the endpoint is in use again without a proof of its end; a request that must not be repeated has one only once the end is proven, since an endpoint may merely have stopped to accept connections. Suspected endpoints set no deadline.

CoreSimulation checks after each event that no attempt outlives an endpoint.

--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -15,6 +15,12 @@
 /** Tracks running attempts and decides between retry, reroute and refusal when they fail. */
 final class AttemptSystem {
 
+    /**
+     * Time after the end of an endpoint within which a response that it has sent still arrives, in ms. An attempt whose
+     * end has not been reported by then is ended.
+     */
+    private static final long MAX_LATE_END_MS = Event.EndpointRemoved.MAX_SILENCE_MS;
+
     private final CoreState state;
     private final QuarantineSystem quarantineSystem;
     private final PartQuarantineSystem partQuarantineSystem;
@@ -89,7 +95,8 @@
 
     /**
      * Reroutes or cancels the attempts on a removed endpoint; the end of each one reports the delivered tokens.
-     * Attempts on an endpoint that is only suspected continue unless another attempt can take them up.
+     * Attempts on an endpoint that is only suspected continue unless another attempt can take them up. Those on one
+     * that has ended are ended here if nothing reports their end in time.
      */
     void endpointRemoved(Event.EndpointRemoved removed, long nowMs) {
         if (removed.isSuspected()) {
@@ -103,6 +110,9 @@
         for (RequestRow row : rows) {
             // An accepted non-repeatable request must not run twice, and its response may still arrive.
             boolean canRestart = row.spec.isRepeatable() || !row.isAccepted;
+            if (removed.hasCrashed() || canRestart && !removed.isSuspected()) {
+                limitAttempt(row, removed, nowMs);
+            }
             if (row.state == RequestRow.State.RUNNING && canRestart) {
                 row.isCancelledByCrash = removed.hasCrashed();
                 boolean isRerouted = startReroute(row, removed.endpointId(), nowMs);
@@ -126,9 +136,22 @@
         }
     }
 
-    /** Ends the suspicion of an endpoint that responds again. */
+    private static void limitAttempt(RequestRow row, Event.EndpointRemoved removed, long nowMs) {
+        row.endedEndpoints.merge(
+                removed.endpointId(),
+                new RequestRow.EndedEndpoint(nowMs + MAX_LATE_END_MS, removed.hasCrashed()),
+                (earlier, later) ->
+                        new RequestRow.EndedEndpoint(earlier.deadlineMs(), earlier.isProven() || later.isProven()));
+    }
+
+    /** Ends the suspicion of an endpoint that responds again, and the limit of its attempts that may go on. */
     void endpointJoined(String endpointId) {
         state.suspectedSinceMs.remove(endpointId);
+        for (RequestRow row : state.running) {
+            // The response to a request that cannot run again is still waited for, as reports of crashes can be wrong.
+            boolean canRestart = row.spec.isRepeatable() || !row.isAccepted;
+            row.endedEndpoints.computeIfPresent(endpointId, (id, end) -> end.isProven() && canRestart ? end : null);
+        }
     }
 
     /** Cancels the attempts on suspected endpoints that another attempt can take up by now. */
@@ -220,7 +243,8 @@
                         state.directory.isUsable(stage.endpointId(), nowMs) || row.chain.uses(stage.endpointId()));
         if (event.isAccepted() && isUsable) {
             state.replaceChain(row, chain, nowMs);
-        } else if (!mayRespondAgain(row.rerouteLostEndpointId)) {
+            row.endedEndpoints.keySet().removeIf(id -> !chain.uses(id));
+        } else if (!mayRespondAgain(row, row.rerouteLostEndpointId)) {
             cancel(row, Reason.STAGE_DIED, row.rerouteLostEndpointId, nowMs);
         }
     }
@@ -248,13 +272,16 @@
             if (state.deadlineMs(row) <= nowMs) {
                 state.pool(row.spec.pool()).recordUnfinished(row.spec, nowMs - row.attemptStartedAtMs, nowMs);
                 state.refuse(row, state.deadlineReason(row, Reason.DEADLINE_EXCEEDED), nowMs);
+            } else if (row.outlivesEndpoint(nowMs)) {
+                state.recordDecision(row, nowMs, "no end reported since that of " + row.endedEndpoints.keySet());
+                state.refuse(row, Reason.STAGE_DIED, nowMs);
             } else if (row.state != RequestRow.State.CANCELLING || row.nextTransitionAtMs > nowMs) {
                 continue;
             } else if (row.cancelReason == Reason.PREEMPTED) {
                 // No other attempt can continue the response that has begun, and its endpoint is sound.
                 row.state = RequestRow.State.RUNNING;
                 row.preemptions = state.settings.maxPreemptions();
-            } else if (row.cancelReason == Reason.STAGE_DIED && mayRespondAgain(row.cancelEndpointId)) {
+            } else if (row.cancelReason == Reason.STAGE_DIED && mayRespondAgain(row, row.cancelEndpointId)) {
                 // No other attempt can continue the response that has begun, and its endpoint may respond again.
                 row.state = RequestRow.State.RUNNING;
                 row.cannotBeTakenUp = true;
@@ -377,9 +404,10 @@
         }
     }
 
-    /** Returns whether an endpoint is only suspected, or is in use again. */
-    private boolean mayRespondAgain(String endpointId) {
-        return state.suspectedSinceMs.containsKey(endpointId) || !state.directory.isRemoved(endpointId);
+    /** Returns whether the endpoint of an attempt is only suspected, or is in use again in the same lifetime. */
+    private boolean mayRespondAgain(RequestRow row, String endpointId) {
+        return !row.endedEndpoints.containsKey(endpointId)
+                && (state.suspectedSinceMs.containsKey(endpointId) || !state.directory.isRemoved(endpointId));
     }
 
     private RequestRow runningAttempt(String requestId, int epoch) {
--- a/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
@@ -236,6 +236,7 @@
         row.tokensBeforeAttempt = row.deliveredTokens;
         row.isAccepted = false;
         row.cannotBeTakenUp = false;
+        row.endedEndpoints.clear();
         row.hasReservedRetry = false;
         row.canUseBusyEndpoint = false;
         state.acquire(row, chain, nowMs);
--- a/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
+++ b/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
@@ -30,6 +30,14 @@
         CANCELLING
     }
 
+    /**
+     * Endpoint of a running attempt that has ended.
+     *
+     * @param deadlineMs time by which the end of the attempt must be reported, in ms
+     * @param isProven whether the endpoint is in another lifetime once it is in use again
+     */
+    record EndedEndpoint(long deadlineMs, boolean isProven) {}
+
     final RequestSpec spec;
     /** Pool as configured when the request was admitted. */
     final ModelSpec admittedPool;
@@ -81,6 +89,8 @@
     String cancelEndpointId;
     /** Whether the attempt was cancelled because an endpoint crashed, as opposed to left. */
     boolean isCancelledByCrash;
+    /** Endpoints of the running attempt that have ended. */
+    final Map<String, EndedEndpoint> endedEndpoints = new LinkedHashMap<>();
     /** Whether the request waits for a retry that the budget has not granted yet. */
     boolean isWaitingForRetryBudget;
     /** Whether the retry after the running attempt has been charged to the budget. */
@@ -116,6 +126,11 @@
         return state == State.RUNNING || state == State.CANCELLING;
     }
 
+    /** Returns whether the running attempt has gone on for too long after the end of one of its endpoints. */
+    boolean outlivesEndpoint(long nowMs) {
+        return !endedEndpoints.isEmpty() && endedEndpoints.values().stream().anyMatch(end -> end.deadlineMs <= nowMs);
+    }
+
     /**
      * Returns whether the caller has received events, so that the request can no longer be refused but only broken off.
      */
--- a/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -27,7 +27,9 @@
  * <p>Each system processes the tables on every tick and on its own events. For every {@link Action.CancelAttempt} of a
  * request that has not ended, an adapter must report the end of the attempt, either as finished or as failed with the
  * delivered tokens. Otherwise the request is refused after {@link CoreSettings#cancelTimeoutMs()}, because the token
- * from which it would resume is unknown.
+ * from which it would resume is unknown, unless its endpoint may still respond. An attempt whose end is not reported
+ * within {@link Event.EndpointRemoved#MAX_SILENCE_MS} of the proven end of an endpoint is ended as one that may have
+ * run.
  */
 public final class TableDecisionCore implements DecisionCore {
 
--- a/core/src/test/java/io/radishwinch/core/impl/CorePropertyTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/CorePropertyTest.java
@@ -4,6 +4,7 @@
 
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.EndpointSpec;
 import io.radishwinch.core.model.Limits;
 import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.Reason;
@@ -132,6 +133,27 @@
         assertThat(state.callers.values()).allMatch(caller -> caller.active == 0 && caller.waiting == 0);
     }
 
+    /** Guards against attempts that outlive their endpoints; {@link CoreSimulation} checks it after each event. */
+    @Property(seed = "23", tries = 150)
+    void everyAttemptEndsSoonAfterItsEndpointsHaveEnded(@ForAll long seed) {
+        CoreSimulation simulation = randomSimulation(seed);
+        Random random = new Random(seed + 2);
+        simulation.confirmsCancellations = random.nextBoolean();
+        List<String> endpointIds = List.copyOf(simulation.directory.runningByEndpoint.keySet());
+        for (int n = 0; n < 60; n++) {
+            String id = endpointIds.get(random.nextInt(endpointIds.size()));
+            long atMs = random.nextInt((int) END_MS);
+            boolean isSuspected = random.nextBoolean();
+            simulation.at(atMs, new Event.EndpointRemoved(id, !isSuspected && random.nextBoolean(), isSuspected));
+            simulation.at(
+                    atMs + random.nextInt(3_000),
+                    new Event.EndpointJoined(new EndpointSpec(id, "dc", "", 0, "k", 4, false, false)));
+        }
+        simulation.run(ALL_ENDED_MS);
+        assertThat(simulation.traces.values()).allMatch(t -> t.end != null || t.isCallerDisconnected);
+        assertThat(simulation.core.state().running).isEmpty();
+    }
+
     @Property(seed = "22", tries = 25)
     void theSameEventsGiveTheSameActions(@ForAll long seed) {
         CoreSimulation first = randomSimulation(seed);
--- a/core/src/test/java/io/radishwinch/core/impl/CoreSimulation.java
+++ b/core/src/test/java/io/radishwinch/core/impl/CoreSimulation.java
@@ -33,10 +33,13 @@
     static final long TICK_MS = 50;
     static final long TOKEN_MS = 10;
     static final long PROGRESS_MS = 1_000;
+    private static final long MAX_LATE_END_MS = Event.EndpointRemoved.MAX_SILENCE_MS;
 
     /** Event that ends an attempt, and its delay after the start. */
     record Outcome(long afterMs, Event event) {}
 
+    private record EndpointEnd(String endpointId, long atMs, boolean isProven) {}
+
     private record ScheduledEvent(long atMs, long sequence, Event event) {}
 
     /** Recorded history of one request. */
@@ -74,6 +77,10 @@
     final Map<String, ModelSpec> models = new HashMap<>(Map.of(MODEL, new ModelSpec(MODEL, 8, 1, 1, 10_000)));
     private final Map<Action.StartAttempt, Long> startTimes = new LinkedHashMap<>();
     private final Set<String> cancelled = new HashSet<>();
+    /** Ends of endpoints; those that have joined again without a proof of their end are absent. */
+    private final List<EndpointEnd> ends = new ArrayList<>();
+
+    private final Map<String, Long> joinedAtMs = new HashMap<>();
     private final PriorityQueue<ScheduledEvent> scheduledEvents = new PriorityQueue<>((a, b) ->
             a.atMs() != b.atMs() ? Long.compare(a.atMs(), b.atMs()) : Long.compare(a.sequence(), b.sequence()));
     /** Behaviour of attempts; by default they finish with a complete response after 10 ms per token. */
@@ -208,6 +215,36 @@
             actions.add(action);
             apply(action);
         }
+        recordEnds(event);
+        core.state().running.forEach(this::checkEndpointsOf);
+    }
+
+    private void recordEnds(Event event) {
+        if (event instanceof Event.EndpointRemoved removed && !removed.isSuspected()) {
+            ends.add(new EndpointEnd(removed.endpointId(), nowMs, removed.hasCrashed()));
+        } else if (event instanceof Event.EndpointJoined joined) {
+            String id = joined.endpoint().id();
+            joinedAtMs.put(id, nowMs);
+            ends.removeIf(end -> end.endpointId.equals(id) && !end.isProven);
+        }
+    }
+
+    /**
+     * Checks that no attempt outlives an endpoint by more than the time in which a response still arrives. One that
+     * cannot run again goes on until the end is proven, or if the endpoint is in use again.
+     */
+    private void checkEndpointsOf(RequestRow row) {
+        boolean isLastRun = !row.spec.isRepeatable() && row.isAccepted;
+        for (EndpointEnd end : ends) {
+            boolean mayGoOn =
+                    isLastRun && (!end.isProven || joinedAtMs.getOrDefault(end.endpointId, Long.MIN_VALUE) >= end.atMs);
+            check(
+                    mayGoOn
+                            || end.atMs < row.attemptStartedAtMs
+                            || end.atMs >= nowMs - MAX_LATE_END_MS - TICK_MS
+                            || !row.chain.uses(end.endpointId),
+                    "attempt " + row.epoch + " of " + row.id() + " outlives " + end);
+        }
     }
 
     /** Returns whether the event ends a cancelled attempt; an adapter that confirms no cancellations never sends it. */
