Report the end of an endpoint that has left and returns in a new lifetime

An endpoint that was removed from the list and then listed in a new lifetime had no EndpointRemoved before its eviction 20 s later, as only the end of one that was not leaving was reported. Attempts at it whose ends were lost went on as long. A later incarnation now ends the earlier one for the core, as no crash if it was leaving. The same incarnation that is listed again ends nothing.

EndpointRegistryTest.endpointThatHasLeftEndsWithItsNextLifetime failed before (the first event was EndpointJoined); all tests of the class pass.

--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -219,7 +219,7 @@
                 known != null && known.entry.isSameLifetime(entry) && !(known.isLeaving && !entry.isLeaving());
         if (!isContinued) {
             if (known != null) {
-                endLifetime(known, nowMs);
+                endLifetime(known, entry, nowMs);
             }
             startLifetime(instanceId, entry, nowMs);
             return;
@@ -550,11 +550,12 @@
                         + config.models().get(entry.service()).layerCount() + " of the model");
     }
 
-    /** Ends the lifetime of an endpoint that has restarted. */
-    private void endLifetime(EndpointLifetime endpoint, long nowMs) {
-        if (!endpoint.isLeaving) {
+    /** Ends the lifetime of an endpoint that has restarted, or that had left and is listed again. */
+    private void endLifetime(EndpointLifetime endpoint, EndpointEntry successor, long nowMs) {
+        // The process of an older incarnation has ended, so that nothing it was running ends by itself.
+        if (!endpoint.isLeaving || endpoint.entry.incarnation() < successor.incarnation()) {
             log.stateChanged("endpoint-restarted", endpoint.endpointId, "the list contains a new lifetime");
-            events.accept(new Event.EndpointRemoved(endpoint.endpointId, true));
+            events.accept(new Event.EndpointRemoved(endpoint.endpointId, !endpoint.isLeaving));
         }
         endpoint.isLeaving = true;
         endpoint.evictAtMs = nowMs + REMOVED_RETENTION_MS;
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
@@ -89,6 +89,20 @@
         assertThat(takeEventTypes()).containsExactly(Event.EndpointRemoved.class);
     }
 
+    /** Guards against attempts at an endpoint that was removed from the list and returned in a new lifetime. */
+    @Test
+    void endpointThatHasLeftEndsWithItsNextLifetime() {
+        registry.applyEntry("e", entry("e", 7, false, null), 0);
+        registry.applyRemoval("e", 100);
+        takeEventTypes();
+        registry.applyEntry("e", entry("e", 7, false, null), 500);
+        assertThat(takeEventTypes()).containsExactly(Event.EndpointJoined.class, Event.LoadReported.class);
+        registry.applyRemoval("e", 600);
+        takeEventTypes();
+        registry.applyEntry("e", entry("e", 9, false, null), 1_100);
+        assertThat(events).first().isEqualTo(new Event.EndpointRemoved("e@7~1", false));
+    }
+
     @Test
     void entryThatExpiredDuringAnOutageIsKeptForTheGracePeriod() {
         registry.applyEntry("back", entry("back", 7, false, null), 0);
