End the control tasks of a router before its clients close

Tests of the platform module logged "Client is closed" as an unhandled exception while a router closed: its Vert.x closes the clients first, and the periodic tasks of the control thread still ask endpoints and the store until their event loop ends. The client throws instead of failing its future, so that the exception left the handler and the call had no end but its timeout.

close() of both kinds of routers now ends the periodic tasks and watches before the Vert.x of the control thread is closed. A call that another path makes afterwards fails at once as not run (HttpRequests.open, for status reports, orders, the store, engines and services).

ClosedClientTest ends with the test's timeout of 20 s if HttpExchange calls the client itself.

--- a/server/src/main/java/io/radishwinch/server/ConfigurationFollower.java
+++ b/server/src/main/java/io/radishwinch/server/ConfigurationFollower.java
@@ -76,6 +76,11 @@
                 .fold(errors -> errors.stream().map(ConfigError::toString).findFirst(), name -> Optional.empty());
     }
 
+    /** Stops watching for good; {@link #tick} must not be called afterwards. */
+    void stop() {
+        follower.stop();
+    }
+
     /**
      * Starts or stops watching according to the role of this router, and assembles changed objects; called
      * periodically.
--- a/server/src/main/java/io/radishwinch/server/ControlPlane.java
+++ b/server/src/main/java/io/radishwinch/server/ControlPlane.java
@@ -104,6 +104,7 @@
     private volatile int liveRouters = 1;
     private boolean hasConfiguration;
     private long nextLoadPublishMs;
+    private final List<Long> timerIds = new ArrayList<>();
 
     ControlPlane(
             Vertx vertx,
@@ -224,6 +225,12 @@
         return idle.future();
     }
 
+    /** Ends the periodic tasks and the watch; what runs then ends with its calls. */
+    void stop() {
+        timerIds.forEach(vertx::cancelTimer);
+        configuration.stop();
+    }
+
     /** Writes the final day summary and announces to the peers that this router leaves. */
     Future<Void> leave() {
         Promise<Void> left = Promise.promise();
@@ -434,6 +441,6 @@
     }
 
     private void schedulePeriodic(long intervalMs, Runnable task) {
-        vertx.setPeriodic(intervalMs, ignored -> task.run());
+        timerIds.add(vertx.setPeriodic(intervalMs, ignored -> task.run()));
     }
 }
--- a/server/src/main/java/io/radishwinch/server/engine/HttpEngineStream.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpEngineStream.java
@@ -111,7 +111,7 @@
                 .setPort(firstStage.port())
                 .setURI("/v1/attempts")
                 .putHeader("Content-Type", "application/json");
-        client.request(target)
+        HttpRequests.open(client, target)
                 .onFailure(cause -> fail(Reason.STAGE_DIED, "failed to connect: " + Failures.describe(cause)))
                 .onSuccess(this::sendRequest);
     }
--- a/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
@@ -148,7 +148,7 @@
     }
 
     private void open(HttpClient client, RequestOptions options, Buffer body) {
-        client.request(options)
+        HttpRequests.open(client, options)
                 .onFailure(cause -> fail(Reason.STAGE_DIED, "failed to connect: " + Failures.describe(cause), cause))
                 .onSuccess(opened -> {
                     if (isEnded) {
--- a/server/src/main/java/io/radishwinch/server/engine/HttpServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpServiceExchange.java
@@ -79,7 +79,7 @@
                 .setPort(call.endpoint().port())
                 .setURI(call.uri())
                 .setHeaders(endToEndHeaders(call.headers()));
-        client.request(target)
+        HttpRequests.open(client, target)
                 .onFailure(cause -> fail(Reason.STAGE_DIED, "failed to connect: " + Failures.describe(cause), cause))
                 .onSuccess(this::sendRequest);
     }
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -119,6 +119,7 @@
     private boolean isWatching;
     private long routerListDeadlineMs;
     private long tickCount;
+    private long tickTimerId = -1;
 
     FleetControl(
             Vertx vertx,
@@ -236,7 +237,7 @@
     }
 
     void start() {
-        vertx.setPeriodic(TICK_INTERVAL_MS, ignored -> tick());
+        tickTimerId = vertx.setPeriodic(TICK_INTERVAL_MS, ignored -> tick());
         endpointFollower.listOnce();
         configFollower.listOnce();
         routerListDeadlineMs = clock.getAsLong() + settings.retryLimit().windowMs();
@@ -255,6 +256,13 @@
         control.post(new Event.DrainStarted(deadlineMs));
     }
 
+    /** Ends the periodic tasks and the watches; what runs then ends with its calls. */
+    void stop() {
+        vertx.cancelTimer(tickTimerId);
+        endpointFollower.stop();
+        configFollower.stop();
+    }
+
     /** Announces to the other routers that this one leaves. */
     void leave() {
         endpointFollower.stop();
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
@@ -201,7 +201,19 @@
 
     /** Closes all connections and stops all threads without waiting for requests. */
     public Future<Void> close() {
-        return trafficVertx.close().eventually(() -> controlVertx.close());
+        return trafficVertx.close().eventually(this::stopControl).eventually(() -> controlVertx.close());
+    }
+
+    /** Ends the tasks of the control thread, which would otherwise call clients that are closed with their Vert.x. */
+    private Future<Void> stopControl() {
+        Promise<Void> ended = Promise.promise();
+        controlVertx.getOrCreateContext().runOnContext(ignored -> {
+            if (plane != null) {
+                plane.stop();
+            }
+            ended.complete();
+        });
+        return ended.future();
     }
 
     private Future<Void> closeConnections(long deadlineMs) {
--- a/server/src/main/java/io/radishwinch/server/platform/HttpWatch.java
+++ b/server/src/main/java/io/radishwinch/server/platform/HttpWatch.java
@@ -4,6 +4,7 @@
 import io.radishwinch.cluster.platform.PlatformException;
 import io.radishwinch.server.engine.ClientOptions;
 import io.radishwinch.server.engine.EndpointAddress;
+import io.radishwinch.server.engine.HttpRequests;
 import io.radishwinch.server.engine.LineSplitter;
 import io.radishwinch.server.engine.MalformedLineException;
 import io.smallrye.mutiny.subscription.MultiEmitter;
@@ -87,7 +88,7 @@
                 .setHost(platform.host())
                 .setPort(platform.port())
                 .setURI(uri);
-        client.request(target)
+        HttpRequests.open(client, target)
                 .onFailure(cause -> fail(PlatformException.Kind.NO_EFFECT, "connect failed", cause))
                 .onSuccess(opened -> {
                     if (isEnded) {
