--- a/server/src/test/java/io/radishwinch/server/ControlLoopTest.java
+++ b/server/src/test/java/io/radishwinch/server/ControlLoopTest.java
@@ -9,6 +9,7 @@
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.model.Verdict;
+import io.radishwinch.server.logguard.ExpectsInternalErrors;
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -33,6 +34,7 @@
 
     /** Guards against requests without a response because the action of another one fails in the same event. */
     @Test
+    @ExpectsInternalErrors
     void aFailedActionDoesNotDiscardThoseOfOtherRequests() throws Exception {
         ControlLoop control = new ControlLoop(vertx.getOrCreateContext(), () -> 0, new RefusingCore(), action -> {});
         control.setActionObserver(action -> {
@@ -50,6 +52,7 @@
 
     /** Guards against events that never reach the core, such as the end of an attempt, because a log line fails. */
     @Test
+    @ExpectsInternalErrors
     void anObserverThatThrowsDoesNotKeepAnEventFromTheCore() throws Exception {
         ControlLoop control = new ControlLoop(vertx.getOrCreateContext(), () -> 0, new RefusingCore(), action -> {});
         control.setEventObserver(event -> {
@@ -64,6 +67,7 @@
 
     /** Guards against a request that nobody answers because the core fails on its arrival. */
     @Test
+    @ExpectsInternalErrors
     void aRequestOnWhichTheCoreFailsIsRefused() throws Exception {
         ViewlessCore failing = new ViewlessCore() {
             @Override
--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
@@ -13,6 +13,7 @@
 import io.radishwinch.server.http.ExchangeListener;
 import io.radishwinch.server.http.MemoryBudget;
 import io.radishwinch.server.http.Refusal;
+import io.radishwinch.server.logguard.ExpectsInternalErrors;
 import io.radishwinch.server.proxy.ScriptedEndpoint.End;
 import io.radishwinch.server.proxy.ScriptedEndpoint.Script;
 import io.radishwinch.server.route.Route;
@@ -341,6 +342,7 @@
     @EnumSource(
             value = RouteKind.class,
             names = {"REPEATABLE", "STREAM"})
+    @ExpectsInternalErrors
     void aRequestIsRetriedAlthoughTheObserversOfItsAttemptsThrow(RouteKind kind) throws Exception {
         areObserversFailing = true;
         Script closing = new Script("", End.CLOSE);
@@ -356,6 +358,7 @@
     @EnumSource(
             value = RouteKind.class,
             names = {"REPEATABLE", "STREAM"})
+    @ExpectsInternalErrors
     void aRequestWhoseHandlingFailsEndsWithAnError(RouteKind kind) throws Exception {
         isLookupFailing = true;
         String response = call(start(kind, List.of()));
