Log the end of an attempt whose request ends before it

The log of an attempt whose caller left had a start and no end: response-cut and caller-gone name the request only. An attempt that a fault leaves running looked the same, so that no check over logs could tell them apart.

An exchange that ends without a complete response now reports the end of its running attempt: response-ended with the cause cancelled and the reason of the end as detail, such as caller-disconnected or slow-reader.

ProxyExchangeTest: the new case finds no end without the change.

--- a/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
@@ -104,6 +104,9 @@
     /** Cancels the call to the endpoint and releases what the exchange holds there. */
     protected abstract void releaseEndpoint();
 
+    /** Reports the end of an attempt that still runs when the exchange ends without a complete response. */
+    protected void reportAbandoned(Reason reason) {}
+
     /** Sends the rest of the response and ends it. */
     protected abstract void completeResponse();
 
@@ -174,6 +177,7 @@
         if (!isFinished) {
             isFinished = true;
             cancelWriteTimer();
+            refusal.ifPresent(end -> reportAbandoned(end.reason()));
             try {
                 releaseEndpoint();
             } finally {
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -231,6 +231,13 @@
         return !isHeadSent || startedStream != null && request.isRepeatable() && scanner.canResume();
     }
 
+    @Override
+    protected void reportAbandoned(Reason reason) {
+        if (attempt != null && !isAttemptFinished) {
+            attempt.reportEnd(ResponseEnd.Cause.CANCELLED, reason.wireName());
+        }
+    }
+
     @Override
     protected void releaseEndpoint() {
         relay.cancel();
--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
@@ -33,6 +33,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
@@ -75,6 +76,7 @@
     private long deadlineMs = Long.MAX_VALUE;
     private long writeTimeoutMs = TimeUnit.SECONDS.toMillis(WAIT_S);
     private boolean isForPeer;
+    private final List<ResponseEnd> ends = new CopyOnWriteArrayList<>();
     private boolean areObserversFailing;
     private boolean isLookupFailing;
     private final OtherRouters relays = new OtherRouters();
@@ -162,6 +164,7 @@
                     public void rejected(String requestId, String caller, Optional<Rank> rank, Refusal refusal) {}
                 },
                 (requestId, end) -> {
+                    ends.add(end);
                     if (areObserversFailing) {
                         throw new IllegalStateException("no line for " + end);
                     }
@@ -353,6 +356,20 @@
         assertThat(control.errors().count(InternalErrors.Part.EXCHANGE)).isZero();
     }
 
+    /** Guards against attempts whose log has a start and no end, as that of an attempt that a fault leaves running. */
+    @Test
+    void anAttemptWhoseCallerLeavesIsReportedAsCancelled() throws Exception {
+        Script unfinished = new Script(STREAM_HEAD + chunk(events(1, 2)), End.NONE);
+        try (Socket caller = send(start(RouteKind.STREAM, List.of(unfinished)))) {
+            assertThat(caller.getInputStream().read()).isEqualTo('H');
+        }
+        assertThat(outcome.get(WAIT_S, TimeUnit.SECONDS)).map(Refusal::reason).contains(Reason.CALLER_DISCONNECTED);
+        assertThat(ends).singleElement().satisfies(end -> {
+            assertThat(end.cause()).isEqualTo(ResponseEnd.Cause.CANCELLED);
+            assertThat(end.detail()).isEqualTo("caller-disconnected");
+        });
+    }
+
     /** Guards against callers who wait for an answer after the handling of their request has failed. */
     @ParameterizedTest
     @EnumSource(
