--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
@@ -13,6 +13,7 @@
 import io.radishwinch.server.http.ExchangeListener;
 import io.radishwinch.server.http.MemoryBudget;
 import io.radishwinch.server.http.Refusal;
+import io.radishwinch.server.logguard.ExpectsInternalErrors;
 import io.radishwinch.server.proxy.ScriptedEndpoint.End;
 import io.radishwinch.server.proxy.ScriptedEndpoint.Script;
 import io.radishwinch.server.route.Route;
@@ -32,6 +33,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
@@ -74,6 +76,7 @@
     private long deadlineMs = Long.MAX_VALUE;
     private long writeTimeoutMs = TimeUnit.SECONDS.toMillis(WAIT_S);
     private boolean isForPeer;
+    private final List<ResponseEnd> ends = new CopyOnWriteArrayList<>();
     private boolean areObserversFailing;
     private boolean isLookupFailing;
     private final OtherRouters relays = new OtherRouters();
@@ -161,6 +164,7 @@
                     public void rejected(String requestId, String caller, Optional<Rank> rank, Refusal refusal) {}
                 },
                 (requestId, end) -> {
+                    ends.add(end);
                     if (areObserversFailing) {
                         throw new IllegalStateException("no line for " + end);
                     }
@@ -341,6 +345,7 @@
     @EnumSource(
             value = RouteKind.class,
             names = {"REPEATABLE", "STREAM"})
+    @ExpectsInternalErrors
     void aRequestIsRetriedAlthoughTheObserversOfItsAttemptsThrow(RouteKind kind) throws Exception {
         areObserversFailing = true;
         Script closing = new Script("", End.CLOSE);
@@ -351,11 +356,26 @@
         assertThat(control.errors().count(InternalErrors.Part.EXCHANGE)).isZero();
     }
 
+    /** Guards against attempts whose log has a start and no end, as that of an attempt that a fault leaves running. */
+    @Test
+    void anAttemptWhoseCallerLeavesIsReportedAsCancelled() throws Exception {
+        Script unfinished = new Script(STREAM_HEAD + chunk(events(1, 2)), End.NONE);
+        try (Socket caller = send(start(RouteKind.STREAM, List.of(unfinished)))) {
+            assertThat(caller.getInputStream().read()).isEqualTo('H');
+        }
+        assertThat(outcome.get(WAIT_S, TimeUnit.SECONDS)).map(Refusal::reason).contains(Reason.CALLER_DISCONNECTED);
+        assertThat(ends).singleElement().satisfies(end -> {
+            assertThat(end.cause()).isEqualTo(ResponseEnd.Cause.CANCELLED);
+            assertThat(end.detail()).isEqualTo("caller-disconnected");
+        });
+    }
+
     /** Guards against callers who wait for an answer after the handling of their request has failed. */
     @ParameterizedTest
     @EnumSource(
             value = RouteKind.class,
             names = {"REPEATABLE", "STREAM"})
+    @ExpectsInternalErrors
     void aRequestWhoseHandlingFailsEndsWithAnError(RouteKind kind) throws Exception {
         isLookupFailing = true;
         String response = call(start(kind, List.of()));
