Refuse a request when the core fails on the end of its attempt

If the decision core threw on the end of an attempt, its request had neither a decision nor an end: the exception was logged, the exchange stayed open, and its caller waited until the deadline check of the core, if that still ran. On an arrival that failed, the request was refused, but what the core had kept of it stayed.

Such a request is now refused as internal-error, as not run on its arrival and as may-have-run on the end of an attempt or of a reroute, and withdrawn from the core. Reports of progress on which the core fails end nothing. A listener of finished requests that throws, or an exchange that fails to end, no longer keeps the loop from reporting that it is idle, on which a drain waits.

ControlLoopTest: six cases are new. aRequestOnWhichTheCoreFailsIsRefused counts two errors instead of one, as its core fails on every event, and so also on the withdrawal.

--- a/server/src/main/java/io/radishwinch/server/ControlLoop.java
+++ b/server/src/main/java/io/radishwinch/server/ControlLoop.java
@@ -72,13 +72,7 @@
     public void submit(RequestSpec request, Exchange exchange) {
         execute(() -> {
             exchanges.put(request.requestId(), exchange);
-            try {
-                apply(new Event.RequestArrived(request));
-            } catch (RuntimeException e) {
-                exchanges.remove(request.requestId());
-                exchange.refuse(new Action.Refuse(request.requestId(), Reason.INTERNAL_ERROR, Verdict.NOT_RUN, 0));
-                throw e;
-            }
+            apply(new Event.RequestArrived(request));
         });
     }
 
@@ -86,8 +80,11 @@
     public void withdraw(String requestId) {
         execute(() -> {
             if (exchanges.remove(requestId) != null) {
-                apply(new Event.CallerDisconnected(requestId));
-                notifyIfIdle();
+                try {
+                    apply(new Event.CallerDisconnected(requestId));
+                } finally {
+                    notifyIfIdle();
+                }
             }
         });
     }
@@ -112,8 +109,8 @@
         context.runOnContext(ignored -> runGuarded("task", task));
     }
 
-    /** Runs a part of a task whose failure must not end the other parts. */
-    private void runGuarded(String part, Runnable run) {
+    /** Runs a part of a task whose failure must not end the other parts; must be called on the control thread. */
+    public void runGuarded(String part, Runnable run) {
         try {
             run.run();
         } catch (RuntimeException e) {
@@ -151,7 +148,13 @@
 
     private void apply(Event event) {
         errors.observe("of an event", () -> eventObserver.accept(event));
-        List<Action> actions = core.handle(event, clockMs.getAsLong());
+        List<Action> actions;
+        try {
+            actions = core.handle(event, clockMs.getAsLong());
+        } catch (RuntimeException e) {
+            endUndecidedRequest(event);
+            throw e;
+        }
         for (Action action : actions) {
             // The core has already applied all of them, so that a request whose action is lost is never answered.
             errors.observe("of an action", () -> actionObserver.accept(action));
@@ -159,6 +162,32 @@
         }
     }
 
+    /** Ends a request for which the core has failed to decide what follows the event. */
+    private void endUndecidedRequest(Event event) {
+        if (event instanceof Event.RequestArrived arrived) {
+            refuseUndecided(arrived.request().requestId(), Verdict.NOT_RUN);
+        } else if (event instanceof Event.AttemptFailed failed) {
+            refuseUndecided(failed.requestId(), Verdict.MAY_HAVE_RUN);
+        } else if (event instanceof Event.AttemptFinished finished) {
+            refuseUndecided(finished.requestId(), Verdict.MAY_HAVE_RUN);
+        } else if (event instanceof Event.AttemptRerouted rerouted) {
+            refuseUndecided(rerouted.requestId(), Verdict.MAY_HAVE_RUN);
+        } else if (event instanceof Event.RelayRequested requested) {
+            refuseUndecided(requested.requestId(), Verdict.MAY_HAVE_RUN);
+        }
+    }
+
+    /** Refuses a request and tells the core that it is gone. */
+    private void refuseUndecided(String requestId, Verdict verdict) {
+        Exchange exchange = exchanges.remove(requestId);
+        if (exchange == null) {
+            return;
+        }
+        runGuarded("refusal", () -> exchange.refuse(new Action.Refuse(requestId, Reason.INTERNAL_ERROR, verdict, 0)));
+        runGuarded("withdrawal", () -> apply(new Event.CallerDisconnected(requestId)));
+        notifyIfIdle();
+    }
+
     private void perform(Action action) {
         if (action instanceof Action.StartAttempt start) {
             withExchange(start.requestId(), exchange -> exchange.start(start));
@@ -184,16 +213,19 @@
 
     private void finish(String requestId, Consumer<Exchange> call) {
         Exchange exchange = exchanges.remove(requestId);
-        if (exchange != null) {
-            call.accept(exchange);
+        try {
+            if (exchange != null) {
+                call.accept(exchange);
+            }
+        } finally {
+            errors.observe("of the end of " + requestId, () -> finishListener.accept(requestId));
+            notifyIfIdle();
         }
-        finishListener.accept(requestId);
-        notifyIfIdle();
     }
 
     private void notifyIfIdle() {
         if (exchanges.isEmpty()) {
-            idleListener.run();
+            runGuarded("idle listener", idleListener);
         }
     }
 }
--- a/server/src/test/java/io/radishwinch/server/ControlLoopTest.java
+++ b/server/src/test/java/io/radishwinch/server/ControlLoopTest.java
@@ -19,6 +19,8 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 class ControlLoopTest {
     private static final int WAIT_S = 20;
@@ -75,9 +77,80 @@
         control.submit(request("a"), new RefusedExchange("a", false));
         assertThat(openRequests(control)).isZero();
         assertThat(refused).containsExactly("a");
+        // On the arrival and on the withdrawal that follows it.
+        assertThat(control.errors().count(InternalErrors.Part.CONTROL)).isEqualTo(2);
+    }
+
+    /** Guards against a request that nobody answers because the core fails on the end of its attempt. */
+    @ParameterizedTest
+    @MethodSource("attemptEnds")
+    void aRequestOnWhoseAttemptEndTheCoreFailsIsRefusedAndWithdrawn(Event attemptEnd) throws Exception {
+        List<String> withdrawn = Collections.synchronizedList(new ArrayList<>());
+        ViewlessCore failing = new ViewlessCore() {
+            @Override
+            public List<Action> handle(Event event, long nowMs) {
+                if (event == attemptEnd) {
+                    throw new IllegalStateException("no decision on " + event);
+                } else if (event instanceof Event.CallerDisconnected disconnected) {
+                    withdrawn.add(disconnected.requestId());
+                }
+                return List.of();
+            }
+        };
+        ControlLoop control = new ControlLoop(vertx.getOrCreateContext(), () -> 0, failing, action -> {});
+        CompletableFuture<Void> idle = new CompletableFuture<>();
+        control.submit(request("a"), new RefusedExchange("a", true));
+        control.execute(() -> control.setIdleListener(() -> idle.complete(null)));
+        control.post(attemptEnd);
+        idle.get(WAIT_S, TimeUnit.SECONDS);
+        assertThat(openRequests(control)).isZero();
+        assertThat(refused).containsExactly("a");
+        assertThat(withdrawn).containsExactly("a");
+        assertThat(control.errors().count(InternalErrors.Part.CONTROL)).isEqualTo(2);
+    }
+
+    static List<Event> attemptEnds() {
+        return List.of(
+                new Event.AttemptFailed("a", 1, "e", Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN, 0),
+                new Event.AttemptFinished("a", 1, 1),
+                new Event.AttemptRerouted("a", 1, false),
+                new Event.RelayRequested("a"));
+    }
+
+    /** Guards against a stream that is broken off because the core fails on a report of its progress. */
+    @Test
+    void aRequestOnWhoseProgressTheCoreFailsGoesOn() throws Exception {
+        ViewlessCore failing = new ViewlessCore() {
+            @Override
+            public List<Action> handle(Event event, long nowMs) {
+                if (event instanceof Event.Progress) {
+                    throw new IllegalStateException("no decision on " + event);
+                }
+                return List.of();
+            }
+        };
+        ControlLoop control = new ControlLoop(vertx.getOrCreateContext(), () -> 0, failing, action -> {});
+        control.submit(request("a"), new RefusedExchange("a", false));
+        control.post(new Event.Progress("a", 1, 1));
+        assertThat(openRequests(control)).isOne();
         assertThat(control.errors().count(InternalErrors.Part.CONTROL)).isOne();
     }
 
+    /** Guards against a stop that waits for its timeout because the observer of the last request fails. */
+    @Test
+    void theLoopIsIdleAlthoughTheListenerOfTheLastRequestThrows() throws Exception {
+        ControlLoop control = new ControlLoop(vertx.getOrCreateContext(), () -> 0, new RefusingCore(), action -> {});
+        control.setFinishListener(id -> {
+            throw new IllegalStateException("no count of " + id);
+        });
+        CompletableFuture<Void> idle = new CompletableFuture<>();
+        control.submit(request("a"), new RefusedExchange("a", true));
+        control.execute(() -> control.setIdleListener(() -> idle.complete(null)));
+        control.post(new Event.ConfigChanged(new FleetConfig(1, Map.of(), Map.of(), Map.of(), Map.of())));
+        idle.get(WAIT_S, TimeUnit.SECONDS);
+        assertThat(refused).containsExactly("a");
+    }
+
     private static int openRequests(ControlLoop control) throws Exception {
         CompletableFuture<Integer> openRequests = new CompletableFuture<>();
         control.execute(() -> openRequests.complete(control.openRequests()));
