End an exchange whose callback throws

The core learned of it at the deadline of the request, or from the caller who left, and a grant that was in use stayed open.

These callbacks run guarded, so that an exception ends the exchange with internal-error and is counted. A call with a grant records that its outcome is unknown unless one is recorded, or returns the grant if nothing was sent, and the core gets the end of the attempt. The error response has no headers of the response that failed. A request is withdrawn from the core also if its endpoint cannot be released.

--- a/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
@@ -159,8 +159,11 @@
     /** Ends the exchange without a decision of the core and withdraws the request from the core. */
     protected final void withdraw(Optional<Refusal> refusal) {
         if (!isFinished) {
-            finish(refusal);
-            shared.control().withdraw(request.requestId());
+            try {
+                finish(refusal);
+            } finally {
+                shared.control().withdraw(request.requestId());
+            }
         }
     }
 
@@ -209,21 +212,39 @@
     private void endAfterInternalError() {
         Refusal refusal =
                 new Refusal(Reason.INTERNAL_ERROR, attemptsVerdict(), ErrorMessages.of(Reason.INTERNAL_ERROR), 0);
+        runOrReport(() -> withdraw(Optional.of(refusal)));
+        runOrReport(this::abandonAttempt);
+        if (!runOrReport(() -> endResponse(refusal))) {
+            response.reset(HTTP2_INTERNAL_ERROR);
+        }
+    }
+
+    private void endResponse(Refusal refusal) {
+        if (response.ended() || response.closed()) {
+            return;
+        }
+        if (response.headWritten()) {
+            abortResponse(refusal.reason());
+        } else {
+            // Headers of a response that could not be sent.
+            response.headers().clear();
+            sendRefusal(refusal);
+        }
+    }
+
+    private boolean runOrReport(Runnable task) {
         try {
-            withdraw(Optional.of(refusal));
-            if (!response.ended() && !response.closed()) {
-                if (response.headWritten()) {
-                    abortResponse(refusal.reason());
-                } else {
-                    sendRefusal(refusal);
-                }
-            }
+            task.run();
+            return true;
         } catch (RuntimeException e) {
             shared.control().errors().report(InternalErrors.Part.EXCHANGE, request.requestId(), e);
-            response.reset(HTTP2_INTERNAL_ERROR);
+            return false;
         }
     }
 
+    /** Ends what the exchange still has open at an endpoint or in the journal after an internal error. */
+    protected void abandonAttempt() {}
+
     private Verdict attemptsVerdict() {
         return delivery.attempts() == 0 ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
     }
--- a/server/src/main/java/io/radishwinch/server/http/JournalAccess.java
+++ b/server/src/main/java/io/radishwinch/server/http/JournalAccess.java
@@ -2,15 +2,17 @@
 
 import io.radishwinch.cluster.journal.Journal;
 import io.radishwinch.server.ControlLoop;
+import io.radishwinch.server.InternalErrors;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Context;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
-/** Calls the journal on the control thread and returns the results on the calling traffic thread. */
+/**
+ * Calls the journal on the control thread and returns the results on the calling traffic thread. A call that fails
+ * counts as unavailable or as not recorded, so that each receiver is called.
+ */
 public final class JournalAccess {
-    private static final System.Logger LOG = System.getLogger(JournalAccess.class.getName());
-
     private final ControlLoop control;
     private final Journal journal;
 
@@ -36,10 +38,11 @@
     }
 
     private <T> void call(Context context, Supplier<Uni<T>> call, T onFailure, Consumer<T> receiver) {
-        control.execute(() -> call.get()
+        control.execute(() -> Uni.createFrom()
+                .deferred(call::get)
                 .subscribe()
                 .with(result -> context.runOnContext(ignored -> receiver.accept(result)), error -> {
-                    LOG.log(System.Logger.Level.ERROR, "journal call failed", error);
+                    control.errors().report(InternalErrors.Part.CONTROL, "journal call", error);
                     context.runOnContext(ignored -> receiver.accept(onFailure));
                 }));
     }
--- a/server/src/main/java/io/radishwinch/server/http/ModelExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ModelExchange.java
@@ -59,7 +59,7 @@
         }
         int attemptEpoch = epoch;
         stream = shared.engineClient()
-                .open(attemptRequest(attempt, targets), event -> onEngineEvent(attemptEpoch, event));
+                .open(attemptRequest(attempt, targets), event -> guard(() -> onEngineEvent(attemptEpoch, event)));
     }
 
     private AttemptRequest attemptRequest(Action.StartAttempt attempt, List<AttemptRequest.StageTarget> targets) {
@@ -189,7 +189,7 @@
             isPaused = true;
             stream.pause();
             startWriteTimer();
-            response.drainHandler(ignored -> onWriteQueueDrained());
+            response.drainHandler(ignored -> guard(this::onWriteQueueDrained));
         }
     }
 
@@ -242,9 +242,9 @@
         finish(Optional.of(refusal));
         startWriteTimer();
         response.write("data: " + ErrorResponse.body(refusal, request.requestId()) + "\n\n")
-                .onComplete(ignored -> {
+                .onComplete(ignored -> guard(() -> {
                     cancelWriteTimer();
                     abortResponse(refusal.reason());
-                });
+                }));
     }
 }
--- a/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/ServiceExchange.java
@@ -27,6 +27,7 @@
     private final Call call;
     private Decision.Granted grant;
     private boolean isSent;
+    private boolean isOutcomeRecorded;
     private boolean isAttemptEnded;
     private boolean isResponseComplete;
     private int epoch;
@@ -70,7 +71,7 @@
                             request.caller(),
                             call.idempotencyKey(),
                             call.fingerprint(),
-                            decision -> onJournalDecision(attempt, address, decision));
+                            decision -> guard(() -> onJournalDecision(attempt, address, decision)));
         }
     }
 
@@ -143,8 +144,6 @@
 
     private void send(Action.StartAttempt attempt, EndpointAddress address) {
         int attemptEpoch = attempt.epoch();
-        isSent = true;
-        post(new Event.AttemptStarted(request.requestId(), attemptEpoch));
         ServiceClient.Call outgoing = new ServiceClient.Call(
                 address,
                 call.method(),
@@ -152,11 +151,13 @@
                 ServiceHeaders.forService(call.headers(), request.requestId()),
                 new ServiceClient.Body.Buffered(call.body()),
                 attempt.deadlineMs());
+        post(new Event.AttemptStarted(request.requestId(), attemptEpoch));
         inFlight = shared.serviceClient().call(outgoing);
+        isSent = true;
         inFlight.response()
                 .onComplete(
-                        head -> readBody(attemptEpoch, address, head),
-                        error -> onFailure(attemptEpoch, address, error));
+                        head -> guard(() -> readBody(attemptEpoch, address, head)),
+                        error -> guard(() -> onFailure(attemptEpoch, address, error)));
     }
 
     private void readBody(int attemptEpoch, EndpointAddress address, ServiceClient.Response head) {
@@ -164,7 +165,7 @@
             head.body().exceptionHandler(ignored -> {}).handler(ignored -> {}).resume();
             return;
         }
-        ServiceResponse serviceResponse = new ServiceResponse(head);
+        ServiceResponse serviceResponse = new ServiceResponse(head, this::guard);
         serviceResponse.onFailure(error -> {
             if (serviceResponse == streamedResponse) {
                 abort(error instanceof EndpointException known ? known.reason() : Reason.STAGE_DIED);
@@ -186,15 +187,19 @@
 
     /** Records the outcome of a non-repeatable call, then runs the next step. */
     private void recordOutcome(ServiceResponse serviceResponse, Runnable next) {
-        if (grant == null) {
+        if (grant == null || isOutcomeRecorded) {
             next.run();
         } else {
-            shared.journal()
-                    .complete(
-                            shared.context(), grant, serviceResponse.toStored().encode(), recorded -> next.run());
+            record(serviceResponse.toStored(), next);
         }
     }
 
+    private void record(StoredResponse outcome, Runnable next) {
+        byte[] encoded = outcome.encode();
+        isOutcomeRecorded = true;
+        shared.journal().complete(shared.context(), grant, encoded, recorded -> guard(next));
+    }
+
     /**
      * Reports the end of the attempt to the core, even if the caller has disconnected: a non-repeatable call continues
      * without its caller.
@@ -257,8 +262,7 @@
             isSent = false;
         } else if (grant != null) {
             // Without this record, a retry by the caller would be refused because the call appears to be running.
-            shared.journal()
-                    .complete(shared.context(), grant, StoredResponse.unknown().encode(), recorded -> {});
+            record(StoredResponse.unknown(), () -> {});
         }
         postAttemptFailed(attemptEpoch, address.endpointId(), reason, verdict);
     }
@@ -303,6 +307,23 @@
         }
     }
 
+    /**
+     * Ends the call and records that its outcome is unknown, if no other is recorded. The core gets the end of the
+     * attempt, because it keeps a non-repeatable call without a caller until then.
+     */
+    @Override
+    protected void abandonAttempt() {
+        if (inFlight != null) {
+            inFlight.cancel();
+        }
+        if (grant != null && isSent && !isOutcomeRecorded) {
+            record(StoredResponse.unknown(), () -> {});
+        }
+        if (isRunning(epoch) && epoch > 0) {
+            postAttemptFailed(epoch, endpointId, Reason.INTERNAL_ERROR, Verdict.MAY_HAVE_RUN);
+        }
+    }
+
     /** Delivers a complete response although the core refused the request before it learned of the end. */
     @Override
     protected void refuseRequest(Refusal refusal) {
--- a/server/src/main/java/io/radishwinch/server/http/ServiceResponse.java
+++ b/server/src/main/java/io/radishwinch/server/http/ServiceResponse.java
@@ -10,6 +10,7 @@
 /** Response of a plain service. A small body is buffered in memory; a large one is streamed to the caller. */
 final class ServiceResponse {
     private final ServiceClient.Response head;
+    private final Consumer<Runnable> guard;
     private final Buffer body = Buffer.buffer();
     private boolean isLarge;
     private boolean isDiscarded;
@@ -17,8 +18,14 @@
     private Runnable endHandler = () -> {};
     private Consumer<Throwable> failureHandler = error -> {};
 
-    ServiceResponse(ServiceClient.Response head) {
+    /**
+     * Creates a response that is not read yet.
+     *
+     * @param guard runs the handlers of the body, whose exceptions it handles
+     */
+    ServiceResponse(ServiceClient.Response head, Consumer<Runnable> guard) {
         this.head = head;
+        this.guard = guard;
     }
 
     int status() {
@@ -59,15 +66,15 @@
     void read() {
         head.body().exceptionHandler(error -> {
             if (!isDiscarded) {
-                failureHandler.accept(error);
+                guard.accept(() -> failureHandler.accept(error));
             }
         });
         head.body().endHandler(ignored -> {
             if (!isDiscarded) {
-                endHandler.run();
+                guard.accept(endHandler);
             }
         });
-        head.body().handler(this::collect);
+        head.body().handler(chunk -> guard.accept(() -> collect(chunk)));
         head.body().resume();
     }
 
@@ -83,17 +90,18 @@
     /** Writes the buffered part of the body, then the rest at the speed at which the caller reads. */
     void streamTo(HttpServerResponse response, Runnable whenFull, Runnable whenDrained) {
         response.write(body.copy());
-        head.body().handler(chunk -> {
-            response.write(chunk);
-            if (response.writeQueueFull()) {
-                head.body().pause();
-                whenFull.run();
-                response.drainHandler(ignored -> {
-                    whenDrained.run();
-                    head.body().resume();
-                });
-            }
-        });
+        head.body()
+                .handler(chunk -> guard.accept(() -> {
+                    response.write(chunk);
+                    if (response.writeQueueFull()) {
+                        head.body().pause();
+                        whenFull.run();
+                        response.drainHandler(ignored -> guard.accept(() -> {
+                            whenDrained.run();
+                            head.body().resume();
+                        }));
+                    }
+                }));
         head.body().resume();
     }
 
--- a/server/src/test/java/io/radishwinch/server/http/ExchangeFixture.java
+++ b/server/src/test/java/io/radishwinch/server/http/ExchangeFixture.java
@@ -11,6 +11,7 @@
 import io.radishwinch.core.model.Stage;
 import io.radishwinch.server.ControlLoop;
 import io.radishwinch.server.Exchange;
+import io.radishwinch.server.InternalErrors;
 import io.radishwinch.server.engine.ClientOptions;
 import io.radishwinch.server.engine.EndpointAddress;
 import io.radishwinch.server.engine.HttpEngineClient;
@@ -52,6 +53,7 @@
     final BlockingQueue<Optional<Refusal>> outcomes = new LinkedBlockingQueue<>();
     final BlockingQueue<CompletableFuture<Boolean>> recordings = new LinkedBlockingQueue<>();
     final BlockingQueue<CompletableFuture<Boolean>> grants = new LinkedBlockingQueue<>();
+    final BlockingQueue<Journal.Decision.Granted> abandonedGrants = new LinkedBlockingQueue<>();
     private final BlockingQueue<List<Action>> decisions = new LinkedBlockingQueue<>();
     private final Vertx vertx = Vertx.vertx();
     private final Context controlContext = vertx.getOrCreateContext();
@@ -114,6 +116,11 @@
         return caller;
     }
 
+    /** Returns the number of exceptions in exchanges. */
+    long exchangeErrors() {
+        return control.errors().count(InternalErrors.Part.EXCHANGE);
+    }
+
     /** Sends the caller's request over HTTP/2, and returns the response that it gets. */
     Future<HttpClientResponse> callOverHttp2() throws Exception {
         HttpClientOptions options =
@@ -260,6 +267,7 @@
 
         @Override
         public Uni<Boolean> abandon(Decision.Granted grant) {
+            abandonedGrants.add(grant);
             return Uni.createFrom().item(true);
         }
     }
