Fail a call to an endpoint at once when it cannot be sent

The HTTP client throws when a call is made after it was closed, as at the end of a process, and may throw for a request that it cannot encode. The exception left the task that sends the call, which then waited: a report or an order for its timeout, a stream for its idle timeout, a call of a service until the deadline of its request. A response whose reader threw anything but an IOException ended no call at all.

Exceptions of these parts now end the call as stage-died, as not run if no connection has been asked to send it.

No response was found whose reader throws another exception; that part has no test.

--- a/server/src/main/java/io/radishwinch/server/engine/HttpEngineClient.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpEngineClient.java
@@ -4,6 +4,7 @@
 import io.radishwinch.core.model.EngineOrder;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.Verdict;
+import io.radishwinch.server.Failures;
 import io.smallrye.mutiny.Multi;
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.MultiEmitter;
@@ -207,12 +208,12 @@
                         } catch (EndpointException e) {
                             emitter.fail(e);
                             return;
-                        } catch (IOException e) {
+                        } catch (IOException | RuntimeException e) {
                             emitter.fail(new EndpointException(
                                     address.endpointId(),
                                     Reason.STAGE_DIED,
                                     Verdict.MAY_HAVE_RUN,
-                                    "malformed response to " + uri + ": " + e.getMessage(),
+                                    "malformed response to " + uri + ": " + Failures.describe(e),
                                     e));
                             return;
                         }
--- a/server/src/main/java/io/radishwinch/server/engine/HttpEngineStream.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpEngineStream.java
@@ -61,7 +61,16 @@
 
     void start(HttpClient client) {
         // Deferred, so that the caller has a reference to the stream before the first event arrives.
-        context.runOnContext(ignored -> open(client));
+        context.runOnContext(ignored -> runOrFail(() -> open(client)));
+    }
+
+    /** Runs a part of the attempt, which fails at once instead of at a timeout if an exception ends the part. */
+    private void runOrFail(Runnable part) {
+        try {
+            part.run();
+        } catch (RuntimeException e) {
+            fail(Reason.STAGE_DIED, "attempt cannot be sent: " + Failures.describe(e));
+        }
     }
 
     @Override
@@ -113,7 +122,7 @@
                 .putHeader("Content-Type", "application/json");
         client.request(target)
                 .onFailure(cause -> fail(Reason.STAGE_DIED, "failed to connect: " + Failures.describe(cause)))
-                .onSuccess(this::sendRequest);
+                .onSuccess(opened -> runOrFail(() -> sendRequest(opened)));
     }
 
     private void sendRequest(HttpClientRequest opened) {
--- a/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpExchange.java
@@ -144,35 +144,45 @@
         timerId = vertx.setTimer(
                 Math.max(1, timeoutMs),
                 id -> fail(Reason.ENDPOINT_TIMEOUT, "no response within " + timeoutMs + " ms", null));
-        open(client, options, body);
+        runOrFail(() -> open(client, options, body));
+    }
+
+    /** Runs a part of the call, which fails at once instead of at its timeout if an exception ends the part. */
+    private void runOrFail(Runnable part) {
+        try {
+            part.run();
+        } catch (RuntimeException e) {
+            fail(Reason.STAGE_DIED, "internal error: " + Failures.describe(e), e);
+        }
     }
 
     private void open(HttpClient client, RequestOptions options, Buffer body) {
         client.request(options)
                 .onFailure(cause -> fail(Reason.STAGE_DIED, "failed to connect: " + Failures.describe(cause), cause))
-                .onSuccess(opened -> {
-                    if (isEnded) {
-                        opened.reset();
-                        return;
-                    }
-                    request = opened;
-                    Runnable repeat = () -> open(client, options, body);
-                    opened.exceptionHandler(cause -> onConnectionFailure(opened, cause, repeat));
-                    opened.response()
-                            .onSuccess(response -> {
-                                if (!isEnded && attribution.isForeign().test(response.headers())) {
-                                    onForeignResponse("response does not belong to the call", repeat);
-                                } else {
-                                    onResponse(response);
-                                }
-                            })
-                            .onFailure(cause -> onConnectionFailure(opened, cause, repeat));
-                    if (body == null) {
-                        opened.end();
+                .onSuccess(opened -> runOrFail(() -> sendRequest(opened, body, () -> open(client, options, body))));
+    }
+
+    private void sendRequest(HttpClientRequest opened, Buffer body, Runnable repeat) {
+        if (isEnded) {
+            opened.reset();
+            return;
+        }
+        request = opened;
+        opened.exceptionHandler(cause -> runOrFail(() -> onConnectionFailure(opened, cause, repeat)));
+        opened.response()
+                .onSuccess(response -> runOrFail(() -> {
+                    if (!isEnded && attribution.isForeign().test(response.headers())) {
+                        onForeignResponse("response does not belong to the call", repeat);
                     } else {
-                        opened.end(body);
+                        onResponse(response);
                     }
-                });
+                }))
+                .onFailure(cause -> runOrFail(() -> onConnectionFailure(opened, cause, repeat)));
+        if (body == null) {
+            opened.end();
+        } else {
+            opened.end(body);
+        }
     }
 
     private void onConnectionFailure(HttpClientRequest failed, Throwable cause, Runnable repeat) {
--- a/server/src/main/java/io/radishwinch/server/engine/HttpServiceExchange.java
+++ b/server/src/main/java/io/radishwinch/server/engine/HttpServiceExchange.java
@@ -59,7 +59,16 @@
     }
 
     void start(HttpClientAgent client) {
-        context.runOnContext(ignored -> open(client));
+        context.runOnContext(ignored -> runOrFail(() -> open(client)));
+    }
+
+    /** Runs a part of the call, which fails at once instead of at its deadline if an exception ends the part. */
+    private void runOrFail(Runnable part) {
+        try {
+            part.run();
+        } catch (RuntimeException e) {
+            fail(Reason.STAGE_DIED, "call cannot be sent: " + Failures.describe(e), e);
+        }
     }
 
     private void open(HttpClientAgent client) {
@@ -81,7 +90,7 @@
                 .setHeaders(endToEndHeaders(call.headers()));
         client.request(target)
                 .onFailure(cause -> fail(Reason.STAGE_DIED, "failed to connect: " + Failures.describe(cause), cause))
-                .onSuccess(this::sendRequest);
+                .onSuccess(opened -> runOrFail(() -> sendRequest(opened)));
     }
 
     private void sendRequest(HttpClientRequest opened) {
