--- a/server/src/main/java/io/radishwinch/server/JournalTransport.java
+++ b/server/src/main/java/io/radishwinch/server/JournalTransport.java
@@ -25,6 +25,8 @@
 
 /** Sends journal requests to the preferred writers of their shards, and serves those of other routers. */
 final class JournalTransport implements JournalWriters {
+    private static final System.Logger LOG = System.getLogger(JournalTransport.class.getName());
+
     /** Maximum number of requests that wait for a reply; further ones fail, so this router writes them itself. */
     private static final int MAX_PENDING_REQUESTS = 10_000;
 
@@ -122,7 +124,10 @@
             JournalRequest request = message.getJournalRequest();
             journal.handle(fromThrift(request))
                     .subscribe()
-                    .with(reply -> sendReply(from, toThrift(request.getSequence(), reply)), error -> {});
+                    .with(
+                            reply -> sendReply(from, toThrift(request.getSequence(), reply)),
+                            error -> LOG.log(
+                                    System.Logger.Level.ERROR, "no reply to a journal request of " + from.id(), error));
         }
     }
 
@@ -130,7 +135,14 @@
         Pending request = pending.remove(reply.getSequence());
         if (request != null) {
             vertx.cancelTimer(request.timerId());
-            request.emitter().complete(fromThrift(reply));
+            JournalPeer.Reply decoded;
+            try {
+                decoded = fromThrift(reply);
+            } catch (RuntimeException e) {
+                request.emitter().fail(new IllegalStateException("malformed reply of a journal writer", e));
+                return;
+            }
+            request.emitter().complete(decoded);
         }
     }
 
--- a/server/src/test/java/io/radishwinch/server/JournalTransportTest.java
+++ b/server/src/test/java/io/radishwinch/server/JournalTransportTest.java
@@ -53,6 +53,10 @@
 
         /** Sends a request and returns its number and the reply, once there is one. */
         JournalRequest open(String key, AtomicReference<JournalPeer.Reply> reply) {
+            return open(key, reply, new AtomicReference<>());
+        }
+
+        JournalRequest open(String key, AtomicReference<JournalPeer.Reply> reply, AtomicReference<Throwable> failure) {
             JournalPeer peer = IntStream.range(0, SHARDS)
                     .mapToObj(transport::writerOf)
                     .flatMap(Optional::stream)
@@ -61,7 +65,7 @@
             peer.call(new JournalPeer.Request(
                             JournalPeer.Step.OPEN, "caller", key, new byte[16], "nonce-" + key, Optional.empty()))
                     .subscribe()
-                    .with(reply::set, error -> {});
+                    .with(reply::set, failure::set);
             return sent.get(sent.size() - 1).frame().getMessage().getJournalRequest();
         }
 
@@ -88,4 +92,16 @@
         restarted.receive(replay(pending));
         assertThat(reply.get().grantNonce()).isEqualTo("nonce-b");
     }
+
+    /** Guards against a call that waits to its deadline because the reply to its journal request cannot be read. */
+    @Test
+    void aReplyWithoutAResultFailsItsRequest() {
+        Process process = new Process(1_000);
+        AtomicReference<JournalPeer.Reply> reply = new AtomicReference<>();
+        AtomicReference<Throwable> failure = new AtomicReference<>();
+        JournalRequest pending = process.open("a", reply, failure);
+        process.receive(new JournalReply().setSequence(pending.getSequence()).setGrantNonce(pending.getGrantNonce()));
+        assertThat(reply).hasNullValue();
+        assertThat(failure.get()).hasMessageContaining("malformed");
+    }
 }
