Guard each part of the periodic work of the control thread

The periodic work of a router ran as one task: an exception in one part, such as the registry of endpoints or the exchange with the peers, kept the parts after it from running, in the fleet router also the tick of the decision core, on which the deadlines of all requests depend. It was counted as that of an event loop, without the name of the part.

Each part runs guarded, is counted as part of the control thread, and is named in the log. The order of the parts is as before, except that the throughput bounds of the daemon are updated before its load is published.

No test: there is no seam at which a part can be made to fail.

--- a/server/src/main/java/io/radishwinch/server/ControlPlane.java
+++ b/server/src/main/java/io/radishwinch/server/ControlPlane.java
@@ -304,15 +304,26 @@
     }
 
     private void tickPeers() {
-        peers.send(node.tick(clock.getAsLong()));
+        control.runGuarded("tick of the peers", () -> peers.send(node.tick(clock.getAsLong())));
         configuration.tick();
     }
 
     private void shareLoad() {
         long nowMs = clock.getAsLong();
-        node.recordOfferedLoad(demandMeter.readAndReset(nowMs), nowMs);
+        control.runGuarded("offered load", () -> node.recordOfferedLoad(demandMeter.readAndReset(nowMs), nowMs));
+        control.runGuarded("publication of the load", () -> shareView(nowMs));
+        control.runGuarded("membership", () -> confirmMembership(nowMs));
+        control.runGuarded("surge detection", () -> surgeDetector.tick(nowMs));
+    }
+
+    private void shareView(long nowMs) {
         CoreView view = control.core().view();
+        boundTokensPerSByPool =
+                view.pools().stream().collect(Collectors.toUnmodifiableMap(PoolView::pool, PoolView::boundTokensPerS));
         publishLoad(view, nowMs);
+    }
+
+    private void confirmMembership(long nowMs) {
         List<String> live =
                 new ArrayList<>(node.members().stream().map(MemberInfo::id).toList());
         // A router without contact to peers and the platform may be isolated, so it must not send orders.
@@ -322,9 +333,6 @@
         }
         liveRouters = node.members().size() + 1;
         updateBudget(liveRouters);
-        surgeDetector.tick(nowMs);
-        boundTokensPerSByPool =
-                view.pools().stream().collect(Collectors.toUnmodifiableMap(PoolView::pool, PoolView::boundTokensPerS));
     }
 
     /**
@@ -354,12 +362,18 @@
     }
 
     private void pollVms() {
-        platform.vms().subscribe().with(this::applyVmList, error -> platformHealth.recordFailure());
-    }
-
-    private void applyVmList(List<Vm> vms) {
-        platformHealth.recordSuccess();
-        endpoints.applyVmList(vms);
+        platform.vms()
+                .subscribe()
+                .with(
+                        vms -> {
+                            platformHealth.recordSuccess();
+                            control.runGuarded("list of endpoints", () -> endpoints.applyVmList(vms));
+                            control.runGuarded("list of routers", () -> joinRouters(vms));
+                        },
+                        error -> platformHealth.recordFailure());
+    }
+
+    private void joinRouters(List<Vm> vms) {
         List<Seed> seeds = new ArrayList<>(configuredSeeds());
         vms.stream()
                 .filter(vm -> vm.role().equals("router") && !vm.isLeaving())
@@ -434,6 +448,6 @@
     }
 
     private void schedulePeriodic(long intervalMs, Runnable task) {
-        vertx.setPeriodic(intervalMs, ignored -> task.run());
+        vertx.setPeriodic(intervalMs, ignored -> control.runGuarded("periodic task", task));
     }
 }
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -326,23 +326,27 @@
 
     private void tick() {
         long nowMs = clock.getAsLong();
+        control.runGuarded("tick of the platform's state", () -> followAvailability(nowMs));
+        control.runGuarded("tick of the platform's watches", () -> followPlatform(nowMs));
+        control.runGuarded("tick of the endpoint registry", () -> registry.tick(nowMs));
+        control.runGuarded("tick of the health checker", () -> healthChecker.tick(nowMs));
+        control.runGuarded("tick of the order sender", orderSender::tick);
+        control.runGuarded("tick of the leases", () -> leaseManager.tick(nowMs));
+        control.runGuarded("tick of the request limits", () -> requestLimits.tick(nowMs));
+        if (++tickCount % TICKS_PER_LOAD_PUBLICATION == 0) {
+            control.runGuarded("publication of the load", this::publishLoad);
+        }
+        control.runGuarded("tick of the peers", () -> peers.send(node.tick(nowMs)));
+        control.post(new Event.Tick());
+    }
+
+    private void followAvailability(long nowMs) {
         boolean isAvailable = platform.isAvailable();
         if (isAvailable != wasPlatformAvailable) {
             wasPlatformAvailable = isAvailable;
             registry.setPlatformReachable(isAvailable, nowMs);
             log.stateChanged(isAvailable ? "dependency-regained" : "dependency-lost", "platform", "");
         }
-        followPlatform(nowMs);
-        registry.tick(nowMs);
-        healthChecker.tick(nowMs);
-        orderSender.tick();
-        leaseManager.tick(nowMs);
-        requestLimits.tick(nowMs);
-        if (++tickCount % TICKS_PER_LOAD_PUBLICATION == 0) {
-            publishLoad();
-        }
-        peers.send(node.tick(nowMs));
-        control.post(new Event.Tick());
     }
 
     /** Watches the platform if this router was elected, and tells the others whether its changes arrive. */
