Refuse a request whose admission throws after its body was read

Vert.x Web answers an exception in a handler with the failure handler, which sends 500. The rest of the admission runs when the body is complete, outside of that: an exception there, also one of the listener that counts refusals, left the caller without a response and kept the memory that is reserved for the body. The same listener could keep a request that is not HTTP from its error, and a connection beyond the limit from its end.

An exception in that part refuses the request as internal-error, not run, and releases the memory; the listener is observed. Both kinds of exception are counted.

--- a/server/src/main/java/io/radishwinch/server/http/CallerApi.java
+++ b/server/src/main/java/io/radishwinch/server/http/CallerApi.java
@@ -13,6 +13,7 @@
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.model.ServiceSpec;
 import io.radishwinch.core.model.Verdict;
+import io.radishwinch.server.InternalErrors;
 import io.vavr.control.Either;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
@@ -31,7 +32,6 @@
 
 /** Routes of the callers' HTTP interface. Confined to one traffic thread. */
 final class CallerApi {
-    private static final System.Logger LOG = System.getLogger(CallerApi.class.getName());
     private static final String SERVICES_PATH = "/services/";
 
     private final ExchangeContext shared;
@@ -225,17 +225,31 @@
             reject(ctx, contract.get().caller(), Optional.empty(), caller.getLeft());
             return;
         }
-        Consumer<Either<Refusal, Buffer>> receiver = result -> {
+        Consumer<Either<Refusal, Buffer>> receiver = result -> guard(ctx, caller.get(), result, () -> {
             if (result.isLeft()) {
                 rejectWithoutBody(ctx, caller.get(), result.getLeft());
             } else {
                 handler.handle(caller.get(), result.get());
             }
-        };
+        });
         BodyCollector.collect(
                 shared.vertx(), ctx.request(), maxBodyBytes, bodyTimeoutMs, shared.bodyMemory(), receiver);
     }
 
+    /** Runs the rest of the admission of a request, which is refused as not run if an exception ends it. */
+    private void guard(RoutingContext ctx, CallerRequest caller, Either<Refusal, Buffer> body, Runnable admission) {
+        try {
+            admission.run();
+        } catch (RuntimeException e) {
+            shared.control().errors().report(InternalErrors.Part.EXCHANGE, caller.requestId(), e);
+            shared.bodyMemory().release(body.fold(refusal -> 0, Buffer::length));
+            if (!ctx.response().ended()) {
+                rejectWithoutBody(
+                        ctx, caller, Refusal.notRun(Reason.INTERNAL_ERROR, ErrorMessages.of(Reason.INTERNAL_ERROR)));
+            }
+        }
+    }
+
     private Optional<Contract> authenticate(RoutingContext ctx) {
         Optional<Contract> contract = authenticator.authenticate(ctx.request().getHeader(HttpHeaders.AUTHORIZATION));
         if (contract.isEmpty()) {
@@ -249,8 +263,8 @@
     }
 
     private void releaseBodyAndReject(RoutingContext ctx, CallerRequest caller, Buffer body, Refusal refusal) {
+        rejectWithoutBody(ctx, caller, refusal);
         shared.bodyMemory().release(body.length());
-        reject(ctx, caller.contract().caller(), Optional.of(caller.rank()), refusal);
     }
 
     private void rejectWithoutBody(RoutingContext ctx, CallerRequest caller, Refusal refusal) {
@@ -259,7 +273,7 @@
 
     private void reject(RoutingContext ctx, String caller, Optional<Rank> rank, Refusal refusal) {
         String requestId = requestIds.get();
-        shared.listener().rejected(requestId, caller, rank, refusal);
+        observe(requestId, () -> shared.listener().rejected(requestId, caller, rank, refusal));
         HttpServerResponse response = ctx.response();
         boolean isBodyRead = ctx.request().isEnded();
         if (!isBodyRead) {
@@ -268,15 +282,19 @@
         }
         Future<Void> written = ErrorResponse.send(response, requestId, refusal);
         shared.responseEnded(written);
-        written.onFailure(
-                ignored -> shared.listener().responseCut(ResponseCut.unwritten(requestId, refusal.reason(), response)));
+        written.onFailure(ignored -> observe(requestId, () -> shared.listener()
+                .responseCut(ResponseCut.unwritten(requestId, refusal.reason(), response))));
         if (!isBodyRead) {
             written.onComplete(ignored -> ctx.request().connection().close());
         }
     }
 
+    private void observe(String requestId, Runnable observer) {
+        shared.control().errors().observe(requestId, observer);
+    }
+
     private void handleFailure(RoutingContext ctx) {
-        LOG.log(System.Logger.Level.ERROR, "request handler failed", ctx.failure());
+        shared.control().errors().report(InternalErrors.Part.EXCHANGE, "in its handler", ctx.failure());
         Refusal refusal =
                 new Refusal(Reason.INTERNAL_ERROR, Verdict.MAY_HAVE_RUN, ErrorMessages.of(Reason.INTERNAL_ERROR), 0);
         reject(ctx, "", Optional.empty(), refusal);
--- a/server/src/main/java/io/radishwinch/server/http/CallerServer.java
+++ b/server/src/main/java/io/radishwinch/server/http/CallerServer.java
@@ -183,19 +183,23 @@
             int openCount = openConnections.incrementAndGet();
             connection.closeHandler(ignored -> openConnections.decrementAndGet());
             if (openCount > settings.integer(SettingKey.CALLER_MAX_CONNECTIONS)) {
-                dependencies
-                        .listener()
-                        .rejected("", "", Optional.empty(), Refusal.notRun(Reason.QUEUE_FULL, "too many connections"));
+                reportRejected(Refusal.notRun(Reason.QUEUE_FULL, "too many connections"));
                 connection.close();
             }
         }
 
+        private void reportRejected(Refusal refusal) {
+            dependencies.control().errors().observe("of a connection", () -> dependencies
+                    .listener()
+                    .rejected("", "", Optional.empty(), refusal));
+        }
+
         private void onInvalidRequest(HttpServerRequest request) {
             Throwable cause = request.decoderResult().cause();
             boolean isTooLarge = cause instanceof io.netty.handler.codec.TooLongFrameException;
             Reason reason = isTooLarge ? Reason.HEADER_TOO_LARGE : Reason.MALFORMED_REQUEST;
             Refusal refusal = Refusal.notRun(reason, ErrorMessages.of(reason));
-            dependencies.listener().rejected("", "", Optional.empty(), refusal);
+            reportRejected(refusal);
             ErrorResponse.send(request.response(), dependencies.requestIds().get(), refusal);
             request.connection().close();
         }
