Hold begun streams during a quarantine instead of breaking them off

A stream that lost its endpoint while peers reported crashes with a part of its prompt was reset at once, as was one whose fingerprint was quarantined, although its caller was reading and another request could have proven the part. Limits that protect the pool were applied to a response that can only be broken off.

A stream that has run for 200 ms after its first token, the time that counts as a proof of the prompt, is held now: a running attempt is cancelled, no other starts while the fingerprint or the parts are quarantined, and the stream resumes when they no longer are, or ends at its deadline. The bounds on lost endpoints do not change, as quarantined content starts no attempt. Responses that ran for less are refused as before. A quarantine often lasts longer than a deadline; without a proof by another request the stream then ends at its deadline instead of at once.

--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -117,7 +117,7 @@
                 row.isCancelledByCrash = removed.hasCrashed();
                 boolean isRerouted = startReroute(row, removed.endpointId(), nowMs);
                 if (!isRerouted && (!removed.isSuspected() || canLeaveSuspected(row, removed.endpointId(), nowMs))) {
-                    cancel(row, Reason.STAGE_DIED, removed.endpointId(), nowMs);
+                    state.cancel(row, Reason.STAGE_DIED, removed.endpointId(), nowMs);
                 }
             }
         }
@@ -175,7 +175,7 @@
         for (Stage stage : row.chain.stages()) {
             String endpointId = stage.endpointId();
             if (state.suspectedSinceMs.containsKey(endpointId) && canLeaveSuspected(row, endpointId, nowMs)) {
-                cancel(row, Reason.STAGE_DIED, endpointId, nowMs);
+                state.cancel(row, Reason.STAGE_DIED, endpointId, nowMs);
                 return;
             }
         }
@@ -245,20 +245,10 @@
             state.replaceChain(row, chain, nowMs);
             row.endedEndpoints.keySet().removeIf(id -> !chain.uses(id));
         } else if (!mayRespondAgain(row, row.rerouteLostEndpointId)) {
-            cancel(row, Reason.STAGE_DIED, row.rerouteLostEndpointId, nowMs);
+            state.cancel(row, Reason.STAGE_DIED, row.rerouteLostEndpointId, nowMs);
         }
     }
 
-    /** Cancels a running attempt; its end is reported by a later event. */
-    void cancel(RequestRow row, Reason reason, String endpointId, long nowMs) {
-        row.state = RequestRow.State.CANCELLING;
-        row.cancelReason = reason;
-        row.cancelEndpointId = endpointId;
-        row.nextTransitionAtMs = nowMs + state.settings.cancelTimeoutMs();
-        state.actions.add(new Action.CancelAttempt(row.id(), row.epoch, reason));
-        state.recordDecision(row, nowMs, "attempt " + row.epoch + " cancelled: " + reason.wireName());
-    }
-
     /** Applies the timeouts of deadlines, reroutes, cancellations and waits for the retry budget. */
     void tick(long nowMs) {
         leaveSuspectedEndpoints(nowMs);
@@ -383,7 +373,7 @@
         row.hasReservedRetry = false;
         Reason contractReason = state.withdrawalReason(row);
         row.isWaitingForRetryBudget = false;
-        if (state.partQuarantineMs(row.spec, nowMs) > 0) {
+        if (state.partQuarantineMs(row.spec, nowMs) > 0 && !row.outlastsQuarantine()) {
             state.refuse(row, Reason.QUARANTINED, nowMs);
         } else if (decision instanceof RetryPolicy.DoNotRetry stop) {
             state.refuse(row, stop.reason(), nowMs);
--- a/core/src/main/java/io/radishwinch/core/impl/CoreState.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreState.java
@@ -246,12 +246,36 @@
         actions.add(action);
     }
 
+    /** Cancels a running attempt; its end is reported by a later event. */
+    void cancel(RequestRow row, Reason reason, String endpointId, long nowMs) {
+        row.state = RequestRow.State.CANCELLING;
+        row.cancelReason = reason;
+        row.cancelEndpointId = endpointId;
+        row.nextTransitionAtMs = nowMs + settings.cancelTimeoutMs();
+        actions.add(new Action.CancelAttempt(row.id(), row.epoch, reason));
+        recordDecision(row, nowMs, "attempt " + row.epoch + " cancelled: " + reason.wireName());
+    }
+
+    /** Refuses a request because of a quarantine; one that outlasts it waits for its end instead. */
+    void refuseOrHold(RequestRow row, long nowMs) {
+        if (!row.outlastsQuarantine()) {
+            refuse(row, Reason.QUARANTINED, nowMs);
+        } else if (row.state == RequestRow.State.RUNNING) {
+            cancel(row, Reason.QUARANTINED, "", nowMs);
+        }
+    }
+
     private long retryAfterMs(RequestSpec spec, Reason reason, long nowMs) {
         return reason == Reason.QUARANTINED
                 ? partQuarantineMs(spec, nowMs)
                 : isCapacityShortage(reason) ? capacityWaitMs(spec, nowMs) : 0;
     }
 
+    /** Returns whether no quarantine keeps an attempt of the request from its start. */
+    boolean canStart(RequestSpec spec, long nowMs) {
+        return quarantine.canStart(spec.fingerprint(), nowMs) && partQuarantineMs(spec, nowMs) == 0;
+    }
+
     /** Returns the rest of the quarantine of the parts of a prompt in ms, or 0 if they are not quarantined. */
     long partQuarantineMs(RequestSpec spec, long nowMs) {
         return Math.max(0, partQuarantine.quarantinedUntilMs(spec.sharedParts(), nowMs) - nowMs);
--- a/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
@@ -63,9 +63,7 @@
                 .toList();
         state.freedEndpointIds.clear();
         for (RequestRow row : candidates) {
-            if (!isTooLate(row, nowMs)
-                    && row.nextTransitionAtMs > nowMs
-                    && state.quarantine.canStart(row.spec.fingerprint(), nowMs)) {
+            if (!isTooLate(row, nowMs) && row.nextTransitionAtMs > nowMs && state.canStart(row.spec, nowMs)) {
                 retryWaiting(row, nowMs);
             }
         }
@@ -82,8 +80,7 @@
                 if (row.nextTransitionAtMs <= nowMs && !row.isWaitingForRetryBudget) {
                     state.requeue(row, nowMs);
                 }
-            } else if (state.quarantine.canStart(row.spec.fingerprint(), nowMs)
-                    && waitingTried++ < MAX_WAITING_PER_TICK) {
+            } else if (state.canStart(row.spec, nowMs) && waitingTried++ < MAX_WAITING_PER_TICK) {
                 retryWaiting(row, nowMs);
             }
         }
@@ -123,7 +120,7 @@
         plannedChain = null;
         RequestRow row = state.requests.get(spec.requestId());
         PoolRow pool = state.pool(spec.pool());
-        row.isHeldByQuarantine = !state.quarantine.canStart(spec.fingerprint(), nowMs);
+        row.isHeldByQuarantine = !state.canStart(spec, nowMs);
         if (isTooLate(row, nowMs) || row.isHeldByQuarantine || yieldsSlot(row, nowMs)) {
             return true;
         }
@@ -220,7 +217,9 @@
         state.recordDecision(
                 row,
                 nowMs,
-                row.isHeldByQuarantine ? "parked, its fingerprint runs already" : "parked, waits for other endpoints");
+                row.isHeldByQuarantine
+                        ? "parked, a quarantine allows no attempt"
+                        : "parked, waits for other endpoints");
     }
 
     private void start(RequestRow row, Chain chain, long nowMs) {
--- a/core/src/main/java/io/radishwinch/core/impl/PartQuarantineSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/PartQuarantineSystem.java
@@ -1,7 +1,6 @@
 package io.radishwinch.core.impl;
 
 import io.radishwinch.core.action.Action;
-import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.quarantine.PartQuarantineSettings;
 import io.radishwinch.core.quarantine.PromptCrash;
 import java.util.ArrayDeque;
@@ -31,6 +30,7 @@
      * endpoint is known to have ended; endpoints also reset the connections of requests that they drop.
      */
     void recordFailure(RequestRow row, String endpointId, long nowMs) {
+        row.hasProvenPrompt |= hasProof(row, nowMs);
         if (hasProof(row, nowMs) || row.spec.sharedParts().isEmpty()) {
             return;
         }
@@ -68,6 +68,7 @@
             return;
         }
         row.hasProvenParts = true;
+        row.hasProvenPrompt = true;
         List<Long> suspected = state.partQuarantine.suspectedParts(row.spec.sharedParts());
         if (!suspected.isEmpty()) {
             state.actions.add(new Action.ShareProvenParts(suspected));
@@ -104,7 +105,7 @@
         applyCrash(crash, nowMs);
     }
 
-    /** Refuses the requests with quarantined parts whose answers have not begun. */
+    /** Refuses or holds the requests with quarantined parts whose running attempts have not answered. */
     private void refuseQuarantined(long nowMs) {
         String quarantined = state.partQuarantine.quarantinedParts().stream()
                 .map(PartQuarantineSystem::describe)
@@ -114,7 +115,7 @@
         for (RequestRow row : List.copyOf(state.requests.values())) {
             boolean hasAnswerBegun = row.isRunning() && row.firstTokenAtMs >= 0;
             if (!hasAnswerBegun && state.partQuarantineMs(row.spec, nowMs) > 0) {
-                state.refuse(row, Reason.QUARANTINED, nowMs);
+                state.refuseOrHold(row, nowMs);
             }
         }
     }
--- a/core/src/main/java/io/radishwinch/core/impl/PreemptionSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/PreemptionSystem.java
@@ -10,12 +10,10 @@
 final class PreemptionSystem {
 
     private final CoreState state;
-    private final AttemptSystem attempts;
     private final EndpointLimit endpointLimit;
 
-    PreemptionSystem(CoreState state, AttemptSystem attempts, EndpointLimit endpointLimit) {
+    PreemptionSystem(CoreState state, EndpointLimit endpointLimit) {
         this.state = state;
-        this.attempts = attempts;
         this.endpointLimit = endpointLimit;
     }
 
@@ -27,7 +25,7 @@
         }
         state.pools.forEach((name, pool) -> {
             if (pool.isBlocked() && !isPreempting(name) && hasWaitingUrgentWork(name, nowMs)) {
-                victim(name, nowMs).ifPresent(row -> attempts.cancel(row, Reason.PREEMPTED, "", nowMs));
+                victim(name, nowMs).ifPresent(row -> state.cancel(row, Reason.PREEMPTED, "", nowMs));
             }
         });
     }
--- a/core/src/main/java/io/radishwinch/core/impl/QuarantineSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/QuarantineSystem.java
@@ -2,7 +2,6 @@
 
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.event.Event;
-import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.quarantine.CrashEvidence;
 import java.util.List;
 
@@ -120,7 +119,10 @@
         }
     }
 
-    /** Refuses all requests with the fingerprint if it is quarantined; running attempts are cancelled. */
+    /**
+     * Refuses all requests with the fingerprint if it is quarantined, or holds those that outlast it; running attempts
+     * are cancelled.
+     */
     private void applyQuarantine(String fingerprint, boolean shareWithPeers, long nowMs) {
         long untilMs = state.quarantine.quarantinedUntilMs(fingerprint, nowMs);
         if (untilMs == 0) {
@@ -132,7 +134,7 @@
         }
         for (RequestRow row : List.copyOf(state.requests.values())) {
             if (row.spec.fingerprint().equals(fingerprint)) {
-                state.refuse(row, Reason.QUARANTINED, nowMs);
+                state.refuseOrHold(row, nowMs);
             }
         }
     }
--- a/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
+++ b/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
@@ -76,6 +76,8 @@
     int tokensBeforeAttempt;
     /** Whether the running attempt has shown that the parts of the prompt do not crash endpoints. */
     boolean hasProvenParts;
+    /** Whether any attempt has shown it. */
+    boolean hasProvenPrompt;
     /** Time of the next state change: end of the backoff, of the wait for an endpoint or of the cancel timeout. */
     long nextTransitionAtMs;
 
@@ -146,6 +148,14 @@
         return hasBegun() || spec.continuesResponse();
     }
 
+    /**
+     * Returns whether the request waits for the end of a quarantine instead of being refused: its caller is reading,
+     * and its prompt has not crashed the endpoint that began the response.
+     */
+    boolean outlastsQuarantine() {
+        return hasBegun() && hasProvenPrompt && spec.isRepeatable();
+    }
+
     /** Returns the verdict of the request if it ended now. */
     Verdict currentVerdict() {
         if (isRunning()) {
--- a/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -49,7 +49,7 @@
         this.quarantineSystem = new QuarantineSystem(state);
         this.partQuarantineSystem = new PartQuarantineSystem(state);
         this.attempts = new AttemptSystem(state, quarantineSystem, partQuarantineSystem, endpointLimit);
-        this.preemption = new PreemptionSystem(state, attempts, endpointLimit);
+        this.preemption = new PreemptionSystem(state, endpointLimit);
     }
 
     /** Creates a core with a {@link RankedFairQueue}. */
--- a/core/src/main/java/io/radishwinch/core/retry/BudgetedRetryPolicy.java
+++ b/core/src/main/java/io/radishwinch/core/retry/BudgetedRetryPolicy.java
@@ -9,8 +9,8 @@
  *
  * <p>A response that has begun is lost to its caller if it is given up, so that only attempts to which an endpoint
  * responded with an error count against its limit; the budget and the deadline limit all others. A non-repeatable
- * request is retried only if every attempt ended with {@code not-run}. Preempted attempts resume without charge to the
- * budget, because no endpoint failed and the core limits preemptions itself.
+ * request is retried only if every attempt ended with {@code not-run}. Preempted attempts, and those that a quarantine
+ * ended, resume without charge to the budget, because no endpoint failed and the core limits both itself.
  */
 public final class BudgetedRetryPolicy implements RetryPolicy {
 
@@ -51,7 +51,7 @@
         if (!isRetryable(failure.reason()) || (!request.isRepeatable() && failure.verdict() != Verdict.NOT_RUN)) {
             return new DoNotRetry(failure.reason());
         }
-        if (failure.reason() == Reason.PREEMPTED) {
+        if (failure.reason() == Reason.PREEMPTED || failure.reason() == Reason.QUARANTINED) {
             return new Retry(0);
         }
         if (failure.budgetWaits() == 0) {
@@ -77,7 +77,13 @@
 
     private static boolean isRetryable(Reason reason) {
         return switch (reason) {
-            case STAGE_DIED, ENDPOINT_REFUSED, ENDPOINT_CHANGED, ENDPOINT_TIMEOUT, ENDPOINT_ERROR, PREEMPTED -> true;
+            case STAGE_DIED,
+                    ENDPOINT_REFUSED,
+                    ENDPOINT_CHANGED,
+                    ENDPOINT_TIMEOUT,
+                    ENDPOINT_ERROR,
+                    PREEMPTED,
+                    QUARANTINED -> true;
             default -> false;
         };
     }
--- /dev/null
+++ b/core/src/test/java/io/radishwinch/core/impl/QuarantinedStreamTest.java
@@ -0,0 +1,129 @@
+package io.radishwinch.core.impl;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.radishwinch.core.action.Action;
+import io.radishwinch.core.event.Event;
+import io.radishwinch.core.model.Rank;
+import io.radishwinch.core.model.Reason;
+import io.radishwinch.core.model.RequestSpec;
+import io.radishwinch.core.model.Verdict;
+import io.radishwinch.core.quarantine.PromptCrash;
+import io.radishwinch.core.quarantine.QuarantineSettings;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against streams that a quarantine breaks off, although their callers are reading. */
+class QuarantinedStreamTest {
+    private static final long DEADLINE_MS = 40_000;
+    private static final int TOKENS = 2_000;
+    private static final long PART = 2;
+
+    private static CoreSimulation simulation(QuarantineSettings quarantine) {
+        CoreSettings settings = CoreSettings.defaults().withQuarantine(quarantine);
+        CoreSimulation simulation =
+                CoreSimulation.of(new FakeDirectory(1, 6, 4), settings).contract("a");
+        simulation.arrive(new RequestSpec(
+                "r",
+                "a",
+                Rank.INTERACTIVE,
+                CoreSimulation.MODEL,
+                10,
+                TOKENS,
+                0,
+                DEADLINE_MS,
+                "f-r",
+                List.of(),
+                List.of(PART),
+                true,
+                4,
+                TOKENS,
+                DEADLINE_MS));
+        return simulation;
+    }
+
+    /** Reports three crashes, one after the other, of other requests with the part at other routers. */
+    private static void reportCrashes(CoreSimulation simulation, long atMs) {
+        for (int n = 0; n < 3; n++) {
+            long crashedAtMs = atMs - 400 + 200 * n;
+            PromptCrash crash = new PromptCrash("other" + n, "peer" + n, List.of(PART), crashedAtMs - 50, crashedAtMs);
+            simulation.at(atMs, new Event.PromptCrashShared(crash));
+        }
+    }
+
+    private static CoreSimulation.Outcome breaksOffAt(Action.StartAttempt start, long atMs) {
+        return CoreSimulation.fails(
+                start, atMs, Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN, (int) (atMs / CoreSimulation.TOKEN_MS));
+    }
+
+    private static void assertHeldAndCompleted(CoreSimulation simulation, long fromMs, long untilMs) {
+        assertThat(simulation.starts(fromMs, untilMs, start -> true)).isZero();
+        assertThat(simulation.trace("r").isServed()).isTrue();
+    }
+
+    /** Failure: the stream was reset at 10 s of 40 s, as it lost its endpoint while its part was quarantined. */
+    @Test
+    void aStreamWithAQuarantinedPartResumesWhenThePartIsProven() {
+        CoreSimulation simulation = simulation(QuarantineSettings.defaults());
+        simulation.endpointBehaviour =
+                start -> start.epoch() == 1 ? breaksOffAt(start, 10_000) : simulation.finishes(start);
+        reportCrashes(simulation, 9_000);
+        simulation.at(15_000, new Event.PartsProven(List.of(PART), 15_000));
+        simulation.run(DEADLINE_MS + 100);
+        assertHeldAndCompleted(simulation, 10_000, 15_000);
+    }
+
+    /** Failure: the same, if the reports arrive before the next attempt has delivered anything. */
+    @Test
+    void aStreamThatIsBeingResumedWaitsForTheProofOfItsPart() {
+        CoreSimulation simulation = simulation(QuarantineSettings.defaults());
+        simulation.endpointBehaviour = start -> switch (start.epoch()) {
+            case 1 -> breaksOffAt(start, 10_000);
+            case 2 -> null;
+            default -> simulation.finishes(start);
+        };
+        reportCrashes(simulation, 11_000);
+        simulation.at(15_000, new Event.PartsProven(List.of(PART), 15_000));
+        simulation.run(DEADLINE_MS + 100);
+        assertThat(simulation.actions).contains(new Action.CancelAttempt("r", 2, Reason.QUARANTINED));
+        assertHeldAndCompleted(simulation, 11_000, 15_000);
+    }
+
+    @Test
+    void aStreamWhosePartIsNeverProvenEndsAtItsDeadlineWithoutAnotherAttempt() {
+        CoreSimulation simulation = simulation(QuarantineSettings.defaults());
+        simulation.endpointBehaviour = start -> breaksOffAt(start, 10_000);
+        reportCrashes(simulation, 9_000);
+        simulation.run(DEADLINE_MS + 100);
+        assertThat(simulation.trace("r").starts).hasSize(1);
+        assertThat(simulation.trace("r").endedAtMs).isGreaterThanOrEqualTo(DEADLINE_MS);
+        assertThat(simulation.trace("r").refusal().reason()).isEqualTo(Reason.DEADLINE_EXCEEDED);
+    }
+
+    /**
+     * Failure: a stream whose first two endpoints crashed after 3 s each was reset at 6.2 s of 40 s, quarantined for 3
+     * s.
+     */
+    @Test
+    void aStreamThatRanLongBeforeItsEndpointsCrashedResumesAfterItsQuarantine() {
+        CoreSimulation simulation = simulation(QuarantineSettings.defaults().withTimes(3_000, 4_000, 10_000));
+        simulation.endpointBehaviour = start -> start.epoch() <= 2
+                ? new CoreSimulation.Outcome(
+                        3_000,
+                        new Event.EndpointRemoved(start.chain().firstStage().endpointId(), true))
+                : simulation.finishes(start);
+        simulation.run(DEADLINE_MS + 100);
+        assertThat(simulation.trace("r").starts).hasSize(3);
+        assertHeldAndCompleted(simulation, 6_300, 9_200);
+    }
+
+    /** Failure: a stream was reset at 3 s of 40 s, as a peer had quarantined its fingerprint for 3 s. */
+    @Test
+    void aRunningStreamIsHeldWhileAPeerQuarantinesItsFingerprint() {
+        CoreSimulation simulation = simulation(QuarantineSettings.defaults());
+        simulation.at(3_000, new Event.QuarantineShared("f-r", 6_000));
+        simulation.run(DEADLINE_MS + 100);
+        assertThat(simulation.actions).contains(new Action.CancelAttempt("r", 1, Reason.QUARANTINED));
+        assertHeldAndCompleted(simulation, 3_000, 6_000);
+    }
+}
