--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -102,6 +102,9 @@
         if (removed.isSuspected()) {
             state.suspectedSinceMs.put(removed.endpointId(), nowMs);
         } else {
+            if (removed.isEndProven() || state.isSilenceExceeded(removed.endpointId(), nowMs)) {
+                state.recordEnd(removed.endpointId());
+            }
             state.suspectedSinceMs.remove(removed.endpointId());
         }
         List<RequestRow> rows = state.running.stream()
@@ -146,6 +149,7 @@
 
     /** Ends the suspicion of an endpoint that responds again, and the limit of its attempts that may go on. */
     void endpointJoined(String endpointId) {
+        state.endedEndpointIds.remove(endpointId);
         state.suspectedSinceMs.remove(endpointId);
         for (RequestRow row : state.running) {
             // The response to a request that cannot run again is still waited for, as reports of crashes can be wrong.
