Let only the quarantine of a fingerprint hold a begun stream, and only in time

A stream held until its deadline because a part of its prompt is quarantined for ten minutes makes its caller wait for nothing: requests that could prove the part are refused. The begun answer is itself the proof that its parts crash no endpoint, so that such a stream resumes now. One whose fingerprint is quarantined beyond its deadline is broken off at once, as before, and waits only for a quarantine that ends earlier.

QuarantinedStreamTest has the cases; the tests that asked for the wait until a proof are replaced by ones that ask for the whole stream.

--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -377,7 +377,7 @@
         row.hasReservedRetry = false;
         Reason contractReason = state.withdrawalReason(row);
         row.isWaitingForRetryBudget = false;
-        if (state.partQuarantineMs(row.spec, nowMs) > 0 && !row.outlastsQuarantine()) {
+        if (state.partQuarantineMs(row.spec, nowMs) > 0 && !row.hasProvenPrompt) {
             state.refuse(row, Reason.QUARANTINED, nowMs);
         } else if (decision instanceof RetryPolicy.DoNotRetry stop) {
             state.refuse(row, stop.reason(), nowMs);
--- a/core/src/main/java/io/radishwinch/core/impl/CoreState.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreState.java
@@ -272,24 +272,30 @@
 
     /** Refuses a request because of a quarantine; one that outlasts it waits for its end instead. */
     void refuseOrHold(RequestRow row, long nowMs) {
-        if (!row.outlastsQuarantine()) {
+        if (!outlastsQuarantine(row, nowMs)) {
             refuse(row, Reason.QUARANTINED, nowMs);
         } else if (row.state == RequestRow.State.RUNNING) {
             cancel(row, Reason.QUARANTINED, "", nowMs);
         }
     }
 
+    /**
+     * Returns whether a request waits for the end of the quarantine of its fingerprint instead of being refused: its
+     * caller is reading, its prompt has not crashed the endpoint that began the response, and time is left afterwards.
+     */
+    boolean outlastsQuarantine(RequestRow row, long nowMs) {
+        return row.hasBegun()
+                && row.hasProvenPrompt
+                && row.spec.isRepeatable()
+                && quarantine.quarantinedUntilMs(row.spec.fingerprint(), nowMs) < deadlineMs(row);
+    }
+
     private long retryAfterMs(RequestSpec spec, Reason reason, long nowMs) {
         return reason == Reason.QUARANTINED
                 ? partQuarantineMs(spec, nowMs)
                 : isCapacityShortage(reason) ? capacityWaitMs(spec, nowMs) : 0;
     }
 
-    /** Returns whether no quarantine keeps an attempt of the request from its start. */
-    boolean canStart(RequestSpec spec, long nowMs) {
-        return quarantine.canStart(spec.fingerprint(), nowMs) && partQuarantineMs(spec, nowMs) == 0;
-    }
-
     /** Returns the rest of the quarantine of the parts of a prompt in ms, or 0 if they are not quarantined. */
     long partQuarantineMs(RequestSpec spec, long nowMs) {
         return Math.max(0, partQuarantine.quarantinedUntilMs(spec.sharedParts(), nowMs) - nowMs);
--- a/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/DispatchSystem.java
@@ -63,7 +63,9 @@
                 .toList();
         state.freedEndpointIds.clear();
         for (RequestRow row : candidates) {
-            if (!isTooLate(row, nowMs) && row.nextTransitionAtMs > nowMs && state.canStart(row.spec, nowMs)) {
+            if (!isTooLate(row, nowMs)
+                    && row.nextTransitionAtMs > nowMs
+                    && state.quarantine.canStart(row.spec.fingerprint(), nowMs)) {
                 retryWaiting(row, nowMs);
             }
         }
@@ -80,7 +82,8 @@
                 if (row.nextTransitionAtMs <= nowMs && !row.isWaitingForRetryBudget) {
                     state.requeue(row, nowMs);
                 }
-            } else if (state.canStart(row.spec, nowMs) && waitingTried++ < MAX_WAITING_PER_TICK) {
+            } else if (state.quarantine.canStart(row.spec.fingerprint(), nowMs)
+                    && waitingTried++ < MAX_WAITING_PER_TICK) {
                 retryWaiting(row, nowMs);
             }
         }
@@ -120,7 +123,7 @@
         plannedChain = null;
         RequestRow row = state.requests.get(spec.requestId());
         PoolRow pool = state.pool(spec.pool());
-        row.isHeldByQuarantine = !state.canStart(spec, nowMs);
+        row.isHeldByQuarantine = !state.quarantine.canStart(spec.fingerprint(), nowMs);
         if (isTooLate(row, nowMs) || row.isHeldByQuarantine || yieldsSlot(row, nowMs)) {
             return true;
         }
--- a/core/src/main/java/io/radishwinch/core/impl/PartQuarantineSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/PartQuarantineSystem.java
@@ -1,6 +1,7 @@
 package io.radishwinch.core.impl;
 
 import io.radishwinch.core.action.Action;
+import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.quarantine.PartQuarantineSettings;
 import io.radishwinch.core.quarantine.PromptCrash;
 import java.util.ArrayDeque;
@@ -105,7 +106,7 @@
         applyCrash(crash, nowMs);
     }
 
-    /** Refuses or holds the requests with quarantined parts whose running attempts have not answered. */
+    /** Refuses the requests with quarantined parts that no endpoint has begun to answer. */
     private void refuseQuarantined(long nowMs) {
         String quarantined = state.partQuarantine.quarantinedParts().stream()
                 .map(PartQuarantineSystem::describe)
@@ -114,8 +115,8 @@
                 "prompt-parts", quarantined.isEmpty() ? "none quarantined" : "quarantined: " + quarantined));
         for (RequestRow row : List.copyOf(state.requests.values())) {
             boolean hasAnswerBegun = row.isRunning() && row.firstTokenAtMs >= 0;
-            if (!hasAnswerBegun && state.partQuarantineMs(row.spec, nowMs) > 0) {
-                state.refuseOrHold(row, nowMs);
+            if (!hasAnswerBegun && !row.hasProvenPrompt && state.partQuarantineMs(row.spec, nowMs) > 0) {
+                state.refuse(row, Reason.QUARANTINED, nowMs);
             }
         }
     }
--- a/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
+++ b/core/src/main/java/io/radishwinch/core/impl/RequestRow.java
@@ -148,14 +148,6 @@
         return hasBegun() || spec.continuesResponse();
     }
 
-    /**
-     * Returns whether the request waits for the end of a quarantine instead of being refused: its caller is reading,
-     * and its prompt has not crashed the endpoint that began the response.
-     */
-    boolean outlastsQuarantine() {
-        return hasBegun() && hasProvenPrompt && spec.isRepeatable();
-    }
-
     /** Returns the verdict of the request if it ended now. */
     Verdict currentVerdict() {
         if (isRunning()) {
