Take the progress of a resumed stream for its first token

An exchange reports the first token of a request once, so that no later attempt of a stream had one for the core: it was held for a quarantined part although its answer ran, proved nothing, and a request of many attempts was observed until its end. The first progress of an attempt, reported at most 1 s after its first token, now counts as it.

--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -52,10 +52,15 @@
         }
     }
 
-    void progress(Event.Progress event) {
+    void progress(Event.Progress event, long nowMs) {
         RequestRow row = runningAttempt(event.requestId(), event.epoch());
         if (row != null) {
             row.deliveredTokens = Math.max(row.deliveredTokens, event.deliveredTokens());
+            if (row.firstTokenAtMs < 0 && row.deliveredTokens > row.tokensBeforeAttempt) {
+                // An exchange reports the first token of a request, not that of each attempt.
+                row.isAccepted = true;
+                row.firstTokenAtMs = nowMs;
+            }
         }
     }
 
--- a/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -85,7 +85,7 @@
         } else if (event instanceof Event.FirstToken first) {
             attempts.firstToken(first, nowMs);
         } else if (event instanceof Event.Progress progress) {
-            attempts.progress(progress);
+            attempts.progress(progress, nowMs);
         } else if (event instanceof Event.AttemptFinished finished) {
             attempts.finished(finished, nowMs);
             dispatch.dispatch(nowMs);
--- a/core/src/test/java/io/radishwinch/core/impl/QuarantinedStreamTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/QuarantinedStreamTest.java
@@ -89,6 +89,19 @@
         assertHeldAndCompleted(simulation, 11_000, 15_000);
     }
 
+    /** Failure: a resumed stream that had run for 5 s was cancelled, as its first token is reported only once. */
+    @Test
+    void aResumedStreamThatRunsIsNotHeldForItsPart() {
+        CoreSimulation simulation = simulation(QuarantineSettings.defaults());
+        simulation.endpointBehaviour = start -> start.epoch() == 1 ? breaksOffAt(start, 10_000) : null;
+        simulation.at(13_000, new Event.Progress("r", 2, 1_300));
+        simulation.at(16_000, new Event.AttemptFinished("r", 2, TOKENS));
+        reportCrashes(simulation, 15_000);
+        simulation.run(DEADLINE_MS + 100);
+        assertThat(simulation.actions).noneMatch(action -> action instanceof Action.CancelAttempt);
+        assertThat(simulation.trace("r").isServed()).isTrue();
+    }
+
     @Test
     void aStreamWhosePartIsNeverProvenEndsAtItsDeadlineWithoutAnotherAttempt() {
         CoreSimulation simulation = simulation(QuarantineSettings.defaults());
