Audit logs for exceptions and for attempts without an end

The logs of a run showed the exceptions and the attempts that never ended, and nothing read them: a run counted as clean if no caller complained.

radishwinch audit LOGS... reports lines on exceptions, and every attempt-started without an end of its epoch or of its request, with the router, the request, the epoch and the time; the exit code is then 1. Attempts whose end may be missing for a reason that the log shows, lines that were not written or a process that ended before their deadline, are listed as undecided. trace, logs summary and audit also read captured output with a time and process prefix before each chunk.

--- a/cli/src/main/java/io/radishwinch/cli/CommandTree.java
+++ b/cli/src/main/java/io/radishwinch/cli/CommandTree.java
@@ -33,6 +33,7 @@
         topLevelCommands.put("status", new FleetCommands.Status());
         topLevelCommands.put("drain", new FleetCommands.Drain());
         topLevelCommands.put("trace", new LogCommands.Trace());
+        topLevelCommands.put("audit", new LogCommands.Audit());
         topLevelCommands.put("report", new ReportCommand());
         topLevelCommands.put("soak", new SoakCommand());
         root = JCommander.newBuilder()
--- a/cli/src/main/java/io/radishwinch/cli/LogCommands.java
+++ b/cli/src/main/java/io/radishwinch/cli/LogCommands.java
@@ -2,6 +2,7 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import io.radishwinch.cli.log.LogAudit;
 import io.radishwinch.cli.log.LogFiles;
 import io.radishwinch.cli.log.LogLine;
 import io.radishwinch.cli.log.LogSummary;
@@ -103,6 +104,30 @@
         }
     }
 
+    @Parameters(commandDescription = "Check collected logs for exceptions and for attempts without an end")
+    static final class Audit extends Command {
+        @Parameter(description = "FILE...", required = true)
+        private List<String> arguments = new ArrayList<>();
+
+        @Override
+        ExitCode run(Session session) {
+            LogFiles files = files(session, arguments);
+            LogAudit audit = readOrFail(() -> LogAudit.of(files));
+            noteUnstructuredLines(session, files);
+            section(session, "exceptions", audit.exceptions());
+            section(session, "attempts without an end", audit.unended());
+            section(session, "undecided", audit.undecided());
+            session.printJson(Map.of(
+                    "exceptions", audit.exceptions(), "unended", audit.unended(), "undecided", audit.undecided()));
+            return audit.isClean() ? ExitCode.OK : ExitCode.FAILED;
+        }
+
+        private static void section(Session session, String title, List<?> findings) {
+            session.printLine("%s: %d", title, findings.size());
+            findings.forEach(finding -> session.printLine("  %s", finding));
+        }
+    }
+
     private static LogFiles files(Session session, List<String> names) {
         return new LogFiles(names.stream().map(session.environment()::resolve).toList());
     }
--- a/cli/src/main/java/io/radishwinch/cli/log/LogLine.java
+++ b/cli/src/main/java/io/radishwinch/cli/log/LogLine.java
@@ -11,7 +11,7 @@
 /**
  * One structured line of a router's log.
  *
- * @param file name of the log file; each router writes a file of its own
+ * @param file name of the log file; each router writes a file of its own, or {@code file/process} in captured output
  * @param atMs time by the router's clock, in ms since the epoch
  * @param event name of the event
  * @param fields all JSON members of the line
