Fail a soak if the log of a router has an error

radishwinch soak compared what callers and endpoints saw with the promises, and read the logs of its routers only for the timelines of broken ones.

A run now reads the logs when its routers have ended. Lines of level SEVERE, unhandled exceptions and internal errors are printed for their seed, are in the JSON output as routerErrors, and make the exit code 1.

SoakRunTest, two runs with real routers: no such line. SoakCommandTest has a new case with one; the constructor of SoakRun.Result has a parameter more.

--- a/cli/src/main/java/io/radishwinch/cli/SoakCommand.java
+++ b/cli/src/main/java/io/radishwinch/cli/SoakCommand.java
@@ -94,7 +94,13 @@
                     result.incidents(),
                     result.findings().size());
             print(session, seed, result.findings());
-            isBroken |= !result.findings().isEmpty();
+            if (!result.routerErrors().isEmpty()) {
+                session.printLine(
+                        "errors in the logs of the routers: %d",
+                        result.routerErrors().size());
+                result.routerErrors().forEach(line -> session.printLine("  %s", line));
+            }
+            isBroken |= !result.findings().isEmpty() || !result.routerErrors().isEmpty();
             Map<String, Object> json = new LinkedHashMap<>();
             json.put("seed", seed);
             json.put("outcomes", result.outcomes());
@@ -102,6 +108,7 @@
             json.put(
                     "brokenPromises",
                     result.findings().stream().map(SoakCommand::toJson).toList());
+            json.put("routerErrors", result.routerErrors());
             results.add(json);
         }
         session.printJson(Map.of("logs", directory.toString(), "seeds", results));
--- a/cli/src/test/java/io/radishwinch/cli/SoakCommandTest.java
+++ b/cli/src/test/java/io/radishwinch/cli/SoakCommandTest.java
@@ -39,6 +39,7 @@
     Path directory;
 
     private final List<Long> played = new ArrayList<>();
+    private List<String> routerErrors = List.of();
     private final ByteArrayOutputStream output = new ByteArrayOutputStream();
 
     @BeforeEach
@@ -71,6 +72,16 @@
                         "play again: radishwinch soak streams.yaml --seed 2 --length 7");
     }
 
+    /** Guards against exceptions of routers that nobody sees because their callers are served all the same. */
+    @Test
+    void anErrorInTheLogOfARouterIsPrintedAndFailsTheSoak() {
+        routerErrors = List.of("router-1: SEVERE: internal error, observer chat-3-1");
+        assertThat(run("streams.yaml --seed 3 --logs out")).isEqualTo(ExitCode.FAILED);
+        assertThat(text())
+                .contains(
+                        "errors in the logs of the routers: 1\n  router-1: SEVERE: internal error, observer chat-3-1");
+    }
+
     @Test
     void nothingIsPlayedOnABadScenario() throws Exception {
         Files.writeString(directory.resolve("bad.yaml"), "schema: soak/v1\nrouters: {count: none}\n");
@@ -97,8 +108,8 @@
         SoakCommand command = new SoakCommand((scenario, seed, lengthMs, logs) -> {
             played.add(seed);
             return seed == 2
-                    ? new SoakRun.Result(Map.of("broken-off", 1), 43, List.of(finding()))
-                    : new SoakRun.Result(Map.of("complete", 58), 43, List.of());
+                    ? new SoakRun.Result(Map.of("broken-off", 1), 43, List.of(finding()), List.of())
+                    : new SoakRun.Result(Map.of("complete", 58), 43, List.of(), routerErrors);
         });
         JCommander.newBuilder().addObject(command).build().parse(arguments.split(" "));
         Environment environment = new Environment(Map.of(), directory, directory, Clock.systemUTC(), new Random(1));
--- a/soak/src/main/java/io/radishwinch/soak/Deployment.java
+++ b/soak/src/main/java/io/radishwinch/soak/Deployment.java
@@ -178,6 +178,15 @@
         return entries;
     }
 
+    /** Returns the lines on errors in the logs of the routers, each after the name of its router. */
+    List<String> errorLines() throws IOException {
+        List<String> lines = new ArrayList<>();
+        for (RouterProcess router : routers) {
+            router.errorLines().forEach(line -> lines.add(router.id() + ": " + line));
+        }
+        return lines;
+    }
+
     @Override
     public void close() {
         routers.forEach(RouterProcess::close);
--- a/soak/src/main/java/io/radishwinch/soak/RouterProcess.java
+++ b/soak/src/main/java/io/radishwinch/soak/RouterProcess.java
@@ -18,6 +18,8 @@
     private static final Pattern STARTED =
             Pattern.compile("callers on port (\\d+), operators on (\\d+), routers on (\\d+)");
     private static final Pattern TIME = Pattern.compile("\"time\":\"([^\"]+)\"");
+    private static final Pattern ERROR =
+            Pattern.compile("\"level\":\"SEVERE\"|^SEVERE: |Unhandled exception|internal error, ");
     private static final int START_TIMEOUT_MS = 60_000;
     private static final int POLL_INTERVAL_MS = 50;
     private static final int STOP_TIMEOUT_S = 5;
@@ -104,6 +106,13 @@
         return entries;
     }
 
+    /** Returns the lines of the log that report an error which only a fault of the router explains. */
+    List<String> errorLines() throws IOException {
+        try (Stream<String> lines = Files.lines(log)) {
+            return lines.filter(line -> ERROR.matcher(line).find()).toList();
+        }
+    }
+
     private static long timeMs(String line, long otherwiseMs) {
         Matcher time = TIME.matcher(line);
         try {
--- a/soak/src/main/java/io/radishwinch/soak/SoakRun.java
+++ b/soak/src/main/java/io/radishwinch/soak/SoakRun.java
@@ -40,6 +40,8 @@
     private final long seed;
     private final long lengthMs;
     private final Path directory;
+    private final Map<String, Integer> outcomes = new TreeMap<>();
+    private final List<Finding> findings = new ArrayList<>();
     private final AtomicInteger requestCount = new AtomicInteger();
     private final ExecutorService tasks = Executors.newCachedThreadPool(task -> {
         Thread thread = new Thread(task, "soak");
@@ -78,8 +80,10 @@
      * @param outcomes number of requests by outcome
      * @param incidents number of silences that began and of changes of the configuration
      * @param findings broken promises
+     * @param routerErrors lines on errors in the logs of the routers, which a run without a fault does not have
      */
-    public record Result(Map<String, Integer> outcomes, int incidents, List<Finding> findings) {}
+    public record Result(
+            Map<String, Integer> outcomes, int incidents, List<Finding> findings, List<String> routerErrors) {}
 
     /** Returns the checks of a scenario. */
     static List<PromiseCheck> checks(Scenario scenario) {
@@ -105,10 +109,15 @@
             deployment = started;
             deployment.start(record::add, client, directory);
             disturbAndCall();
-            return result();
+            findBrokenPromises();
         } finally {
             tasks.shutdownNow();
         }
+        int incidents = (int) record.observations().incidents().stream()
+                .filter(incident -> !incident.text().endsWith(" continues"))
+                .count();
+        // Read when the routers have ended, so that the errors of their stop are in it.
+        return new Result(outcomes, incidents, findings, deployment.errorLines());
     }
 
     private void disturbAndCall() throws IOException, InterruptedException {
@@ -216,11 +225,9 @@
         record.add(client.send(name, requests, Deployment.keyOf(requests), router.id(), router.callerPort()));
     }
 
-    private Result result() throws IOException, InterruptedException {
+    private void findBrokenPromises() throws IOException, InterruptedException {
         Observations observations = record.observations();
-        Map<String, Integer> outcomes = new TreeMap<>();
         observations.requests().forEach(request -> outcomes.merge(request.outcome(), 1, Integer::sum));
-        List<Finding> findings = new ArrayList<>();
         for (PromiseCheck check : checks(scenario)) {
             for (Violation violation : check.violations(observations)) {
                 List<String> timeline = findings.size() >= MAX_TIMELINES
@@ -229,9 +236,5 @@
                 findings.add(new Finding(violation, timeline));
             }
         }
-        int incidents = (int) observations.incidents().stream()
-                .filter(incident -> !incident.text().endsWith(" continues"))
-                .count();
-        return new Result(outcomes, incidents, findings);
     }
 }
--- a/soak/src/test/java/io/radishwinch/soak/SoakRunTest.java
+++ b/soak/src/test/java/io/radishwinch/soak/SoakRunTest.java
@@ -33,6 +33,7 @@
         Scenario scenario = Scenario.read("calm.yaml", CALM).get();
         SoakRun.Result result = new SoakRun(scenario, 1, 2_000, directory).play();
         assertThat(result.findings()).isEmpty();
+        assertThat(result.routerErrors()).isEmpty();
         assertThat(result.outcomes()).containsOnlyKeys("complete");
         assertThat(result.incidents()).isPositive();
         assertThat(Files.readString(directory.resolve("record.log")))
@@ -48,6 +49,7 @@
                 .get();
         SoakRun.Result result = new SoakRun(scenario, 1, 1_000, directory).play();
         assertThat(result.findings()).isEmpty();
+        assertThat(result.routerErrors()).isEmpty();
         assertThat(Files.readString(directory.resolve("record.log")))
                 .contains("attempt 2 of", "refused")
                 .doesNotContain("attempt 3 of");
