Set the idle listener of two tests before the event that they test

theLoopIsIdleAlthoughTheListenerOfTheLastRequestThrows set its listener in a later task than the event, so that the loop reported itself as idle in any case: it passed on too.

--- a/server/src/test/java/io/radishwinch/server/ControlLoopTest.java
+++ b/server/src/test/java/io/radishwinch/server/ControlLoopTest.java
@@ -100,7 +100,7 @@
         ControlLoop control = new ControlLoop(vertx.getOrCreateContext(), () -> 0, failing, action -> {});
         CompletableFuture<Void> idle = new CompletableFuture<>();
         control.submit(request("a"), new RefusedExchange("a", true));
-        control.execute(() -> control.setIdleListener(() -> idle.complete(null)));
+        control.setIdleListener(() -> idle.complete(null));
         control.post(attemptEnd);
         idle.get(WAIT_S, TimeUnit.SECONDS);
         assertThat(openRequests(control)).isZero();
@@ -145,7 +145,7 @@
         });
         CompletableFuture<Void> idle = new CompletableFuture<>();
         control.submit(request("a"), new RefusedExchange("a", true));
-        control.execute(() -> control.setIdleListener(() -> idle.complete(null)));
+        control.setIdleListener(() -> idle.complete(null));
         control.post(new Event.ConfigChanged(new FleetConfig(1, Map.of(), Map.of(), Map.of(), Map.of())));
         idle.get(WAIT_S, TimeUnit.SECONDS);
         assertThat(refused).containsExactly("a");
