--- a/server/src/main/java/io/radishwinch/server/RouterProcess.java
+++ b/server/src/main/java/io/radishwinch/server/RouterProcess.java
@@ -161,6 +161,11 @@
         return trafficVertx.close().eventually(() -> controlVertx.close());
     }
 
+    /** Returns what counts the exceptions that a fault of the router explains. */
+    InternalErrors errors() {
+        return plane.control().errors();
+    }
+
     /** Returns the listen port for callers. */
     public int callerPort() {
         return callers.port();
