--- a/server/src/main/java/io/radishwinch/server/RouterProcess.java
+++ b/server/src/main/java/io/radishwinch/server/RouterProcess.java
@@ -173,6 +173,11 @@
         return ended.future();
     }
 
+    /** Returns what counts the exceptions that a fault of the router explains. */
+    InternalErrors errors() {
+        return plane.control().errors();
+    }
+
     /** Returns the listen port for callers. */
     public int callerPort() {
         return callers.port();
