List again when the receiver of a listing fails

An exception of the receiver left the callback of the listing, after which neither a watch nor a timer continued the follower: it counted as running, and no later start listed or watched again.

The follower now lists again after its backoff. The new case of WatchFollowerTest fails without the change (nothing received in 60 s), and passes with it.

--- a/cluster/src/main/java/io/radishwinch/cluster/platform/WatchFollower.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/platform/WatchFollower.java
@@ -148,7 +148,17 @@
     private void list(String afterKey, Map<String, StoredObject> found, long lowestVersion, long neededVersion) {
         platform.list(prefix, afterKey, PAGE_OBJECTS)
                 .subscribe()
-                .with(page -> onPage(page, found, lowestVersion, neededVersion), failure -> retry());
+                .with(page -> receivePage(page, found, lowestVersion, neededVersion), failure -> retry());
+    }
+
+    private void receivePage(Page page, Map<String, StoredObject> found, long lowestBefore, long neededVersion) {
+        try {
+            onPage(page, found, lowestBefore, neededVersion);
+        } catch (RuntimeException e) {
+            // Neither a watch nor a timer would continue a follower whose receiver failed.
+            retry();
+            throw e;
+        }
     }
 
     private void onPage(Page page, Map<String, StoredObject> found, long lowestBefore, long neededVersion) {
--- a/cluster/src/test/java/io/radishwinch/cluster/platform/WatchFollowerTest.java
+++ b/cluster/src/test/java/io/radishwinch/cluster/platform/WatchFollowerTest.java
@@ -5,6 +5,7 @@
 import io.radishwinch.cluster.platform.PlatformClient.StoredObject;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -159,4 +160,34 @@
         scheduler.advance(900_000);
         assertCaughtUp();
     }
+
+    /** Guards against a follower that neither lists nor watches any more because its receiver threw an exception. */
+    @Test
+    void aListingThatItsReceiverCannotHandleIsRepeated() {
+        scheduler = new VirtualScheduler(0);
+        platform = new InMemoryPlatform(scheduler, new Random(1));
+        write("config/a", "1");
+        scheduler.advance(100);
+        List<String> received = new ArrayList<>();
+        boolean[] isFailing = {true};
+        new WatchFollower(platform, scheduler, new Random(1), "config/", new WatchFollower.Receiver() {
+                    @Override
+                    public void onChange(PlatformClient.Change change) {
+                        received.add(change.key());
+                    }
+
+                    @Override
+                    public void onListing(Collection<StoredObject> objects, long storeVersion) {
+                        if (isFailing[0]) {
+                            isFailing[0] = false;
+                            throw new IllegalStateException("listing cannot be handled");
+                        }
+                    }
+                })
+                .start();
+        scheduler.advance(60_000);
+        write("config/b", "1");
+        scheduler.advance(1_000);
+        assertThat(received).containsExactly("config/a", "config/b");
+    }
 }
