Check an endpoint again after a check that could not be sent

A check that ended with an exception before its call began stayed pending, and its endpoint was never checked again. The exception now fails the check. The new case of EndpointHealthCheckerTest fails without the change.

--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointHealthChecker.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointHealthChecker.java
@@ -2,6 +2,7 @@
 
 import io.radishwinch.server.Failures;
 import io.radishwinch.server.proxy.EndpointContact;
+import io.smallrye.mutiny.Uni;
 import java.net.ConnectException;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -107,8 +108,8 @@
             return;
         }
         long startedAtMs = clockMs.getAsLong();
-        endpoints
-                .requestStatus(contact.get())
+        Uni.createFrom()
+                .deferred(() -> endpoints.requestStatus(contact.get()))
                 .subscribe()
                 .with(
                         response -> onCheckResponse(endpointId, response, checksStreams),
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointHealthCheckerTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointHealthCheckerTest.java
@@ -37,11 +37,15 @@
     private final EndpointHealthChecker checker = new EndpointHealthChecker(
             new SilentEndpoints(), registry, id -> false, reachability, log, () -> this.nowMs);
     private long nowMs;
+    private boolean isRequestFailing;
 
     /** Endpoints whose checks end when the test ends them. */
     private final class SilentEndpoints extends UnsupportedEndpointControl {
         @Override
         public Uni<Optional<StatusReport>> requestStatus(EndpointContact contact) {
+            if (isRequestFailing) {
+                throw new IllegalArgumentException("no request to " + contact);
+            }
             return Uni.createFrom().emitter(pendingChecks::add);
         }
     }
@@ -95,4 +99,19 @@
                 .fail(new IllegalStateException(new ConnectException("finishConnect(..) failed: Connection refused")));
         assertThat(events).last().isEqualTo(new Event.EndpointRemoved("e@7", false));
     }
+
+    /** Guards against an endpoint that is never checked again because one check could not be sent. */
+    @Test
+    void anEndpointIsCheckedAgainAfterACheckThatCouldNotBeSent() {
+        join();
+        isRequestFailing = true;
+        try {
+            checker.check("e@7");
+        } catch (IllegalArgumentException e) {
+            assertThat(e).hasMessageContaining("no request");
+        }
+        isRequestFailing = false;
+        checker.check("e@7");
+        assertThat(pendingChecks).hasSize(1);
+    }
 }
