Let probes of the link end whatever one of them does

A probe that could not be sent left the round open, so that no endpoint was taken out of use any more; an exception of one loss dropped the losses that waited behind it. Both new cases of EndpointReachabilityTest fail without the change.

--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointReachability.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointReachability.java
@@ -1,6 +1,7 @@
 package io.radishwinch.server.fleet;
 
 import io.radishwinch.server.proxy.EndpointContact;
+import io.smallrye.mutiny.Uni;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -135,7 +136,10 @@
         isProbing = true;
         Round round = new Round(chosen.size(), nowMs);
         for (EndpointContact contact : chosen) {
-            endpoints.connect(contact).subscribe().with(done -> round.onConnected(), error -> round.onFailed());
+            Uni.createFrom()
+                    .deferred(() -> endpoints.connect(contact))
+                    .subscribe()
+                    .with(done -> round.onConnected(), error -> round.onFailed());
         }
     }
 
@@ -163,7 +167,17 @@
     private void releaseWaiting() {
         List<Runnable> released = List.copyOf(waiting);
         waiting.clear();
-        released.forEach(Runnable::run);
+        List<RuntimeException> failures = new ArrayList<>();
+        for (Runnable task : released) {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                failures.add(e);
+            }
+        }
+        if (!failures.isEmpty()) {
+            throw failures.get(0);
+        }
     }
 
     /** Connections to several endpoints at once; the first that succeeds decides, or the last that fails. */
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointReachabilityTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointReachabilityTest.java
@@ -24,6 +24,7 @@
             .mapToObj(i -> new EndpointContact("e" + i, "e" + i, "127.0.0.1", i))
             .toList();
     private long nowMs = 10_000;
+    private boolean isConnectFailing;
     private final EndpointReachability reachability = new EndpointReachability(
             new PendingEndpoints(), "local", this::contacts, new Random(1), () -> nowMs, changes::add);
 
@@ -31,6 +32,9 @@
     private final class PendingEndpoints extends UnsupportedEndpointControl {
         @Override
         public Uni<Void> connect(EndpointContact contact) {
+            if (isConnectFailing) {
+                throw new IllegalArgumentException("no connection to " + contact);
+            }
             probed.add(contact.endpointId());
             return Uni.createFrom().emitter(pendingConnects::add);
         }
@@ -126,4 +130,34 @@
         assertThat(lost).containsExactly("e1");
         assertThat(pendingConnects).isEmpty();
     }
+
+    /** Guards against lost endpoints that stay in use for good because one probe could not be sent. */
+    @Test
+    void endpointsAreLostAgainAfterAProbeThatCouldNotBeSent() {
+        isConnectFailing = true;
+        try {
+            lose("e1");
+        } catch (IllegalArgumentException e) {
+            assertThat(e).hasMessageContaining("no connection");
+        }
+        isConnectFailing = false;
+        nowMs += RECOVERY_MS;
+        reachability.tick(nowMs);
+        endConnects(true, 1);
+        nowMs += 1_000;
+        lose("e2");
+        endConnects(true, 1);
+        assertThat(lost).contains("e2");
+    }
+
+    /** Guards against a lost endpoint that stays in use because another one could not be taken out of use. */
+    @Test
+    void anEndpointIsLostAlthoughTheLossOfAnotherOneCannotBeHandled() {
+        reachability.confirm("e1", () -> {
+            throw new IllegalStateException("loss of e1 cannot be handled");
+        });
+        lose("e2");
+        endConnects(true, 1);
+        assertThat(lost).containsExactly("e2");
+    }
 }
