Take a lease after a call that could not be made

An exception before the call began left the lease marked as having a call pending, for good. It is a failure of the call now. The new case of LeaseManagerTest fails without the change.

--- a/server/src/main/java/io/radishwinch/server/fleet/LeaseManager.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/LeaseManager.java
@@ -6,6 +6,7 @@
 import io.radishwinch.cluster.platform.StoreVersion;
 import io.radishwinch.core.placement.LayoutPlanner;
 import io.radishwinch.core.placement.PlacementLease;
+import io.smallrye.mutiny.Uni;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
@@ -218,7 +219,8 @@
                 }
             } else if (lease.needsRecheck) {
                 markCallPending(lease, nowMs);
-                platform.get(prefix + key)
+                Uni.createFrom()
+                        .deferred(() -> platform.get(prefix + key))
                         .subscribe()
                         .with(found -> onRead(key, lease, found, nowMs), error -> lease.isCallPending = false);
             } else if (!isHeldByThisRouter(lease)
@@ -226,16 +228,22 @@
                     && mayTake(lease, nowMs)
                     && liveMembers.isCandidate(key)) {
                 markCallPending(lease, nowMs);
-                platform.put(prefix + key, lease.version, new Holder(routerId, incarnation).encode(), nonces.get())
+                put(key, lease, new Holder(routerId, incarnation))
                         .subscribe()
                         .with(result -> onPutResult(key, lease, result, nowMs), error -> lease.isCallPending = false);
             }
         });
     }
 
+    /** Writes a lease. An exception becomes a failure, as only the end of a call permits the next one. */
+    private Uni<PutResult> put(String key, Lease lease, Holder holder) {
+        return Uni.createFrom()
+                .deferred(() -> platform.put(prefix + key, lease.version, holder.encode(), nonces.get()));
+    }
+
     private void release(String key, Lease lease, long nowMs) {
         markCallPending(lease, nowMs);
-        platform.put(prefix + key, lease.version, Holder.NONE.encode(), nonces.get())
+        put(key, lease, Holder.NONE)
                 .subscribe()
                 .with(result -> onReleased(key, lease, result, nowMs), error -> lease.isCallPending = false);
     }
--- a/server/src/test/java/io/radishwinch/server/fleet/LeaseManagerTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/LeaseManagerTest.java
@@ -23,6 +23,7 @@
     private final Set<String> dataCentresWithRouters = new HashSet<>(Set.of(GROUP));
     private final List<String> released = new ArrayList<>();
     private int nonces;
+    private boolean areNoncesFailing;
 
     /** Membership with the incarnations and data centres that the test sets. */
     private final class FakeMembers implements LeaseManager.LiveMembers {
@@ -55,13 +56,20 @@
                 platform,
                 "own/lease-",
                 new FakeMembers(),
-                () -> "nonce-" + ++nonces,
+                this::newNonce,
                 released::add,
                 new FleetLog(() -> 0));
         leaseManager.holds(GROUP, 0);
         return leaseManager;
     }
 
+    private String newNonce() {
+        if (areNoncesFailing) {
+            throw new IllegalStateException("no nonce");
+        }
+        return "nonce-" + ++nonces;
+    }
+
     private void tick(LeaseManager leaseManager, long nowMs) {
         leaseManager.tick(nowMs);
         scheduler.advance(100);
@@ -308,4 +316,19 @@
         tick(suspended, 2_000);
         assertThat(suspended.holds(GROUP, 2_000)).isFalse();
     }
+
+    /** Guards against a lease that nobody takes any more because one call could not be made. */
+    @Test
+    void aLeaseIsTakenAfterACallThatCouldNotBeMade() {
+        LeaseManager only = leaseManager("a", 1);
+        areNoncesFailing = true;
+        try {
+            tick(only, 0);
+        } catch (IllegalStateException e) {
+            assertThat(e).hasMessage("no nonce");
+        }
+        areNoncesFailing = false;
+        tick(only, 1_000);
+        assertThat(only.holds(GROUP, 1_000)).isTrue();
+    }
 }
