Throw nothing from a structured log line

Only lines within a limit were guarded, and only while they were composed. Lines on changes of state come before what they report: the acknowledgement of a layer order, the suspension of leases, a configuration that takes effect. StructuredLogTest fails without the change.

--- a/server/src/main/java/io/radishwinch/server/StructuredLog.java
+++ b/server/src/main/java/io/radishwinch/server/StructuredLog.java
@@ -20,9 +20,17 @@
         this.clockMs = clockMs;
     }
 
-    /** Writes a line; safe for use by any thread. */
+    /** Writes a line, and throws nothing if that fails; safe for use by any thread. */
     public void write(LogFields fields) {
-        LOG.log(System.Logger.Level.INFO, "{0}", fields.with("atMs", clockMs.getAsLong()));
+        compose(() -> fields);
+    }
+
+    private void compose(Supplier<LogFields> fields) {
+        try {
+            LOG.log(System.Logger.Level.INFO, "{0}", fields.get().with("atMs", clockMs.getAsLong()));
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "a line of the log cannot be written", e);
+        }
     }
 
     /**
@@ -61,11 +69,7 @@
                 StructuredLog.this.write(LogFields.of(suppressedEvent).with("lines", suppressedLines));
                 suppressedLines = 0;
             }
-            try {
-                StructuredLog.this.write(fields.get());
-            } catch (RuntimeException e) {
-                LOG.log(System.Logger.Level.ERROR, "a line of the log cannot be composed", e);
-            }
+            compose(fields);
         }
     }
 }
