Withdraw a request although its endpoint cannot be released

An exception while the exchange released its endpoint marked it as finished before the core was told, so that the core kept the attempt, and the caller's connection was reset. The request is now withdrawn in any case, and its caller gets the error. AbstractExchangeTest fails without the change (no event within 20 s).

--- a/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
@@ -159,8 +159,11 @@
     /** Ends the exchange without a decision of the core and withdraws the request from the core. */
     protected final void withdraw(Optional<Refusal> refusal) {
         if (!isFinished) {
-            finish(refusal);
-            shared.control().withdraw(request.requestId());
+            try {
+                finish(refusal);
+            } finally {
+                shared.control().withdraw(request.requestId());
+            }
         }
     }
 
@@ -211,6 +214,10 @@
                 new Refusal(Reason.INTERNAL_ERROR, attemptsVerdict(), ErrorMessages.of(Reason.INTERNAL_ERROR), 0);
         try {
             withdraw(Optional.of(refusal));
+        } catch (RuntimeException e) {
+            shared.control().errors().report(InternalErrors.Part.EXCHANGE, request.requestId(), e);
+        }
+        try {
             if (!response.ended() && !response.closed()) {
                 if (response.headWritten()) {
                     abortResponse(refusal.reason());
