Release the memory of a body whose admission fails

By reading: an exception between the end of the body and the creation of the exchange refused the request, and the memory that was reserved for its body stayed taken until the process ended. No request that causes one is known.

--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -327,7 +327,7 @@
                     if (body.isLeft()) {
                         reject(request, caller, route.get().rank(), body.getLeft());
                     } else {
-                        admit(new ReceivedRequest(
+                        admitOrRelease(new ReceivedRequest(
                                 request,
                                 config,
                                 route.get(),
@@ -364,6 +364,16 @@
             long arrivedAtMs,
             Optional<RelayHeaders.Limits> relayLimits) {}
 
+    /** Releases the memory of the body if an exception ends the admission, as no exchange does it then. */
+    private void admitOrRelease(ReceivedRequest received) {
+        try {
+            admit(received);
+        } catch (RuntimeException e) {
+            scope.bodyMemory().release(received.body.length());
+            throw e;
+        }
+    }
+
     private void admit(ReceivedRequest received) {
         Route route = received.route;
         RequestHead head = received.head;
