Guard each part of the tick of the control thread

By reading: the tick of the core came last, after nine parts that log, publish and call out. An exception that one of them throws in each tick would have stopped all deadlines, the membership and the leases. Each part is now guarded and its exceptions are counted as those of other tasks.

--- a/server/src/main/java/io/radishwinch/server/ControlLoop.java
+++ b/server/src/main/java/io/radishwinch/server/ControlLoop.java
@@ -64,7 +64,7 @@
     /** Handles events in one task of the control thread; may be called from any thread. */
     public void postAll(List<Event> events) {
         if (!events.isEmpty()) {
-            execute(() -> events.forEach(event -> runGuarded("event", () -> apply(event))));
+            execute(() -> events.forEach(event -> guard("event", () -> apply(event))));
         }
     }
 
@@ -109,11 +109,11 @@
 
     /** Runs a task on the control thread; may be called from any thread. */
     public void execute(Runnable task) {
-        context.runOnContext(ignored -> runGuarded("task", task));
+        context.runOnContext(ignored -> guard("task", task));
     }
 
-    /** Runs a part of a task whose failure must not end the other parts. */
-    private void runGuarded(String part, Runnable run) {
+    /** Runs a part of a task whose failure must not end the other parts; must be called on the control thread. */
+    public void guard(String part, Runnable run) {
         try {
             run.run();
         } catch (RuntimeException e) {
@@ -155,7 +155,7 @@
         for (Action action : actions) {
             // The core has already applied all of them, so that a request whose action is lost is never answered.
             errors.observe("of an action", () -> actionObserver.accept(action));
-            runGuarded("action", () -> perform(action));
+            guard("action", () -> perform(action));
         }
     }
 
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -326,23 +326,32 @@
 
     private void tick() {
         long nowMs = clock.getAsLong();
+        tick("platform", () -> observePlatform(nowMs));
+        tick("watches", () -> followPlatform(nowMs));
+        tick("endpoints", () -> registry.tick(nowMs));
+        tick("status checks", () -> healthChecker.tick(nowMs));
+        tick("orders", orderSender::tick);
+        tick("leases", () -> leaseManager.tick(nowMs));
+        tick("request limits", () -> requestLimits.tick(nowMs));
+        if (++tickCount % TICKS_PER_LOAD_PUBLICATION == 0) {
+            tick("load", this::publishLoad);
+        }
+        tick("membership", () -> peers.send(node.tick(nowMs)));
+        control.post(new Event.Tick());
+    }
+
+    /** Runs a part of a tick, whose failure must not keep the core and the other parts from theirs. */
+    private void tick(String part, Runnable run) {
+        control.guard("tick of " + part, run);
+    }
+
+    private void observePlatform(long nowMs) {
         boolean isAvailable = platform.isAvailable();
         if (isAvailable != wasPlatformAvailable) {
             wasPlatformAvailable = isAvailable;
             registry.setPlatformReachable(isAvailable, nowMs);
             log.stateChanged(isAvailable ? "dependency-regained" : "dependency-lost", "platform", "");
         }
-        followPlatform(nowMs);
-        registry.tick(nowMs);
-        healthChecker.tick(nowMs);
-        orderSender.tick();
-        leaseManager.tick(nowMs);
-        requestLimits.tick(nowMs);
-        if (++tickCount % TICKS_PER_LOAD_PUBLICATION == 0) {
-            publishLoad();
-        }
-        peers.send(node.tick(nowMs));
-        control.post(new Event.Tick());
     }
 
     /** Watches the platform if this router was elected, and tells the others whether its changes arrive. */
