End a request whose handling ends with an error of the JVM

Only runtime exceptions ended an exchange. A stack that is too deep, a class that cannot be loaded, a failed assertion, and Netty's limit on direct memory, for which the JVM does not exit, left its caller without an answer. The new case of ProxyExchangeTest fails without the change (no answer within 20 s).

--- a/server/src/main/java/io/radishwinch/server/ControlLoop.java
+++ b/server/src/main/java/io/radishwinch/server/ControlLoop.java
@@ -74,7 +74,7 @@
             exchanges.put(request.requestId(), exchange);
             try {
                 apply(new Event.RequestArrived(request));
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 exchanges.remove(request.requestId());
                 exchange.refuse(new Action.Refuse(request.requestId(), Reason.INTERNAL_ERROR, Verdict.NOT_RUN, 0));
                 throw e;
@@ -116,7 +116,7 @@
     public void guard(String part, Runnable run) {
         try {
             run.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             errors.report(InternalErrors.Part.CONTROL, part, e);
         }
     }
--- a/server/src/main/java/io/radishwinch/server/InternalErrors.java
+++ b/server/src/main/java/io/radishwinch/server/InternalErrors.java
@@ -67,7 +67,7 @@
     public void observe(String subject, Runnable observer) {
         try {
             observer.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             report(Part.OBSERVER, subject, e);
         }
     }
--- a/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
@@ -198,7 +198,7 @@
     protected final void guard(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             shared.control().errors().report(InternalErrors.Part.EXCHANGE, request.requestId(), e);
             endAfterInternalError();
         }
@@ -214,7 +214,7 @@
                 new Refusal(Reason.INTERNAL_ERROR, attemptsVerdict(), ErrorMessages.of(Reason.INTERNAL_ERROR), 0);
         try {
             withdraw(Optional.of(refusal));
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             shared.control().errors().report(InternalErrors.Part.EXCHANGE, request.requestId(), e);
         }
         try {
@@ -225,7 +225,7 @@
                     sendRefusal(refusal);
                 }
             }
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             shared.control().errors().report(InternalErrors.Part.EXCHANGE, request.requestId(), e);
             response.reset(HTTP2_INTERNAL_ERROR);
         }
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -344,7 +344,7 @@
     private void guard(HttpServerRequest request, Runnable part) {
         try {
             part.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             String requestId = dependencies.dialect().requestId(request.headers());
             dependencies.control().errors().report(InternalErrors.Part.EXCHANGE, requestId, e);
             if (!request.response().ended()) {
@@ -368,7 +368,7 @@
     private void admitOrRelease(ReceivedRequest received) {
         try {
             admit(received);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             scope.bodyMemory().release(received.body.length());
             throw e;
         }
--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
@@ -76,6 +76,7 @@
     private boolean isForPeer;
     private boolean areObserversFailing;
     private boolean isLookupFailing;
+    private Error lookupError;
     private final OtherRouters relays = new OtherRouters();
     private Context context;
     private ProxyExchange exchange;
@@ -132,6 +133,9 @@
                 new ContactLookup() {
                     @Override
                     public Optional<EndpointContact> contact(String endpointId) {
+                        if (lookupError != null) {
+                            throw lookupError;
+                        }
                         if (isLookupFailing) {
                             throw new IllegalStateException("no contact of " + endpointId);
                         }
@@ -364,6 +368,15 @@
         assertThat(control.errors().count(InternalErrors.Part.EXCHANGE)).isOne();
     }
 
+    /** Guards against callers who wait for an answer after an error of the JVM, such as a stack that is too deep. */
+    @Test
+    void aRequestWhoseHandlingEndsWithAnErrorOfTheJvmIsAnswered() throws Exception {
+        lookupError = new StackOverflowError();
+        String response = call(start(RouteKind.REPEATABLE, List.of()));
+        assertThat(response).startsWith("HTTP/1.1 502 ").contains("internal-error, may-have-run");
+        assertThat(control.errors().count(InternalErrors.Part.EXCHANGE)).isOne();
+    }
+
     /** Guards against a caller who gets a status that is none, or a success for a run that failed. */
     @ParameterizedTest
     @CsvSource({"REPEATABLE, 000", "REPEATABLE, 0200", "STREAM, 999", "STREAM, +200"})
