--- a/server/src/main/java/io/radishwinch/server/ControlLoop.java
+++ b/server/src/main/java/io/radishwinch/server/ControlLoop.java
@@ -113,7 +113,7 @@
     public void runGuarded(String part, Runnable run) {
         try {
             run.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             errors.report(InternalErrors.Part.CONTROL, part, e);
         }
     }
@@ -151,7 +151,7 @@
         List<Action> actions;
         try {
             actions = core.handle(event, clockMs.getAsLong());
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             endUndecidedRequest(event);
             throw e;
         }
--- a/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
+++ b/server/src/main/java/io/radishwinch/server/http/AbstractExchange.java
@@ -202,7 +202,7 @@
     protected final void guard(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             shared.control().errors().report(InternalErrors.Part.EXCHANGE, request.requestId(), e);
             endAfterInternalError();
         }
@@ -240,7 +240,7 @@
         try {
             task.run();
             return true;
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             shared.control().errors().report(InternalErrors.Part.EXCHANGE, request.requestId(), e);
             return false;
         }
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -339,7 +339,7 @@
                     if (body.isLeft()) {
                         reject(request, caller, route.get().rank(), body.getLeft());
                     } else {
-                        admit(new ReceivedRequest(
+                        admitOrRelease(new ReceivedRequest(
                                 request,
                                 config,
                                 route.get(),
@@ -356,7 +356,7 @@
     private void guard(HttpServerRequest request, Runnable part) {
         try {
             part.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             String requestId = dependencies.dialect().requestId(request.headers());
             dependencies.control().errors().report(InternalErrors.Part.EXCHANGE, requestId, e);
             if (!request.response().ended()) {
@@ -376,6 +376,16 @@
             long arrivedAtMs,
             Optional<RelayHeaders.Limits> relayLimits) {}
 
+    /** Releases the memory of the body if an exception ends the admission, as no exchange does it then. */
+    private void admitOrRelease(ReceivedRequest received) {
+        try {
+            admit(received);
+        } catch (RuntimeException | Error e) {
+            scope.bodyMemory().release(received.body.length());
+            throw e;
+        }
+    }
+
     private void admit(ReceivedRequest received) {
         Route route = received.route;
         RequestHead head = received.head;
--- a/server/src/test/java/io/radishwinch/server/logguard/InternalErrorGuard.java
+++ b/server/src/test/java/io/radishwinch/server/logguard/InternalErrorGuard.java
@@ -69,7 +69,7 @@
         return record.getLevel().intValue() >= Level.SEVERE.intValue()
                 && (message.startsWith("Unhandled exception")
                         || InternalErrors.class.getName().equals(record.getLoggerName())
-                        || message.contains("a line of the log cannot be composed")
+                        || message.contains("a line of the log cannot be written")
                         || message.contains("cannot be handled"));
     }
 
