Take a later lifetime in the list as the end of an unknown endpoint

Endpoints that a relayed stream names count against its limit until their end is known. A router that has started after an endpoint restarted never had an event of its end, so that the stream could wait for the endpoint until its deadline. The list proves the end: the router knows a later incarnation of the instance. It reports the end to the core before it handles the request.

EndpointRegistryTest.aLaterLifetimeProvesTheEndOfAnUnknownOne; the method is new, so it has no run before the change. That the end lets the stream run is in RelayTest; the call between the two is in no test. ProxyExchangeTest, CutOffRouterTest and EndpointUseTest pass.

--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -22,6 +22,8 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Tracks the endpoints and their holdings from the platform's list and from status reports, and posts changes to the
@@ -57,6 +59,9 @@
     /** Maximum number of lifetimes whose announced leaving is remembered; the oldest are forgotten above it. */
     private static final int MAX_ANNOUNCED_LEAVING = 4_096;
 
+    /** Identifier of a lifetime: instance and incarnation, see {@link #newId}. */
+    private static final Pattern ENDPOINT_ID = Pattern.compile("(.+)@(\\d{1,18})(?:~\\d+)?");
+
     /** KV cache memory reported for an endpoint without a KV cache, in bytes. */
     private static final long UNLIMITED_KV_BYTES = Long.MAX_VALUE / 4;
 
@@ -67,6 +72,7 @@
     private final Map<String, EndpointLifetime> byInstance = new TreeMap<>();
     private final Map<String, EndpointLifetime> byId = new TreeMap<>();
     private final Map<String, EndpointContact> contacts = new ConcurrentHashMap<>();
+    private final Map<String, Long> incarnations = new ConcurrentHashMap<>();
     private final Map<String, String> idsByAddress = new ConcurrentHashMap<>();
     private final Set<String> unreadableInstances = ConcurrentHashMap.newKeySet();
 
@@ -166,6 +172,14 @@
         return Optional.ofNullable(idsByAddress.get(address));
     }
 
+    @Override
+    public boolean isFollowedByLaterLifetime(String endpointId) {
+        Matcher id = ENDPOINT_ID.matcher(endpointId);
+        return !contacts.containsKey(endpointId)
+                && id.matches()
+                && incarnations.getOrDefault(id.group(1), Long.MIN_VALUE) > Long.parseLong(id.group(2));
+    }
+
     /** Returns the entry of an endpoint, or empty if it is unknown or evicted. */
     Optional<EndpointEntry> entry(String endpointId) {
         return Optional.ofNullable(byId.get(endpointId)).map(endpoint -> endpoint.entry);
@@ -446,6 +460,7 @@
         EndpointLifetime endpoint = new EndpointLifetime(newId(instanceId, entry), entry);
         EndpointContact contact = new EndpointContact(endpoint.endpointId, instanceId, entry.host(), entry.port());
         byInstance.put(instanceId, endpoint);
+        incarnations.put(instanceId, entry.incarnation());
         byId.put(endpoint.endpointId, endpoint);
         contacts.put(endpoint.endpointId, contact);
         idsByAddress.put(contact.address(), endpoint.endpointId);
@@ -567,6 +582,7 @@
         announcedLeavingIds.remove(endpoint.endpointId);
         if (byInstance.remove(endpoint.entry.instanceId(), endpoint)) {
             departed.put(endpoint.entry.instanceId(), endpoint.entry);
+            incarnations.remove(endpoint.entry.instanceId());
         }
         EndpointContact contact = contacts.remove(endpoint.endpointId);
         idsByAddress.remove(contact.address(), endpoint.endpointId);
--- a/server/src/main/java/io/radishwinch/server/proxy/ContactLookup.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ContactLookup.java
@@ -10,4 +10,9 @@
 
     /** Returns the identifier of the endpoint that currently uses an address, or empty if there is none. */
     Optional<String> endpointAt(String address);
+
+    /** Returns whether an endpoint is unknown here and has ended, as a later lifetime of it is known. */
+    default boolean isFollowedByLaterLifetime(String endpointId) {
+        return false;
+    }
 }
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -1,6 +1,7 @@
 package io.radishwinch.server.proxy;
 
 import io.radishwinch.cluster.membership.Address;
+import io.radishwinch.core.event.Event;
 import io.radishwinch.core.model.Contract;
 import io.radishwinch.core.model.EnginePoolSpec;
 import io.radishwinch.core.model.Rank;
@@ -258,6 +259,10 @@
             RelayHeaders.setUnavailable(request.response().headers());
             reject(request, "", null, refusal(Reason.NO_CAPACITY));
         } else {
+            // The core counts endpoints whose end it does not know, and may never have known these.
+            limits.earlierEndpointIds().stream()
+                    .filter(dependencies.contacts()::isFollowedByLaterLifetime)
+                    .forEach(id -> dependencies.control().post(new Event.EndpointRemoved(id, false)));
             handle(request, Optional.of(limits));
         }
     }
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
@@ -77,6 +77,17 @@
         assertThat(registry.entry("e@9")).isPresent();
     }
 
+    /** Guards against a begun stream that waits because an endpoint that ended before this router started counts. */
+    @Test
+    void aLaterLifetimeProvesTheEndOfAnUnknownOne() {
+        registry.applyEntry("e", entry("e", 7, false, null), 0);
+        assertThat(registry.isFollowedByLaterLifetime("e@5")).isTrue();
+        assertThat(registry.isFollowedByLaterLifetime("e@5~1")).isTrue();
+        assertThat(registry.isFollowedByLaterLifetime("e@7")).isFalse();
+        assertThat(registry.isFollowedByLaterLifetime("e@9")).isFalse();
+        assertThat(registry.isFollowedByLaterLifetime("other@5")).isFalse();
+    }
+
     @Test
     void removedEndpointGetsNoNewWorkAndKeepsRunningWork() {
         registry.applyEntry("e", entry("e", 7, false, null), 0);
