Audit the logs of router processes at the end of their tests

The soaks of the platform program and SeparateProcessesTest start routers as processes of their own, whose exceptions no test saw.

--- a/embedded/src/test/java/io/radishwinch/embedded/SeparateProcessesTest.java
+++ b/embedded/src/test/java/io/radishwinch/embedded/SeparateProcessesTest.java
@@ -157,5 +157,6 @@
         assertThat(stopped.process().waitFor(60, TimeUnit.SECONDS)).isTrue();
         assertThat(stopped.process().exitValue()).isZero();
         assertThat(fleet.ledger().violations()).isEmpty();
+        assertThat(routerLogs()).doesNotContain("\"level\":\"SEVERE\"", "Unhandled exception", "internal error, ");
     }
 }
