Report one end of a cancelled attempt in the simulation of the core

The simulation counted a cancelled attempt as one that may have run, and then also delivered a failure of its own in the same millisecond, as not run: the core believed the failure, and the check called its next attempt a second run. An exchange that has cancelled an attempt reports that and nothing else. A response that completes in the same millisecond still counts.

--- a/core/src/test/java/io/radishwinch/core/impl/CoreSimulation.java
+++ b/core/src/test/java/io/radishwinch/core/impl/CoreSimulation.java
@@ -208,7 +208,9 @@
         } else if (event instanceof Event.AttemptFinished finished) {
             endAttempt(finished.requestId(), finished.epoch(), Verdict.RAN, finished.deliveredTokens());
         }
-        if (!confirmsCancellations && endsCancelled(event)) {
+        boolean isOwnFailure = event instanceof Event.AttemptFailed failed
+                && !failed.failedEndpointId().isEmpty();
+        if (endsCancelled(event) && (!confirmsCancellations || isOwnFailure)) {
             return;
         }
         for (Action action : core.handle(event, nowMs)) {
@@ -247,7 +249,10 @@
         }
     }
 
-    /** Returns whether the event ends a cancelled attempt; an adapter that confirms no cancellations never sends it. */
+    /**
+     * Returns whether the event ends a cancelled attempt. An adapter that confirms no cancellations never sends it; one
+     * that does reports the cancellation instead of a failure in the same millisecond.
+     */
     private boolean endsCancelled(Event event) {
         return (event instanceof Event.AttemptFailed failed && cancelled.contains(failed.requestId() + failed.epoch()))
                 || (event instanceof Event.AttemptFinished end && cancelled.contains(end.requestId() + end.epoch()));
