--- a/server/src/test/java/io/radishwinch/server/ControlLoopTest.java
+++ b/server/src/test/java/io/radishwinch/server/ControlLoopTest.java
@@ -88,6 +88,7 @@
     /** Guards against a request that nobody answers because the core fails on the end of its attempt. */
     @ParameterizedTest
     @MethodSource("attemptEnds")
+    @ExpectsInternalErrors
     void aRequestOnWhoseAttemptEndTheCoreFailsIsRefusedAndWithdrawn(Event attemptEnd) throws Exception {
         List<String> withdrawn = Collections.synchronizedList(new ArrayList<>());
         ViewlessCore failing = new ViewlessCore() {
@@ -123,6 +124,7 @@
 
     /** Guards against a stream that is broken off because the core fails on a report of its progress. */
     @Test
+    @ExpectsInternalErrors
     void aRequestOnWhoseProgressTheCoreFailsGoesOn() throws Exception {
         ViewlessCore failing = new ViewlessCore() {
             @Override
@@ -142,6 +144,7 @@
 
     /** Guards against a stop that waits for its timeout because the observer of the last request fails. */
     @Test
+    @ExpectsInternalErrors
     void theLoopIsIdleAlthoughTheListenerOfTheLastRequestThrows() throws Exception {
         ControlLoop control = new ControlLoop(vertx.getOrCreateContext(), () -> 0, new RefusingCore(), action -> {});
         control.setFinishListener(id -> {
--- a/server/src/test/java/io/radishwinch/server/StructuredLogTest.java
+++ b/server/src/test/java/io/radishwinch/server/StructuredLogTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.radishwinch.server.logguard.ExpectsInternalErrors;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
@@ -44,6 +45,7 @@
     }
 
     @Test
+    @ExpectsInternalErrors
     void aLineThatCannotBeWrittenDoesNotAffectWhatItReports() {
         StructuredLog log = new StructuredLog(() -> 0);
         log.write(LogFields.of("state-changed"));
--- a/server/src/test/java/io/radishwinch/server/http/AbstractExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/http/AbstractExchangeTest.java
@@ -5,6 +5,7 @@
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.event.Event;
 import io.radishwinch.core.model.Reason;
+import io.radishwinch.server.logguard.ExpectsInternalErrors;
 import io.vertx.core.http.HttpServerRequest;
 import java.net.Socket;
 import org.junit.jupiter.api.Test;
@@ -37,6 +38,7 @@
 
     /** Guards against a caller without an answer, and a core that waits for the end of its attempt. */
     @Test
+    @ExpectsInternalErrors
     void aRequestWhoseEndpointCannotBeReleasedIsRefusedAndWithdrawn() throws Exception {
         try (ExchangeFixture fixture = new ExchangeFixture(FailingExchange::new);
                 Socket caller = fixture.call("HTTP/1.1")) {
--- a/server/src/test/java/io/radishwinch/server/http/CallerApiTest.java
+++ b/server/src/test/java/io/radishwinch/server/http/CallerApiTest.java
@@ -15,6 +15,7 @@
 import io.radishwinch.server.ControlLoop;
 import io.radishwinch.server.InternalErrors;
 import io.radishwinch.server.ViewlessCore;
+import io.radishwinch.server.logguard.ExpectsInternalErrors;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import java.net.Socket;
@@ -114,24 +115,28 @@
     }
 
     @Test
+    @ExpectsInternalErrors
     void aRequestWhoseHeadersCannotBeHandledIsRefused() throws Exception {
         idsBeforeFailure = 0;
         assertInternalError(post("/v1/completions"), "may-have-run");
     }
 
     @Test
+    @ExpectsInternalErrors
     void aRequestWhoseBodyCannotBeHandledIsRefusedAsNotRun() throws Exception {
         idsBeforeFailure = 1;
         assertInternalError(post("/v1/completions"), "not-run");
     }
 
     @Test
+    @ExpectsInternalErrors
     void aServiceCallWhoseBodyCannotBeHandledIsRefusedAsNotRun() throws Exception {
         idsBeforeFailure = 1;
         assertInternalError(post("/services/none/x"), "not-run");
     }
 
     @Test
+    @ExpectsInternalErrors
     void aRefusalReachesItsCallerAlthoughItsObserverThrows() throws Exception {
         areObserversFailing = true;
         assertThat(post("/v1/completions")).startsWith("HTTP/1.0 404 ").contains("\"reason\":\"unknown-model\"");
--- a/server/src/test/java/io/radishwinch/server/http/ExchangeFailureTest.java
+++ b/server/src/test/java/io/radishwinch/server/http/ExchangeFailureTest.java
@@ -8,6 +8,7 @@
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.Verdict;
 import io.radishwinch.server.engine.ServiceClient;
+import io.radishwinch.server.logguard.ExpectsInternalErrors;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
@@ -97,6 +98,7 @@
 
     /** Guards against a stream that never ends because the handler of one of its tokens throws. */
     @Test
+    @ExpectsInternalErrors
     void aStreamWhoseTokenCannotBeForwardedEndsWithAnError() throws Exception {
         try (ExchangeFixture fixture = streamWhoseCallerFails("write")) {
             fixture.call("HTTP/1.0");
@@ -109,6 +111,7 @@
 
     /** Guards against a stream that stays open after the handler that breaks it off has thrown. */
     @Test
+    @ExpectsInternalErrors
     void aRefusedStreamWhoseResetFailsEndsNevertheless() throws Exception {
         try (ExchangeFixture fixture = streamWhoseCallerFails("reset")) {
             Socket caller = fixture.call("HTTP/1.1");
@@ -125,6 +128,7 @@
 
     /** Guards against an error in place of a response that has the headers of the response. */
     @Test
+    @ExpectsInternalErrors
     void aSmallResponseThatCannotBeSentEndsAsAnError() throws Exception {
         try (ExchangeFixture fixture = serviceWhoseCallerFails("end", true)) {
             fixture.call("HTTP/1.0");
@@ -143,6 +147,7 @@
     /** Guards against a large response, or the callback of its recorded outcome, whose handler throws. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
+    @ExpectsInternalErrors
     void aLargeResponseThatCannotBeForwardedEndsAsAnError(boolean isRepeatable) throws Exception {
         try (ExchangeFixture fixture = serviceWhoseCallerFails("write", isRepeatable)) {
             fixture.call("HTTP/1.1");
@@ -168,6 +173,7 @@
     /** Guards against a call that waits to its deadline, with its grant, because reading its response throws. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
+    @ExpectsInternalErrors
     void aResponseThatCannotBeReadEndsTheCallAndItsGrant(boolean isRepeatable) throws Exception {
         ServiceClient client = call -> new ServiceClient.Exchange() {
             @Override
@@ -193,6 +199,7 @@
 
     /** Guards against a grant that stays open, so that the key cannot be used again, although nothing was sent. */
     @Test
+    @ExpectsInternalErrors
     void aGrantedCallThatCannotBeSentReturnsItsGrant() throws Exception {
         ServiceClient client = call -> {
             throw new IllegalStateException("no call to " + call.endpoint());
@@ -210,6 +217,7 @@
 
     /** Guards against a call that waits to its deadline because a call of the journal throws. */
     @Test
+    @ExpectsInternalErrors
     void aCallWhoseGrantCannotBeRequestedIsRefusedAsNotRun() throws Exception {
         try (ExchangeFixture fixture = service(withJournal(new FailingJournal(false)), "", false)) {
             fixture.call("HTTP/1.0");
@@ -223,6 +231,7 @@
 
     /** Guards against a response that is never delivered because a call of the journal throws. */
     @Test
+    @ExpectsInternalErrors
     void aResponseWhoseOutcomeCannotBeRecordedIsDelivered() throws Exception {
         try (ExchangeFixture fixture = service(withJournal(new FailingJournal(true)), "", false)) {
             fixture.call("HTTP/1.0");
--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
@@ -390,6 +390,7 @@
 
     /** Guards against callers who wait for an answer after an error of the JVM, such as a stack that is too deep. */
     @Test
+    @ExpectsInternalErrors
     void aRequestWhoseHandlingEndsWithAnErrorOfTheJvmIsAnswered() throws Exception {
         lookupError = new StackOverflowError();
         String response = call(start(RouteKind.REPEATABLE, List.of()));
--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyServerTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyServerTest.java
@@ -18,6 +18,7 @@
 import io.radishwinch.server.http.DeliveryStats;
 import io.radishwinch.server.http.ExchangeListener;
 import io.radishwinch.server.http.Refusal;
+import io.radishwinch.server.logguard.ExpectsInternalErrors;
 import io.radishwinch.server.route.Backend;
 import io.radishwinch.server.route.ConnectionLimits;
 import io.radishwinch.server.route.Route;
@@ -139,6 +140,7 @@
 
     /** Guards against a request that waits for its answer after its admission has failed with an exception. */
     @Test
+    @ExpectsInternalErrors
     void aRequestWhoseAdmissionFailsIsRefusedAsNotRun() throws Exception {
         try (Socket socket = send(start(config(List.of())))) {
             socket.setSoTimeout(WAIT_MS);
