Check no attempt that starts in the millisecond of an end and a join

It started in the next lifetime, so that the check was at fault; it leaves out this tie and nothing else.

--- a/core/src/test/java/io/radishwinch/core/impl/CoreSimulation.java
+++ b/core/src/test/java/io/radishwinch/core/impl/CoreSimulation.java
@@ -243,12 +243,18 @@
             check(
                     mayGoOn
                             || end.atMs < row.attemptStartedAtMs
+                            || isInUseAgainAt(row.attemptStartedAtMs, end)
                             || end.atMs >= nowMs - MAX_LATE_END_MS - TICK_MS
                             || !row.chain.uses(end.endpointId),
                     "attempt " + row.epoch + " of " + row.id() + " outlives " + end);
         }
     }
 
+    /** Returns whether the endpoint ended and joined again in the millisecond in which an attempt started. */
+    private boolean isInUseAgainAt(long startedAtMs, EndpointEnd end) {
+        return end.atMs == startedAtMs && joinedAtMs.getOrDefault(end.endpointId, Long.MIN_VALUE) >= startedAtMs;
+    }
+
     /**
      * Returns whether the event ends a cancelled attempt. An adapter that confirms no cancellations never sends it; one
      * that does reports the cancellation instead of a failure in the same millisecond.
