Log the start of a process as its first line

The next process in the same log file was stopped while it started, so that its line stopping came before its started, and counted as a line of the killed process after the deadline of the request. The attempt was open when the process was killed, 0.3 s before that deadline.

A process of the platform's program now writes starting first, and the audit takes that line for the beginning of the next process. LogAuditTest has the case.

--- a/cli/src/main/java/io/radishwinch/cli/log/LogAudit.java
+++ b/cli/src/main/java/io/radishwinch/cli/log/LogAudit.java
@@ -73,8 +73,7 @@
         void receive(LogLine line) {
             receiveText(line.file(), line.fields().toString());
             Process process = processes.computeIfAbsent(line.file(), Process::new);
-            if (line.event().equals("started")) {
-                // Another process writes to the same file.
+            if (process.isFollowedBy(line)) {
                 process.end(this);
                 process = new Process(line.file());
                 processes.put(line.file(), process);
@@ -96,6 +95,7 @@
         private final Map<String, Long> deadlineMsById = new HashMap<>();
         private final Set<String> goneIds = new HashSet<>();
         private long lastAtMs = Long.MIN_VALUE;
+        private boolean isStarting;
         private boolean isStopped;
         private boolean lacksLines;
 
@@ -103,6 +103,14 @@
             this.source = source;
         }
 
+        /**
+         * Returns whether another process has written the line to the same file. Its first line is {@code starting}; a
+         * {@code stopping} may come before its {@code started}.
+         */
+        boolean isFollowedBy(LogLine line) {
+            return line.event().equals("starting") || line.event().equals("started") && !isStarting;
+        }
+
         void receive(LogLine line) {
             lastAtMs = Math.max(lastAtMs, line.atMs());
             String id = line.text("id");
@@ -119,6 +127,8 @@
                 case "answered", "refused", "rejected", "relayed" -> openById.remove(id);
                 case "response-cut", "caller-gone" -> goneIds.add(id);
                 case "request-lines-suppressed", "log-lines-dropped" -> lacksLines = true;
+                case "starting" -> isStarting = true;
+                case "started" -> isStarting = false;
                 case "stopped" -> isStopped = true;
                 default -> {
                     // The other events say nothing about the end of an attempt.
--- a/cli/src/test/java/io/radishwinch/cli/LogAuditTest.java
+++ b/cli/src/test/java/io/radishwinch/cli/LogAuditTest.java
@@ -83,6 +83,19 @@
                 .contains("lines of this process were not written");
     }
 
+    /**
+     * Guards against attempts of a killed process that count as unended because the next one is stopped at its start.
+     */
+    @Test
+    void aLineOfTheNextProcessBeforeItHasStartedIsNoneOfTheKilledOne() throws Exception {
+        String next = line("starting", "", 2_800, "\"router\":\"r\"")
+                + line("stopping", "", 90_000, "\"router\":\"r\"")
+                + line("started", "", 90_100, "\"router\":\"r\"");
+        assertThat(audit(STARTED + REQUEST + next)).isEqualTo(ExitCode.OK);
+        assertThat(session.text()).contains("undecided: 1");
+        assertThat(audit(STARTED + REQUEST + next + LATER)).isEqualTo(ExitCode.OK);
+    }
+
     @Test
     void aStoppedProcessLeavesNoAttempt() throws Exception {
         assertThat(audit(STARTED + REQUEST + line("stopped", "", 2_800, "\"router\":\"r\"")))
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
@@ -85,6 +85,7 @@
 
     /** Starts all servers. The returned future fails if an address is in use. */
     public Future<Void> start() {
+        log.lifecycle(LogFields.of("starting").with("router", settings.routerId()));
         controlVertx.getOrCreateContext().runOnContext(ignored -> startControl().onComplete(started));
         return started.future().onSuccess(ignored -> logStart());
     }
