Log the configuration, the route and a digest of the key of rejected requests

Cause: a line 'rejected' had neither, so that a key that was withdrawn, one that never existed and one that the router did not look up in the configuration in effect looked alike.

Change: a record Rejection carries what a refusal was based on; the line names the version of the configuration, that of the keys, the route, and the first digits of the hash of an unknown key.

--- a/server/src/main/java/io/radishwinch/server/OutcomeCounter.java
+++ b/server/src/main/java/io/radishwinch/server/OutcomeCounter.java
@@ -1,10 +1,10 @@
 package io.radishwinch.server;
 
-import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.server.http.DeliveryStats;
 import io.radishwinch.server.http.ExchangeListener;
 import io.radishwinch.server.http.Refusal;
+import io.radishwinch.server.http.Rejection;
 import io.radishwinch.server.metrics.RouterMetrics;
 import java.util.Optional;
 
@@ -31,7 +31,7 @@
     }
 
     @Override
-    public void rejected(String requestId, String caller, Optional<Rank> rank, Refusal refusal) {
-        metrics.countRefusal(rank.orElse(null), refusal.reason());
+    public void rejected(Rejection rejection) {
+        metrics.countRefusal(rejection.rank().orElse(null), rejection.refusal().reason());
     }
 }
--- a/server/src/main/java/io/radishwinch/server/OutcomeRecorder.java
+++ b/server/src/main/java/io/radishwinch/server/OutcomeRecorder.java
@@ -1,11 +1,11 @@
 package io.radishwinch.server;
 
-import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.report.RequestOutcome;
 import io.radishwinch.server.http.DeliveryStats;
 import io.radishwinch.server.http.ExchangeListener;
 import io.radishwinch.server.http.Refusal;
+import io.radishwinch.server.http.Rejection;
 import io.radishwinch.server.http.ResponseCut;
 import io.radishwinch.server.metrics.RouterMetrics;
 import java.util.Optional;
@@ -47,12 +47,14 @@
     }
 
     @Override
-    public void rejected(String requestId, String caller, Optional<Rank> rank, Refusal refusal) {
-        counter.rejected(requestId, caller, rank, refusal);
-        if (caller.isEmpty() || rank.isEmpty()) {
+    public void rejected(Rejection rejection) {
+        counter.rejected(rejection);
+        if (rejection.caller().isEmpty() || rejection.rank().isEmpty()) {
             return;
         }
-        RequestOutcome outcome = RequestOutcome.builder("", caller, rank.get(), "")
+        Refusal refusal = rejection.refusal();
+        RequestOutcome outcome = RequestOutcome.builder(
+                        "", rejection.caller(), rejection.rank().get(), "")
                 .failed(refusal.verdict(), refusal.reason(), System.currentTimeMillis());
         control.execute(() -> day.accept(outcome));
     }
--- a/server/src/main/java/io/radishwinch/server/fleet/OutcomeLogger.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/OutcomeLogger.java
@@ -1,13 +1,13 @@
 package io.radishwinch.server.fleet;
 
 import io.micrometer.core.instrument.Counter;
-import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.http.ResponseRule;
 import io.radishwinch.server.LogFields;
 import io.radishwinch.server.http.DeliveryStats;
 import io.radishwinch.server.http.ExchangeListener;
 import io.radishwinch.server.http.Refusal;
+import io.radishwinch.server.http.Rejection;
 import io.radishwinch.server.http.ResponseCut;
 import io.radishwinch.server.metrics.RouterMetrics;
 import io.radishwinch.server.proxy.ResponseEnd;
@@ -118,13 +118,17 @@
     }
 
     @Override
-    public void rejected(String requestId, String caller, Optional<Rank> rank, Refusal refusal) {
-        next.rejected(requestId, caller, rank, refusal);
+    public void rejected(Rejection rejection) {
+        next.rejected(rejection);
         log.request(() -> LogFields.of("rejected")
-                .with("id", requestId)
-                .with("caller", caller)
-                .with("reason", refusal.reason().wireName())
-                .with("detail", refusal.message()));
+                .with("id", rejection.requestId())
+                .with("caller", rejection.caller())
+                .with("reason", rejection.refusal().reason().wireName())
+                .with("config", rejection.configVersion())
+                .with("keysConfig", rejection.keysVersion())
+                .with("route", rejection.route())
+                .with("key", rejection.keyDigest())
+                .with("detail", rejection.refusal().message()));
     }
 
     @Override
--- a/server/src/main/java/io/radishwinch/server/http/Authenticator.java
+++ b/server/src/main/java/io/radishwinch/server/http/Authenticator.java
@@ -12,6 +12,9 @@
     private static final String SCHEME = "bearer ";
     private static final int MAX_KEY_LENGTH = 512;
 
+    /** Enough of a hash to tell keys apart in a log, and too little to find a key. */
+    private static final int DIGEST_LENGTH = 12;
+
     private volatile Index index = new Index(FleetConfig.empty(), Map.of());
 
     /** Replaces the configuration and rebuilds the index of key hashes. */
@@ -36,16 +39,26 @@
      * <p>The key is hashed before the lookup, so that the response time reveals nothing about existing keys.
      */
     public Optional<Contract> authenticate(String authorization) {
+        return keyHash(authorization)
+                .flatMap(hash -> Optional.ofNullable(index.byHash().get(hash))
+                        .filter(contract -> contract.keyHashes().stream().anyMatch(h -> KeyHash.matches(h, hash))));
+    }
+
+    /** Returns a digest of the key in an Authorization header for logs, or an empty string if it has no key. */
+    public static String digest(String authorization) {
+        return keyHash(authorization)
+                .map(hash -> hash.substring(0, DIGEST_LENGTH))
+                .orElse("");
+    }
+
+    private static Optional<String> keyHash(String authorization) {
         boolean isBearer = authorization != null
                 && authorization.length() <= MAX_KEY_LENGTH
                 && authorization.regionMatches(true, 0, SCHEME, 0, SCHEME.length());
-        if (!isBearer) {
-            return Optional.empty();
-        }
-        String hash = KeyHash.of(authorization.substring(SCHEME.length()).trim());
-        Contract contract = index.byHash().get(hash);
-        boolean matches = contract != null && contract.keyHashes().stream().anyMatch(h -> KeyHash.matches(h, hash));
-        return matches ? Optional.of(contract) : Optional.empty();
+        return isBearer
+                ? Optional.of(
+                        KeyHash.of(authorization.substring(SCHEME.length()).trim()))
+                : Optional.empty();
     }
 
     /** A configuration and its contracts by key hash. */
--- a/server/src/main/java/io/radishwinch/server/http/CallerApi.java
+++ b/server/src/main/java/io/radishwinch/server/http/CallerApi.java
@@ -273,7 +273,7 @@
 
     private void reject(RoutingContext ctx, String caller, Optional<Rank> rank, Refusal refusal) {
         String requestId = requestIds.get();
-        observe(requestId, () -> shared.listener().rejected(requestId, caller, rank, refusal));
+        observe(requestId, () -> shared.listener().rejected(Rejection.of(requestId, caller, rank, refusal)));
         HttpServerResponse response = ctx.response();
         boolean isBodyRead = ctx.request().isEnded();
         if (!isBodyRead) {
--- a/server/src/main/java/io/radishwinch/server/http/CallerServer.java
+++ b/server/src/main/java/io/radishwinch/server/http/CallerServer.java
@@ -20,7 +20,6 @@
 import io.vertx.core.net.PemKeyCertOptions;
 import io.vertx.core.net.ServerSSLOptions;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -191,7 +190,7 @@
         private void reportRejected(Refusal refusal) {
             dependencies.control().errors().observe("of a connection", () -> dependencies
                     .listener()
-                    .rejected("", "", Optional.empty(), refusal));
+                    .rejected(Rejection.of("", refusal)));
         }
 
         private void onInvalidRequest(HttpServerRequest request) {
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -18,6 +18,7 @@
 import io.radishwinch.server.http.MemoryBudget;
 import io.radishwinch.server.http.PromptHashes;
 import io.radishwinch.server.http.Refusal;
+import io.radishwinch.server.http.Rejection;
 import io.radishwinch.server.http.ResponseCut;
 import io.radishwinch.server.route.ConnectionLimits;
 import io.radishwinch.server.route.Route;
@@ -269,7 +270,7 @@
         RelayHeaders.Limits limits = RelayHeaders.takeLimits(request.headers());
         if (dependencies.relays().isIsolated()) {
             RelayHeaders.setUnavailable(request.response().headers());
-            reject(request, "", null, refusal(Reason.NO_CAPACITY));
+            reject(request, Terms.NONE, refusal(Reason.NO_CAPACITY));
         } else {
             // The core counts endpoints whose end it does not know, and may never have known these.
             limits.earlierEndpointIds().stream()
@@ -296,8 +297,7 @@
             }
             reject(
                     request,
-                    "",
-                    null,
+                    Terms.NONE,
                     new Refusal(
                             Reason.NO_CAPACITY,
                             Verdict.NOT_RUN,
@@ -309,28 +309,29 @@
         Optional<Route> route =
                 host == null ? Optional.empty() : config.routes().find(host, request.path());
         if (route.isEmpty()) {
-            reject(request, "", null, refusal(Reason.UNKNOWN_PATH));
+            reject(request, new Terms(Optional.of(config), route, ""), refusal(Reason.UNKNOWN_PATH));
             return;
         }
         Optional<Contract> contract = findContract(request, route.get(), config);
         if (contract.isEmpty()) {
-            reject(request, "", route.get().rank(), refusal(Reason.UNKNOWN_CALLER));
+            reject(request, new Terms(Optional.of(config), route, ""), refusal(Reason.UNKNOWN_CALLER));
             return;
         }
         String caller = contract.get().caller();
+        Terms terms = new Terms(Optional.of(config), route, caller);
         if (route.get().kind() == RouteKind.STREAM && request.version() == HttpVersion.HTTP_1_0) {
             String message = "a streamed response needs HTTP/1.1";
-            reject(request, caller, route.get().rank(), Refusal.notRun(Reason.MALFORMED_REQUEST, message));
+            reject(request, terms, Refusal.notRun(Reason.MALFORMED_REQUEST, message));
             return;
         }
         Either<String, RequestHead> head = dependencies.dialect().readRequest(request.headers());
         if (head.isLeft()) {
-            reject(request, caller, route.get().rank(), Refusal.notRun(Reason.MALFORMED_REQUEST, head.getLeft()));
+            reject(request, terms, Refusal.notRun(Reason.MALFORMED_REQUEST, head.getLeft()));
             return;
         }
         int maxHeaderBytes = config.limits().maxHeaderBytes();
         if (headerBytes(request) > maxHeaderBytes) {
-            reject(request, caller, route.get().rank(), refusal(Reason.HEADER_TOO_LARGE));
+            reject(request, terms, refusal(Reason.HEADER_TOO_LARGE));
             return;
         }
         long arrivedAtMs = dependencies.control().nowMs();
@@ -342,7 +343,7 @@
                 scope.bodyMemory(),
                 body -> guard(request, () -> {
                     if (body.isLeft()) {
-                        reject(request, caller, route.get().rank(), body.getLeft());
+                        reject(request, terms, body.getLeft());
                     } else {
                         admitOrRelease(new ReceivedRequest(
                                 request,
@@ -365,7 +366,7 @@
             String requestId = dependencies.dialect().requestId(request.headers());
             dependencies.control().errors().report(InternalErrors.Part.EXCHANGE, requestId, e);
             if (!request.response().ended()) {
-                reject(request, "", null, refusal(Reason.INTERNAL_ERROR));
+                reject(request, Terms.NONE, refusal(Reason.INTERNAL_ERROR));
             }
         }
     }
@@ -485,7 +486,7 @@
     private void refuseInvalid(HttpServerRequest request) {
         Throwable cause = request.decoderResult().cause();
         boolean isTooLarge = cause instanceof io.netty.handler.codec.TooLongFrameException;
-        reject(request, "", null, refusal(isTooLarge ? Reason.HEADER_TOO_LARGE : Reason.MALFORMED_REQUEST));
+        reject(request, Terms.NONE, refusal(isTooLarge ? Reason.HEADER_TOO_LARGE : Reason.MALFORMED_REQUEST));
         request.connection().close();
     }
 
@@ -493,9 +494,18 @@
         return Refusal.notRun(reason, ErrorMessages.of(reason));
     }
 
-    private void reject(HttpServerRequest request, String caller, Rank rank, Refusal refusal) {
+    /**
+     * What the admission of a request is based on, as far as it is known.
+     *
+     * @param caller name of the caller, or an empty string if unknown
+     */
+    private record Terms(Optional<RoutingConfig> config, Optional<Route> route, String caller) {
+        private static final Terms NONE = new Terms(Optional.empty(), Optional.empty(), "");
+    }
+
+    private void reject(HttpServerRequest request, Terms terms, Refusal refusal) {
         String requestId = dependencies.dialect().requestId(request.headers());
-        rejected(requestId, caller, Optional.ofNullable(rank), refusal);
+        rejected(rejection(request, requestId, terms, refusal));
         HttpServerResponse response = request.response();
         ProxyErrorResponse.send(response, refusal, scope, requestId)
                 .onFailure(ignored -> responseCut(ResponseCut.unwritten(requestId, refusal.reason(), response)));
@@ -507,11 +517,23 @@
         dependencies.listener().finished(request, delivery, refusal);
     }
 
+    private Rejection rejection(HttpServerRequest request, String requestId, Terms terms, Refusal refusal) {
+        Rejection rejection = Rejection.of(requestId, terms.caller, terms.route.map(Route::rank), refusal)
+                .withTerms(
+                        terms.config.map(RoutingConfig::version).orElse(0L),
+                        dependencies.authenticator().config().version(),
+                        terms.route.map(Route::name).orElse(""));
+        return refusal.reason() == Reason.UNKNOWN_CALLER
+                ? rejection.withKeyDigest(
+                        Authenticator.digest(dependencies.dialect().credentials(request.headers())))
+                : rejection;
+    }
+
     @Override
-    public void rejected(String requestId, String caller, Optional<Rank> rank, Refusal refusal) {
-        dependencies.control().errors().observe(requestId, () -> dependencies
+    public void rejected(Rejection rejection) {
+        dependencies.control().errors().observe(rejection.requestId(), () -> dependencies
                 .listener()
-                .rejected(requestId, caller, rank, refusal));
+                .rejected(rejection));
     }
 
     @Override
--- a/server/src/test/java/io/radishwinch/server/http/CallerApiTest.java
+++ b/server/src/test/java/io/radishwinch/server/http/CallerApiTest.java
@@ -164,9 +164,9 @@
         }
 
         @Override
-        public void rejected(String requestId, String caller, Optional<Rank> rank, Refusal refusal) {
+        public void rejected(Rejection rejection) {
             if (areObserversFailing) {
-                throw new IllegalStateException("no count of " + refusal);
+                throw new IllegalStateException("no count of " + rejection);
             }
         }
     }
--- a/server/src/test/java/io/radishwinch/server/http/ExchangeFixture.java
+++ b/server/src/test/java/io/radishwinch/server/http/ExchangeFixture.java
@@ -280,7 +280,7 @@
         }
 
         @Override
-        public void rejected(String requestId, String name, Optional<Rank> rank, Refusal refusal) {
+        public void rejected(Rejection rejection) {
             throw new UnsupportedOperationException();
         }
     }
--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyExchangeTest.java
@@ -13,6 +13,7 @@
 import io.radishwinch.server.http.ExchangeListener;
 import io.radishwinch.server.http.MemoryBudget;
 import io.radishwinch.server.http.Refusal;
+import io.radishwinch.server.http.Rejection;
 import io.radishwinch.server.logguard.ExpectsInternalErrors;
 import io.radishwinch.server.proxy.ScriptedEndpoint.End;
 import io.radishwinch.server.proxy.ScriptedEndpoint.Script;
@@ -165,7 +166,7 @@
                     }
 
                     @Override
-                    public void rejected(String requestId, String caller, Optional<Rank> rank, Refusal refusal) {}
+                    public void rejected(Rejection rejection) {}
                 },
                 (requestId, end) -> {
                     ends.add(end);
--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyServerTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyServerTest.java
@@ -18,6 +18,7 @@
 import io.radishwinch.server.http.DeliveryStats;
 import io.radishwinch.server.http.ExchangeListener;
 import io.radishwinch.server.http.Refusal;
+import io.radishwinch.server.http.Rejection;
 import io.radishwinch.server.logguard.ExpectsInternalErrors;
 import io.radishwinch.server.route.Backend;
 import io.radishwinch.server.route.ConnectionLimits;
@@ -169,6 +170,6 @@
         public void finished(RequestSpec request, DeliveryStats delivery, Optional<Refusal> refusal) {}
 
         @Override
-        public void rejected(String requestId, String caller, Optional<Rank> rank, Refusal refusal) {}
+        public void rejected(Rejection rejection) {}
     }
 }
