Look up the key of a request in the configuration that it is admitted under

What callers saw: 401 for proper requests at a router that had just started, which they do not send again.

Cause: a configuration was published in several steps. The version and the routes were in effect first, the index of keys was replaced after them, and a request that arrived in between found its route in the new configuration and its key nowhere. The gap grows with the number of keys.

Change: the index is part of the immutable configuration, built before it is published; a request reads the configuration once and keeps it, so that no two parts can differ. The daemon's caller interface does the same, and its configuration reaches the core before callers can be admitted under it.

ProxyServerTest and CallerApiTest have a test for a configuration that changes while a request is admitted.

--- a/server/src/main/java/io/radishwinch/server/ControlPlane.java
+++ b/server/src/main/java/io/radishwinch/server/ControlPlane.java
@@ -41,7 +41,7 @@
 import io.radishwinch.report.RequestOutcome;
 import io.radishwinch.server.engine.ClientOptions;
 import io.radishwinch.server.engine.HttpEngineClient;
-import io.radishwinch.server.http.Authenticator;
+import io.radishwinch.server.http.CallerConfig;
 import io.radishwinch.server.metrics.RouterMetrics;
 import io.radishwinch.server.peer.PeerTransport;
 import io.radishwinch.server.platform.HttpPlatformClient;
@@ -81,7 +81,6 @@
     private final RouterSettings settings;
     private final RouterClock clock;
     private final RouterMetrics metrics;
-    private final Authenticator authenticator;
     private final PeerTransport peers;
     private final PeerNode node;
     private final PlatformHealth platformHealth = new PlatformHealth();
@@ -102,6 +101,7 @@
     private final Set<String> failedEndpoints = new HashSet<>();
     private final SurgeDetector surgeDetector;
     private volatile int liveRouters = 1;
+    private volatile CallerConfig callerConfig = CallerConfig.empty();
     private boolean hasConfiguration;
     private long nextLoadPublishMs;
     private final List<Long> timerIds = new ArrayList<>();
@@ -111,14 +111,12 @@
             RouterSettings settings,
             RouterClock clock,
             RouterMetrics metrics,
-            Authenticator authenticator,
             PeerTransport peers,
             int peerPort) {
         this.vertx = vertx;
         this.settings = settings;
         this.clock = clock;
         this.metrics = metrics;
-        this.authenticator = authenticator;
         this.peers = peers;
         Context context = vertx.getOrCreateContext();
         Random random = new Random();
@@ -306,8 +304,14 @@
         return boundTokensPerSByPool;
     }
 
+    /** Returns the configuration in effect; safe for use by any thread. */
     FleetConfig config() {
-        return authenticator.config();
+        return callerConfig.fleet();
+    }
+
+    /** Returns the configuration in effect, as requests are admitted under it; safe for use by any thread. */
+    CallerConfig callerConfig() {
+        return callerConfig;
     }
 
     private void tickPeers() {
@@ -400,15 +404,17 @@
     }
 
     private void configure(FleetConfig config) {
-        if (hasConfiguration && config.version() > authenticator.config().version()) {
+        if (hasConfiguration && config.version() > config().version()) {
             daySummaries.record(
                     FleetEvent.Kind.CONFIGURATION, "configuration", "version " + config.version() + " is in effect");
         }
         LOG.log(System.Logger.Level.INFO, "configuration version {0} is in effect", Long.toString(config.version()));
-        authenticator.configure(config);
+        CallerConfig published = CallerConfig.of(config);
         peerState.applyLimits(config);
         control.post(new Event.ConfigChanged(config));
         hasConfiguration = true;
+        // Published last, so that a request that is admitted under it reaches the core after it.
+        callerConfig = published;
     }
 
     /** Receives every event before the decision core. */
--- a/server/src/main/java/io/radishwinch/server/RouterProcess.java
+++ b/server/src/main/java/io/radishwinch/server/RouterProcess.java
@@ -3,7 +3,6 @@
 import io.radishwinch.config.build.BuildIdentity;
 import io.radishwinch.config.settings.RouterSettings;
 import io.radishwinch.config.settings.SettingKey;
-import io.radishwinch.server.http.Authenticator;
 import io.radishwinch.server.http.CallerServer;
 import io.radishwinch.server.http.JournalAccess;
 import io.radishwinch.server.metrics.RouterMetrics;
@@ -29,7 +28,6 @@
     private final RouterSettings settings;
     private final RouterClock clock = new RouterClock();
     private final RouterMetrics metrics = new RouterMetrics();
-    private final Authenticator authenticator = new Authenticator();
     private final Vertx controlVertx =
             Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(2));
     private final Vertx trafficVertx;
@@ -68,7 +66,7 @@
 
     private Future<Void> startServers(int listeningPort) {
         peerPort = listeningPort;
-        plane = new ControlPlane(controlVertx, settings, clock, metrics, authenticator, peers, listeningPort);
+        plane = new ControlPlane(controlVertx, settings, clock, metrics, peers, listeningPort);
         InternalErrors errors = plane.control().errors();
         errors.bindTo(metrics);
         errors.receiveFrom(controlVertx, "the control thread");
@@ -90,7 +88,7 @@
                 plane.control(),
                 plane.endpoints(),
                 new JournalAccess(plane.control(), plane.journal()),
-                authenticator,
+                plane::callerConfig,
                 new OutcomeRecorder(
                         metrics,
                         plane.control(),
@@ -121,8 +119,7 @@
         metrics.build(BuildIdentity.ofProcess());
         metrics.gauge("radishwinch.caller.connections", "open connections of callers", callers::openConnections);
         metrics.gauge("radishwinch.caller.body.bytes", "memory taken by request bodies", callers::bodyBytes);
-        metrics.gauge("radishwinch.config.version", "version of the configuration in effect", () -> authenticator
-                .config()
+        metrics.gauge("radishwinch.config.version", "version of the configuration in effect", () -> plane.config()
                 .version());
     }
 
@@ -212,8 +209,7 @@
         if (isDraining) {
             return Optional.of(DRAINING_REASON);
         }
-        boolean hasConfiguration = authenticator.config().version() > 0;
-        return hasConfiguration ? Optional.empty() : Optional.of("no configuration yet");
+        return plane.callerConfig().isEmpty() ? Optional.of("no configuration yet") : Optional.empty();
     }
 
     private static String newRequestId() {
--- a/server/src/main/java/io/radishwinch/server/fleet/ConfigHolder.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/ConfigHolder.java
@@ -4,7 +4,12 @@
 import io.vavr.control.Either;
 import java.util.function.Consumer;
 
-/** Holds the configuration in effect; its version never decreases. Used on the control thread. */
+/**
+ * Holds the configuration in effect; its version never decreases. Used on the control thread.
+ *
+ * <p>A request reads the configuration once and keeps it. It is published last and as one object; its announcement
+ * precedes it.
+ */
 final class ConfigHolder {
 
     private final FleetDialect dialect;
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetControl.java
@@ -33,7 +33,6 @@
 import io.radishwinch.server.PeerStateBridge;
 import io.radishwinch.server.PlatformCounters;
 import io.radishwinch.server.VertxScheduler;
-import io.radishwinch.server.http.Authenticator;
 import io.radishwinch.server.metrics.RouterMetrics;
 import io.radishwinch.server.peer.PeerTransport;
 import io.radishwinch.server.proxy.ContactLookup;
@@ -86,7 +85,6 @@
     private final FleetSettings settings;
     private final LongSupplier clock;
     private final RouterMetrics metrics;
-    private final Authenticator authenticator;
     private final PeerTransport peers;
     private final PeerNode node;
     private final Random random = new Random();
@@ -126,7 +124,6 @@
             FleetSettings settings,
             LongSupplier clock,
             RouterMetrics metrics,
-            Authenticator authenticator,
             PeerTransport peers,
             FleetDialect dialect,
             FleetRouter.Clients clients,
@@ -135,7 +132,6 @@
         this.settings = settings;
         this.clock = clock;
         this.metrics = metrics;
-        this.authenticator = authenticator;
         this.peers = peers;
         this.log = log;
         this.dialect = dialect;
@@ -555,7 +551,6 @@
     private void offerConfiguration(byte[] value, long version) {
         if (config.offer(value, version)) {
             RoutingConfig current = config.inEffect();
-            authenticator.configure(current.fleet());
             registry.configure(current.fleet(), clock.getAsLong());
         }
     }
--- a/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/FleetRouter.java
@@ -7,7 +7,6 @@
 import io.radishwinch.server.LogFields;
 import io.radishwinch.server.OutcomeCounter;
 import io.radishwinch.server.RouterClock;
-import io.radishwinch.server.http.Authenticator;
 import io.radishwinch.server.metrics.RouterMetrics;
 import io.radishwinch.server.peer.PeerTransport;
 import io.radishwinch.server.proxy.ProxyServer;
@@ -52,7 +51,6 @@
     private final RouterClock clock = new RouterClock();
     private final FleetLog log = new FleetLog(clock);
     private final RouterMetrics metrics = new RouterMetrics();
-    private final Authenticator authenticator = new Authenticator();
     private final Vertx controlVertx = Vertx.vertx(
             new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1));
     private final Vertx trafficVertx = Vertx.vertx(
@@ -105,15 +103,7 @@
     private Future<Void> startControl() {
         peers = new PeerTransport(controlVertx, Optional.empty(), metrics, frame -> plane.receive(frame));
         plane = new FleetControl(
-                controlVertx,
-                settings,
-                clock,
-                metrics,
-                authenticator,
-                peers,
-                dialect,
-                clientFactory.apply(controlVertx),
-                log);
+                controlVertx, settings, clock, metrics, peers, dialect, clientFactory.apply(controlVertx), log);
         InternalErrors errors = plane.control().errors();
         errors.bindTo(metrics);
         errors.receiveFrom(controlVertx, "the control thread");
@@ -125,7 +115,6 @@
                         plane.control(),
                         dialect.proxy(),
                         plane.contacts(),
-                        authenticator,
                         plane::config,
                         plane::liveRouters,
                         outcomes,
--- a/server/src/main/java/io/radishwinch/server/fleet/OutcomeLogger.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/OutcomeLogger.java
@@ -125,7 +125,6 @@
                 .with("caller", rejection.caller())
                 .with("reason", rejection.refusal().reason().wireName())
                 .with("config", rejection.configVersion())
-                .with("keysConfig", rejection.keysVersion())
                 .with("route", rejection.route())
                 .with("key", rejection.keyDigest())
                 .with("detail", rejection.refusal().message()));
--- a/server/src/main/java/io/radishwinch/server/http/CallerApi.java
+++ b/server/src/main/java/io/radishwinch/server/http/CallerApi.java
@@ -7,6 +7,7 @@
 import io.radishwinch.config.settings.RouterSettings;
 import io.radishwinch.config.settings.SettingKey;
 import io.radishwinch.core.model.Contract;
+import io.radishwinch.core.model.FleetConfig;
 import io.radishwinch.core.model.ModelSpec;
 import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.Reason;
@@ -35,7 +36,7 @@
     private static final String SERVICES_PATH = "/services/";
 
     private final ExchangeContext shared;
-    private final Authenticator authenticator;
+    private final Supplier<CallerConfig> config;
     private final Supplier<String> requestIds;
     private final BooleanSupplier ready;
     private final int maxBodyBytes;
@@ -43,12 +44,12 @@
 
     CallerApi(
             ExchangeContext shared,
-            Authenticator authenticator,
+            Supplier<CallerConfig> config,
             RouterSettings settings,
             Supplier<String> requestIds,
             BooleanSupplier ready) {
         this.shared = shared;
-        this.authenticator = authenticator;
+        this.config = config;
         this.requestIds = requestIds;
         this.ready = ready;
         this.maxBodyBytes = settings.integer(SettingKey.CALLER_MAX_BODY_BYTES);
@@ -80,14 +81,15 @@
     }
 
     private void handleModels(RoutingContext ctx) {
-        Optional<Contract> contract = authenticate(ctx);
+        CallerConfig current = config.get();
+        Optional<Contract> contract = authenticate(ctx, current);
         if (contract.isEmpty()) {
             return;
         }
         ObjectNode root = JsonNodeFactory.instance.objectNode();
         root.put("object", "list");
         ArrayNode data = root.putArray("data");
-        authenticator.config().models().values().stream()
+        current.fleet().models().values().stream()
                 .map(ModelSpec::name)
                 .filter(contract.get()::allowsPool)
                 .sorted()
@@ -100,18 +102,19 @@
     }
 
     private void handleCompletion(RoutingContext ctx, boolean isChat) {
-        withBody(ctx, (caller, body) -> {
+        withBody(ctx, (fleet, caller, body) -> {
             Either<Refusal, CompletionRequest> parsed = CompletionRequestParser.parse(isChat, body.getBytes());
             if (parsed.isLeft()) {
                 releaseBodyAndReject(ctx, caller, body, parsed.getLeft());
             } else {
-                startCompletion(ctx, caller, body, parsed.get());
+                startCompletion(ctx, fleet, caller, body, parsed.get());
             }
         });
     }
 
-    private void startCompletion(RoutingContext ctx, CallerRequest caller, Buffer body, CompletionRequest completion) {
-        ModelSpec model = authenticator.config().models().get(completion.model());
+    private void startCompletion(
+            RoutingContext ctx, FleetConfig fleet, CallerRequest caller, Buffer body, CompletionRequest completion) {
+        ModelSpec model = fleet.models().get(completion.model());
         byte[] prompt = completion.prompt().getBytes(StandardCharsets.UTF_8);
         int promptTokens = PromptHashes.estimateTokens(prompt.length);
         if (model == null) {
@@ -146,14 +149,14 @@
     }
 
     private void handleService(RoutingContext ctx) {
-        withBody(ctx, (caller, body) -> {
+        withBody(ctx, (fleet, caller, body) -> {
             String nameAndUri = ctx.request().uri().substring(SERVICES_PATH.length());
             int nameEnd = indexOfAny(nameAndUri, '/', '?');
             String name = nameAndUri.substring(0, nameEnd);
             String uri = nameEnd < nameAndUri.length() && nameAndUri.charAt(nameEnd) == '/'
                     ? nameAndUri.substring(nameEnd)
                     : "/" + nameAndUri.substring(nameEnd);
-            ServiceSpec service = authenticator.config().services().get(name);
+            ServiceSpec service = fleet.services().get(name);
             if (service == null) {
                 releaseBodyAndReject(
                         ctx,
@@ -208,13 +211,14 @@
         return text.length();
     }
 
-    /** Handles a request whose headers and body have been read. */
+    /** Handles a request whose headers and body have been read, under the configuration of its authentication. */
     private interface BodyHandler {
-        void handle(CallerRequest caller, Buffer body);
+        void handle(FleetConfig fleet, CallerRequest caller, Buffer body);
     }
 
     private void withBody(RoutingContext ctx, BodyHandler handler) {
-        Optional<Contract> contract = authenticate(ctx);
+        CallerConfig current = config.get();
+        Optional<Contract> contract = authenticate(ctx, current);
         if (contract.isEmpty()) {
             return;
         }
@@ -229,7 +233,7 @@
             if (result.isLeft()) {
                 rejectWithoutBody(ctx, caller.get(), result.getLeft());
             } else {
-                handler.handle(caller.get(), result.get());
+                handler.handle(current.fleet(), caller.get(), result.get());
             }
         });
         BodyCollector.collect(
@@ -250,8 +254,9 @@
         }
     }
 
-    private Optional<Contract> authenticate(RoutingContext ctx) {
-        Optional<Contract> contract = authenticator.authenticate(ctx.request().getHeader(HttpHeaders.AUTHORIZATION));
+    /** Returns the contract of the caller, or responds with an error and returns empty. */
+    private Optional<Contract> authenticate(RoutingContext ctx, CallerConfig current) {
+        Optional<Contract> contract = current.contracts().find(ctx.request().getHeader(HttpHeaders.AUTHORIZATION));
         if (contract.isEmpty()) {
             reject(
                     ctx,
--- a/server/src/main/java/io/radishwinch/server/http/CallerServer.java
+++ b/server/src/main/java/io/radishwinch/server/http/CallerServer.java
@@ -52,7 +52,7 @@
      * @param control control loop
      * @param endpoints lookup of endpoint addresses
      * @param journal journal of non-repeatable requests
-     * @param authenticator contracts by key
+     * @param config supplies the configuration in effect; thread-safe
      * @param listener receives the outcome of every request
      * @param requestIds supplies request identifiers that are unique in the fleet
      * @param isReady returns whether the router accepts new requests
@@ -61,7 +61,7 @@
             ControlLoop control,
             EndpointLookup endpoints,
             JournalAccess journal,
-            Authenticator authenticator,
+            Supplier<CallerConfig> config,
             ExchangeListener listener,
             Supplier<String> requestIds,
             BooleanSupplier isReady) {}
@@ -134,7 +134,7 @@
             threadContext = vertx.getOrCreateContext();
             ExchangeContext shared = exchangeContext();
             CallerApi api = new CallerApi(
-                    shared, dependencies.authenticator(), settings, dependencies.requestIds(), dependencies.isReady());
+                    shared, dependencies.config(), settings, dependencies.requestIds(), dependencies.isReady());
             server = vertx.createHttpServer(serverOptions())
                     .requestHandler(api.routes())
                     .invalidRequestHandler(this::onInvalidRequest)
--- a/server/src/main/java/io/radishwinch/server/http/Authenticator.java
+++ b/server/src/main/java/io/radishwinch/server/http/ContractIndex.java
@@ -7,30 +7,29 @@
 import java.util.Map;
 import java.util.Optional;
 
-/** Finds the contract of a bearer key. Thread-safe: the control thread replaces the index, traffic threads read it. */
-public final class Authenticator {
+/** Contracts of one configuration by the hash of their bearer keys. Immutable. */
+public final class ContractIndex {
     private static final String SCHEME = "bearer ";
     private static final int MAX_KEY_LENGTH = 512;
 
     /** Enough of a hash to tell keys apart in a log, and too little to find a key. */
     private static final int DIGEST_LENGTH = 12;
 
-    private volatile Index index = new Index(FleetConfig.empty(), Map.of());
+    private final Map<String, Contract> byHash;
 
-    /** Replaces the configuration and rebuilds the index of key hashes. */
-    public void configure(FleetConfig config) {
+    private ContractIndex(Map<String, Contract> byHash) {
+        this.byHash = byHash;
+    }
+
+    /** Returns the index of the contracts of a configuration. */
+    public static ContractIndex of(FleetConfig config) {
         Map<String, Contract> byHash = new HashMap<>();
         for (Contract contract : config.contracts().values()) {
             for (String hash : contract.keyHashes()) {
                 byHash.put(hash, contract);
             }
         }
-        index = new Index(config, Map.copyOf(byHash));
-    }
-
-    /** Returns the configuration in effect. */
-    public FleetConfig config() {
-        return index.config();
+        return new ContractIndex(byHash);
     }
 
     /**
@@ -38,10 +37,9 @@
      *
      * <p>The key is hashed before the lookup, so that the response time reveals nothing about existing keys.
      */
-    public Optional<Contract> authenticate(String authorization) {
-        return keyHash(authorization)
-                .flatMap(hash -> Optional.ofNullable(index.byHash().get(hash))
-                        .filter(contract -> contract.keyHashes().stream().anyMatch(h -> KeyHash.matches(h, hash))));
+    public Optional<Contract> find(String authorization) {
+        return keyHash(authorization).flatMap(hash -> Optional.ofNullable(byHash.get(hash))
+                .filter(contract -> contract.keyHashes().stream().anyMatch(h -> KeyHash.matches(h, hash))));
     }
 
     /** Returns a digest of the key in an Authorization header for logs, or an empty string if it has no key. */
@@ -60,7 +58,4 @@
                         KeyHash.of(authorization.substring(SCHEME.length()).trim()))
                 : Optional.empty();
     }
-
-    /** A configuration and its contracts by key hash. */
-    private record Index(FleetConfig config, Map<String, Contract> byHash) {}
 }
--- a/server/src/main/java/io/radishwinch/server/http/Rejection.java
+++ b/server/src/main/java/io/radishwinch/server/http/Rejection.java
@@ -11,7 +11,6 @@
  * @param rank rank of the request, or empty if unknown
  * @param refusal the refusal
  * @param configVersion version of the configuration that was applied, or 0 if there was none
- * @param keysVersion version of the configuration whose keys were applied, or 0 if there was none
  * @param route name of the route, or an empty string if unknown
  * @param keyDigest digest of the bearer key, or an empty string if there was none or it was not looked up
  */
@@ -21,7 +20,6 @@
         Optional<Rank> rank,
         Refusal refusal,
         long configVersion,
-        long keysVersion,
         String route,
         String keyDigest) {
 
@@ -32,16 +30,16 @@
 
     /** Returns the rejection of a request of a caller, which may be unknown. */
     public static Rejection of(String requestId, String caller, Optional<Rank> rank, Refusal refusal) {
-        return new Rejection(requestId, caller, rank, refusal, 0, 0, "", "");
+        return new Rejection(requestId, caller, rank, refusal, 0, "", "");
     }
 
     /** Returns a copy that names the configuration and the route. */
-    public Rejection withTerms(long version, long versionOfKeys, String routeName) {
-        return new Rejection(requestId, caller, rank, refusal, version, versionOfKeys, routeName, keyDigest);
+    public Rejection withTerms(long version, String routeName) {
+        return new Rejection(requestId, caller, rank, refusal, version, routeName, keyDigest);
     }
 
     /** Returns a copy that names the bearer key by its digest. */
     public Rejection withKeyDigest(String digest) {
-        return new Rejection(requestId, caller, rank, refusal, configVersion, keysVersion, route, digest);
+        return new Rejection(requestId, caller, rank, refusal, configVersion, route, digest);
     }
 }
--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyServer.java
@@ -7,11 +7,10 @@
 import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
-import io.radishwinch.core.model.Verdict;
 import io.radishwinch.server.ControlLoop;
 import io.radishwinch.server.InternalErrors;
-import io.radishwinch.server.http.Authenticator;
 import io.radishwinch.server.http.BodyCollector;
+import io.radishwinch.server.http.ContractIndex;
 import io.radishwinch.server.http.DeliveryStats;
 import io.radishwinch.server.http.ErrorMessages;
 import io.radishwinch.server.http.ExchangeListener;
@@ -62,9 +61,6 @@
     /** Maximum time for which a caller may leave its response unread, in ms; equals the longest timeout of a route. */
     private static final long WRITE_TIMEOUT_MS = 30_000;
 
-    /** Retry delay suggested to callers before the first configuration arrives, in ms; startup takes about a second. */
-    private static final long NOT_CONFIGURED_RETRY_MS = 500;
-
     /** Interval of the check for unresponsive streams and idle connections, in ms. */
     private static final long CHECK_INTERVAL_MS = 100;
 
@@ -109,7 +105,6 @@
      * @param control control loop
      * @param dialect translates the headers of the deployment
      * @param contacts lookup of endpoints
-     * @param authenticator contracts by key
      * @param config supplies the configuration in effect; thread-safe
      * @param liveRouterCount supplies the number of live routers that share the endpoints; thread-safe
      * @param listener receives the outcome of every request
@@ -124,7 +119,6 @@
             ControlLoop control,
             ProxyDialect dialect,
             ContactLookup contacts,
-            Authenticator authenticator,
             Supplier<RoutingConfig> config,
             Supplier<Integer> liveRouterCount,
             ExchangeListener listener,
@@ -295,14 +289,7 @@
             if (relayLimits.isPresent()) {
                 RelayHeaders.setUnavailable(request.response().headers());
             }
-            reject(
-                    request,
-                    Terms.NONE,
-                    new Refusal(
-                            Reason.NO_CAPACITY,
-                            Verdict.NOT_RUN,
-                            "the router has no configuration yet",
-                            NOT_CONFIGURED_RETRY_MS));
+            reject(request, Terms.NONE, Refusal.notConfigured());
             return;
         }
         String host = request.getHeader(HttpHeaders.HOST);
@@ -455,7 +442,7 @@
 
     private Optional<Contract> findContract(HttpServerRequest request, Route route, RoutingConfig config) {
         Optional<Contract> known =
-                dependencies.authenticator().authenticate(dependencies.dialect().credentials(request.headers()));
+                config.contracts().find(dependencies.dialect().credentials(request.headers()));
         return route.isPublic() && known.isEmpty()
                 ? Optional.ofNullable(config.fleet().contracts().get(RoutingConfig.PUBLIC_CALLER))
                 : known;
@@ -521,11 +508,10 @@
         Rejection rejection = Rejection.of(requestId, terms.caller, terms.route.map(Route::rank), refusal)
                 .withTerms(
                         terms.config.map(RoutingConfig::version).orElse(0L),
-                        dependencies.authenticator().config().version(),
                         terms.route.map(Route::name).orElse(""));
         return refusal.reason() == Reason.UNKNOWN_CALLER
                 ? rejection.withKeyDigest(
-                        Authenticator.digest(dependencies.dialect().credentials(request.headers())))
+                        ContractIndex.digest(dependencies.dialect().credentials(request.headers())))
                 : rejection;
     }
 
--- a/server/src/test/java/io/radishwinch/server/http/CallerApiTest.java
+++ b/server/src/test/java/io/radishwinch/server/http/CallerApiTest.java
@@ -9,6 +9,7 @@
 import io.radishwinch.core.model.Contract;
 import io.radishwinch.core.model.FleetConfig;
 import io.radishwinch.core.model.Limits;
+import io.radishwinch.core.model.ModelSpec;
 import io.radishwinch.core.model.Rank;
 import io.radishwinch.core.model.RankTerms;
 import io.radishwinch.core.model.RequestSpec;
@@ -20,9 +21,11 @@
 import io.vertx.core.http.HttpServer;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -47,18 +50,26 @@
                 }
             },
             action -> {});
+    private final Queue<CallerConfig> configs = new ArrayDeque<>(List.of(config(1, Map.of())));
     private boolean areObserversFailing;
     private int idsBeforeFailure = Integer.MAX_VALUE;
 
+    /** Returns the configurations in their order, and the last one from then on. */
+    private CallerConfig nextConfig() {
+        return configs.size() > 1 ? configs.remove() : configs.element();
+    }
+
+    private static CallerConfig config(long version, Map<String, ModelSpec> models) {
+        Contract contract = contract();
+        return CallerConfig.of(new FleetConfig(version, Map.of(contract.caller(), contract), models, Map.of()));
+    }
+
     @AfterEach
     void stop() {
         vertx.close().toCompletionStage().toCompletableFuture().join();
     }
 
     private int start() throws Exception {
-        Authenticator authenticator = new Authenticator();
-        Contract contract = contract();
-        authenticator.configure(new FleetConfig(1, Map.of(contract.caller(), contract), Map.of(), Map.of()));
         Supplier<String> ids = () -> {
             if (idsBeforeFailure-- == 0) {
                 throw new IllegalStateException("no identifier");
@@ -79,7 +90,7 @@
                 WAIT_MS);
         HttpServer server = vertx.createHttpServer()
                 .requestHandler(
-                        new CallerApi(shared, authenticator, RouterSettings.defaults(), ids, () -> true).routes());
+                        new CallerApi(shared, this::nextConfig, RouterSettings.defaults(), ids, () -> true).routes());
         return server.listen(0, "127.0.0.1")
                 .toCompletionStage()
                 .toCompletableFuture()
@@ -144,6 +155,14 @@
         awaitReleasedMemory();
     }
 
+    /** Guards against 404 for a model of the configuration that the caller was authenticated under. */
+    @Test
+    void aModelIsLookedUpInTheConfigurationOfTheKey() throws Exception {
+        configs.add(config(2, Map.of("other", new ModelSpec("other", 8, 1, 1, 1))));
+        assertThat(post("/v1/completions")).startsWith("HTTP/1.0 404 ");
+        assertThat(post("/v1/completions")).startsWith("HTTP/1.0 400 ").contains("context limit");
+    }
+
     private static Contract contract() {
         return new Contract(
                 "app",
--- a/server/src/test/java/io/radishwinch/server/proxy/PlainDialect.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/PlainDialect.java
@@ -40,7 +40,7 @@
 
     @Override
     public String credentials(MultiMap headers) {
-        return null;
+        return headers.get("Authorization");
     }
 
     @Override
--- a/server/src/test/java/io/radishwinch/server/proxy/ProxyServerTest.java
+++ b/server/src/test/java/io/radishwinch/server/proxy/ProxyServerTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.radishwinch.cluster.membership.Address;
+import io.radishwinch.config.contract.KeyHash;
 import io.radishwinch.core.action.Action;
 import io.radishwinch.core.event.Event;
 import io.radishwinch.core.model.Contract;
@@ -14,7 +15,6 @@
 import io.radishwinch.server.ControlLoop;
 import io.radishwinch.server.InternalErrors;
 import io.radishwinch.server.ViewlessCore;
-import io.radishwinch.server.http.Authenticator;
 import io.radishwinch.server.http.DeliveryStats;
 import io.radishwinch.server.http.ExchangeListener;
 import io.radishwinch.server.http.Refusal;
@@ -32,12 +32,14 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -52,6 +54,7 @@
     private static final String REQUEST = "GET / HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n\r\n";
 
     private final Vertx vertx = Vertx.vertx();
+    private final CompletableFuture<RequestSpec> arrived = new CompletableFuture<>();
     private final ControlLoop control =
             new ControlLoop(vertx.getOrCreateContext(), System::currentTimeMillis, new WaitingCore(), action -> {});
 
@@ -61,27 +64,29 @@
     }
 
     /** Core in which all requests wait. */
-    private static final class WaitingCore extends ViewlessCore {
+    private final class WaitingCore extends ViewlessCore {
         @Override
         public List<Action> handle(Event event, long nowMs) {
+            if (event instanceof Event.RequestArrived request) {
+                arrived.complete(request.request());
+            }
             return List.of();
         }
     }
 
     private static RoutingConfig config(List<Backend> backends) {
-        Route route = new Route("r", "h", "/", RouteKind.STREAM, 60_000, 0, 0, Rank.BATCH, backends, 1, true, true);
-        Contract contract = new Contract(
-                RoutingConfig.PUBLIC_CALLER,
-                List.of(),
-                1,
-                new Limits(1, 1, 1),
-                Map.of(),
-                Rank.BATCH,
-                Set.of(),
-                Set.of());
-        FleetConfig fleet = new FleetConfig(1, Map.of(contract.caller(), contract), Map.of(), Map.of(), Map.of());
+        return config(1, backends, true, contract(RoutingConfig.PUBLIC_CALLER, List.of()));
+    }
+
+    private static Contract contract(String caller, List<String> keyHashes) {
+        return new Contract(caller, keyHashes, 1, new Limits(1, 1, 1), Map.of(), Rank.BATCH, Set.of(), Set.of());
+    }
+
+    private static RoutingConfig config(long version, List<Backend> backends, boolean isPublic, Contract contract) {
+        Route route = new Route("r", "h", "/", RouteKind.STREAM, 60_000, 0, 0, Rank.BATCH, backends, 1, isPublic, true);
+        FleetConfig fleet = new FleetConfig(version, Map.of(contract.caller(), contract), Map.of(), Map.of(), Map.of());
         return new RoutingConfig(
-                1,
+                version,
                 new RouteTable(List.of(route)),
                 fleet,
                 Map.of(),
@@ -91,6 +96,10 @@
 
     /** Starts a server that all its requests wait in, and returns its port. */
     private int start(RoutingConfig config) throws Exception {
+        return start(() -> config);
+    }
+
+    private int start(Supplier<RoutingConfig> config) throws Exception {
         Address callers = new Address("127.0.0.1", freePort());
         ProxyServer server = new ProxyServer(
                 vertx,
@@ -98,8 +107,7 @@
                         control,
                         new PlainDialect(),
                         new NoContacts(),
-                        new Authenticator(),
-                        () -> config,
+                        config,
                         () -> 1,
                         new SilentListener(),
                         (requestId, end) -> {},
@@ -122,8 +130,12 @@
     }
 
     private static Socket send(int port) throws IOException {
+        return send(port, REQUEST);
+    }
+
+    private static Socket send(int port, String request) throws IOException {
         Socket socket = new Socket("127.0.0.1", port);
-        socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
         return socket;
     }
 
@@ -139,6 +151,19 @@
         }
     }
 
+    /** Guards against 401 for a key that one of two configurations has, if a request reads both. */
+    @Test
+    void aKeyIsLookedUpInTheConfigurationOfTheRoute() throws Exception {
+        List<Backend> backends = List.of(new Backend("m", 1));
+        RoutingConfig first = config(1, backends, false, contract("app", List.of(KeyHash.of("key"))));
+        RoutingConfig second = config(2, backends, false, contract("app", List.of()));
+        Iterator<RoutingConfig> configs = List.of(first).iterator();
+        int port = start(() -> configs.hasNext() ? configs.next() : second);
+        try (Socket socket = send(port, REQUEST.replace("\r\n\r\n", "\r\nAuthorization: Bearer key\r\n\r\n"))) {
+            assertThat(arrived.get(WAIT_MS, TimeUnit.MILLISECONDS).caller()).isEqualTo("app");
+        }
+    }
+
     /** Guards against a request that waits for its answer after its admission has failed with an exception. */
     @Test
     @ExpectsInternalErrors
