Refuse requests before the first configuration as not run

What callers saw: 401 from a radishwinchd that had no configuration yet, for any key.

Cause: a key was looked up in the empty configuration; only readiness told the two apart.

Change: 503, not run, with Retry-After, as the fleet router does.

Measured: CallerApiTest passes with the new test, which got 401 without the check.

--- a/server/src/main/java/io/radishwinch/server/http/CallerApi.java
+++ b/server/src/main/java/io/radishwinch/server/http/CallerApi.java
@@ -256,6 +256,10 @@
 
     /** Returns the contract of the caller, or responds with an error and returns empty. */
     private Optional<Contract> authenticate(RoutingContext ctx, CallerConfig current) {
+        if (current.isEmpty()) {
+            reject(ctx, "", Optional.empty(), Refusal.notConfigured());
+            return Optional.empty();
+        }
         Optional<Contract> contract = current.contracts().find(ctx.request().getHeader(HttpHeaders.AUTHORIZATION));
         if (contract.isEmpty()) {
             reject(
--- a/server/src/test/java/io/radishwinch/server/http/CallerApiTest.java
+++ b/server/src/test/java/io/radishwinch/server/http/CallerApiTest.java
@@ -163,6 +163,17 @@
         assertThat(post("/v1/completions")).startsWith("HTTP/1.0 400 ").contains("context limit");
     }
 
+    /** Guards against 401 for a proper request at a router that has just started. */
+    @Test
+    void aRequestBeforeTheFirstConfigurationIsRefusedAsNotRun() throws Exception {
+        configs.clear();
+        configs.add(CallerConfig.empty());
+        assertThat(post("/v1/completions"))
+                .startsWith("HTTP/1.0 503 ")
+                .contains("\"verdict\":\"not-run\"")
+                .containsIgnoringCase("retry-after: 1");
+    }
+
     private static Contract contract() {
         return new Contract(
                 "app",
