Put the objects of a configuration into effect only once all are known

What callers saw: 401 from a radishwinchd that had just started, for keys of contracts that had not arrived yet, and 404 for their models.

Cause: a router assembled its configuration from whatever objects it knew. Peers push objects one by one and repair differences in several frames, so that the first object of a starting router made it ready.

Change: a router knows the whole configuration once it has listed it, or once its entries have matched those of a router that knows it. Until then it stays without a configuration: not ready, and 503, not run.

--- a/cluster/src/main/java/io/radishwinch/cluster/PeerNode.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/PeerNode.java
@@ -242,6 +242,7 @@
                 .noneMatch(object -> object.key().startsWith(prefix));
         configuration.offerListing(prefix, listing, storeVersion);
         isFirstListing = false;
+        gossip.setComplete();
     }
 
     /**
@@ -348,6 +349,19 @@
         return gossip.isSynchronised();
     }
 
+    /**
+     * Returns whether this router has had the whole configuration at least once: from a listing of the platform, or
+     * because its entries matched those of a router that has. Until then, it may know any part of it.
+     */
+    public boolean isConfigurationComplete() {
+        return gossip.isComplete();
+    }
+
+    /** Returns whether the peers have not provided the whole configuration within {@link #INITIAL_SYNC_TIMEOUT_MS}. */
+    public boolean isConfigurationOverdue() {
+        return !gossip.isComplete() && startMs != Long.MIN_VALUE && nowMs - startMs >= INITIAL_SYNC_TIMEOUT_MS;
+    }
+
     /** Returns the configuration in effect, for reading only. */
     public ConfigurationStore configuration() {
         return configuration;
--- a/cluster/src/main/java/io/radishwinch/cluster/gossip/Gossip.java
+++ b/cluster/src/main/java/io/radishwinch/cluster/gossip/Gossip.java
@@ -111,6 +111,7 @@
     private long nextRemoteDigestMs = Long.MIN_VALUE;
     private long nextExpiryMs = Long.MIN_VALUE;
     private boolean hasSynchronised;
+    private boolean isComplete;
 
     private record EntryKey(EntryKind kind, String key) {}
 
@@ -142,6 +143,19 @@
         return hasSynchronised;
     }
 
+    /**
+     * Returns whether this router has had all durable entries at least once: it read them from their source, or matched
+     * a router that is complete.
+     */
+    public boolean isComplete() {
+        return isComplete;
+    }
+
+    /** Records that this router has read all entries from their source. */
+    public void setComplete() {
+        isComplete = true;
+    }
+
     /**
      * Publishes an entry.
      *
@@ -275,10 +289,12 @@
         if (remoteBucketHashes.size() == 1) {
             boolean isEqual = remoteBucketHashes.get(0) == localHashes.combinedHash();
             hasSynchronised |= isEqual && digest.isReply();
+            isComplete |= isEqual && digest.isReply();
             if (!digest.isReply()) {
+                // Equal hashes of all buckets confirm a match as well, but not that this router is complete.
                 out.add(new Envelope(
                         from,
-                        isEqual
+                        isEqual && isComplete
                                 ? summaryDigest(true, isFleetWide)
                                 : Message.digest(new Digest(localHashes.toList(), true, isFleetWide))));
             }
--- a/protocol/src/main/thrift/radishwinch.thrift
+++ b/protocol/src/main/thrift/radishwinch.thrift
@@ -40,7 +40,8 @@
 struct Directory { 1: required list<Member> members }
 
 /**
- * Hashes of the durable entries: one hash over all buckets, or one per bucket if the receiver's hash differs.
+ * Hashes of the durable entries: one hash over all buckets, or one per bucket in a reply if the receiver's hash differs
+ * or the sender has not read or received all entries yet.
  * With fleetWide, the hashes cover only the kinds that are replicated across data centres.
  */
 struct Digest { 1: required list<i64> bucketHashes, 2: required bool reply, 3: required bool fleetWide }
--- a/server/src/main/java/io/radishwinch/server/ConfigurationFollower.java
+++ b/server/src/main/java/io/radishwinch/server/ConfigurationFollower.java
@@ -24,8 +24,8 @@
 
 /**
  * Passes the platform's configuration objects to the peer state and assembles the configuration in effect. Only the
- * watchers of a data centre watch the platform; other routers receive the objects from peers. Runs on the control
- * thread.
+ * watchers of a data centre watch the platform; other routers receive the objects from peers, and list them once if the
+ * peers do not provide them. Runs on the control thread.
  */
 final class ConfigurationFollower {
     private final PeerNode node;
@@ -82,16 +82,19 @@
     }
 
     /**
-     * Starts or stops watching according to the role of this router, and assembles changed objects; called
-     * periodically.
+     * Starts or stops watching according to the role of this router, and assembles changed objects once the
+     * configuration is known as a whole; called periodically.
      */
     void tick() {
         if (node.isPlatformWatcher()) {
             follower.start();
+        } else if (node.isConfigurationOverdue()) {
+            follower.listOnce();
         } else {
             follower.stop();
         }
-        if (hasChanged) {
+        // Part of a configuration would refuse the callers and models of the other parts as unknown.
+        if (hasChanged && node.isConfigurationComplete()) {
             hasChanged = false;
             assembleConfiguration();
         }
