Refuse a request whose contract was deleted while its body arrived as withdrawn

What callers saw: 401 for a request that was authenticated, if its contract was deleted before its body had arrived; the message says that the key belongs to no contract.

Cause: the core told a caller that it does not know from a contract that was withdrawn by whether it had admitted the request. Every request is authenticated before it reaches the core, under the configuration of the core or an earlier one, so that its contract was always withdrawn.

Change: contract-withdrawn, not run: 403 from radishwinchd, 503 from the fleet router, which has no status of its own for it.

--- a/core/src/main/java/io/radishwinch/core/impl/CoreState.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreState.java
@@ -207,7 +207,8 @@
         Contract contract = config.contracts().get(spec.caller());
         ModelSpec pool = config.pool(spec.pool());
         if (contract == null) {
-            return requests.containsKey(spec.requestId()) ? Reason.CONTRACT_WITHDRAWN : Reason.UNKNOWN_CALLER;
+            // Requests are authenticated before they reach the core, under the same configuration or an earlier one.
+            return Reason.CONTRACT_WITHDRAWN;
         }
         if (pool == null) {
             return spec.pool().startsWith(ModelSpec.SERVICE_PREFIX) ? Reason.UNKNOWN_SERVICE : Reason.UNKNOWN_MODEL;
--- a/core/src/main/java/io/radishwinch/core/model/Reason.java
+++ b/core/src/main/java/io/radishwinch/core/model/Reason.java
@@ -70,7 +70,7 @@
     DRAINING,
     /** The caller closed its connection. */
     CALLER_DISCONNECTED,
-    /** The contract was deleted while the request was queued. */
+    /** The contract was deleted after the request was authenticated. */
     CONTRACT_WITHDRAWN,
     /** An internal error of the router. */
     INTERNAL_ERROR;
--- a/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/FailureTest.java
@@ -527,6 +527,20 @@
                 .isEqualTo(new Action.Refuse("none", Reason.RATE_LIMITED, Verdict.NOT_RUN, 60_000));
     }
 
+    /**
+     * Guards against 401 for a request that was authenticated and whose body arrived after its contract was deleted.
+     */
+    @Test
+    void aRequestThatArrivesAfterItsContractWasDeletedIsRefusedAsWithdrawn() {
+        CoreSimulation simulation = simulation(1, 1, 1);
+        simulation.contracts.remove("a");
+        simulation.configure();
+        simulation.arrive(simulation.request("late", "a", Rank.INTERACTIVE, 10, 100, 30_000));
+        simulation.run(100);
+        assertThat(simulation.trace("late").refusal().reason()).isEqualTo(Reason.CONTRACT_WITHDRAWN);
+        assertThat(simulation.trace("late").refusal().verdict()).isEqualTo(Verdict.NOT_RUN);
+    }
+
     @Test
     void aDeletedContractOrModelRefusesQueuedRequestsAndLetsRunningOnesFinish() {
         CoreSimulation simulation = simulation(1, 1, 1);
