Count the silence of a suspected endpoint from its last response

Callers saw: a stream may run at more endpoints than its route allows, one of them sound, beside silences of a second or two in quick succession.

Cause: the core counted the silence from the suspicion alone. An endpoint whose status checks fell into two silences counted as ended after 2 s, although attempts at it had sent events in between.

Change: first tokens, progress and complete responses of an attempt start the silence of its first endpoint anew. It stays out of use until a check succeeds. A dead endpoint sends nothing and still counts as ended 2 s after its suspicion or its last event.

Evidence: SilentEndpointTest.aSuspectedEndpointThatSendsEventsStartsItsSilenceAnew fails on (the attempt is cancelled at 2.5 s and another endpoint takes the stream up) and passes with the change. The other new test passes before and after; it guards the limit after a long silence.

--- a/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/AttemptSystem.java
@@ -46,7 +46,11 @@
 
     void firstToken(Event.FirstToken event, long nowMs) {
         RequestRow row = runningAttempt(event.requestId(), event.epoch());
-        if (row != null && row.firstTokenAtMs < 0) {
+        if (row == null) {
+            return;
+        }
+        state.recordResponse(row.chain.firstStage().endpointId(), nowMs);
+        if (row.firstTokenAtMs < 0) {
             row.isAccepted = true;
             row.firstTokenAtMs = nowMs;
         }
@@ -55,6 +59,7 @@
     void progress(Event.Progress event, long nowMs) {
         RequestRow row = runningAttempt(event.requestId(), event.epoch());
         if (row != null) {
+            state.recordResponse(row.chain.firstStage().endpointId(), nowMs);
             row.deliveredTokens = Math.max(row.deliveredTokens, event.deliveredTokens());
             if (row.firstTokenAtMs < 0 && row.deliveredTokens > row.tokensBeforeAttempt) {
                 // An exchange reports the first token of a request, not that of each attempt.
@@ -69,6 +74,7 @@
         if (row == null) {
             return;
         }
+        state.recordResponse(row.chain.firstStage().endpointId(), nowMs);
         row.deliveredTokens = Math.max(row.deliveredTokens, event.deliveredTokens());
         row.verdict = Verdict.RAN;
         long firstMs = (row.firstTokenAtMs < 0 ? nowMs : row.firstTokenAtMs) - row.attemptStartedAtMs;
@@ -105,12 +111,12 @@
      */
     void endpointRemoved(Event.EndpointRemoved removed, long nowMs) {
         if (removed.isSuspected()) {
-            state.suspectedSinceMs.put(removed.endpointId(), nowMs);
+            state.silentSinceMs.put(removed.endpointId(), nowMs);
         } else {
             if (removed.isEndProven() || state.isSilenceExceeded(removed.endpointId(), nowMs)) {
                 state.recordEnd(removed.endpointId());
             }
-            state.suspectedSinceMs.remove(removed.endpointId());
+            state.silentSinceMs.remove(removed.endpointId());
         }
         List<RequestRow> rows = state.running.stream()
                 .filter(row -> row.chain.uses(removed.endpointId()))
@@ -155,7 +161,7 @@
     /** Ends the suspicion of an endpoint that responds again, and the limit of its attempts that may go on. */
     void endpointJoined(String endpointId) {
         state.endedEndpointIds.remove(endpointId);
-        state.suspectedSinceMs.remove(endpointId);
+        state.silentSinceMs.remove(endpointId);
         for (RequestRow row : state.running) {
             // The response to a request that cannot run again is still waited for, as reports of crashes can be wrong.
             boolean canRestart = row.spec.isRepeatable() || !row.isAccepted;
@@ -165,10 +171,10 @@
 
     /** Cancels the attempts on suspected endpoints that another attempt can take up by now. */
     private void leaveSuspectedEndpoints(long nowMs) {
-        if (state.suspectedSinceMs.isEmpty()) {
+        if (state.silentSinceMs.isEmpty()) {
             return;
         }
-        for (String endpointId : state.suspectedSinceMs.keySet()) {
+        for (String endpointId : state.silentSinceMs.keySet()) {
             if (state.isSilenceExceeded(endpointId, nowMs)) {
                 quarantineSystem.endpointEnded(endpointId, nowMs);
             }
@@ -183,7 +189,7 @@
     private void leaveSuspectedEndpoint(RequestRow row, long nowMs) {
         for (Stage stage : row.chain.stages()) {
             String endpointId = stage.endpointId();
-            if (state.suspectedSinceMs.containsKey(endpointId) && canLeaveSuspected(row, endpointId, nowMs)) {
+            if (state.silentSinceMs.containsKey(endpointId) && canLeaveSuspected(row, endpointId, nowMs)) {
                 state.cancel(row, Reason.STAGE_DIED, endpointId, nowMs);
                 return;
             }
@@ -406,7 +412,7 @@
     /** Returns whether the endpoint of an attempt is only suspected, or is in use again in the same lifetime. */
     private boolean mayRespondAgain(RequestRow row, String endpointId) {
         return !row.endedEndpoints.containsKey(endpointId)
-                && (state.suspectedSinceMs.containsKey(endpointId) || !state.directory.isRemoved(endpointId));
+                && (state.silentSinceMs.containsKey(endpointId) || !state.directory.isRemoved(endpointId));
     }
 
     private RequestRow runningAttempt(String requestId, int epoch) {
--- a/core/src/main/java/io/radishwinch/core/impl/CoreState.java
+++ b/core/src/main/java/io/radishwinch/core/impl/CoreState.java
@@ -81,8 +81,8 @@
     /** Endpoints that run a suspect under observation, at most one suspect each. */
     final Set<String> observedEndpointIds = new LinkedHashSet<>();
 
-    /** Endpoints that do not respond, with the time in ms since which they are suspected. */
-    final Map<String, Long> suspectedSinceMs = new HashMap<>();
+    /** Endpoints that are suspected because they do not respond, with the start of their silence in ms. */
+    final Map<String, Long> silentSinceMs = new HashMap<>();
 
     /** Endpoints that are known to have ended, oldest first. */
     final Set<String> endedEndpointIds = new LinkedHashSet<>();
@@ -165,9 +165,14 @@
         }
     }
 
+    /** Records that an endpoint has sent something. A suspected one stays out of use, and its silence starts anew. */
+    void recordResponse(String endpointId, long nowMs) {
+        silentSinceMs.computeIfPresent(endpointId, (id, sinceMs) -> nowMs);
+    }
+
     /** Returns whether an endpoint is suspected and has been silent for longer than a sound one may be. */
     boolean isSilenceExceeded(String endpointId, long nowMs) {
-        return nowMs - suspectedSinceMs.getOrDefault(endpointId, nowMs) >= Event.EndpointRemoved.MAX_SILENCE_MS;
+        return nowMs - silentSinceMs.getOrDefault(endpointId, nowMs) >= Event.EndpointRemoved.MAX_SILENCE_MS;
     }
 
     /** Returns whether the pool has had a coverage gap for at least the grace period. */
--- a/core/src/main/java/io/radishwinch/core/impl/QuarantineSystem.java
+++ b/core/src/main/java/io/radishwinch/core/impl/QuarantineSystem.java
@@ -39,7 +39,7 @@
      */
     void recordInterruption(RequestRow row, String endpointId, long nowMs) {
         if (state.directory.isRemoved(endpointId)) {
-            boolean isSilent = state.suspectedSinceMs.containsKey(endpointId);
+            boolean isSilent = state.silentSinceMs.containsKey(endpointId);
             state.quarantine.recordInterruption(row.spec.fingerprint(), endpointId, !isSilent, nowMs);
         }
     }
@@ -60,7 +60,7 @@
     void endpointLeaving(String endpointId, long nowMs) {
         if (!state.directory.isRemoved(endpointId)) {
             state.quarantine.recordLeave(endpointId, nowMs);
-        } else if (!state.suspectedSinceMs.containsKey(endpointId)) {
+        } else if (!state.silentSinceMs.containsKey(endpointId)) {
             endProven(endpointId, nowMs);
         }
     }
--- a/core/src/test/java/io/radishwinch/core/impl/SilentEndpointTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/SilentEndpointTest.java
@@ -9,6 +9,7 @@
 import io.radishwinch.core.model.Reason;
 import io.radishwinch.core.model.RequestSpec;
 import io.radishwinch.core.model.Stage;
+import io.radishwinch.core.model.Verdict;
 import io.radishwinch.core.retry.RetrySettings;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -129,6 +130,40 @@
                 .containsOnly("0-0", "0-1");
     }
 
+    /** Failure: an endpoint that sent events between two silences counted as silent for 2 s, and another took over. */
+    @Test
+    void aSuspectedEndpointThatSendsEventsStartsItsSilenceAnew() {
+        CoreSimulation simulation = simulation(2);
+        simulation.endpointBehaviour = start -> null;
+        simulation.arrive(stream(1));
+        simulation.at(400, new Event.FirstToken("r", 1));
+        simulation.at(500, Event.EndpointRemoved.suspected("0-0"));
+        simulation.at(2_000, new Event.Progress("r", 1, 20));
+        simulation.run(3_900);
+        assertThat(simulation.actions).doesNotContain(new Action.CancelAttempt("r", 1, Reason.STAGE_DIED));
+        // Nothing follows, so that the endpoint counts as ended 2 s after its last event.
+        simulation.run(4_100);
+        assertThat(simulation.actions).contains(new Action.CancelAttempt("r", 1, Reason.STAGE_DIED));
+    }
+
+    /** Guards against a further endpoint beside one that was silent for long and goes on. */
+    @Test
+    void anEndpointThatGoesOnAfterALongSilenceCountsAgain() {
+        CoreSimulation simulation = simulation(3);
+        simulation.endpointBehaviour = start -> start.epoch() == 2
+                ? CoreSimulation.fails(start, 1_000, Reason.STAGE_DIED, Verdict.MAY_HAVE_RUN, 30)
+                : null;
+        simulation.arrive(stream(1));
+        simulation.at(400, new Event.Progress("r", 1, 20));
+        simulation.at(500, Event.EndpointRemoved.suspected("0-0"));
+        simulation.at(3_000, joined("0-0"));
+        simulation.run(10_000);
+        assertThat(simulation.trace("r").starts).hasSizeGreaterThan(2);
+        assertThat(simulation.trace("r").starts)
+                .extracting(start -> start.chain().firstStage().endpointId())
+                .containsOnly("0-0", "0-1");
+    }
+
     /** Failure: requests were refused for missing layers 400 ms after the last holder had become silent. */
     @Test
     void aRequestWaitsForTheSilentLastHolderOfItsLayers() {
