Check an endpoint again at once after it has been taken out of use

Cause: after a failed check the next one was sent 500 to 600 ms later, so that no check met an endpoint that responded for 500 ms in between. A check that was due while the endpoint asked for a pause, or while an earlier one was pending, was dropped, and the next one was sent 500 ms later. The core then took the two silences as one of over 2 s, and the endpoint as ended.

Change: an endpoint that a failed check has taken out of use is checked at the next tick, within 100 ms, and a check that cannot be sent stays due. The backoff is as it was.

Evidence: EndpointHealthCheckerTest.anEndpointThatRespondsForHalfASecond... fails without the repeated check (from 20 ms of silence on) and passes with it; theCheckOfAnEndpointThatCannotBeCheckedNowStaysDue is new and had no run before the change.

--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointHealthChecker.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointHealthChecker.java
@@ -6,6 +6,8 @@
 import java.net.ConnectException;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -38,6 +40,9 @@
     private final Map<String, Long> nextCheckAtMs = new HashMap<>();
     private final Set<String> pendingChecks = new HashSet<>();
 
+    /** Endpoints that a failed check has taken out of use since the last tick. */
+    private final Set<String> newlyUnreachable = new LinkedHashSet<>();
+
     /**
      * Creates a health checker.
      *
@@ -78,11 +83,18 @@
         sendCheck(endpointId, false, false);
     }
 
-    /** Checks the unreachable endpoints whose backoff has passed. */
+    /**
+     * Checks the unreachable endpoints whose backoff has passed. Those that have just been taken out of use are checked
+     * at once: between two silences, an endpoint may respond for no longer than the backoff.
+     */
     void tick(long nowMs) {
         reachability.tick(nowMs);
+        List<String> repeated = List.copyOf(newlyUnreachable);
+        newlyUnreachable.clear();
         if (!reachability.isIsolated()) {
-            registry.takeDueHealthChecks(nowMs).forEach(id -> sendCheck(id, false, false));
+            repeated.forEach(id -> sendCheck(id, false, false));
+            registry.takeDueHealthChecks(nowMs, id -> !isPaused.test(id) && !pendingChecks.contains(id))
+                    .forEach(id -> sendCheck(id, false, false));
         }
         nextCheckAtMs.keySet().removeIf(id -> registry.contact(id).isEmpty());
     }
@@ -128,7 +140,13 @@
             // late failure counts: a process that is merely slow would otherwise repeat the check forever.
             sendCheck(endpointId, checksStreams, true);
         } else {
-            reachability.confirm(endpointId, () -> registry.markUnreachable(endpointId, cause, clockMs.getAsLong()));
+            reachability.confirm(endpointId, () -> markUnreachable(endpointId, cause));
+        }
+    }
+
+    private void markUnreachable(String endpointId, String cause) {
+        if (registry.markUnreachable(endpointId, cause, clockMs.getAsLong())) {
+            newlyUnreachable.add(endpointId);
         }
     }
 
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -354,12 +354,18 @@
         relistGraceUntilMs = Math.max(relistGraceUntilMs, untilMs);
     }
 
-    /** Takes an unresponsive endpoint out of use until a health check succeeds. */
-    void markUnreachable(String endpointId, String cause, long nowMs) {
-        if (takeOutOfUse(endpointId, cause, nowMs)) {
+    /**
+     * Takes an unresponsive endpoint out of use until a health check succeeds.
+     *
+     * @return whether it was in use
+     */
+    boolean markUnreachable(String endpointId, String cause, long nowMs) {
+        boolean wasInUse = takeOutOfUse(endpointId, cause, nowMs);
+        if (wasInUse) {
             // The endpoint may be unreachable rather than dead, so its requests are not suspected of crashing it.
             events.accept(Event.EndpointRemoved.suspected(endpointId));
         }
+        return wasInUse;
     }
 
     /** Takes an endpoint at whose address nothing listens out of use until a health check succeeds. */
@@ -425,11 +431,18 @@
         return joined;
     }
 
-    /** Returns the unreachable endpoints whose backoff has passed, and starts their next backoff. */
-    List<String> takeDueHealthChecks(long nowMs) {
+    /**
+     * Returns the unreachable endpoints whose backoff has passed, and starts their next backoff.
+     *
+     * @param canBeChecked returns whether an endpoint can be checked now; the check of another one stays due
+     */
+    List<String> takeDueHealthChecks(long nowMs, Predicate<String> canBeChecked) {
         List<String> due = new ArrayList<>();
         for (EndpointLifetime endpoint : byId.values()) {
-            if (!endpoint.isJoined && !endpoint.isLeaving && nowMs >= endpoint.nextCheckAtMs) {
+            if (!endpoint.isJoined
+                    && !endpoint.isLeaving
+                    && nowMs >= endpoint.nextCheckAtMs
+                    && canBeChecked.test(endpoint.endpointId)) {
                 endpoint.backOff(nowMs);
                 due.add(endpoint.endpointId);
             }
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointHealthCheckerTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointHealthCheckerTest.java
@@ -100,6 +100,37 @@
         assertThat(events).last().isEqualTo(new Event.EndpointRemoved("e@7", false));
     }
 
+    /** Failure: no check met the half second between two silences, and the endpoint counted as silent for over 2 s. */
+    @Test
+    void anEndpointThatRespondsForHalfASecondBetweenTwoSilencesIsInUseAgain() {
+        join();
+        for (int silentMs = 0; silentMs < 1_200; silentMs += 10) {
+            checker.check("e@7");
+            failCheckAfter(400);
+            events.clear();
+            checkBetweenSilences(nowMs + silentMs, nowMs + silentMs + 500);
+            assertThat(events).as("after %d ms", silentMs).anyMatch(Event.EndpointJoined.class::isInstance);
+        }
+    }
+
+    /** Runs ticks and checks of 400 ms up to the second silence. */
+    private void checkBetweenSilences(long firstEndMs, long secondStartMs) {
+        long sentAtMs = nowMs;
+        while (nowMs < secondStartMs) {
+            nowMs += 10;
+            if (nowMs % 100 == 0) {
+                boolean hadPending = !pendingChecks.isEmpty();
+                checker.tick(nowMs);
+                sentAtMs = hadPending ? sentAtMs : nowMs;
+            }
+            if (!pendingChecks.isEmpty() && nowMs >= firstEndMs) {
+                pendingChecks.remove(0).complete(Optional.empty());
+            } else if (!pendingChecks.isEmpty() && nowMs - sentAtMs >= 400) {
+                pendingChecks.remove(0).fail(new IllegalStateException("no response"));
+            }
+        }
+    }
+
     /** Guards against an endpoint that is never checked again because one check could not be sent. */
     @Test
     void anEndpointIsCheckedAgainAfterACheckThatCouldNotBeSent() {
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
@@ -263,8 +263,8 @@
         registry.applyEntry("e", entry("e", 7, false, new LayerRange(0, 10)), 0);
         for (long nowMs = 0; nowMs <= 30_000; nowMs += 10_000) {
             registry.markUnreachable("e@7", "no report", nowMs);
-            assertThat(registry.takeDueHealthChecks(nowMs + 499)).isEmpty();
-            assertThat(registry.takeDueHealthChecks(nowMs + 500)).containsExactly("e@7");
+            assertThat(registry.takeDueHealthChecks(nowMs + 499, id -> true)).isEmpty();
+            assertThat(registry.takeDueHealthChecks(nowMs + 500, id -> true)).containsExactly("e@7");
             registry.markReachable("e@7", nowMs + 600);
         }
     }
@@ -275,20 +275,30 @@
         registry.applyEntry("e", entry("e", 7, false, new LayerRange(0, 10)), 0);
         registry.markUnreachable("e@7", "no report", 0);
         List<Long> checksAtMs = LongStream.rangeClosed(0, 15_000)
-                .filter(nowMs -> !registry.takeDueHealthChecks(nowMs).isEmpty())
+                .filter(nowMs ->
+                        !registry.takeDueHealthChecks(nowMs, id -> true).isEmpty())
                 .boxed()
                 .toList();
         assertThat(checksAtMs).containsExactly(500L, 1_000L, 1_500L, 2_000L, 3_000L, 5_000L, 9_000L, 13_000L);
     }
 
+    /** Failure: the check of an endpoint that had asked for a pause was dropped, and the next one came 500 ms later. */
+    @Test
+    void theCheckOfAnEndpointThatCannotBeCheckedNowStaysDue() {
+        registry.applyEntry("e", entry("e", 7, false, new LayerRange(0, 10)), 0);
+        registry.markUnreachable("e@7", "no report", 0);
+        assertThat(registry.takeDueHealthChecks(500, id -> false)).isEmpty();
+        assertThat(registry.takeDueHealthChecks(600, id -> true)).containsExactly("e@7");
+    }
+
     @Test
     void unreachableEndpointIsCheckedAgainAndJoinsWhenItResponds() {
         registry.applyEntry("e", entry("e", 7, false, new LayerRange(0, 10)), 0);
         takeEventTypes();
         registry.markUnreachable("e@7", "no report", 100);
         assertThat(events).containsExactly(Event.EndpointRemoved.suspected("e@7"));
-        assertThat(registry.takeDueHealthChecks(200)).isEmpty();
-        assertThat(registry.takeDueHealthChecks(1_000)).containsExactly("e@7");
+        assertThat(registry.takeDueHealthChecks(200, id -> true)).isEmpty();
+        assertThat(registry.takeDueHealthChecks(1_000, id -> true)).containsExactly("e@7");
         takeEventTypes();
         registry.applyStatusReport(
                 "e@7", new StatusReport(7, Optional.of(new LayerRange(0, 10)), false, 1, List.of(), 1), 1_050);
