Check silent endpoints that are leaving, and count their responses

Callers saw: by reading, a request may run at more endpoints than its route allows, beside an endpoint that drains or whose entry has expired, and that is silent for a second meanwhile.

Cause: an endpoint that leaves was not checked after a silence and could not join again, so that it counted as ended 2 s later although it ran its attempts to their end.

Change: it is checked like others until it is evicted or another lifetime takes its instance or address. Its responses start its silence anew (EndpointResponded); it receives no new work.

--- a/core/src/main/java/io/radishwinch/core/event/Event.java
+++ b/core/src/main/java/io/radishwinch/core/event/Event.java
@@ -112,6 +112,13 @@
      */
     record EndpointLeaving(String endpointId) implements Event {}
 
+    /**
+     * An endpoint that is leaving and does not respond to all checks has responded. It receives no new work.
+     *
+     * @param endpointId endpoint
+     */
+    record EndpointResponded(String endpointId) implements Event {}
+
     /**
      * An endpoint failed or was removed from the list.
      *
--- a/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
+++ b/core/src/main/java/io/radishwinch/core/impl/TableDecisionCore.java
@@ -120,6 +120,8 @@
             quarantineSystem.endpointJoined(joined.endpoint().id(), nowMs);
         } else if (event instanceof Event.EndpointLeaving leaving) {
             quarantineSystem.endpointLeaving(leaving.endpointId(), nowMs);
+        } else if (event instanceof Event.EndpointResponded responded) {
+            state.recordResponse(responded.endpointId(), nowMs);
         } else if (event instanceof Event.CrashShared crash) {
             quarantineSystem.recordPeerCrash(crash, nowMs);
         } else if (event instanceof Event.QuarantineShared shared) {
--- a/core/src/test/java/io/radishwinch/core/impl/SilentEndpointTest.java
+++ b/core/src/test/java/io/radishwinch/core/impl/SilentEndpointTest.java
@@ -146,6 +146,24 @@
         assertThat(simulation.actions).contains(new Action.CancelAttempt("r", 1, Reason.STAGE_DIED));
     }
 
+    /** Failure: an endpoint that was leaving or no longer listed counted as ended 2 s after a silence of 1 s. */
+    @Test
+    void aLeavingEndpointThatRespondsStartsItsSilenceAnew() {
+        CoreSimulation simulation = simulation(2);
+        simulation.endpointBehaviour = start -> null;
+        simulation.arrive(stream(1));
+        simulation.at(400, new Event.FirstToken("r", 1));
+        simulation.at(450, new Event.EndpointLeaving("0-0"));
+        simulation.at(500, Event.EndpointRemoved.suspected("0-0"));
+        for (long atMs = 1_500; atMs <= 9_000; atMs += 500) {
+            simulation.at(atMs, new Event.EndpointResponded("0-0"));
+        }
+        simulation.run(10_900);
+        assertThat(simulation.trace("r").starts).hasSize(1);
+        simulation.run(11_100);
+        assertThat(simulation.actions).contains(new Action.CancelAttempt("r", 1, Reason.STAGE_DIED));
+    }
+
     /** Guards against a further endpoint beside one that was silent for long and goes on. */
     @Test
     void anEndpointThatGoesOnAfterALongSilenceCountsAgain() {
--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointRegistry.java
@@ -389,12 +389,22 @@
         return true;
     }
 
+    private void recordResponse(EndpointLifetime endpoint, long nowMs) {
+        if (endpoint.isLeaving) {
+            // It is not used again, but its attempts may go on.
+            endpoint.failures = 0;
+            events.accept(new Event.EndpointResponded(endpoint.endpointId));
+            return;
+        }
+        log.stateChanged("endpoint-reachable", endpoint.endpointId, "responds again");
+        join(endpoint, nowMs);
+    }
+
     /** Marks an endpoint as reachable that responded without a status report. */
     void markReachable(String endpointId, long nowMs) {
         EndpointLifetime endpoint = byId.get(endpointId);
         if (endpoint != null && !endpoint.isJoined) {
-            log.stateChanged("endpoint-reachable", endpointId, "responds again");
-            join(endpoint, nowMs);
+            recordResponse(endpoint, nowMs);
         }
     }
 
@@ -413,8 +423,7 @@
         boolean hasOtherLayers = !endpoint.entry.layers().equals(layers);
         endpoint.entry = endpoint.entry.withLayers(layers);
         if (!endpoint.isJoined) {
-            log.stateChanged("endpoint-reachable", endpointId, "responds again");
-            join(endpoint, nowMs);
+            recordResponse(endpoint, nowMs);
         } else if (hasOtherLayers) {
             postLoadReport(endpoint, nowMs);
         }
@@ -440,7 +449,7 @@
         List<String> due = new ArrayList<>();
         for (EndpointLifetime endpoint : byId.values()) {
             if (!endpoint.isJoined
-                    && !endpoint.isLeaving
+                    && isLatestAtItsAddress(endpoint)
                     && nowMs >= endpoint.nextCheckAtMs
                     && canBeChecked.test(endpoint.endpointId)) {
                 endpoint.backOff(nowMs);
@@ -450,6 +459,13 @@
         return due;
     }
 
+    /** Returns whether what responds at the address of an endpoint can be this lifetime. */
+    private boolean isLatestAtItsAddress(EndpointLifetime endpoint) {
+        EndpointContact contact = contacts.get(endpoint.endpointId);
+        return byInstance.get(endpoint.entry.instanceId()) == endpoint
+                && endpoint.endpointId.equals(idsByAddress.get(contact.address()));
+    }
+
     /** Ends the grace period of entries that were not listed again, and evicts endpoints after their retention time. */
     void tick(long nowMs) {
         if (nowMs >= relistedHoldUntilMs && !relisted.isEmpty()) {
--- a/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
+++ b/server/src/test/java/io/radishwinch/server/fleet/EndpointRegistryTest.java
@@ -291,6 +291,20 @@
         assertThat(registry.takeDueHealthChecks(600, id -> true)).containsExactly("e@7");
     }
 
+    /** Failure: an endpoint that left was not checked after a silence, and counted as ended while it ran attempts. */
+    @Test
+    void anEndpointThatLeavesAndIsSilentIsCheckedUntilItsSuccessor() {
+        registry.applyEntry("e", entry("e", 7, false, new LayerRange(0, 10)), 0);
+        registry.applyRemoval("e", 100);
+        registry.markUnreachable("e@7", "no report", 200);
+        takeEventTypes();
+        assertThat(registry.takeDueHealthChecks(700, id -> true)).containsExactly("e@7");
+        registry.markReachable("e@7", 1_000);
+        assertThat(takeEventTypes()).containsExactly(Event.EndpointResponded.class);
+        registry.applyEntry("e", entry("e", 9, false, new LayerRange(0, 10)), 1_500);
+        assertThat(registry.takeDueHealthChecks(2_000, id -> true)).isEmpty();
+    }
+
     @Test
     void unreachableEndpointIsCheckedAgainAndJoinsWhenItResponds() {
         registry.applyEntry("e", entry("e", 7, false, new LayerRange(0, 10)), 0);
