Keep the keys of a tenant that is named public

What callers saw: by a test, 401 for the keys of such a tenant.

Cause: the contract of requests without a key has a name of its own, 'public', and replaced that of a tenant with the same name.

Change: it is the empty name, which no tenant can have, as it is also the name that is not forwarded to endpoints.

Measured: ConfigReaderTest.theKeysOfATenantNamedPublicAreKnown fails without the change.

--- a/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
+++ b/server/src/main/java/io/radishwinch/server/proxy/ProxyExchange.java
@@ -14,7 +14,6 @@
 import io.radishwinch.server.http.ResponseOrigin;
 import io.radishwinch.server.route.Route;
 import io.radishwinch.server.route.RouteKind;
-import io.radishwinch.server.route.RoutingConfig;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
@@ -134,9 +133,8 @@
         scanner.startResponse();
         attempt = new Attempt(start.epoch(), hops.get(0).contact(), shared);
         boolean isService = request.pool().startsWith(ModelSpec.SERVICE_PREFIX);
-        String caller = request.caller().equals(RoutingConfig.PUBLIC_CALLER) ? "" : request.caller();
         ForwardingContext forwarding = new ForwardingContext(
-                caller,
+                request.caller(),
                 attempt.contact,
                 isService ? List.of() : hops,
                 Math.max(1, start.deadlineMs() - lastActivityAtMs),
--- a/server/src/main/java/io/radishwinch/server/route/RoutingConfig.java
+++ b/server/src/main/java/io/radishwinch/server/route/RoutingConfig.java
@@ -26,8 +26,8 @@
         ConnectionLimits limits,
         Map<String, Integer> connectionLimits) {
 
-    /** Caller name of the contract for requests without a key on public routes. */
-    public static final String PUBLIC_CALLER = "public";
+    /** Caller name of the contract for requests without a key on public routes; no other caller has an empty name. */
+    public static final String PUBLIC_CALLER = "";
 
     /** Creates a configuration with immutable copies of the maps. */
     public RoutingConfig {
