Check in the soak that no proper request is refused as wrong

Cause of the gap: no check of the soak counted 3xx or 4xx for requests that every configuration allows, and no scenario restarted routers or had more than one key of a class, so that 401 from starting routers went unseen.

Change: ProperRequestCheck; accounts and keys of a class (up to 1,300 keys), kills of routers in turn and together, which keep their addresses, and changes that add an account or replace a key. A request is excused from an answer only while its own router is down.

--- a/cli/src/main/java/io/radishwinch/cli/SoakCommand.java
+++ b/cli/src/main/java/io/radishwinch/cli/SoakCommand.java
@@ -88,7 +88,7 @@
         for (long seed : chosen) {
             SoakRun.Result result = player.play(scenario, seed, 1_000L * lengthS, directory.resolve("seed-" + seed));
             session.printLine(
-                    "seed %d: %s; %d silences and changes; broken promises: %d",
+                    "seed %d: %s; %d silences, changes and kills; broken promises: %d",
                     seed,
                     result.outcomes(),
                     result.incidents(),
--- a/cli/src/test/java/io/radishwinch/cli/SoakCommandTest.java
+++ b/cli/src/test/java/io/radishwinch/cli/SoakCommandTest.java
@@ -27,6 +27,7 @@
     private static final CallerRecord BROKEN = new CallerRecord(
             "chat-2-1",
             "chat",
+            "chat",
             "router-1",
             "r-1",
             0,
@@ -53,8 +54,8 @@
         assertThat(played).containsExactly(3L, 4L);
         assertThat(text())
                 .contains(
-                        "seed 3: {complete=58}; 43 silences and changes; broken promises: 0",
-                        "seed 4: {complete=58}; 43 silences and changes; broken promises: 0")
+                        "seed 3: {complete=58}; 43 silences, changes and kills; broken promises: 0",
+                        "seed 4: {complete=58}; 43 silences, changes and kills; broken promises: 0")
                 .doesNotContain("play again");
     }
 
@@ -65,7 +66,7 @@
         assertThat(text())
                 .contains(
                         "logs: " + directory.resolve("out"),
-                        "seed 2: {broken-off=1}; 43 silences and changes; broken promises: 1",
+                        "seed 2: {broken-off=1}; 43 silences, changes and kills; broken promises: 1",
                         "broken: " + new AnswerCheck().promise(),
                         "  chat-2-1: broken off",
                         "timeline of chat-2-1\n  0 ms caller sends",
--- a/soak/src/main/java/io/radishwinch/soak/AdminCalls.java
+++ b/soak/src/main/java/io/radishwinch/soak/AdminCalls.java
@@ -9,15 +9,26 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 /** Calls of the operators' interface of a router on loopback. */
 final class AdminCalls {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final Set<Integer> CONFLICTS = Set.of(409, 412);
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
     private final HttpClient http = HttpClient.newHttpClient();
     private final String key;
 
+    /** A document that no router takes. */
+    static final class RefusedException extends IOException {
+        private static final long serialVersionUID = 1;
+
+        RefusedException(String message) {
+            super(message);
+        }
+    }
+
     AdminCalls(String key) {
         this.key = key;
     }
@@ -26,7 +37,8 @@
      * Writes a document over its current version.
      *
      * @param path kind and name, for example {@code /models/m}
-     * @throws IOException if the router refuses it or does not respond
+     * @throws RefusedException if the router refuses it for good
+     * @throws IOException if the router does not respond, is not ready, or another writer was faster
      */
     void put(int port, String path, String document) throws IOException, InterruptedException {
         HttpResponse<String> current = get(port, path);
@@ -40,7 +52,9 @@
                         .build(),
                 HttpResponse.BodyHandlers.ofString());
         if (response.statusCode() / 100 != 2) {
-            throw new IOException("PUT " + path + ": status " + response.statusCode() + ", " + response.body());
+            String message = "PUT " + path + ": status " + response.statusCode() + ", " + response.body();
+            boolean isTemporary = response.statusCode() >= 500 || CONFLICTS.contains(response.statusCode());
+            throw isTemporary ? new IOException(message) : new RefusedException(message);
         }
     }
 
@@ -64,7 +78,7 @@
     }
 
     private HttpRequest.Builder request(int port, String path) {
-        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/admin/v1" + path))
+        return HttpRequest.newBuilder(URI.create("http://" + RouterProcess.HOST + ":" + port + "/admin/v1" + path))
                 .timeout(TIMEOUT)
                 .header("Authorization", "Bearer " + key);
     }
--- a/soak/src/main/java/io/radishwinch/soak/CallerClient.java
+++ b/soak/src/main/java/io/radishwinch/soak/CallerClient.java
@@ -42,9 +42,9 @@
     });
 
     /** Sends a request whose prompt is its name, and waits for its end. */
-    CallerRecord send(String name, RequestClass requests, String key, String routerId, int port)
-            throws InterruptedException {
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/v1/completions"))
+    CallerRecord send(String name, Account account, String key, RouterProcess router) throws InterruptedException {
+        RequestClass requests = account.requests();
+        HttpRequest request = HttpRequest.newBuilder(URI.create(router.callerAddress() + "/v1/completions"))
                 .timeout(Duration.ofMillis(requests.deadlineMs() + GRACE_MS))
                 .header("Authorization", "Bearer " + key)
                 .header("Content-Type", "application/json")
@@ -72,7 +72,8 @@
         return new CallerRecord(
                 name,
                 requests.name(),
-                routerId,
+                account.name(),
+                router.id(),
                 requestId,
                 sentAtMs,
                 System.currentTimeMillis(),
--- a/soak/src/main/java/io/radishwinch/soak/CallerRecord.java
+++ b/soak/src/main/java/io/radishwinch/soak/CallerRecord.java
@@ -8,6 +8,7 @@
  *
  * @param name name of the request, unique in a run; its prompt as well
  * @param requestClass class of the request
+ * @param account client account whose key the request carries, which every configuration of the run allows
  * @param router router that the caller sent it to
  * @param requestId identifier that the router gave it, or an empty string without a response head
  * @param sentAtMs wall clock when the caller began to send, in ms since the epoch
@@ -19,6 +20,7 @@
 public record CallerRecord(
         String name,
         String requestClass,
+        String account,
         String router,
         String requestId,
         long sentAtMs,
--- a/soak/src/main/java/io/radishwinch/soak/Deployment.java
+++ b/soak/src/main/java/io/radishwinch/soak/Deployment.java
@@ -12,11 +12,15 @@
 import io.radishwinch.standins.StandInFleet;
 import io.vertx.core.Vertx;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -33,7 +37,7 @@
     /** Caller that sends nothing. */
     static final String BYSTANDER = "soak-bystander";
 
-    private static final String LOOPBACK = "127.0.0.1";
+    private static final System.Logger LOG = System.getLogger(Deployment.class.getName());
     private static final String OPERATOR_KEY = "soak-operator";
     private static final int READY_TIMEOUT_MS = 60_000;
     private static final int WARM_UP_DEADLINE_MS = 2_000;
@@ -49,20 +53,24 @@
     private final PlatformStandIn platform;
     private final List<EngineStandIn> engines = new ArrayList<>();
     private final List<RouterProcess> routers = new CopyOnWriteArrayList<>();
-    private final Map<ChangeKind, Boolean> isChanged = new EnumMap<>(ChangeKind.class);
-    private final Thread killer = new Thread(() -> routers.forEach(RouterProcess::kill), "soak-killer");
+    private final List<Account> accounts;
+    private final Map<ChangeKind, Integer> changeCounts = new EnumMap<>(ChangeKind.class);
+
+    /** Keys that no caller uses, by the name of their account. */
+    private final Map<String, String> replacedKeys = new HashMap<>();
+
+    private final Thread killer = new Thread(() -> routers.forEach(RouterProcess::abandon), "soak-killer");
 
     /** Creates a deployment; {@link #start} starts its processes, which end with this one at the latest. */
     Deployment(Scenario scenario) {
         this.scenario = scenario;
+        this.accounts = scenario.classes().stream()
+                .flatMap(requests -> Account.of(requests).stream())
+                .toList();
         this.platform = PlatformStandIn.start(vertx, 0, PlatformStandIn.DEFAULT_HISTORY_SIZE);
         Runtime.getRuntime().addShutdownHook(killer);
     }
 
-    static String keyOf(RequestClass requests) {
-        return "soak-" + requests.name();
-    }
-
     /**
      * Starts engines and routers, writes the configuration and waits until each router serves each class.
      *
@@ -70,18 +78,20 @@
      */
     void start(AttemptObserver observer, CallerClient client, Path directory) throws IOException, InterruptedException {
         startEngines(observer);
+        // In the store before the routers start, so that no router has a part of the configuration by a write of its
+        // own.
+        store("contracts/" + BYSTANDER, Documents.bystander(false));
+        store("models/" + MODEL, Documents.model(scenario, false));
+        accounts.forEach(account -> store("contracts/" + account.name(), contract(account)));
         for (int i = 1; i <= scenario.routers().count(); i++) {
-            String id = "router-" + i;
-            routers.add(
-                    new RouterProcess(id, Documents.router(id, scenario, platform.port(), OPERATOR_KEY), directory));
+            RouterProcess router = new RouterProcess("router-" + i, directory);
+            routers.add(router);
+            router.start(settings(router));
         }
         for (RouterProcess router : routers) {
             router.awaitStart();
-            platform.putVm(
-                    new PlatformStandIn.Vm(router.id(), DATA_CENTRE, LOOPBACK, router.peerPort(), "router", "", false));
-        }
-        for (ChangeKind kind : ChangeKind.values()) {
-            write(kind);
+            platform.putVm(new PlatformStandIn.Vm(
+                    router.id(), DATA_CENTRE, RouterProcess.HOST, router.ports().peer(), "router", "", false));
         }
         long deadlineMs = System.currentTimeMillis() + READY_TIMEOUT_MS;
         for (RouterProcess router : routers) {
@@ -91,6 +101,36 @@
         }
     }
 
+    private void store(String name, String document) {
+        platform.putObject("config/" + name, document.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private String settings(RouterProcess router) {
+        return Documents.router(router.id(), scenario, platform.port(), OPERATOR_KEY, router.ports());
+    }
+
+    /**
+     * Kills routers at the same time, starts them again at their addresses and waits until they listen.
+     *
+     * @throws IOException if a router does not start
+     */
+    void restart(List<RouterProcess> chosen, SoakRecord record) throws IOException, InterruptedException {
+        Map<RouterProcess, Long> killedAtMs = new LinkedHashMap<>();
+        for (RouterProcess router : chosen) {
+            killedAtMs.put(router, System.currentTimeMillis());
+            record.add(router.id() + " is killed");
+            router.kill();
+        }
+        for (RouterProcess router : chosen) {
+            router.start(settings(router));
+        }
+        for (RouterProcess router : chosen) {
+            router.awaitStart();
+            record.add(router.id() + " listens again");
+            record.add(new RouterRestart(router.id(), killedAtMs.get(router), System.currentTimeMillis()));
+        }
+    }
+
     private void startEngines(AttemptObserver observer) {
         Scenario.Pool pool = scenario.pool();
         for (int i = 1; i <= pool.endpoints(); i++) {
@@ -118,10 +158,10 @@
 
     private void awaitService(CallerClient client, RouterProcess router, RequestClass requests, long deadlineMs)
             throws IOException, InterruptedException {
-        RequestClass warmUp = new RequestClass(requests.name(), 1, 0, 0, WARM_UP_DEADLINE_MS, 1);
+        Account account = new Account(new RequestClass(requests.name(), 1, 1, 1, 0, 0, WARM_UP_DEADLINE_MS, 1), 1);
         CallerRecord last;
         do {
-            last = client.send("warm-up", warmUp, keyOf(requests), router.id(), router.callerPort());
+            last = client.send("warm-up", account, account.key(1), router);
             if (last.response().end() == CallerRecord.End.COMPLETE) {
                 return;
             }
@@ -141,28 +181,63 @@
 
     /** Makes a change of the configuration, or undoes the last one of its kind. */
     void change(ChangeKind kind) throws IOException, InterruptedException {
-        isChanged.merge(kind, true, (before, ignored) -> !before);
+        changeCounts.merge(kind, 1, Integer::sum);
         write(kind);
     }
 
     private void write(ChangeKind kind) throws IOException, InterruptedException {
-        int port = routers.get(0).adminPort();
+        int count = changeCounts.getOrDefault(kind, 0);
         switch (kind) {
-            case BYSTANDER -> admin.put(port, "/contracts/" + BYSTANDER, Documents.bystander(isChanged(kind)));
-            case MODEL -> admin.put(port, "/models/" + MODEL, Documents.model(scenario, isChanged(kind)));
+            case BYSTANDER -> put("/contracts/" + BYSTANDER, Documents.bystander(isChanged(kind)));
+            case MODEL -> put("/models/" + MODEL, Documents.model(scenario, isChanged(kind)));
             case LIMITS, TIMEOUT -> {
                 for (RequestClass requests : scenario.classes()) {
-                    admin.put(
-                            port,
-                            "/contracts/" + requests.name(),
-                            Documents.contract(requests, isChanged(ChangeKind.LIMITS), isChanged(ChangeKind.TIMEOUT)));
+                    writeAccount(new Account(requests, 1 + count % requests.accounts()));
+                }
+            }
+            case ACCOUNT -> {
+                String name = BYSTANDER + "." + count;
+                put("/contracts/" + name, Documents.addedAccount(name));
+            }
+            case KEY -> {
+                Account account = accounts.get(count % accounts.size());
+                replacedKeys.put(account.name(), "replaced-" + count);
+                writeAccount(account);
+            }
+        }
+    }
+
+    private void writeAccount(Account account) throws IOException, InterruptedException {
+        put("/contracts/" + account.name(), contract(account));
+    }
+
+    private String contract(Account account) {
+        List<String> keys = new ArrayList<>(account.keys());
+        Optional.ofNullable(replacedKeys.get(account.name())).ifPresent(keys::add);
+        return Documents.contract(account, keys, isChanged(ChangeKind.LIMITS), isChanged(ChangeKind.TIMEOUT));
+    }
+
+    /** Writes a document through the first router that takes it, because any of them may be down or starting. */
+    private void put(String path, String document) throws IOException, InterruptedException {
+        long deadlineMs = System.currentTimeMillis() + READY_TIMEOUT_MS;
+        for (int i = 0; ; i++) {
+            try {
+                admin.put(routers.get(i % routers.size()).ports().admin(), path, document);
+                return;
+            } catch (AdminCalls.RefusedException e) {
+                throw e;
+            } catch (IOException e) {
+                if (scenario.routers().restarts().kinds().isEmpty() || System.currentTimeMillis() > deadlineMs) {
+                    throw e;
                 }
+                LOG.log(System.Logger.Level.DEBUG, "the change is sent again: {0}", e.getMessage());
+                Thread.sleep(POLL_INTERVAL_MS);
             }
         }
     }
 
     private boolean isChanged(ChangeKind kind) {
-        return isChanged.getOrDefault(kind, false);
+        return changeCounts.getOrDefault(kind, 0) % 2 == 1;
     }
 
     /** Returns what the routers logged and know of a request. */
@@ -173,7 +248,7 @@
         }
         for (RouterProcess router : routers) {
             entries.addAll(router.linesOf(request.requestId(), request.endedAtMs()));
-            entries.addAll(admin.explain(router.adminPort(), router.id(), request.requestId()));
+            entries.addAll(admin.explain(router.ports().admin(), router.id(), request.requestId()));
         }
         return entries;
     }
--- a/soak/src/main/java/io/radishwinch/soak/Documents.java
+++ b/soak/src/main/java/io/radishwinch/soak/Documents.java
@@ -2,7 +2,8 @@
 
 import io.radishwinch.config.contract.KeyHash;
 import io.radishwinch.soak.scenario.Scenario;
-import io.radishwinch.soak.scenario.Scenario.RequestClass;
+import java.util.List;
+import java.util.stream.Collectors;
 
 /** Writes the settings and the configuration objects of a scenario. */
 final class Documents {
@@ -10,13 +11,14 @@
 
     private Documents() {}
 
-    static String router(String id, Scenario scenario, int platformPort, String operatorKey) {
+    static String router(
+            String id, Scenario scenario, int platformPort, String operatorKey, RouterProcess.Ports ports) {
         return """
                 routerId: %s
                 dataCentre: %s
-                caller: {port: 0}
-                admin: {port: 0}
-                peer: {port: 0}
+                caller: {host: %s, port: %d}
+                admin: {host: %s, port: %d}
+                peer: {host: %s, port: %d}
                 platform: {port: %d, vmListIntervalMs: 500}
                 retry: {maxAttempts: %d}
                 log: {format: json}
@@ -25,6 +27,12 @@
                 .formatted(
                         id,
                         Deployment.DATA_CENTRE,
+                        RouterProcess.HOST,
+                        ports.caller(),
+                        RouterProcess.HOST,
+                        ports.admin(),
+                        RouterProcess.HOST,
+                        ports.peer(),
                         platformPort,
                         scenario.routers().attempts(),
                         KeyHash.of(operatorKey));
@@ -41,20 +49,35 @@
                 .formatted(Deployment.MODEL, scenario.pool().layers(), isChanged ? 2_048 : 1_024);
     }
 
-    static String contract(RequestClass requests, boolean isLimitsChanged, boolean isTimeoutChanged) {
+    /**
+     * Returns the contract of an account.
+     *
+     * @param keys bearer keys of the account
+     */
+    static String contract(Account account, List<String> keys, boolean isLimitsChanged, boolean isTimeoutChanged) {
+        int deadlineMs = account.requests().deadlineMs();
         return """
                 schema: contract/v1
                 caller: %s
-                keyHashes: ['sha256:%s']
+                keyHashes: [%s]
                 limits: {concurrentRequests: %d}
                 ranks:
                   interactive: {timeoutMs: %d}
                 """
                 .formatted(
-                        requests.name(),
-                        KeyHash.of(Deployment.keyOf(requests)),
+                        account.name(),
+                        keys.stream().map(Documents::keyHash).collect(Collectors.joining(", ")),
                         isLimitsChanged ? 2 * MANY_REQUESTS : MANY_REQUESTS,
-                        isTimeoutChanged ? 2 * requests.deadlineMs() : requests.deadlineMs());
+                        isTimeoutChanged ? 2 * deadlineMs : deadlineMs);
+    }
+
+    /** Returns the contract of an account that a change adds. */
+    static String addedAccount(String name) {
+        return "schema: contract/v1\ncaller: " + name + "\nkeyHashes: [" + keyHash(name) + "]\n";
+    }
+
+    private static String keyHash(String key) {
+        return "'sha256:" + KeyHash.of(key) + "'";
     }
 
     static String bystander(boolean isChanged) {
--- a/soak/src/main/java/io/radishwinch/soak/RouterProcess.java
+++ b/soak/src/main/java/io/radishwinch/soak/RouterProcess.java
@@ -1,6 +1,7 @@
 package io.radishwinch.soak;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Instant;
@@ -12,8 +13,11 @@
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
-/** A router as a process of its own on loopback, with its settings and log in a directory. */
+/** A router as a process of its own on loopback, which can be killed and started again at its addresses. */
 final class RouterProcess implements AutoCloseable {
+    /** Address of all routers. Outgoing connections have another one, so that they take no port of a killed router. */
+    static final String HOST = "127.0.0.2";
+
     private static final String MAIN_CLASS = "io.radishwinch.server.Main";
     private static final Pattern STARTED =
             Pattern.compile("callers on port (\\d+), operators on (\\d+), routers on (\\d+)");
@@ -26,23 +30,40 @@
 
     private final String id;
     private final Path log;
-    private final Process process;
-    private int callerPort;
-    private int adminPort;
-    private int peerPort;
+    private final Path settingsFile;
+    private volatile Ports ports = new Ports(0, 0, 0);
+    private volatile Process process;
+    private long startOffsetBytes;
+    private boolean isClosed;
 
     /**
-     * Starts a router.
+     * Ports of a router.
      *
-     * @param id identifier of the router
-     * @param settings content of its settings file; its ports are 0
-     * @throws IOException if the process cannot be started
+     * @param caller port of callers, or 0 for a free one, as the others
+     * @param admin port of operators
+     * @param peer port of other routers
      */
-    RouterProcess(String id, String settings, Path directory) throws IOException {
+    record Ports(int caller, int admin, int peer) {}
+
+    /** Creates a router that {@link #start} starts. */
+    RouterProcess(String id, Path directory) {
         this.id = id;
         this.log = directory.resolve(id + ".log");
-        Path settingsFile = directory.resolve(id + ".yaml");
+        this.settingsFile = directory.resolve(id + ".yaml");
+    }
+
+    /**
+     * Starts the process; its log continues that of the process before it.
+     *
+     * @param settings content of the settings file
+     * @throws IOException if the process cannot be started, or the router was closed
+     */
+    synchronized void start(String settings) throws IOException {
+        if (isClosed) {
+            throw new IOException(id + " is closed");
+        }
         Files.writeString(settingsFile, settings);
+        startOffsetBytes = Files.exists(log) ? Files.size(log) : 0;
         process = new ProcessBuilder(
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         "-Xmx160m",
@@ -55,7 +76,7 @@
                         "--settings",
                         settingsFile.toString())
                 .redirectErrorStream(true)
-                .redirectOutput(log.toFile())
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
                 .start();
     }
 
@@ -67,11 +88,12 @@
     void awaitStart() throws IOException, InterruptedException {
         long deadlineMs = System.currentTimeMillis() + START_TIMEOUT_MS;
         while (System.currentTimeMillis() < deadlineMs && process.isAlive()) {
-            Matcher started = STARTED.matcher(Files.readString(log));
+            Matcher started = STARTED.matcher(startedLog());
             if (started.find()) {
-                callerPort = Integer.parseInt(started.group(1));
-                adminPort = Integer.parseInt(started.group(2));
-                peerPort = Integer.parseInt(started.group(3));
+                ports = new Ports(
+                        Integer.parseInt(started.group(1)),
+                        Integer.parseInt(started.group(2)),
+                        Integer.parseInt(started.group(3)));
                 return;
             }
             Thread.sleep(POLL_INTERVAL_MS);
@@ -80,20 +102,24 @@
         throw new IOException(id + " " + state + "; see " + log);
     }
 
-    String id() {
-        return id;
+    /** Returns the part of the log that the last process has written. */
+    private String startedLog() throws IOException {
+        byte[] all = Files.readAllBytes(log);
+        int offset = (int) Math.min(all.length, startOffsetBytes);
+        return new String(all, offset, all.length - offset, StandardCharsets.UTF_8);
     }
 
-    int callerPort() {
-        return callerPort;
+    String id() {
+        return id;
     }
 
-    int adminPort() {
-        return adminPort;
+    /** Returns the ports of the last process that listened, or zeros before the first one. */
+    Ports ports() {
+        return ports;
     }
 
-    int peerPort() {
-        return peerPort;
+    String callerAddress() {
+        return "http://" + HOST + ":" + ports.caller();
     }
 
     /** Returns the lines of the log that name a request; lines without a time have the given one. */
@@ -126,6 +152,9 @@
     /** Sends SIGTERM, and SIGKILL if the process has not ended 5 s later. */
     @Override
     public void close() {
+        if (!markClosed()) {
+            return;
+        }
         process.destroy();
         try {
             if (process.waitFor(STOP_TIMEOUT_S, TimeUnit.SECONDS)) {
@@ -137,8 +166,21 @@
         process.destroyForcibly();
     }
 
-    /** Sends SIGKILL without waiting. */
-    void kill() {
-        process.destroyForcibly();
+    /** Forbids further starts, and returns whether there is a process to end. */
+    private synchronized boolean markClosed() {
+        isClosed = true;
+        return process != null;
+    }
+
+    /** Sends SIGKILL and waits for the end of the process. */
+    void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+    }
+
+    /** Sends SIGKILL without waiting, and forbids further starts. */
+    void abandon() {
+        if (markClosed()) {
+            process.destroyForcibly();
+        }
     }
 }
--- a/soak/src/main/java/io/radishwinch/soak/SoakRecord.java
+++ b/soak/src/main/java/io/radishwinch/soak/SoakRecord.java
@@ -17,6 +17,7 @@
     private final List<CallerRecord> requests = new ArrayList<>();
     private final Map<String, List<AttemptEvent>> attemptEvents = new HashMap<>();
     private final List<Incident> incidents = new ArrayList<>();
+    private final List<RouterRestart> restarts = new ArrayList<>();
     private final PrintWriter file;
 
     /**
@@ -47,6 +48,10 @@
         write(Timeline.line(nowMs, "soak", incident));
     }
 
+    synchronized void add(RouterRestart restart) {
+        restarts.add(restart);
+    }
+
     private void write(String line) {
         file.println(line);
         file.flush();
@@ -55,7 +60,7 @@
     synchronized Observations observations() {
         Map<String, List<AttemptEvent>> events = new HashMap<>();
         attemptEvents.forEach((request, list) -> events.put(request, List.copyOf(list)));
-        return new Observations(requests, events, incidents);
+        return new Observations(requests, events, incidents, restarts);
     }
 
     @Override
--- a/soak/src/main/java/io/radishwinch/soak/SoakRun.java
+++ b/soak/src/main/java/io/radishwinch/soak/SoakRun.java
@@ -3,12 +3,14 @@
 import io.radishwinch.soak.check.AnswerCheck;
 import io.radishwinch.soak.check.AttemptLimitCheck;
 import io.radishwinch.soak.check.PromiseCheck;
+import io.radishwinch.soak.check.ProperRequestCheck;
 import io.radishwinch.soak.check.RefusalCheck;
 import io.radishwinch.soak.check.StreamOrderCheck;
 import io.radishwinch.soak.check.Violation;
 import io.radishwinch.soak.scenario.ChangeKind;
 import io.radishwinch.soak.scenario.Scenario;
 import io.radishwinch.soak.scenario.Scenario.RequestClass;
+import io.radishwinch.soak.scenario.Scenario.Restarts;
 import io.radishwinch.soak.scenario.Scenario.Silences;
 import io.radishwinch.standins.EngineStandIn;
 import io.radishwinch.standins.Vocabulary;
@@ -29,13 +31,16 @@
 /**
  * One play of a scenario with one seed.
  *
- * <p>The seed decides which endpoint is silent when, which attempts are refused and which router a caller uses. Routers
- * are real processes, so that two plays of one seed are similar and not equal.
+ * <p>The seed decides which endpoint is silent when, which attempts are refused and which router and key a caller uses.
+ * Routers are real processes, so that two plays of one seed are similar and not equal.
  */
 public final class SoakRun {
     /** Largest number of violations whose timelines are collected. */
     private static final int MAX_TIMELINES = 20;
 
+    /** Time for which callers go on after the routers of a restart listen, at least, in ms. */
+    private static final int CALLS_AFTER_RESTART_MS = 1_000;
+
     private final Scenario scenario;
     private final long seed;
     private final long lengthMs;
@@ -51,7 +56,8 @@
     private SoakRecord record;
     private Deployment deployment;
     private CallerClient client;
-    private long endAtMs;
+    private volatile long endAtMs;
+    private volatile boolean isRestarting;
 
     /**
      * Creates a run.
@@ -78,7 +84,7 @@
      * Result of a run.
      *
      * @param outcomes number of requests by outcome
-     * @param incidents number of silences that began and of changes of the configuration
+     * @param incidents number of silences that began, of changes of the configuration and of killed routers
      * @param findings broken promises
      * @param routerErrors lines on errors in the logs of the routers, which a run without a fault does not have
      */
@@ -89,6 +95,7 @@
     static List<PromiseCheck> checks(Scenario scenario) {
         return List.of(
                 new AnswerCheck(),
+                new ProperRequestCheck(),
                 new AttemptLimitCheck(scenario.routers().attempts()),
                 new StreamOrderCheck(Vocabulary::token),
                 new RefusalCheck());
@@ -114,7 +121,8 @@
             tasks.shutdownNow();
         }
         int incidents = (int) record.observations().incidents().stream()
-                .filter(incident -> !incident.text().endsWith(" continues"))
+                .filter(incident -> !incident.text().endsWith(" continues")
+                        && !incident.text().endsWith(" listens again"))
                 .count();
         // Read when the routers have ended, so that the errors of their stop are in it.
         return new Result(outcomes, incidents, findings, deployment.errorLines());
@@ -132,6 +140,9 @@
         if (!scenario.changes().kinds().isEmpty()) {
             disturbances.add(tasks.submit(this::changeConfiguration));
         }
+        if (!scenario.routers().restarts().kinds().isEmpty()) {
+            disturbances.add(tasks.submit(this::restartRouters));
+        }
         List<Future<?>> calls = new ArrayList<>();
         for (RequestClass requests : scenario.classes()) {
             for (int i = 1; i <= requests.callers(); i++) {
@@ -161,7 +172,7 @@
     }
 
     private boolean isOver() {
-        return System.currentTimeMillis() >= endAtMs;
+        return !isRestarting && System.currentTimeMillis() >= endAtMs;
     }
 
     private Void alternate(EngineStandIn engine) throws InterruptedException {
@@ -193,9 +204,32 @@
         }
     }
 
+    private Void restartRouters() throws IOException, InterruptedException {
+        List<RouterProcess> routers = deployment.routers();
+        Restarts restarts = scenario.routers().restarts();
+        long lastKillAtMs = endAtMs;
+        int next = 0;
+        for (int i = 0; ; i++) {
+            Thread.sleep(restarts.intervalMs());
+            if (System.currentTimeMillis() >= lastKillAtMs) {
+                return null;
+            }
+            isRestarting = true;
+            try {
+                switch (restarts.kinds().get(i % restarts.kinds().size())) {
+                    case IN_TURN -> deployment.restart(List.of(routers.get(next++ % routers.size())), record);
+                    case TOGETHER -> deployment.restart(routers, record);
+                }
+                endAtMs = Math.max(endAtMs, System.currentTimeMillis() + CALLS_AFTER_RESTART_MS);
+            } finally {
+                isRestarting = false;
+            }
+        }
+    }
+
     private Void callInTurn(RequestClass requests, Random random) throws InterruptedException {
         while (!isOver()) {
-            call(requests, random.nextInt(deployment.routers().size()));
+            call(requests, random);
             Thread.sleep(random.nextInt(requests.pauseMs() + 1));
         }
         return null;
@@ -211,18 +245,21 @@
                 await(calls);
                 return null;
             }
-            int router = random.nextInt(deployment.routers().size());
+            Random callRandom = new Random(random.nextLong());
             calls.add(tasks.submit(() -> {
-                call(requests, router);
+                call(requests, callRandom);
                 return null;
             }));
         }
     }
 
-    private void call(RequestClass requests, int routerIndex) throws InterruptedException {
-        RouterProcess router = deployment.routers().get(routerIndex);
+    private void call(RequestClass requests, Random random) throws InterruptedException {
+        RouterProcess router =
+                deployment.routers().get(random.nextInt(deployment.routers().size()));
+        Account account = new Account(requests, 1 + random.nextInt(requests.accounts()));
+        String key = account.key(1 + random.nextInt(requests.keys()));
         String name = requests.name() + "-" + seed + "-" + requestCount.incrementAndGet();
-        record.add(client.send(name, requests, Deployment.keyOf(requests), router.id(), router.callerPort()));
+        record.add(client.send(name, account, key, router));
     }
 
     private void findBrokenPromises() throws IOException, InterruptedException {
--- a/soak/src/main/java/io/radishwinch/soak/check/AnswerCheck.java
+++ b/soak/src/main/java/io/radishwinch/soak/check/AnswerCheck.java
@@ -7,8 +7,9 @@
 /**
  * Every whole request ends in a complete response or a refusal, and a stream is broken off only after its deadline.
  *
- * <p>All endpoints of a scenario are sound, so that no stream lacks one. Routers measure the deadline from the arrival,
- * which is later than the caller's.
+ * <p>All endpoints of a scenario are sound, so that no stream lacks one. A request whose router was killed, or not yet
+ * started again, while it ran is not counted. Routers measure the deadline from the arrival, which is later than the
+ * caller's.
  */
 public final class AnswerCheck implements PromiseCheck {
     @Override
@@ -19,6 +20,9 @@
 
     @Override
     public Optional<String> fault(CallerRecord request, Observations observations) {
+        if (observations.isRouterDownDuring(request)) {
+            return Optional.empty();
+        }
         CallerRecord.Response response = request.response();
         String time = request.durationMs() + " of " + request.deadlineMs() + " ms";
         return switch (response.end()) {
--- a/soak/src/main/java/io/radishwinch/soak/scenario/ChangeKind.java
+++ b/soak/src/main/java/io/radishwinch/soak/scenario/ChangeKind.java
@@ -11,7 +11,11 @@
     /** Timeout of the callers of the scenario, never below the time that they give their requests. */
     TIMEOUT("timeout"),
     /** KV cache for each token of the model. */
-    MODEL("model");
+    MODEL("model"),
+    /** A further account that sends nothing. */
+    ACCOUNT("account"),
+    /** A key of an account of the scenario that no caller uses; the other keys of the account stay. */
+    KEY("key");
 
     private final String text;
 
--- a/soak/src/main/java/io/radishwinch/soak/scenario/Scenario.java
+++ b/soak/src/main/java/io/radishwinch/soak/scenario/Scenario.java
@@ -35,8 +35,25 @@
      *
      * @param count number of router processes
      * @param attempts largest number of attempts of a request
+     * @param restarts restarts of the processes
      */
-    public record Routers(int count, int attempts) {}
+    public record Routers(int count, int attempts, Restarts restarts) {}
+
+    /**
+     * Restarts of routers, which are killed and started again.
+     *
+     * @param kinds kinds of restart, made in turn; empty for none
+     * @param intervalMs time between the end of a restart and the next kill, in ms
+     */
+    public record Restarts(List<RestartKind> kinds, int intervalMs) {
+        /** No restarts. */
+        public static final Restarts NONE = new Restarts(List.of(), 0);
+
+        /** Creates restarts with an immutable copy of the kinds. */
+        public Restarts {
+            kinds = List.copyOf(kinds);
+        }
+    }
 
     /**
      * Endpoints of one engine pool, each of which holds all layers.
@@ -66,7 +83,9 @@
     /**
      * Class of requests, each of which asks for a stream.
      *
-     * @param name name of the class and of its caller
+     * @param name name of the class and of its first account
+     * @param accounts client accounts that the callers use
+     * @param keys keys of each account that the callers use
      * @param callers callers that send one request after the other, or 0 if the class has a rate
      * @param requestsPerS mean rate of requests that do not wait for each other, or 0 if the class has callers
      * @param pauseMs longest pause of a caller between two requests, in ms
@@ -74,7 +93,14 @@
      * @param events events of a stream
      */
     public record RequestClass(
-            String name, int callers, double requestsPerS, int pauseMs, int deadlineMs, int events) {}
+            String name,
+            int accounts,
+            int keys,
+            int callers,
+            double requestsPerS,
+            int pauseMs,
+            int deadlineMs,
+            int events) {}
 
     /**
      * Changes of the configuration.
--- a/soak/src/main/java/io/radishwinch/soak/scenario/ScenarioReader.java
+++ b/soak/src/main/java/io/radishwinch/soak/scenario/ScenarioReader.java
@@ -4,6 +4,7 @@
 import io.radishwinch.soak.scenario.Scenario.Changes;
 import io.radishwinch.soak.scenario.Scenario.Pool;
 import io.radishwinch.soak.scenario.Scenario.RequestClass;
+import io.radishwinch.soak.scenario.Scenario.Restarts;
 import io.radishwinch.soak.scenario.Scenario.Routers;
 import io.radishwinch.soak.scenario.Scenario.Silences;
 import java.util.ArrayList;
@@ -12,6 +13,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 /** Reads the fields of a scenario file. */
@@ -23,6 +25,8 @@
     private static final int MAX_LAYERS = 256;
     private static final int MAX_SLOTS = 1_024;
     private static final int MAX_CALLERS = 512;
+    private static final int MAX_KEYS = 1_300;
+    private static final int MAX_KEYS_PER_ACCOUNT = 8;
     private static final double MAX_REQUESTS_PER_S = 50;
     private static final int MAX_EVENTS = 4_000;
     private static final int MAX_MS = 600_000;
@@ -52,11 +56,20 @@
     private static Routers readRouters(YamlMapping mapping) {
         Routers routers = new Routers(
                 required(mapping, "count", "routers", 1, MAX_ROUTERS),
-                required(mapping, "attempts", "attempts", 1, 100));
+                required(mapping, "attempts", "attempts", 1, 100),
+                mapping.mapping("restarts").map(ScenarioReader::readRestarts).orElse(Restarts.NONE));
         mapping.rejectUnreadFields();
         return routers;
     }
 
+    private static Restarts readRestarts(YamlMapping mapping) {
+        Restarts restarts = new Restarts(
+                kinds(mapping, RestartKind.values(), RestartKind::text),
+                required(mapping, "intervalMs", "ms", 50, MAX_MS));
+        mapping.rejectUnreadFields();
+        return restarts;
+    }
+
     private static Pool readPool(YamlMapping mapping) {
         Pool pool = new Pool(
                 required(mapping, "endpoints", "endpoints", 1, MAX_ENDPOINTS),
@@ -97,6 +110,12 @@
         if (classes.isEmpty()) {
             root.addError("classes", "expected at least one class of requests, found none", "");
         }
+        int keys = classes.stream()
+                .mapToInt(requests -> requests.accounts() * requests.keys())
+                .sum();
+        if (keys > MAX_KEYS) {
+            root.addError("classes", "expected at most " + MAX_KEYS + " keys of all accounts, found " + keys, "");
+        }
         return classes;
     }
 
@@ -113,6 +132,8 @@
         }
         RequestClass requests = new RequestClass(
                 name,
+                (int) mapping.integer("accounts", "accounts", 1, MAX_KEYS, 1),
+                (int) mapping.integer("keys", "keys", 1, MAX_KEYS_PER_ACCOUNT, 1),
                 (int) mapping.integer("callers", "callers", 1, MAX_CALLERS, 0),
                 mapping.number("requestsPerS", "requests/s", 0.01, MAX_REQUESTS_PER_S, 0),
                 (int) mapping.integer("pauseMs", "ms", 0, MAX_MS, 0),
@@ -123,14 +144,22 @@
     }
 
     private static Changes readChanges(YamlMapping mapping) {
-        List<ChangeKind> kinds = new ArrayList<>();
+        Changes changes = new Changes(
+                kinds(mapping, ChangeKind.values(), ChangeKind::text),
+                required(mapping, "intervalMs", "ms", 50, MAX_MS));
+        mapping.rejectUnreadFields();
+        return changes;
+    }
+
+    /** Returns the kinds that a list names, with an error for a missing list and for each unknown name. */
+    private static <K> List<K> kinds(YamlMapping mapping, K[] all, Function<K, String> textOf) {
+        List<K> kinds = new ArrayList<>();
         for (String text : mapping.texts("kinds")) {
-            Optional<ChangeKind> kind = Arrays.stream(ChangeKind.values())
-                    .filter(candidate -> candidate.text().equals(text))
+            Optional<K> kind = Arrays.stream(all)
+                    .filter(candidate -> textOf.apply(candidate).equals(text))
                     .findFirst();
             if (kind.isEmpty()) {
-                String expected =
-                        Arrays.stream(ChangeKind.values()).map(ChangeKind::text).collect(Collectors.joining(", "));
+                String expected = Arrays.stream(all).map(textOf).collect(Collectors.joining(", "));
                 mapping.addError("kinds", "expected one of " + expected + ", found '" + text + "'", "");
             }
             kind.ifPresent(kinds::add);
@@ -138,9 +167,7 @@
         if (!mapping.has("kinds")) {
             mapping.addError("kinds", "the field is missing", "");
         }
-        Changes changes = new Changes(kinds, required(mapping, "intervalMs", "ms", 50, MAX_MS));
-        mapping.rejectUnreadFields();
-        return changes;
+        return kinds;
     }
 
     /** Returns an integer field, or the smallest value and an error if it is missing. */
--- a/soak/src/test/java/io/radishwinch/soak/Records.java
+++ b/soak/src/test/java/io/radishwinch/soak/Records.java
@@ -32,7 +32,16 @@
     /** Returns a request that ended some time after it was sent. */
     public static CallerRecord request(long durationMs, Response response) {
         return new CallerRecord(
-                NAME, "chat", "router-1", "r-1", SENT_AT_MS, SENT_AT_MS + durationMs, DEADLINE_MS, EVENTS, response);
+                NAME,
+                "chat",
+                "chat.7",
+                "router-1",
+                "r-1",
+                SENT_AT_MS,
+                SENT_AT_MS + durationMs,
+                DEADLINE_MS,
+                EVENTS,
+                response);
     }
 
     /** Returns a response that ended as given, after the first events. */
@@ -42,7 +51,7 @@
 
     /** Returns the observations of a request with these runs at engines. */
     public static Observations observations(CallerRecord request, AttemptEvent... events) {
-        return new Observations(List.of(request), Map.of(request.name(), Arrays.asList(events)), List.of());
+        return new Observations(List.of(request), Map.of(request.name(), Arrays.asList(events)), List.of(), List.of());
     }
 
     /** Returns an event of an attempt. */
--- a/soak/src/test/java/io/radishwinch/soak/TimelineTest.java
+++ b/soak/src/test/java/io/radishwinch/soak/TimelineTest.java
@@ -19,7 +19,8 @@
                 List.of(
                         new Incident(900, "engine-2 is silent"),
                         new Incident(1_250, "engine-1 is silent"),
-                        new Incident(1_700, "engine-1 continues")));
+                        new Incident(1_700, "engine-1 continues")),
+                List.of());
         assertThat(Timeline.of(request, observations, List.of(new Timeline.Entry(1_300, "router-1", "retried"))))
                 .containsExactly(
                         "       0 ms  caller       sends chat-1-1 to router-1",
--- a/soak/src/test/java/io/radishwinch/soak/check/PromiseCheckTest.java
+++ b/soak/src/test/java/io/radishwinch/soak/check/PromiseCheckTest.java
@@ -9,11 +9,14 @@
 
 import io.radishwinch.soak.CallerRecord;
 import io.radishwinch.soak.CallerRecord.End;
+import io.radishwinch.soak.CallerRecord.Response;
 import io.radishwinch.soak.Observations;
 import io.radishwinch.soak.Records;
+import io.radishwinch.soak.RouterRestart;
 import io.radishwinch.standins.AttemptEvent;
 import io.radishwinch.standins.AttemptEvent.Kind;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -102,6 +105,59 @@
                 .containsExactly("complete with 3 of 4 events");
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "200, true",
+        "302, false",
+        "400, false",
+        "401, false",
+        "404, false",
+        "408, true",
+        "413, false",
+        "421, true",
+        "429, true",
+        "431, false",
+        "503, true"
+    })
+    void aProperRequestIsNotRefusedAsWrong(int status, boolean isKept) {
+        Observations observed = observations(request(3, new Response(End.REFUSED, status, "", "", List.of())));
+        assertThat(new ProperRequestCheck().violations(observed).isEmpty()).isEqualTo(isKept);
+    }
+
+    @Test
+    void theDetailOfAProperRequestRefusedAsWrongNamesItsAccountAndTheRestartBeforeIt() {
+        CallerRecord refused = request(3, new Response(End.REFUSED, 401, "unauthorized", "", List.of()));
+        List<RouterRestart> restarts = List.of(
+                new RouterRestart("router-1", 100, 200),
+                new RouterRestart("router-1", 803, 990),
+                new RouterRestart("router-2", 900, 990),
+                new RouterRestart("router-1", 2_000, 2_100));
+        Observations observed = new Observations(List.of(refused), Map.of(), List.of(), restarts);
+        assertThat(new ProperRequestCheck().violations(observed))
+                .extracting(Violation::detail)
+                .containsExactly(
+                        "status 401 unauthorized for account chat.7, 200 ms after router-1 was killed and started again");
+    }
+
+    /** Guards against a kill of a router that counts as a broken promise, and against one that excuses others. */
+    @ParameterizedTest
+    @CsvSource({
+        "router-1, 900, 990, false",
+        "router-1, 900, 1000, true",
+        "router-1, 1600, 1700, true",
+        "router-1, 1601, 1700, false",
+        "router-2, 900, 1700, false"
+    })
+    void onlyTheRestartOfItsOwnRouterExcusesARequestWithoutAResponse(
+            String router, long killedAtMs, long listensAtMs, boolean isExcused) {
+        Observations observed = new Observations(
+                List.of(request(600, response(End.NO_RESPONSE, "", List.of()))),
+                Map.of(),
+                List.of(),
+                List.of(new RouterRestart(router, killedAtMs, listensAtMs)));
+        assertThat(answers.violations(observed).isEmpty()).isEqualTo(isExcused);
+    }
+
     private List<Violation> streamFaults(End end, List<String> events) {
         return order.violations(observations(request(2_400, response(end, "", events))));
     }
