Ask once whether an endpoint can be checked

Cause: the check for due endpoints repeated the conditions under which a status check is sent.

Change: one predicate serves both; the behaviour is the same.

--- a/server/src/main/java/io/radishwinch/server/fleet/EndpointHealthChecker.java
+++ b/server/src/main/java/io/radishwinch/server/fleet/EndpointHealthChecker.java
@@ -91,11 +91,8 @@
         reachability.tick(nowMs);
         List<String> repeated = List.copyOf(newlyUnreachable);
         newlyUnreachable.clear();
-        if (!reachability.isIsolated()) {
-            repeated.forEach(id -> sendCheck(id, false, false));
-            registry.takeDueHealthChecks(nowMs, id -> !isPaused.test(id) && !pendingChecks.contains(id))
-                    .forEach(id -> sendCheck(id, false, false));
-        }
+        repeated.forEach(id -> sendCheck(id, false, false));
+        registry.takeDueHealthChecks(nowMs, this::canBeChecked).forEach(id -> sendCheck(id, false, false));
         nextCheckAtMs.keySet().removeIf(id -> registry.contact(id).isEmpty());
     }
 
@@ -115,10 +112,10 @@
      */
     private void sendCheck(String endpointId, boolean checksStreams, boolean isRepeat) {
         Optional<EndpointContact> contact = registry.contact(endpointId);
-        boolean isUseless = contact.isEmpty() || isPaused.test(endpointId) || reachability.isIsolated();
-        if (isUseless || !pendingChecks.add(endpointId)) {
+        if (contact.isEmpty() || !canBeChecked(endpointId)) {
             return;
         }
+        pendingChecks.add(endpointId);
         long startedAtMs = clockMs.getAsLong();
         Uni.createFrom()
                 .deferred(() -> endpoints.requestStatus(contact.get()))
@@ -128,6 +125,10 @@
                         error -> onCheckFailure(endpointId, checksStreams, isRepeat, startedAtMs, error));
     }
 
+    private boolean canBeChecked(String endpointId) {
+        return !isPaused.test(endpointId) && !pendingChecks.contains(endpointId) && !reachability.isIsolated();
+    }
+
     private void onCheckFailure(
             String endpointId, boolean checksStreams, boolean isRepeat, long startedAtMs, Throwable error) {
         pendingChecks.remove(endpointId);
